--- /dev/null
+++ b/burdockwall/connection/exchange.py
@@ -0,0 +1,162 @@
+"""Wrap one ASGI request: read it with bounds, answer it, notice a gone caller."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeVar
+from urllib.parse import parse_qsl
+
+import anyio
+import msgspec
+
+from burdockwall.errors import BurdockwallError, Code, RequestRefused
+
+Scope = dict[str, Any]
+ReceiveEvent = Callable[[], Awaitable[dict[str, Any]]]
+SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+T = TypeVar("T")
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+class Exchange:
+    """Hold one caller's request and its answer."""
+
+    def __init__(self, scope: Scope, receive: ReceiveEvent, send: SendEvent) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: bytes = scope["query_string"]
+        self.headers: Headers = list(scope["headers"])
+        self.started = False
+        self.gone = anyio.Event()
+        self._receive = receive
+        self._send = send
+        self._body_read = False
+
+    def get_header(self, name: bytes) -> str | None:
+        """Return a header's value; raise RequestRefused where it came twice."""
+        values = [value for key, value in self.headers if key == name]
+        if len(values) > 1:
+            raise RequestRefused(
+                Code.BAD_REQUEST, f"header {name.decode()!r} came {len(values)} times"
+            )
+        return values[0].decode("latin-1") if values else None
+
+    def list_query(self) -> list[tuple[str, str]]:
+        """Return the query's names and values in their order."""
+        return parse_qsl(self.query.decode("latin-1"), keep_blank_values=True)
+
+    async def stream_body(self, limit_bytes: int) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; refuse it at the limit."""
+        total = 0
+        while not self._body_read:
+            event = await self._receive()
+            if event["type"] == "http.disconnect":
+                self.gone.set()
+                return
+            self._body_read = not event.get("more_body", False)
+            chunk: bytes = event.get("body", b"")
+            total += len(chunk)
+            if total > limit_bytes:
+                detail = f"the body exceeds {limit_bytes} bytes"
+                raise RequestRefused(Code.BODY_TOO_LARGE, detail)
+            if chunk:
+                yield chunk
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Read the whole body; refuse it at the limit."""
+        return b"".join([chunk async for chunk in self.stream_body(limit_bytes)])
+
+    async def watch_caller(self) -> None:
+        """Wait until the caller has gone, once the body has been read."""
+        while not self.gone.is_set():
+            event = await self._receive()
+            if event["type"] == "http.disconnect":
+                self.gone.set()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers of the answer."""
+        self.started = True
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the answer's body."""
+        await self._send(
+            {"type": "http.response.body", "body": chunk, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        """End the answer's body."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def answer_json(
+        self, status: int, value: object, headers: Headers | None = None
+    ) -> None:
+        """Send a whole answer as JSON."""
+        await self.start(status, [JSON_TYPE, *(headers or [])])
+        await self.write(msgspec.json.encode(value))
+        await self.finish()
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """Describe a refusal to a caller."""
+
+    code: int
+    name: str
+    ran: str
+    retry: str
+    retry_after_s: float | None
+    message: str
+
+
+def build_refusal(error: BurdockwallError) -> RefusalBody:
+    """Build the body of a refusal from an error."""
+    row = error.code.value
+    return RefusalBody(
+        code=row.number,
+        name=error.code.name.lower(),
+        ran=row.ran.value,
+        retry=row.retry.value,
+        retry_after_s=error.retry_after_s,
+        message=error.detail,
+    )
+
+
+async def answer_refusal(exchange: Exchange, error: BurdockwallError) -> None:
+    """Answer a request with a refusal's body and headers."""
+    row = error.code.value
+    headers = [
+        (b"burdockwall-code", str(row.number).encode()),
+        (b"burdockwall-ran", row.ran.value.encode()),
+    ]
+    if error.retry_after_s is not None:
+        seconds = max(1, round(error.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    body = {"error": build_refusal(error)}
+    await exchange.answer_json(row.status, body, headers)
+
+
+async def run_while_present(
+    exchange: Exchange, function: Callable[[], Awaitable[T]]
+) -> T:
+    """Run a function for a caller; cancel it and raise when the caller leaves."""
+    results: list[T] = []
+    errors: list[Exception] = []
+
+    async def run() -> None:
+        try:
+            results.append(await function())
+        except Exception as error:
+            errors.append(error)
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run)
+        await exchange.watch_caller()
+        group.cancel_scope.cancel()
+    if errors:
+        raise errors[0]
+    if not results:
+        raise RequestRefused(Code.CALLER_GONE)
+    return results[0]
--- /dev/null
+++ b/burdockwall/connection/peers.py
@@ -0,0 +1,195 @@
+"""Carry messages between instances over one grpclib stream each way.
+
+Delivery is best effort: a message may be lost when a connection is replaced, so
+the state machines repeat what matters. A connection that acknowledges nothing for
+the silence bound is replaced by a fresh one.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import anyio
+import anyio.abc
+import grpclib.client
+import grpclib.const
+import grpclib.server
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from burdockwall.connection.wire import (
+    Acknowledgement,
+    AnyMessage,
+    Envelope,
+    MessagePackCodec,
+)
+from burdockwall.machine import Message
+from burdockwall.types import Address, Incarnation, InstanceId
+
+EXCHANGE_METHOD = "/burdockwall.Peer/Exchange"
+QUEUE_LIMIT = 4096
+BATCH_LIMIT = 256
+RECONNECT_DELAY_S = 0.2
+
+Deliver = Callable[[InstanceId, Message], None]
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Split host:port into its parts."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class PeerLink:
+    """Send messages to one instance over the current connection to it."""
+
+    def __init__(
+        self,
+        sender: InstanceId,
+        incarnation: Incarnation,
+        address: Address,
+        silence_s: float,
+    ) -> None:
+        self.sender = sender
+        self.incarnation = incarnation
+        self.address = address
+        self.silence_s = silence_s
+        self.replaced = 0
+        self._queue: deque[AnyMessage] = deque(maxlen=QUEUE_LIMIT)
+        self._wake = anyio.Event()
+        self._sent = 0
+        self._acknowledged = 0
+
+    def put(self, message: AnyMessage) -> None:
+        """Queue a message; the oldest is dropped when the queue is full."""
+        self._queue.append(message)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Keep a connection while there is something to send."""
+        while True:
+            await self._wait_for_message()
+            try:
+                await self._connect_once()
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+                self.replaced += 1
+            await anyio.sleep(RECONNECT_DELAY_S)
+
+    async def _wait_for_message(self) -> None:
+        if not self._queue:
+            self._wake = anyio.Event()
+            await self._wake.wait()
+
+    async def _connect_once(self) -> None:
+        host, port = split_address(self.address)
+        codec = MessagePackCodec()
+        async with grpclib.client.Channel(host, port, codec=codec) as channel:
+            method = grpclib.client.StreamStreamMethod(
+                channel, EXCHANGE_METHOD, Envelope, Acknowledgement
+            )
+            with anyio.fail_after(self.silence_s):
+                await channel.__connect__()
+            async with method.open() as stream:
+                self._sent = 0
+                self._acknowledged = 0
+                while True:
+                    await self._send_batch(stream)
+                    await self._wait_for_message()
+
+    async def _send_batch(
+        self, stream: "grpclib.client.Stream[Envelope, Acknowledgement]"
+    ) -> None:
+        size = min(len(self._queue), BATCH_LIMIT)
+        messages = [self._queue.popleft() for _ in range(size)]
+        self._sent += size
+        envelope = Envelope(self.sender, self.incarnation, self._sent, messages)
+        # The next batch waits for the acknowledgement, so what queues up
+        # meanwhile travels together and a silent connection shows at once.
+        with anyio.fail_after(self.silence_s):
+            await stream.send_message(envelope)
+            reply = await stream.recv_message()
+        if reply is None:
+            raise StreamTerminatedError("the peer closed the stream")
+        self._acknowledged = reply.count
+
+
+class PeerBus:
+    """Send messages to instances by id and deliver those that arrive."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        peers: dict[InstanceId, Address],
+        silence_s: float,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.silence_s = silence_s
+        self.links = {
+            peer: PeerLink(instance, incarnation, address, silence_s)
+            for peer, address in peers.items()
+            if peer != instance
+        }
+        self._deliver: Deliver | None = None
+        self._group: anyio.abc.TaskGroup | None = None
+
+    def connect(self, deliver: Deliver) -> None:
+        """Set the function that takes each message that arrives."""
+        self._deliver = deliver
+
+    def send(self, to: InstanceId, message: Message) -> None:
+        """Queue a message for an instance; an unknown one is ignored."""
+        link = self.links.get(to)
+        if link is not None:
+            link.put(cast(AnyMessage, message))
+
+    def add_peer(self, peer: InstanceId, address: Address) -> None:
+        """Learn the address of an instance; a changed one replaces the link."""
+        if peer == self.instance:
+            return
+        link = self.links.get(peer)
+        if link is None:
+            link = PeerLink(self.instance, self.incarnation, address, self.silence_s)
+            self.links[peer] = link
+            if self._group is not None:
+                self._group.start_soon(link.run)
+        link.address = address
+
+    async def _exchange(
+        self, stream: "grpclib.server.Stream[Envelope, Acknowledgement]"
+    ) -> None:
+        while True:
+            envelope = await stream.recv_message()
+            if envelope is None:
+                return
+            await stream.send_message(Acknowledgement(envelope.count))
+            self._deliver_batch(envelope.sender, envelope.messages)
+
+    def _deliver_batch(self, sender: InstanceId, messages: list[AnyMessage]) -> None:
+        if self._deliver is None:
+            return
+        for message in messages:
+            self._deliver(sender, message)
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        handler = grpclib.const.Handler(
+            self._exchange,
+            grpclib.const.Cardinality.STREAM_STREAM,
+            Envelope,
+            Acknowledgement,
+        )
+        return {EXCHANGE_METHOD: handler}
+
+    async def run(self, address: Address) -> None:
+        """Listen on an address and run the links to all known instances."""
+        server = grpclib.server.Server([self], codec=MessagePackCodec())
+        host, port = split_address(address)
+        await server.start(host, port)
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                for link in self.links.values():
+                    group.start_soon(link.run)
+                await anyio.sleep_forever()
+        finally:
+            server.close()
--- /dev/null
+++ b/burdockwall/connection/wire.py
@@ -0,0 +1,50 @@
+"""Encode the messages between instances as MessagePack."""
+
+from typing import Any
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+from burdockwall.process.membership import messages as membership
+from burdockwall.types import Incarnation, InstanceId
+
+AnyMessage = membership.Follow | membership.StateSnapshot | membership.StateCurrent
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Carry a batch of messages from one incarnation of an instance.
+
+    `count` is the number of messages sent on the connection so far, this batch
+    included.
+    """
+
+    sender: InstanceId
+    incarnation: Incarnation
+    count: int
+    messages: list[AnyMessage]
+
+
+class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
+    """Confirm how many messages of the connection have arrived."""
+
+    count: int
+
+
+class MessagePackCodec(CodecBase):
+    """Encode typed structs for grpclib."""
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoders = {
+            kind: msgspec.msgpack.Decoder(kind) for kind in (Envelope, Acknowledgement)
+        }
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Encode a struct of the given type."""
+        return self._encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Decode a struct of the given type."""
+        return self._decoders[message_type].decode(data)
--- /dev/null
+++ b/burdockwall/errors.py
@@ -0,0 +1,153 @@
+"""Define every error as an exception with a numbered code."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from burdockwall.types import Ran
+
+
+class Retry(Enum):
+    """State whether the caller may safely send the same request again."""
+
+    SAFE = "safe"
+    SAME_KEY = "safe with the same idempotency key"
+    NEVER = "not useful"
+
+
+@dataclass(frozen=True, slots=True)
+class CodeRow:
+    """Describe one result code: its number, HTTP status and meaning."""
+
+    number: int
+    status: int
+    ran: Ran
+    retry: Retry
+    meaning: str
+
+
+class Code(Enum):
+    """Number every result that is not a success."""
+
+    # Requests that callers can correct.
+    BAD_REQUEST = CodeRow(
+        1001, 400, Ran.NOT_RUN, Retry.NEVER, "The request is malformed."
+    )
+    BODY_TOO_LARGE = CodeRow(
+        1002, 413, Ran.NOT_RUN, Retry.NEVER, "The body exceeds the size limit."
+    )
+    NO_ROUTE = CodeRow(
+        1003, 404, Ran.NOT_RUN, Retry.NEVER, "No route matches the path or model."
+    )
+    KEY_MISSING = CodeRow(
+        1101, 401, Ran.NOT_RUN, Retry.NEVER, "The route needs a key and none came."
+    )
+    KEY_REFUSED = CodeRow(
+        1102, 401, Ran.NOT_RUN, Retry.NEVER, "The key is unknown or withdrawn."
+    )
+    ROUTE_FORBIDDEN = CodeRow(
+        1103, 403, Ran.NOT_RUN, Retry.NEVER, "The customer may not use the route."
+    )
+    # Programs.
+    PROGRAM_UNKNOWN = CodeRow(
+        1201, 404, Ran.NOT_RUN, Retry.NEVER, "The customer has no such program."
+    )
+    TURN_STALE = CodeRow(
+        1202, 409, Ran.NOT_RUN, Retry.NEVER, "The turn number has been passed."
+    )
+    TURN_GAP = CodeRow(
+        1203, 409, Ran.NOT_RUN, Retry.NEVER, "A turn before this one is missing."
+    )
+    TURN_RUNNING = CodeRow(
+        1204, 409, Ran.NOT_RUN, Retry.SAFE, "Another call of the program is running."
+    )
+    # Limits and load.
+    RATE_EXCEEDED = CodeRow(
+        1301, 429, Ran.NOT_RUN, Retry.SAFE, "The customer's rate and burst are spent."
+    )
+    OVERLOADED = CodeRow(
+        1302, 503, Ran.NOT_RUN, Retry.SAFE, "The queue for this class is full."
+    )
+    # Endpoints.
+    NO_ENDPOINT = CodeRow(
+        1401, 503, Ran.NOT_RUN, Retry.SAFE, "No endpoint can take the request."
+    )
+    ENDPOINT_FAILED = CodeRow(
+        1402, 502, Ran.UNKNOWN, Retry.SAME_KEY, "The endpoint failed after the send."
+    )
+    ENDPOINT_UNREACHABLE = CodeRow(
+        1403, 502, Ran.NOT_RUN, Retry.SAFE, "The endpoint took no connection."
+    )
+    CALLER_GONE = CodeRow(
+        1404, 499, Ran.UNKNOWN, Retry.SAME_KEY, "The caller left before the end."
+    )
+    # The instance itself.
+    NOT_READY = CodeRow(
+        1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
+    )
+    LEAVING = CodeRow(
+        1502, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is shutting down."
+    )
+    INTERNAL = CodeRow(
+        1599, 500, Ran.UNKNOWN, Retry.SAME_KEY, "An internal fault; see the log."
+    )
+    # Settings and operators.
+    SETTINGS_INVALID = CodeRow(
+        2001, 400, Ran.NOT_RUN, Retry.NEVER, "A settings file has faults."
+    )
+    CONFIGURATION_INVALID = CodeRow(
+        2002, 400, Ran.NOT_RUN, Retry.NEVER, "A configuration has faults."
+    )
+    VERSION_CONFLICT = CodeRow(
+        2003, 409, Ran.NOT_RUN, Retry.NEVER, "Another change won this version."
+    )
+    OPERATOR_REFUSED = CodeRow(
+        2004, 403, Ran.NOT_RUN, Retry.NEVER, "The operator may not do this."
+    )
+    NOT_LEADER = CodeRow(
+        2005, 503, Ran.NOT_RUN, Retry.SAFE, "The control instance is not the leader."
+    )
+    UNREACHABLE = CodeRow(
+        2006, 503, Ran.UNKNOWN, Retry.SAME_KEY, "No instance answered the operator."
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Locate one fault in a file: what is wrong, where, and what to do."""
+
+    code: Code
+    place: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        number = self.code.value.number
+        return f"{number} {self.place}: {self.problem}. {self.remedy}"
+
+
+class BurdockwallError(Exception):
+    """Report a numbered result; the base of every error of the project."""
+
+    def __init__(
+        self, code: Code, detail: str = "", retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(f"{code.value.number} {detail or code.value.meaning}")
+        self.code = code
+        self.detail = detail or code.value.meaning
+        self.retry_after_s = retry_after_s
+
+
+class RequestRefused(BurdockwallError):
+    """Refuse a caller's request with a code that says whether it ran."""
+
+
+class InvalidFile(BurdockwallError):
+    """Report every fault of a settings or configuration file."""
+
+    def __init__(self, code: Code, faults: list[Fault]) -> None:
+        super().__init__(code, "\n".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+class OperatorError(BurdockwallError):
+    """Refuse or fail an operator's command."""
--- /dev/null
+++ b/burdockwall/fakes/engine.py
@@ -0,0 +1,75 @@
+"""Stand in for a model engine: streams, resumes and cancels completions."""
+
+import hashlib
+from collections import Counter
+
+import anyio
+import msgspec
+
+from burdockwall.connection.exchange import Exchange
+from burdockwall.request.completion import CompletionRequest, parse_completion
+
+WORDS = ("hood", "duct", "filter", "flue", "grease", "access", "panel", "fan")
+ENGINE_BODY_BYTES = 67_108_864
+EVENT_HEADERS = [(b"content-type", b"text/event-stream")]
+
+
+def generate_tokens(completion: CompletionRequest) -> list[str]:
+    """Generate the answer to a prompt; the same prompt has the same answer."""
+    prompt = msgspec.json.encode(completion.messages)
+    digest = hashlib.sha256(prompt).digest()
+    count = min(completion.max_tokens, 4 + digest[0] % 8)
+    return [WORDS[digest[index + 1] % len(WORDS)] + " " for index in range(count)]
+
+
+def format_event(number: int, token: str) -> bytes:
+    """Format one token as an event of the stream."""
+    data = msgspec.json.encode({"choices": [{"delta": {"content": token}}]})
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
+class FakeEngine:
+    """Answer completions over HTTP with a fixed pause before each token."""
+
+    def __init__(self, token_s: float = 0.001, cut_after: int = 0) -> None:
+        self.token_s = token_s
+        self.cut_after = cut_after
+        self.seen: list[tuple[bytes, bytes]] = []
+        self.requests: Counter[str] = Counter()
+        self.cancelled = 0
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one request from an entry instance."""
+        self.seen.extend(exchange.headers)
+        body = await exchange.read_body(ENGINE_BODY_BYTES)
+        completion = parse_completion(body)
+        request = exchange.get_header(b"request-id") or ""
+        self.requests[request] += 1
+        offset = int(exchange.get_header(b"last-event-id") or 0)
+        await exchange.start(200, EVENT_HEADERS)
+        tokens = generate_tokens(completion)
+        for number, token in enumerate(tokens, 1):
+            if number <= offset:
+                continue
+            if self.cut_after and number > self.cut_after and offset == 0:
+                raise ConnectionAbortedError("the stream is cut on purpose")
+            await anyio.sleep(self.token_s)
+            await exchange.write(format_event(number, token))
+        await exchange.write(b"id: %d\ndata: [DONE]\n\n" % (len(tokens) + 1))
+        await exchange.finish()
+
+
+class FakeService:
+    """Answer calls of a plain service and count the runs of each key."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.seen: list[tuple[bytes, bytes]] = []
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one call."""
+        self.seen.extend(exchange.headers)
+        body = await exchange.read_body(ENGINE_BODY_BYTES)
+        name = exchange.get_header(b"idempotency-key") or body.decode()
+        self.runs[name] += 1
+        await exchange.answer_json(200, {"filed": name, "run": self.runs[name]})
--- /dev/null
+++ b/burdockwall/fakes/network.py
@@ -0,0 +1,168 @@
+"""Drive machines of several instances on a virtual clock, from a seed.
+
+Messages may be lost, doubled, delayed and so cross; directions between two
+instances may be cut; instances crash and restart. The same seed gives the same run.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from burdockwall.machine import Machine, Message, Receive, Send, Tick
+from burdockwall.types import InstanceId
+
+Perform = Callable[[InstanceId, Any, float], None]
+
+
+@dataclass(slots=True)
+class Weather:
+    """Set what happens to messages: delays in seconds, odds from 0 to 1."""
+
+    delay_low_s: float = 0.001
+    delay_high_s: float = 0.003
+    loss: float = 0.0
+    doubling: float = 0.0
+
+
+@dataclass(slots=True)
+class FakeNode:
+    """Hold the machines of one instance and the message types each takes."""
+
+    machines: list[Machine]
+    accepts: dict[type[Message], Machine]
+    tick_s: float
+    life: int = 0
+    up: bool = True
+    clock_rate: float = 1.0
+    clock_offset_s: float = 0.0
+
+
+@dataclass(order=True, slots=True)
+class _Due:
+    at: float
+    order: int
+    run: Callable[[], None] = field(compare=False)
+
+
+class FakeNetwork:
+    """Run instances' machines against each other on virtual time."""
+
+    def __init__(
+        self,
+        seed: int,
+        weather: Weather | None = None,
+        perform: Perform = lambda instance, action, now: None,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.weather = weather or Weather()
+        self.perform = perform
+        self.now = 0.0
+        self.sent_messages = 0
+        self.nodes: dict[InstanceId, FakeNode] = {}
+        self.cuts: set[tuple[InstanceId, InstanceId]] = set()
+        self._due: list[_Due] = []
+        self._order = 0
+
+    def start(
+        self,
+        instance: InstanceId,
+        machines: list[tuple[Machine, tuple[type[Message], ...]]],
+        tick_s: float = 0.1,
+    ) -> FakeNode:
+        """Start or restart an instance with fresh machines."""
+        former = self.nodes.get(instance)
+        node = FakeNode(
+            machines=[machine for machine, _ in machines],
+            accepts={kind: machine for machine, kinds in machines for kind in kinds},
+            tick_s=tick_s,
+            life=former.life + 1 if former else 0,
+        )
+        self.nodes[instance] = node
+        phase = self.random.uniform(0, tick_s)
+        self.schedule(phase, lambda: self._tick(instance, node.life))
+        return node
+
+    def crash(self, instance: InstanceId) -> None:
+        """Stop an instance at once; messages on their way to it are lost."""
+        self.nodes[instance].up = False
+
+    def cut(self, sender: InstanceId, receiver: InstanceId) -> None:
+        """Lose every message in one direction until healed."""
+        self.cuts.add((sender, receiver))
+
+    def isolate(self, instance: InstanceId) -> None:
+        """Cut an instance off from all others in both directions."""
+        for other in self.nodes:
+            if other != instance:
+                self.cut(instance, other)
+                self.cut(other, instance)
+
+    def heal(self) -> None:
+        """Remove every cut."""
+        self.cuts.clear()
+
+    def schedule(self, delay_s: float, run: Callable[[], None]) -> None:
+        """Run a function after a delay."""
+        self._order += 1
+        heapq.heappush(self._due, _Due(self.now + delay_s, self._order, run))
+
+    def apply(self, instance: InstanceId, machine: Machine, event: Any) -> None:
+        """Hand an event to a machine of an instance that is up."""
+        node = self.nodes[instance]
+        if not node.up:
+            return
+        life = node.life
+        for action in machine.handle(event, self.read_clock(instance)):
+            # Performing an action may crash the instance half-way.
+            if not node.up or self.nodes[instance].life != life:
+                return
+            if isinstance(action, Send):
+                self.send(instance, action)
+            else:
+                self.perform(instance, action, self.now)
+
+    def read_clock(self, instance: InstanceId) -> float:
+        """Return the time that an instance's own clock shows."""
+        node = self.nodes[instance]
+        return self.now * node.clock_rate + node.clock_offset_s
+
+    def send(self, sender: InstanceId, action: Send) -> None:
+        """Put a message on its way, or lose it."""
+        self.sent_messages += 1
+        if action.to == sender:
+            self.schedule(0.0, lambda: self._deliver(sender, action))
+            return
+        if self.random.random() < self.weather.loss:
+            return
+        copies = 2 if self.random.random() < self.weather.doubling else 1
+        for _ in range(copies):
+            delay = self.random.uniform(
+                self.weather.delay_low_s, self.weather.delay_high_s
+            )
+            self.schedule(delay, lambda: self._deliver(sender, action))
+
+    def _deliver(self, sender: InstanceId, action: Send) -> None:
+        node = self.nodes.get(action.to)
+        if node is None or not node.up or (sender, action.to) in self.cuts:
+            return
+        machine = node.accepts.get(type(action.message))
+        if machine is not None:
+            self.apply(action.to, machine, Receive(sender, action.message))
+
+    def _tick(self, instance: InstanceId, life: int) -> None:
+        node = self.nodes[instance]
+        if node.life != life or not node.up:
+            return
+        for machine in node.machines:
+            self.apply(instance, machine, Tick())
+        self.schedule(node.tick_s, lambda: self._tick(instance, life))
+
+    def run_until(self, at: float) -> None:
+        """Run everything that is due up to a time."""
+        while self._due and self._due[0].at <= at:
+            due = heapq.heappop(self._due)
+            self.now = due.at
+            due.run()
+        self.now = at
--- /dev/null
+++ b/burdockwall/process/host.py
@@ -0,0 +1,69 @@
+"""Drive the state machines of a process: events in, actions out."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from burdockwall.connection.peers import PeerBus
+from burdockwall.machine import Machine, Message, Receive, Send, Tick
+from burdockwall.types import InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class Hosted:
+    """Join a machine to the messages it takes and the actions it asks for."""
+
+    machine: Machine
+    accepts: tuple[type[Message], ...]
+    perform: Callable[[Any], None]
+
+
+class Host:
+    """Deliver messages and ticks to machines and perform their actions."""
+
+    def __init__(self, bus: PeerBus, clock: Callable[[], float], tick_s: float) -> None:
+        self.bus = bus
+        self.clock = clock
+        self.tick_s = tick_s
+        self._hosted: list[Hosted] = []
+        self._by_type: dict[type[Message], Hosted] = {}
+        bus.connect(self.deliver)
+
+    def add(
+        self,
+        machine: Machine,
+        accepts: tuple[type[Message], ...] = (),
+        perform: Callable[[Any], None] = lambda action: None,
+    ) -> Hosted:
+        """Host a machine; `perform` takes every action except Send."""
+        hosted = Hosted(machine, accepts, perform)
+        self._hosted.append(hosted)
+        for kind in accepts:
+            self._by_type[kind] = hosted
+        return hosted
+
+    def deliver(self, sender: InstanceId, message: Message) -> None:
+        """Hand a message to the machine that takes its type."""
+        hosted = self._by_type.get(type(message))
+        if hosted is not None:
+            self.apply(hosted, Receive(sender, message))
+
+    def apply(self, hosted: Hosted, event: object) -> None:
+        """Hand an event to a machine and perform what it asks for."""
+        for action in hosted.machine.handle(event, self.clock()):
+            match action:
+                case Send(to=to, message=message) if to == self.bus.instance:
+                    self.deliver(to, message)
+                case Send(to=to, message=message):
+                    self.bus.send(to, message)
+                case _:
+                    hosted.perform(action)
+
+    async def run(self) -> None:
+        """Tick every machine until cancelled."""
+        while True:
+            for hosted in self._hosted:
+                self.apply(hosted, Tick())
+            await anyio.sleep(self.tick_s)
--- /dev/null
+++ b/burdockwall/process/logs.py
@@ -0,0 +1,52 @@
+"""Write structured logs: one JSON object or one text line a record."""
+
+import sys
+from datetime import UTC
+
+import logbook
+import msgspec
+
+from burdockwall.settings import Settings
+
+TEXT_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} "
+    "{record.channel} {record.message} {record.extra}"
+)
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """Hold what a JSON log line shows."""
+
+    time: str
+    level: str
+    channel: str
+    message: str
+    fields: dict[str, str]
+
+
+def format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Format a record as one JSON object."""
+    line = LogLine(
+        time=record.time.replace(tzinfo=UTC).isoformat(),
+        level=record.level_name.lower(),
+        channel=record.channel,
+        message=record.message,
+        fields={name: str(value) for name, value in sorted(record.extra.items())},
+    )
+    return msgspec.json.encode(line).decode()
+
+
+def create_log_handler(settings: Settings) -> logbook.Handler:
+    """Create the handler that writes the process's log to standard error."""
+    handler = logbook.StreamHandler(
+        sys.stderr, level=settings.log_level.upper(), format_string=TEXT_FORMAT
+    )
+    if settings.log_format == "json":
+        handler.formatter = format_json
+    return handler
+
+
+def create_logger(channel: str, settings: Settings) -> logbook.Logger:
+    """Create a logger for one channel of an instance."""
+    logger = logbook.Logger(channel)
+    return logger
--- /dev/null
+++ b/burdockwall/process/node.py
@@ -0,0 +1,137 @@
+"""Build a process from its settings and run it until it is told to stop."""
+
+import signal
+import time
+
+import anyio
+
+from burdockwall.connection.peers import PeerBus
+from burdockwall.process.control.state import ControlState
+from burdockwall.process.entry import Entry
+from burdockwall.process.host import Host
+from burdockwall.process.membership.follower import Follower, Install
+from burdockwall.process.membership.messages import (
+    Follow,
+    StateCurrent,
+    StateSnapshot,
+)
+from burdockwall.process.membership.publisher import Publisher
+from burdockwall.process.operations import Operations, Status
+from burdockwall.process.resolver import Member
+from burdockwall.process.web import serve_address
+from burdockwall.settings import Settings
+from burdockwall.types import EndpointState, Incarnation, Role
+
+OPERATOR_GRACE_S = 1.0
+
+
+class Node:
+    """Hold the parts of one process and join them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.stop = anyio.Event()
+        self.bus = PeerBus(
+            settings.instance_id,
+            Incarnation(time.time_ns()),
+            settings.peers,
+            settings.peer_silence_s,
+        )
+        self.host = Host(self.bus, time.monotonic, settings.tick_interval_s)
+        self.state = ControlState() if settings.role is not Role.ENTRY else None
+        self.entry: Entry | None = None
+        if self.state is not None:
+            self.host.add(Publisher(self.state), (Follow,))
+        if settings.role is not Role.CONTROL:
+            self.entry = self._create_entry()
+        self.operations = Operations(
+            settings, self.read_status, self.state, time.time, self.start_drain
+        )
+
+    def _create_entry(self) -> Entry:
+        entry = Entry(self.settings, time.monotonic, self.list_members)
+        control = self.settings.control_instances
+        if self.settings.role is Role.BOTH and not control:
+            control = [self.settings.instance_id]
+
+        def perform(action: Install) -> None:
+            entry.install(action.snapshot)
+
+        self.host.add(Follower(control), (StateSnapshot, StateCurrent), perform)
+        return entry
+
+    def list_members(self) -> list[Member]:
+        """List the entry instances that this process knows."""
+        leaving = self.entry is not None and self.entry.leaving
+        state = EndpointState.LEAVING if leaving else EndpointState.LIVE
+        return [
+            Member(
+                self.settings.instance_id,
+                self.settings.caller_address,
+                self.settings.failure_domain,
+                state,
+            )
+        ]
+
+    def read_status(self) -> Status:
+        """Describe this instance."""
+        entry = self.entry
+        version = entry.view.version if entry else self.state.version  # type: ignore[union-attr]
+        return Status(
+            instance=self.settings.instance_id,
+            role=self.settings.role.value,
+            failure_domain=self.settings.failure_domain,
+            version=version,
+            under_way=entry.under_way if entry else 0,
+            leaving=entry.leaving if entry else False,
+        )
+
+    def start_drain(self) -> None:
+        """Begin to leave: the address is no longer given out."""
+        if self.entry is not None:
+            self.entry.leaving = True
+        self.stop.set()
+
+    async def run(self) -> None:
+        """Run until stopped; requests under way end first."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.bus.run, self.settings.peer_address)
+            group.start_soon(self.host.run)
+            await self._serve_until_stopped()
+            group.cancel_scope.cancel()
+
+    async def _serve_until_stopped(self) -> None:
+        ended = anyio.Event()
+        address = self.settings.operator_address
+        serve = self.operations.serve
+        async with anyio.create_task_group() as group:
+            group.start_soon(serve_address, address, serve, ended, OPERATOR_GRACE_S)
+            await self._serve_callers()
+            ended.set()
+
+    async def _serve_callers(self) -> None:
+        if self.entry is None:
+            await self.stop.wait()
+            return
+        await serve_address(
+            self.settings.caller_address,
+            self.entry.serve,
+            self.stop,
+            self.settings.drain_limit_s,
+        )
+        await self.entry.flow.clients.close()
+
+
+async def run_node(settings: Settings) -> None:
+    """Run one process until a signal or a drain ends it."""
+    node = Node(settings)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_on_signal, node, signal.SIGTERM, signal.SIGINT)
+        await node.run()
+        group.cancel_scope.cancel()
+
+
+async def _stop_on_signal(node: Node, *signals: signal.Signals) -> None:
+    with anyio.open_signal_receiver(*signals) as arrived:
+        async for _ in arrived:
+            node.start_drain()
--- /dev/null
+++ b/burdockwall/process/resolver.py
@@ -0,0 +1,53 @@
+"""Tell callers which addresses to use, nearest failure domain first."""
+
+import hashlib
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.types import Address, EndpointState, FailureDomain, InstanceId
+
+ADDRESSES_GIVEN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe an entry instance that callers may use."""
+
+    instance: InstanceId
+    address: Address
+    failure_domain: FailureDomain
+    state: EndpointState = EndpointState.LIVE
+
+
+class ResolvedAddress(msgspec.Struct, frozen=True):
+    """Give one address and the failure domain that it is in."""
+
+    address: Address
+    failure_domain: FailureDomain
+
+
+class Resolution(msgspec.Struct, frozen=True):
+    """Give addresses in the order to try them, and how long to keep them."""
+
+    addresses: list[ResolvedAddress]
+    ttl_s: float
+
+
+def _spread(caller: str, member: Member) -> str:
+    return hashlib.sha256(f"{caller}|{member.instance}".encode()).hexdigest()
+
+
+def resolve_addresses(
+    members: list[Member], near: FailureDomain, caller: str, ttl_s: float
+) -> Resolution:
+    """Choose addresses for a caller; callers spread evenly over equal ones."""
+    live = [item for item in members if item.state is EndpointState.LIVE]
+    order = sorted(
+        live, key=lambda item: (item.failure_domain != near, _spread(caller, item))
+    )
+    addresses = [
+        ResolvedAddress(item.address, item.failure_domain)
+        for item in order[:ADDRESSES_GIVEN]
+    ]
+    return Resolution(addresses, ttl_s)
--- /dev/null
+++ b/burdockwall/request/caller.py
@@ -0,0 +1,73 @@
+"""Find out who sent a request, and take the key out of what goes on."""
+
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+from burdockwall.connection.exchange import Exchange, Headers
+
+KEY_HEADERS = (b"authorization", b"x-api-key", b"api-key", b"proxy-authorization")
+KEY_PARAMETERS = ("key", "api_key", "access_token")
+KEY_COOKIES = ("key", "api_key", "access_token")
+BEARER_PREFIX = "bearer "
+FORWARDED_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-language",
+        b"content-type",
+        b"content-length",
+        b"if-match",
+        b"if-none-match",
+        b"range",
+        b"idempotency-key",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Presented:
+    """Hold the key that came with a request, if any."""
+
+    key: str | None
+
+
+def find_key(exchange: Exchange) -> Presented:
+    """Find the key in the headers, the query or the cookies."""
+    for name in KEY_HEADERS:
+        value = exchange.get_header(name)
+        if value:
+            if value.lower().startswith(BEARER_PREFIX):
+                value = value[len(BEARER_PREFIX) :]
+            return Presented(value.strip())
+    for parameter, value in exchange.list_query():
+        if parameter in KEY_PARAMETERS:
+            return Presented(value)
+    for cookie in (exchange.get_header(b"cookie") or "").split(";"):
+        parameter, _, value = cookie.strip().partition("=")
+        if parameter in KEY_COOKIES:
+            return Presented(value)
+    return Presented(None)
+
+
+def strip_query(exchange: Exchange, presented: Presented) -> str:
+    """Return the query without parameters that name or hold a key."""
+    kept = [
+        (name, value)
+        for name, value in exchange.list_query()
+        if name not in KEY_PARAMETERS and not holds_key(value, presented)
+    ]
+    return urlencode(kept)
+
+
+def strip_headers(exchange: Exchange, presented: Presented) -> Headers:
+    """Return the headers that an endpoint may see."""
+    return [
+        (name, value)
+        for name, value in exchange.headers
+        if name in FORWARDED_HEADERS
+        and not holds_key(value.decode("latin-1"), presented)
+    ]
+
+
+def holds_key(text: str, presented: Presented) -> bool:
+    """Tell whether a text contains the presented key."""
+    return bool(presented.key) and str(presented.key) in text
--- /dev/null
+++ b/burdockwall/request/completion.py
@@ -0,0 +1,68 @@
+"""Define the body of a chat completion and the events of its stream."""
+
+import msgspec
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.types import ModelName
+
+
+class ChatMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold one message of a conversation."""
+
+    role: str
+    content: str
+
+
+class CompletionRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold the parts of a completion request that the entry acts on."""
+
+    model: ModelName
+    messages: list[ChatMessage]
+    max_tokens: int = 256
+    stream: bool = False
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """Hold what one event adds to the answer."""
+
+    content: str = ""
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """Hold one choice of an event."""
+
+    delta: Delta = Delta()
+
+
+class CompletionEvent(msgspec.Struct, frozen=True):
+    """Hold one event of a streamed completion."""
+
+    choices: list[Choice] = []
+
+
+DONE_DATA = b"[DONE]"
+_request_decoder = msgspec.json.Decoder(CompletionRequest)
+_event_decoder = msgspec.json.Decoder(CompletionEvent)
+
+
+def parse_completion(body: bytes) -> CompletionRequest:
+    """Parse a caller's body, or raise RequestRefused."""
+    try:
+        return _request_decoder.decode(body)
+    except msgspec.DecodeError as error:
+        detail = f"the body is not a completion request: {error}"
+        raise RequestRefused(Code.BAD_REQUEST, detail) from error
+
+
+def join_answer(stream: bytes) -> str:
+    """Join the text that the events of a whole stream carry."""
+    parts: list[str] = []
+    for line in stream.splitlines():
+        if not line.startswith(b"data:"):
+            continue
+        data = line[5:].strip()
+        if data == DONE_DATA:
+            continue
+        event = _event_decoder.decode(data)
+        parts.extend(choice.delta.content for choice in event.choices)
+    return "".join(parts)
--- /dev/null
+++ b/burdockwall/types.py
@@ -0,0 +1,73 @@
+"""Define the ids, enumerations and small values that all modules share."""
+
+from enum import Enum
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+Incarnation = NewType("Incarnation", int)
+FailureDomain = NewType("FailureDomain", str)
+Address = NewType("Address", str)
+CustomerId = NewType("CustomerId", str)
+OperatorId = NewType("OperatorId", str)
+KeyDigest = NewType("KeyDigest", str)
+RouteName = NewType("RouteName", str)
+PoolName = NewType("PoolName", str)
+EndpointId = NewType("EndpointId", str)
+ModelName = NewType("ModelName", str)
+ProgramId = NewType("ProgramId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Version = NewType("Version", int)
+Term = NewType("Term", int)
+FencingNumber = NewType("FencingNumber", int)
+ShardId = NewType("ShardId", int)
+CallId = NewType("CallId", int)
+
+
+class Role(Enum):
+    """Name what a process does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+    BOTH = "both"
+
+
+class Ran(Enum):
+    """State whether a refused request has run at an endpoint."""
+
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class PriorityClass(Enum):
+    """Order classes of work, the most urgent first."""
+
+    URGENT = "urgent"
+    HIGH = "high"
+    NORMAL = "normal"
+    LOW = "low"
+
+    @property
+    def rank(self) -> int:
+        """Return the position of the class, 0 for the most urgent."""
+        return _CLASS_RANKS[self]
+
+
+_CLASS_RANKS = {priority: rank for rank, priority in enumerate(PriorityClass)}
+
+
+class RouteKind(Enum):
+    """Name what stands behind a route."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class EndpointState(Enum):
+    """Name where an endpoint or instance stands in its life."""
+
+    LIVE = "live"
+    SUSPECTED = "suspected"
+    LEAVING = "leaving"
+    FAILED = "failed"
--- /dev/null
+++ b/burdockwall/version/configuration.py
@@ -0,0 +1,249 @@
+"""Describe a configuration as data classes, and print and parse it as INI.
+
+Operators build a Configuration in Python and print it; the printed text is what
+they submit. The same Configuration always prints the same bytes.
+"""
+
+import configparser
+import dataclasses
+import io
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, get_type_hints
+
+from burdockwall.errors import Code, Fault, InvalidFile
+from burdockwall.types import (
+    Address,
+    CustomerId,
+    EndpointId,
+    FailureDomain,
+    ModelName,
+    PoolName,
+    PriorityClass,
+    RouteKind,
+    RouteName,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """Describe a customer: requests a second, burst in requests, fair weight."""
+
+    name: CustomerId
+    rate_per_s: float = 10.0
+    burst: int = 20
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Describe a set of endpoints that are interchangeable for a route."""
+
+    name: PoolName
+    kind: RouteKind = RouteKind.MODEL
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Describe an endpoint: where it is and what it takes."""
+
+    name: EndpointId
+    pool: PoolName
+    address: Address
+    failure_domain: FailureDomain = FailureDomain("a")
+    checks_orders: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe a route from a path, and a model where it has one, to a pool.
+
+    An empty `customers` admits every customer; `open` admits callers without a key.
+    """
+
+    name: RouteName
+    path: str
+    pool: PoolName
+    kind: RouteKind = RouteKind.MODEL
+    model: ModelName = ModelName("")
+    open: bool = False
+    repeatable: bool = True
+    priority: PriorityClass = PriorityClass.NORMAL
+    customers: tuple[CustomerId, ...] = ()
+    cost: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Hold everything that operators configure, in the order of names."""
+
+    customers: tuple[Customer, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    endpoints: tuple[Endpoint, ...] = ()
+    routes: tuple[Route, ...] = ()
+
+
+Item = Customer | Pool | Endpoint | Route
+
+SECTION_TYPES: dict[str, type[Item]] = {
+    "customer": Customer,
+    "pool": Pool,
+    "endpoint": Endpoint,
+    "route": Route,
+}
+_SECTION_FIELDS = {
+    "customer": "customers",
+    "pool": "pools",
+    "endpoint": "endpoints",
+    "route": "routes",
+}
+_TRUE_WORDS = {"yes": True, "no": False}
+
+
+def _print_value(value: object) -> str:
+    match value:
+        case bool():
+            return "yes" if value else "no"
+        case Enum():
+            return str(value.value)
+        case tuple():
+            return " ".join(str(item) for item in value)
+        case _:
+            return str(value)
+
+
+def _list_items(configuration: Configuration) -> Iterator[tuple[str, Item]]:
+    for section, attribute in _SECTION_FIELDS.items():
+        items: tuple[Item, ...] = getattr(configuration, attribute)
+        for item in sorted(items, key=lambda item: item.name):
+            yield section, item
+
+
+def print_configuration(configuration: Configuration) -> str:
+    """Print a configuration as the INI text that is submitted."""
+    parser = configparser.ConfigParser(interpolation=None)
+    for section, item in _list_items(configuration):
+        values = {
+            field.name: _print_value(getattr(item, field.name))
+            for field in dataclasses.fields(item)
+            if field.name != "name"
+        }
+        parser[f"{section} {item.name}"] = values
+    text = io.StringIO()
+    parser.write(text)
+    return text.getvalue()
+
+
+def _convert_value(kind: Any, text: str) -> object:
+    base = getattr(kind, "__supertype__", kind)
+    if base is bool:
+        if text not in _TRUE_WORDS:
+            raise ValueError("is not yes or no")
+        return _TRUE_WORDS[text]
+    if isinstance(base, type) and issubclass(base, Enum):
+        return base(text)
+    if getattr(base, "__origin__", None) is tuple:
+        return tuple(text.split())
+    return base(text)
+
+
+class _ItemReader:
+    """Collect the faults of one configuration text while reading its items."""
+
+    def __init__(self, source: str) -> None:
+        self.source = source
+        self.faults: list[Fault] = []
+
+    def report(self, place: str, problem: str, remedy: str) -> None:
+        """Add a fault found at a place of the text."""
+        place = f"{self.source}: {place}"
+        fault = Fault(Code.CONFIGURATION_INVALID, place, problem, remedy)
+        self.faults.append(fault)
+
+    def read_item(self, section: str, values: dict[str, str]) -> Item | None:
+        """Build the item that a section describes, or report its faults."""
+        word, _, name = section.partition(" ")
+        kind = SECTION_TYPES.get(word)
+        if kind is None or not name:
+            known = ", ".join(SECTION_TYPES)
+            self.report(f"[{section}]", "the section is unknown", f"Use {known} NAME.")
+            return None
+        hints = get_type_hints(kind)
+        converted: dict[str, Any] = {"name": name}
+        for option, text in values.items():
+            if option not in hints or option == "name":
+                self.report(
+                    f"[{section}] {option}", "the option is unknown", "Remove it."
+                )
+                continue
+            try:
+                converted[option] = _convert_value(hints[option], text)
+            except ValueError as error:
+                self.report(
+                    f"[{section}] {option}",
+                    f"the value {text!r} is not valid ({error})",
+                    "Correct the value.",
+                )
+        try:
+            return kind(**converted)
+        except TypeError as error:
+            self.report(f"[{section}]", str(error), "Add the missing option.")
+            return None
+
+
+def _check_references(configuration: Configuration, reader: _ItemReader) -> None:
+    pools = {pool.name for pool in configuration.pools}
+    customers = {customer.name for customer in configuration.customers}
+    for endpoint in configuration.endpoints:
+        if endpoint.pool not in pools:
+            place = f"[endpoint {endpoint.name}] pool"
+            reader.report(place, f"no pool {endpoint.pool!r}", "Define the pool.")
+    for route in configuration.routes:
+        place = f"[route {route.name}]"
+        if route.pool not in pools:
+            reader.report(
+                f"{place} pool", f"no pool {route.pool!r}", "Define the pool."
+            )
+        if not route.path.startswith("/"):
+            reader.report(
+                f"{place} path", f"{route.path!r} has no slash", "Begin it with /."
+            )
+        for name in route.customers:
+            if name not in customers:
+                reader.report(
+                    f"{place} customers", f"no customer {name!r}", "Define it."
+                )
+    for customer in configuration.customers:
+        if customer.rate_per_s <= 0 or customer.burst < 1 or customer.weight <= 0:
+            reader.report(
+                f"[customer {customer.name}]",
+                "rate_per_s, burst and weight must be positive",
+                "Correct the values.",
+            )
+
+
+def parse_configuration(text: str, source: str = "configuration") -> Configuration:
+    """Parse a submitted text; raise InvalidFile with every fault found."""
+    parser = configparser.ConfigParser(interpolation=None)
+    reader = _ItemReader(source)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        reader.report("text", str(error).replace("\n", " "), "Correct the syntax.")
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults) from error
+    found: dict[str, list[Any]] = {name: [] for name in _SECTION_FIELDS.values()}
+    for section in parser.sections():
+        item = reader.read_item(section, dict(parser.items(section)))
+        if item is not None:
+            found[_SECTION_FIELDS[section.partition(" ")[0]]].append(item)
+    configuration = Configuration(
+        **{
+            name: tuple(sorted(items, key=lambda item: item.name))
+            for name, items in found.items()
+        }
+    )
+    _check_references(configuration, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return configuration
--- /dev/null
+++ b/features/runner.py
@@ -0,0 +1,123 @@
+"""Run every feature file and count the scenarios from behave's own results."""
+
+import concurrent.futures
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+FEATURES = ROOT / "features"
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+WORKERS = max(2, (os.cpu_count() or 2) // 2)
+FEATURE_LIMIT_S = 900
+PASSED = "passed"
+SKIPPED = ("skipped", "untested")
+
+
+@dataclass(slots=True)
+class Report:
+    """Hold the scenarios of one feature file by what became of them."""
+
+    feature: Path
+    passed: int = 0
+    skipped: int = 0
+    failed: list[str] = field(default_factory=list)
+    output: str = ""
+    seconds: float = 0.0
+
+
+def read_known_red() -> set[str]:
+    """Read the names of the scenarios that are recorded as red."""
+    if not KNOWN_RED.exists():
+        return set()
+    text = KNOWN_RED.read_text("utf-8")
+    return set(re.findall(r"^scenario: (.+)$", text, re.MULTILINE))
+
+
+def count_scenarios(report: Report, results: list[dict]) -> None:
+    """Count the scenarios in behave's JSON results."""
+    for feature in results:
+        if feature["status"] not in (PASSED, "failed", *SKIPPED):
+            report.failed.append(f"{report.feature.name}: {feature['status']}")
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            if element["status"] == PASSED:
+                report.passed += 1
+            elif element["status"] in SKIPPED:
+                report.skipped += 1
+            else:
+                report.failed.append(element["name"])
+
+
+def run_feature(feature: Path) -> Report:
+    """Run one feature file in a process of its own."""
+    report = Report(feature)
+    started = time.monotonic()
+    with tempfile.NamedTemporaryFile(suffix=".json") as results:
+        command = [sys.executable, "-m", "behave", "--no-summary", "--no-color"]
+        command += ["-f", "json", "-o", results.name, "-f", "plain"]
+        command += [str(feature)]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=FEATURE_LIMIT_S,
+            )
+        except subprocess.TimeoutExpired:
+            report.failed.append(f"{feature.name}: took over {FEATURE_LIMIT_S} s")
+            return report
+        report.output = done.stdout + done.stderr
+        text = Path(results.name).read_text("utf-8")
+    try:
+        count_scenarios(report, json.loads(text))
+    except ValueError:
+        report.failed.append(f"{feature.name}: no result")
+    if done.returncode != 0 and not report.failed:
+        report.failed.append(f"{feature.name}: exit {done.returncode}")
+    report.seconds = time.monotonic() - started
+    return report
+
+
+def print_summary(reports: list[Report]) -> int:
+    """Print the counts and return the exit code."""
+    known = read_known_red()
+    failures = [name for report in reports for name in report.failed]
+    red = [name for name in failures if name in known]
+    failed = len(failures) - len(red)
+    passed = sum(report.passed for report in reports)
+    skipped = sum(report.skipped for report in reports) + len(red)
+    for name in red:
+        print(f"known red: {name}")
+    tail = f", {skipped} skipped" if skipped else ""
+    print(f"{passed} passed, {failed} failed{tail}")
+    return 1 if failed or not passed else 0
+
+
+def main(names: list[str]) -> int:
+    """Run the named feature files, or all of them."""
+    features = sorted(FEATURES.glob("*.feature"))
+    if names:
+        features = [path for path in features if path.stem in names]
+    reports = []
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        for report in pool.map(run_feature, features):
+            reports.append(report)
+            verdict = "failed" if report.failed else "ok"
+            print(f"{report.feature.name}: {verdict} in {report.seconds:.1f} s")
+            if report.failed:
+                print(report.output)
+            sys.stdout.flush()
+    return print_summary(reports)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,101 @@
+import anyio
+from behave import given, then, when
+
+from burdockwall.fakes.demo import wait_for_version
+from features.subjects.path import PathSubject
+
+
+@given("a running site")
+def step_site(context):
+    context.subject = PathSubject()
+
+
+@given("a running site whose engine cuts streams after {count:d} tokens")
+def step_cutting_site(context, count):
+    context.subject = PathSubject(cut_after=count)
+
+
+@when("a caller sends {count:d} turns of one program")
+def step_send_turns(context, count):
+    subject = context.subject
+    subject.run(lambda site, client: subject.send_turns(client, count))
+
+
+@when("a caller sends a turn without a key")
+def step_send_without_key(context):
+    subject = context.subject
+
+    async def act(site, client):
+        subject.refusal = await subject.post_turn(client, {}, "question")
+
+    subject.run(act)
+
+
+@when("the caller's key is withdrawn and a turn is sent")
+def step_withdraw(context):
+    subject = context.subject
+
+    async def act(site, client):
+        await subject.send_turns(client, 1)
+        withdraw = site.operator.withdraw_key
+        outcome = await anyio.to_thread.run_sync(withdraw, subject.key)
+        await wait_for_version(site.node, outcome.version)
+        headers = subject.build_headers(2)
+        subject.refusal = await subject.post_turn(client, headers, "question")
+
+    subject.run(act)
+
+
+@when("a caller files with the key in every place")
+def step_file(context):
+    subject = context.subject
+
+    async def act(site, client):
+        headers = {
+            "authorization": f"Bearer {subject.key}",
+            "x-api-key": subject.key,
+            "cookie": f"key={subject.key}; other={subject.key}",
+            "x-other": subject.key,
+            "accept": subject.key,
+        }
+        path = f"/filings?key={subject.key}&other={subject.key}&kind=a"
+        response = await client.post(path, headers=headers, content=b"filing")
+        assert response.status_code == 200, response.text
+
+    subject.run(act)
+
+
+@when("a caller sends turn {turn:d} of a new program")
+def step_send_turn(context, turn):
+    subject = context.subject
+
+    async def act(site, client):
+        headers = subject.build_headers(turn)
+        subject.refusal = await subject.post_turn(client, headers, "question")
+
+    subject.run(act)
+
+
+@then("each answer is what the engine makes of the whole history")
+def step_check_answers(context):
+    assert context.subject.answers == context.subject.compute_expected()
+
+
+@then("the audit trail verifies")
+def step_check_audit(context):
+    assert context.subject.audit_holds
+
+
+@then('the refusal has code {code:d} and says "{ran}"')
+def step_check_refusal(context, code, ran):
+    refusal = context.subject.refusal
+    assert refusal.json()["error"]["code"] == code, refusal.text
+    assert refusal.headers["burdockwall-code"] == str(code)
+    assert refusal.headers["burdockwall-ran"] == ran
+
+
+@then("no endpoint has seen the key")
+def step_check_key(context):
+    key = context.subject.key.encode()
+    assert context.subject.seen
+    assert not [pair for pair in context.subject.seen if key in pair[1]]
--- /dev/null
+++ b/features/subjects/path.py
@@ -0,0 +1,71 @@
+"""Drive a running site over real sockets on the loopback interface."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpx
+
+from burdockwall.fakes.demo import CUSTOMER, Site, run_site, wait_for_version
+from burdockwall.fakes.engine import FakeEngine, generate_tokens
+from burdockwall.process.control.state import verify_audit
+from burdockwall.request.completion import ChatMessage, CompletionRequest, join_answer
+from burdockwall.types import ModelName
+
+MODEL = ModelName("inspector")
+
+
+class PathSubject:
+    """Run one action against a fresh site and keep what it saw."""
+
+    def __init__(self, cut_after: int = 0) -> None:
+        self.cut_after = cut_after
+        self.key = ""
+        self.answers: list[str] = []
+        self.questions: list[str] = []
+        self.refusal: httpx.Response | None = None
+        self.seen: list[tuple[bytes, bytes]] = []
+        self.audit_holds = False
+
+    def run(self, action: Callable[[Site, httpx.AsyncClient], Awaitable[None]]) -> None:
+        anyio.run(self._run, action)
+
+    async def _run(self, action) -> None:
+        async with run_site(FakeEngine(0.001, self.cut_after)) as site:
+            self.key = await anyio.to_thread.run_sync(site.operator.issue_key, CUSTOMER)
+            await wait_for_version(site.node, 2)
+            base = f"http://{site.node.settings.caller_address}"
+            async with httpx.AsyncClient(base_url=base, trust_env=False) as client:
+                await action(site, client)
+            page = await anyio.to_thread.run_sync(site.operator.read_audit)
+            self.audit_holds = verify_audit(page.records)
+            self.seen = site.engine.seen + site.service.seen
+
+    def build_headers(self, turn: int) -> dict[str, str]:
+        return {
+            "authorization": f"Bearer {self.key}",
+            "program-id": "program-1",
+            "program-turn": str(turn),
+        }
+
+    async def post_turn(self, client, headers, question) -> httpx.Response:
+        body = {"model": MODEL, "messages": [{"role": "user", "content": question}]}
+        return await client.post("/v1/chat/completions", headers=headers, json=body)
+
+    async def send_turns(self, client: httpx.AsyncClient, count: int) -> None:
+        for turn in range(1, count + 1):
+            question = f"question {turn}"
+            response = await self.post_turn(client, self.build_headers(turn), question)
+            assert response.status_code == 200, response.text
+            self.questions.append(question)
+            self.answers.append(join_answer(response.content))
+
+    def compute_expected(self) -> list[str]:
+        history: list[ChatMessage] = []
+        expected = []
+        for question in self.questions:
+            history.append(ChatMessage("user", question))
+            tokens = generate_tokens(CompletionRequest(MODEL, history))
+            answer = "".join(tokens)
+            history.append(ChatMessage("assistant", answer))
+            expected.append(answer)
+        return expected
