--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN = .venv/bin
 
-.PHONY: demo test binary format
+.PHONY: demo test check binary format
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -12,7 +12,9 @@
 demo: .venv/ready
 	$(BIN)/python -m burdockwall.fakes.demo
 
-test: .venv/ready
+test: .venv/ready check
+
+check:
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
