Bound retries by a budget for each pool and customer

An endpoint that fails under load would get every attempt again at once. Retries now draw on a share of recent requests, and are spaced by backoff with full jitter; a Retry-After is never undercut. The relay does not use it yet.

--- /dev/null
+++ b/burdockwall/process/limits/retries.py
@@ -0,0 +1,105 @@
+"""Bound retries to a share of recent requests, and space them with full jitter."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from burdockwall.settings import Settings
+from burdockwall.types import CustomerId, PoolName
+
+FORGET_WINDOWS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """Hold the parameters of retries; times are in seconds.
+
+    `share` is the number of retries allowed for each recent request, `reserve` the
+    retries that a window allows without any.
+    """
+
+    share: float
+    reserve: float
+    window_s: float
+    backoff_base_s: float
+    backoff_limit_s: float
+
+
+@dataclass(slots=True)
+class _Recent:
+    """Count requests and retries, each fading with the window."""
+
+    requests: float
+    retries: float
+    at: float
+
+
+class RetryBudget:
+    """Count recent requests and retries for each pool and customer."""
+
+    def __init__(self, policy: RetryPolicy) -> None:
+        self.policy = policy
+        self.refused = 0
+        self._recent: dict[tuple[PoolName, CustomerId], _Recent] = {}
+        self._forgot_at = 0.0
+
+    def record_request(self, pool: PoolName, customer: CustomerId, now: float) -> None:
+        """Count a first attempt."""
+        self._get_recent(pool, customer, now).requests += 1.0
+
+    def take_retry(self, pool: PoolName, customer: CustomerId, now: float) -> bool:
+        """Count a retry if the budget allows it, and tell whether it does."""
+        recent = self._get_recent(pool, customer, now)
+        allowed = self.policy.share * recent.requests + self.policy.reserve
+        if recent.retries + 1.0 > allowed:
+            self.refused += 1
+            return False
+        recent.retries += 1.0
+        return True
+
+    def _get_recent(self, pool: PoolName, customer: CustomerId, now: float) -> _Recent:
+        self._forget_idle(now)
+        recent = self._recent.get((pool, customer))
+        if recent is None:
+            recent = self._recent[(pool, customer)] = _Recent(0.0, 0.0, now)
+        fading = math.exp(-max(0.0, now - recent.at) / self.policy.window_s)
+        recent.requests *= fading
+        recent.retries *= fading
+        recent.at = max(recent.at, now)
+        return recent
+
+    def _forget_idle(self, now: float) -> None:
+        keep_s = FORGET_WINDOWS * self.policy.window_s
+        if now - self._forgot_at < keep_s:
+            return
+        self._forgot_at = now
+        self._recent = {
+            key: recent
+            for key, recent in self._recent.items()
+            if now - recent.at < keep_s
+        }
+
+
+def create_retry_policy(settings: Settings) -> RetryPolicy:
+    """Create the policy that the settings describe."""
+    return RetryPolicy(
+        settings.retry_share,
+        settings.retry_reserve,
+        settings.retry_window_s,
+        settings.retry_backoff_base_s,
+        settings.retry_backoff_limit_s,
+    )
+
+
+def compute_backoff_s(
+    attempt: int,
+    policy: RetryPolicy,
+    generator: random.Random,
+    retry_after_s: float | None = None,
+) -> float:
+    """Compute the wait before retry number `attempt`, from 1, with full jitter.
+
+    An endpoint's Retry-After is never undercut; the jitter then comes on top.
+    """
+    limit = min(policy.backoff_limit_s, policy.backoff_base_s * 2.0 ** (attempt - 1))
+    return (retry_after_s or 0.0) + generator.uniform(0.0, limit)
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -36,6 +36,20 @@
     endpoint_connect_s: float = 1.0
     endpoint_silence_s: float = 10.0
     endpoint_attempts: int = 3
+    retry_share: float = 0.1
+    retry_reserve: float = 3.0
+    retry_window_s: float = 10.0
+    retry_backoff_base_s: float = 0.05
+    retry_backoff_limit_s: float = 2.0
+    limit_wait_s: float = 0.4
+    limit_immediate_s: float = 0.2
+    limit_prefetch_s: float = 0.8
+    limit_horizon_s: float = 0.25
+    limit_idle_s: float = 0.2
+    limit_repeat_s: float = 0.1
+    limit_clock_margin: float = 0.0005
+    open_rate_per_s: float = 1000.0
+    open_burst: int = 1000
 
 
 class Kind(Enum):
@@ -243,6 +257,146 @@
         1,
         10,
     ),
+    Option(
+        "retries",
+        "share",
+        "retry_share",
+        Kind.NUMBER,
+        "",
+        "Retries allowed for each recent request of a pool and customer.",
+        0,
+        1,
+    ),
+    Option(
+        "retries",
+        "reserve",
+        "retry_reserve",
+        Kind.NUMBER,
+        "",
+        "Retries that a window allows without any request.",
+        0,
+        1000,
+    ),
+    Option(
+        "retries",
+        "window",
+        "retry_window_s",
+        Kind.NUMBER,
+        "s",
+        "Time over which requests and retries are counted.",
+        0.1,
+        600,
+    ),
+    Option(
+        "retries",
+        "backoff_base",
+        "retry_backoff_base_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait before the first retry; doubles with each further one.",
+        0.001,
+        10,
+    ),
+    Option(
+        "retries",
+        "backoff_limit",
+        "retry_backoff_limit_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait before any retry.",
+        0.001,
+        60,
+    ),
+    Option(
+        "limits",
+        "wait",
+        "limit_wait_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait of a request for a grant of its customer's rate.",
+        0.01,
+        0.6,
+    ),
+    Option(
+        "limits",
+        "immediate",
+        "limit_immediate_s",
+        Kind.NUMBER,
+        "s",
+        "How long a grant for a waiting request stays valid.",
+        0.01,
+        0.4,
+    ),
+    Option(
+        "limits",
+        "prefetch",
+        "limit_prefetch_s",
+        Kind.NUMBER,
+        "s",
+        "How long a grant for expected requests stays valid.",
+        0.05,
+        1.0,
+    ),
+    Option(
+        "limits",
+        "horizon",
+        "limit_horizon_s",
+        Kind.NUMBER,
+        "s",
+        "Time for which an instance asks grants ahead.",
+        0,
+        1.0,
+    ),
+    Option(
+        "limits",
+        "idle",
+        "limit_idle_s",
+        Kind.NUMBER,
+        "s",
+        "Time without a request after which grants are given back.",
+        0.05,
+        1.0,
+    ),
+    Option(
+        "limits",
+        "repeat",
+        "limit_repeat_s",
+        Kind.NUMBER,
+        "s",
+        "Wait for an answer before a demand is sent again.",
+        0.01,
+        0.4,
+    ),
+    Option(
+        "limits",
+        "clock_margin",
+        "limit_clock_margin",
+        Kind.NUMBER,
+        "",
+        "Largest difference of a clock's rate from true time, as a share.",
+        0,
+        0.1,
+    ),
+    Option(
+        "limits",
+        "open_rate",
+        "open_rate_per_s",
+        Kind.NUMBER,
+        "requests/s",
+        "Rate of each route open to all.",
+        0.001,
+        1000000,
+    ),
+    Option(
+        "limits",
+        "open_burst",
+        "open_burst",
+        Kind.INTEGER,
+        "requests",
+        "Burst of each route open to all.",
+        1,
+        1000000,
+    ),
 )
 
 _BOOLEANS = {"yes": True, "true": True, "on": True, "no": False, "false": False}
