Give the control state its rules

Cause: the first control state kept every outcome and audit record, let a resent submission carry another text, let key changes outdate a configuration, and had no operators, rollback, export or import.

Change: a submission is compared with the configuration's own version, so that key changes don't conflict; a loser's answer names the winner. Outcomes, earlier configurations, changes and audit records are kept within bounds. Operators have tokens and permissions. Withdrawn keys are remembered for good. changes_since() tells what each version changed.

Conclusion: the state can be replicated, and distributed by difference.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -109,6 +109,48 @@
     UNREACHABLE = CodeRow(
         2006, 503, Ran.UNKNOWN, Retry.SAME_KEY, "No instance answered the operator."
     )
+    SUBMISSION_REUSED = CodeRow(
+        2007, 409, Ran.NOT_RUN, Retry.NEVER, "The submission id has another text."
+    )
+    KEY_UNKNOWN = CodeRow(2008, 404, Ran.NOT_RUN, Retry.NEVER, "No such key exists.")
+    KEY_REUSED = CodeRow(
+        2009, 409, Ran.NOT_RUN, Retry.NEVER, "The key has been issued before."
+    )
+    CUSTOMER_UNKNOWN = CodeRow(
+        2010, 404, Ran.NOT_RUN, Retry.NEVER, "The configuration lacks the customer."
+    )
+    VERSION_UNKNOWN = CodeRow(
+        2011, 404, Ran.NOT_RUN, Retry.NEVER, "The version is no longer kept."
+    )
+    IMAGE_INVALID = CodeRow(
+        2012, 400, Ran.NOT_RUN, Retry.NEVER, "The image of the state has faults."
+    )
+    CHANGE_UNKNOWN = CodeRow(
+        2013,
+        503,
+        Ran.UNKNOWN,
+        Retry.SAME_KEY,
+        "The change may have been made; send the same submission again.",
+    )
+    NO_QUORUM = CodeRow(
+        2014, 503, Ran.NOT_RUN, Retry.SAFE, "The control instances lack a quorum."
+    )
+    # Files under the data folder.
+    JOURNAL_DAMAGED = CodeRow(
+        2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
+    )
+    SNAPSHOT_DAMAGED = CodeRow(
+        2102, 500, Ran.NOT_RUN, Retry.NEVER, "The snapshot fails its checksum."
+    )
+    IDENTITY_LOST = CodeRow(
+        2103, 500, Ran.NOT_RUN, Retry.NEVER, "The data folder has no identity."
+    )
+    IDENTITY_OTHER = CodeRow(
+        2104, 500, Ran.NOT_RUN, Retry.NEVER, "The data folder is another instance's."
+    )
+    DISK_FAILED = CodeRow(
+        2105, 500, Ran.UNKNOWN, Retry.SAME_KEY, "A write to the data folder failed."
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/process/control/commands.py
+++ b/burdockwall/process/control/commands.py
@@ -1,10 +1,33 @@
 """Define the commands that change the control state, and their outcomes."""
 
+from enum import Enum
+
 import msgspec
 
 from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
 
 
+class Permission(Enum):
+    """Name what an operator may change."""
+
+    CONFIGURATION = "configuration"
+    KEYS = "keys"
+    OPERATORS = "operators"
+    STATE = "state"
+
+
+class Operator(msgspec.Struct, frozen=True, array_like=True):
+    """Describe an operator: token digest, permissions, customers of its keys.
+
+    An empty `customers` admits every customer.
+    """
+
+    name: OperatorId
+    digest: KeyDigest
+    permissions: tuple[Permission, ...]
+    customers: tuple[CustomerId, ...] = ()
+
+
 class Command(msgspec.Struct, frozen=True, tag=True, array_like=True, kw_only=True):
     """Ask for one change; `submission` identifies it across resends."""
 
@@ -12,13 +35,24 @@
     submission: str
 
 
+class SystemCommand(Command, frozen=True, kw_only=True):
+    """Ask for a change that the leader itself decides; operators can't send it."""
+
+
 class SubmitConfiguration(Command, frozen=True, kw_only=True):
-    """Replace the configuration that the given version holds."""
+    """Replace the configuration that was in force at the given version."""
 
     based_on: Version
     text: str
 
 
+class RollBack(Command, frozen=True, kw_only=True):
+    """Put the configuration of an earlier version in force as a new version."""
+
+    based_on: Version
+    target: Version
+
+
 class IssueKey(Command, frozen=True, kw_only=True):
     """Admit a key, known by its digest, for a customer."""
 
@@ -27,12 +61,40 @@
 
 
 class WithdrawKey(Command, frozen=True, kw_only=True):
-    """Stop admitting a key."""
+    """Stop admitting a key, for good."""
 
     digest: KeyDigest
 
 
-AnyCommand = SubmitConfiguration | IssueKey | WithdrawKey
+class DefineOperator(Command, frozen=True, kw_only=True):
+    """Add an operator, or replace its token digest and permissions."""
+
+    defined: Operator
+
+
+class RemoveOperator(Command, frozen=True, kw_only=True):
+    """Remove an operator."""
+
+    name: OperatorId
+
+
+class ImportState(Command, frozen=True, kw_only=True):
+    """Replace configuration, keys and operators by those of an exported image."""
+
+    based_on: Version
+    image: bytes
+
+
+AnyOperatorCommand = (
+    SubmitConfiguration
+    | RollBack
+    | IssueKey
+    | WithdrawKey
+    | DefineOperator
+    | RemoveOperator
+    | ImportState
+)
+AnyCommand = AnyOperatorCommand
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True):
@@ -41,16 +103,3 @@
     version: Version
     code: int = 0
     detail: str = ""
-
-
-class AuditRecord(msgspec.Struct, frozen=True):
-    """Record who changed what, when (seconds since the epoch), and the outcome."""
-
-    index: int
-    at: float
-    operator: OperatorId
-    action: str
-    difference: str
-    version: Version
-    code: int
-    chain: str
--- /dev/null
+++ b/burdockwall/process/control/image.py
@@ -0,0 +1,53 @@
+"""Encode the whole control state, for snapshots, export and import."""
+
+import msgspec
+
+from burdockwall.process.control.audit import AuditRecord
+from burdockwall.process.control.changes import Change
+from burdockwall.process.control.commands import Operator, Outcome
+from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+
+
+class KnownOutcome(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a submission, the digest of its command and its first outcome."""
+
+    submission: str
+    digest: bytes
+    outcome: Outcome
+
+
+class KeptConfiguration(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an earlier configuration, compressed, and the version it came with."""
+
+    version: Version
+    text: bytes
+
+
+class StateImage(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold everything that a control state is made of."""
+
+    version: Version
+    configuration_version: Version
+    configuration_operator: OperatorId
+    sections: dict[str, str]
+    keys: dict[KeyDigest, CustomerId]
+    withdrawn: bytes
+    operators: dict[OperatorId, Operator]
+    outcomes: list[KnownOutcome]
+    history: list[KeptConfiguration]
+    audit: list[AuditRecord]
+    changes: list[Change] = []
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_decoder = msgspec.msgpack.Decoder(StateImage)
+
+
+def encode_image(image: StateImage) -> bytes:
+    """Encode an image; equal images give equal bytes."""
+    return _encoder.encode(image)
+
+
+def decode_image(data: bytes) -> StateImage:
+    """Decode an image, or raise msgspec.DecodeError."""
+    return _decoder.decode(data)
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -1,109 +1,377 @@
 """Apply commands to the control state; the same commands give the same state."""
 
-import difflib
 import hashlib
+import hmac
+import zlib
+from collections import deque
 
 import msgspec
 
-from burdockwall.errors import Code, InvalidFile
+from burdockwall.errors import Code, InvalidFile, OperatorError
+from burdockwall.process.control.audit import (
+    CHAIN_START,
+    AuditRecord,
+    compute_chain,
+    shorten_difference,
+)
+from burdockwall.process.control.changes import Change, ChangeLog
 from burdockwall.process.control.commands import (
     AnyCommand,
-    AuditRecord,
+    Command,
+    DefineOperator,
+    ImportState,
     IssueKey,
+    Operator,
     Outcome,
+    Permission,
+    RemoveOperator,
+    RollBack,
     SubmitConfiguration,
+    SystemCommand,
     WithdrawKey,
 )
-from burdockwall.types import CustomerId, KeyDigest, Version
+from burdockwall.process.control.image import (
+    KeptConfiguration,
+    KnownOutcome,
+    StateImage,
+    decode_image,
+    encode_image,
+)
+from burdockwall.process.control.sections import (
+    compare_sections,
+    join_sections,
+    split_sections,
+)
+from burdockwall.process.control.withdrawals import (
+    WithdrawnKeys,
+    decode_withdrawn,
+    is_digest,
+)
+from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
 from burdockwall.version.configuration import parse_configuration
 
-CHAIN_START = "0" * 64
 DIGEST_SHOWN_CHARACTERS = 12
+KEPT_OUTCOMES = 16_384
+KEPT_CONFIGURATIONS = 16
+KEPT_AUDIT_RECORDS = 1024
+TEXT_DIGEST_BYTES = 16
+NO_CREDENTIAL = KeyDigest("")
 
-
-def compute_chain(previous: str, record: AuditRecord) -> str:
-    """Compute the hash that ties an audit record to the one before it."""
-    bare = msgspec.structs.replace(record, chain=previous)
-    return hashlib.sha256(msgspec.json.encode(bare)).hexdigest()
+_PERMISSIONS: dict[type[Command], Permission] = {
+    SubmitConfiguration: Permission.CONFIGURATION,
+    RollBack: Permission.CONFIGURATION,
+    IssueKey: Permission.KEYS,
+    WithdrawKey: Permission.KEYS,
+    DefineOperator: Permission.OPERATORS,
+    RemoveOperator: Permission.OPERATORS,
+    ImportState: Permission.STATE,
+}
+_command_encoder = msgspec.msgpack.Encoder()
 
 
 class ControlState:
-    """Hold configuration, key digests and the audit trail at one version."""
+    """Hold configuration, key digests, operators and the latest audit records."""
 
     def __init__(self) -> None:
         self.version = Version(0)
-        self.text = ""
+        self.configuration_version = Version(0)
+        self.configuration_operator = OperatorId("")
+        self.sections: dict[str, str] = {}
         self.keys: dict[KeyDigest, CustomerId] = {}
-        self.outcomes: dict[str, Outcome] = {}
-        self.audit: list[AuditRecord] = []
+        self.operators: dict[OperatorId, Operator] = {}
+        self.outcomes: dict[str, KnownOutcome] = {}
+        self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
+        self.audit: deque[AuditRecord] = deque(maxlen=KEPT_AUDIT_RECORDS)
+        self.changes = ChangeLog()
+        self.withdrawn = WithdrawnKeys()
+
+    @property
+    def text(self) -> str:
+        """Return the configuration text in force."""
+        return join_sections(self.sections)
+
+    def apply(
+        self, command: AnyCommand, at: float, credential: KeyDigest = NO_CREDENTIAL
+    ) -> Outcome:
+        """Apply a command accepted at a time, once for each submission.
 
-    def apply(self, command: AnyCommand, at: float) -> Outcome:
-        """Apply a command accepted at a time, once for each submission."""
+        While no operator is defined, every operator may run every command.
+        """
+        guarded = bool(self.operators) and not isinstance(command, SystemCommand)
+        if guarded:
+            # A caller without a valid token must not occupy a submission id.
+            try:
+                self.authenticate(command.operator, credential)
+            except OperatorError as error:
+                return self._refuse_attempt(command, error, at)
+        digest = _compute_command_digest(command)
         known = self.outcomes.get(command.submission)
+        if known is not None and known.digest == digest:
+            return known.outcome
         if known is not None:
-            return known
-        outcome, difference = self._execute(command)
-        self.outcomes[command.submission] = outcome
-        self._append_audit(command, outcome, difference, at)
+            detail = f"submission {command.submission} came with another text"
+            reused = OperatorError(Code.SUBMISSION_REUSED, detail)
+            return self._refuse_attempt(command, reused, at)
+        try:
+            if guarded:
+                self.authorize(command)
+            outcome, difference = self._execute(command)
+        except OperatorError as error:
+            outcome = self._refuse_attempt(command, error, at)
+        else:
+            self._append_audit(command, outcome, difference, at)
+        self._keep_outcome(KnownOutcome(command.submission, digest, outcome))
         return outcome
 
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        if version >= self.version:
+            return []
+        return self.changes.list_since(version)
+
+    def authorize(self, command: AnyCommand) -> None:
+        """Raise OperatorError unless the command's operator may run it."""
+        operator = self.operators[command.operator]
+        permission = _PERMISSIONS[type(command)]
+        if permission not in operator.permissions:
+            detail = f"operator {operator.name} lacks permission {permission.value}"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+        customer = self._find_customer(command)
+        known = customer is None or customer in operator.customers
+        if operator.customers and not known:
+            detail = f"operator {operator.name} may not act for {customer}"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+
+    def authenticate(self, name: OperatorId, credential: KeyDigest) -> Operator:
+        """Return the operator with this name and token digest, or raise."""
+        operator = self.operators.get(name)
+        digest = operator.digest if operator is not None else ""
+        if operator is None or not hmac.compare_digest(digest, credential):
+            detail = f"operator {name} is unknown or its token is wrong"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+        return operator
+
+    def _find_customer(self, command: AnyCommand) -> CustomerId | None:
+        match command:
+            case IssueKey(customer=customer):
+                return customer
+            case WithdrawKey(digest=digest):
+                return self.keys.get(digest)
+            case _:
+                return None
+
+    def _keep_outcome(self, known: KnownOutcome) -> None:
+        self.outcomes[known.submission] = known
+        if len(self.outcomes) > KEPT_OUTCOMES:
+            del self.outcomes[next(iter(self.outcomes))]
+
     def _execute(self, command: AnyCommand) -> tuple[Outcome, str]:
         match command:
-            case SubmitConfiguration():
-                return self._submit(command)
+            case SubmitConfiguration(based_on=based_on, text=text):
+                self._check_base(based_on)
+                return self._replace_text(text, command.operator)
+            case RollBack(based_on=based_on, target=target):
+                self._check_base(based_on)
+                text = self.find_configuration(target)
+                return self._replace_text(text, command.operator)
             case IssueKey(customer=customer, digest=digest):
-                self.keys[digest] = customer
-                shown = digest[:DIGEST_SHOWN_CHARACTERS]
-                return self._accept(), f"+key {shown} customer {customer}"
+                return self._issue_key(customer, digest)
             case WithdrawKey(digest=digest):
-                self.keys.pop(digest, None)
-                return self._accept(), f"-key {digest[:DIGEST_SHOWN_CHARACTERS]}"
+                return self._withdraw_key(digest)
+            case DefineOperator(defined=operator):
+                self.operators[operator.name] = operator
+                shown = " ".join(item.value for item in operator.permissions)
+                return self._accept(), f"+operator {operator.name} {shown}"
+            case RemoveOperator(name=name):
+                return self._remove_operator(name)
+            case ImportState(based_on=based_on, image=image):
+                self._check_base(based_on)
+                return self._import(image, command.operator)
 
-    def _accept(self) -> Outcome:
+    def _accept(
+        self,
+        sections: dict[str, str] | None = None,
+        removed_sections: tuple[str, ...] = (),
+        keys: dict[KeyDigest, CustomerId] | None = None,
+        removed_keys: tuple[KeyDigest, ...] = (),
+    ) -> Outcome:
         self.version = Version(self.version + 1)
+        change = Change(
+            self.version, sections or {}, removed_sections, keys or {}, removed_keys
+        )
+        self.changes.append(change)
         return Outcome(version=self.version)
 
-    def _refuse(self, code: Code, detail: str) -> Outcome:
-        return Outcome(self.version, code.value.number, detail)
+    def _refuse_attempt(
+        self, command: AnyCommand, error: OperatorError, at: float
+    ) -> Outcome:
+        outcome = Outcome(self.version, error.code.value.number, error.detail)
+        self._append_audit(command, outcome, error.detail, at)
+        return outcome
+
+    def _check_base(self, based_on: Version) -> None:
+        # Versions that changed only keys or operators don't outdate a submission.
+        if self.configuration_version <= based_on <= self.version:
+            return
+        if based_on > self.version:
+            detail = f"based on {based_on}, but the latest version is {self.version}"
+        else:
+            detail = (
+                f"based on {based_on}, but version {self.configuration_version} "
+                f"by {self.configuration_operator} won"
+            )
+        raise OperatorError(Code.VERSION_CONFLICT, detail)
 
-    def _submit(self, command: SubmitConfiguration) -> tuple[Outcome, str]:
-        if command.based_on != self.version:
-            detail = f"based on {command.based_on}, but {self.version} is in force"
-            return self._refuse(Code.VERSION_CONFLICT, detail), ""
+    def _replace_text(self, text: str, operator: OperatorId) -> tuple[Outcome, str]:
+        old, new = self.sections, split_sections(text)
         try:
-            parse_configuration(command.text)
+            parse_configuration(join_sections(new))
         except InvalidFile as error:
-            return self._refuse(Code.CONFIGURATION_INVALID, error.detail), ""
-        lines = difflib.unified_diff(
-            self.text.splitlines(), command.text.splitlines(), lineterm="", n=0
-        )
-        difference = "\n".join(lines)
-        self.text = command.text
-        return self._accept(), difference
+            raise OperatorError(Code.CONFIGURATION_INVALID, error.detail) from error
+        changed = {name: text for name, text in new.items() if old.get(name) != text}
+        removed = tuple(sorted(old.keys() - new.keys()))
+        self.sections = new
+        outcome = self._accept(sections=changed, removed_sections=removed)
+        self._keep_configuration(operator)
+        return outcome, compare_sections(old, new)
+
+    def _keep_configuration(self, operator: OperatorId) -> None:
+        self.configuration_version = self.version
+        self.configuration_operator = operator
+        packed = zlib.compress(self.text.encode())
+        self.history.append(KeptConfiguration(self.version, packed))
+
+    def find_configuration(self, version: Version) -> str:
+        """Return the configuration text in force at a version, or raise."""
+        for kept in reversed(self.history):
+            if kept.version <= version <= self.version:
+                return zlib.decompress(kept.text).decode()
+        known = [str(kept.version) for kept in self.history]
+        detail = f"version {version} is not kept; kept: {', '.join(known) or 'none'}"
+        raise OperatorError(Code.VERSION_UNKNOWN, detail)
+
+    def _issue_key(
+        self, customer: CustomerId, digest: KeyDigest
+    ) -> tuple[Outcome, str]:
+        shown = digest[:DIGEST_SHOWN_CHARACTERS]
+        _check_digest(digest)
+        if f"customer {customer}" not in self.sections:
+            detail = f"the configuration has no customer {customer}"
+            raise OperatorError(Code.CUSTOMER_UNKNOWN, detail)
+        if digest in self.withdrawn or digest in self.keys:
+            detail = f"key {shown} has been issued before"
+            raise OperatorError(Code.KEY_REUSED, detail)
+        self.keys[digest] = customer
+        return self._accept(keys={digest: customer}), f"+key {shown} {customer}"
+
+    def _withdraw_key(self, digest: KeyDigest) -> tuple[Outcome, str]:
+        shown = digest[:DIGEST_SHOWN_CHARACTERS]
+        _check_digest(digest)
+        customer = self.keys.pop(digest, None)
+        if customer is None and digest in self.withdrawn:
+            return Outcome(version=self.version), f"-key {shown} (already withdrawn)"
+        if customer is None:
+            raise OperatorError(Code.KEY_UNKNOWN, f"no key {shown} was issued")
+        self.withdrawn.add(digest)
+        return self._accept(removed_keys=(digest,)), f"-key {shown} {customer}"
+
+    def _remove_operator(self, name: OperatorId) -> tuple[Outcome, str]:
+        left = [item for item in self.operators.values() if item.name != name]
+        if not any(Permission.OPERATORS in item.permissions for item in left):
+            detail = "the last operator who may change operators must stay"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+        if self.operators.pop(name, None) is None:
+            raise OperatorError(Code.OPERATOR_REFUSED, f"no operator {name}")
+        return self._accept(), f"-operator {name}"
+
+    def _import(self, data: bytes, operator: OperatorId) -> tuple[Outcome, str]:
+        try:
+            image = decode_image(data)
+            parse_configuration(join_sections(image.sections))
+        except (msgspec.DecodeError, InvalidFile) as error:
+            raise OperatorError(Code.IMAGE_INVALID, str(error)) from error
+        old = self.sections
+        self.withdrawn = self.withdrawn.merge(decode_withdrawn(image.withdrawn))
+        self.sections = image.sections
+        self.keys = {
+            digest: customer
+            for digest, customer in image.keys.items()
+            if digest not in self.withdrawn
+        }
+        self.operators = image.operators or self.operators
+        self.version = Version(max(self.version, image.version))
+        outcome = self._accept()
+        # Followers get the whole state, since the change record can't tell it.
+        self.changes.clear()
+        self._keep_configuration(operator)
+        chain = image.audit[-1].chain if image.audit else CHAIN_START
+        summary = f"imported version {image.version}, audit chain {chain}\n"
+        return outcome, summary + compare_sections(old, self.sections)
 
     def _append_audit(
         self, command: AnyCommand, outcome: Outcome, difference: str, at: float
     ) -> None:
-        previous = self.audit[-1].chain if self.audit else CHAIN_START
+        previous = self.audit[-1] if self.audit else None
         record = AuditRecord(
-            index=len(self.audit) + 1,
+            index=previous.index + 1 if previous else 1,
             at=at,
             operator=command.operator,
             action=type(command).__name__,
-            difference=difference,
+            difference=shorten_difference(difference),
             version=outcome.version,
             code=outcome.code,
             chain="",
         )
-        chain = compute_chain(previous, record)
+        chain = compute_chain(previous.chain if previous else CHAIN_START, record)
         self.audit.append(msgspec.structs.replace(record, chain=chain))
 
+    def take_image(self) -> StateImage:
+        """Return everything that the state is made of."""
+        return StateImage(
+            version=self.version,
+            configuration_version=self.configuration_version,
+            configuration_operator=self.configuration_operator,
+            sections=self.sections,
+            keys=self.keys,
+            withdrawn=self.withdrawn.encode(),
+            operators=self.operators,
+            outcomes=list(self.outcomes.values()),
+            history=list(self.history),
+            audit=list(self.audit),
+            changes=self.changes.list_all(),
+        )
+
+    def restore(self, image: StateImage) -> None:
+        """Become what an image holds."""
+        self.version = image.version
+        self.configuration_version = image.configuration_version
+        self.configuration_operator = image.configuration_operator
+        self.sections = dict(image.sections)
+        self.keys = dict(image.keys)
+        self.operators = dict(image.operators)
+        self.outcomes = {known.submission: known for known in image.outcomes}
+        self.history = deque(image.history, maxlen=KEPT_CONFIGURATIONS)
+        self.audit = deque(image.audit, maxlen=KEPT_AUDIT_RECORDS)
+        self.changes = ChangeLog(image.changes)
+        self.withdrawn = decode_withdrawn(image.withdrawn)
+
+    def encode(self) -> bytes:
+        """Encode the whole state; equal states give equal bytes."""
+        return encode_image(self.take_image())
+
+
+def decode_state(data: bytes) -> ControlState:
+    """Decode a state that was encoded whole."""
+    state = ControlState()
+    state.restore(decode_image(data))
+    return state
+
+
+def _check_digest(digest: KeyDigest) -> None:
+    if not is_digest(digest):
+        raise OperatorError(Code.BAD_REQUEST, "a key's digest is 64 hex digits")
+
 
-def verify_audit(records: list[AuditRecord]) -> bool:
-    """Tell whether every record is tied to the one before it."""
-    previous = CHAIN_START
-    for record in records:
-        if compute_chain(previous, record) != record.chain:
-            return False
-        previous = record.chain
-    return True
+def _compute_command_digest(command: AnyCommand) -> bytes:
+    whole = hashlib.sha256(_command_encoder.encode(command)).digest()
+    return whole[:TEXT_DIGEST_BYTES]
--- /dev/null
+++ b/burdockwall/process/control/withdrawals.py
@@ -0,0 +1,47 @@
+"""Remember withdrawn keys for good, in eight bytes each."""
+
+import bisect
+from array import array
+from collections.abc import Iterable
+
+from burdockwall.types import KeyDigest
+
+KEPT_BYTES = 8
+KEPT_HEX_DIGITS = 2 * KEPT_BYTES
+
+
+class WithdrawnKeys:
+    """Hold the first 64 bits of each withdrawn key's digest, sorted."""
+
+    def __init__(self, items: Iterable[int] = ()) -> None:
+        self._items = array("Q", sorted(set(items)))
+
+    def __contains__(self, digest: KeyDigest) -> bool:
+        item = int(digest[:KEPT_HEX_DIGITS], 16)
+        position = bisect.bisect_left(self._items, item)
+        return position < len(self._items) and self._items[position] == item
+
+    def add(self, digest: KeyDigest) -> None:
+        """Remember a digest."""
+        if digest not in self:
+            bisect.insort(self._items, int(digest[:KEPT_HEX_DIGITS], 16))
+
+    def merge(self, other: "WithdrawnKeys") -> "WithdrawnKeys":
+        """Return the keys that either holds."""
+        return WithdrawnKeys([*self._items, *other._items])
+
+    def encode(self) -> bytes:
+        """Encode all items."""
+        return b"".join(item.to_bytes(KEPT_BYTES, "big") for item in self._items)
+
+
+def decode_withdrawn(data: bytes) -> WithdrawnKeys:
+    """Decode what WithdrawnKeys encoded."""
+    starts = range(0, len(data), KEPT_BYTES)
+    parts = (data[start : start + KEPT_BYTES] for start in starts)
+    return WithdrawnKeys(int.from_bytes(part, "big") for part in parts)
+
+
+def is_digest(text: str) -> bool:
+    """Tell whether a text has the form of a key's digest."""
+    return len(text) == 64 and all(letter in "0123456789abcdef" for letter in text)
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -6,16 +6,13 @@
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
-from burdockwall.process.control.commands import (
-    AnyCommand,
-    AuditRecord,
-    Outcome,
-)
+from burdockwall.process.control.audit import AuditRecord
+from burdockwall.process.control.commands import AnyOperatorCommand, Outcome
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
 
 OPERATOR_BODY_BYTES = 8_388_608
-_command_decoder = msgspec.json.Decoder(AnyCommand)
+_command_decoder = msgspec.json.Decoder(AnyOperatorCommand)
 
 
 class Status(msgspec.Struct, frozen=True):
@@ -65,7 +62,9 @@
             case ("GET", "/status"):
                 await exchange.answer_json(200, self.read_status())
             case ("GET", "/audit"):
-                await exchange.answer_json(200, AuditPage(self._get_state().audit))
+                await exchange.answer_json(
+                    200, AuditPage(list(self._get_state().audit))
+                )
             case ("GET", "/configuration"):
                 state = self._get_state()
                 page = StatePage(state.version, state.text)
--- a/features/subjects/path.py
+++ b/features/subjects/path.py
@@ -7,7 +7,7 @@
 
 from burdockwall.fakes.demo import CUSTOMER, Site, run_site, wait_for_version
 from burdockwall.fakes.engine import FakeEngine, generate_tokens
-from burdockwall.process.control.state import verify_audit
+from burdockwall.process.control.audit import verify_audit
 from burdockwall.request.completion import ChatMessage, CompletionRequest, join_answer
 from burdockwall.types import ModelName
 
