Keep answers as live streams that callers can rejoin

Cause: an answer lived only as long as its caller's connection, and a cut stream could only be resumed at the same endpoint.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -47,6 +47,9 @@
     ROUTE_FORBIDDEN = CodeRow(
         1103, 403, Ran.NOT_RUN, Retry.NEVER, "The customer may not use the route."
     )
+    KEY_IN_BODY = CodeRow(
+        1104, 400, Ran.NOT_RUN, Retry.NEVER, "The body contains the caller's key."
+    )
     # Programs.
     PROGRAM_UNKNOWN = CodeRow(
         1201, 404, Ran.NOT_RUN, Retry.NEVER, "The customer has no such program."
@@ -60,6 +63,9 @@
     TURN_RUNNING = CodeRow(
         1204, 409, Ran.NOT_RUN, Retry.SAFE, "Another call of the program is running."
     )
+    STREAM_ELSEWHERE = CodeRow(
+        1205, 409, Ran.RAN, Retry.SAFE, "The rest of the stream is not held here."
+    )
     # Limits and load.
     RATE_EXCEEDED = CodeRow(
         1301, 429, Ran.NOT_RUN, Retry.SAFE, "The customer's rate and burst are spent."
@@ -80,6 +86,9 @@
     CALLER_GONE = CodeRow(
         1404, 499, Ran.UNKNOWN, Retry.SAME_KEY, "The caller left before the end."
     )
+    ENDPOINT_REFUSED = CodeRow(
+        1405, 422, Ran.NOT_RUN, Retry.NEVER, "The endpoint refused the request."
+    )
     # The instance itself.
     NOT_READY = CodeRow(
         1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -22,6 +22,12 @@
     return [WORDS[digest[index + 1] % len(WORDS)] + " " for index in range(count)]
 
 
+def _drop_partial(completion: CompletionRequest) -> CompletionRequest:
+    if not completion.continue_final_message:
+        return completion
+    return msgspec.structs.replace(completion, messages=completion.messages[:-1])
+
+
 def format_event(number: int, token: str) -> bytes:
     """Format one token as an event of the stream."""
     data = msgspec.json.encode({"choices": [{"delta": {"content": token}}]})
@@ -47,7 +53,7 @@
         self.requests[request] += 1
         offset = int(exchange.get_header(b"last-event-id") or 0)
         await exchange.start(200, EVENT_HEADERS)
-        tokens = generate_tokens(completion)
+        tokens = generate_tokens(_drop_partial(completion))
         for number, token in enumerate(tokens, 1):
             if number <= offset:
                 continue
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -6,7 +6,8 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.membership.messages import StateSnapshot
 from burdockwall.process.resolver import Member, resolve_addresses
-from burdockwall.request.flow import RequestFlow
+from burdockwall.request.flow import serve_request
+from burdockwall.request.parts import create_parts
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain
 from burdockwall.version.view import build_empty_view, build_view
@@ -26,10 +27,14 @@
         self.settings = settings
         self.list_members = list_members
         self.view = build_empty_view()
-        self.flow = RequestFlow(settings, lambda: self.view, clock)
+        self.parts = create_parts(settings, clock)
         self.leaving = False
         self.under_way = 0
 
+    async def run(self) -> None:
+        """Produce answers until cancelled."""
+        await self.parts.streams.run()
+
     def install(self, snapshot: StateSnapshot) -> None:
         """Put a version of the control state in force."""
         self.view = build_view(snapshot.version, snapshot.text, snapshot.keys)
@@ -45,7 +50,7 @@
             raise RequestRefused(Code.NOT_READY, retry_after_s=1.0)
         self.under_way += 1
         try:
-            await self.flow.serve(exchange)
+            await serve_request(self.parts, self.view, exchange)
         finally:
             self.under_way -= 1
 
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -97,6 +97,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.bus.run, self.settings.peer_address)
             group.start_soon(self.host.run)
+            if self.entry is not None:
+                group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
@@ -119,7 +121,7 @@
             self.stop,
             self.settings.drain_limit_s,
         )
-        await self.entry.flow.clients.close()
+        await self.entry.parts.clients.close()
 
 
 async def run_node(settings: Settings) -> None:
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -4,6 +4,10 @@
 from urllib.parse import urlencode
 
 from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.types import CustomerId
+from burdockwall.version.configuration import Customer, Route
+from burdockwall.version.view import View
 
 KEY_HEADERS = (b"authorization", b"x-api-key", b"api-key", b"proxy-authorization")
 KEY_PARAMETERS = ("key", "api_key", "access_token")
@@ -23,6 +27,9 @@
 )
 
 
+OPEN_CUSTOMER = Customer(CustomerId(""), rate_per_s=1000.0, burst=1000)
+
+
 @dataclass(frozen=True, slots=True)
 class Presented:
     """Hold the key that came with a request, if any."""
@@ -71,3 +78,15 @@
 def holds_key(text: str, presented: Presented) -> bool:
     """Tell whether a text contains the presented key."""
     return bool(presented.key) and str(presented.key) in text
+
+
+def check_customer(view: View, route: Route, presented: Presented) -> Customer:
+    """Return the customer that a request runs for, or raise RequestRefused."""
+    if presented.key is None:
+        if route.open:
+            return OPEN_CUSTOMER
+        raise RequestRefused(Code.KEY_MISSING)
+    customer = view.find_customer(presented.key)
+    if route.customers and customer.name not in route.customers:
+        raise RequestRefused(Code.ROUTE_FORBIDDEN)
+    return customer
--- a/burdockwall/request/completion.py
+++ b/burdockwall/request/completion.py
@@ -20,6 +20,7 @@
     messages: list[ChatMessage]
     max_tokens: int = 256
     stream: bool = False
+    continue_final_message: bool = False
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -28,10 +29,11 @@
     content: str = ""
 
 
-class Choice(msgspec.Struct, frozen=True):
-    """Hold one choice of an event."""
+class Choice(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold one choice: a part of it in an event, or the whole message."""
 
     delta: Delta = Delta()
+    message: Delta = Delta()
 
 
 class CompletionEvent(msgspec.Struct, frozen=True):
@@ -40,6 +42,12 @@
     choices: list[Choice] = []
 
 
+class CompletionAnswer(msgspec.Struct, frozen=True):
+    """Hold a whole answer for a caller that does not stream."""
+
+    choices: list[Choice]
+
+
 DONE_DATA = b"[DONE]"
 _request_decoder = msgspec.json.Decoder(CompletionRequest)
 _event_decoder = msgspec.json.Decoder(CompletionEvent)
--- /dev/null
+++ b/burdockwall/request/events.py
@@ -0,0 +1,66 @@
+"""Cut, count and join the events of a stream without parsing each of them."""
+
+from dataclasses import dataclass, field
+
+from burdockwall.request.completion import DONE_DATA
+
+EVENT_END = b"\n\n"
+DONE_LINE = b"data: " + DONE_DATA + EVENT_END
+
+
+@dataclass(slots=True)
+class EventCutter:
+    """Cut a byte stream at the ends of its events."""
+
+    _tail: bytes = b""
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Take bytes and return those up to the end of the last whole event."""
+        data = self._tail + chunk if self._tail else chunk
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._tail = data
+            return b""
+        self._tail = data[end:]
+        return data[:end]
+
+
+@dataclass(slots=True)
+class EventBuffer:
+    """Hold whole events and count them."""
+
+    events: int = 0
+    done: bool = False
+    _parts: list[bytes] = field(default_factory=list)
+
+    def add(self, whole: bytes) -> None:
+        """Add bytes that end with an event."""
+        self.events += whole.count(EVENT_END)
+        self.done = self.done or whole.endswith(DONE_LINE)
+        self._parts.append(whole)
+
+    def list_parts(self, position: int) -> list[bytes]:
+        """Return the parts that were added after a position."""
+        return self._parts[position:]
+
+    def join(self) -> bytes:
+        """Return all events so far."""
+        return b"".join(self._parts)
+
+
+@dataclass(frozen=True, slots=True)
+class Skipped:
+    """Hold what is left of a chunk, and how many events are still to skip."""
+
+    rest: bytes
+    left: int
+
+
+def skip_events(chunk: bytes, count: int) -> Skipped:
+    """Drop the first events of a chunk."""
+    position = 0
+    while count and position < len(chunk):
+        end = chunk.find(EVENT_END, position)
+        position = end + len(EVENT_END)
+        count -= 1
+    return Skipped(chunk[position:], count)
--- /dev/null
+++ b/burdockwall/request/parts.py
@@ -0,0 +1,39 @@
+"""Gather the parts of a process that requests use."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockwall.connection.endpoints import EndpointClients
+from burdockwall.process.limits.limiter import Limiter
+from burdockwall.process.programs.records import ProgramTable
+from burdockwall.process.scheduling.dispatcher import Dispatcher
+from burdockwall.request.streams import StreamTable
+from burdockwall.settings import Settings
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """Hold what every request of a process shares."""
+
+    settings: Settings
+    clock: Callable[[], float]
+    programs: ProgramTable
+    limiter: Limiter
+    dispatcher: Dispatcher
+    clients: EndpointClients
+    streams: StreamTable
+
+
+def create_parts(settings: Settings, clock: Callable[[], float]) -> Parts:
+    """Create the parts of one process from its settings."""
+    return Parts(
+        settings=settings,
+        clock=clock,
+        programs=ProgramTable(),
+        limiter=Limiter(),
+        dispatcher=Dispatcher(),
+        clients=EndpointClients(
+            settings.endpoint_connect_s, settings.endpoint_silence_s
+        ),
+        streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s),
+    )
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -1,53 +1,29 @@
-"""Relay an engine's event stream whole: cut off streams resume at their offset."""
+"""Relay an engine's event stream whole: a cut stream resumes at its offset.
+
+The same engine resumes from `Last-Event-ID`. Another engine gets the text so far as
+the last message, to be continued, so that two answers never mix.
+"""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import httpx
+import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.connection.exchange import Headers
 from burdockwall.errors import Code, RequestRefused
-from burdockwall.request.completion import DONE_DATA
-from burdockwall.types import RequestId
+from burdockwall.request.completion import (
+    ChatMessage,
+    CompletionRequest,
+    join_answer,
+)
+from burdockwall.request.events import EventBuffer, EventCutter
+from burdockwall.types import EndpointId, RequestId
 from burdockwall.version.configuration import Endpoint
 
-EVENT_END = b"\n\n"
-DONE_LINE = b"data: " + DONE_DATA + EVENT_END
-
-Write = Callable[[bytes], Awaitable[None]]
-
-
-@dataclass(slots=True)
-class EventBuffer:
-    """Cut a byte stream at event ends and count the events passed on."""
-
-    events: int = 0
-    done: bool = False
-    _parts: list[bytes] = field(default_factory=list)
-    _tail: bytes = b""
-
-    def feed(self, chunk: bytes) -> bytes:
-        """Take bytes and return those up to the last whole event."""
-        data = self._tail + chunk
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            self._tail = data
-            return b""
-        whole = data[:end]
-        self._tail = data[end:]
-        self.events += whole.count(EVENT_END)
-        self.done = self.done or whole.endswith(DONE_LINE)
-        self._parts.append(whole)
-        return whole
-
-    def drop_tail(self) -> None:
-        """Forget the part of an event that a cut left behind."""
-        self._tail = b""
-
-    def join(self) -> bytes:
-        """Return all whole events so far."""
-        return b"".join(self._parts)
+Append = Callable[[bytes], Awaitable[None]]
+RESUMABLE_STATUSES = (httpx.codes.BAD_GATEWAY, httpx.codes.SERVICE_UNAVAILABLE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,50 +33,93 @@
     request: RequestId
     path: str
     headers: Headers
-    body: bytes
-
-
-async def relay_events(
-    clients: EndpointClients,
-    endpoint: Endpoint,
-    upstream: Upstream,
-    attempts: int,
-    write: Write,
-) -> EventBuffer:
-    """Relay a stream to its end; raise RequestRefused when attempts are spent."""
-    buffer = EventBuffer()
-    for _ in range(attempts):
-        try:
-            await _relay_once(clients, endpoint, upstream, buffer, write)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            if buffer.events == 0:
-                raise RequestRefused(Code.ENDPOINT_UNREACHABLE) from error
-        except httpx.HTTPError:
-            buffer.drop_tail()
-        if buffer.done:
-            return buffer
-    raise RequestRefused(Code.ENDPOINT_FAILED)
-
-
-async def _relay_once(
-    clients: EndpointClients,
-    endpoint: Endpoint,
-    upstream: Upstream,
-    buffer: EventBuffer,
-    write: Write,
-) -> None:
-    headers = [*upstream.headers, (b"request-id", upstream.request.encode())]
-    if buffer.events:
-        headers.append((b"last-event-id", str(buffer.events).encode()))
-    async with clients.open_stream(
-        endpoint, "POST", upstream.path, headers, upstream.body
-    ) as response:
-        if response.status_code != httpx.codes.OK:
-            raise RequestRefused(
-                Code.ENDPOINT_FAILED,
-                f"endpoint {endpoint.name} answered {response.status_code}",
-            )
-        async for chunk in response.aiter_raw():
-            whole = buffer.feed(chunk)
-            if whole:
-                await write(whole)
+    completion: CompletionRequest
+
+
+class EndpointLost(Exception):
+    """Tell that an endpoint gave no more events; `sent` if it may have started."""
+
+    def __init__(self, sent: bool) -> None:
+        super().__init__()
+        self.sent = sent
+
+
+class Relay:
+    """Relay one answer, from one endpoint or several in turn."""
+
+    def __init__(
+        self,
+        clients: EndpointClients,
+        upstream: Upstream,
+        buffer: EventBuffer,
+        append: Append,
+    ) -> None:
+        self.clients = clients
+        self.upstream = upstream
+        self.buffer = buffer
+        self.append = append
+        self._started_at: EndpointId | None = None
+
+    async def run(self, endpoint: Endpoint, attempts: int) -> None:
+        """Relay to the end of the answer, or raise EndpointLost.
+
+        Attempts that bring no further event count; one that does starts anew.
+        """
+        left = attempts
+        sent = False
+        while left:
+            before = self.buffer.events
+            try:
+                await self._relay_once(endpoint)
+            except (httpx.ConnectError, httpx.ConnectTimeout):
+                raise EndpointLost(sent or bool(self.buffer.events)) from None
+            except httpx.TransportError:
+                # The whole pool may have lost its path: judge by a fresh one.
+                self.clients.replace(endpoint)
+            sent = True
+            if self.buffer.done:
+                return
+            left = attempts if self.buffer.events > before else left - 1
+        raise EndpointLost(sent)
+
+    async def _relay_once(self, endpoint: Endpoint) -> None:
+        upstream = self.upstream
+        headers = [*upstream.headers, (b"request-id", upstream.request.encode())]
+        if self.buffer.events:
+            offset = str(self.buffer.events).encode()
+            headers.append((b"last-event-id", offset))
+        body = msgspec.json.encode(self._build_completion(endpoint))
+        cutter = EventCutter()
+        async with self.clients.open_stream(
+            endpoint, "POST", upstream.path, headers, body
+        ) as response:
+            await _check_status(endpoint, response)
+            async for chunk in response.aiter_raw():
+                whole = cutter.feed(chunk)
+                if whole:
+                    await self.append(whole)
+
+    def _build_completion(self, endpoint: Endpoint) -> CompletionRequest:
+        completion = self.upstream.completion
+        if self._started_at is None:
+            self._started_at = endpoint.name
+        if endpoint.name == self._started_at or not self.buffer.events:
+            return completion
+        partial = ChatMessage("assistant", join_answer(self.buffer.join()))
+        return msgspec.structs.replace(
+            completion,
+            messages=[*completion.messages, partial],
+            continue_final_message=True,
+        )
+
+
+async def _check_status(endpoint: Endpoint, response: httpx.Response) -> None:
+    status = response.status_code
+    if status == httpx.codes.OK:
+        return
+    if status in RESUMABLE_STATUSES:
+        raise httpx.ReadError(f"endpoint {endpoint.name} answered {status}")
+    detail = f"endpoint {endpoint.name} answered {status}"
+    if status < httpx.codes.INTERNAL_SERVER_ERROR:
+        raise RequestRefused(Code.ENDPOINT_REFUSED, detail)
+    raise RequestRefused(Code.ENDPOINT_FAILED, detail)
--- /dev/null
+++ b/burdockwall/request/streams.py
@@ -0,0 +1,151 @@
+"""Keep each answer's events while it is produced, so that callers can rejoin it."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import logbook
+
+from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.request.events import EventBuffer, skip_events
+from burdockwall.types import CustomerId, ProgramId
+
+
+@dataclass(frozen=True, slots=True)
+class StreamKey:
+    """Name the answer to one turn of one customer's program."""
+
+    customer: CustomerId
+    program: ProgramId
+    turn: int
+
+
+class LiveStream:
+    """Hold the events of one answer; readers wait for those still to come."""
+
+    def __init__(self, key: StreamKey, body_digest: str) -> None:
+        self.key = key
+        self.body_digest = body_digest
+        self.buffer = EventBuffer()
+        self.readers = 0
+        self.ended = False
+        self.error: BurdockwallError | None = None
+        self.scope = anyio.CancelScope()
+        self._changed = anyio.Event()
+
+    async def append(self, whole: bytes) -> None:
+        """Add whole events and wake the readers."""
+        self.buffer.add(whole)
+        self._notify()
+
+    def end(self, error: BurdockwallError | None = None) -> None:
+        """End the stream, with an error where it is not whole."""
+        self.ended = True
+        self.error = error
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def read(self, offset: int) -> AsyncIterator[bytes]:
+        """Yield the events after an offset; raise the error that ended them."""
+        position = 0
+        while True:
+            changed = self._changed
+            parts = self.buffer.list_parts(position)
+            position += len(parts)
+            if parts:
+                skipped = skip_events(b"".join(parts), offset)
+                offset = skipped.left
+                if skipped.rest:
+                    yield skipped.rest
+                continue
+            if self.error is not None:
+                raise self.error
+            if self.ended:
+                return
+            await changed.wait()
+
+
+Produce = Callable[[LiveStream], Awaitable[None]]
+
+
+class StreamTable:
+    """Run the producers of live streams and end those that nobody reads."""
+
+    def __init__(self, grace_s: float, keep_s: float) -> None:
+        self.grace_s = grace_s
+        self.keep_s = keep_s
+        self._streams: dict[StreamKey, LiveStream] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+        self._logger = logbook.Logger("streams")
+
+    async def run(self) -> None:
+        """Run producers until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    def count(self) -> int:
+        """Count the streams whose answer is not whole yet."""
+        return sum(not stream.ended for stream in self._streams.values())
+
+    def find(self, key: StreamKey, body_digest: str) -> LiveStream | None:
+        """Return the stream of a turn; refuse one that another body started."""
+        stream = self._streams.get(key)
+        if stream is not None and stream.body_digest != body_digest:
+            raise RequestRefused(
+                Code.TURN_RUNNING,
+                f"another caller won turn {key.turn}",
+                retry_after_s=self.grace_s,
+            )
+        return stream
+
+    def start(self, key: StreamKey, body_digest: str, produce: Produce) -> LiveStream:
+        """Start producing an answer."""
+        if self._group is None:
+            raise RequestRefused(Code.NOT_READY, retry_after_s=1.0)
+        stream = LiveStream(key, body_digest)
+        self._streams[key] = stream
+        self._group.start_soon(self._produce, stream, produce)
+        return stream
+
+    async def _produce(self, stream: LiveStream, produce: Produce) -> None:
+        error: BurdockwallError | None = RequestRefused(Code.CALLER_GONE)
+        try:
+            with stream.scope:
+                await produce(stream)
+                error = None
+        except BurdockwallError as raised:
+            error = raised
+        except Exception as raised:  # The caller gets a code, the log the fault.
+            self._logger.exception("producing {} failed", stream.key.program)
+            error = RequestRefused(Code.INTERNAL, type(raised).__name__)
+        finally:
+            stream.end(error)
+        if error is None:
+            await anyio.sleep(self.keep_s)
+        self._forget(stream)
+
+    def _forget(self, stream: LiveStream) -> None:
+        if self._streams.get(stream.key) is stream:
+            del self._streams[stream.key]
+
+    async def read(self, stream: LiveStream, offset: int) -> AsyncIterator[bytes]:
+        """Yield a stream's events to one caller, who counts as a reader."""
+        stream.readers += 1
+        try:
+            async for chunk in stream.read(offset):
+                yield chunk
+        finally:
+            stream.readers -= 1
+            if not stream.readers and not stream.ended and self._group is not None:
+                self._group.start_soon(self._abandon, stream)
+
+    async def _abandon(self, stream: LiveStream) -> None:
+        # A caller that only changes its connection comes back within the grace.
+        await anyio.sleep(self.grace_s)
+        if not stream.readers and not stream.ended:
+            stream.scope.cancel()
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -36,6 +36,8 @@
     endpoint_connect_s: float = 1.0
     endpoint_silence_s: float = 10.0
     endpoint_attempts: int = 3
+    abandon_grace_s: float = 5.0
+    stream_keep_s: float = 30.0
 
 
 class Kind(Enum):
@@ -183,6 +185,26 @@
         0.1,
         3600,
     ),
+    Option(
+        "callers",
+        "abandon_grace",
+        "abandon_grace_s",
+        Kind.NUMBER,
+        "s",
+        "Time in which a caller that left may come back to its answer.",
+        0,
+        3600,
+    ),
+    Option(
+        "callers",
+        "stream_keep",
+        "stream_keep_s",
+        Kind.NUMBER,
+        "s",
+        "How long the events of a whole answer are kept for a caller to rejoin.",
+        0,
+        3600,
+    ),
     Option(
         "drain",
         "hold",
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -53,6 +53,7 @@
     address: Address
     failure_domain: FailureDomain = FailureDomain("a")
     checks_orders: bool = False
+    tls: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/subjects/path.py
+++ b/features/subjects/path.py
@@ -48,7 +48,11 @@
         }
 
     async def post_turn(self, client, headers, question) -> httpx.Response:
-        body = {"model": MODEL, "messages": [{"role": "user", "content": question}]}
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": question}],
+            "stream": True,
+        }
         return await client.post("/v1/chat/completions", headers=headers, json=body)
 
     async def send_turns(self, client: httpx.AsyncClient, count: int) -> None:
