Hand shard maps and leases of an instance to its machines

Programs and limits need to know which shards their instance holds and until when it may act. Host.publish hands ShardsInstalled and LeaseRenewed to every machine that asked for them in Host.add; ShardView lists joining backups. One process that is its own control instance holds all shards as primary.

--- a/burdockwall/process/host.py
+++ b/burdockwall/process/host.py
@@ -18,6 +18,7 @@
     machine: Machine
     accepts: tuple[type[Message], ...]
     perform: Callable[[Any], None]
+    events: tuple[type, ...] = ()
 
 
 class Host:
@@ -36,9 +37,13 @@
         machine: Machine,
         accepts: tuple[type[Message], ...] = (),
         perform: Callable[[Any], None] = lambda action: None,
+        events: tuple[type, ...] = (),
     ) -> Hosted:
-        """Host a machine; `perform` takes every action except Send."""
-        hosted = Hosted(machine, accepts, perform)
+        """Host a machine; `perform` takes every action except Send.
+
+        `events` are the types of published events that the machine asks for.
+        """
+        hosted = Hosted(machine, accepts, perform, events)
         self._hosted.append(hosted)
         for kind in accepts:
             self._by_type[kind] = hosted
@@ -50,6 +55,12 @@
         if hosted is not None:
             self.apply(hosted, Receive(sender, message))
 
+    def publish(self, event: object) -> None:
+        """Hand an event of this instance to every machine that asked for its type."""
+        for hosted in self._hosted:
+            if type(event) in hosted.events:
+                self.apply(hosted, event)
+
     def apply(self, hosted: Hosted, event: object) -> None:
         """Hand an event to a machine and perform what it asks for."""
         for action in hosted.machine.handle(event, self.clock()):
--- a/burdockwall/process/membership/follower.py
+++ b/burdockwall/process/membership/follower.py
@@ -9,8 +9,10 @@
     StateSnapshot,
 )
 from burdockwall.types import InstanceId, Version
+from burdockwall.version.shards import LeaseRenewed
 
 FOLLOW_INTERVAL_S = 0.5
+LEASE_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +32,9 @@
         self._asked_at: float | None = None
         self._next = 0
 
-    def handle(self, event: Tick | Receive, now: float) -> list[Send | Install]:
+    def handle(
+        self, event: Tick | Receive, now: float
+    ) -> list[Send | Install | LeaseRenewed]:
         """Take an event and return what to send or install."""
         match event:
             case Tick():
@@ -38,13 +42,14 @@
             case Receive(message=StateSnapshot() as snapshot):
                 return self._install(snapshot, now)
             case Receive(message=StateCurrent(version=version)):
-                if version == self.version:
-                    self.heard_at = now
-                return []
+                if version != self.version or self._asked_at is None:
+                    return []
+                self.heard_at = now
+                return [LeaseRenewed(self._asked_at + LEASE_S)]
             case _:
                 return []
 
-    def _ask(self, now: float) -> list[Send | Install]:
+    def _ask(self, now: float) -> list[Send | Install | LeaseRenewed]:
         due = self._asked_at is None or now - self._asked_at >= FOLLOW_INTERVAL_S
         if not self.control or not due:
             return []
@@ -53,7 +58,9 @@
         self._next += 1
         return [Send(target, Follow(self.version))]
 
-    def _install(self, snapshot: StateSnapshot, now: float) -> list[Send | Install]:
+    def _install(
+        self, snapshot: StateSnapshot, now: float
+    ) -> list[Send | Install | LeaseRenewed]:
         if snapshot.version <= self.version:
             return []
         self.version = snapshot.version
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -20,7 +20,20 @@
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
-from burdockwall.types import EndpointState, Incarnation, Role
+from burdockwall.types import (
+    EndpointState,
+    FencingNumber,
+    Incarnation,
+    Role,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    SHARD_COUNT,
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
 
 OPERATOR_GRACE_S = 1.0
 
@@ -54,12 +67,24 @@
         if self.settings.role is Role.BOTH and not control:
             control = [self.settings.instance_id]
 
-        def perform(action: Install) -> None:
-            entry.install(action.snapshot)
+        def perform(action: Install | LeaseRenewed) -> None:
+            match action:
+                case Install(snapshot=snapshot):
+                    entry.install(snapshot)
+                    self.host.publish(ShardsInstalled(self._assign_alone()))
+                case LeaseRenewed():
+                    self.host.publish(action)
 
         self.host.add(Follower(control), (StateSnapshot, StateCurrent), perform)
         return entry
 
+    def _assign_alone(self) -> ShardMap:
+        views = {}
+        for number in range(SHARD_COUNT):
+            shard = ShardId(number)
+            views[shard] = ShardView(shard, FencingNumber(1), self.settings.instance_id)
+        return ShardMap(views)
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.leaving
--- a/burdockwall/version/shards.py
+++ b/burdockwall/version/shards.py
@@ -14,13 +14,16 @@
     """Assign one shard: a fenced number, the primary and the backups.
 
     The primary acts only under its instance's lease; a later view has a higher
-    number and starts after the lease of the former primary has lapsed.
+    number and starts after the lease of the former primary has lapsed. A joining
+    instance receives the copy and every write, but is no backup until the primary
+    has confirmed that the copy is whole; then a later view lists it as a backup.
     """
 
     shard: ShardId
     number: FencingNumber
     primary: InstanceId
     backups: tuple[InstanceId, ...] = ()
+    joining: tuple[InstanceId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRenewed:
-    """Tell a machine until when (seconds, its own clock) its instance may act."""
+    """Tell a machine until when its instance may act.
+
+    `until` is in seconds of the instance's own clock and never goes back. A machine
+    that owns or serves shards acts as primary only while `now < until`.
+    """
 
     until: float
 
