--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -20,7 +20,20 @@
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
-from burdockwall.types import EndpointState, Incarnation, Role
+from burdockwall.types import (
+    EndpointState,
+    FencingNumber,
+    Incarnation,
+    Role,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    SHARD_COUNT,
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
 
 OPERATOR_GRACE_S = 1.0
 
@@ -54,12 +67,24 @@
         if self.settings.role is Role.BOTH and not control:
             control = [self.settings.instance_id]
 
-        def perform(action: Install) -> None:
-            entry.install(action.snapshot)
+        def perform(action: Install | LeaseRenewed) -> None:
+            match action:
+                case Install(snapshot=snapshot):
+                    entry.install(snapshot)
+                    self.host.publish(ShardsInstalled(self._assign_alone()))
+                case LeaseRenewed():
+                    self.host.publish(action)
 
         self.host.add(Follower(control), (StateSnapshot, StateCurrent), perform)
         return entry
 
+    def _assign_alone(self) -> ShardMap:
+        views = {}
+        for number in range(SHARD_COUNT):
+            shard = ShardId(number)
+            views[shard] = ShardView(shard, FencingNumber(1), self.settings.instance_id)
+        return ShardMap(views)
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.leaving
@@ -97,6 +122,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.bus.run, self.settings.peer_address)
             group.start_soon(self.host.run)
+            if self.entry is not None:
+                group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
@@ -119,7 +146,7 @@
             self.stop,
             self.settings.drain_limit_s,
         )
-        await self.entry.flow.clients.close()
+        await self.entry.parts.clients.close()
 
 
 async def run_node(settings: Settings) -> None:
