--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -47,6 +47,9 @@
     ROUTE_FORBIDDEN = CodeRow(
         1103, 403, Ran.NOT_RUN, Retry.NEVER, "The customer may not use the route."
     )
+    KEY_IN_BODY = CodeRow(
+        1104, 400, Ran.NOT_RUN, Retry.NEVER, "The body contains the caller's key."
+    )
     # Programs.
     PROGRAM_UNKNOWN = CodeRow(
         1201, 404, Ran.NOT_RUN, Retry.NEVER, "The customer has no such program."
@@ -60,6 +63,9 @@
     TURN_RUNNING = CodeRow(
         1204, 409, Ran.NOT_RUN, Retry.SAFE, "Another call of the program is running."
     )
+    STREAM_ELSEWHERE = CodeRow(
+        1205, 409, Ran.RAN, Retry.SAFE, "The rest of the stream is not held here."
+    )
     # Limits and load.
     RATE_EXCEEDED = CodeRow(
         1301, 429, Ran.NOT_RUN, Retry.SAFE, "The customer's rate and burst are spent."
@@ -80,6 +86,9 @@
     CALLER_GONE = CodeRow(
         1404, 499, Ran.UNKNOWN, Retry.SAME_KEY, "The caller left before the end."
     )
+    ENDPOINT_REFUSED = CodeRow(
+        1405, 422, Ran.NOT_RUN, Retry.NEVER, "The endpoint refused the request."
+    )
     # The instance itself.
     NOT_READY = CodeRow(
         1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
@@ -109,6 +118,48 @@
     UNREACHABLE = CodeRow(
         2006, 503, Ran.UNKNOWN, Retry.SAME_KEY, "No instance answered the operator."
     )
+    SUBMISSION_REUSED = CodeRow(
+        2007, 409, Ran.NOT_RUN, Retry.NEVER, "The submission id has another text."
+    )
+    KEY_UNKNOWN = CodeRow(2008, 404, Ran.NOT_RUN, Retry.NEVER, "No such key exists.")
+    KEY_REUSED = CodeRow(
+        2009, 409, Ran.NOT_RUN, Retry.NEVER, "The key has been issued before."
+    )
+    CUSTOMER_UNKNOWN = CodeRow(
+        2010, 404, Ran.NOT_RUN, Retry.NEVER, "The configuration lacks the customer."
+    )
+    VERSION_UNKNOWN = CodeRow(
+        2011, 404, Ran.NOT_RUN, Retry.NEVER, "The version is no longer kept."
+    )
+    IMAGE_INVALID = CodeRow(
+        2012, 400, Ran.NOT_RUN, Retry.NEVER, "The image of the state has faults."
+    )
+    CHANGE_UNKNOWN = CodeRow(
+        2013,
+        503,
+        Ran.UNKNOWN,
+        Retry.SAME_KEY,
+        "The change may have been made; send the same submission again.",
+    )
+    NO_QUORUM = CodeRow(
+        2014, 503, Ran.NOT_RUN, Retry.SAFE, "The control instances lack a quorum."
+    )
+    # Files under the data folder.
+    JOURNAL_DAMAGED = CodeRow(
+        2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
+    )
+    SNAPSHOT_DAMAGED = CodeRow(
+        2102, 500, Ran.NOT_RUN, Retry.NEVER, "The snapshot fails its checksum."
+    )
+    IDENTITY_LOST = CodeRow(
+        2103, 500, Ran.NOT_RUN, Retry.NEVER, "The data folder has no identity."
+    )
+    IDENTITY_OTHER = CodeRow(
+        2104, 500, Ran.NOT_RUN, Retry.NEVER, "The data folder is another instance's."
+    )
+    DISK_FAILED = CodeRow(
+        2105, 500, Ran.UNKNOWN, Retry.SAME_KEY, "A write to the data folder failed."
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/process/limits/retries.py
+++ b/burdockwall/process/limits/retries.py
@@ -2,8 +2,11 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
+import anyio
+
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, PoolName
 
@@ -103,3 +106,37 @@
     """
     limit = min(policy.backoff_limit_s, policy.backoff_base_s * 2.0 ** (attempt - 1))
     return (retry_after_s or 0.0) + generator.uniform(0.0, limit)
+
+
+class RetryGate:
+    """Let a request retry once its budget allows it and its backoff has passed."""
+
+    def __init__(
+        self,
+        policy: RetryPolicy,
+        clock: Callable[[], float],
+        generator: random.Random,
+    ) -> None:
+        self.policy = policy
+        self.clock = clock
+        self.generator = generator
+        self.budget = RetryBudget(policy)
+
+    def record_request(self, pool: PoolName, customer: CustomerId) -> None:
+        """Count a first attempt."""
+        self.budget.record_request(pool, customer, self.clock())
+
+    async def wait(
+        self,
+        pool: PoolName,
+        customer: CustomerId,
+        attempt: int,
+        retry_after_s: float | None = None,
+    ) -> bool:
+        """Wait until retry number `attempt` is due; tell whether it is allowed."""
+        if not self.budget.take_retry(pool, customer, self.clock()):
+            return False
+        await anyio.sleep(
+            compute_backoff_s(attempt, self.policy, self.generator, retry_after_s)
+        )
+        return True
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -50,6 +50,8 @@
     limit_clock_margin: float = 0.0005
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
+    abandon_grace_s: float = 5.0
+    stream_keep_s: float = 30.0
 
 
 class Kind(Enum):
@@ -197,6 +199,26 @@
         0.1,
         3600,
     ),
+    Option(
+        "callers",
+        "abandon_grace",
+        "abandon_grace_s",
+        Kind.NUMBER,
+        "s",
+        "Time in which a caller that left may come back to its answer.",
+        0,
+        3600,
+    ),
+    Option(
+        "callers",
+        "stream_keep",
+        "stream_keep_s",
+        Kind.NUMBER,
+        "s",
+        "How long the events of a whole answer are kept for a caller to rejoin.",
+        0,
+        3600,
+    ),
     Option(
         "drain",
         "hold",
