Bound, drain, measure and ship the entry

Cause: an instance stopped at once, held any number of body bytes, spoke plaintext, measured nothing, and the packaged file unpacked itself to a disk. Change: a drain machine, TLS for callers and mutual TLS between instances, byte and silence bounds, metrics by hdrhistogram, one log line a request, an archive whose extension modules are read without a disk.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,4 @@
 	$(BIN)/ruff check --fix .
 
 binary: .venv/ready
-	mkdir -p dist
-	$(BIN)/shiv --quiet --compressed --output-file dist/burdockwall --console-script burdockwall --constraint requirements.lock --no-build-isolation .
+	$(BIN)/python -m tools.binary
--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from burdockwall.connection.memory import ByteBudget
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 
 Scope = dict[str, Any]
@@ -21,7 +22,14 @@
 class Exchange:
     """Hold one caller's request and its answer."""
 
-    def __init__(self, scope: Scope, receive: ReceiveEvent, send: SendEvent) -> None:
+    def __init__(
+        self,
+        scope: Scope,
+        receive: ReceiveEvent,
+        send: SendEvent,
+        body_silence_s: float,
+        budget: ByteBudget | None = None,
+    ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: bytes = scope["query_string"]
@@ -30,6 +38,9 @@
         self.gone = anyio.Event()
         self._receive = receive
         self._send = send
+        self._body_silence_s = body_silence_s
+        self._budget = budget
+        self._reserved_bytes = 0
         self._body_read = False
 
     def get_header(self, name: bytes) -> str | None:
@@ -49,10 +60,10 @@
         """Yield the body as it comes; refuse it at the limit."""
         total = 0
         while not self._body_read:
-            event = await self._receive()
+            event = await self._receive_body()
             if event["type"] == "http.disconnect":
                 self.gone.set()
-                return
+                raise RequestRefused(Code.BODY_CUT)
             self._body_read = not event.get("more_body", False)
             chunk: bytes = event.get("body", b"")
             total += len(chunk)
@@ -62,9 +73,31 @@
             if chunk:
                 yield chunk
 
+    async def _receive_body(self) -> dict[str, Any]:
+        try:
+            with anyio.fail_after(self._body_silence_s):
+                return await self._receive()
+        except TimeoutError as error:
+            raise RequestRefused(Code.BODY_SLOW) from error
+
     async def read_body(self, limit_bytes: int) -> bytes:
-        """Read the whole body; refuse it at the limit."""
-        return b"".join([chunk async for chunk in self.stream_body(limit_bytes)])
+        """Read and hold the whole body; refuse it at the limit."""
+        chunks = []
+        async for chunk in self.stream_body(limit_bytes):
+            self._reserve(len(chunk))
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _reserve(self, size_bytes: int) -> None:
+        if self._budget is not None:
+            self._budget.reserve(size_bytes)
+            self._reserved_bytes += size_bytes
+
+    def release(self) -> None:
+        """Give back the memory that the body held."""
+        if self._budget is not None:
+            self._budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
 
     async def watch_caller(self) -> None:
         """Wait until the caller has gone, once the body has been read."""
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -5,6 +5,7 @@
 the silence bound is replaced by a fresh one.
 """
 
+import ssl
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -16,6 +17,7 @@
 import grpclib.server
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
     Acknowledgement,
     AnyMessage,
@@ -48,7 +50,9 @@
         incarnation: Incarnation,
         address: Address,
         silence_s: float,
+        tls: ssl.SSLContext | None,
     ) -> None:
+        self.tls = tls
         self.sender = sender
         self.incarnation = incarnation
         self.address = address
@@ -82,7 +86,9 @@
     async def _connect_once(self) -> None:
         host, port = split_address(self.address)
         codec = MessagePackCodec()
-        async with grpclib.client.Channel(host, port, codec=codec) as channel:
+        async with grpclib.client.Channel(
+            host, port, codec=codec, ssl=self.tls
+        ) as channel:
             method = grpclib.client.StreamStreamMethod(
                 channel, EXCHANGE_METHOD, Envelope, Acknowledgement
             )
@@ -121,18 +127,26 @@
         incarnation: Incarnation,
         peers: dict[InstanceId, Address],
         silence_s: float,
+        tls: PeerContexts | None = None,
     ) -> None:
+        self.tls = tls
         self.instance = instance
         self.incarnation = incarnation
         self.silence_s = silence_s
         self.links = {
-            peer: PeerLink(instance, incarnation, address, silence_s)
+            peer: self._create_link(address)
             for peer, address in peers.items()
             if peer != instance
         }
         self._deliver: Deliver | None = None
         self._group: anyio.abc.TaskGroup | None = None
 
+    def _create_link(self, address: Address) -> PeerLink:
+        client = self.tls.client if self.tls else None
+        return PeerLink(
+            self.instance, self.incarnation, address, self.silence_s, client
+        )
+
     def connect(self, deliver: Deliver) -> None:
         """Set the function that takes each message that arrives."""
         self._deliver = deliver
@@ -149,7 +163,7 @@
             return
         link = self.links.get(peer)
         if link is None:
-            link = PeerLink(self.instance, self.incarnation, address, self.silence_s)
+            link = self._create_link(address)
             self.links[peer] = link
             if self._group is not None:
                 self._group.start_soon(link.run)
@@ -184,7 +198,7 @@
         """Listen on an address and run the links to all known instances."""
         server = grpclib.server.Server([self], codec=MessagePackCodec())
         host, port = split_address(address)
-        await server.start(host, port)
+        await server.start(host, port, ssl=self.tls.server if self.tls else None)
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -38,6 +38,10 @@
     NO_ROUTE = CodeRow(
         1003, 404, Ran.NOT_RUN, Retry.NEVER, "No route matches the path or model."
     )
+    BODY_SLOW = CodeRow(1004, 408, Ran.NOT_RUN, Retry.SAFE, "The body stopped coming.")
+    BODY_CUT = CodeRow(
+        1005, 400, Ran.UNKNOWN, Retry.SAME_KEY, "The caller left within the body."
+    )
     KEY_MISSING = CodeRow(
         1101, 401, Ran.NOT_RUN, Retry.NEVER, "The route needs a key and none came."
     )
--- a/burdockwall/fakes/demo.py
+++ b/burdockwall/fakes/demo.py
@@ -93,6 +93,7 @@
         caller_address=find_address(),
         operator_address=find_address(),
         peer_address=find_address(),
+        drain_hold_s=0.0,
     )
     node = Node(settings)
     engine = engine or FakeEngine(token_s=0.02)
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -1,18 +1,26 @@
 """Serve callers: resolve, programs and routes."""
 
+import uuid
 from collections.abc import Callable
 
+import logbook
+
 from burdockwall.connection.exchange import Exchange
-from burdockwall.errors import Code, RequestRefused
+from burdockwall.connection.memory import ByteBudget
+from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.process.drain import Drain
 from burdockwall.process.membership.messages import StateSnapshot
+from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import Member, resolve_addresses
 from burdockwall.request.flow import serve_request
 from burdockwall.request.parts import create_parts
+from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain
 from burdockwall.version.view import build_empty_view, build_view
 
 RESOLVE_PATH = "/v1/resolve"
+REFUSED_RETRY_S = 1.0
 
 
 class Entry:
@@ -28,8 +36,12 @@
         self.list_members = list_members
         self.view = build_empty_view()
         self.parts = create_parts(settings, clock)
-        self.leaving = False
+        self.clock = clock
+        self.drain = Drain(settings.drain_hold_s, settings.drain_limit_s)
+        self.metrics = Metrics()
+        self.budget = ByteBudget(settings.body_memory_bytes)
         self.under_way = 0
+        self._logger = logbook.Logger("entry")
 
     async def run(self) -> None:
         """Produce answers until cancelled."""
@@ -44,15 +56,66 @@
         if exchange.path == RESOLVE_PATH:
             await self._serve_resolve(exchange)
             return
-        if self.leaving:
-            raise RequestRefused(Code.LEAVING, retry_after_s=1.0)
-        if self.view.version == 0:
-            raise RequestRefused(Code.NOT_READY, retry_after_s=1.0)
+        trace = RequestTrace(uuid.uuid4().hex, self.clock())
         self.under_way += 1
         try:
-            await serve_request(self.parts, self.view, exchange)
+            await self._serve_traced(exchange, trace)
         finally:
             self.under_way -= 1
+            self._record(trace)
+
+    async def _serve_traced(self, exchange: Exchange, trace: RequestTrace) -> None:
+        try:
+            self._check_serving()
+            await serve_request(self.parts, self.view, exchange, trace)
+        except BurdockwallError as error:
+            trace.code = error.code.value.number
+            raise
+        except Exception as error:
+            trace.code = Code.INTERNAL.value.number
+            self._logger.exception("request failed", extra={"request": trace.request})
+            raise RequestRefused(Code.INTERNAL, type(error).__name__) from error
+
+    def _check_serving(self) -> None:
+        if self.drain.refusing:
+            raise RequestRefused(Code.LEAVING, retry_after_s=REFUSED_RETRY_S)
+        if self.view.version == 0:
+            raise RequestRefused(Code.NOT_READY, retry_after_s=REFUSED_RETRY_S)
+
+    def _record(self, trace: RequestTrace) -> None:
+        now = self.clock()
+        self.metrics.record_request(trace, now)
+        fields = {
+            "request": trace.request,
+            "customer": trace.customer,
+            "program": trace.program,
+            "route": trace.route,
+            "endpoint": trace.endpoint,
+            "code": trace.code,
+            "seconds": f"{now - trace.started_at:.3f}",
+        }
+        self._logger.info("request ended", extra=fields)
+
+    def read_metrics(self) -> MetricsPage:
+        """Summarise the measurements of this instance."""
+        metrics = self.metrics
+        refusals = sorted(metrics.refusals.items())
+        return MetricsPage(
+            routes=metrics.routes.summarise(),
+            first_tokens=metrics.first_tokens.summarise(),
+            customers=metrics.customers.summarise(),
+            endpoints=metrics.endpoints.summarise(),
+            refusals={str(code): count for code, count in refusals},
+            in_flight=self.under_way,
+            open_streams=self.parts.streams.count(),
+            loop_lag=summarise(metrics.loop_lag),
+            endpoint_replacements=self.parts.clients.replacements,
+            body_bytes_held=self.budget.held_bytes,
+        )
+
+    def count_under_way(self) -> int:
+        """Count the requests and answers that a shutdown must wait for."""
+        return max(self.under_way, self.parts.streams.count())
 
     async def _serve_resolve(self, exchange: Exchange) -> None:
         query = dict(exchange.list_query())
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -4,9 +4,14 @@
 import time
 
 import anyio
+import logbook
 
+from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.peers import PeerBus
+from burdockwall.connection.tls import create_peer_contexts
+from burdockwall.errors import Code, InvalidFile, OperatorError
 from burdockwall.process.control.state import ControlState
+from burdockwall.process.drain import CountUnderWay, StartDrain, StopServing
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
 from burdockwall.process.membership.follower import Follower, Install
@@ -18,8 +23,8 @@
 from burdockwall.process.membership.publisher import Publisher
 from burdockwall.process.operations import Operations, Status
 from burdockwall.process.resolver import Member
-from burdockwall.process.web import serve_address
-from burdockwall.settings import Settings
+from burdockwall.process.web import create_limits, serve_address
+from burdockwall.settings import Settings, check_together
 from burdockwall.types import (
     EndpointState,
     FencingNumber,
@@ -36,19 +41,26 @@
 )
 
 OPERATOR_GRACE_S = 1.0
+CALLER_GRACE_S = 1.0
+LOAD_INTERVAL_S = 0.1
 
 
 class Node:
     """Hold the parts of one process and join them."""
 
     def __init__(self, settings: Settings) -> None:
+        faults = check_together(settings, settings.instance_id)
+        if faults:
+            raise InvalidFile(Code.SETTINGS_INVALID, faults)
         self.settings = settings
         self.stop = anyio.Event()
+        self._logger = logbook.Logger("node")
         self.bus = PeerBus(
             settings.instance_id,
             Incarnation(time.time_ns()),
             settings.peers,
             settings.peer_silence_s,
+            create_peer_contexts(settings),
         )
         self.host = Host(self.bus, time.monotonic, settings.tick_interval_s)
         self.state = ControlState() if settings.role is not Role.ENTRY else None
@@ -60,6 +72,7 @@
         self.operations = Operations(
             settings, self.read_status, self.state, time.time, self.start_drain
         )
+        self.operations.add_operation("GET", "/metrics", self._serve_metrics)
 
     def _create_entry(self) -> Entry:
         entry = Entry(self.settings, time.monotonic, self.list_members)
@@ -76,6 +89,7 @@
                     self.host.publish(action)
 
         self.host.add(Follower(control), (StateSnapshot, StateCurrent), perform)
+        self.hosted_drain = self.host.add(entry.drain, (), self._stop_serving)
         return entry
 
     def _assign_alone(self) -> ShardMap:
@@ -85,9 +99,14 @@
             views[shard] = ShardView(shard, FencingNumber(1), self.settings.instance_id)
         return ShardMap(views)
 
+    async def _serve_metrics(self, exchange: Exchange) -> None:
+        if self.entry is None:
+            raise OperatorError(Code.NO_ROUTE, "a control instance has no callers")
+        await exchange.answer_json(200, self.entry.read_metrics())
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
-        leaving = self.entry is not None and self.entry.leaving
+        leaving = self.entry is not None and self.entry.drain.leaving
         state = EndpointState.LEAVING if leaving else EndpointState.LIVE
         return [
             Member(
@@ -108,31 +127,50 @@
             failure_domain=self.settings.failure_domain,
             version=version,
             under_way=entry.under_way if entry else 0,
-            leaving=entry.leaving if entry else False,
+            leaving=entry.drain.leaving if entry else False,
         )
 
     def start_drain(self) -> None:
         """Begin to leave: the address is no longer given out."""
-        if self.entry is not None:
-            self.entry.leaving = True
+        if self.entry is None:
+            self.stop.set()
+        else:
+            self.host.apply(self.hosted_drain, StartDrain())
+
+    def _stop_serving(self, action: StopServing) -> None:
+        self._logger.notice("stopped serving", extra={"cut_off": action.left})
         self.stop.set()
 
     async def run(self) -> None:
         """Run until stopped; requests under way end first."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self.bus.run, self.settings.peer_address)
+            if self.bus.tls is not None or self.settings.peer_plaintext:
+                group.start_soon(self.bus.run, self.settings.peer_address)
             group.start_soon(self.host.run)
+            group.start_soon(self._watch_load)
             if self.entry is not None:
                 group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
+    async def _watch_load(self) -> None:
+        entry = self.entry
+        while entry is not None:
+            due = time.monotonic() + LOAD_INTERVAL_S
+            await anyio.sleep(LOAD_INTERVAL_S)
+            entry.metrics.record_lag(max(0.0, time.monotonic() - due))
+            under_way = CountUnderWay(entry.count_under_way())
+            self.host.apply(self.hosted_drain, under_way)
+
     async def _serve_until_stopped(self) -> None:
         ended = anyio.Event()
         address = self.settings.operator_address
         serve = self.operations.serve
+        limits = create_limits(self.settings)
         async with anyio.create_task_group() as group:
-            group.start_soon(serve_address, address, serve, ended, OPERATOR_GRACE_S)
+            group.start_soon(
+                serve_address, address, serve, ended, OPERATOR_GRACE_S, limits
+            )
             await self._serve_callers()
             ended.set()
 
@@ -144,7 +182,8 @@
             self.settings.caller_address,
             self.entry.serve,
             self.stop,
-            self.settings.drain_limit_s,
+            CALLER_GRACE_S,
+            create_limits(self.settings, self.entry.budget),
         )
         await self.entry.parts.clients.close()
 
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -1,6 +1,6 @@
 """Serve operators over HTTP: status, audit, submissions and keys."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
 
+Serve = Callable[[Exchange], Awaitable[None]]
 OPERATOR_BODY_BYTES = 8_388_608
 _command_decoder = msgspec.json.Decoder(AnyOperatorCommand)
 
@@ -55,6 +56,11 @@
         self.state = state
         self.wall_clock = wall_clock
         self.drain = drain
+        self._added: dict[tuple[str, str], Serve] = {}
+
+    def add_operation(self, method: str, path: str, serve: Serve) -> None:
+        """Let a part of the process serve one method and path of its own."""
+        self._added[(method, path)] = serve
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from an operator."""
@@ -74,6 +80,8 @@
             case ("POST", "/drain"):
                 self.drain()
                 await exchange.answer_json(200, self.read_status())
+            case operation if operation in self._added:
+                await self._added[operation](exchange)
             case _:
                 detail = f"no operation {exchange.method} {exchange.path}"
                 raise OperatorError(Code.NO_ROUTE, detail)
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -19,23 +19,28 @@
     strip_query,
 )
 from burdockwall.request.parts import Parts
+from burdockwall.request.trace import RequestTrace
 from burdockwall.types import ModelName, ProgramId, RouteKind
 from burdockwall.version.view import View
 
 DEFAULT_TYPE = "application/octet-stream"
 
 
-async def serve_call(parts: Parts, view: View, exchange: Exchange) -> None:
+async def serve_call(
+    parts: Parts, view: View, exchange: Exchange, trace: RequestTrace
+) -> None:
     """Serve one call, or raise RequestRefused."""
     presented = find_key(exchange)
     route = view.find_route(exchange.path, ModelName(""))
     if route.kind is not RouteKind.SERVICE:
         raise RequestRefused(Code.NO_ROUTE, f"no service at {exchange.path!r}")
     customer = check_customer(view, route, presented)
+    trace.customer, trace.route = customer.name, route.name
     parts.limiter.admit(customer, route.cost, parts.clock())
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
     job = Job(customer.name, program, route, view.pools[route.pool])
     placement = await parts.dispatcher.acquire(job)
+    trace.program, trace.endpoint = program, placement.endpoint.name
     outcome = PlacementOutcome.FAILED
     try:
         await _forward(parts, exchange, placement, presented)
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -38,6 +38,6 @@
         clients=EndpointClients(
             settings.endpoint_connect_s, settings.endpoint_silence_s
         ),
-        streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s),
+        streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, random.Random()),
     )
--- a/burdockwall/request/streams.py
+++ b/burdockwall/request/streams.py
@@ -24,7 +24,12 @@
 class LiveStream:
     """Hold the events of one answer; readers wait for those still to come."""
 
-    def __init__(self, key: StreamKey, body_digest: str) -> None:
+    def __init__(
+        self, key: StreamKey, body_digest: str, clock: Callable[[], float]
+    ) -> None:
+        self.clock = clock
+        self.endpoint = ""
+        self.first_event_at: float | None = None
         self.key = key
         self.body_digest = body_digest
         self.buffer = EventBuffer()
@@ -36,6 +41,8 @@
 
     async def append(self, whole: bytes) -> None:
         """Add whole events and wake the readers."""
+        if self.first_event_at is None:
+            self.first_event_at = self.clock()
         self.buffer.add(whole)
         self._notify()
 
@@ -75,7 +82,10 @@
 class StreamTable:
     """Run the producers of live streams and end those that nobody reads."""
 
-    def __init__(self, grace_s: float, keep_s: float) -> None:
+    def __init__(
+        self, grace_s: float, keep_s: float, clock: Callable[[], float]
+    ) -> None:
+        self.clock = clock
         self.grace_s = grace_s
         self.keep_s = keep_s
         self._streams: dict[StreamKey, LiveStream] = {}
@@ -107,7 +117,7 @@
         """Start producing an answer."""
         if self._group is None:
             raise RequestRefused(Code.NOT_READY, retry_after_s=1.0)
-        stream = LiveStream(key, body_digest)
+        stream = LiveStream(key, body_digest, self.clock)
         self._streams[key] = stream
         self._group.start_soon(self._produce, stream, produce)
         return stream
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -27,6 +27,7 @@
 from burdockwall.request.parts import Parts
 from burdockwall.request.relay import EndpointLost, Relay, Upstream
 from burdockwall.request.streams import LiveStream, StreamKey
+from burdockwall.request.trace import RequestTrace
 from burdockwall.types import EndpointId, ProgramId, RequestId
 from burdockwall.version.configuration import Customer, Endpoint, Route
 from burdockwall.version.view import View
@@ -51,17 +52,25 @@
     body_digest: str
 
 
-async def serve_turn(parts: Parts, view: View, exchange: Exchange) -> None:
+async def serve_turn(
+    parts: Parts, view: View, exchange: Exchange, trace: RequestTrace
+) -> None:
     """Serve one turn, or raise RequestRefused before the answer starts."""
     request = await _read_request(parts, view, exchange)
+    trace.customer, trace.route = request.customer.name, request.route.name
+    trace.program = request.program
     stream = _join_stream(parts, request)
     if stream is None:
         stream = _start_stream(parts, request)
 
     async def write() -> None:
-        await _write_answer(parts, exchange, request, stream)
+        await _write_answer(parts, exchange, request, stream, trace)
 
-    await run_while_present(exchange, write)
+    try:
+        await run_while_present(exchange, write)
+    finally:
+        trace.endpoint = stream.endpoint
+        trace.first_byte_at = stream.first_event_at
 
 
 async def _read_request(parts: Parts, view: View, exchange: Exchange) -> TurnRequest:
@@ -167,6 +176,7 @@
             if sent:
                 raise RequestRefused(Code.ENDPOINT_FAILED) from None
             raise
+        stream.endpoint = placement.endpoint.name
         outcome = PlacementOutcome.CANCELLED
         try:
             await relay.run(placement.endpoint, parts.settings.endpoint_attempts)
@@ -204,16 +214,24 @@
 
 
 async def _write_answer(
-    parts: Parts, exchange: Exchange, request: TurnRequest, stream: LiveStream
+    parts: Parts,
+    exchange: Exchange,
+    request: TurnRequest,
+    stream: LiveStream,
+    trace: RequestTrace,
 ) -> None:
     if request.completion.stream:
-        await _write_events(parts, exchange, request, stream)
+        await _write_events(parts, exchange, request, stream, trace)
     else:
         await _write_whole(parts, exchange, stream)
 
 
 async def _write_events(
-    parts: Parts, exchange: Exchange, request: TurnRequest, stream: LiveStream
+    parts: Parts,
+    exchange: Exchange,
+    request: TurnRequest,
+    stream: LiveStream,
+    trace: RequestTrace,
 ) -> None:
     try:
         async for chunk in parts.streams.read(stream, request.offset):
@@ -224,6 +242,7 @@
     except BurdockwallError as error:
         if not exchange.started:
             raise
+        trace.code = error.code.value.number
         refusal = msgspec.json.encode({"error": build_refusal(error)})
         await exchange.write(b"event: error\ndata: %s\n\n" % refusal)
     await exchange.finish()
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -50,6 +50,15 @@
     limit_clock_margin: float = 0.0005
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
+    body_memory_bytes: int = 268_435_456
+    body_silence_s: float = 10.0
+    caller_idle_s: float = 30.0
+    caller_certificate: Path | None = None
+    caller_key: Path | None = None
+    peer_certificate: Path | None = None
+    peer_key: Path | None = None
+    peer_authority: Path | None = None
+    peer_plaintext: bool = False
     abandon_grace_s: float = 5.0
     stream_keep_s: float = 30.0
 
@@ -199,6 +208,84 @@
         0.1,
         3600,
     ),
+    Option(
+        "callers",
+        "body_memory",
+        "body_memory_bytes",
+        Kind.INTEGER,
+        "bytes",
+        "Most bytes of request bodies held at once.",
+        1024,
+        68_719_476_736,
+    ),
+    Option(
+        "callers",
+        "body_silence",
+        "body_silence_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait for the next part of a request body.",
+        0.1,
+        3600,
+    ),
+    Option(
+        "callers",
+        "idle",
+        "caller_idle_s",
+        Kind.NUMBER,
+        "s",
+        "How long a caller's connection may stay without a request.",
+        1,
+        86_400,
+    ),
+    Option(
+        "tls",
+        "caller_certificate",
+        "caller_certificate",
+        Kind.PATH,
+        "",
+        "Certificate of the caller and operator ports (PEM).",
+    ),
+    Option(
+        "tls",
+        "caller_key",
+        "caller_key",
+        Kind.PATH,
+        "",
+        "Private key of the caller and operator ports (PEM).",
+    ),
+    Option(
+        "tls",
+        "peer_certificate",
+        "peer_certificate",
+        Kind.PATH,
+        "",
+        "Certificate that this instance shows to other instances (PEM).",
+    ),
+    Option(
+        "tls",
+        "peer_key",
+        "peer_key",
+        Kind.PATH,
+        "",
+        "Private key of the certificate for other instances (PEM).",
+    ),
+    Option(
+        "tls",
+        "peer_authority",
+        "peer_authority",
+        Kind.PATH,
+        "",
+        "Authority that signed the certificates of all instances (PEM).",
+    ),
+    Option(
+        "tls",
+        "peer_plaintext",
+        "peer_plaintext",
+        Kind.BOOLEAN,
+        "",
+        "Whether instances may talk to each other without TLS.",
+    ),
     Option(
         "callers",
         "abandon_grace",
@@ -421,7 +508,14 @@
     ),
 )
 
-_BOOLEANS = {"yes": True, "true": True, "on": True, "no": False, "false": False}
+_BOOLEANS = {
+    "yes": True,
+    "true": True,
+    "on": True,
+    "no": False,
+    "false": False,
+    "off": False,
+}
 
 
 def _convert_number(option: Option, text: str) -> float | int:
@@ -511,11 +605,36 @@
                 problem = f"the value {value!r} {error}"
                 remedy = f"Give a value of type {option.kind.value}."
                 faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    faults.extend(check_together(settings, source))
     if faults:
         raise InvalidFile(Code.SETTINGS_INVALID, faults)
     return settings
 
 
+def check_together(settings: Settings, source: str) -> list[Fault]:
+    """Find the faults that show only when options are read together."""
+    faults = []
+    caller = (settings.caller_certificate, settings.caller_key)
+    peer = (settings.peer_certificate, settings.peer_key, settings.peer_authority)
+    if any(caller) and not all(caller):
+        place = f"{source}: [tls] caller_certificate, caller_key"
+        problem = "one is given without the other"
+        remedy = "Give both, or neither."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    if any(peer) and not all(peer):
+        place = f"{source}: [tls] peer_certificate, peer_key, peer_authority"
+        problem = "some are given without the others"
+        remedy = "Give all three, or none."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    if settings.peers and not all(peer) and not settings.peer_plaintext:
+        place = f"{source}: [peers] instances"
+        problem = "other instances are named, but neither TLS nor plaintext is set"
+        remedy = "Set [tls] peer_certificate, peer_key and peer_authority, "
+        remedy += "or peer_plaintext = yes."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    return faults
+
+
 def read_settings(path: Path) -> Settings:
     """Read settings from a file; raise InvalidFile with every fault found."""
     try:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Build and check the project; nothing here is shipped."""
