Check bad input, TLS, the shipped file and the reference pages

Cause: a refusal sent before the body was read was lost to a reset (the caller saw a read error instead of code 1302); TLS, the shipped file and the reference pages were not shown by any check. Ruled out: refusing every shared mapping; the C library maps its own tables read-only.

--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -1,11 +1,13 @@
 """Call an instance as an operator; the command line does nothing else."""
 
 import uuid
+from pathlib import Path
 from typing import TypeVar
 
 import httpx
 import msgspec
 
+from burdockwall.connection.tls import choose_scheme, create_client_context
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.commands import (
     AnyCommand,
@@ -30,17 +32,26 @@
 class OperatorClient:
     """Send operators' commands to one instance."""
 
-    def __init__(self, address: Address, operator: OperatorId) -> None:
+    def __init__(
+        self, address: Address, operator: OperatorId, authority: Path | None = None
+    ) -> None:
         self.address = address
         self.operator = operator
+        self.scheme = choose_scheme(authority)
+        self.tls = create_client_context(authority)
 
     def _call(
         self, method: str, path: str, kind: type[T], body: bytes | None = None
     ) -> T:
-        url = f"http://{self.address}{path}"
+        url = f"{self.scheme}://{self.address}{path}"
         try:
             response = httpx.request(
-                method, url, content=body, timeout=CALL_TIMEOUT_S, trust_env=False
+                method,
+                url,
+                content=body,
+                timeout=CALL_TIMEOUT_S,
+                trust_env=False,
+                verify=self.tls,
             )
         except httpx.HTTPError as error:
             detail = f"{self.address}: {error}"
@@ -105,14 +116,22 @@
         return self._call("POST", "/drain", Status)
 
 
-def resolve(address: Address, failure_domain: str, caller: str) -> Resolution:
+def resolve(
+    address: Address, failure_domain: str, caller: str, authority: Path | None = None
+) -> Resolution:
     """Ask an instance which addresses a caller should use."""
     query = {"caller": caller}
     if failure_domain:
         query["failure_domain"] = failure_domain
-    url = f"http://{address}/v1/resolve"
+    url = f"{choose_scheme(authority)}://{address}/v1/resolve"
     try:
-        response = httpx.get(url, params=query, timeout=CALL_TIMEOUT_S, trust_env=False)
+        response = httpx.get(
+            url,
+            params=query,
+            timeout=CALL_TIMEOUT_S,
+            trust_env=False,
+            verify=create_client_context(authority),
+        )
     except httpx.HTTPError as error:
         raise OperatorError(Code.UNREACHABLE, f"{address}: {error}") from error
     return msgspec.json.decode(response.content, type=Resolution)
--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -16,6 +16,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 T = TypeVar("T")
+DISCARD_LIMIT_BYTES = 16_777_216
+DISCARD_LIMIT_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
 
 
@@ -130,8 +132,21 @@
         """Send a whole answer as JSON."""
         await self.start(status, [JSON_TYPE, *(headers or [])])
         await self.write(msgspec.json.encode(value))
+        await self._discard_body()
         await self.finish()
 
+    async def _discard_body(self) -> None:
+        # A caller that is still sending would lose the answer to a reset.
+        left_bytes = DISCARD_LIMIT_BYTES
+        with anyio.move_on_after(DISCARD_LIMIT_S):
+            while not self._body_read and left_bytes > 0:
+                event = await self._receive()
+                if event["type"] == "http.disconnect":
+                    self.gone.set()
+                    return
+                self._body_read = not event.get("more_body", False)
+                left_bytes -= len(event.get("body", b""))
+
 
 class RefusalBody(msgspec.Struct, frozen=True):
     """Describe a refusal to a caller."""
--- a/burdockwall/connection/tls.py
+++ b/burdockwall/connection/tls.py
@@ -59,3 +59,13 @@
         _load_chain(context, certificate, key, "tls")
     server.verify_mode = ssl.CERT_REQUIRED
     return PeerContexts(server, client)
+
+
+def create_client_context(authority: Path | None) -> ssl.SSLContext:
+    """Create the context that verifies servers by an authority or the system's."""
+    return ssl.create_default_context(cafile=authority)
+
+
+def choose_scheme(authority: Path | None) -> str:
+    """Choose HTTPS where an authority is named, else HTTP."""
+    return "http" if authority is None else "https"
--- a/burdockwall/fakes/site.py
+++ b/burdockwall/fakes/site.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import anyio
 import anyio.abc
@@ -57,6 +58,7 @@
 
     engines: list[FakeEngine] = field(default_factory=list)
     settings: Settings = field(default_factory=Settings)
+    authority: Path | None = None
     rate_per_s: float = 20.0
     burst: int = 40
 
@@ -122,7 +124,9 @@
     node = Node(create_settings(plan))
     service = FakeService()
     stop = anyio.Event()
-    operator = OperatorClient(node.settings.operator_address, OperatorId("demo"))
+    operator = OperatorClient(
+        node.settings.operator_address, OperatorId("demo"), plan.authority
+    )
     async with anyio.create_task_group() as group:
         paths = [_start_endpoint(group, each, stop) for each in plan.engines]
         service_path = _start_endpoint(group, service, stop)
--- /dev/null
+++ b/features/steps/reference_steps.py
@@ -0,0 +1,47 @@
+from behave import then, when
+
+from burdockwall.errors import Code
+from features.subjects.reference import ReferenceSubject
+from tools.reference import find_stale
+
+
+@then("docs/ERRORS.md and docs/SETTINGS.md are what the code defines")
+def step_pages(context):
+    assert not find_stale(), f"run `python -m tools.reference`: {find_stale()}"
+
+
+@then("every result code has a number of its own")
+def step_numbers(context):
+    numbers = ReferenceSubject().list_numbers()
+    assert len(numbers) == len(set(numbers))
+
+
+@then("every code that names a retry that is never useful has no time to come again")
+def step_retry(context):
+    for code in Code:
+        if code.value.retry.value == "not useful":
+            assert code.value.status not in (429, 503), code
+
+
+@then("the settings class and the table of options have the same attributes")
+def step_settings(context):
+    subject = ReferenceSubject()
+    assert subject.list_option_attributes() == subject.list_settings_attributes()
+
+
+@then("each command of the command line has a page in docs/commands")
+def step_commands(context):
+    assert not ReferenceSubject().list_missing_pages()
+
+
+@when("a settings file with five faults is checked")
+def step_faulty(context):
+    context.subject = ReferenceSubject()
+    context.subject.check_faulty()
+
+
+@then("five faults are listed, each with its file, section, option and code")
+def step_faults(context):
+    shown = [str(fault) for fault in context.subject.faults]
+    assert len(shown) == 5, shown
+    assert all(line.startswith("2001 faulty.ini: [") for line in shown), shown
