--- /dev/null
+++ b/burdockwall/process/membership/source.py
@@ -0,0 +1,89 @@
+"""Describe what membership needs from the replicated control state."""
+
+from typing import Protocol
+
+from burdockwall.process.control.changes import Change
+from burdockwall.process.control.state import ControlState
+from burdockwall.process.membership.messages import StateSnapshot
+from burdockwall.process.membership.timing import FIRST_TERM
+from burdockwall.types import InstanceId, ShardId, Term, Version
+from burdockwall.version.shards import ShardView
+
+
+class ControlSource(Protocol):
+    """Read the control state of a control instance."""
+
+    @property
+    def version(self) -> Version:
+        """Return the latest version that is committed and applied."""
+        ...
+
+    @property
+    def term(self) -> Term:
+        """Return the latest term that this instance knows."""
+        ...
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """Return the leader of the term, where it is known."""
+        ...
+
+    def is_leader_confirmed(self, now: float) -> bool:
+        """Tell whether no other instance can have committed anything by now.
+
+        True only at a leader that holds its quorum and has applied an entry of its
+        own term, and so every entry of earlier terms.
+        """
+        ...
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        ...
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the latest version."""
+        ...
+
+    def get_shards(self) -> dict[ShardId, ShardView]:
+        """Return the latest view of each shard."""
+        ...
+
+
+class SoleSource:
+    """Read the control state of the only control instance, which has no log."""
+
+    def __init__(self, instance: InstanceId, state: ControlState) -> None:
+        self.leader: InstanceId | None = instance
+        self.state = state
+        self.term = FIRST_TERM
+
+    @property
+    def version(self) -> Version:
+        """Return the latest version."""
+        return self.state.version
+
+    def is_leader_confirmed(self, now: float) -> bool:
+        """Tell that the only control instance always leads."""
+        return True
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        return self.state.changes_since(version)
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the latest version."""
+        return take_snapshot(self.state)
+
+    def get_shards(self) -> dict[ShardId, ShardView]:
+        """Return the latest view of each shard."""
+        return self.state.shards
+
+
+def take_snapshot(state: ControlState) -> StateSnapshot:
+    """Return the part of a control state that every instance follows."""
+    return StateSnapshot(
+        version=state.version,
+        sections=dict(state.sections),
+        keys=dict(state.keys),
+        shards=list(state.shards.values()),
+    )
--- /dev/null
+++ b/burdockwall/process/membership/timing.py
@@ -0,0 +1,35 @@
+"""Set the intervals and bounds of heartbeats, leases and failure detection."""
+
+from burdockwall.types import Term
+
+# A key stops everywhere within this time of the acceptance of its withdrawal.
+KEY_STOP_S = 5.0
+# Clocks need no agreement; their rates differ from true time by at most this.
+CLOCK_RATE_MARGIN = 0.01
+# Counted by the holder from when it sent the heartbeat that was answered.
+LEASE_S = 4.5
+# Counted by the leader from its answer: by then the lease has lapsed anywhere.
+LAPSE_S = LEASE_S * (1 + CLOCK_RATE_MARGIN) / (1 - CLOCK_RATE_MARGIN)
+
+BEAT_INTERVAL_S = 1.0
+# A relay's children send again shortly before the relay's next report.
+BEAT_AFTER_GRANT_S = 0.75
+HOLD_S = 0.25
+SILENCE_S = 1.2
+AVOID_S = 10.0
+CHILD_LIMIT_S = 3.0
+RESEND_CHANGES_S = 1.0
+RESEND_SNAPSHOT_S = 5.0
+
+SUSPECT_S = 2.5
+PROBE_INTERVAL_S = 1.0
+PROBE_ANSWER_S = 0.8
+EVIDENCE_S = 4.0
+WITNESSES = 3
+WITNESSES_NEEDED = 2
+# Where too few witnesses exist, only silence this long confirms a failure.
+LONE_FAILURE_S = 3 * LAPSE_S
+FORGET_S = 600.0
+
+# Nobody holds a lease of a leader before the first term.
+FIRST_TERM = Term(1)
--- /dev/null
+++ b/burdockwall/process/membership/tree.py
@@ -0,0 +1,67 @@
+"""Compute from the member list through which relay an instance reports."""
+
+import math
+from collections.abc import Sequence
+
+from burdockwall.process.membership.messages import MemberEntry
+from burdockwall.types import EndpointState, InstanceId
+
+FAN_OUT = 20
+
+
+def compute_fan_out(count: int) -> int:
+    """Return the bound on children, which two levels need for this many members."""
+    return max(FAN_OUT, math.isqrt(max(0, count - 1)) + 1)
+
+
+def group_members(members: Sequence[MemberEntry]) -> list[list[InstanceId]]:
+    """Group the live members; the first of each group is its relay.
+
+    No group crosses regions, so that a report crosses between regions once.
+    """
+    live = [item for item in members if item.state is EndpointState.LIVE]
+    if len(live) <= FAN_OUT:
+        return [[item.details.instance] for item in live]
+    size = compute_fan_out(len(live))
+    regions: dict[str, list[MemberEntry]] = {}
+    for item in live:
+        regions.setdefault(item.details.region, []).append(item)
+    groups = []
+    for region in sorted(regions):
+        groups.extend(_split_region(regions[region], size))
+    return groups
+
+
+def _split_region(members: list[MemberEntry], size: int) -> list[list[InstanceId]]:
+    order = sorted(
+        members, key=lambda item: (item.details.failure_domain, item.details.instance)
+    )
+    count = math.ceil(len(order) / size)
+    groups = []
+    for start in range(count):
+        group = [item.details.instance for item in order[start::count]]
+        # The relays lie in different failure domains, so that the loss of one
+        # domain leaves most of them alive.
+        turn = start * len(group) // count
+        groups.append(group[turn:] + group[:turn])
+    return groups
+
+
+def find_candidates(
+    groups: Sequence[Sequence[InstanceId]], instance: InstanceId
+) -> list[InstanceId]:
+    """List the relays to try in turn; an empty list means the leader itself."""
+    for group in groups:
+        if instance not in group:
+            continue
+        if group[0] == instance:
+            return []
+        # Half-way round the group is another failure domain than the first.
+        chosen = [group[0], group[len(group) // 2]]
+        return [item for item in chosen if item != instance]
+    return []
+
+
+def list_relays(groups: Sequence[Sequence[InstanceId]]) -> list[InstanceId]:
+    """List the relays of all groups."""
+    return [group[0] for group in groups]
