--- a/features/subjects/path.py
+++ b/features/subjects/path.py
@@ -7,7 +7,7 @@
 
 from burdockwall.fakes.demo import CUSTOMER, Site, run_site, wait_for_version
 from burdockwall.fakes.engine import FakeEngine, generate_tokens
-from burdockwall.process.control.state import verify_audit
+from burdockwall.process.control.audit import verify_audit
 from burdockwall.request.completion import ChatMessage, CompletionRequest, join_answer
 from burdockwall.types import ModelName
 
@@ -48,7 +48,11 @@
         }
 
     async def post_turn(self, client, headers, question) -> httpx.Response:
-        body = {"model": MODEL, "messages": [{"role": "user", "content": question}]}
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": question}],
+            "stream": True,
+        }
         return await client.post("/v1/chat/completions", headers=headers, json=body)
 
     async def send_turns(self, client: httpx.AsyncClient, count: int) -> None:
