--- a/burdockwall/process/control/changes.py
+++ b/burdockwall/process/control/changes.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdockwall.types import CustomerId, KeyDigest, Version
+from burdockwall.version.shards import ShardView
 
 KEPT_CHANGES = 1024
 KEPT_CHANGES_BYTES = 4_194_304
@@ -13,20 +14,21 @@
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
-    """Describe what one version changed: sections, and digests of keys."""
+    """Describe what one version changed: sections, digests of keys, shards."""
 
     version: Version
     sections: dict[str, str] = {}
     removed_sections: tuple[str, ...] = ()
     keys: dict[KeyDigest, CustomerId] = {}
     removed_keys: tuple[KeyDigest, ...] = ()
+    shards: tuple[ShardView, ...] = ()
 
     def measure_bytes(self) -> int:
         """Estimate the memory that the change takes."""
         texts = sum(len(text) for text in self.sections.values())
         names = len(self.sections) + len(self.removed_sections)
         keys = len(self.keys) + len(self.removed_keys)
-        return texts + (names + keys + 1) * KEY_BYTES
+        return texts + (names + keys + len(self.shards) + 1) * KEY_BYTES
 
 
 class ChangeLog:
--- a/burdockwall/process/control/commands.py
+++ b/burdockwall/process/control/commands.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+from burdockwall.version.shards import ShardView
 
 
 class Permission(Enum):
@@ -94,7 +95,15 @@
     | RemoveOperator
     | ImportState
 )
-AnyCommand = AnyOperatorCommand
+
+
+class AssignShards(SystemCommand, frozen=True, kw_only=True):
+    """Put later views of shards in force; all of them or none."""
+
+    views: tuple[ShardView, ...]
+
+
+AnyCommand = AnyOperatorCommand | AssignShards
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/control/image.py
+++ b/burdockwall/process/control/image.py
@@ -6,6 +6,7 @@
 from burdockwall.process.control.changes import Change
 from burdockwall.process.control.commands import Operator, Outcome
 from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+from burdockwall.version.shards import ShardView
 
 
 class KnownOutcome(msgspec.Struct, frozen=True, array_like=True):
@@ -37,6 +38,7 @@
     history: list[KeptConfiguration]
     audit: list[AuditRecord]
     changes: list[Change] = []
+    shards: list[ShardView] = []
 
 
 _encoder = msgspec.msgpack.Encoder(order="deterministic")
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -17,6 +17,7 @@
 from burdockwall.process.control.changes import Change, ChangeLog
 from burdockwall.process.control.commands import (
     AnyCommand,
+    AssignShards,
     Command,
     DefineOperator,
     ImportState,
@@ -47,8 +48,9 @@
     decode_withdrawn,
     is_digest,
 )
-from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+from burdockwall.types import CustomerId, KeyDigest, OperatorId, ShardId, Version
 from burdockwall.version.configuration import parse_configuration
+from burdockwall.version.shards import ShardView, describe_views
 
 DIGEST_SHOWN_CHARACTERS = 12
 KEPT_OUTCOMES = 16_384
@@ -78,6 +80,7 @@
         self.configuration_operator = OperatorId("")
         self.sections: dict[str, str] = {}
         self.keys: dict[KeyDigest, CustomerId] = {}
+        self.shards: dict[ShardId, ShardView] = {}
         self.operators: dict[OperatorId, Operator] = {}
         self.outcomes: dict[str, KnownOutcome] = {}
         self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
@@ -187,6 +190,8 @@
             case ImportState(based_on=based_on, image=image):
                 self._check_base(based_on)
                 return self._import(image, command.operator)
+            case AssignShards(views=views):
+                return self._assign_shards(views)
 
     def _accept(
         self,
@@ -194,10 +199,16 @@
         removed_sections: tuple[str, ...] = (),
         keys: dict[KeyDigest, CustomerId] | None = None,
         removed_keys: tuple[KeyDigest, ...] = (),
+        shards: tuple[ShardView, ...] = (),
     ) -> Outcome:
         self.version = Version(self.version + 1)
         change = Change(
-            self.version, sections or {}, removed_sections, keys or {}, removed_keys
+            self.version,
+            sections or {},
+            removed_sections,
+            keys or {},
+            removed_keys,
+            shards,
         )
         self.changes.append(change)
         return Outcome(version=self.version)
@@ -284,6 +295,16 @@
             raise OperatorError(Code.OPERATOR_REFUSED, f"no operator {name}")
         return self._accept(), f"-operator {name}"
 
+    def _assign_shards(self, views: tuple[ShardView, ...]) -> tuple[Outcome, str]:
+        for view in views:
+            known = self.shards.get(view.shard)
+            number = known.number if known else 0
+            if view.number != number + 1:
+                detail = f"shard {view.shard} has view {number}, not {view.number - 1}"
+                raise OperatorError(Code.VERSION_CONFLICT, detail)
+        self.shards.update((view.shard, view) for view in views)
+        return self._accept(shards=views), describe_views(views)
+
     def _import(self, data: bytes, operator: OperatorId) -> tuple[Outcome, str]:
         try:
             image = decode_image(data)
@@ -339,6 +360,7 @@
             history=list(self.history),
             audit=list(self.audit),
             changes=self.changes.list_all(),
+            shards=list(self.shards.values()),
         )
 
     def restore(self, image: StateImage) -> None:
@@ -348,6 +370,7 @@
         self.configuration_operator = image.configuration_operator
         self.sections = dict(image.sections)
         self.keys = dict(image.keys)
+        self.shards = {view.shard: view for view in image.shards}
         self.operators = dict(image.operators)
         self.outcomes = {known.submission: known for known in image.outcomes}
         self.history = deque(image.history, maxlen=KEPT_CONFIGURATIONS)
--- /dev/null
+++ b/burdockwall/process/membership/detection.py
@@ -0,0 +1,130 @@
+"""Decide which members are suspected, failed, leaving or forgotten."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Send
+from burdockwall.process.membership.messages import (
+    MemberEntry,
+    Probe,
+    Reachability,
+)
+from burdockwall.process.membership.platform import PlatformList
+from burdockwall.process.membership.records import Record
+from burdockwall.process.membership.timing import (
+    FORGET_S,
+    LONE_FAILURE_S,
+    PROBE_INTERVAL_S,
+    SUSPECT_S,
+    WITNESSES,
+    WITNESSES_NEEDED,
+)
+from burdockwall.types import EndpointState, MemberNumber
+
+
+@dataclass(slots=True)
+class Finding:
+    """Hold the probes to send, and the members that change or go."""
+
+    probes: list[Send] = field(default_factory=list)
+    changed: list[MemberEntry] = field(default_factory=list)
+    removed: list[MemberNumber] = field(default_factory=list)
+
+
+class Detector:
+    """Judge members by their silence, by witnesses and by the platform's list."""
+
+    def examine(
+        self,
+        records: dict[MemberNumber, Record],
+        platform: PlatformList | None,
+        now: float,
+    ) -> Finding:
+        """Return what has changed about the members."""
+        finding = Finding()
+        for number, record in records.items():
+            if self._is_forgotten(record, platform, now):
+                finding.removed.append(number)
+                continue
+            state = self._judge(record, platform, now)
+            if state is not record.state:
+                entry = MemberEntry(number, record.details, state)
+                finding.changed.append(entry)
+            if state is EndpointState.SUSPECTED:
+                finding.probes += self._probe(record, records.values(), now)
+        return finding
+
+    def _judge(
+        self, record: Record, platform: PlatformList | None, now: float
+    ) -> EndpointState:
+        silent_s = now - record.heard_at
+        if silent_s >= SUSPECT_S:
+            if record.state is EndpointState.FAILED:
+                return EndpointState.FAILED
+            confirmed = record.has_lapsed(now) and self._is_confirmed(
+                record, platform, now
+            )
+            return EndpointState.FAILED if confirmed else EndpointState.SUSPECTED
+        instance = record.details.instance
+        listed = platform.instances.get(instance) if platform else None
+        if record.leaving or listed is EndpointState.LEAVING:
+            return EndpointState.LEAVING
+        return EndpointState.LIVE
+
+    def _is_confirmed(
+        self, record: Record, platform: PlatformList | None, now: float
+    ) -> bool:
+        # A lapsed lease says that the member does not act; only a second source
+        # says that it will not come back in a moment.
+        if _is_gone(record, platform):
+            return True
+        if record.count_witnesses(Reachability.REACHED, now):
+            return False
+        silent = record.count_witnesses(Reachability.SILENT, now)
+        if silent >= WITNESSES_NEEDED:
+            return True
+        return now - record.heard_at >= LONE_FAILURE_S
+
+    def _is_forgotten(
+        self, record: Record, platform: PlatformList | None, now: float
+    ) -> bool:
+        if record.state is not EndpointState.FAILED:
+            return False
+        gone = _is_gone(record, platform)
+        return gone or now - record.heard_at >= FORGET_S
+
+    def _probe(
+        self, record: Record, records: Iterable[Record], now: float
+    ) -> list[Send]:
+        if now - record.probed_at < PROBE_INTERVAL_S:
+            return []
+        record.probed_at = now
+        subject = record.details.instance
+        return [
+            Send(witness.details.instance, Probe(subject))
+            for witness in _choose_witnesses(record, records)
+        ]
+
+
+def _is_gone(record: Record, platform: PlatformList | None) -> bool:
+    if platform is None or not platform.instances:
+        return False
+    return record.details.instance not in platform.instances
+
+
+def _choose_witnesses(subject: Record, records: Iterable[Record]) -> list[Record]:
+    live = [
+        item
+        for item in records
+        if item.state is EndpointState.LIVE and item is not subject
+    ]
+    # Each subject has other witnesses, from as many failure domains as there are.
+    turn = subject.entry.number % max(1, len(live))
+    chosen: list[Record] = []
+    domains: set[str] = set()
+    for item in live[turn:] + live[:turn]:
+        if item.details.failure_domain not in domains:
+            domains.add(item.details.failure_domain)
+            chosen.append(item)
+    rest = [item for item in live[turn:] + live[:turn] if item not in chosen]
+    return (chosen + rest)[:WITNESSES]
--- /dev/null
+++ b/burdockwall/process/membership/fleet.py
@@ -0,0 +1,137 @@
+"""Judge for the shard planner who may hold shards, and count what each holds."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from burdockwall.process.membership.records import Record
+from burdockwall.types import (
+    EndpointState,
+    Incarnation,
+    InstanceId,
+    Role,
+    ShardId,
+)
+from burdockwall.version.shards import ShardView
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Name one incarnation of an instance that a view lists."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+
+
+def list_holders(view: ShardView) -> list[Holder]:
+    """List the primary, backups and joining instances of a view."""
+    incarnations = view.incarnations or (Incarnation(0),) * len(view.holders)
+    return [
+        Holder(instance, incarnation)
+        for instance, incarnation in zip(view.holders, incarnations, strict=True)
+    ]
+
+
+@dataclass(slots=True)
+class Load:
+    """Count the shards of an instance."""
+
+    primaries: int = 0
+    copies: int = 0
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Hold the members that may hold shards at one time, with their load."""
+
+    records: dict[Holder, Record]
+    now: float
+    loads: dict[InstanceId, Load] = field(default_factory=dict)
+    live: list[Holder] = field(default_factory=list)
+    domains: int = 0
+
+    def __post_init__(self) -> None:
+        self.live = [holder for holder in self.records if self.is_live(holder)]
+        self.domains = len({self.get_domain(holder) for holder in self.live})
+
+    def get_state(self, holder: Holder) -> EndpointState | None:
+        """Return the state of an incarnation, or None where it is not a member."""
+        record = self.records.get(holder)
+        return record.state if record is not None else None
+
+    def is_live(self, holder: Holder) -> bool:
+        """Tell whether the incarnation is live."""
+        return self.get_state(holder) is EndpointState.LIVE
+
+    def is_serving(self, holder: Holder) -> bool:
+        """Tell whether the incarnation is live or leaving."""
+        state = self.get_state(holder)
+        return state in (EndpointState.LIVE, EndpointState.LEAVING)
+
+    def is_gone(self, holder: Holder) -> bool:
+        """Tell whether the incarnation has failed or is no member any more."""
+        return self.get_state(holder) in (None, EndpointState.FAILED)
+
+    def is_lost(self, holder: Holder) -> bool:
+        """Tell whether the memory of the incarnation can't come back."""
+        return self.get_state(holder) is None
+
+    def get_domain(self, holder: Holder) -> tuple[str, str]:
+        """Return region and failure domain of a member."""
+        details = self.records[holder].details
+        return details.region, details.failure_domain
+
+    def list_live(self) -> list[Holder]:
+        """List the live members."""
+        return self.live
+
+    def count_domains(self) -> int:
+        """Count the failure domains that have a live member."""
+        return self.domains
+
+    def get_load(self, holder: Holder) -> Load:
+        """Return the load of an instance."""
+        return self.loads.setdefault(holder.instance, Load())
+
+    def choose_copy(self, shard: ShardId, held: list[Holder]) -> Holder | None:
+        """Choose the instance for one more copy of a shard.
+
+        Another failure domain in the same region comes first, then the lowest load.
+        """
+        names = {holder.instance for holder in held}
+        known = [holder for holder in held if holder in self.records]
+        domains = {self.get_domain(holder) for holder in known}
+        regions = {region for region, _ in domains}
+        candidates = [item for item in self.list_live() if item.instance not in names]
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda item: (
+                self.get_domain(item) in domains,
+                bool(regions) and self.get_domain(item)[0] not in regions,
+                self.get_load(item).copies,
+                _spread(shard, item.instance),
+            ),
+        )
+
+
+def _spread(shard: ShardId, instance: InstanceId) -> tuple[int, InstanceId]:
+    return (sum(instance.encode()) + shard * 31) % 257, instance
+
+
+def create_fleet(
+    records: Iterable[Record], views: Iterable[ShardView], now: float
+) -> Fleet:
+    """Create the fleet of the members that serve callers."""
+    members = {
+        Holder(record.details.instance, record.details.incarnation): record
+        for record in records
+        if record.details.role is not Role.CONTROL and record.granted
+    }
+    fleet = Fleet(members, now)
+    for view in views:
+        holders = list_holders(view)
+        fleet.get_load(holders[0]).primaries += 1
+        for holder in holders:
+            fleet.get_load(holder).copies += 1
+    return fleet
--- /dev/null
+++ b/burdockwall/process/membership/path.py
@@ -0,0 +1,68 @@
+"""Choose the way by which an instance reports, and another when it is silent."""
+
+from dataclasses import dataclass
+
+from burdockwall.process.membership.timing import AVOID_S
+from burdockwall.process.membership.tree import find_candidates, list_relays
+from burdockwall.types import InstanceId
+
+DETOURS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """Name the next instance on the way to the leader."""
+
+    instance: InstanceId
+    is_control: bool
+
+
+class Path:
+    """Try relays, then control instances, then relays of other groups."""
+
+    def __init__(self, instance: InstanceId, control: list[InstanceId]) -> None:
+        self.instance = instance
+        self.control = control
+        self.leader: InstanceId | None = None
+        self._groups: list[list[InstanceId]] = []
+        self._turn = 0
+        self._changed_at = float("-inf")
+
+    def set_groups(self, groups: list[list[InstanceId]]) -> None:
+        """Take the groups of a new member list and try the first choice again."""
+        if groups != self._groups:
+            self._groups = groups
+            self._turn = 0
+
+    def find_hop(self, now: float) -> Hop | None:
+        """Return the hop for the next heartbeat, or None where there is none."""
+        if now - self._changed_at >= AVOID_S:
+            self._turn = 0
+        hops = self._list_hops()
+        return hops[self._turn % len(hops)] if hops else None
+
+    def find_control(self) -> InstanceId | None:
+        """Return the control instance that takes reports for children."""
+        if self.leader is not None:
+            return self.leader
+        return self.control[self._turn % len(self.control)] if self.control else None
+
+    def change(self, now: float) -> None:
+        """Use another hop, since the present one is silent."""
+        self._turn += 1
+        self._changed_at = now
+        self.leader = None
+
+    def _list_hops(self) -> list[Hop]:
+        near = find_candidates(self._groups, self.instance)
+        control = self.control
+        if self.leader is not None:
+            others = [item for item in control if item != self.leader]
+            control = [self.leader, *others]
+        known = {self.instance, *near}
+        detours = [item for item in list_relays(self._groups) if item not in known]
+        return [
+            *(Hop(item, False) for item in near),
+            *(Hop(item, True) for item in control),
+            *(Hop(item, False) for item in detours[:DETOURS]),
+        ]
--- /dev/null
+++ b/burdockwall/process/membership/planner.py
@@ -0,0 +1,358 @@
+"""Decide at the leader which instances hold which shards."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockwall.machine import Send
+from burdockwall.process.control.commands import AssignShards
+from burdockwall.process.membership.fleet import (
+    Fleet,
+    Holder,
+    create_fleet,
+)
+from burdockwall.process.membership.messages import (
+    CopyDone,
+    InstanceDetails,
+    Release,
+    Released,
+)
+from burdockwall.process.membership.records import Record
+from burdockwall.process.membership.views import (
+    BACKUPS,
+    Draft,
+    assign_first,
+    build_view,
+    create_draft,
+)
+from burdockwall.types import (
+    EndpointState,
+    FencingNumber,
+    InstanceId,
+    OperatorId,
+    ShardId,
+    Term,
+)
+from burdockwall.version.shards import ShardView
+
+PLAN_INTERVAL_S = 0.5
+SETTLE_S = 0.3
+PROPOSE_RETRY_S = 1.0
+# A suspected primary whose lease has lapsed is replaced after this long.
+SUSPECTED_LIMIT_S = 10.0
+JOINS_PER_S = 8.0
+JOINING_LIMIT = 16
+SYSTEM_OPERATOR = OperatorId("system")
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """Ask the shell to put a command into the control log."""
+
+    command: AssignShards
+
+
+@dataclass(frozen=True, slots=True)
+class ShardHealth:
+    """Count the shards by what protects them."""
+
+    assigned: int = 0
+    whole: int = 0
+    joining: int = 0
+    waiting: int = 0
+    emptied: int = 0
+    failure_domains: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Outstanding:
+    proposal: Propose
+    views: tuple[ShardView, ...]
+    blocked: frozenset[Holder]
+    sent_at: float
+
+
+class Planner:
+    """Propose later views; one proposal at a time."""
+
+    def __init__(self, instance: InstanceId) -> None:
+        self.instance = instance
+        self.term = Term(0)
+        self.health = ShardHealth()
+        self._counter = 0
+        self._planned_at = float("-inf")
+        self._former_until = 0.0
+        self._outstanding: _Outstanding | None = None
+        self._lapses: dict[Holder, float] = {}
+        self._releasing: set[tuple[ShardId, FencingNumber]] = set()
+        self._released: set[tuple[ShardId, FencingNumber]] = set()
+        self._copied: dict[tuple[ShardId, FencingNumber], set[InstanceId]] = {}
+        self._joins = 0.0
+        self._ready_at: float | None = None
+        self._emptied = 0
+        self._views: dict[ShardId, ShardView] = {}
+
+    def start_term(self, term: Term, former_until: float) -> None:
+        """Forget what an earlier term decided; its leases end at a time."""
+        self.term = term
+        self._counter = 0
+        self._former_until = former_until
+        self._outstanding = None
+        self._lapses = {}
+        self._releasing = set()
+        self._released = set()
+        self._copied = {}
+        self._ready_at = None
+
+    def note_lapse(self, details: InstanceDetails, lapses_at: float) -> None:
+        """Remember when the lease of an incarnation that left the list lapses."""
+        holder = Holder(details.instance, details.incarnation)
+        self._lapses[holder] = lapses_at
+
+    def note_released(self, sender: InstanceId, released: Released) -> None:
+        """Take the confirmation that a primary has stopped."""
+        view = self._views.get(released.shard)
+        if view is not None and view.primary == sender:
+            self._released.add((released.shard, released.number))
+
+    def note_copied(self, sender: InstanceId, copy: CopyDone) -> None:
+        """Take the confirmation that a joining instance holds a whole shard."""
+        view = self._views.get(copy.shard)
+        if view is None or view.primary != sender or view.number != copy.number:
+            return
+        self._copied.setdefault((copy.shard, copy.number), set()).add(copy.instance)
+
+    def is_blocked(self, details: InstanceDetails) -> bool:
+        """Tell whether a proposal under way takes a shard from a primary.
+
+        Its lease has lapsed; renewing it now would let it act beside its successor.
+        """
+        holder = Holder(details.instance, details.incarnation)
+        return self._outstanding is not None and holder in self._outstanding.blocked
+
+    def plan(
+        self, records: Iterable[Record], views: dict[ShardId, ShardView], now: float
+    ) -> list[Send | Propose]:
+        """Return the proposal and the requests to release that are due."""
+        self._views = views
+        if self._outstanding is not None:
+            return self._continue(self._outstanding, now)
+        elapsed = now - self._planned_at
+        if elapsed < PLAN_INTERVAL_S:
+            return []
+        self._planned_at = now
+        self._joins = min(JOINS_PER_S, self._joins + min(1.0, elapsed) * JOINS_PER_S)
+        fleet = create_fleet(records, views.values(), now)
+        if not views:
+            return self._start(fleet, now)
+        return self._improve(fleet, views, now)
+
+    def _continue(self, known: _Outstanding, now: float) -> list[Send | Propose]:
+        done = all(
+            view.shard in self._views and self._views[view.shard].number >= view.number
+            for view in known.views
+        )
+        if done:
+            self._outstanding = None
+            return []
+        if now - known.sent_at < PROPOSE_RETRY_S:
+            return []
+        # The same submission has one outcome however often it is proposed.
+        self._outstanding = _Outstanding(
+            known.proposal, known.views, known.blocked, now
+        )
+        return [known.proposal]
+
+    def _start(self, fleet: Fleet, now: float) -> list[Send | Propose]:
+        if not fleet.list_live():
+            return []
+        if self._ready_at is None:
+            self._ready_at = now + SETTLE_S
+        if now < self._ready_at:
+            return []
+        return [self._propose(assign_first(fleet), frozenset(), now)]
+
+    def _propose(
+        self, views: list[ShardView], blocked: frozenset[Holder], now: float
+    ) -> Propose:
+        self._counter += 1
+        command = AssignShards(
+            operator=SYSTEM_OPERATOR,
+            submission=f"shards-{self.term}-{self.instance}-{self._counter}",
+            views=tuple(views),
+        )
+        proposal = Propose(command)
+        self._outstanding = _Outstanding(proposal, command.views, blocked, now)
+        return proposal
+
+    def _improve(
+        self, fleet: Fleet, views: dict[ShardId, ShardView], now: float
+    ) -> list[Send | Propose]:
+        self._forget_old(views)
+        later: list[ShardView] = []
+        blocked: set[Holder] = set()
+        releases = self._repeat_releases()
+        joining = sum(len(view.joining) for view in views.values())
+        room = max(0, min(int(self._joins), JOINING_LIMIT - joining))
+        waiting = 0
+        for shard in sorted(views):
+            draft = create_draft(views[shard], fleet, self._list_copied(views[shard]))
+            if not self._replace_primary(draft, releases, blocked):
+                waiting += 1
+                continue
+            added = draft.repair(room)
+            room -= added
+            self._joins -= added
+            if draft.is_changed():
+                later.append(build_view(draft))
+        if not later and not joining and not releases and not waiting:
+            later, more = self._balance(fleet, views, room)
+            releases += more
+        self._count_health(fleet, views, waiting)
+        if later:
+            releases.append(self._propose(later, frozenset(blocked), now))
+        return releases
+
+    def _list_copied(self, view: ShardView) -> set[InstanceId]:
+        return self._copied.get((view.shard, view.number), set())
+
+    def _forget_old(self, views: dict[ShardId, ShardView]) -> None:
+        self._releasing = {
+            (shard, number)
+            for shard, number in self._releasing
+            if views[shard].number <= number
+        }
+        self._released = {
+            (shard, number)
+            for shard, number in self._released
+            if views[shard].number <= number
+        }
+        self._copied = {
+            (shard, number): names
+            for (shard, number), names in self._copied.items()
+            if views[shard].number <= number
+        }
+
+    # The primary.
+
+    def _replace_primary(
+        self, draft: Draft, releases: list[Send | Propose], blocked: set[Holder]
+    ) -> bool:
+        """Give a shard another primary where it needs one; False while it waits."""
+        fleet = draft.fleet
+        former = draft.primary
+        released = (draft.shard, draft.number) in self._released
+        if released:
+            draft.hand_over()
+            return True
+        if self._is_out(former, fleet):
+            if not self._has_stopped(former, fleet):
+                return False
+            if not draft.promote():
+                if not draft.is_lost() or not draft.restart_empty():
+                    return False
+                self._emptied += 1
+            blocked.add(former)
+            return True
+        if fleet.get_state(former) is EndpointState.SUSPECTED:
+            return False
+        leaving = fleet.get_state(former) is EndpointState.LEAVING
+        asked = (draft.shard, draft.number) in self._releasing
+        if leaving and not asked and draft.find_successor() is not None:
+            releases.append(self._build_release(draft))
+        return True
+
+    def _build_release(self, draft: Draft) -> Send:
+        self._releasing.add((draft.shard, draft.number))
+        release = Release(self.term, draft.shard, draft.number)
+        return Send(draft.primary.instance, release)
+
+    def _repeat_releases(self) -> list[Send | Propose]:
+        # The primary may have stopped although its answer was lost.
+        return [
+            Send(self._views[shard].primary, Release(self.term, shard, number))
+            for shard, number in sorted(self._releasing - self._released)
+        ]
+
+    def _is_out(self, holder: Holder, fleet: Fleet) -> bool:
+        if fleet.is_gone(holder):
+            return True
+        record = fleet.records[holder]
+        silent_s = fleet.now - record.heard_at
+        suspected = record.state is EndpointState.SUSPECTED
+        return suspected and silent_s >= SUSPECTED_LIMIT_S
+
+    def _has_stopped(self, holder: Holder, fleet: Fleet) -> bool:
+        record = fleet.records.get(holder)
+        if record is not None:
+            return record.has_lapsed(fleet.now)
+        return fleet.now >= self._lapses.get(holder, self._former_until)
+
+    # Balance.
+
+    def _balance(
+        self, fleet: Fleet, views: dict[ShardId, ShardView], room: int
+    ) -> tuple[list[ShardView], list[Send | Propose]]:
+        live = fleet.list_live()
+        if len(live) < 2:
+            return [], []
+        high = max(live, key=lambda item: (fleet.get_load(item).copies, item.instance))
+        region = fleet.get_domain(high)[0]
+        near = [item for item in live if fleet.get_domain(item)[0] == region]
+        low = min(near, key=lambda item: (fleet.get_load(item).copies, item.instance))
+        if fleet.get_load(high).copies - fleet.get_load(low).copies >= 2:
+            moved = _move_copies(fleet, views, high, low, room)
+            self._joins -= len(moved)
+            if moved:
+                return moved, []
+        return [], self._balance_primaries(fleet, views, live)
+
+    def _balance_primaries(
+        self, fleet: Fleet, views: dict[ShardId, ShardView], live: list[Holder]
+    ) -> list[Send | Propose]:
+        high = max(
+            live, key=lambda item: (fleet.get_load(item).primaries, item.instance)
+        )
+        for shard in sorted(views):
+            draft = create_draft(views[shard], fleet, set())
+            if draft.primary != high:
+                continue
+            successor = draft.find_successor()
+            if successor is None:
+                continue
+            gap = fleet.get_load(high).primaries - fleet.get_load(successor).primaries
+            if gap >= 2:
+                return [self._build_release(draft)]
+        return []
+
+    def _count_health(
+        self, fleet: Fleet, views: dict[ShardId, ShardView], waiting: int
+    ) -> None:
+        wanted = min(BACKUPS, max(0, len(fleet.list_live()) - 1))
+        self.health = ShardHealth(
+            assigned=len(views),
+            whole=sum(1 for view in views.values() if len(view.backups) >= wanted),
+            joining=sum(1 for view in views.values() if view.joining),
+            waiting=waiting,
+            emptied=self._emptied,
+            failure_domains=fleet.count_domains(),
+        )
+
+
+def _move_copies(
+    fleet: Fleet,
+    views: dict[ShardId, ShardView],
+    high: Holder,
+    low: Holder,
+    room: int,
+) -> list[ShardView]:
+    gap = fleet.get_load(high).copies - fleet.get_load(low).copies
+    count = min(room, gap // 2)
+    moved: list[ShardView] = []
+    for shard in sorted(views):
+        if len(moved) >= count:
+            break
+        draft = create_draft(views[shard], fleet, set())
+        if draft.can_move(high, low):
+            draft.join(low)
+            moved.append(build_view(draft))
+    return moved
--- a/burdockwall/process/membership/publisher.py
+++ b/burdockwall/process/membership/publisher.py
@@ -1,29 +1,101 @@
-"""Answer followers from the control state."""
+"""Send followers the versions and member lists that they lack."""
 
-from burdockwall.machine import Receive, Send, Tick
-from burdockwall.process.control.state import ControlState
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from burdockwall.machine import Send
+from burdockwall.process.control.changes import Change
 from burdockwall.process.membership.messages import (
-    Follow,
-    StateCurrent,
+    Stamp,
+    StateChanges,
     StateSnapshot,
 )
+from burdockwall.process.membership.roster import Roster
+from burdockwall.process.membership.timing import RESEND_CHANGES_S, RESEND_SNAPSHOT_S
+from burdockwall.types import InstanceId, Version
+
+
+class StateReader(Protocol):
+    """Read the versions that are passed on."""
+
+    @property
+    def version(self) -> Version:
+        """Return the latest version."""
+        ...
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        ...
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the latest version."""
+        ...
+
+
+@dataclass(slots=True)
+class _Follower:
+    version: Version = Version(0)
+    version_until: float = float("-inf")
+    stamp: Stamp = Stamp()
+    stamp_until: float = float("-inf")
 
 
 class Publisher:
-    """Send each follower the version that it lacks."""
+    """Remember what each follower was sent, so that nothing is sent twice soon."""
 
-    def __init__(self, state: ControlState) -> None:
+    def __init__(self, state: StateReader, roster: Roster) -> None:
         self.state = state
+        self.roster = roster
+        self._followers: dict[InstanceId, _Follower] = {}
+
+    def update(
+        self, follower: InstanceId, version: Version, stamp: Stamp, now: float
+    ) -> list[Send]:
+        """Take what a follower reports and send it what it lacks."""
+        known = self._followers.setdefault(follower, _Follower())
+        # What was sent lately may still be on its way.
+        if now >= known.version_until or version > known.version:
+            known.version = version
+        if now >= known.stamp_until or stamp > known.stamp:
+            known.stamp = stamp
+        return self._send(follower, known, now)
+
+    def push(self, followers: Iterable[InstanceId], now: float) -> list[Send]:
+        """Send followers what they lack as far as is known."""
+        sends: list[Send] = []
+        for follower in followers:
+            known = self._followers.get(follower)
+            if known is not None:
+                sends.extend(self._send(follower, known, now))
+        return sends
+
+    def forget(self, kept: Iterable[InstanceId]) -> None:
+        """Forget all followers but these."""
+        names = set(kept)
+        self._followers = {
+            name: known for name, known in self._followers.items() if name in names
+        }
+
+    def _send(self, follower: InstanceId, known: _Follower, now: float) -> list[Send]:
+        sends: list[Send] = []
+        if known.version < self.state.version:
+            sends.append(Send(follower, self._answer_state(known, now)))
+        answer = self.roster.answer_since(known.stamp)
+        if answer is not None:
+            known.stamp = self.roster.stamp
+            known.stamp_until = now + RESEND_CHANGES_S
+            sends.append(Send(follower, answer))
+        return sends
 
-    def handle(self, event: Tick | Receive, now: float) -> list[Send]:
-        """Take an event and return the answers to followers."""
-        match event:
-            case Receive(sender=sender, message=Follow(version=version)):
-                if version >= self.state.version:
-                    return [Send(sender, StateCurrent(self.state.version))]
-                return [Send(sender, self._take_snapshot())]
-            case _:
-                return []
-
-    def _take_snapshot(self) -> StateSnapshot:
-        return StateSnapshot(self.state.version, self.state.text, dict(self.state.keys))
+    def _answer_state(
+        self, known: _Follower, now: float
+    ) -> StateChanges | StateSnapshot:
+        since = known.version
+        changes = self.state.changes_since(since)
+        known.version = self.state.version
+        if changes is None:
+            known.version_until = now + RESEND_SNAPSHOT_S
+            return self.state.take_snapshot()
+        known.version_until = now + RESEND_CHANGES_S
+        return StateChanges(since, known.version, changes)
--- /dev/null
+++ b/burdockwall/process/membership/replica.py
@@ -0,0 +1,77 @@
+"""Hold the control state that an instance follows; versions only go forward."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from burdockwall.process.control.changes import Change, ChangeLog
+from burdockwall.process.membership.messages import StateChanges, StateSnapshot
+from burdockwall.types import CustomerId, KeyDigest, ShardId, Version
+from burdockwall.version.shards import ShardView
+
+
+class StateReplica:
+    """Hold sections, key digests and shards at one version, and late changes."""
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self.sections: dict[str, str] = {}
+        self.keys: dict[KeyDigest, CustomerId] = {}
+        self.shards: dict[ShardId, ShardView] = {}
+        self.changes = ChangeLog()
+
+    def install_snapshot(self, snapshot: StateSnapshot) -> bool:
+        """Become a later version and tell whether it was one."""
+        if snapshot.version <= self.version:
+            return False
+        self.version = snapshot.version
+        self.sections = dict(snapshot.sections)
+        self.keys = dict(snapshot.keys)
+        self.shards = {view.shard: view for view in snapshot.shards}
+        self.changes.clear()
+        return True
+
+    def install_changes(self, message: StateChanges) -> bool:
+        """Apply the changes that are later and tell whether there were any."""
+        if message.since > self.version or message.version <= self.version:
+            return False
+        for change in message.changes:
+            if change.version > self.version:
+                self._apply(change)
+        return True
+
+    def _apply(self, change: Change) -> None:
+        # New dictionaries, since views of the former version still hold the old.
+        if change.sections or change.removed_sections:
+            self.sections = _merge(
+                self.sections, change.sections, change.removed_sections
+            )
+        if change.keys or change.removed_keys:
+            self.keys = _merge(self.keys, change.keys, change.removed_keys)
+        if change.shards:
+            later = {view.shard: view for view in change.shards}
+            self.shards = _merge(self.shards, later, ())
+        self.version = change.version
+        self.changes.append(change)
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        if version >= self.version:
+            return []
+        return self.changes.list_since(version)
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the version in force."""
+        return StateSnapshot(
+            self.version, self.sections, self.keys, list(self.shards.values())
+        )
+
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+def _merge(old: dict[K, V], later: dict[K, V], removed: Iterable[K]) -> dict[K, V]:
+    merged = old | later
+    for key in removed:
+        merged.pop(key, None)
+    return merged
--- a/burdockwall/version/shards.py
+++ b/burdockwall/version/shards.py
@@ -1,11 +1,18 @@
 """Map programs, customers and idempotency keys to shards, and shards to instances."""
 
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
-from burdockwall.types import CustomerId, FencingNumber, InstanceId, ShardId
+from burdockwall.types import (
+    CustomerId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ShardId,
+)
 
 SHARD_COUNT = 256
 
@@ -17,6 +24,7 @@
     number and starts after the lease of the former primary has lapsed. A joining
     instance receives the copy and every write, but is no backup until the primary
     has confirmed that the copy is whole; then a later view lists it as a backup.
+    `incarnations` are those of `holders`, in the same order.
     """
 
     shard: ShardId
@@ -24,6 +32,23 @@
     primary: InstanceId
     backups: tuple[InstanceId, ...] = ()
     joining: tuple[InstanceId, ...] = ()
+    incarnations: tuple[Incarnation, ...] = ()
+
+    @property
+    def holders(self) -> tuple[InstanceId, ...]:
+        """List the primary, the backups and the joining instances."""
+        return (self.primary, *self.backups, *self.joining)
+
+    def names(self, instance: InstanceId, incarnation: Incarnation) -> bool:
+        """Tell whether the view names this incarnation of an instance.
+
+        A restarted instance is empty, so a view of its former self is void for it.
+        """
+        if instance not in self.holders:
+            return False
+        if not self.incarnations:
+            return True
+        return self.incarnations[self.holders.index(instance)] == incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +80,28 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class CopyConfirmed:
+    """State, as primary of a view, that a joining instance holds the whole shard."""
+
+    shard: ShardId
+    number: FencingNumber
+    instance: InstanceId
+
+
+def describe_views(views: Iterable[ShardView]) -> str:
+    """Describe views line by line, for the audit trail."""
+    lines = []
+    for view in views:
+        line = f"shard {view.shard} view {view.number} primary {view.primary}"
+        if view.backups:
+            line += f" backups {' '.join(view.backups)}"
+        if view.joining:
+            line += f" joining {' '.join(view.joining)}"
+        lines.append(line)
+    return "\n".join(lines)
+
+
 def find_customer_shard(customer: CustomerId) -> ShardId:
     """Return the shard that owns a customer's rate."""
     return _hash(customer)
