Grant leases from the leader and assign shards

Each instance sends heartbeats with its incarnation through a relay of its group; the leader answers a report with a grant that holds only where the leader's version is in force, counted from when the heartbeat was sent. Member list and versions travel as differences. An instance whose lease has lapsed refuses new requests with 1503. The leader suspects, probes and confirms failed members, assigns 256 shards and replaces a primary only after its lease has lapsed or it has released the shard. key withdraw waits until the version is in force everywhere.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -8,7 +8,23 @@
 from burdockwall.process.membership import messages as membership
 from burdockwall.types import Incarnation, InstanceId
 
-AnyMessage = membership.Follow | membership.StateSnapshot | membership.StateCurrent
+AnyMessage = (
+    membership.Beat
+    | membership.Report
+    | membership.Grant
+    | membership.NotLeader
+    | membership.StateChanges
+    | membership.StateSnapshot
+    | membership.MemberChanges
+    | membership.MemberSnapshot
+    | membership.Probe
+    | membership.ProbeResult
+    | membership.Ping
+    | membership.Pong
+    | membership.Release
+    | membership.Released
+    | membership.CopyDone
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -100,6 +100,9 @@
     LEAVING = CodeRow(
         1502, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is shutting down."
     )
+    LEASE_LAPSED = CodeRow(
+        1503, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is cut off from the leader."
+    )
     INTERNAL = CodeRow(
         1599, 500, Ran.UNKNOWN, Retry.SAME_KEY, "An internal fault; see the log."
     )
--- a/burdockwall/fakes/demo.py
+++ b/burdockwall/fakes/demo.py
@@ -128,8 +128,9 @@
 
 
 async def wait_for_version(node: Node, version: int) -> None:
-    """Wait until an entry instance runs a version."""
-    assert node.entry is not None
+    """Wait until an entry instance runs a version and the latest one."""
+    assert node.entry is not None and node.state is not None
+    version = max(version, node.state.version)
     with anyio.fail_after(START_LIMIT_S):
         while node.entry.view.version < version:
             await anyio.sleep(0.02)
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -8,8 +8,9 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.memory import ByteBudget
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.process.control.sections import join_sections
 from burdockwall.process.drain import Drain
-from burdockwall.process.membership.messages import StateSnapshot
+from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import Member, resolve_addresses
 from burdockwall.request.flow import serve_request
@@ -31,9 +32,11 @@
         settings: Settings,
         clock: Callable[[], float],
         list_members: Callable[[], list[Member]],
+        get_lease_end: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.list_members = list_members
+        self.get_lease_end = get_lease_end
         self.view = build_empty_view()
         self.parts = create_parts(settings, clock)
         self.clock = clock
@@ -47,9 +50,10 @@
         """Produce answers until cancelled."""
         await self.parts.streams.run()
 
-    def install(self, snapshot: StateSnapshot) -> None:
+    def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
-        self.view = build_view(snapshot.version, snapshot.text, snapshot.keys)
+        text = join_sections(replica.sections)
+        self.view = build_view(replica.version, text, replica.keys)
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from a caller."""
@@ -81,6 +85,8 @@
             raise RequestRefused(Code.LEAVING, retry_after_s=REFUSED_RETRY_S)
         if self.view.version == 0:
             raise RequestRefused(Code.NOT_READY, retry_after_s=REFUSED_RETRY_S)
+        if self.clock() >= self.get_lease_end():
+            raise RequestRefused(Code.LEASE_LAPSED, retry_after_s=REFUSED_RETRY_S)
 
     def _record(self, trace: RequestTrace) -> None:
         now = self.clock()
--- /dev/null
+++ b/burdockwall/process/membership/shell.py
@@ -0,0 +1,182 @@
+"""Join the membership machines of a process to its bus, views and waiters."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockwall.connection.peers import PeerBus
+from burdockwall.process.control.commands import AssignShards
+from burdockwall.process.host import Host
+from burdockwall.process.membership.agent import (
+    AGENT_MESSAGES,
+    Agent,
+    InstallState,
+    Leave,
+    MembersInstalled,
+)
+from burdockwall.process.membership.messages import (
+    InstanceDetails,
+    MemberEntry,
+    Stamp,
+)
+from burdockwall.process.membership.planner import Propose, ShardHealth
+from burdockwall.process.membership.progress import InForce
+from burdockwall.process.membership.registrar import (
+    REGISTRAR_MESSAGES,
+    AwaitInForce,
+    LearnPeer,
+    Registrar,
+)
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.membership.source import ControlSource
+from burdockwall.process.membership.timing import KEY_STOP_S
+from burdockwall.process.resolver import Member
+from burdockwall.process.waiters import Waiters
+from burdockwall.types import (
+    EndpointId,
+    EndpointState,
+    InstanceId,
+    Role,
+    Version,
+)
+from burdockwall.version.shards import CopyConfirmed, LeaseRenewed, ShardsInstalled
+
+IN_FORCE_LIMIT_S = 2 * KEY_STOP_S
+
+
+@dataclass(frozen=True, slots=True)
+class FleetRow:
+    """Describe one instance as the leader sees it."""
+
+    instance: InstanceId
+    role: Role
+    region: str
+    failure_domain: str
+    state: EndpointState
+    version: Version
+    lease_s: float
+    silent_s: float
+
+
+class Membership:
+    """Run the agent of an instance, and the registrar where it holds the state."""
+
+    def __init__(
+        self,
+        host: Host,
+        details: InstanceDetails,
+        control: list[InstanceId],
+        install: Callable[[StateReplica], None],
+    ) -> None:
+        self.host = host
+        self.bus: PeerBus = host.bus
+        self.agent = Agent(details, control)
+        self.registrar: Registrar | None = None
+        self.members: tuple[MemberEntry, ...] = ()
+        self.endpoints: dict[EndpointId, EndpointState] = {}
+        self._install = install
+        self._propose: Callable[[AssignShards], None] = lambda command: None
+        self._waiters: Waiters[InForce] = Waiters()
+        self._hosted_agent = host.add(
+            self.agent, AGENT_MESSAGES, self._perform_agent, (CopyConfirmed,)
+        )
+
+    def add_registrar(
+        self, source: ControlSource, propose: Callable[[AssignShards], None]
+    ) -> None:
+        """Grant leases and assign shards while this instance is the leader."""
+        instance = self.agent.details.instance
+        self.registrar = Registrar(instance, source, self.agent.roster)
+        self._propose = propose
+        self._hosted_registrar = self.host.add(
+            self.registrar, REGISTRAR_MESSAGES, self._perform_registrar
+        )
+
+    @property
+    def lease_until(self) -> float:
+        """Return until when, by the host's clock, this instance may act."""
+        return self.agent.lease.until
+
+    def start_leaving(self) -> None:
+        """Tell the fleet that this instance takes no new work."""
+        self.host.apply(self._hosted_agent, Leave())
+
+    def _perform_agent(
+        self,
+        action: InstallState | MembersInstalled | LeaseRenewed | ShardsInstalled,
+    ) -> None:
+        match action:
+            case InstallState(replica=replica):
+                self._install(replica)
+            case MembersInstalled(members=members, endpoints=endpoints):
+                self.members = members
+                self.endpoints = endpoints
+                for member in members:
+                    self._learn(member.details)
+                self.host.publish(action)
+            case LeaseRenewed() | ShardsInstalled():
+                self.host.publish(action)
+
+    def _learn(self, details: InstanceDetails) -> None:
+        self.bus.add_peer(details.instance, details.peer_address)
+
+    def _perform_registrar(self, action: LearnPeer | InForce | Propose) -> None:
+        match action:
+            case LearnPeer(details=details):
+                self._learn(details)
+            case InForce(call=call):
+                self._waiters.complete(call, action)
+            case Propose(command=command):
+                self._propose(command)
+
+    async def wait_in_force(self, version: Version) -> InForce:
+        """Wait until no instance acts under an earlier version, at the leader.
+
+        Raise TimeoutError where this instance does not lead for so long.
+        """
+        call = self._waiters.create()
+        self.host.apply(self._hosted_registrar, AwaitInForce(call, version))
+        return await self._waiters.wait(call, IN_FORCE_LIMIT_S)
+
+    def list_members(self) -> list[Member]:
+        """List the instances that callers may use, from the member list."""
+        return [
+            Member(
+                entry.details.instance,
+                entry.details.caller_address,
+                entry.details.failure_domain,
+                entry.state,
+            )
+            for entry in self.members
+            if entry.details.role is not Role.CONTROL
+        ]
+
+    def get_stamp(self) -> Stamp:
+        """Return the stamp of the member list in force."""
+        return self.agent.roster.stamp
+
+    def read_fleet(self) -> list[FleetRow]:
+        """Describe every member, at the leader; elsewhere the list is empty."""
+        registrar = self.registrar
+        now = self.host.clock()
+        if registrar is None or not registrar.is_leading(now):
+            return []
+        return [
+            FleetRow(
+                instance=record.details.instance,
+                role=record.details.role,
+                region=record.details.region,
+                failure_domain=record.details.failure_domain,
+                state=record.state,
+                version=record.version,
+                lease_s=max(0.0, record.lapses_at - now),
+                silent_s=now - record.heard_at,
+            )
+            for record in registrar.records.values()
+        ]
+
+    def read_shards(self) -> ShardHealth | None:
+        """Describe the protection of the shards, at the leader."""
+        registrar = self.registrar
+        if registrar is None or not registrar.is_leading(self.host.clock()):
+            return None
+        return registrar.planner.health
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from dataclasses import replace
 
 import anyio
 import logbook
@@ -10,35 +11,20 @@
 from burdockwall.connection.peers import PeerBus
 from burdockwall.connection.tls import create_peer_contexts
 from burdockwall.errors import Code, InvalidFile, OperatorError
+from burdockwall.process.control.commands import AssignShards
 from burdockwall.process.control.state import ControlState
 from burdockwall.process.drain import CountUnderWay, StartDrain, StopServing
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
-from burdockwall.process.membership.follower import Follower, Install
-from burdockwall.process.membership.messages import (
-    Follow,
-    StateCurrent,
-    StateSnapshot,
-)
-from burdockwall.process.membership.publisher import Publisher
+from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.membership.shell import Membership
+from burdockwall.process.membership.source import SoleSource
 from burdockwall.process.operations import Operations, Status
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
-from burdockwall.types import (
-    EndpointState,
-    FencingNumber,
-    Incarnation,
-    Role,
-    ShardId,
-)
-from burdockwall.version.shards import (
-    SHARD_COUNT,
-    LeaseRenewed,
-    ShardMap,
-    ShardsInstalled,
-    ShardView,
-)
+from burdockwall.types import EndpointState, Incarnation, Role
 
 OPERATOR_GRACE_S = 1.0
 CALLER_GRACE_S = 1.0
@@ -65,8 +51,13 @@
         self.host = Host(self.bus, time.monotonic, settings.tick_interval_s)
         self.state = ControlState() if settings.role is not Role.ENTRY else None
         self.entry: Entry | None = None
+        self.membership = self._create_membership(self.bus.incarnation)
         if self.state is not None:
-            self.host.add(Publisher(self.state), (Follow,))
+            state = self.state
+            self.membership.add_registrar(
+                SoleSource(settings.instance_id, state),
+                lambda command: self._assign(state, command),
+            )
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
         self.operations = Operations(
@@ -75,29 +66,37 @@
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
 
     def _create_entry(self) -> Entry:
-        entry = Entry(self.settings, time.monotonic, self.list_members)
-        control = self.settings.control_instances
-        if self.settings.role is Role.BOTH and not control:
-            control = [self.settings.instance_id]
-
-        def perform(action: Install | LeaseRenewed) -> None:
-            match action:
-                case Install(snapshot=snapshot):
-                    entry.install(snapshot)
-                    self.host.publish(ShardsInstalled(self._assign_alone()))
-                case LeaseRenewed():
-                    self.host.publish(action)
-
-        self.host.add(Follower(control), (StateSnapshot, StateCurrent), perform)
+        entry = Entry(
+            self.settings,
+            time.monotonic,
+            self.list_members,
+            lambda: self.membership.lease_until,
+        )
         self.hosted_drain = self.host.add(entry.drain, (), self._stop_serving)
         return entry
 
-    def _assign_alone(self) -> ShardMap:
-        views = {}
-        for number in range(SHARD_COUNT):
-            shard = ShardId(number)
-            views[shard] = ShardView(shard, FencingNumber(1), self.settings.instance_id)
-        return ShardMap(views)
+    def _create_membership(self, incarnation: Incarnation) -> Membership:
+        settings = self.settings
+        control = settings.control_instances
+        if settings.role is Role.BOTH and not control:
+            control = [settings.instance_id]
+        details = InstanceDetails(
+            instance=settings.instance_id,
+            incarnation=incarnation,
+            role=settings.role,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_address,
+            caller_address=settings.caller_address,
+        )
+        return Membership(self.host, details, control, self._install)
+
+    def _assign(self, state: ControlState, command: AssignShards) -> None:
+        state.apply(command, time.time())
+
+    def _install(self, replica: StateReplica) -> None:
+        if self.entry is not None:
+            self.entry.install(replica)
 
     async def _serve_metrics(self, exchange: Exchange) -> None:
         if self.entry is None:
@@ -107,14 +106,13 @@
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.drain.leaving
-        state = EndpointState.LEAVING if leaving else EndpointState.LIVE
+        own = EndpointState.LEAVING if leaving else EndpointState.LIVE
+        members = self.membership.list_members()
         return [
-            Member(
-                self.settings.instance_id,
-                self.settings.caller_address,
-                self.settings.failure_domain,
-                state,
-            )
+            replace(member, state=own)
+            if member.instance == self.settings.instance_id
+            else member
+            for member in members
         ]
 
     def read_status(self) -> Status:
@@ -136,6 +134,7 @@
             self.stop.set()
         else:
             self.host.apply(self.hosted_drain, StartDrain())
+            self.membership.start_leaving()
 
     def _stop_serving(self, action: StopServing) -> None:
         self._logger.notice("stopped serving", extra={"cut_off": action.left})
