--- a/burdockwall/fakes/site.py
+++ b/burdockwall/fakes/site.py
@@ -58,9 +58,9 @@
 
     engines: list[FakeEngine] = field(default_factory=list)
     settings: Settings = field(default_factory=Settings)
-    authority: Path | None = None
     rate_per_s: float = 20.0
     burst: int = 40
+    authority: Path | None = None
 
 
 def build_configuration(
@@ -169,8 +169,9 @@
 
 
 async def wait_for_version(node: Node, version: int) -> None:
-    """Wait until an entry instance runs a version."""
-    assert node.entry is not None
+    """Wait until an entry instance runs a version and the latest one."""
+    assert node.entry is not None and node.state is not None
+    version = max(version, node.state.version)
     with anyio.fail_after(START_LIMIT_S):
         while node.entry.view.version < version:
             await anyio.sleep(0.02)
--- a/features/subjects/tls.py
+++ b/features/subjects/tls.py
@@ -18,15 +18,15 @@
 from burdockwall.connection.tls import PeerContexts, create_peer_contexts
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.site import SitePlan, create_plan
-from burdockwall.process.membership.messages import StateCurrent
+from burdockwall.process.membership.messages import Ping
 from burdockwall.settings import Settings
-from burdockwall.types import Incarnation, InstanceId, Version
+from burdockwall.types import Incarnation, InstanceId
 from features.subjects.path import PathSubject
 
 VALID = datetime.timedelta(days=1)
 SILENCE_S = 0.5
 WAIT_S = 2.0
-MESSAGE = StateCurrent(Version(7))
+MESSAGE = Ping(7)
 
 
 @dataclass(frozen=True, slots=True)
