Measure the path and make pools small

Cause: with 50 streams to one endpoint, the client library's pool looked at every connection for every request, and tried a failing import about six times a request. Found by profile: 3 ms in the pool's assignment and up to 2 ms in imports a request.

--- /dev/null
+++ b/benchmarks/_processes.py
@@ -0,0 +1,56 @@
+"""Start processes for a benchmark and read what they use from /proc."""
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+
+from burdockwall.fakes.site import wait_until_listening
+from burdockwall.types import Address
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+END_LIMIT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """Hold a process that is measured."""
+
+    process: subprocess.Popen[bytes]
+
+    def read_processor_s(self) -> float:
+        """Return the processor time that the process has used."""
+        text = Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def read_resident_bytes(self) -> int:
+        """Return the memory that the process holds."""
+        text = Path(f"/proc/{self.process.pid}/statm").read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+@contextmanager
+def start_module(
+    module: str, arguments: list[str], listening: Address
+) -> Iterator[Measured]:
+    """Run a module as a process and wait until it listens."""
+    command = [sys.executable, "-m", module, *arguments]
+    process = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+    try:
+        anyio.run(wait_until_listening, listening)
+        time.sleep(0.2)
+        yield Measured(process)
+    finally:
+        process.terminate()
+        try:
+            process.wait(END_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,235 @@
+"""Measure what the entry adds to a request, a token and an idle caller."""
+
+import ssl
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+from hdrh.histogram import HdrHistogram
+
+from benchmarks._processes import Measured, start_module
+from benchmarks.result import Result, create_result
+from burdockwall.client import OperatorClient
+from burdockwall.fakes.ports import find_address
+from burdockwall.fakes.site import CUSTOMER, SitePlan, build_configuration
+from burdockwall.types import Address, OperatorId
+from burdockwall.version.configuration import print_configuration
+
+STREAMS = 50
+SHORT_TOKENS = 20
+LONG_TOKENS = 400
+ROUNDS = 3
+IDLE_CALLERS = 1000
+FIRST_TOKEN_LIMIT_MS = 1100.0
+TOKEN_GAP_LIMIT_MS = 47.0
+CONTROL_MEMORY_LIMIT_MB = 64.0
+TOKEN_RATIO_LIMIT = 1.5
+MEGABYTE = 1_048_576
+SETTLE_S = 1.0
+CALLER_TIMEOUT_S = 60.0
+CALLER_TLS = ssl.create_default_context()
+URL = "/v1/chat/completions"
+
+
+@dataclass(slots=True)
+class Streamed:
+    """Hold the times that callers saw, in microseconds."""
+
+    first_token: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, 60_000_000, 3)
+    )
+    gap: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
+    tokens: int = 0
+
+
+async def _stream_one(
+    client: httpx.AsyncClient, headers: dict[str, str], tokens: int, seen: Streamed
+) -> None:
+    body = {
+        "model": "inspector",
+        "messages": [{"role": "user", "content": "measure"}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    last = time.perf_counter()
+    first = True
+    async with client.stream("POST", URL, headers=headers, json=body) as response:
+        response.raise_for_status()
+        async for chunk in response.aiter_raw():
+            now = time.perf_counter()
+            histogram = seen.first_token if first else seen.gap
+            histogram.record_value(max(1, int((now - last) * 1_000_000)))
+            last, first = now, False
+            seen.tokens += chunk.count(b"\n\n")
+
+
+def _create_client(address: Address) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        base_url=f"http://{address}",
+        timeout=CALLER_TIMEOUT_S,
+        trust_env=False,
+        verify=CALLER_TLS,
+    )
+
+
+async def _stream_many(
+    address: Address, headers: dict[str, str], tokens: int, rounds: int
+) -> Streamed:
+    seen = Streamed()
+    # A client each: one client for all would cost callers more than the relay.
+    clients = [_create_client(address) for _ in range(STREAMS)]
+    for _ in range(rounds):
+        async with anyio.create_task_group() as group:
+            for client in clients:
+                group.start_soon(_stream_one, client, headers, tokens, seen)
+    for client in clients:
+        await client.aclose()
+    assert seen.tokens == STREAMS * tokens * rounds
+    return seen
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Hold the processor time of a relay, and what callers saw of it."""
+
+    request_us: float
+    token_us: float
+    seen: Streamed
+
+
+def _measure_relay(relay: Measured, address: Address, headers: dict[str, str]) -> Cost:
+    anyio.run(_stream_many, address, headers, SHORT_TOKENS, 1)
+    start = relay.read_processor_s()
+    anyio.run(_stream_many, address, headers, SHORT_TOKENS, ROUNDS)
+    middle = relay.read_processor_s()
+    seen = anyio.run(_stream_many, address, headers, LONG_TOKENS, ROUNDS)
+    end = relay.read_processor_s()
+    streams = STREAMS * ROUNDS
+    extra_tokens = streams * (LONG_TOKENS - SHORT_TOKENS)
+    token_s = ((end - middle) - (middle - start)) / extra_tokens
+    request_s = (middle - start) / streams - token_s * SHORT_TOKENS
+    return Cost(request_s * 1_000_000, token_s * 1_000_000, seen)
+
+
+@dataclass(frozen=True, slots=True)
+class RunningEntry:
+    """Hold an entry process that serves one customer."""
+
+    process: Measured
+    address: Address
+    headers: dict[str, str]
+
+
+@contextmanager
+def _start_entry(engine: Address) -> Iterator[RunningEntry]:
+    caller, operator = find_address(), find_address()
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(f"[listen]\ncaller = {caller}\noperator = {operator}\n")
+        file.write("[drain]\nhold = 0\n[log]\nlevel = error\n")
+        file.flush()
+        arguments = ["serve", "--settings", file.name]
+        with start_module("burdockwall", arguments, caller) as process:
+            client = OperatorClient(operator, OperatorId("benchmark"))
+            plan = SitePlan(rate_per_s=100_000.0, burst=100_000)
+            configuration = build_configuration(plan, [engine], engine)
+            client.submit(print_configuration(configuration))
+            headers = {"authorization": f"Bearer {client.issue_key(CUSTOMER)}"}
+            time.sleep(SETTLE_S)
+            yield RunningEntry(process, caller, headers)
+
+
+async def _hold_idle(address: Address, relay: Measured) -> int:
+    host, _, port = address.rpartition(":")
+    streams = [await anyio.connect_tcp(host, int(port)) for _ in range(IDLE_CALLERS)]
+    await anyio.sleep(SETTLE_S)
+    resident = relay.read_resident_bytes()
+    for stream in streams:
+        await stream.aclose()
+    return resident
+
+
+def _get_percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    return float(histogram.get_value_at_percentile(percentile)) / 1000.0
+
+
+def measure() -> list[Result]:
+    """Measure the entry against a bare relay of the same libraries."""
+    engine, bare = find_address(), find_address()
+    with start_module("benchmarks._engine", [engine], engine):
+        with start_module("benchmarks._relay", [bare, engine], bare) as process:
+            relay_cost = _measure_relay(process, bare, {})
+        with _start_entry(engine) as entry:
+            resident = entry.process.read_resident_bytes()
+            idle = anyio.run(_hold_idle, entry.address, entry.process)
+            cost = _measure_relay(entry.process, entry.address, entry.headers)
+    return [*_compare_costs(cost, relay_cost), *_list_memory(resident, idle)]
+
+
+def _compare_costs(cost: Cost, relay: Cost) -> list[Result]:
+    first = _get_percentile_ms(cost.seen.first_token, 99.0)
+    relay_first = _get_percentile_ms(relay.seen.first_token, 99.0)
+    gap = _get_percentile_ms(cost.seen.gap, 95.0)
+    relay_gap = _get_percentile_ms(relay.seen.gap, 95.0)
+    return [
+        create_result(
+            "path.processor_per_token",
+            cost.token_us,
+            "us",
+            baseline=relay.token_us,
+            bound=TOKEN_RATIO_LIMIT,
+            bound_on_ratio=True,
+        ),
+        create_result(
+            "path.processor_per_request",
+            cost.request_us,
+            "us",
+            baseline=relay.request_us,
+        ),
+        create_result(
+            "path.first_token_added_p99",
+            max(0.0, first - relay_first),
+            "ms",
+            baseline=relay_first,
+            bound=FIRST_TOKEN_LIMIT_MS,
+        ),
+        create_result(
+            "path.first_token_p99",
+            first,
+            "ms",
+            baseline=relay_first,
+            bound=FIRST_TOKEN_LIMIT_MS,
+        ),
+        create_result(
+            "path.token_gap_p95",
+            gap,
+            "ms",
+            baseline=relay_gap,
+            bound=TOKEN_GAP_LIMIT_MS,
+        ),
+    ]
+
+
+def _list_memory(resident: int, idle: int) -> list[Result]:
+    return [
+        create_result(
+            "path.memory_without_callers",
+            resident / MEGABYTE,
+            "MB",
+            bound=CONTROL_MEMORY_LIMIT_MB,
+        ),
+        create_result(
+            "path.memory_with_idle_callers",
+            idle / MEGABYTE,
+            "MB",
+            baseline=resident / MEGABYTE,
+        ),
+        create_result(
+            "path.memory_per_idle_caller",
+            (idle - resident) / IDLE_CALLERS / 1024,
+            "KB",
+        ),
+    ]
--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -4,16 +4,19 @@
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import anyio
 import httpx
 
 from burdockwall.connection.exchange import Headers
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
-CONNECTIONS_PER_ENDPOINT = 512
-KEEPALIVE_CONNECTIONS = 32
+# The library's pool looks at each of its connections for each request, so that a
+# large pool costs the square of its size; several small ones do not.
+STREAMS_PER_CLIENT = 8
+IDLE_CLIENTS_PER_ENDPOINT = 4
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 3
@@ -29,7 +32,7 @@
 )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PooledClient:
     """Hold a client, the streams open on it, and whether it was replaced."""
 
@@ -38,28 +41,62 @@
     replaced: bool = False
 
 
+@dataclass(slots=True)
+class EndpointPool:
+    """Hold the clients of one endpoint's address, the most used first."""
+
+    clients: list[PooledClient] = field(default_factory=list)
+
+    def find(self) -> PooledClient | None:
+        """Return a client that has room for a stream."""
+        for pooled in self.clients:
+            if pooled.open_streams < STREAMS_PER_CLIENT:
+                return pooled
+        return None
+
+    def is_spare(self, pooled: PooledClient) -> bool:
+        """Tell whether a client without streams is more than need be kept."""
+        idle = sum(not each.open_streams for each in self.clients)
+        return not pooled.open_streams and idle > IDLE_CLIENTS_PER_ENDPOINT
+
+
 class EndpointClients:
-    """Keep one pooled client for each endpoint's address."""
+    """Keep pooled clients for each endpoint's address."""
 
     def __init__(self, connect_s: float, silence_s: float) -> None:
         self.connect_s = connect_s
         self.silence_s = silence_s
         self.replacements = 0
         self._tls = ssl.create_default_context()
-        self._clients: dict[tuple[EndpointId, Address], PooledClient] = {}
+        self._pools: dict[tuple[EndpointId, Address], EndpointPool] = {}
 
-    def _get_client(self, endpoint: Endpoint) -> PooledClient:
+    def _get_pool(self, endpoint: Endpoint) -> EndpointPool:
         key = (endpoint.name, endpoint.address)
-        pooled = self._clients.get(key)
+        return self._pools.setdefault(key, EndpointPool())
+
+    def _take_client(self, endpoint: Endpoint) -> PooledClient:
+        pool = self._get_pool(endpoint)
+        pooled = pool.find()
         if pooled is None:
             pooled = PooledClient(self._create_client(endpoint))
-            self._clients[key] = pooled
+            pool.clients.append(pooled)
+        pooled.open_streams += 1
         return pooled
 
+    async def _return_client(self, endpoint: Endpoint, pooled: PooledClient) -> None:
+        pooled.open_streams -= 1
+        pool = self._get_pool(endpoint)
+        if not pooled.replaced and pool.is_spare(pooled):
+            pool.clients.remove(pooled)
+            pooled.replaced = True
+        if pooled.replaced and not pooled.open_streams:
+            with anyio.CancelScope(shield=True):
+                await pooled.client.aclose()
+
     def _create_client(self, endpoint: Endpoint) -> httpx.AsyncClient:
         limits = httpx.Limits(
-            max_connections=CONNECTIONS_PER_ENDPOINT,
-            max_keepalive_connections=KEEPALIVE_CONNECTIONS,
+            max_connections=STREAMS_PER_CLIENT,
+            max_keepalive_connections=STREAMS_PER_CLIENT,
         )
         transport = httpx.AsyncHTTPTransport(
             verify=self._tls,
@@ -75,12 +112,16 @@
             trust_env=False,
         )
 
-    def replace(self, endpoint: Endpoint) -> None:
+    async def replace(self, endpoint: Endpoint) -> None:
         """Use fresh connections from now on; streams under way keep theirs."""
-        pooled = self._clients.pop((endpoint.name, endpoint.address), None)
-        if pooled is not None:
+        pool = self._pools.pop((endpoint.name, endpoint.address), None)
+        if pool is None:
+            return
+        self.replacements += 1
+        for pooled in pool.clients:
             pooled.replaced = True
-            self.replacements += 1
+            if not pooled.open_streams:
+                await pooled.client.aclose()
 
     @asynccontextmanager
     async def open_stream(
@@ -92,20 +133,18 @@
         content: bytes | AsyncIterator[bytes] | None,
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and yield its answer while the body is unread."""
-        pooled = self._get_client(endpoint)
-        pooled.open_streams += 1
+        pooled = self._take_client(endpoint)
         try:
             async with pooled.client.stream(
                 method, path, headers=headers, content=content
             ) as response:
                 yield response
         finally:
-            pooled.open_streams -= 1
-            if pooled.replaced and not pooled.open_streams:
-                await pooled.client.aclose()
+            await self._return_client(endpoint, pooled)
 
     async def close(self) -> None:
         """Close every connection."""
-        for pooled in self._clients.values():
-            await pooled.client.aclose()
-        self._clients.clear()
+        for pool in self._pools.values():
+            for pooled in pool.clients:
+                await pooled.client.aclose()
+        self._pools.clear()
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -75,6 +75,6 @@
         code = Code.ENDPOINT_UNREACHABLE
         raise RequestRefused(code, retry_after_s=1.0) from error
     except httpx.TransportError as error:
-        parts.clients.replace(placement.endpoint)
+        await parts.clients.replace(placement.endpoint)
         raise RequestRefused(Code.ENDPOINT_FAILED) from error
     await exchange.finish()
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -78,7 +78,7 @@
                 raise EndpointLost(sent or bool(self.buffer.events)) from None
             except httpx.TransportError:
                 # The whole pool may have lost its path: judge by a fresh one.
-                self.clients.replace(endpoint)
+                await self.clients.replace(endpoint)
             sent = True
             if self.buffer.done:
                 return
