--- /dev/null
+++ b/burdockwall/process/control/core.py
@@ -0,0 +1,228 @@
+"""Hold the state that the parts of consensus share, and what waits for a sync."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from burdockwall.machine import Message, Send
+from burdockwall.process.control.entries import (
+    NOBODY,
+    Entry,
+    HardState,
+    Member,
+    Snapshot,
+    VoterId,
+)
+from burdockwall.process.control.events import (
+    ApplyEntry,
+    CallRefused,
+    CallUnknown,
+    MembershipChanged,
+    Persist,
+    Recovered,
+    ReplicaRole,
+    RoleChanged,
+    SaveSnapshot,
+    TakeSnapshot,
+)
+from burdockwall.process.control.leadership import Leadership
+from burdockwall.process.control.log import ReplicatedLog
+from burdockwall.types import InstanceId, Term
+
+COMPACT_ENTRIES = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Set the intervals of consensus, in seconds."""
+
+    election_timeout_s: float = 1.5
+    heartbeat_s: float = 0.3
+    resend_s: float = 0.6
+    join_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Hold a message until the writes that it depends on are synced."""
+
+    ticket: int
+    to: InstanceId
+    message: Message
+
+
+@dataclass(slots=True)
+class PendingWrite:
+    """Track a write that is not synced yet, and the last entry it holds."""
+
+    ticket: int
+    last_index: int
+
+
+class Core:
+    """Hold term, vote, log, role and the actions of the event under way."""
+
+    def __init__(
+        self,
+        me: Member,
+        recovered: Recovered,
+        timing: Timing,
+        chance: random.Random,
+        compact_entries: int,
+    ) -> None:
+        self.me = me
+        self.timing = timing
+        self.chance = chance
+        self.compact_entries = compact_entries
+        self.hard = recovered.hard
+        self.log = ReplicatedLog(recovered.snapshot, list(recovered.entries))
+        self.commit = self.log.base_index
+        self.applied = self.log.base_index
+        self.durable_index = self.log.last_index
+        self.role = ReplicaRole.FOLLOWER
+        self.leader = NOBODY
+        self.leadership: Leadership | None = None
+        self.now = 0.0
+        self.started = False
+        self.heard_at = 0.0
+        self.deadline = 0.0
+        self.actions: list[Any] = []
+        self.ticket = 0
+        self.snapshot_due = False
+        self.snapshot_index = self.log.base_index
+        self._unsynced: list[PendingWrite] = []
+        self._held: list[Held] = []
+        self._known_membership = -1
+
+    @property
+    def term(self) -> Term:
+        """Return the current term."""
+        return self.hard.term
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters make a majority."""
+        return len(self.log.membership.list_voters()) // 2 + 1
+
+    def is_voter(self) -> bool:
+        """Tell whether this replica counts towards a quorum."""
+        return self.log.membership.is_voter(self.me.voter)
+
+    def list_others(self) -> list[Member]:
+        """List the other members, voters and learners."""
+        members = self.log.membership.members
+        return [member for member in members if member.voter != self.me.voter]
+
+    def has_quorum_contact(self) -> bool:
+        """Tell whether a leader has been in contact within an election timeout."""
+        heard = self.leadership.confirmed_at if self.leadership else self.heard_at
+        return self.now - heard < self.timing.election_timeout_s
+
+    def reset_deadline(self) -> None:
+        """Put the next election off by a random time."""
+        timeout = self.timing.election_timeout_s
+        self.deadline = self.now + self.chance.uniform(timeout, 2 * timeout)
+
+    def send(self, to: InstanceId, message: Message) -> None:
+        """Send a message that depends on no write."""
+        self.actions.append(Send(to, message))
+
+    def send_synced(self, to: InstanceId, message: Message) -> None:
+        """Send a message once every write asked for so far is synced."""
+        if not self._unsynced:
+            self.send(to, message)
+            return
+        self._held.append(Held(self.ticket, to, message))
+
+    def persist(self, hard: HardState, entries: tuple[Entry, ...] = ()) -> None:
+        """Ask for term, vote and entries to be written."""
+        self.hard = hard
+        for entry in entries:
+            if entry.index <= self.log.last_index:
+                self.forget_durable(entry.index)
+            self.log.append(entry)
+        self.ticket += 1
+        self.actions.append(Persist(self.ticket, hard, entries))
+        self.track_write()
+        self.note_membership()
+
+    def track_write(self) -> None:
+        """Wait for the sync of the latest ticket."""
+        self._unsynced.append(PendingWrite(self.ticket, self.log.last_index))
+
+    def forget_durable(self, first: int) -> None:
+        """Note that entries from an index on are being replaced."""
+        self.durable_index = min(self.durable_index, first - 1)
+        for write in self._unsynced:
+            write.last_index = min(write.last_index, first - 1)
+
+    def finish_writes(self, ticket: int) -> None:
+        """Note that writes are synced and send what waited for them."""
+        done = [write for write in self._unsynced if write.ticket <= ticket]
+        self._unsynced = self._unsynced[len(done) :]
+        for write in done:
+            self.durable_index = max(self.durable_index, write.last_index)
+        ready = [held for held in self._held if held.ticket <= ticket]
+        self._held = self._held[len(ready) :]
+        for held in ready:
+            self.send(held.to, held.message)
+
+    def adopt_term(self, term: Term, cluster: str | None = None) -> None:
+        """Move to a later term without a vote in it."""
+        self._held.clear()
+        self.persist(HardState(cluster or self.hard.cluster, term))
+
+    def become_follower(self, leader: VoterId = NOBODY) -> None:
+        """Follow a leader, or nobody yet; pending calls get a true answer."""
+        leadership, self.leadership = self.leadership, None
+        if leadership is not None:
+            for call in leadership.calls.values():
+                self.actions.append(CallUnknown(call))
+            for read in leadership.reads:
+                self.actions.append(CallRefused(read.call))
+        self.set_role(ReplicaRole.FOLLOWER, leader)
+
+    def set_role(self, role: ReplicaRole, leader: VoterId = NOBODY) -> None:
+        """Change role or leader, and tell it if it is a change."""
+        changed = (role, leader) != (self.role, self.leader)
+        self.role, self.leader = role, leader
+        if changed:
+            self.actions.append(RoleChanged(role, self.term, leader))
+
+    def note_membership(self) -> None:
+        """Tell the membership if it has changed."""
+        if self.log.membership_index != self._known_membership:
+            self._known_membership = self.log.membership_index
+            self.actions.append(MembershipChanged(self.log.membership))
+
+    def advance_commit(self, index: int) -> None:
+        """Apply what is committed, in order, and compact when it is time."""
+        self.commit = max(self.commit, min(index, self.log.last_index))
+        calls = self.leadership.calls if self.leadership else {}
+        while self.applied < self.commit:
+            self.applied += 1
+            entry = self.log.get_entry(self.applied)
+            self.actions.append(ApplyEntry(entry, calls.pop(self.applied, None)))
+        if self.applied - self.snapshot_index >= self.compact_entries:
+            self.request_snapshot()
+
+    def request_snapshot(self) -> None:
+        """Ask for a snapshot of the state, once until it is there."""
+        if not self.snapshot_due:
+            self.snapshot_due = True
+            self.actions.append(TakeSnapshot())
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Ask for a snapshot to be written, and the journal to be cut to it."""
+        self.snapshot_index = snapshot.index
+        later = self.log.list_from(snapshot.index + 1, len(self.log.entries))
+        self.ticket += 1
+        self.actions.append(SaveSnapshot(self.ticket, snapshot, self.hard, later))
+        self.track_write()
+
+    def vote_for(self, term: Term, voter: VoterId) -> None:
+        """Record a vote in a term."""
+        hard = msgspec.structs.replace(self.hard, term=term, voted_for=voter)
+        self.persist(hard)
--- /dev/null
+++ b/burdockwall/process/control/journal.py
@@ -0,0 +1,258 @@
+"""Keep term, vote, entries and snapshots of one replica in files.
+
+A batch is written to the journal and synced, then its length is written to the
+mark and synced; only then does it count. So whatever is damaged within the marked
+length was acknowledged and is refused, and whatever follows it was not.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.errors import Code
+from burdockwall.process.control.entries import (
+    Base,
+    Entry,
+    HardState,
+    Member,
+    Membership,
+    MembershipChange,
+    Snapshot,
+    VoterId,
+)
+from burdockwall.process.control.events import Persist, Recovered, SaveSnapshot
+from burdockwall.process.control.files import Files, StorageError
+from burdockwall.process.control.records import (
+    MARK_SLOT_BYTES,
+    Mark,
+    Record,
+    encode_mark,
+    encode_record,
+    encode_snapshot,
+    parse_marks,
+    parse_records,
+    parse_snapshot,
+)
+from burdockwall.types import InstanceId, Term
+
+IDENTITY_NAME = "identity.json"
+MARK_NAME = "journal.mark"
+TEMPORARY_SUFFIX = ".new"
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Name the replica that a data folder belongs to."""
+
+    voter: VoterId
+    instance: InstanceId
+
+
+def name_journal(generation: int) -> str:
+    """Return the file name of a journal."""
+    return f"journal-{generation:08d}"
+
+
+def name_snapshot(index: int) -> str:
+    """Return the file name of a snapshot."""
+    return f"snapshot-{index:012d}"
+
+
+def list_snapshots(names: list[str]) -> list[str]:
+    """List the snapshots among file names, the latest first."""
+    found = [
+        name
+        for name in names
+        if name.startswith("snapshot-") and not name.endswith(TEMPORARY_SUFFIX)
+    ]
+    return sorted(found, reverse=True)
+
+
+class Journal:
+    """Write what consensus asks to persist, in batches, and read it back."""
+
+    def __init__(self, files: Files) -> None:
+        self.files = files
+        self.synced_bytes = 0
+        self._generation = 0
+        self._length = 0
+        self._checksum = 0
+        self._sequence = 0
+        self._queue: list[Persist | SaveSnapshot] = []
+
+    def append(self, action: Persist | SaveSnapshot) -> None:
+        """Queue a write until the next flush."""
+        self._queue.append(action)
+
+    def flush(self) -> int | None:
+        """Write and sync all that is queued; return the last ticket."""
+        queue, self._queue = self._queue, []
+        if not queue:
+            return None
+        batch: list[Record] = []
+        for action in queue:
+            match action:
+                case Persist(hard=hard, entries=entries):
+                    batch += [hard, *entries]
+                case SaveSnapshot():
+                    # The new journal holds all that the snapshot does not.
+                    batch.clear()
+                    self._save_snapshot(action)
+        if batch:
+            self._write_batch(batch)
+        return queue[-1].ticket
+
+    def _write_batch(self, batch: list[Record]) -> None:
+        name = name_journal(self._generation)
+        parts = []
+        for record in batch:
+            data, self._checksum = encode_record(record, self._checksum)
+            parts.append(data)
+        data = b"".join(parts)
+        self.files.write(name, self._length, data)
+        self.files.sync(name)
+        self._length += len(data)
+        self.synced_bytes += len(data)
+        self._write_mark()
+
+    def _write_mark(self) -> None:
+        self._sequence += 1
+        mark = Mark(self._sequence, self._generation, self._length)
+        offset = (self._sequence % 2) * MARK_SLOT_BYTES
+        self.files.write(MARK_NAME, offset, encode_mark(mark))
+        self.files.sync(MARK_NAME)
+
+    def _start_generation(self, records: list[Record]) -> None:
+        self._generation += 1
+        self._length, self._checksum = 0, self._generation
+        name = name_journal(self._generation)
+        # A crash may have left a file of this name behind.
+        self.files.truncate(name, 0)
+        self.files.sync_folder()
+        self._write_batch(records)
+
+    def _replace_file(self, name: str, data: bytes) -> None:
+        temporary = name + TEMPORARY_SUFFIX
+        self.files.truncate(temporary, 0)
+        self.files.write(temporary, 0, data)
+        self.files.sync(temporary)
+        self.files.rename(temporary, name)
+        self.files.sync_folder()
+
+    def _save_snapshot(self, action: SaveSnapshot) -> None:
+        name = name_snapshot(action.snapshot.index)
+        self._replace_file(name, encode_snapshot(action.snapshot))
+        base = Base(action.snapshot.index)
+        self._start_generation([base, action.hard, *action.entries])
+        self._remove_stale(name)
+
+    def _remove_stale(self, snapshot: str | None) -> None:
+        kept = {IDENTITY_NAME, MARK_NAME, name_journal(self._generation), snapshot}
+        for name in self.files.list_names():
+            storage = name.startswith(("journal-", "snapshot-"))
+            if name not in kept and storage:
+                self.files.remove(name)
+
+    def create(self, identity: Identity, records: list[Record]) -> None:
+        """Create the files of a new replica; the identity is written last."""
+        self.files.truncate(MARK_NAME, 0)
+        self._start_generation(records)
+        self._remove_stale(None)
+        self._replace_file(IDENTITY_NAME, msgspec.json.encode(identity))
+
+    def read_identity(self) -> Identity | None:
+        """Read whose files these are, or return None in a folder without."""
+        if IDENTITY_NAME not in self.files.list_names():
+            return None
+        try:
+            return msgspec.json.decode(self.files.read(IDENTITY_NAME), type=Identity)
+        except msgspec.DecodeError as error:
+            detail = f"{IDENTITY_NAME}: {error}"
+            raise StorageError(Code.JOURNAL_DAMAGED, detail) from error
+
+    def recover(self) -> Recovered:
+        """Read everything back; raise StorageError if what was synced is damaged."""
+        names = self.files.list_names()
+        if MARK_NAME not in names:
+            raise StorageError(Code.JOURNAL_DAMAGED, f"{MARK_NAME} is missing")
+        mark = parse_marks(self.files.read(MARK_NAME))
+        name = name_journal(mark.generation)
+        if name not in names:
+            raise StorageError(Code.JOURNAL_DAMAGED, f"{name} is missing")
+        data = self.files.read(name)
+        parsed = parse_records(data, mark.generation, mark.length)
+        replayed = _replay(parsed.records)
+        snapshot = self._find_snapshot(names, replayed.base)
+        self._sequence, self._generation = mark.sequence, mark.generation
+        self._length, self._checksum = parsed.length, parsed.checksum
+        if (len(data), parsed.length) != (mark.length, mark.length):
+            self.files.truncate(name, parsed.length)
+            self.files.sync(name)
+            self._write_mark()
+        later = _select_later(snapshot, replayed.entries)
+        if snapshot is not None and snapshot.index > replayed.base:
+            # A crash came between the snapshot and the journal that follows it.
+            self._start_generation([Base(snapshot.index), replayed.hard, *later])
+            self._remove_stale(name_snapshot(snapshot.index))
+        return Recovered(replayed.hard, snapshot, tuple(later))
+
+    def _find_snapshot(self, names: list[str], base: int) -> Snapshot | None:
+        for name in list_snapshots(names):
+            try:
+                snapshot = parse_snapshot(self.files.read(name), name)
+            except StorageError:
+                # Until its journal begins, a snapshot covers nothing alone.
+                if name > name_snapshot(base):
+                    continue
+                raise
+            if snapshot.index >= base:
+                return snapshot
+        if base:
+            detail = f"{name_snapshot(base)} is missing"
+            raise StorageError(Code.SNAPSHOT_DAMAGED, detail)
+        return None
+
+
+@dataclass(slots=True)
+class Replayed:
+    """Hold what the records of a journal add up to."""
+
+    base: int
+    hard: HardState
+    entries: list[Entry]
+
+
+def _replay(records: list[Record]) -> Replayed:
+    replayed = Replayed(0, HardState(), [])
+    entries = replayed.entries
+    for record in records:
+        match record:
+            case Base(index=index):
+                replayed.base = index
+            case HardState():
+                replayed.hard = record
+            case Entry(index=index):
+                del entries[max(0, index - replayed.base - 1) :]
+                if index != replayed.base + len(entries) + 1:
+                    detail = f"entries before {index} are missing"
+                    raise StorageError(Code.JOURNAL_DAMAGED, detail)
+                entries.append(record)
+    return replayed
+
+
+def _select_later(snapshot: Snapshot | None, entries: list[Entry]) -> list[Entry]:
+    """Return the entries that follow a snapshot and belong to its log."""
+    if snapshot is None or not entries:
+        return entries
+    position = snapshot.index - entries[0].index
+    if position < -1 or position >= len(entries):
+        return []
+    if position >= 0 and entries[position].term != snapshot.term:
+        return []
+    return entries[position + 1 :]
+
+
+def build_first_records(cluster: str, member: Member) -> list[Record]:
+    """Build the records of a new cluster whose only voter is one member."""
+    voter = msgspec.structs.replace(member, voting=True)
+    change = MembershipChange(Membership((voter,)))
+    return [HardState(cluster, Term(1)), Entry(Term(1), 1, change)]
--- /dev/null
+++ b/burdockwall/process/control/leadership.py
@@ -0,0 +1,111 @@
+"""Hold what a leader knows of the other replicas, for one term."""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from burdockwall.process.control.entries import Membership, VoterId
+from burdockwall.types import CallId
+
+KEPT_ROUNDS = 64
+
+
+@dataclass(slots=True)
+class Progress:
+    """Track how far one replica has come; times are the leader's, in seconds."""
+
+    next_index: int
+    match: int = 0
+    round: int = 0
+    busy_until: float = 0.0
+    answered_at: float = 0.0
+    snapshot_offset: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRead:
+    """Hold a read until its round is confirmed and its index applied."""
+
+    call: CallId
+    round: int
+    index: int
+
+
+def find_quorum_value(values: list[int]) -> int:
+    """Return the highest value that a majority of voters has reached."""
+    ordered = sorted(values, reverse=True)
+    return ordered[len(ordered) // 2] if ordered else 0
+
+
+@dataclass(slots=True)
+class Leadership:
+    """Count rounds and matches of the replicas in one term."""
+
+    voter: VoterId
+    start_index: int
+    elected_at: float
+    confirmed_at: float = -math.inf
+    round: int = 0
+    progress: dict[VoterId, Progress] = field(default_factory=dict)
+    reads: list[PendingRead] = field(default_factory=list)
+    calls: dict[int, CallId] = field(default_factory=dict)
+    heartbeat_due: float = 0.0
+    _rounds: deque[tuple[int, float]] = field(
+        default_factory=lambda: deque(maxlen=KEPT_ROUNDS)
+    )
+
+    def start_round(self, now: float) -> None:
+        """Begin a round; answers to it prove contact after this time."""
+        self.round += 1
+        self._rounds.append((self.round, now))
+
+    def follow_membership(
+        self, membership: Membership, next_index: int, now: float
+    ) -> None:
+        """Track the members, and no others."""
+        known = self.progress
+        self.progress = {
+            member.voter: known.get(member.voter)
+            or Progress(next_index, answered_at=now)
+            for member in membership.members
+            if member.voter != self.voter
+        }
+
+    def find_match(self, membership: Membership, durable_index: int) -> int:
+        """Return the highest index that a majority of voters has synced."""
+        return find_quorum_value(
+            [
+                durable_index if voter == self.voter else self.progress[voter].match
+                for voter in membership.list_voters()
+            ]
+        )
+
+    def find_confirmed_round(self, membership: Membership) -> int:
+        """Return the latest round that a majority of voters has answered."""
+        return find_quorum_value(
+            [
+                self.round if voter == self.voter else self.progress[voter].round
+                for voter in membership.list_voters()
+            ]
+        )
+
+    def confirm(self, membership: Membership, now: float) -> None:
+        """Move the time at which a quorum is known to have followed."""
+        if membership.list_voters() == [self.voter]:
+            self.confirmed_at = now
+            return
+        confirmed = self.find_confirmed_round(membership)
+        for number, sent_at in self._rounds:
+            if number <= confirmed:
+                self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    def take_reads(self, membership: Membership, applied: int) -> list[CallId]:
+        """Return and forget the reads that may be served."""
+        confirmed = self.find_confirmed_round(membership)
+        ready = [
+            read
+            for read in self.reads
+            if read.round <= confirmed and read.index <= applied
+        ]
+        self.reads = [read for read in self.reads if read not in ready]
+        return [read.call for read in ready]
--- /dev/null
+++ b/burdockwall/process/control/log.py
@@ -0,0 +1,119 @@
+"""Hold the entries of the replicated log that follow a compacted base."""
+
+from burdockwall.process.control.entries import (
+    Data,
+    Entry,
+    Membership,
+    MembershipChange,
+    Snapshot,
+)
+from burdockwall.types import Term
+
+ENTRY_OVERHEAD_BYTES = 32
+
+
+class ReplicatedLog:
+    """Keep entries by index, and the membership that the latest of them sets."""
+
+    def __init__(self, snapshot: Snapshot | None, entries: list[Entry]) -> None:
+        self.base_index = 0
+        self.base_term = Term(0)
+        self.entries: list[Entry] = []
+        self._memberships: list[tuple[int, Membership]] = [(0, Membership())]
+        if snapshot is not None:
+            self.reset(snapshot)
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def membership(self) -> Membership:
+        """Return the latest membership in the log, committed or not."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> int:
+        """Return the index of the entry that set the latest membership."""
+        return self._memberships[-1][0]
+
+    def find_membership(self, index: int) -> Membership:
+        """Return the membership that holds after the entry at an index."""
+        found = self._memberships[0][1]
+        for position, membership in self._memberships:
+            if position <= index:
+                found = membership
+        return found
+
+    def get_entry(self, index: int) -> Entry:
+        """Return the entry at an index that is held."""
+        return self.entries[index - self.base_index - 1]
+
+    def find_term(self, index: int) -> Term | None:
+        """Return the term of the entry at an index, or None if not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.get_entry(index).term
+        return None
+
+    def list_from(
+        self, first: int, limit: int, limit_bytes: int | None = None
+    ) -> tuple[Entry, ...]:
+        """Return entries from an index on, at least one if there is one."""
+        start = first - self.base_index - 1
+        found = self.entries[start : start + limit]
+        if limit_bytes is None:
+            return tuple(found)
+        size = 0
+        for count, entry in enumerate(found):
+            size += measure_entry(entry)
+            if count and size > limit_bytes:
+                return tuple(found[:count])
+        return tuple(found)
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry, in place of any from its index on."""
+        if entry.index <= self.last_index:
+            self.truncate(entry.index)
+        self.entries.append(entry)
+        if isinstance(entry.payload, MembershipChange):
+            self._memberships.append((entry.index, entry.payload.membership))
+
+    def truncate(self, first: int) -> None:
+        """Drop the entries from an index on."""
+        del self.entries[max(0, first - self.base_index - 1) :]
+        kept = [item for item in self._memberships if item[0] < first]
+        self._memberships = kept
+
+    def compact(self, index: int) -> None:
+        """Drop the entries up to an index; it becomes the base."""
+        term = self.find_term(index)
+        if term is None or index <= self.base_index:
+            return
+        membership = self.find_membership(index)
+        later = [item for item in self._memberships if item[0] > index]
+        del self.entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
+        self._memberships = [(index, membership), *later]
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Hold nothing but what a snapshot covers."""
+        self.entries = []
+        self.base_index, self.base_term = snapshot.index, snapshot.term
+        self._memberships = [(snapshot.index, snapshot.membership)]
+
+
+def measure_entry(entry: Entry) -> int:
+    """Estimate the bytes that an entry takes on the wire."""
+    payload = entry.payload
+    size = len(payload.data) if isinstance(payload, Data) else 0
+    return size + ENTRY_OVERHEAD_BYTES
--- /dev/null
+++ b/burdockwall/process/control/records.py
@@ -0,0 +1,107 @@
+"""Encode journal records, each with a checksum over all before it."""
+
+import struct
+import zlib
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.errors import Code
+from burdockwall.process.control.entries import Base, Entry, HardState, Snapshot
+from burdockwall.process.control.files import StorageError
+
+FRAME = struct.Struct("<II")
+MARK = struct.Struct("<QQQI")
+MARK_SLOT_BYTES = 512
+SNAPSHOT_HEAD = struct.Struct("<QI")
+
+Record = Base | HardState | Entry
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """Say how many bytes of which journal file are synced."""
+
+    sequence: int
+    generation: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class Parsed:
+    """Hold the valid records of a journal and where they end."""
+
+    records: list[Record]
+    length: int
+    checksum: int
+
+
+def encode_record(record: Record, checksum: int) -> tuple[bytes, int]:
+    """Encode a record; return it with the checksum for the next one."""
+    body = msgspec.msgpack.encode(record)
+    head = struct.pack("<I", len(body))
+    checksum = zlib.crc32(head + body, checksum)
+    return FRAME.pack(len(body), checksum) + body, checksum
+
+
+def parse_records(data: bytes, generation: int, synced: int) -> Parsed:
+    """Parse a journal; a fault within the synced length is an error.
+
+    What follows the synced length was never acknowledged, so it is kept only up
+    to the first fault.
+    """
+    records: list[Record] = []
+    offset, checksum = 0, generation
+    while offset + FRAME.size <= len(data):
+        size, expected = FRAME.unpack_from(data, offset)
+        body = data[offset + FRAME.size : offset + FRAME.size + size]
+        found = zlib.crc32(struct.pack("<I", size) + body, checksum)
+        if len(body) != size or found != expected or not size:
+            break
+        records.append(_decoder.decode(body))
+        offset += FRAME.size + size
+        checksum = found
+    if offset < synced:
+        detail = f"journal {generation} is damaged at byte {offset} of {synced} synced"
+        raise StorageError(Code.JOURNAL_DAMAGED, detail)
+    return Parsed(records, offset, checksum)
+
+
+def encode_mark(mark: Mark) -> bytes:
+    """Encode a mark for its slot."""
+    body = struct.pack("<QQQ", mark.sequence, mark.generation, mark.length)
+    return body + struct.pack("<I", zlib.crc32(body))
+
+
+def parse_marks(data: bytes) -> Mark:
+    """Return the latest valid mark, or raise if there is none."""
+    found = []
+    for offset in (0, MARK_SLOT_BYTES):
+        slot = data[offset : offset + MARK.size]
+        if len(slot) < MARK.size:
+            continue
+        sequence, generation, length, checksum = MARK.unpack(slot)
+        if sequence and zlib.crc32(slot[: MARK.size - 4]) == checksum:
+            found.append(Mark(sequence, generation, length))
+    if not found:
+        raise StorageError(Code.JOURNAL_DAMAGED, "the journal's mark is damaged")
+    return max(found, key=lambda mark: mark.sequence)
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Encode a snapshot with its length and checksum."""
+    body = msgspec.msgpack.encode(snapshot)
+    return SNAPSHOT_HEAD.pack(len(body), zlib.crc32(body)) + body
+
+
+def parse_snapshot(data: bytes, name: str) -> Snapshot:
+    """Decode a snapshot, or raise if it is damaged."""
+    body = data[SNAPSHOT_HEAD.size :]
+    damaged = StorageError(Code.SNAPSHOT_DAMAGED, f"{name} is damaged")
+    if len(data) < SNAPSHOT_HEAD.size:
+        raise damaged
+    size, checksum = SNAPSHOT_HEAD.unpack_from(data)
+    if len(body) != size or zlib.crc32(body) != checksum:
+        raise damaged
+    return msgspec.msgpack.decode(body, type=Snapshot)
--- /dev/null
+++ b/burdockwall/process/control/replica.py
@@ -0,0 +1,220 @@
+"""Join consensus, its journal and the control state of one replica."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+
+from burdockwall.machine import Receive, Send
+from burdockwall.process.control.commands import AnyCommand, Outcome
+from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.entries import (
+    Data,
+    Entry,
+    Membership,
+    MembershipChange,
+    Snapshot,
+)
+from burdockwall.process.control.events import (
+    ApplyEntry,
+    CallRefused,
+    CallUnknown,
+    MembershipChanged,
+    Persist,
+    Persisted,
+    ReadReady,
+    Recovered,
+    RestoreState,
+    RoleChanged,
+    SaveSnapshot,
+    SnapshotTaken,
+    StorageFailed,
+    TakeSnapshot,
+)
+from burdockwall.process.control.image import decode_image
+from burdockwall.process.control.state import NO_CREDENTIAL, ControlState
+from burdockwall.types import CallId, KeyDigest, Term
+
+
+class StampedCommand(msgspec.Struct, frozen=True, array_like=True):
+    """Carry a command with the leader's time, in seconds since the epoch."""
+
+    command: AnyCommand
+    at: float
+    credential: KeyDigest = NO_CREDENTIAL
+
+
+@dataclass(frozen=True, slots=True)
+class Flush:
+    """Tell a replica to write and sync what is queued."""
+
+
+@dataclass(frozen=True, slots=True)
+class FlushSoon:
+    """Ask the shell for a Flush once other events at hand are handled."""
+
+
+@dataclass(frozen=True, slots=True)
+class CommandApplied:
+    """Tell that a command took its place in the state, and how it ended."""
+
+    index: int
+    term: Term
+    stamped: StampedCommand
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class CallDone:
+    """Answer a call: with the outcome of a command where it was one."""
+
+    call: CallId
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StateReplaced:
+    """Tell that the state was replaced whole by a snapshot."""
+
+
+class Storage(Protocol):
+    """Persist what consensus asks for, in order."""
+
+    def append(self, action: Persist | SaveSnapshot) -> None:
+        """Queue a write until the next flush."""
+        ...
+
+    def flush(self) -> int | None:
+        """Write and sync all that is queued; return the last ticket."""
+        ...
+
+
+class MemoryStorage:
+    """Forget everything at the end of the process, for a single voter."""
+
+    def __init__(self) -> None:
+        self._ticket: int | None = None
+
+    def append(self, action: Persist | SaveSnapshot) -> None:
+        """Note the ticket."""
+        self._ticket = action.ticket
+
+    def flush(self) -> int | None:
+        """Return the last ticket."""
+        ticket, self._ticket = self._ticket, None
+        return ticket
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(StampedCommand)
+
+
+def encode_command(
+    command: AnyCommand, at: float, credential: KeyDigest = NO_CREDENTIAL
+) -> bytes:
+    """Encode a command as an entry's data."""
+    return _encoder.encode(StampedCommand(command, at, credential))
+
+
+class Replica:
+    """Perform what consensus asks for; return what concerns others."""
+
+    def __init__(
+        self,
+        consensus: Consensus,
+        storage: Storage,
+        state: ControlState,
+        recovered: Recovered,
+        report: Callable[[OSError], None] = lambda error: None,
+    ) -> None:
+        self.consensus = consensus
+        self.storage = storage
+        self.state = state
+        self.report = report
+        self.applied_index = 0
+        self.applied_term = Term(0)
+        self._membership = Membership()
+        self._flush_asked = False
+        self._actions: list[Any] = []
+        self._events: deque[Any] = deque()
+        if recovered.snapshot is not None:
+            self._restore(recovered.snapshot)
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Take an event and return what to send, and what has changed."""
+        self._actions = []
+        self._events.append(event)
+        while self._events:
+            event = self._events.popleft()
+            if isinstance(event, Flush):
+                self._flush()
+                continue
+            for action in self.consensus.handle(event, now):
+                self._perform(action)
+        return self._actions
+
+    def _perform(self, action: Any) -> None:
+        match action:
+            case Send(to=to, message=message) if to == self.consensus.core.me.instance:
+                self._events.append(Receive(to, message))
+            case Persist() | SaveSnapshot():
+                self.storage.append(action)
+                if not self._flush_asked:
+                    self._flush_asked = True
+                    self._actions.append(FlushSoon())
+            case ApplyEntry(entry=entry, call=call):
+                self._apply(entry, call)
+            case TakeSnapshot():
+                self._events.append(SnapshotTaken(self._take_snapshot()))
+            case RestoreState(snapshot=snapshot):
+                self._restore(snapshot)
+                self._actions.append(StateReplaced())
+            case ReadReady(call=call):
+                self._actions.append(CallDone(call))
+            case Send() | CallRefused() | CallUnknown():
+                self._actions.append(action)
+            case MembershipChanged() | RoleChanged():
+                self._actions.append(action)
+
+    def _flush(self) -> None:
+        self._flush_asked = False
+        try:
+            ticket = self.storage.flush()
+        except OSError as error:
+            # After a failed sync nobody knows what the disk holds.
+            self.report(error)
+            self._events.append(StorageFailed())
+            return
+        if ticket is not None:
+            self._events.append(Persisted(ticket))
+
+    def _apply(self, entry: Entry, call: CallId | None) -> None:
+        self.applied_index, self.applied_term = entry.index, entry.term
+        outcome = None
+        match entry.payload:
+            case MembershipChange(membership=membership):
+                self._membership = membership
+            case Data(data=data):
+                stamped = _decoder.decode(data)
+                outcome = self.state.apply(
+                    stamped.command, stamped.at, stamped.credential
+                )
+                applied = CommandApplied(entry.index, entry.term, stamped, outcome)
+                self._actions.append(applied)
+        if call is not None:
+            self._actions.append(CallDone(call, outcome))
+
+    def _take_snapshot(self) -> Snapshot:
+        return Snapshot(
+            self.applied_index,
+            self.applied_term,
+            self._membership,
+            self.state.encode(),
+        )
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self.applied_index, self.applied_term = snapshot.index, snapshot.term
+        self._membership = snapshot.membership
+        self.state.restore(decode_image(snapshot.data))
--- /dev/null
+++ b/burdockwall/process/control/transfer.py
@@ -0,0 +1,55 @@
+"""Receive a snapshot in parts, and cut an outgoing one into parts."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.process.control.entries import Snapshot
+from burdockwall.process.control.messages import SendSnapshot
+
+PART_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingSnapshot:
+    """Hold an encoded snapshot while replicas fetch it."""
+
+    index: int
+    data: bytes
+
+    def get_part(self, offset: int) -> bytes:
+        """Return the part that begins at an offset."""
+        return self.data[offset : offset + PART_BYTES]
+
+
+def create_outgoing(snapshot: Snapshot) -> OutgoingSnapshot:
+    """Encode a snapshot for sending."""
+    return OutgoingSnapshot(snapshot.index, msgspec.msgpack.encode(snapshot))
+
+
+class IncomingSnapshot:
+    """Assemble the parts of one snapshot."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.total = 0
+        self._parts = bytearray()
+
+    @property
+    def received(self) -> int:
+        """Return how many bytes have arrived in order."""
+        return len(self._parts)
+
+    def take(self, message: SendSnapshot) -> Snapshot | None:
+        """Add a part; return the snapshot when it is whole."""
+        if (message.index, message.total) != (self.index, self.total):
+            self.index, self.total = message.index, message.total
+            self._parts.clear()
+        if message.offset == len(self._parts):
+            self._parts += message.part
+        if len(self._parts) < self.total:
+            return None
+        snapshot = msgspec.msgpack.decode(bytes(self._parts), type=Snapshot)
+        self.index = self.total = 0
+        self._parts.clear()
+        return snapshot
--- /dev/null
+++ b/burdockwall/process/control/voters.py
@@ -0,0 +1,102 @@
+"""Decide the next change of the membership, one voter at a time."""
+
+import msgspec
+
+from burdockwall.process.control.entries import Member, Membership, VoterId
+from burdockwall.process.control.leadership import Leadership
+from burdockwall.types import InstanceId
+
+REPLACE_SILENCE_S = 10.0
+CAUGHT_UP_ENTRIES = 16
+
+
+def add_learner(membership: Membership, member: Member) -> Membership:
+    """Add a learner in place of older learners of the same instance."""
+    learner = msgspec.structs.replace(member, voting=False)
+    kept = tuple(
+        item
+        for item in membership.members
+        if item.voting or item.instance != member.instance
+    )
+    return Membership((*kept, learner))
+
+
+def remove_member(membership: Membership, voter: VoterId) -> Membership:
+    """Remove one replica."""
+    return Membership(tuple(m for m in membership.members if m.voter != voter))
+
+
+def promote_learner(membership: Membership, voter: VoterId) -> Membership:
+    """Make a learner a voter."""
+    return Membership(
+        tuple(
+            msgspec.structs.replace(member, voting=True)
+            if member.voter == voter
+            else member
+            for member in membership.members
+        )
+    )
+
+
+def keeps_quorum(
+    membership: Membership, leadership: Leadership, now: float, silence_s: float
+) -> bool:
+    """Tell whether a majority of a membership's voters has answered lately."""
+    voters = membership.list_voters()
+    heard = [
+        voter
+        for voter in voters
+        if voter == leadership.voter
+        or now - leadership.progress[voter].answered_at < silence_s
+    ]
+    return len(heard) > len(voters) // 2
+
+
+def choose_change(
+    membership: Membership,
+    leadership: Leadership,
+    joining: dict[VoterId, Member],
+    allowed: list[InstanceId],
+    last_index: int,
+    now: float,
+    silence_s: float,
+) -> Membership | None:
+    """Choose the next membership, or None while none is due.
+
+    A replica joins as a learner, and votes once it has caught up. The identity
+    that its instance had before is removed first: a majority of those left is
+    then smaller than if the new one were added first.
+    """
+    for member in joining.values():
+        if member.instance in allowed and membership.find(member.voter) is None:
+            return add_learner(membership, member)
+    for member in membership.members:
+        if member.voting or member.instance not in allowed:
+            continue
+        progress = leadership.progress[member.voter]
+        behind = last_index - progress.match
+        silent = now - progress.answered_at >= silence_s
+        if silent or progress.match == 0 or behind > CAUGHT_UP_ENTRIES:
+            continue
+        former = _find_former(membership, member)
+        if former is None:
+            changed = promote_learner(membership, member.voter)
+        elif not _is_silent(leadership, former, now):
+            continue
+        else:
+            changed = remove_member(membership, former)
+        if keeps_quorum(changed, leadership, now, silence_s):
+            return changed
+    return None
+
+
+def _find_former(membership: Membership, learner: Member) -> VoterId | None:
+    for member in membership.members:
+        if member.voting and member.instance == learner.instance:
+            return member.voter
+    return None
+
+
+def _is_silent(leadership: Leadership, voter: VoterId, now: float) -> bool:
+    progress = leadership.progress.get(voter)
+    return progress is not None and now - progress.answered_at >= REPLACE_SILENCE_S
--- /dev/null
+++ b/features/steps/control_faults_steps.py
@@ -0,0 +1,35 @@
+from behave import given, then, when
+
+from features.subjects.control_faults import run_seed
+from features.subjects.control_protections import find_failure
+
+
+@when('a control cluster meets "{kind}" from seeds {first:d} to {last:d}')
+def step_run_seeds(context, kind, first, last):
+    context.clusters = [run_seed(kind, seed) for seed in range(first, last + 1)]
+
+
+@then("the control invariants held and changes were acknowledged")
+def step_check_runs(context):
+    seen = [cluster.seen for cluster in context.clusters]
+    assert all(item.acknowledged for item in seen)
+    assert all(item.leaders for item in seen)
+    assert sum(item.reads for item in seen) > len(seen)
+
+
+@given('control protection "{name}" is off')
+def step_take_away(context, name):
+    context.protection = name
+
+
+@then("a control run of {seeds:d} seeds fails")
+def step_check_failure(context, seeds):
+    failure = find_failure(context.protection, seeds)
+    assert failure is not None, "no run failed"
+    print(f"{context.protection}: {failure}")
+
+
+@then("the control leader changed in some runs")
+def step_check_leaders(context):
+    seen = [cluster.seen for cluster in context.clusters]
+    assert sum(len(item.leaders) for item in seen) > len(seen)
--- /dev/null
+++ b/features/subjects/control_cluster.py
@@ -0,0 +1,361 @@
+"""Run a cluster of control replicas on fakes, and check invariants at each step."""
+
+import random
+from dataclasses import dataclass, field
+
+from burdockwall.fakes.files import CrashPoint, FakeFiles
+from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.process.control.commands import (
+    IssueKey,
+    Outcome,
+    SubmitConfiguration,
+    WithdrawKey,
+)
+from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.core import Timing
+from burdockwall.process.control.entries import (
+    HardState,
+    Member,
+    Membership,
+    MembershipChange,
+    VoterId,
+)
+from burdockwall.process.control.events import (
+    AskRead,
+    CallRefused,
+    CallUnknown,
+    MembershipChanged,
+    Propose,
+    ReplicaRole,
+    RoleChanged,
+)
+from burdockwall.process.control.journal import Entry, Identity, Journal
+from burdockwall.process.control.messages import CONTROL_MESSAGES
+from burdockwall.process.control.replica import (
+    CallDone,
+    CommandApplied,
+    Flush,
+    FlushSoon,
+    Replica,
+    StateReplaced,
+    encode_command,
+)
+from burdockwall.process.control.state import ControlState
+from burdockwall.types import CallId, CustomerId, InstanceId, OperatorId, Term, Version
+from burdockwall.version.keys import compute_digest
+from features.subjects.control_state import print_customers
+
+CLUSTER = "cluster"
+COMPACT_ENTRIES = 12
+
+
+class BrokenInvariant(AssertionError):
+    """Tell that something that must always hold does not."""
+
+
+@dataclass(slots=True)
+class Node:
+    """Hold one instance: its disk, and its replica while it runs."""
+
+    name: InstanceId
+    files: FakeFiles
+    member: Member
+    replica: Replica | None = None
+    lives: int = 0
+
+
+@dataclass(slots=True)
+class Call:
+    """Hold a call that waits, and the latest version acknowledged before it."""
+
+    command: object
+    version: int
+    node: InstanceId
+
+
+@dataclass(slots=True)
+class Observed:
+    """Hold what has been seen, over all replicas and their restarts."""
+
+    leaders: dict[int, VoterId] = field(default_factory=dict)
+    applied: dict[int, tuple[int, str]] = field(default_factory=dict)
+    acknowledged: dict[str, tuple[int, Outcome]] = field(default_factory=dict)
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    version: int = 0
+    reads: int = 0
+    refused: int = 0
+    unknown: int = 0
+
+
+class ControlCluster:
+    """Drive replicas, a client and faults from one seed."""
+
+    consensus_class = Consensus
+    journal_class = Journal
+    state_class = ControlState
+
+    def __init__(self, seed: int, voters: int = 3, weather: Weather | None = None):
+        self.chance = random.Random(seed)
+        self.seed = seed
+        self.network = FakeNetwork(seed, weather or Weather(), self.perform)
+        self.seen = Observed()
+        self.calls: dict[CallId, Call] = {}
+        self.retry: list[object] = []
+        self.count = 0
+        self.nodes: dict[InstanceId, Node] = {}
+        names = [InstanceId(f"control-{number}") for number in range(1, voters + 1)]
+        self.names = names
+        for name in names:
+            self.add_node(name)
+        members = Membership(tuple(node.member for node in self.nodes.values()))
+        records = [
+            HardState(CLUSTER, Term(1)),
+            Entry(Term(1), 1, MembershipChange(members)),
+        ]
+        for node in self.nodes.values():
+            self.create_files(node, records)
+            self.start(node)
+
+    # Instances.
+
+    def add_node(self, name: InstanceId) -> Node:
+        files = FakeFiles(random.Random(self.chance.random()))
+        node = Node(name, files, Member(VoterId(f"{name}.0"), name, voting=True))
+        self.nodes[name] = node
+        return node
+
+    def create_files(self, node: Node, records: list) -> None:
+        journal = self.journal_class(node.files)
+        journal.create(Identity(node.member.voter, node.name), records)
+
+    def start(self, node: Node) -> None:
+        journal = self.journal_class(node.files)
+        recovered = journal.recover()
+        consensus = self.consensus_class(
+            node.member,
+            recovered,
+            self.names,
+            random.Random(self.chance.random()),
+            Timing(),
+            COMPACT_ENTRIES,
+        )
+        node.replica = Replica(consensus, journal, self.state_class(), recovered)
+        node.lives += 1
+        self.network.start(node.name, [(node.replica, CONTROL_MESSAGES)])
+
+    def is_up(self, node: Node) -> bool:
+        return self.network.nodes[node.name].up
+
+    def crash(self, node: Node) -> None:
+        if not self.is_up(node):
+            return
+        self.network.crash(node.name)
+        node.files.crash()
+        for call in [key for key, call in self.calls.items() if call.node == node.name]:
+            self.lose_call(call)
+
+    def restart(self, node: Node) -> None:
+        if self.is_up(node):
+            return
+        try:
+            self.start(node)
+        except CrashPoint:
+            node.files.crash()
+
+    def replace(self, node: Node) -> None:
+        """Lose the disk; come back under another identity, as a learner."""
+        self.crash(node)
+        node.files.lose()
+        node.member = Member(VoterId(f"{node.name}.{node.lives}"), node.name)
+        self.create_files(node, [HardState()])
+        self.start(node)
+
+    def list_up(self) -> list[Node]:
+        return [node for node in self.nodes.values() if self.is_up(node)]
+
+    def find_leader(self) -> Node | None:
+        """Return the leader of the latest term, if there is one."""
+        leaders = [
+            node
+            for node in self.list_up()
+            if node.replica and node.replica.consensus.is_leader
+        ]
+        terms = [node.replica.consensus.core.term for node in leaders]
+        return leaders[terms.index(max(terms))] if leaders else None
+
+    # What the machines ask for.
+
+    def perform(self, instance: InstanceId, action: object, now: float) -> None:
+        node = self.nodes[instance]
+        match action:
+            case FlushSoon():
+                life = node.lives
+                delay = self.chance.uniform(0.0002, 0.004)
+                self.network.schedule(delay, lambda: self.flush(node, life))
+            case CommandApplied():
+                self.check_applied(node)
+            case StateReplaced():
+                self.check_applied(node)
+            case RoleChanged(role=ReplicaRole.LEADER, term=term):
+                self.check_leader(node, term)
+            case CallDone(call=call, outcome=outcome):
+                self.finish_call(call, outcome, node)
+            case CallRefused(call=call):
+                self.seen.refused += 1
+                self.lose_call(call)
+            case CallUnknown(call=call):
+                self.seen.unknown += 1
+                self.lose_call(call)
+            case RoleChanged() | MembershipChanged():
+                pass
+
+    def flush(self, node: Node, life: int) -> None:
+        if node.lives != life or not self.is_up(node):
+            return
+        try:
+            self.network.apply(node.name, node.replica, Flush())
+        except CrashPoint:
+            self.crash(node)
+
+    # Invariants.
+
+    def check_leader(self, node: Node, term: int) -> None:
+        voter = node.member.voter
+        known = self.seen.leaders.setdefault(term, voter)
+        if known != voter:
+            raise BrokenInvariant(f"term {term} has leaders {known} and {voter}")
+
+    def check_applied(self, node: Node) -> None:
+        replica = node.replica
+        chain = replica.state.audit[-1].chain if replica.state.audit else ""
+        found = (replica.applied_term, chain)
+        index = replica.applied_index
+        known = self.seen.applied.setdefault(index, found)
+        # The chain covers every command and outcome up to this entry.
+        if known != found:
+            raise BrokenInvariant(f"entry {index} differs on {node.name}")
+
+    def finish_call(self, call: CallId, outcome: Outcome | None, node: Node) -> None:
+        waiting = self.calls.pop(call, None)
+        if waiting is None:
+            return
+        if outcome is None:
+            self.seen.reads += 1
+            if node.replica.state.version < waiting.version:
+                raise BrokenInvariant(f"{node.name} served a stale read")
+            return
+        submission = waiting.command.submission
+        first = self.seen.outcomes.setdefault(submission, outcome)
+        if first != outcome:
+            raise BrokenInvariant(f"{submission} got {first} and {outcome}")
+        index = node.replica.applied_index
+        self.seen.acknowledged.setdefault(submission, (index, outcome))
+        self.seen.version = max(self.seen.version, outcome.version)
+
+    def lose_call(self, call: CallId) -> None:
+        waiting = self.calls.pop(call, None)
+        if waiting is not None and waiting.command is not None:
+            self.retry.append(waiting.command)
+
+    # The client.
+
+    def propose(self, node: Node, command: object) -> None:
+        self.count += 1
+        call = CallId(self.count)
+        self.calls[call] = Call(command, self.seen.version, node.name)
+        data = encode_command(command, self.network.now)
+        self.network.apply(node.name, node.replica, Propose(call, data))
+
+    def read(self, node: Node) -> None:
+        self.count += 1
+        call = CallId(self.count)
+        self.calls[call] = Call(None, self.seen.version, node.name)
+        self.network.apply(node.name, node.replica, AskRead(call))
+
+    def build_command(self, node: Node) -> object:
+        state = node.replica.state
+        operator = OperatorId(str(node.name))
+        submission = f"s{self.count}"
+        number = self.chance.randint(0, 30)
+        digest = compute_digest(f"key {number}")
+        match self.chance.randint(0, 3):
+            case 0:
+                names = " ".join(sorted(self.chance.sample("abcd", 2)))
+                return SubmitConfiguration(
+                    operator=operator,
+                    submission=submission,
+                    based_on=Version(state.version),
+                    text=print_customers(names),
+                )
+            case 1 | 2:
+                return IssueKey(
+                    operator=operator,
+                    submission=submission,
+                    customer=CustomerId(self.chance.choice("abcd")),
+                    digest=digest,
+                )
+            case _:
+                return WithdrawKey(
+                    operator=operator, submission=submission, digest=digest
+                )
+
+    def act(self) -> None:
+        """Propose, resend or read at some instance."""
+        up = self.list_up()
+        if not up:
+            return
+        leader = self.find_leader()
+        node = (
+            leader if leader and self.chance.random() < 0.6 else self.chance.choice(up)
+        )
+        if self.retry and self.chance.random() < 0.5:
+            self.propose(node, self.retry.pop(0))
+        elif self.chance.random() < 0.3:
+            self.read(node)
+        else:
+            self.propose(node, self.build_command(node))
+
+    # Time.
+
+    def run(self, seconds: float, acts_per_s: float = 8.0, fault=None) -> None:
+        """Run for some virtual time, with a client and a fault now and then."""
+        end = self.network.now + seconds
+        while self.network.now < end:
+            pause = self.chance.expovariate(acts_per_s)
+            self.network.run_until(min(end, self.network.now + pause))
+            self.act()
+            if fault is not None:
+                fault()
+
+    def settle(self, seconds: float = 12.0) -> None:
+        """End all faults, and check that everything acknowledged is everywhere."""
+        self.network.heal()
+        self.network.weather = Weather()
+        for node in self.nodes.values():
+            node.files.crash_at = None
+            node.files.space_left = None
+            failed = node.replica.consensus.core.role is ReplicaRole.FAILED
+            if failed:
+                self.crash(node)
+            self.restart(node)
+        self.network.run_until(self.network.now + seconds)
+        leader = self.find_leader()
+        if leader is None:
+            raise BrokenInvariant("no leader although nothing is broken")
+        before = len(self.seen.acknowledged)
+        self.propose(leader, self.build_command(leader))
+        self.network.run_until(self.network.now + 3.0)
+        if len(self.seen.acknowledged) != before + 1:
+            raise BrokenInvariant("no change is taken although nothing is broken")
+        self.check_settled()
+
+    def check_settled(self) -> None:
+        states = [node.replica.state for node in self.nodes.values()]
+        if len({state.encode() for state in states}) != 1:
+            raise BrokenInvariant("the replicas hold different states")
+        for submission, (_, outcome) in self.seen.acknowledged.items():
+            known = states[0].outcomes.get(submission)
+            if known is None or known.outcome != outcome:
+                raise BrokenInvariant(f"acknowledged {submission} is lost")
+        if states[0].version < self.seen.version:
+            raise BrokenInvariant("the version went back")
--- /dev/null
+++ b/features/subjects/control_faults.py
@@ -0,0 +1,160 @@
+"""Choose faults for a cluster of control replicas from its seed."""
+
+from collections.abc import Callable
+
+from burdockwall.fakes.network import Weather
+from features.subjects.control_cluster import BrokenInvariant, ControlCluster, Node
+
+HOUR_S = 3600.0
+
+
+class FaultRun:
+    """Break one cluster in one way, then let it settle."""
+
+    def __init__(self, cluster: ControlCluster) -> None:
+        self.cluster = cluster
+        self.chance = cluster.chance
+
+    def pick(self) -> Node:
+        return self.chance.choice(list(self.cluster.nodes.values()))
+
+    def restart_later(self, node: Node) -> None:
+        delay = self.chance.uniform(0.1, 4.0)
+        self.cluster.network.schedule(delay, lambda: self.cluster.restart(node))
+
+    def revive(self) -> None:
+        """Start what a crash at a sync point has stopped."""
+        for node in self.cluster.nodes.values():
+            if not self.cluster.is_up(node) and self.chance.random() < 0.1:
+                self.cluster.restart(node)
+
+    def crash_at_syncs(self) -> None:
+        self.revive()
+        if self.chance.random() < 0.05:
+            files = self.pick().files
+            files.crash_at = files.operations + self.chance.randint(1, 14)
+        if self.chance.random() < 0.02:
+            node = self.pick()
+            self.cluster.crash(node)
+            self.restart_later(node)
+        if self.chance.random() < 0.01:
+            self.restart_all()
+
+    def restart_all(self) -> None:
+        for node in self.cluster.nodes.values():
+            self.cluster.crash(node)
+        for node in self.cluster.nodes.values():
+            self.restart_later(node)
+
+    def break_network(self) -> None:
+        self.revive()
+        network, names = self.cluster.network, self.cluster.names
+        fate = self.chance.random()
+        if fate < 0.03:
+            network.isolate(self.chance.choice(names))
+        elif fate < 0.08:
+            network.cut(self.chance.choice(names), self.chance.choice(names))
+        elif fate < 0.12:
+            network.heal()
+        elif fate < 0.13:
+            node = self.pick()
+            self.cluster.crash(node)
+            self.restart_later(node)
+
+    def break_disks(self) -> None:
+        self.revive()
+        fate = self.chance.random()
+        if fate < 0.02:
+            self.pick().files.space_left = self.chance.randint(0, 3000)
+        elif fate < 0.06:
+            self.clear_full_disk(self.pick())
+        elif fate < 0.08:
+            self.restart_all()
+
+    def clear_full_disk(self, node: Node) -> None:
+        if node.files.space_left is not None:
+            self.cluster.crash(node)
+            self.restart_later(node)
+
+    def run_crashes(self) -> None:
+        weather = Weather(0.0005, self.chance.choice((0.003, 0.05)), 0.02, 0.02)
+        self.cluster.network.weather = weather
+        self.cluster.run(18.0, fault=self.crash_at_syncs)
+        self.cluster.settle()
+
+    def run_network(self) -> None:
+        loss = self.chance.choice((0.0, 0.05, 0.2))
+        weather = Weather(0.0005, self.chance.choice((0.003, 0.1, 0.6)), loss, 0.1)
+        self.cluster.network.weather = weather
+        for name in self.cluster.names:
+            node = self.cluster.network.nodes[name]
+            node.clock_offset_s = self.chance.uniform(0.0, 500.0)
+        self.cluster.run(18.0, fault=self.break_network)
+        self.cluster.settle()
+
+    def run_disks(self) -> None:
+        self.cluster.run(8.0, fault=self.break_disks)
+        self.cluster.settle(4.0)
+        first, second = self.chance.sample(list(self.cluster.nodes.values()), 2)
+        self.replace(first)
+        # A second one is lost as soon as the first is repaired.
+        if self.chance.random() < 0.5:
+            self.cluster.crash(second)
+            self.cluster.run(4.0)
+            self.cluster.restart(second)
+        else:
+            self.replace(second)
+        self.cluster.run(3.0)
+        self.cluster.settle()
+
+    def replace(self, node: Node) -> None:
+        """Lose a disk, and wait until the replacement votes."""
+        cluster = self.cluster
+        cluster.replace(node)
+        limit = cluster.network.now + 40.0
+        while not self.is_repaired(node):
+            if cluster.network.now > limit:
+                raise BrokenInvariant(f"{node.name} is not repaired")
+            cluster.run(0.25)
+
+    def is_repaired(self, node: Node) -> bool:
+        leader = self.cluster.find_leader()
+        if leader is None:
+            return False
+        core = leader.replica.consensus.core
+        committed = core.log.membership_index <= core.commit
+        return committed and core.log.membership.is_voter(node.member.voter)
+
+    def run_lonely_hour(self) -> None:
+        cluster = self.cluster
+        cluster.run(3.0)
+        away = self.pick()
+        cluster.network.isolate(away.name)
+        cluster.run(10.0)
+        self.pass_time(HOUR_S)
+        cluster.run(3.0)
+        cluster.settle()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let a long time pass with little work."""
+        cluster = self.cluster
+        before = cluster.seen.leaders.copy()
+        cluster.network.run_until(cluster.network.now + seconds)
+        if len(cluster.seen.leaders) > len(before) + 1:
+            raise BrokenInvariant("a voter that is cut off disturbs the others")
+
+
+RUNS: dict[str, Callable[[FaultRun], None]] = {
+    "crashes": FaultRun.run_crashes,
+    "network": FaultRun.run_network,
+    "disks": FaultRun.run_disks,
+    "hour": FaultRun.run_lonely_hour,
+}
+
+
+def run_seed(kind: str, seed: int, cluster_class=ControlCluster) -> ControlCluster:
+    """Run one kind of faults from one seed; raise BrokenInvariant on a fault."""
+    voters = 5 if seed % 5 == 0 else 3
+    cluster = cluster_class(seed, voters)
+    RUNS[kind](FaultRun(cluster))
+    return cluster
--- /dev/null
+++ b/features/subjects/control_protections.py
@@ -0,0 +1,87 @@
+"""Take one protection away, to show that the fault runs notice it."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, nullcontext
+from unittest.mock import patch
+
+from burdockwall.fakes.files import FakeFiles
+from burdockwall.process.control.core import Core
+from burdockwall.process.control.election import Election
+from burdockwall.process.control.entries import HardState, Member
+from burdockwall.process.control.events import ReadReady
+from burdockwall.process.control.leader import Leader
+from burdockwall.process.control.state import ControlState
+from features.subjects.control_cluster import CLUSTER, ControlCluster
+from features.subjects.control_faults import run_seed
+
+
+class ForgetfulCluster(ControlCluster):
+    """Let an instance that lost its disk go on under its old identity."""
+
+    def replace(self, node):
+        self.crash(node)
+        node.files.lose()
+        node.member = Member(node.member.voter, node.name, voting=True)
+        self.create_files(node, [HardState(CLUSTER)])
+        self.start(node)
+
+
+def skip_sync(files, name):
+    files._crash_if(files._count())
+
+
+def send_at_once(core, to, message):
+    core.send(to, message)
+
+
+def read_at_once(leader, event):
+    leader.core.actions.append(ReadReady(event.call))
+
+
+def count_minority(values):
+    ordered = sorted(values, reverse=True)
+    return ordered[(len(ordered) - 1) // 2 - 1] if len(ordered) > 2 else ordered[0]
+
+
+_MINORITY = "burdockwall.process.control.leadership.find_quorum_value"
+
+PROTECTIONS: dict[str, tuple[str, Callable]] = {
+    "sync": ("crashes", lambda: patch.object(FakeFiles, "sync", skip_sync)),
+    "answer after sync": (
+        "crashes",
+        lambda: patch.object(Core, "send_synced", send_at_once),
+    ),
+    "log comparison": (
+        "network",
+        lambda: patch.object(Election, "_is_current", lambda election, message: True),
+    ),
+    "majority": ("network", lambda: patch(_MINORITY, count_minority)),
+    "read round": (
+        "network",
+        lambda: patch.object(Leader, "read", read_at_once),
+    ),
+    "remembered outcome": (
+        "network",
+        lambda: patch.object(ControlState, "_keep_outcome", lambda state, known: None),
+    ),
+    "new identity": ("disks", nullcontext),
+}
+
+
+@contextmanager
+def take_away(name: str) -> Iterator[type[ControlCluster]]:
+    """Run without one protection."""
+    with PROTECTIONS[name][1]():
+        yield ForgetfulCluster if name == "new identity" else ControlCluster
+
+
+def find_failure(name: str, seeds: int) -> tuple[int, str] | None:
+    """Return the first seed whose run fails without a protection, and how."""
+    kind = PROTECTIONS[name][0]
+    with take_away(name) as cluster_class:
+        for seed in range(seeds):
+            try:
+                run_seed(kind, seed, cluster_class)
+            except Exception as error:  # noqa: BLE001
+                return seed, repr(error)
+    return None
