--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -38,6 +38,10 @@
     NO_ROUTE = CodeRow(
         1003, 404, Ran.NOT_RUN, Retry.NEVER, "No route matches the path or model."
     )
+    BODY_SLOW = CodeRow(1004, 408, Ran.NOT_RUN, Retry.SAFE, "The body stopped coming.")
+    BODY_CUT = CodeRow(
+        1005, 400, Ran.UNKNOWN, Retry.SAME_KEY, "The caller left within the body."
+    )
     KEY_MISSING = CodeRow(
         1101, 401, Ran.NOT_RUN, Retry.NEVER, "The route needs a key and none came."
     )
@@ -47,8 +51,11 @@
     ROUTE_FORBIDDEN = CodeRow(
         1103, 403, Ran.NOT_RUN, Retry.NEVER, "The customer may not use the route."
     )
-    KEY_IN_BODY = CodeRow(
-        1104, 400, Ran.NOT_RUN, Retry.NEVER, "The body contains the caller's key."
+    KEY_MISPLACED = CodeRow(
+        1104, 400, Ran.NOT_RUN, Retry.NEVER, "A path, id or body contains the key."
+    )
+    KEY_IN_STREAM = CodeRow(
+        1105, 400, Ran.UNKNOWN, Retry.NEVER, "A body under way contained the key."
     )
     # Programs.
     PROGRAM_UNKNOWN = CodeRow(
@@ -96,6 +103,9 @@
     LEAVING = CodeRow(
         1502, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is shutting down."
     )
+    LEASE_LAPSED = CodeRow(
+        1503, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is cut off from the leader."
+    )
     INTERNAL = CodeRow(
         1599, 500, Ran.UNKNOWN, Retry.SAME_KEY, "An internal fault; see the log."
     )
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -23,6 +23,7 @@
 from burdockwall.version.configuration import Endpoint
 
 Append = Callable[[bytes], Awaitable[None]]
+AllowRetry = Callable[[int], Awaitable[bool]]
 RESUMABLE_STATUSES = (httpx.codes.BAD_GATEWAY, httpx.codes.SERVICE_UNAVAILABLE)
 
 
@@ -53,7 +54,9 @@
         upstream: Upstream,
         buffer: EventBuffer,
         append: Append,
+        allow_retry: AllowRetry,
     ) -> None:
+        self.allow_retry = allow_retry
         self.clients = clients
         self.upstream = upstream
         self.buffer = buffer
@@ -75,11 +78,16 @@
                 raise EndpointLost(sent or bool(self.buffer.events)) from None
             except httpx.TransportError:
                 # The whole pool may have lost its path: judge by a fresh one.
-                self.clients.replace(endpoint)
+                await self.clients.replace(endpoint)
             sent = True
             if self.buffer.done:
                 return
-            left = attempts if self.buffer.events > before else left - 1
+            if self.buffer.events > before:
+                left = attempts
+                continue
+            left -= 1
+            if left and not await self.allow_retry(attempts - left):
+                break
         raise EndpointLost(sent)
 
     async def _relay_once(self, endpoint: Endpoint) -> None:
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -15,7 +15,12 @@
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.programs.records import Turn
 from burdockwall.process.scheduling.dispatcher import Job, PlacementOutcome
-from burdockwall.request.caller import check_customer, find_key
+from burdockwall.request.caller import (
+    check_body,
+    check_customer,
+    check_places,
+    find_key,
+)
 from burdockwall.request.completion import (
     Choice,
     CompletionAnswer,
@@ -27,6 +32,7 @@
 from burdockwall.request.parts import Parts
 from burdockwall.request.relay import EndpointLost, Relay, Upstream
 from burdockwall.request.streams import LiveStream, StreamKey
+from burdockwall.request.trace import RequestTrace
 from burdockwall.types import EndpointId, ProgramId, RequestId
 from burdockwall.version.configuration import Customer, Endpoint, Route
 from burdockwall.version.view import View
@@ -51,17 +57,25 @@
     body_digest: str
 
 
-async def serve_turn(parts: Parts, view: View, exchange: Exchange) -> None:
+async def serve_turn(
+    parts: Parts, view: View, exchange: Exchange, trace: RequestTrace
+) -> None:
     """Serve one turn, or raise RequestRefused before the answer starts."""
     request = await _read_request(parts, view, exchange)
+    trace.customer, trace.route = request.customer.name, request.route.name
+    trace.program = request.program
     stream = _join_stream(parts, request)
     if stream is None:
         stream = _start_stream(parts, request)
 
     async def write() -> None:
-        await _write_answer(parts, exchange, request, stream)
+        await _write_answer(parts, exchange, request, stream, trace)
 
-    await run_while_present(exchange, write)
+    try:
+        await run_while_present(exchange, write)
+    finally:
+        trace.endpoint = stream.endpoint
+        trace.first_byte_at = stream.first_event_at
 
 
 async def _read_request(parts: Parts, view: View, exchange: Exchange) -> TurnRequest:
@@ -70,8 +84,9 @@
     completion = parse_completion(body)
     route = view.find_route(exchange.path, completion.model)
     customer = check_customer(view, route, presented)
-    if presented.key and presented.key.encode() in body:
-        raise RequestRefused(Code.KEY_IN_BODY)
+    check_places(exchange, presented)
+    check_body(body, presented)
+    check_body(msgspec.json.encode(completion), presented)
     program = exchange.get_header(b"program-id") or f"single-{uuid.uuid4().hex}"
     return TurnRequest(
         customer=customer,
@@ -142,9 +157,19 @@
 async def _relay_answer(
     parts: Parts, request: TurnRequest, turn: Turn, stream: LiveStream
 ) -> None:
+    pool = request.route.pool
+
+    async def allow_retry(attempt: int) -> bool:
+        return await parts.retries.wait(pool, turn.customer, attempt)
+
     relay = Relay(
-        parts.clients, _build_upstream(request, turn), stream.buffer, stream.append
+        parts.clients,
+        _build_upstream(request, turn),
+        stream.buffer,
+        stream.append,
+        allow_retry,
     )
+    parts.retries.record_request(pool, turn.customer)
     excluded: frozenset[EndpointId] = frozenset()
     sent = False
     while not stream.buffer.done:
@@ -157,6 +182,7 @@
             if sent:
                 raise RequestRefused(Code.ENDPOINT_FAILED) from None
             raise
+        stream.endpoint = placement.endpoint.name
         outcome = PlacementOutcome.CANCELLED
         try:
             await relay.run(placement.endpoint, parts.settings.endpoint_attempts)
@@ -165,6 +191,9 @@
             outcome = PlacementOutcome.FAILED
             excluded |= {placement.endpoint.name}
             sent = sent or error.sent
+            if not await allow_retry(len(excluded)):
+                code = Code.ENDPOINT_FAILED if sent else Code.ENDPOINT_UNREACHABLE
+                raise RequestRefused(code, retry_after_s=1.0) from None
         finally:
             parts.dispatcher.release(placement, outcome)
 
@@ -191,16 +220,24 @@
 
 
 async def _write_answer(
-    parts: Parts, exchange: Exchange, request: TurnRequest, stream: LiveStream
+    parts: Parts,
+    exchange: Exchange,
+    request: TurnRequest,
+    stream: LiveStream,
+    trace: RequestTrace,
 ) -> None:
     if request.completion.stream:
-        await _write_events(parts, exchange, request, stream)
+        await _write_events(parts, exchange, request, stream, trace)
     else:
         await _write_whole(parts, exchange, stream)
 
 
 async def _write_events(
-    parts: Parts, exchange: Exchange, request: TurnRequest, stream: LiveStream
+    parts: Parts,
+    exchange: Exchange,
+    request: TurnRequest,
+    stream: LiveStream,
+    trace: RequestTrace,
 ) -> None:
     try:
         async for chunk in parts.streams.read(stream, request.offset):
@@ -211,6 +248,7 @@
     except BurdockwallError as error:
         if not exchange.started:
             raise
+        trace.code = error.code.value.number
         refusal = msgspec.json.encode({"error": build_refusal(error)})
         await exchange.write(b"event: error\ndata: %s\n\n" % refusal)
     await exchange.finish()
