Count rates and bursts over all instances together

Each instance had buckets of its own, so a customer got its rate once an instance. Now one bucket a customer, at the primary of its shard, grants units to the instances for a bounded time.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -5,11 +5,15 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
-    membership.Beat
+    limits.LimitDemand
+    | limits.LimitGrants
+    | limits.LimitRecall
+    | membership.Beat
     | membership.Report
     | membership.Grant
     | membership.NotLeader
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -77,6 +77,12 @@
     OVERLOADED = CodeRow(
         1302, 503, Ran.NOT_RUN, Retry.SAFE, "The queue for this class is full."
     )
+    LIMIT_UNREACHABLE = CodeRow(
+        1303, 503, Ran.NOT_RUN, Retry.SAFE, "The owner of the rate does not answer."
+    )
+    COST_ABOVE_BURST = CodeRow(
+        1304, 403, Ran.NOT_RUN, Retry.NEVER, "The route costs more than the burst."
+    )
     # Endpoints.
     NO_ENDPOINT = CodeRow(
         1401, 503, Ran.NOT_RUN, Retry.SAFE, "No endpoint can take the request."
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -10,6 +10,7 @@
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.control.sections import join_sections
 from burdockwall.process.drain import Drain
+from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import Member, resolve_addresses
@@ -30,7 +31,7 @@
     def __init__(
         self,
         settings: Settings,
-        clock: Callable[[], float],
+        host: Host,
         list_members: Callable[[], list[Member]],
         get_lease_end: Callable[[], float],
     ) -> None:
@@ -38,8 +39,8 @@
         self.list_members = list_members
         self.get_lease_end = get_lease_end
         self.view = build_empty_view()
-        self.parts = create_parts(settings, clock)
-        self.clock = clock
+        self.parts = create_parts(settings, host)
+        self.clock = host.clock
         self.drain = Drain(settings.drain_hold_s, settings.drain_limit_s)
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
@@ -54,6 +55,7 @@
         """Put a version of the control state in force."""
         text = join_sections(replica.sections)
         self.view = build_view(replica.version, text, replica.keys)
+        self.parts.limits.install(self.view)
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from a caller."""
--- /dev/null
+++ b/burdockwall/process/limits/holder.py
@@ -0,0 +1,429 @@
+"""Admit requests on one instance with units that owners have granted to it."""
+
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.limits.events import (
+    Admit,
+    Admitted,
+    Reason,
+    Refused,
+    Withdraw,
+)
+from burdockwall.process.limits.grants import (
+    CustomerGrants,
+    Estimate,
+    HeldGrant,
+    WaitingRequest,
+)
+from burdockwall.process.limits.messages import (
+    LimitClose,
+    LimitDemand,
+    LimitGrants,
+    LimitRecall,
+    LimitVerdict,
+    LimitWant,
+)
+from burdockwall.process.limits.units import (
+    GRANT_LIMIT_S,
+    MS_PER_S,
+    UNITS_PER_REQUEST,
+    LimitParameters,
+)
+from burdockwall.types import CustomerId, Incarnation, InstanceId
+from burdockwall.version.shards import (
+    ShardMap,
+    ShardsInstalled,
+    find_customer_shard,
+)
+
+Event = Admit | Withdraw | Tick | Receive | ShardsInstalled
+Action = Send | Admitted | Refused
+AHEAD_LEAST_UNITS = 2 * UNITS_PER_REQUEST
+FORGET_S = 10.0
+
+
+@dataclass(slots=True)
+class _Owner:
+    """Hold what this instance keeps about one owner.
+
+    `flight` numbers the demand whose answer is awaited; meanwhile further wants
+    gather, so that they travel together.
+    """
+
+    epoch: Incarnation = Incarnation(0)
+    seen: int = 0
+    flight: int | None = None
+    awaited_since: float = 0.0
+    sent_at: float = float("-inf")
+    unreachable: bool = False
+    wants: dict[CustomerId, CustomerGrants] = field(default_factory=dict)
+    closes: list[LimitClose] = field(default_factory=list)
+
+
+class LimitHolder:
+    """Spend grants on requests, ask for more, and give back what lies idle."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        parameters: LimitParameters,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.parameters = parameters
+        self._shards = ShardMap()
+        self._customers: dict[CustomerId, CustomerGrants] = {}
+        self._owners: dict[InstanceId, _Owner] = {}
+        self._asked: dict[int, float] = {}
+        self._received: dict[tuple[InstanceId, Incarnation, int], float] = {}
+        self._sequence = 0
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take an event and return what to admit, refuse and send."""
+        match event:
+            case Admit():
+                return self._admit(event, now)
+            case Withdraw():
+                self._withdraw(event)
+                return []
+            case Tick():
+                return self._tick(now)
+            case Receive(sender=sender, message=LimitGrants() as message):
+                return self._take_grants(sender, message, now)
+            case Receive(sender=sender, message=LimitRecall() as message):
+                return self._take_recall(sender, message, now)
+            case ShardsInstalled(shards=shards):
+                return self._install(shards, now)
+            case _:
+                return []
+
+    # Requests.
+
+    def _admit(self, event: Admit, now: float) -> list[Action]:
+        entry = self._get_entry(event.customer, now)
+        entry.used_at = now
+        entry.estimate.record(event.units, now)
+        entry.expire(now)
+        if not entry.waiting and entry.spend(event.units):
+            admitted = Admitted(event.call, event.customer, event.units)
+            return [admitted, *self._ask_ahead(entry, now)]
+        refused = self._refuse_at_once(entry, event, now)
+        if refused is not None:
+            return [refused, *self._probe(entry, now)]
+        wait_s = self.parameters.wait_s
+        # Until the first shards are assigned every owner is about to start.
+        start_s = 0.0 if self._shards.views else GRANT_LIMIT_S
+        entry.waiting.append(
+            WaitingRequest(
+                event.call,
+                event.units,
+                now + min(event.wait_s, wait_s + start_s),
+                extends=event.wait_s >= wait_s,
+            )
+        )
+        return self._ask(entry, now)
+
+    def _get_entry(self, customer: CustomerId, now: float) -> CustomerGrants:
+        entry = self._customers.get(customer)
+        if entry is None:
+            estimate = Estimate(self.parameters.horizon_s, now)
+            entry = CustomerGrants(customer, estimate, self._find_owner(customer))
+            self._customers[customer] = entry
+        return entry
+
+    def _find_owner(self, customer: CustomerId) -> InstanceId | None:
+        view = self._shards.get_view(find_customer_shard(customer))
+        return view.primary if view else None
+
+    def _refuse_at_once(
+        self, entry: CustomerGrants, event: Admit, now: float
+    ) -> Refused | None:
+        owner = self._owners.get(entry.owner) if entry.owner else None
+        if owner is not None and owner.unreachable:
+            reason, wait_s = Reason.OWNER_UNREACHABLE, self.parameters.wait_s
+        elif now < entry.blocked_until:
+            reason, wait_s = entry.reason, entry.blocked_until - now
+        else:
+            return None
+        return Refused(event.call, event.customer, reason, wait_s)
+
+    def _withdraw(self, event: Withdraw) -> None:
+        entry = self._customers.get(event.customer)
+        if entry is None:
+            return
+        for request in entry.waiting:
+            if request.call == event.call:
+                entry.waiting.remove(request)
+                return
+
+    def _settle(self, entry: CustomerGrants, now: float) -> list[Action]:
+        actions: list[Action] = []
+        entry.expire(now)
+        while entry.waiting and entry.spend(entry.waiting[0].units):
+            request = entry.waiting.popleft()
+            actions.append(Admitted(request.call, entry.customer, request.units))
+        return actions
+
+    # Demands.
+
+    def _ask(self, entry: CustomerGrants, now: float) -> list[Action]:
+        if entry.owner is None:
+            return []
+        owner = self._owners.setdefault(entry.owner, _Owner())
+        owner.wants[entry.customer] = entry
+        return self._flush(entry.owner, owner, now)
+
+    def _ask_ahead(self, entry: CustomerGrants, now: float) -> list[Action]:
+        if not self._lacks_ahead(entry, now):
+            return []
+        entry.asks_ahead = True
+        return self._ask(entry, now)
+
+    def _lacks_ahead(self, entry: CustomerGrants, now: float) -> bool:
+        if now - entry.ahead_at < self.parameters.horizon_s / 2:
+            return False
+        expected = entry.estimate.expect(now)
+        if expected < AHEAD_LEAST_UNITS or entry.count_held() > expected // 2:
+            return False
+        entry.ahead_at = now
+        return True
+
+    def _probe(self, entry: CustomerGrants, now: float) -> list[Action]:
+        owner = self._owners.get(entry.owner) if entry.owner else None
+        if entry.owner is None or owner is None or not owner.unreachable:
+            return []
+        owner.wants[entry.customer] = entry
+        return self._flush(entry.owner, owner, now)
+
+    def _flush(self, name: InstanceId, owner: _Owner, now: float) -> list[Action]:
+        repeat_s = self.parameters.repeat_s
+        awaited = owner.flight is not None and now - owner.sent_at < repeat_s
+        if awaited or not owner.wants:
+            return []
+        self._sequence += 1
+        sequence = self._sequence
+        wants = [
+            self._build_want(entry, sequence, now) for entry in owner.wants.values()
+        ]
+        owner.wants = {}
+        self._asked[sequence] = now
+        if owner.flight is None:
+            owner.awaited_since = now
+        owner.flight = sequence
+        owner.sent_at = now
+        return [Send(name, self._build_demand(owner, sequence, wants))]
+
+    def _build_want(
+        self, entry: CustomerGrants, sequence: int, now: float
+    ) -> LimitWant:
+        for request in entry.waiting:
+            request.asked = request.asked or sequence
+        need = entry.count_need()
+        head = entry.count_head() if need else 0
+        ahead = 0
+        if entry.asks_ahead or self._lacks_ahead(entry, now):
+            ahead = max(0, entry.estimate.expect(now) - entry.count_held())
+        entry.asks_ahead = False
+        entry.told = need
+        entry.told_at = now
+        return LimitWant(entry.customer, need, head, ahead)
+
+    def _build_demand(
+        self, owner: _Owner, sequence: int, wants: list[LimitWant]
+    ) -> LimitDemand:
+        closes, owner.closes = owner.closes, []
+        return LimitDemand(
+            self.incarnation, sequence, owner.epoch, owner.seen, wants, closes
+        )
+
+    # Answers.
+
+    def _take_grants(
+        self, sender: InstanceId, message: LimitGrants, now: float
+    ) -> list[Action]:
+        asked_at = self._asked.get(message.sequence)
+        if message.incarnation != self.incarnation or asked_at is None:
+            return []
+        owner = self._owners.setdefault(sender, _Owner())
+        owner.unreachable = False
+        if message.epoch > owner.epoch:
+            owner.epoch = message.epoch
+            owner.seen = 0
+            owner.closes = []
+        if owner.flight is not None and message.sequence >= owner.flight:
+            owner.flight = None
+        touched = self._hold_grants(sender, owner, message, asked_at, now)
+        actions: list[Action] = []
+        for entry in touched.values():
+            actions += self._settle(entry, now)
+        for verdict in message.verdicts:
+            actions += self._take_verdict(verdict, message.sequence, now)
+            touched[verdict.customer] = self._customers[verdict.customer]
+        for entry in touched.values():
+            self._close_spent(entry)
+            if entry.count_need() > entry.told:
+                owner.wants[entry.customer] = entry
+        return actions + self._flush(sender, owner, now)
+
+    def _hold_grants(
+        self,
+        sender: InstanceId,
+        owner: _Owner,
+        message: LimitGrants,
+        asked_at: float,
+        now: float,
+    ) -> dict[CustomerId, CustomerGrants]:
+        touched: dict[CustomerId, CustomerGrants] = {}
+        for grant in message.grants:
+            key = (sender, message.epoch, grant.grant)
+            expires_at = asked_at + grant.valid_ms / MS_PER_S
+            if key in self._received or expires_at <= now:
+                continue
+            self._received[key] = expires_at
+            if message.epoch == owner.epoch:
+                owner.seen = max(owner.seen, grant.grant)
+            entry = self._get_entry(grant.customer, now)
+            held = HeldGrant(
+                sender, message.epoch, grant.grant, grant.units, expires_at
+            )
+            entry.add(held)
+            entry.told = max(0, entry.told - grant.units)
+            entry.reason = Reason.RATE
+            touched[grant.customer] = entry
+        return touched
+
+    def _take_verdict(
+        self, verdict: LimitVerdict, sequence: int, now: float
+    ) -> list[Action]:
+        entry = self._get_entry(verdict.customer, now)
+        retry_s = verdict.retry_ms / MS_PER_S
+        entry.reason = Reason(verdict.reason)
+        entry.told = verdict.pending
+        actions: list[Action] = []
+        promised = verdict.pending + entry.count_held()
+        kept = list(entry.waiting)
+        entry.waiting.clear()
+        for request in kept:
+            promised -= request.units
+            if promised >= 0 or request.asked > sequence or not request.asked:
+                entry.waiting.append(request)
+                continue
+            refused = Refused(request.call, entry.customer, entry.reason, retry_s)
+            actions.append(refused)
+        if actions:
+            entry.blocked_until = now + retry_s
+        if entry.reason is Reason.OWNER_STARTING:
+            self._extend_waiting(entry, now + retry_s)
+        return actions
+
+    def _extend_waiting(self, entry: CustomerGrants, starts_at: float) -> None:
+        # To come again after the start would take longer than to wait for it.
+        for request in entry.waiting:
+            if request.extends:
+                expires_at = starts_at + self.parameters.wait_s
+                request.expires_at = max(request.expires_at, expires_at)
+
+    def _take_recall(
+        self, sender: InstanceId, message: LimitRecall, now: float
+    ) -> list[Action]:
+        owner = self._owners.get(sender)
+        current = owner is not None and owner.epoch == message.epoch
+        if owner is None or not current or message.incarnation != self.incarnation:
+            return []
+        for customer in message.customers:
+            entry = self._customers.get(customer)
+            if entry is not None and not entry.waiting:
+                self._return_grants(entry, float("inf"))
+        return self._send_closes(sender, owner)
+
+    # What lies idle.
+
+    def _close_spent(self, entry: CustomerGrants) -> None:
+        self._return_grants(entry, float("-inf"))
+
+    def _return_grants(self, entry: CustomerGrants, expiring_before: float) -> None:
+        for grant in entry.take_grants(expiring_before):
+            owner = self._owners.get(grant.owner)
+            if owner is not None and owner.epoch == grant.epoch:
+                owner.closes.append(LimitClose(grant.number, grant.units))
+
+    def _send_closes(self, name: InstanceId, owner: _Owner) -> list[Action]:
+        if not owner.closes:
+            return []
+        self._sequence += 1
+        return [Send(name, self._build_demand(owner, self._sequence, []))]
+
+    # Time.
+
+    def _tick(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for customer, entry in list(self._customers.items()):
+            entry.expire(now)
+            actions += self._expire_waiting(entry, now)
+            self._review(entry, now)
+            idle = not entry.grants and not entry.waiting
+            if idle and now - entry.used_at > FORGET_S:
+                del self._customers[customer]
+        for name, owner in self._owners.items():
+            awaited = owner.flight is not None
+            if awaited and now - owner.awaited_since >= self.parameters.wait_s:
+                owner.unreachable = True
+            actions += self._flush(name, owner, now)
+            if any(close.unspent for close in owner.closes):
+                actions += self._send_closes(name, owner)
+            elif now - owner.sent_at >= GRANT_LIMIT_S:
+                # What these grants were is past, so the owner counts them as spent.
+                owner.closes = []
+        self._forget(now)
+        return actions
+
+    def _expire_waiting(self, entry: CustomerGrants, now: float) -> list[Action]:
+        actions: list[Action] = []
+        while entry.waiting and entry.waiting[0].expires_at <= now:
+            request = entry.waiting.popleft()
+            owner = self._owners.get(entry.owner) if entry.owner else None
+            unanswered = owner is None or owner.flight is not None
+            reason = Reason.OWNER_UNREACHABLE if unanswered else entry.reason
+            refused = Refused(
+                request.call, entry.customer, reason, self.parameters.wait_s
+            )
+            actions.append(refused)
+        return actions
+
+    def _review(self, entry: CustomerGrants, now: float) -> None:
+        parameters = self.parameters
+        if entry.waiting:
+            if entry.owner and now - entry.told_at >= parameters.repeat_s:
+                owner = self._owners.setdefault(entry.owner, _Owner())
+                owner.wants[entry.customer] = entry
+            return
+        if now - entry.used_at >= parameters.idle_s:
+            self._return_grants(entry, float("inf"))
+        else:
+            self._return_grants(entry, now + parameters.repeat_s)
+
+    def _forget(self, now: float) -> None:
+        oldest = now - GRANT_LIMIT_S
+        self._asked = {
+            sequence: at for sequence, at in self._asked.items() if at > oldest
+        }
+        self._received = {
+            key: expires_at
+            for key, expires_at in self._received.items()
+            if expires_at > now
+        }
+
+    def _install(self, shards: ShardMap, now: float) -> list[Action]:
+        self._shards = shards
+        actions: list[Action] = []
+        for entry in self._customers.values():
+            owner = self._find_owner(entry.customer)
+            if owner == entry.owner:
+                continue
+            entry.owner = owner
+            entry.blocked_until = float("-inf")
+            if entry.waiting:
+                actions += self._ask(entry, now)
+        return actions
--- /dev/null
+++ b/burdockwall/process/limits/owner.py
@@ -0,0 +1,409 @@
+"""Grant each customer's units from the one bucket at the primary of its shard."""
+
+import heapq
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.limits.bucket import CustomerBucket, Need, Unseen
+from burdockwall.process.limits.events import Limit, LimitsInstalled, Reason
+from burdockwall.process.limits.messages import (
+    LimitClose,
+    LimitDemand,
+    LimitGrant,
+    LimitGrants,
+    LimitRecall,
+    LimitVerdict,
+    LimitWant,
+)
+from burdockwall.process.limits.units import (
+    GRANT_LIMIT_S,
+    MS_PER_S,
+    LimitParameters,
+)
+from burdockwall.types import (
+    CustomerId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    find_customer_shard,
+)
+
+Event = Tick | Receive | ShardsInstalled | LeaseRenewed | LimitsInstalled
+AHEAD_BURST_SHARE = 0.5
+NO_LIMIT = Limit(0.0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Outstanding:
+    customer: CustomerId
+    bucket: CustomerBucket
+    holder: InstanceId
+    units: int
+
+
+@dataclass(slots=True)
+class _Holder:
+    incarnation: Incarnation
+    sequence: int
+
+
+@dataclass(slots=True)
+class _Shard:
+    number: FencingNumber
+    starts_at: float
+
+
+@dataclass(slots=True)
+class _Answer:
+    holder: InstanceId
+    incarnation: Incarnation
+    sequence: int
+    grants: list[LimitGrant] = field(default_factory=list)
+    verdicts: list[LimitVerdict] = field(default_factory=list)
+
+
+class LimitOwner:
+    """Own the buckets of the customers whose shard this instance is primary of."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        epoch: Incarnation,
+        parameters: LimitParameters,
+        start_wait_s: float,
+    ) -> None:
+        self.instance = instance
+        self.epoch = epoch
+        self.parameters = parameters
+        self.start_wait_s = start_wait_s
+        self.lease_until = float("-inf")
+        self.buckets: dict[CustomerId, CustomerBucket] = {}
+        self._limits: dict[CustomerId, Limit] = {}
+        self._shards: dict[ShardId, _Shard] = {}
+        self._holders: dict[InstanceId, _Holder] = {}
+        self._outstanding: dict[int, _Outstanding] = {}
+        self._lapses: list[tuple[float, int]] = []
+        self._needy: dict[CustomerId, CustomerBucket] = {}
+        self._last_grant = 0
+
+    def handle(self, event: Event, now: float) -> list[Send]:
+        """Take an event and return the answers to holders."""
+        self._lapse_grants(now)
+        match event:
+            case Tick():
+                return self._serve_needy(now)
+            case Receive(sender=sender, message=LimitDemand() as demand):
+                return self._take_demand(sender, demand, now)
+            case ShardsInstalled(shards=shards):
+                self._install_shards(shards, now)
+            case LeaseRenewed(until=until):
+                self.lease_until = max(self.lease_until, until)
+            case LimitsInstalled(limits=limits):
+                self._install_limits(limits, now)
+            case _:
+                pass
+        return []
+
+    # Ownership and limits.
+
+    def _install_shards(self, shards: ShardMap, now: float) -> None:
+        for shard in sorted({*self._shards, *shards.views}):
+            view = shards.get_view(shard)
+            if view is None or view.primary != self.instance:
+                self._drop_shard(shard)
+                continue
+            held = self._shards.get(shard)
+            # A view that was missed may have had another owner, whose grants are
+            # unknown here: then this instance starts anew.
+            if held is not None and view.number - held.number in (0, 1):
+                held.number = view.number
+                continue
+            self._drop_shard(shard)
+            self._shards[shard] = _Shard(view.number, now + self.start_wait_s)
+        self._create_buckets(now)
+
+    def _drop_shard(self, shard: ShardId) -> None:
+        if self._shards.pop(shard, None) is None:
+            return
+        for customer in [
+            name for name, bucket in self.buckets.items() if bucket.shard == shard
+        ]:
+            del self.buckets[customer]
+            self._needy.pop(customer, None)
+
+    def _create_buckets(self, now: float) -> None:
+        for customer, limit in self._limits.items():
+            if customer in self.buckets:
+                continue
+            shard = find_customer_shard(customer)
+            held = self._shards.get(shard)
+            if held is not None:
+                at = max(now, held.starts_at)
+                margin = self.parameters.clock_margin
+                self.buckets[customer] = CustomerBucket(shard, limit, margin, at)
+
+    def _install_limits(self, limits: dict[CustomerId, Limit], now: float) -> None:
+        self._limits = limits
+        for customer, bucket in list(self.buckets.items()):
+            limit = limits.get(customer, NO_LIMIT)
+            if limit != bucket.limit:
+                bucket.change_limit(limit, now)
+            elif limit is NO_LIMIT and not bucket.outstanding:
+                del self.buckets[customer]
+        self._create_buckets(now)
+
+    # Demands.
+
+    def _take_demand(
+        self, sender: InstanceId, demand: LimitDemand, now: float
+    ) -> list[Send]:
+        if demand.epoch == self.epoch:
+            for close in demand.closes:
+                self._close_grant(sender, close, now)
+        holder = self._holders.get(sender)
+        if holder is None or demand.incarnation > holder.incarnation:
+            holder = self._holders[sender] = _Holder(demand.incarnation, 0)
+        stale = (
+            demand.incarnation < holder.incarnation
+            or demand.sequence <= holder.sequence
+        )
+        if stale or not demand.wants or now >= self.lease_until:
+            return []
+        holder.sequence = demand.sequence
+        answer = _Answer(sender, demand.incarnation, demand.sequence)
+        answers = [answer]
+        for want in demand.wants:
+            self._take_want(answer, answers, demand, want, now)
+        return [self._build_message(item) for item in answers]
+
+    def _close_grant(self, sender: InstanceId, close: LimitClose, now: float) -> None:
+        grant = self._outstanding.get(close.grant)
+        if grant is None or grant.holder != sender:
+            return
+        del self._outstanding[close.grant]
+        grant.bucket.ahead.pop(close.grant, None)
+        grant.bucket.close(grant.units, close.unspent, now)
+
+    def _take_want(
+        self,
+        answer: _Answer,
+        answers: list[_Answer],
+        demand: LimitDemand,
+        want: LimitWant,
+        now: float,
+    ) -> None:
+        bucket = self.buckets.get(want.customer)
+        if bucket is None or bucket.limit is NO_LIMIT:
+            if find_customer_shard(want.customer) in self._shards:
+                self._refuse(answer, want.customer, 0, 1.0, Reason.CUSTOMER_UNKNOWN)
+            else:
+                moved = Reason.OWNER_MOVED
+                self._refuse(answer, want.customer, want.need, 0.0, moved)
+            return
+        if want.head > bucket.limit.burst:
+            self._refuse(answer, want.customer, 0, 1.0, Reason.COST_ABOVE_BURST)
+            return
+        bucket.refill(now)
+        seen = demand.seen if demand.epoch == self.epoch else 0
+        holder = answer.holder
+        unseen = bucket.list_unseen(holder, demand.incarnation, seen, now)
+        units = want.need - unseen
+        if units > 0:
+            need = Need(demand.incarnation, demand.sequence, now, units, want.head)
+            bucket.needs[holder] = need
+            self._needy[want.customer] = bucket
+        else:
+            bucket.needs.pop(holder, None)
+        self._serve(want.customer, bucket, answers, now)
+        if holder in bucket.needs:
+            self._cut_need(answer, want.customer, bucket, now)
+        elif want.ahead > 0 and not bucket.needs:
+            self._grant_ahead(answer, want, bucket, now)
+
+    def _serve(
+        self,
+        customer: CustomerId,
+        bucket: CustomerBucket,
+        answers: list[_Answer],
+        now: float,
+    ) -> None:
+        granted: dict[InstanceId, int] = {}
+        served: dict[InstanceId, Need] = {}
+        while bucket.needs:
+            holder, need = next(iter(bucket.needs.items()))
+            if now - need.received_at > self.parameters.pending_s:
+                del bucket.needs[holder]
+                continue
+            head = min(need.head, need.units)
+            # The first in turn is never passed over, or large costs would starve.
+            if bucket.level < head:
+                break
+            units = head
+            if len(bucket.needs) == 1:
+                units = min(need.units, int(bucket.level // head) * head)
+            bucket.take(units)
+            granted[holder] = granted.get(holder, 0) + units
+            served[holder] = need
+            need.units -= units
+            del bucket.needs[holder]
+            if need.units > 0:
+                bucket.needs[holder] = need
+        if not bucket.needs:
+            self._needy.pop(customer, None)
+        for holder, units in granted.items():
+            need = served[holder]
+            answer = _find_answer(answers, holder, need)
+            valid_s = now - need.received_at + self.parameters.immediate_s
+            grant = self._record_grant(
+                customer, bucket, holder, units, need.received_at, valid_s
+            )
+            answer.grants.append(grant)
+            lapse_at = need.received_at + valid_s * self.parameters.lapse_factor
+            unseen = Unseen(need.incarnation, grant.grant, units, lapse_at)
+            bucket.unseen.setdefault(holder, []).append(unseen)
+
+    def _cut_need(
+        self,
+        answer: _Answer,
+        customer: CustomerId,
+        bucket: CustomerBucket,
+        now: float,
+    ) -> None:
+        need = bucket.needs[answer.holder]
+        rate = bucket.slowed_rate
+        delay_s = max(0.0, bucket.at - now)
+        coming = bucket.level + rate * self.parameters.pending_s
+        others = bucket.count_needs() - need.units
+        fair = coming / len(bucket.needs)
+        head = min(need.head, need.units)
+        pending = int(max(coming - others, fair) // head) * head
+        if not pending and head <= coming:
+            pending = head
+        if pending >= need.units:
+            if delay_s:
+                starting = Reason.OWNER_STARTING
+                self._refuse(answer, customer, need.units, delay_s, starting)
+            return
+        missing = others + pending + head - coming
+        retry_s = delay_s + max(0.0, missing) / rate if rate else 1.0
+        reason = Reason.OWNER_STARTING if delay_s else Reason.RATE
+        self._refuse(answer, customer, pending, retry_s, reason)
+        need.units = pending
+        if pending == 0:
+            del bucket.needs[answer.holder]
+            if not bucket.needs:
+                self._needy.pop(customer, None)
+
+    def _grant_ahead(
+        self, answer: _Answer, want: LimitWant, bucket: CustomerBucket, now: float
+    ) -> None:
+        spare = bucket.level - bucket.limit.burst * AHEAD_BURST_SHARE
+        units = min(want.ahead, int(spare))
+        if units <= 0:
+            return
+        bucket.take(units)
+        valid_s = self.parameters.prefetch_s
+        grant = self._record_grant(
+            want.customer, bucket, answer.holder, units, now, valid_s
+        )
+        bucket.ahead[grant.grant] = answer.holder
+        answer.grants.append(grant)
+
+    def _refuse(
+        self,
+        answer: _Answer,
+        customer: CustomerId,
+        pending: int,
+        retry_s: float,
+        reason: Reason,
+    ) -> None:
+        retry_ms = max(1, round(retry_s * MS_PER_S))
+        verdict = LimitVerdict(customer, pending, retry_ms, reason.value)
+        answer.verdicts.append(verdict)
+
+    # Grants.
+
+    def _record_grant(
+        self,
+        customer: CustomerId,
+        bucket: CustomerBucket,
+        holder: InstanceId,
+        units: int,
+        received_at: float,
+        valid_s: float,
+    ) -> LimitGrant:
+        self._last_grant += 1
+        number = self._last_grant
+        valid_ms = int(min(valid_s, GRANT_LIMIT_S) * MS_PER_S)
+        # The holder counts from when it sent its demand, by its own clock; here the
+        # time runs from when the demand came, longer by the margin of both clocks.
+        lapse_at = received_at + valid_ms / MS_PER_S * self.parameters.lapse_factor
+        self._outstanding[number] = _Outstanding(customer, bucket, holder, units)
+        heapq.heappush(self._lapses, (lapse_at, number))
+        return LimitGrant(customer, number, units, valid_ms)
+
+    def _lapse_grants(self, now: float) -> None:
+        while self._lapses and self._lapses[0][0] <= now:
+            lapse_at, number = heapq.heappop(self._lapses)
+            grant = self._outstanding.pop(number, None)
+            if grant is not None:
+                # Nothing tells whether it was spent, so it counts as spent.
+                grant.bucket.ahead.pop(number, None)
+                grant.bucket.close(grant.units, 0, lapse_at)
+
+    def _build_message(self, answer: _Answer) -> Send:
+        message = LimitGrants(
+            answer.incarnation,
+            answer.sequence,
+            self.epoch,
+            answer.grants,
+            answer.verdicts,
+        )
+        return Send(answer.holder, message)
+
+    # Needs that wait for units to come in.
+
+    def _serve_needy(self, now: float) -> list[Send]:
+        if now >= self.lease_until:
+            return []
+        answers: list[_Answer] = []
+        recalls: dict[InstanceId, list[CustomerId]] = {}
+        for customer, bucket in list(self._needy.items()):
+            bucket.refill(now)
+            self._serve(customer, bucket, answers, now)
+            if bucket.needs:
+                self._recall(customer, bucket, recalls, now)
+        sends = [self._build_message(answer) for answer in answers]
+        for holder, customers in recalls.items():
+            incarnation = self._holders[holder].incarnation
+            recall = LimitRecall(incarnation, self.epoch, customers)
+            sends.append(Send(holder, recall))
+        return sends
+
+    def _recall(
+        self,
+        customer: CustomerId,
+        bucket: CustomerBucket,
+        recalls: dict[InstanceId, list[CustomerId]],
+        now: float,
+    ) -> None:
+        if now - bucket.recalled_at < self.parameters.repeat_s:
+            return
+        bucket.recalled_at = now
+        for holder in dict.fromkeys(bucket.ahead.values()):
+            recalls.setdefault(holder, []).append(customer)
+
+
+def _find_answer(answers: list[_Answer], holder: InstanceId, need: Need) -> _Answer:
+    for answer in answers:
+        if answer.holder == holder and answer.sequence == need.sequence:
+            return answer
+    answer = _Answer(holder, need.incarnation, need.sequence)
+    answers.append(answer)
+    return answer
--- /dev/null
+++ b/burdockwall/process/limits/units.py
@@ -0,0 +1,60 @@
+"""Count tokens of a rate in whole units, and lapses in times that clocks agree on."""
+
+import math
+from dataclasses import dataclass
+
+from burdockwall.settings import Settings
+
+UNITS_PER_REQUEST = 1000
+MS_PER_S = 1000
+GRANT_LIMIT_S = 1.0
+PENDING_SHARE = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class LimitParameters:
+    """Hold the parameters of the limiter; times are in seconds.
+
+    `clock_margin` bounds how far a clock's rate differs from true time, as a share.
+    """
+
+    wait_s: float
+    immediate_s: float
+    prefetch_s: float
+    horizon_s: float
+    idle_s: float
+    repeat_s: float
+    clock_margin: float
+
+    @property
+    def pending_s(self) -> float:
+        """Return the time within which an accepted demand must be met."""
+        return self.wait_s * PENDING_SHARE
+
+    @property
+    def lapse_factor(self) -> float:
+        """Return by how much longer an owner waits than a holder may spend."""
+        return (1.0 + self.clock_margin) / (1.0 - self.clock_margin)
+
+    @property
+    def start_wait_s(self) -> float:
+        """Return how long a new owner waits for the grants of a former one."""
+        return GRANT_LIMIT_S * self.lapse_factor
+
+
+def create_parameters(settings: Settings) -> LimitParameters:
+    """Create the parameters that the settings describe."""
+    return LimitParameters(
+        wait_s=settings.limit_wait_s,
+        immediate_s=settings.limit_immediate_s,
+        prefetch_s=settings.limit_prefetch_s,
+        horizon_s=settings.limit_horizon_s,
+        idle_s=settings.limit_idle_s,
+        repeat_s=settings.limit_repeat_s,
+        clock_margin=settings.limit_clock_margin,
+    )
+
+
+def convert_cost(cost: float) -> int:
+    """Convert a cost in requests to units, rounded up."""
+    return max(1, math.ceil(cost * UNITS_PER_REQUEST))
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -68,7 +68,7 @@
     def _create_entry(self) -> Entry:
         entry = Entry(
             self.settings,
-            time.monotonic,
+            self.host,
             self.list_members,
             lambda: self.membership.lease_until,
         )
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -36,7 +36,7 @@
         raise RequestRefused(Code.NO_ROUTE, f"no service at {exchange.path!r}")
     customer = check_customer(view, route, presented)
     trace.customer, trace.route = customer.name, route.name
-    parts.limiter.admit(customer, route.cost, parts.clock())
+    await parts.limits.admit_call(customer, route)
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
     job = Job(customer.name, program, route, view.pools[route.pool])
     placement = await parts.dispatcher.acquire(job)
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from burdockwall.connection.endpoints import EndpointClients
-from burdockwall.process.limits.limiter import Limiter
+from burdockwall.process.host import Host
+from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
 from burdockwall.process.programs.records import ProgramTable
 from burdockwall.process.scheduling.dispatcher import Dispatcher
@@ -20,24 +21,26 @@
     settings: Settings
     clock: Callable[[], float]
     programs: ProgramTable
-    limiter: Limiter
+    limits: LimitClient
     dispatcher: Dispatcher
     clients: EndpointClients
     streams: StreamTable
     retries: RetryGate
 
 
-def create_parts(settings: Settings, clock: Callable[[], float]) -> Parts:
+def create_parts(settings: Settings, host: Host) -> Parts:
     """Create the parts of one process from its settings."""
+    clock = host.clock
+    generator = random.Random()
     return Parts(
         settings=settings,
         clock=clock,
         programs=ProgramTable(),
-        limiter=Limiter(),
+        limits=LimitClient(host, settings, host.bus.incarnation, generator),
         dispatcher=Dispatcher(),
         clients=EndpointClients(
             settings.endpoint_connect_s, settings.endpoint_silence_s
         ),
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
-        retries=RetryGate(create_retry_policy(settings), clock, random.Random()),
+        retries=RetryGate(create_retry_policy(settings), clock, generator),
     )
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -61,7 +61,7 @@
     trace.program = request.program
     stream = _join_stream(parts, request)
     if stream is None:
-        stream = _start_stream(parts, request)
+        stream = await _start_stream(parts, request)
 
     async def write() -> None:
         await _write_answer(parts, exchange, request, stream, trace)
@@ -114,7 +114,7 @@
     return stream
 
 
-def _start_stream(parts: Parts, request: TurnRequest) -> LiveStream:
+async def _start_stream(parts: Parts, request: TurnRequest) -> LiveStream:
     turn = parts.programs.begin_turn(
         request.customer.name,
         request.program,
@@ -126,12 +126,15 @@
     async def produce(stream: LiveStream) -> None:
         await _produce_answer(parts, request, turn, stream)
 
+    started = False
     try:
-        parts.limiter.admit(request.customer, request.route.cost, parts.clock())
-        return parts.streams.start(key, request.body_digest, produce)
-    except RequestRefused:
-        parts.programs.abandon_turn(turn)
-        raise
+        await parts.limits.admit_call(request.customer, request.route)
+        stream = parts.streams.start(key, request.body_digest, produce)
+        started = True
+        return stream
+    finally:
+        if not started:
+            parts.programs.abandon_turn(turn)
 
 
 async def _produce_answer(
--- /dev/null
+++ b/features/limits_faults_1.feature
@@ -0,0 +1,11 @@
+Feature: Limits under faults, seeds from 1
+  However owners, holders, clocks and messages fail, no window of true time sees more
+  requests of a customer than its burst and its rate over that time.
+
+  Scenario: Limits hold through faults drawn from seeds 1 to 250
+    When limits run through drawn faults for 250 seeds from 1
+    Then no window of any limits run had a request in excess
+
+  Scenario: Limits hold through restarts before bursts for seeds 1 to 50
+    When limits run through restarts before bursts for 50 seeds from 1
+    Then no window of any limits run had a request in excess
--- /dev/null
+++ b/features/subjects/limits_unsafe.py
@@ -0,0 +1,155 @@
+"""Remove one protection of the limiter at a time, to show that the check can fail."""
+
+from burdockwall.process.limits.bucket import CustomerBucket
+from burdockwall.process.limits.holder import LimitHolder
+from burdockwall.process.limits.messages import LimitGrants
+from burdockwall.process.limits.owner import LimitOwner
+from burdockwall.process.limits.units import LimitParameters
+from features.subjects.limits import LimitNetwork
+
+
+class UncountedBucket(CustomerBucket):
+    """Refill up to the whole burst, whatever is outstanding."""
+
+    __slots__ = ()
+
+    def refill(self, now):
+        outstanding, self.outstanding = self.outstanding, 0
+        super().refill(now)
+        self.outstanding = outstanding
+
+
+class UncountedOwner(LimitOwner):
+    def _create_buckets(self, now):
+        super()._create_buckets(now)
+        for bucket in self.buckets.values():
+            bucket.__class__ = UncountedBucket
+
+
+class FullOwner(LimitOwner):
+    """Start with a full burst."""
+
+    def _create_buckets(self, now):
+        known = set(self.buckets)
+        super()._create_buckets(now)
+        for name in self.buckets.keys() - known:
+            bucket = self.buckets[name]
+            bucket.level = float(bucket.limit.burst)
+
+
+class LeaselessOwner(LimitOwner):
+    """Grant after the lease has lapsed."""
+
+    def handle(self, event, now):
+        self.lease_until = float("inf")
+        return super().handle(event, now)
+
+
+class RefundingOwner(LimitOwner):
+    """Give a lapsed grant back to the bucket, as if it had not been spent."""
+
+    def _lapse_grants(self, now):
+        for lapse_at, number in self._lapses:
+            if lapse_at <= now and number in self._outstanding:
+                grant = self._outstanding.pop(number)
+                grant.bucket.close(grant.units, grant.units, lapse_at)
+        super()._lapse_grants(now)
+
+
+class RepeatingOwner(LimitOwner):
+    """Take a close each time that it comes."""
+
+    def _close_grant(self, sender, close, now):
+        grant = self._outstanding.get(close.grant)
+        super()._close_grant(sender, close, now)
+        if grant is not None and grant.holder == sender:
+            self._outstanding[close.grant] = grant
+
+
+class DoublingHolder(LimitHolder):
+    """Hold a grant as often as it comes."""
+
+    def _take_grants(self, sender, message, now):
+        self._received.clear()
+        return super()._take_grants(sender, message, now)
+
+
+class ForgetfulHolder(LimitHolder):
+    """Take grants that a former process of this instance asked for."""
+
+    def _take_grants(self, sender, message, now):
+        self._asked.setdefault(message.sequence, now)
+        message = LimitGrants(
+            self.incarnation,
+            message.sequence,
+            message.epoch,
+            message.grants,
+            message.verdicts,
+        )
+        return super()._take_grants(sender, message, now)
+
+
+class LateHolder(LimitHolder):
+    """Count a grant's time from its arrival."""
+
+    def _take_grants(self, sender, message, now):
+        if message.sequence in self._asked:
+            self._asked[message.sequence] = now
+        return super()._take_grants(sender, message, now)
+
+
+class MarginlessParameters(LimitParameters):
+    @property
+    def lapse_factor(self):
+        return 1.0
+
+
+class FastBucket(CustomerBucket):
+    __slots__ = ()
+
+    @property
+    def slowed_rate(self):
+        return self.limit.rate_per_s
+
+
+class FastOwner(LimitOwner):
+    """Refill by its own clock, however fast it runs."""
+
+    def _create_buckets(self, now):
+        super()._create_buckets(now)
+        for bucket in self.buckets.values():
+            bucket.__class__ = FastBucket
+
+
+class EagerNetwork(LimitNetwork):
+    def get_start_wait_s(self):
+        return 0.0
+
+
+class MarginlessNetwork(LimitNetwork):
+    parameters_class = MarginlessParameters
+
+
+def create_class(**attributes) -> type[LimitNetwork]:
+    return type("UnsafeNetwork", (LimitNetwork,), attributes)
+
+
+UNSAFE = {
+    "the wait of a new owner": EagerNetwork,
+    "the count of outstanding grants against the burst": create_class(
+        owner_class=UncountedOwner
+    ),
+    "the empty burst of a new owner": create_class(owner_class=FullOwner),
+    "the owner's lease": create_class(owner_class=LeaselessOwner),
+    "the rule that lapsed grants count as spent": create_class(
+        owner_class=RefundingOwner
+    ),
+    "the record of closed grants": create_class(owner_class=RepeatingOwner),
+    "the record of received grants": create_class(holder_class=DoublingHolder),
+    "the incarnation of the holder": create_class(holder_class=ForgetfulHolder),
+    "the count of a grant's time from its demand": create_class(
+        holder_class=LateHolder
+    ),
+    "the longer lapse at the owner": MarginlessNetwork,
+    "the slowed refill": create_class(owner_class=FastOwner),
+}
