--- a/burdockwall/process/limits/client.py
+++ b/burdockwall/process/limits/client.py
@@ -104,18 +104,29 @@
         self._waiters: Waiters[Admitted | Refused] = Waiters()
         parameters = create_parameters(settings)
         name = settings.instance_id
+        self._holder_machine = LimitHolder(name, incarnation, parameters)
+        self._owner_machine = LimitOwner(
+            name, incarnation, parameters, parameters.start_wait_s
+        )
         self._holder = host.add(
-            LimitHolder(name, incarnation, parameters),
+            self._holder_machine,
             (LimitGrants, LimitRecall),
             self._perform,
             (ShardsInstalled,),
         )
         self._owner: Hosted = host.add(
-            LimitOwner(name, incarnation, parameters, parameters.start_wait_s),
+            self._owner_machine,
             (LimitDemand,),
             events=(ShardsInstalled, LeaseRenewed),
         )
 
+    def is_ready(self) -> bool:
+        """Tell whether requests need not wait for an owner to start."""
+        now = self.host.clock()
+        return self._holder_machine.has_owners() and self._owner_machine.has_started(
+            now
+        )
+
     def install(self, view: View) -> None:
         """Put the limits of a version in force."""
         limits = list_limits(view, self.settings)
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -99,6 +99,10 @@
             case _:
                 return []
 
+    def has_owners(self) -> bool:
+        """Tell whether this instance knows any owner."""
+        return bool(self._shards.views)
+
     # Requests.
 
     def _admit(self, event: Admit, now: float) -> list[Action]:
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -110,6 +110,10 @@
                 pass
         return []
 
+    def has_started(self, now: float) -> bool:
+        """Tell whether every shard that this instance owns has started."""
+        return all(shard.starts_at <= now for shard in self._shards.values())
+
     # Ownership and limits.
 
     def _install_shards(self, shards: ShardMap, now: float) -> None:
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -163,6 +163,9 @@
     pool = request.route.pool
 
     async def allow_retry(attempt: int) -> bool:
+        # An answer that has begun is finished whatever the budget says.
+        if stream.buffer.events:
+            return True
         return await parts.retries.wait(pool, turn.customer, attempt)
 
     relay = Relay(
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -36,8 +36,8 @@
     endpoint_connect_s: float = 1.0
     endpoint_silence_s: float = 10.0
     endpoint_attempts: int = 3
-    retry_share: float = 0.1
-    retry_reserve: float = 3.0
+    retry_share: float = 0.2
+    retry_reserve: float = 20.0
     retry_window_s: float = 10.0
     retry_backoff_base_s: float = 0.05
     retry_backoff_limit_s: float = 2.0
