--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -66,7 +66,7 @@
     trace.program = request.program
     stream = _join_stream(parts, request)
     if stream is None:
-        stream = _start_stream(parts, request)
+        stream = await _start_stream(parts, request)
 
     async def write() -> None:
         await _write_answer(parts, exchange, request, stream, trace)
@@ -120,7 +120,7 @@
     return stream
 
 
-def _start_stream(parts: Parts, request: TurnRequest) -> LiveStream:
+async def _start_stream(parts: Parts, request: TurnRequest) -> LiveStream:
     turn = parts.programs.begin_turn(
         request.customer.name,
         request.program,
@@ -132,12 +132,15 @@
     async def produce(stream: LiveStream) -> None:
         await _produce_answer(parts, request, turn, stream)
 
+    started = False
     try:
-        parts.limiter.admit(request.customer, request.route.cost, parts.clock())
-        return parts.streams.start(key, request.body_digest, produce)
-    except RequestRefused:
-        parts.programs.abandon_turn(turn)
-        raise
+        await parts.limits.admit_call(request.customer, request.route)
+        stream = parts.streams.start(key, request.body_digest, produce)
+        started = True
+        return stream
+    finally:
+        if not started:
+            parts.programs.abandon_turn(turn)
 
 
 async def _produce_answer(
@@ -160,6 +163,9 @@
     pool = request.route.pool
 
     async def allow_retry(attempt: int) -> bool:
+        # An answer that has begun is finished whatever the budget says.
+        if stream.buffer.events:
+            return True
         return await parts.retries.wait(pool, turn.customer, attempt)
 
     relay = Relay(
