--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
+from burdockwall.fakes.engine_reports import EngineReports
 from burdockwall.request.completion import CompletionRequest, parse_completion
 
 WORDS = ("hood", "duct", "filter", "flue", "grease", "access", "panel", "fan")
@@ -50,9 +51,19 @@
         self.seen: list[bytes] = []
         self.requests: Counter[str] = Counter()
         self.cancelled = 0
+        self.reports = EngineReports()
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from an entry instance."""
+        if await self.reports.serve(exchange):
+            return
+        self.reports.running += 1
+        try:
+            await self._serve_completion(exchange)
+        finally:
+            self.reports.running -= 1
+
+    async def _serve_completion(self, exchange: Exchange) -> None:
         body = await exchange.read_body(ENGINE_BODY_BYTES)
         self.seen.append(record_request(exchange, body))
         completion = parse_completion(body)
@@ -68,6 +79,7 @@
                 raise ConnectionAbortedError("the stream is cut on purpose")
             await anyio.sleep(self.token_s)
             await exchange.write(format_event(number, token))
+        self.reports.store(exchange, len(body) // 4 + len(tokens))
         await exchange.write(b"id: %d\ndata: [DONE]\n\n" % (len(tokens) + 1))
         await exchange.finish()
 
--- /dev/null
+++ b/burdockwall/fakes/engine_reports.py
@@ -0,0 +1,67 @@
+"""Answer an engine's reports: load, cache events, and release hints."""
+
+from collections import Counter
+
+from burdockwall.connection.exchange import Exchange
+from burdockwall.process.scheduling.poller import (
+    EVENTS_PATH,
+    LOAD_PATH,
+    RELEASE_PATH,
+)
+from burdockwall.process.scheduling.reports import (
+    CacheChange,
+    CacheEvent,
+    CacheKey,
+    CachePage,
+    LoadReport,
+)
+
+KEY_BYTES = 1024
+CAPACITY_CALLS = 32
+
+
+class EngineReports:
+    """Count an engine's calls and log the changes of its prefix cache."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.cached: dict[CacheKey, int] = {}
+        self.levels: Counter[str] = Counter()
+        self.released: list[CacheKey] = []
+        self._events: list[CacheEvent] = []
+        self._reports = 0
+
+    def store(self, exchange: Exchange, tokens: int) -> None:
+        """Keep the prefix that a call has named."""
+        self.levels[exchange.get_header(b"priority-level") or ""] += 1
+        key = CacheKey(exchange.get_header(b"cache-key") or "")
+        if key:
+            self.cached[key] = tokens
+            self._log(CacheChange.STORED, key, tokens)
+
+    def _log(self, change: CacheChange, key: CacheKey, tokens: int) -> None:
+        sequence = len(self._events) + 1
+        self._events.append(CacheEvent(sequence, change, key, tokens))
+
+    async def serve(self, exchange: Exchange) -> bool:
+        """Serve a request for a report, and tell whether it was one."""
+        match exchange.path:
+            case path if path == LOAD_PATH:
+                self._reports += 1
+                report = LoadReport(self._reports, self.running, 0, CAPACITY_CALLS)
+                await exchange.answer_json(200, report)
+            case path if path == EVENTS_PATH:
+                after = int(dict(exchange.list_query()).get("after", "0"))
+                await exchange.answer_json(200, CachePage(self._events[after:]))
+            case path if path == RELEASE_PATH:
+                await self._release(exchange)
+            case _:
+                return False
+        return True
+
+    async def _release(self, exchange: Exchange) -> None:
+        key = CacheKey((await exchange.read_body(KEY_BYTES)).decode())
+        self.released.append(key)
+        if self.cached.pop(key, None) is not None:
+            self._log(CacheChange.EVICTED, key, 0)
+        await exchange.answer_json(200, CachePage([]))
--- /dev/null
+++ b/burdockwall/fakes/workloads.py
@@ -0,0 +1,260 @@
+"""Generate seeded workloads of agent programs for the two deployments."""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from burdockwall.types import CustomerId, PriorityClass, ProgramId, RouteName
+
+
+class Ending(Enum):
+    """Name how a program ends."""
+
+    FINISHED = "finished"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramKind:
+    """Describe programs of one route; token counts and pauses are medians."""
+
+    route: RouteName
+    priority: PriorityClass
+    share: float
+    mean_turns: float
+    shared_tokens: int
+    turn_tokens: int
+    output_tokens: int
+    pause_s: float
+    service_share: float = 0.3
+    sub_agent_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe the sizes of a deployment."""
+
+    name: str
+    kinds: tuple[ProgramKind, ...]
+    engines: int
+    servers: int
+    entries: int
+    one_way_s: float
+    caller_one_way_s: float = 0.003
+    customer_shares: tuple[float, ...] = (
+        0.30,
+        0.25,
+        0.15,
+        0.10,
+        0.08,
+        0.06,
+        0.04,
+        0.02,
+    )
+    failure_domains: int = 3
+
+
+@dataclass(slots=True)
+class TurnSpec:
+    """Describe a turn: new tokens, answer tokens, and the tool pause after it."""
+
+    new_tokens: int
+    output_tokens: int
+    pause_s: float
+    service_s: float
+    changes_instance: bool
+    sub_agents: list["ProgramSpec"] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ProgramSpec:
+    """Describe one program as its callers will drive it."""
+
+    program: ProgramId
+    root: ProgramId
+    customer: CustomerId
+    kind: ProgramKind
+    start_s: float
+    entry: int
+    turns: list[TurnSpec]
+    ending: Ending = Ending.FINISHED
+    leave_turn: int = 0
+    leave_after_s: float = 0.0
+    says_goodbye: bool = True
+
+
+ASSOCIATION = Deployment(
+    "association",
+    (
+        ProgramKind(
+            RouteName("ping"), PriorityClass.URGENT, 0.30, 1.3, 600, 80, 40, 0.5
+        ),
+        ProgramKind(
+            RouteName("inspection"),
+            PriorityClass.NORMAL,
+            0.45,
+            8,
+            2000,
+            350,
+            120,
+            1.0,
+            0.3,
+            0.08,
+        ),
+        ProgramKind(
+            RouteName("certificate"),
+            PriorityClass.NORMAL,
+            0.25,
+            16,
+            3000,
+            700,
+            200,
+            1.0,
+            0.4,
+            0.10,
+        ),
+    ),
+    engines=5,
+    servers=3,
+    entries=6,
+    one_way_s=0.0015,
+)
+ARMORIQUE = Deployment(
+    "armorique",
+    (
+        ProgramKind(
+            RouteName("release"), PriorityClass.HIGH, 0.25, 3, 1200, 200, 80, 0.8, 0.6
+        ),
+        ProgramKind(
+            RouteName("provenance"),
+            PriorityClass.NORMAL,
+            0.25,
+            16,
+            2500,
+            800,
+            200,
+            1.2,
+            0.4,
+            0.12,
+        ),
+        ProgramKind(
+            RouteName("cellar"), PriorityClass.LOW, 0.50, 7, 2000, 300, 130, 1.0, 0.3
+        ),
+    ),
+    engines=5,
+    servers=4,
+    entries=9,
+    one_way_s=0.001,
+)
+DEPLOYMENTS = (ASSOCIATION, ARMORIQUE)
+
+ABANDONED_SHARE = 0.6
+SILENT_SHARE = 0.3
+CHANGE_SHARE = 0.1
+TOKEN_SPREAD = 0.7
+PAUSE_SPREAD = 1.4
+PAUSE_LIMIT_S = 120.0
+PATIENCE_S = 3.0
+TURN_LIMIT = 80
+SERVICE_MEDIAN_S = 0.03
+
+
+def list_customers(deployment: Deployment) -> list[CustomerId]:
+    """List the customers of a deployment, the largest first."""
+    count = len(deployment.customer_shares)
+    return [CustomerId(f"customer-{number}") for number in range(1, count + 1)]
+
+
+@dataclass(slots=True)
+class _Generator:
+    deployment: Deployment
+    random: random.Random
+    count: int = 0
+
+    def draw_around(self, median: float, spread: float) -> float:
+        return median * self.random.lognormvariate(0.0, spread)
+
+    def draw_turns(self, mean: float) -> int:
+        turns = 1
+        while turns < TURN_LIMIT and self.random.random() > 1.0 / mean:
+            turns += 1
+        return turns
+
+    def create_program(
+        self,
+        customer: CustomerId,
+        kind: ProgramKind,
+        start_s: float,
+        root: ProgramId | None = None,
+    ) -> ProgramSpec:
+        self.count += 1
+        program = ProgramId(f"{kind.route}-{self.count}")
+        spec = ProgramSpec(
+            program,
+            root or program,
+            customer,
+            kind,
+            start_s,
+            self.random.randrange(self.deployment.entries),
+            [],
+        )
+        turns = self.draw_turns(kind.mean_turns if root is None else 2.5)
+        spec.turns = [self.create_turn(spec, root is None) for _ in range(turns)]
+        if root is None and self.random.random() < ABANDONED_SHARE:
+            self.abandon(spec)
+        return spec
+
+    def create_turn(self, spec: ProgramSpec, may_spawn: bool) -> TurnSpec:
+        kind = spec.kind
+        calls_service = self.random.random() < kind.service_share
+        turn = TurnSpec(
+            max(8, int(self.draw_around(kind.turn_tokens, TOKEN_SPREAD))),
+            max(4, int(self.draw_around(kind.output_tokens, TOKEN_SPREAD))),
+            min(PAUSE_LIMIT_S, self.draw_around(kind.pause_s, PAUSE_SPREAD)),
+            self.draw_around(SERVICE_MEDIAN_S, 1.0) if calls_service else 0.0,
+            self.random.random() < CHANGE_SHARE,
+        )
+        if may_spawn and self.random.random() < kind.sub_agent_share:
+            turn.sub_agents = [
+                self.create_program(spec.customer, kind, 0.0, spec.root)
+                for _ in range(self.random.randint(1, 3))
+            ]
+        return turn
+
+    def abandon(self, spec: ProgramSpec) -> None:
+        spec.ending = Ending.LEFT
+        spec.leave_turn = self.random.randrange(len(spec.turns))
+        spec.leave_after_s = self.random.expovariate(1.0 / PATIENCE_S)
+        spec.says_goodbye = self.random.random() >= SILENT_SHARE
+
+
+def generate_workload(
+    deployment: Deployment,
+    seed: int,
+    programs_per_s: float,
+    duration_s: float,
+    customer_factors: dict[CustomerId, float] | None = None,
+) -> list[ProgramSpec]:
+    """Generate programs in the order of their start.
+
+    A customer's programs come from its own stream of random numbers, so another
+    customer's factor changes nothing for it.
+    """
+    factors = customer_factors or {}
+    programs: list[ProgramSpec] = []
+    for index, customer in enumerate(list_customers(deployment)):
+        rng = random.Random(f"{seed} {customer}")
+        generator = _Generator(deployment, rng, index * 1_000_000)
+        share = deployment.customer_shares[index]
+        rate = programs_per_s * share * factors.get(customer, 1.0)
+        at = rng.expovariate(rate)
+        while at < duration_s:
+            kind = _draw_kind(deployment, rng)
+            programs.append(generator.create_program(customer, kind, at))
+            at += rng.expovariate(rate)
+    return sorted(programs, key=lambda item: (item.start_s, item.program))
+
+
+def _draw_kind(deployment: Deployment, rng: random.Random) -> ProgramKind:
+    kinds = deployment.kinds
+    return rng.choices(kinds, [kind.share for kind in kinds])[0]
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -3,6 +3,7 @@
 import uuid
 from collections.abc import Callable
 
+import anyio
 import logbook
 
 from burdockwall.connection.exchange import Exchange
@@ -14,6 +15,7 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import Member, resolve_addresses
+from burdockwall.process.scheduling.poller import EndpointPoller
 from burdockwall.request.flow import serve_request
 from burdockwall.request.parts import create_parts
 from burdockwall.request.trace import RequestTrace
@@ -41,6 +43,12 @@
         self.view = build_empty_view()
         self.parts = create_parts(settings, host)
         self.clock = host.clock
+        self.poller = EndpointPoller(
+            self.parts.dispatcher,
+            self.parts.clients,
+            host.clock,
+            settings.schedule_poll_s,
+        )
         self.drain = Drain(settings.drain_hold_s, settings.drain_limit_s)
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
@@ -48,13 +56,17 @@
         self._logger = logbook.Logger("entry")
 
     async def run(self) -> None:
-        """Produce answers until cancelled."""
-        await self.parts.streams.run()
+        """Produce answers and follow the endpoints until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.parts.streams.run)
+            group.start_soon(self.parts.dispatcher.run, self.settings.tick_interval_s)
+            group.start_soon(self.poller.run)
 
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
         text = join_sections(replica.sections)
         self.view = build_view(replica.version, text, replica.keys)
+        self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
 
     async def serve(self, exchange: Exchange) -> None:
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -1,56 +1,236 @@
-"""Choose the endpoint of a call and count the work under way on each."""
+"""Give requests their endpoints: the shell around the scheduler."""
 
-from collections import Counter
+import hashlib
+import random
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 
-from burdockwall.errors import Code, RequestRefused
-from burdockwall.types import CustomerId, EndpointId, ProgramId
-from burdockwall.version.configuration import Endpoint, Route
-
-
-class PlacementOutcome(Enum):
-    """Name how a call ended at its endpoint."""
+import anyio
+import msgspec
 
-    FINISHED = "finished"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.machine import Tick
+from burdockwall.process.scheduling.jobs import (
+    Cancel,
+    EndProgram,
+    Event,
+    Finish,
+    Job,
+    Outcome,
+    Placement,
+    Reject,
+    ReleaseCache,
+    Result,
+    Start,
+    Submit,
+    Target,
+    TargetsInstalled,
+)
+from burdockwall.process.scheduling.policy import Policy
+from burdockwall.process.scheduling.reports import CacheKey
+from burdockwall.process.scheduling.scheduler import Scheduler
+from burdockwall.process.waiters import Waiters
+from burdockwall.types import (
+    CallId,
+    CustomerId,
+    EndpointId,
+    FailureDomain,
+    PoolName,
+    ProgramId,
+    RouteKind,
+)
+from burdockwall.version.configuration import Configuration, Endpoint, Route
+
+REFUSED_RETRY_S = 1.0
+EXPLANATIONS = 100
+RELEASES = 1024
+BYTES_PER_TOKEN = 4
 
 
 @dataclass(frozen=True, slots=True)
-class Job:
-    """Describe one call that needs an endpoint."""
+class DispatchRequest:
+    """Describe one call that needs an endpoint; `body_bytes` sizes its prompt."""
 
     customer: CustomerId
     program: ProgramId
     route: Route
     endpoints: tuple[Endpoint, ...]
     excluded: frozenset[EndpointId] = frozenset()
+    body_bytes: int = 0
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
-class Placement:
-    """Name the endpoint that a call was given."""
+class Dispatch:
+    """Join a call to the endpoint that it was given."""
 
-    job: Job
+    call: CallId
     endpoint: Endpoint
+    key: CacheKey
+    placement: Placement
+    started_at: float
+
+    def list_headers(self) -> list[tuple[bytes, bytes]]:
+        """List the headers that tell an engine the order and the cache."""
+        headers = [
+            (b"priority-level", str(self.placement.level).encode()),
+            (b"cache-key", self.key.encode()),
+        ]
+        if self.placement.cache_source is not None:
+            headers.append((b"cache-source", self.placement.cache_source.encode()))
+        return headers
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """State why a call runs where it does."""
+
+    customer: str
+    program: str
+    route: str
+    endpoint: str
+    reason: str
+    level: int
+    waited_s: float
+    expected_cached_tokens: int
+
+
+def compute_cache_key(customer: CustomerId, program: ProgramId) -> CacheKey:
+    """Compute the name under which engines know a history."""
+    text = f"{customer}\0{program}"
+    return CacheKey(hashlib.sha256(text.encode()).hexdigest()[:32])
 
 
 class Dispatcher:
-    """Choose the endpoint with the least work under way."""
-
-    def __init__(self) -> None:
-        self.under_way: Counter[EndpointId] = Counter()
-
-    async def acquire(self, job: Job) -> Placement:
-        """Wait for an endpoint and count the call, or raise RequestRefused."""
-        usable = [item for item in job.endpoints if item.name not in job.excluded]
-        if not usable:
-            raise RequestRefused(Code.NO_ENDPOINT, retry_after_s=1.0)
-        chosen = min(usable, key=lambda item: (self.under_way[item.name], item.name))
-        self.under_way[chosen.name] += 1
-        return Placement(job, chosen)
-
-    def release(self, placement: Placement, outcome: PlacementOutcome) -> None:
-        """Count a call as ended."""
-        self.under_way[placement.endpoint.name] -= 1
+    """Let requests wait for the scheduler's decisions."""
+
+    def __init__(
+        self,
+        policy: Policy,
+        near: FailureDomain,
+        queue_limit_s: float,
+        clock: Callable[[], float],
+        generator: random.Random,
+    ) -> None:
+        self.scheduler = Scheduler(policy, near, generator)
+        self.queue_limit_s = queue_limit_s
+        self.clock = clock
+        self.explanations: deque[Explanation] = deque(maxlen=EXPLANATIONS)
+        self.releases: deque[ReleaseCache] = deque(maxlen=RELEASES)
+        self.endpoints: dict[EndpointId, Endpoint] = {}
+        self.pool_kinds: dict[PoolName, RouteKind] = {}
+        self._waiters: Waiters[Placement | None] = Waiters()
+
+    def install(self, configuration: Configuration) -> None:
+        """Put the endpoints of a version in force."""
+        self.pool_kinds = {pool.name: pool.kind for pool in configuration.pools}
+        endpoints = {item.name: item for item in configuration.endpoints}
+        if endpoints == self.endpoints:
+            return
+        self.endpoints = endpoints
+        targets = tuple(
+            Target(item.name, item.pool, item.failure_domain)
+            for item in configuration.endpoints
+        )
+        self.apply(TargetsInstalled(targets))
+
+    def apply(self, event: Event | Tick) -> None:
+        """Hand an event to the scheduler and wake the requests that may go on."""
+        for action in self.scheduler.handle(event, self.clock()):
+            match action:
+                case Start(call=call, placement=placement):
+                    self._waiters.complete(call, placement)
+                case Reject(call=call):
+                    self._waiters.complete(call, None)
+                case ReleaseCache():
+                    self.releases.append(action)
+
+    async def acquire(self, request: DispatchRequest) -> Dispatch:
+        """Wait for an endpoint, or raise RequestRefused."""
+        call = self._waiters.create()
+        job = _create_job(call, request)
+        given = False
+        try:
+            self.apply(Submit(job))
+            placement = await self._waiters.wait(call, self.queue_limit_s)
+            endpoint = self._find_endpoint(placement)
+            given = True
+        except TimeoutError:
+            raise RequestRefused(
+                Code.OVERLOADED, retry_after_s=REFUSED_RETRY_S
+            ) from None
+        finally:
+            if not given:
+                self._give_back(call)
+        assert placement is not None
+        self._explain(request, placement)
+        return Dispatch(call, endpoint, job.key, placement, self.clock())
+
+    def _find_endpoint(self, placement: Placement | None) -> Endpoint:
+        endpoint = None
+        if placement is not None:
+            endpoint = self.endpoints.get(placement.endpoint)
+        if endpoint is None:
+            raise RequestRefused(Code.NO_ENDPOINT, retry_after_s=REFUSED_RETRY_S)
+        return endpoint
+
+    def _give_back(self, call: CallId) -> None:
+        """Undo a call whose request has gone, whether it has started or not."""
+        self.apply(Cancel(call))
+        self.apply(Finish(call, Outcome(Result.CANCELLED)))
+
+    def _explain(self, request: DispatchRequest, placement: Placement) -> None:
+        explanation = Explanation(
+            request.customer,
+            request.program,
+            request.route.name,
+            placement.endpoint,
+            placement.reason,
+            placement.level,
+            placement.waited_s,
+            placement.expected_cached_tokens,
+        )
+        self.explanations.append(explanation)
+
+    def release(
+        self, dispatch: Dispatch, result: Result, output_tokens: int = 0
+    ) -> None:
+        """Report how a call ended."""
+        latency_s = self.clock() - dispatch.started_at
+        outcome = Outcome(result, latency_s, None, output_tokens)
+        self.apply(Finish(dispatch.call, outcome))
+
+    def end_program(self, customer: CustomerId, program: ProgramId) -> None:
+        """Let engines drop the cache of a program that is over."""
+        key = compute_cache_key(customer, program)
+        self.apply(EndProgram(_name_program(customer, program), (key,)))
+
+    async def run(self, interval_s: float) -> None:
+        """Tell the scheduler the time until cancelled."""
+        while True:
+            self.apply(Tick())
+            await anyio.sleep(interval_s)
+
+
+def _name_program(customer: CustomerId, program: ProgramId) -> ProgramId:
+    # Two customers may give their programs the same name.
+    return ProgramId(f"{customer}\0{program}")
+
+
+def _create_job(call: CallId, request: DispatchRequest) -> Job:
+    route = request.route
+    is_model = route.kind is RouteKind.MODEL
+    key = compute_cache_key(request.customer, request.program)
+    return Job(
+        call=call,
+        pool=route.pool,
+        customer=request.customer,
+        program=_name_program(request.customer, request.program),
+        key=key if is_model else CacheKey(""),
+        priority=route.priority,
+        weight=request.weight,
+        kind=route.kind,
+        prompt_tokens=request.body_bytes // BYTES_PER_TOKEN if is_model else 0,
+        repeatable=route.repeatable,
+        excluded=request.excluded,
+    )
--- /dev/null
+++ b/burdockwall/process/scheduling/health.py
@@ -0,0 +1,150 @@
+"""Eject slow and failing endpoints and probe them back in, never all at once."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from burdockwall.process.scheduling.jobs import Outcome, Result
+from burdockwall.process.scheduling.policy import Policy
+from burdockwall.types import EndpointId
+
+PACE_GAIN = 0.2
+POOL_GAIN = 0.02
+CLIP_RATIO = 10.0
+
+
+class Health(Enum):
+    """Name where an endpoint stands."""
+
+    IN = "in"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold what is known of one endpoint; `pace_s` is seconds a unit of work."""
+
+    health: Health = Health.IN
+    failures: int = 0
+    samples: int = 0
+    pace_s: float = 0.0
+    ejections: int = 0
+    until: float = 0.0
+    probes: int = 0
+
+
+class Ejector:
+    """Watch the endpoints of one pool."""
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self.records: dict[EndpointId, Record] = {}
+        self.pool_pace_s = 0.0
+        self.ejected = 0
+
+    def install(self, endpoints: list[EndpointId]) -> None:
+        """Keep the records of endpoints that stay and start those that are new."""
+        known = self.records
+        self.records = {name: known.get(name) or Record() for name in endpoints}
+        self.ejected = sum(
+            record.health is not Health.IN for record in self.records.values()
+        )
+
+    def admits(self, endpoint: EndpointId, now: float) -> bool:
+        """Tell whether a call may go to an endpoint; a due one takes probes."""
+        record = self.records.get(endpoint)
+        if record is None:
+            return False
+        match record.health:
+            case Health.IN:
+                return True
+            case Health.EJECTED if now >= record.until:
+                record.health = Health.PROBING
+                record.probes = 0
+                return True
+            case Health.PROBING:
+                return record.probes < self.policy.probe_calls
+        return False
+
+    def start(self, endpoint: EndpointId) -> None:
+        """Count a call that starts."""
+        record = self.records.get(endpoint)
+        if record is not None and record.health is Health.PROBING:
+            record.probes += 1
+
+    def compute_slowness(self, endpoint: EndpointId) -> float:
+        """Return the endpoint's pace over the pool's, at least 1."""
+        record = self.records.get(endpoint)
+        if record is None or not record.samples or not self.pool_pace_s:
+            return 1.0
+        return max(1.0, record.pace_s / self.pool_pace_s)
+
+    def observe(self, endpoint: EndpointId, outcome: Outcome, now: float) -> None:
+        """Take the outcome of a call."""
+        record = self.records.get(endpoint)
+        if record is None:
+            return
+        if outcome.result is Result.CANCELLED:
+            record.probes = max(0, record.probes - 1)
+            return
+        if outcome.result is Result.FAILED:
+            self._observe_failure(endpoint, record, now)
+            return
+        record.failures = 0
+        self._observe_pace(record, outcome)
+        if record.health is Health.PROBING:
+            self._finish_probe(record, outcome, now)
+        elif record.health is Health.IN and self._is_slow(record):
+            self._eject(record, now)
+
+    def _observe_failure(
+        self, endpoint: EndpointId, record: Record, now: float
+    ) -> None:
+        record.failures += 1
+        if record.health is Health.PROBING:
+            self._postpone(record, now)
+        elif record.failures >= self.policy.failures_to_eject:
+            self._eject(record, now)
+
+    def _observe_pace(self, record: Record, outcome: Outcome) -> None:
+        pace = outcome.latency_s / max(1, outcome.output_tokens)
+        if not self.pool_pace_s:
+            self.pool_pace_s = pace
+        clipped = min(pace, CLIP_RATIO * self.pool_pace_s)
+        if record.health is Health.IN:
+            # One slow endpoint must not drag the pool's own pace after it.
+            share = min(pace, self.policy.slow_ratio * self.pool_pace_s)
+            self.pool_pace_s += (share - self.pool_pace_s) * POOL_GAIN
+        record.samples += 1
+        gain = max(PACE_GAIN, 1.0 / record.samples)
+        record.pace_s += (clipped - record.pace_s) * gain
+
+    def _is_slow(self, record: Record) -> bool:
+        limit = self.policy.slow_ratio * self.pool_pace_s
+        return record.samples >= self.policy.slow_samples and record.pace_s > limit
+
+    def _finish_probe(self, record: Record, outcome: Outcome, now: float) -> None:
+        pace = outcome.latency_s / max(1, outcome.output_tokens)
+        if pace > self.policy.slow_ratio * self.pool_pace_s:
+            self._postpone(record, now)
+            return
+        record.health = Health.IN
+        record.samples = 0
+        record.pace_s = 0.0
+        record.probes = 0
+        self.ejected -= 1
+
+    def _eject(self, record: Record, now: float) -> None:
+        if record.health is not Health.IN:
+            return
+        if self.ejected + 1 > int(len(self.records) * self.policy.ejected_share):
+            return
+        self.ejected += 1
+        self._postpone(record, now)
+
+    def _postpone(self, record: Record, now: float) -> None:
+        record.health = Health.EJECTED
+        pause = self.policy.eject_s * 2 ** min(record.ejections, 16)
+        record.until = now + min(pause, self.policy.eject_limit_s)
+        record.ejections += 1
+        record.failures = 0
--- /dev/null
+++ b/burdockwall/process/scheduling/load.py
@@ -0,0 +1,57 @@
+"""Estimate each endpoint's load from own calls and lagging reports."""
+
+from dataclasses import dataclass
+
+from burdockwall.process.scheduling.policy import Policy, Window
+from burdockwall.process.scheduling.reports import LoadReport
+
+OTHERS_GAIN = 0.5
+
+
+@dataclass(slots=True)
+class Load:
+    """Count calls at one endpoint: own ones exactly, others from reports."""
+
+    policy: Policy
+    running: int = 0
+    queued: int = 0
+    others: float = 0.0
+    capacity: int = 0
+    allowed: int = 0
+    sequence: int = 0
+
+    def __post_init__(self) -> None:
+        self.capacity = self.policy.endpoint_calls
+        self.allowed = max(1, self.capacity // max(1, self.policy.instances))
+
+    def observe(self, report: LoadReport) -> None:
+        """Take a report; a late or doubled one is ignored."""
+        # An endpoint that restarted counts from one again.
+        if 1 < report.sequence <= self.sequence:
+            return
+        self.sequence = report.sequence
+        known = report.capacity or self.policy.endpoint_calls
+        self.capacity = min(known, self.policy.endpoint_calls)
+        total = report.running + report.waiting
+        others = max(0, total - self.running)
+        self.others += (others - self.others) * OTHERS_GAIN
+        if self.policy.window is Window.SHARED:
+            self.allowed = self._claim(total)
+
+    def _claim(self, total: int) -> int:
+        """Claim a share of the free places, or give up a fair part of the excess."""
+        free = self.capacity - max(total, self.running)
+        if free >= 0:
+            return max(1, self.running + int(free * self.policy.claim_share))
+        part = self.running / max(1, total)
+        return max(1, int(self.running + free * part))
+
+    def has_room(self) -> bool:
+        """Tell whether one more call may start."""
+        if self.policy.window is Window.UNLIMITED:
+            return True
+        return self.running < self.allowed
+
+    def count_calls(self) -> float:
+        """Estimate the calls at the endpoint or queued for it."""
+        return self.running + self.queued + self.others
--- /dev/null
+++ b/burdockwall/process/scheduling/poller.py
@@ -0,0 +1,137 @@
+"""Ask endpoints for load and cache events, and pass release hints to them."""
+
+from collections.abc import Callable
+
+import anyio
+import httpx
+import msgspec
+
+from burdockwall.connection.endpoints import EndpointClients
+from burdockwall.process.scheduling.dispatcher import Dispatcher
+from burdockwall.process.scheduling.jobs import ObserveCache, ObserveLoad, ReleaseCache
+from burdockwall.process.scheduling.reports import CachePage, LoadReport
+from burdockwall.types import EndpointId, RouteKind
+from burdockwall.version.configuration import Endpoint
+
+LOAD_PATH = "/v1/load"
+EVENTS_PATH = "/v1/cache/events"
+RELEASE_PATH = "/v1/cache/release"
+ANSWER_BYTES = 1_048_576
+ACTIVE_S = 10.0
+SILENT_PAUSE_S = 60.0
+CONCURRENT_POLLS = 16
+
+
+class EndpointPoller:
+    """Poll the endpoints that this instance uses."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clients: EndpointClients,
+        clock: Callable[[], float],
+        interval_s: float,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.clock = clock
+        self.interval_s = interval_s
+        self._after: dict[EndpointId, int] = {}
+        self._active_at: dict[EndpointId, float] = {}
+        self._silent_until: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Poll and pass hints on until cancelled."""
+        while True:
+            await self._run_once()
+            await anyio.sleep(self.interval_s)
+
+    async def _run_once(self) -> None:
+        limit = anyio.CapacityLimiter(CONCURRENT_POLLS)
+        async with anyio.create_task_group() as group:
+            for endpoint in self._list_active():
+                group.start_soon(self._poll, endpoint, limit)
+            while self.dispatcher.releases:
+                release = self.dispatcher.releases.popleft()
+                group.start_soon(self._release, release, limit)
+
+    def _list_active(self) -> list[Endpoint]:
+        now = self.clock()
+        for name, load in self.dispatcher.scheduler.router.loads.items():
+            if load.running or load.queued:
+                self._active_at[name] = now
+        recent = now - ACTIVE_S
+        self._active_at = {
+            name: at for name, at in self._active_at.items() if at >= recent
+        }
+        endpoints = self.dispatcher.endpoints
+        return [endpoints[name] for name in self._active_at if name in endpoints]
+
+    async def _poll(self, endpoint: Endpoint, limit: anyio.CapacityLimiter) -> None:
+        async with limit:
+            body = await self._ask(endpoint, "GET", LOAD_PATH)
+            if body is not None:
+                self._observe_load(endpoint, body)
+            if self._is_engine(endpoint):
+                after = self._after.get(endpoint.name, 0)
+                path = f"{EVENTS_PATH}?after={after}"
+                body = await self._ask(endpoint, "GET", path)
+                if body is not None:
+                    self._observe_events(endpoint, body)
+
+    def _is_engine(self, endpoint: Endpoint) -> bool:
+        kinds = self.dispatcher.pool_kinds
+        return kinds.get(endpoint.pool) is RouteKind.MODEL
+
+    def _observe_load(self, endpoint: Endpoint, body: bytes) -> None:
+        try:
+            report = msgspec.json.decode(body, type=LoadReport)
+        except msgspec.DecodeError:
+            return
+        self.dispatcher.apply(ObserveLoad(endpoint.name, report))
+
+    def _observe_events(self, endpoint: Endpoint, body: bytes) -> None:
+        try:
+            page = msgspec.json.decode(body, type=CachePage)
+        except msgspec.DecodeError:
+            return
+        if page.events:
+            self._after[endpoint.name] = page.events[-1].sequence
+            events = tuple(page.events)
+            self.dispatcher.apply(ObserveCache(endpoint.name, events))
+
+    async def _release(
+        self, release: ReleaseCache, limit: anyio.CapacityLimiter
+    ) -> None:
+        endpoint = self.dispatcher.endpoints.get(release.endpoint)
+        if endpoint is not None:
+            async with limit:
+                await self._ask(endpoint, "POST", RELEASE_PATH, release.key.encode())
+
+    async def _ask(
+        self, endpoint: Endpoint, method: str, path: str, content: bytes | None = None
+    ) -> bytes | None:
+        """Return an endpoint's answer, or None; an unknown path is left alone."""
+        place = f"{endpoint.name} {path.partition('?')[0]}"
+        if self._silent_until.get(place, 0.0) > self.clock():
+            return None
+        try:
+            with anyio.move_on_after(self.interval_s * 2):
+                async with self.clients.open_stream(
+                    endpoint, method, path, [], content
+                ) as response:
+                    if response.status_code == httpx.codes.OK:
+                        return await _read_answer(response)
+        except httpx.HTTPError:
+            return None
+        self._silent_until[place] = self.clock() + SILENT_PAUSE_S
+        return None
+
+
+async def _read_answer(response: httpx.Response) -> bytes | None:
+    body = b""
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > ANSWER_BYTES:
+            return None
+    return body
--- /dev/null
+++ b/burdockwall/process/scheduling/queue.py
@@ -0,0 +1,184 @@
+"""Order the jobs that wait for one endpoint."""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from itertools import islice
+
+from burdockwall.process.scheduling.jobs import Job
+from burdockwall.process.scheduling.ledger import Ledger
+from burdockwall.process.scheduling.policy import Order, Policy
+from burdockwall.types import CustomerId, EndpointId, PriorityClass
+
+Rank = tuple[float, float, int]
+
+
+@dataclass(slots=True)
+class Entry:
+    """Hold a job that waits; `endpoint` is the one whose queue it is in."""
+
+    job: Job
+    number: int
+    submitted_at: float
+    program_at: float
+    endpoint: EndpointId | None = None
+    queued_at: float = 0.0
+    reason: str = ""
+    cached_tokens: int = 0
+    cache_source: EndpointId | None = None
+    moved_tokens: int = 0
+    failures: int = 0
+
+    def is_in(self, endpoint: EndpointId) -> bool:
+        """Tell whether the job still waits for an endpoint."""
+        return self.endpoint == endpoint
+
+
+@dataclass(slots=True)
+class _ClassQueue:
+    """Hold one class: customers by virtual time, each customer's jobs by rank."""
+
+    customers: list[tuple[float, CustomerId]] = field(default_factory=list)
+    jobs: dict[CustomerId, list[tuple[Rank, int, Entry]]] = field(default_factory=dict)
+    arrivals: deque[Entry] = field(default_factory=deque)
+
+
+class JobQueue:
+    """Order jobs by class, by the customers' fair shares, and by program.
+
+    Within a class each customer's turn comes by its weighted virtual time, and a
+    customer's programs come by least attained service. One pop in `ageing_every`
+    goes to the oldest job that has waited longer than `ageing_s`, whatever its class.
+    """
+
+    def __init__(self, endpoint: EndpointId, policy: Policy, ledger: Ledger) -> None:
+        self.endpoint = endpoint
+        self.policy = policy
+        self.ledger = ledger
+        self.size = 0
+        self._pops = 0
+        self._pushes = 0
+        self._classes = {priority: _ClassQueue() for priority in PriorityClass}
+        self._arrivals: deque[Entry] = deque()
+
+    def push(self, entry: Entry) -> None:
+        """Queue a job; the caller has set its endpoint to this queue's."""
+        self.size += 1
+        if self.policy.order is Order.FCFS:
+            self._arrivals.append(entry)
+            return
+        queue = self._classes[entry.job.priority]
+        queue.arrivals.append(entry)
+        customer = entry.job.customer
+        jobs = queue.jobs.get(customer)
+        if jobs is None:
+            jobs = queue.jobs[customer] = []
+            time = self.ledger.activate(customer)
+            heapq.heappush(queue.customers, (time, customer))
+        self._pushes += 1
+        heapq.heappush(jobs, (self._rank(entry), self._pushes, entry))
+
+    def remove(self, entry: Entry) -> None:
+        """Take a job out; what is left of it is dropped when it comes up."""
+        entry.endpoint = None
+        self.size -= 1
+        if self.size == 0:
+            self._clear()
+
+    def pop(self, now: float) -> Entry | None:
+        """Take the next job out, or return None where none waits."""
+        if self.size == 0:
+            return None
+        entry = self._choose(now)
+        if entry is not None:
+            self.remove(entry)
+        return entry
+
+    def list_oldest(self, count: int) -> list[Entry]:
+        """List the jobs that have waited longest in each class."""
+        found: list[Entry] = []
+        queues = [queue.arrivals for queue in self._classes.values()]
+        for arrivals in (self._arrivals, *queues):
+            self._trim(arrivals)
+            for entry in islice(arrivals, count):
+                if entry.is_in(self.endpoint):
+                    found.append(entry)
+        return found
+
+    def drain(self) -> list[Entry]:
+        """Take every job out in the order of arrival."""
+        queues = [queue.arrivals for queue in self._classes.values()]
+        entries = {
+            entry.number: entry
+            for arrivals in (self._arrivals, *queues)
+            for entry in arrivals
+            if entry.is_in(self.endpoint)
+        }
+        for entry in entries.values():
+            entry.endpoint = None
+        self.size = 0
+        self._clear()
+        return [entries[number] for number in sorted(entries)]
+
+    def _clear(self) -> None:
+        self._arrivals.clear()
+        for priority in PriorityClass:
+            queue = self._classes[priority]
+            if queue.arrivals:
+                self._classes[priority] = _ClassQueue()
+
+    def _rank(self, entry: Entry) -> Rank:
+        if self.policy.order is Order.ATTAINED_SERVICE:
+            level = self.ledger.get_level(entry.job.program)
+            return (level, entry.program_at, entry.number)
+        return (0, entry.program_at, entry.number)
+
+    def _trim(self, arrivals: deque[Entry]) -> None:
+        while arrivals and not arrivals[0].is_in(self.endpoint):
+            arrivals.popleft()
+
+    def _choose(self, now: float) -> Entry | None:
+        if self.policy.order is Order.FCFS:
+            self._trim(self._arrivals)
+            return self._arrivals[0] if self._arrivals else None
+        self._pops += 1
+        if self._pops % self.policy.ageing_every == 0:
+            overdue = self._find_overdue(now)
+            if overdue is not None:
+                return overdue
+        for queue in self._classes.values():
+            entry = self._find_next(queue)
+            if entry is not None:
+                return entry
+        return None
+
+    def _find_overdue(self, now: float) -> Entry | None:
+        oldest: Entry | None = None
+        for queue in self._classes.values():
+            self._trim(queue.arrivals)
+            if queue.arrivals:
+                entry = queue.arrivals[0]
+                if oldest is None or entry.submitted_at < oldest.submitted_at:
+                    oldest = entry
+        if oldest is None or now - oldest.submitted_at < self.policy.ageing_s:
+            return None
+        return oldest
+
+    def _find_next(self, queue: _ClassQueue) -> Entry | None:
+        while queue.customers:
+            time, customer = queue.customers[0]
+            jobs = queue.jobs[customer]
+            while jobs and not jobs[0][2].is_in(self.endpoint):
+                heapq.heappop(jobs)
+            if not jobs:
+                heapq.heappop(queue.customers)
+                del queue.jobs[customer]
+                continue
+            current = self.ledger.get_time(customer)
+            if current > time:
+                # The customer was served elsewhere since it was put here.
+                heapq.heapreplace(queue.customers, (current, customer))
+                continue
+            self.ledger.serve(customer)
+            return jobs[0][2]
+        return None
--- /dev/null
+++ b/burdockwall/process/scheduling/router.py
@@ -0,0 +1,242 @@
+"""Choose the endpoint of a job by prefix affinity, load, health and distance."""
+
+import random
+from dataclasses import dataclass, field
+
+from burdockwall.process.scheduling.affinity import PrefixTable
+from burdockwall.process.scheduling.health import Ejector
+from burdockwall.process.scheduling.jobs import Asset, EndpointRole, Job, Target
+from burdockwall.process.scheduling.load import Load
+from burdockwall.process.scheduling.policy import Policy, Routing
+from burdockwall.process.scheduling.ring import Ring
+from burdockwall.types import EndpointId, FailureDomain, PoolName, RouteKind
+
+HOMES = 2
+SAMPLES = 2
+SAMPLE_ATTEMPTS = 8
+SERVICE_GAIN = 0.1
+FIRST_SERVICE_S = 0.02
+
+
+@dataclass(slots=True)
+class Group:
+    """Hold the endpoints of a pool that serve one asset."""
+
+    endpoints: list[EndpointId]
+    near: list[EndpointId]
+    ring: Ring
+    turn: int = 0
+
+
+@dataclass(slots=True)
+class PoolState:
+    """Hold the endpoints of a pool and what is known of their health."""
+
+    targets: dict[EndpointId, Target]
+    ejector: Ejector
+    groups: dict[Asset, Group] = field(default_factory=dict)
+    service_s: float = FIRST_SERVICE_S
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """State the endpoint chosen, why, and what it is expected to cost."""
+
+    endpoint: EndpointId
+    reason: str
+    cost_s: float = 0.0
+    cached_tokens: int = 0
+    cache_source: EndpointId | None = None
+    moved_tokens: int = 0
+
+
+class Router:
+    """Choose among a few candidates, so that the cost does not grow with the pool."""
+
+    def __init__(
+        self, policy: Policy, near: FailureDomain, generator: random.Random
+    ) -> None:
+        self.policy = policy
+        self.near = near
+        self.random = generator
+        self.prefixes = PrefixTable(policy)
+        self.loads: dict[EndpointId, Load] = {}
+        self.pools: dict[PoolName, PoolState] = {}
+        self.targets: dict[EndpointId, Target] = {}
+
+    def install(self, targets: tuple[Target, ...]) -> None:
+        """Take a new list of endpoints; what is known of the others is kept."""
+        self.targets = {target.endpoint: target for target in targets}
+        by_pool: dict[PoolName, dict[EndpointId, Target]] = {}
+        for target in targets:
+            by_pool.setdefault(target.pool, {})[target.endpoint] = target
+        self.pools = {
+            pool: self._install_pool(pool, members) for pool, members in by_pool.items()
+        }
+        self.loads = {
+            name: self.loads.get(name) or Load(self.policy) for name in self.targets
+        }
+
+    def _install_pool(
+        self, pool: PoolName, members: dict[EndpointId, Target]
+    ) -> PoolState:
+        former = self.pools.get(pool)
+        if former is not None and former.targets == members:
+            return former
+        ejector = former.ejector if former is not None else Ejector(self.policy)
+        ejector.install(list(members))
+        return PoolState(members, ejector)
+
+    def choose(self, job: Job, now: float) -> Choice | None:
+        """Choose the endpoint of a job, or None where none can take it."""
+        pool = self.pools.get(job.pool)
+        if pool is None:
+            return None
+        group = self._get_group(pool, job.asset)
+        choice: Choice | None = None
+        match self.policy.routing:
+            case Routing.ROUND_ROBIN:
+                choice = self._choose_in_turn(job, pool, group, now)
+            case Routing.LEAST_OUTSTANDING:
+                choice = self._choose_least(job, pool, group, now)
+            case Routing.AFFINITY:
+                choice = self._choose_cheapest(job, pool, group, now)
+        return choice or self._choose_last_resort(job, group)
+
+    def _get_group(self, pool: PoolState, asset: Asset) -> Group:
+        group = pool.groups.get(asset)
+        if group is None:
+            fitting = [
+                target for target in pool.targets.values() if _fits(target, asset)
+            ]
+            names = sorted(target.endpoint for target in fitting)
+            near = sorted(
+                target.endpoint
+                for target in fitting
+                if target.failure_domain == self.near
+            )
+            group = pool.groups[asset] = Group(names, near, Ring(names))
+        return group
+
+    def _choose_in_turn(
+        self, job: Job, pool: PoolState, group: Group, now: float
+    ) -> Choice | None:
+        for _ in range(len(group.endpoints)):
+            endpoint = group.endpoints[group.turn % len(group.endpoints)]
+            group.turn += 1
+            if endpoint not in job.excluded and pool.ejector.admits(endpoint, now):
+                return Choice(endpoint, "round robin")
+        return None
+
+    def _choose_last_resort(self, job: Job, group: Group) -> Choice | None:
+        """Let a job wait for an ejected endpoint where there is no other."""
+        usable = [name for name in group.endpoints if name not in job.excluded]
+        if not usable:
+            return None
+        return Choice(self.random.choice(usable), "every endpoint is ejected")
+
+    def _choose_least(
+        self, job: Job, pool: PoolState, group: Group, now: float
+    ) -> Choice | None:
+        best: Choice | None = None
+        for endpoint in group.endpoints:
+            if endpoint in job.excluded or not pool.ejector.admits(endpoint, now):
+                continue
+            load = self.loads[endpoint]
+            cost = load.running + load.queued + self.random.random()
+            if best is None or cost < best.cost_s:
+                best = Choice(endpoint, "least outstanding", cost)
+        return best
+
+    def _choose_cheapest(
+        self, job: Job, pool: PoolState, group: Group, now: float
+    ) -> Choice | None:
+        copies = dict(self.prefixes.list_copies(job.key, now)) if job.key else {}
+        best: Choice | None = None
+        for endpoint, reason in self._list_candidates(job, group, copies).items():
+            if endpoint in job.excluded or endpoint not in pool.targets:
+                continue
+            if not pool.ejector.admits(endpoint, now):
+                continue
+            choice = self._estimate(job, pool, endpoint, copies, reason)
+            if best is None or choice.cost_s < best.cost_s:
+                best = choice
+        # Every candidate may be ejected while others are not.
+        return best or self._choose_in_turn(job, pool, group, now)
+
+    def _list_candidates(
+        self, job: Job, group: Group, copies: dict[EndpointId, int]
+    ) -> dict[EndpointId, str]:
+        candidates = {
+            endpoint: f"holds {tokens} tokens of the prefix"
+            for endpoint, tokens in copies.items()
+            if _fits(self.targets.get(endpoint), job.asset)
+        }
+        if job.key:
+            for endpoint in group.ring.list_homes(job.key, HOMES):
+                candidates.setdefault(endpoint, "home of the history")
+        for names in (group.near, group.endpoints):
+            for _ in range(min(SAMPLES, len(names))):
+                candidates.setdefault(self.random.choice(names), "less loaded")
+        return candidates
+
+    def _estimate(
+        self,
+        job: Job,
+        pool: PoolState,
+        endpoint: EndpointId,
+        copies: dict[EndpointId, int],
+        reason: str,
+    ) -> Choice:
+        load = self.loads[endpoint]
+        cached = min(copies.get(endpoint, 0), job.prompt_tokens)
+        moved, source = self._find_source(job, pool, endpoint, copies, cached)
+        computed = job.prompt_tokens - cached - moved
+        cost = computed * self.policy.prefill_token_s
+        cost += moved * self.policy.move_token_s
+        if job.kind is RouteKind.SERVICE:
+            busy = load.count_calls() / max(1, load.capacity)
+            cost += pool.service_s * (1.0 + busy)
+        else:
+            cost += load.count_calls() * self.policy.load_call_s
+            cost += self.policy.load_call_s
+        cost *= pool.ejector.compute_slowness(endpoint)
+        if pool.targets[endpoint].failure_domain != self.near:
+            cost += self.policy.far_s
+        return Choice(endpoint, reason, cost, cached, source, moved)
+
+    def _find_source(
+        self,
+        job: Job,
+        pool: PoolState,
+        endpoint: EndpointId,
+        copies: dict[EndpointId, int],
+        cached: int,
+    ) -> tuple[int, EndpointId | None]:
+        if not copies or not pool.targets[endpoint].moves_cache:
+            return 0, None
+        best, source = 0, None
+        for other, tokens in copies.items():
+            target = pool.targets.get(other)
+            if other == endpoint or target is None or not target.moves_cache:
+                continue
+            gained = min(tokens, job.prompt_tokens) - cached
+            if gained > best:
+                best, source = gained, other
+        if self.policy.move_token_s >= self.policy.prefill_token_s:
+            return 0, None
+        return best, source
+
+    def observe_service(self, pool: PoolName, latency_s: float) -> None:
+        """Learn how long a plain service takes."""
+        state = self.pools.get(pool)
+        if state is not None:
+            state.service_s += (latency_s - state.service_s) * SERVICE_GAIN
+
+
+def _fits(target: Target | None, asset: Asset) -> bool:
+    if target is None or target.role is EndpointRole.DECODE:
+        return False
+    if not target.assets:
+        return True
+    return any(asset.matches(loaded) for loaded in target.assets)
--- /dev/null
+++ b/burdockwall/process/scheduling/scheduler.py
@@ -0,0 +1,312 @@
+"""Decide when and where each call of an instance runs."""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+from burdockwall.machine import Tick
+from burdockwall.process.scheduling.jobs import (
+    Action,
+    Cancel,
+    EndProgram,
+    Finish,
+    Job,
+    ObserveCache,
+    ObserveLoad,
+    Outcome,
+    Placement,
+    Reject,
+    ReleaseCache,
+    Result,
+    Start,
+    Submit,
+    TargetsInstalled,
+)
+from burdockwall.process.scheduling.ledger import Ledger
+from burdockwall.process.scheduling.policy import Policy, Routing
+from burdockwall.process.scheduling.queue import Entry, JobQueue
+from burdockwall.process.scheduling.reports import CacheEvent, CacheKey
+from burdockwall.process.scheduling.router import Choice, Router
+from burdockwall.types import (
+    CallId,
+    EndpointId,
+    FailureDomain,
+    ProgramId,
+    RouteKind,
+)
+
+REQUEUE_BATCH = 4
+LEVELS_A_CLASS = 16
+
+
+@dataclass(slots=True)
+class Running:
+    """Hold a call that has started."""
+
+    job: Job
+    placement: Placement
+    charged_s: float
+
+
+class Scheduler:
+    """Queue jobs by endpoint, order them, and start them within the windows."""
+
+    def __init__(
+        self, policy: Policy, near: FailureDomain, generator: random.Random
+    ) -> None:
+        self.policy = policy
+        self.router = Router(policy, near, generator)
+        self.ledger = Ledger(policy)
+        self.running: dict[CallId, Running] = {}
+        self.waiting: dict[CallId, Entry] = {}
+        self._queues: dict[EndpointId, JobQueue] = {}
+        self._holds: OrderedDict[CacheKey, tuple[EndpointId, float]] = OrderedDict()
+        self._numbers = 0
+
+    def handle(self, event: Any, now: float) -> list[Action]:
+        """Take an event and return the calls to start and prefixes to drop."""
+        match event:
+            case Submit(job=job):
+                return self._submit(job, now)
+            case Finish(call=call, outcome=outcome):
+                return self._finish(call, outcome, now)
+            case Cancel(call=call):
+                self._cancel(call)
+            case EndProgram(program=program, keys=keys):
+                return self._end_program(program, keys, now)
+            case ObserveLoad(endpoint=endpoint, report=report):
+                load = self.router.loads.get(endpoint)
+                if load is not None:
+                    load.observe(report)
+                    return self._pump(endpoint, now)
+            case ObserveCache(endpoint=endpoint, events=events):
+                self._observe_cache(endpoint, events, now)
+            case TargetsInstalled():
+                return self._install(event, now)
+            case Tick():
+                return self._tick(now)
+        return []
+
+    def _install(self, event: TargetsInstalled, now: float) -> list[Action]:
+        self.router.install(event.targets)
+        displaced: list[Entry] = []
+        for endpoint in [
+            name for name in self._queues if name not in self.router.targets
+        ]:
+            displaced.extend(self._queues.pop(endpoint).drain())
+        for endpoint in self.router.targets:
+            if endpoint not in self._queues:
+                queue = JobQueue(endpoint, self.policy, self.ledger)
+                self._queues[endpoint] = queue
+        return self._place_again(displaced, now)
+
+    def _submit(self, job: Job, now: float) -> list[Action]:
+        self._numbers += 1
+        started = self.ledger.open(job.program, now)
+        entry = Entry(job, self._numbers, now, started)
+        self.waiting[job.call] = entry
+        return self._place(entry, now)
+
+    def _place(self, entry: Entry, now: float) -> list[Action]:
+        choice = self.router.choose(entry.job, now)
+        if choice is None:
+            del self.waiting[entry.job.call]
+            return [Reject(entry.job.call)]
+        self._enqueue(entry, choice, now)
+        return self._pump(choice.endpoint, now)
+
+    def _enqueue(self, entry: Entry, choice: Choice, now: float) -> None:
+        entry.endpoint = choice.endpoint
+        entry.queued_at = now
+        entry.reason = choice.reason
+        entry.cached_tokens = choice.cached_tokens
+        entry.cache_source = choice.cache_source
+        entry.moved_tokens = choice.moved_tokens
+        self._queues[choice.endpoint].push(entry)
+        self.router.loads[choice.endpoint].queued += 1
+
+    def _place_again(self, entries: list[Entry], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for entry in entries:
+            actions.extend(self._place(entry, now))
+        return actions
+
+    def _pump(self, endpoint: EndpointId, now: float) -> list[Action]:
+        """Start what the window of an endpoint admits."""
+        actions: list[Action] = []
+        queue = self._queues[endpoint]
+        load = self.router.loads[endpoint]
+        ejector = self.router.pools[self.router.targets[endpoint].pool].ejector
+        while queue.size and load.has_room() and ejector.admits(endpoint, now):
+            entry = queue.pop(now)
+            if entry is None:
+                break
+            load.queued -= 1
+            load.running += 1
+            ejector.start(endpoint)
+            actions.append(self._start(entry, endpoint, now))
+        return actions
+
+    def _start(self, entry: Entry, endpoint: EndpointId, now: float) -> Start:
+        job = entry.job
+        del self.waiting[job.call]
+        cost = self._estimate_service(job, entry.cached_tokens, 0)
+        self.ledger.charge(job.program, job.customer, job.weight, cost)
+        self._holds.pop(job.key, None)
+        placement = Placement(
+            endpoint,
+            entry.reason,
+            self._compute_level(job),
+            entry.cached_tokens,
+            entry.cache_source,
+            entry.moved_tokens,
+            now - entry.submitted_at,
+        )
+        self.running[job.call] = Running(job, placement, cost)
+        return Start(job.call, placement)
+
+    def _compute_level(self, job: Job) -> int:
+        if not self.policy.pass_priorities:
+            return 0
+        level = self.ledger.get_level(job.program)
+        return job.priority.rank * LEVELS_A_CLASS + level
+
+    def _estimate_service(self, job: Job, cached: int, output: int) -> float:
+        if job.kind is RouteKind.SERVICE:
+            return self.policy.output_token_s
+        computed = max(0, job.prompt_tokens - cached)
+        prefill = computed * self.policy.prefill_token_s
+        return prefill + output * self.policy.output_token_s
+
+    def _finish(self, call: CallId, outcome: Outcome, now: float) -> list[Action]:
+        running = self.running.pop(call, None)
+        if running is None:
+            return []
+        job, endpoint = running.job, running.placement.endpoint
+        self._settle(running, outcome)
+        pool = self.router.pools.get(job.pool)
+        if pool is not None:
+            pool.ejector.observe(endpoint, outcome, now)
+        if job.kind is RouteKind.SERVICE and outcome.result is Result.SUCCEEDED:
+            self.router.observe_service(job.pool, outcome.latency_s)
+        actions: list[Action] = []
+        if job.key and job.kind is RouteKind.MODEL:
+            actions.extend(self._learn_prefix(job, endpoint, outcome, now))
+        load = self.router.loads.get(endpoint)
+        if load is not None:
+            load.running -= 1
+            actions.extend(self._pump(endpoint, now))
+        return actions
+
+    def _settle(self, running: Running, outcome: Outcome) -> None:
+        job = running.job
+        cached = outcome.cached_tokens
+        if cached is None:
+            cached = running.placement.expected_cached_tokens
+        cost = self._estimate_service(job, cached, outcome.output_tokens)
+        difference = cost - running.charged_s
+        self.ledger.charge(job.program, job.customer, job.weight, difference)
+
+    def _learn_prefix(
+        self, job: Job, endpoint: EndpointId, outcome: Outcome, now: float
+    ) -> list[Action]:
+        if outcome.result is Result.FAILED:
+            self.router.prefixes.forget(job.key, endpoint)
+            return []
+        tokens = job.prompt_tokens + outcome.output_tokens
+        self.router.prefixes.record(job.key, endpoint, tokens, now)
+        if not self.policy.release_cache:
+            return []
+        self._holds.pop(job.key, None)
+        self._holds[job.key] = (endpoint, now + self.policy.pause_hold_s)
+        return self._release_stale(job.key, endpoint, now)
+
+    def _release_stale(
+        self, key: CacheKey, endpoint: EndpointId, now: float
+    ) -> list[Action]:
+        """Drop the copies that the history has outgrown at other endpoints."""
+        actions: list[Action] = []
+        for other, _ in self.router.prefixes.list_copies(key, now):
+            if other != endpoint:
+                self.router.prefixes.forget(key, other)
+                actions.append(ReleaseCache(other, key))
+        return actions
+
+    def _cancel(self, call: CallId) -> None:
+        entry = self.waiting.pop(call, None)
+        if entry is not None:
+            self._take_out(entry)
+
+    def _take_out(self, entry: Entry) -> None:
+        endpoint = entry.endpoint
+        if endpoint is not None:
+            self._queues[endpoint].remove(entry)
+            self.router.loads[endpoint].queued -= 1
+
+    def _end_program(
+        self, program: ProgramId, keys: tuple[CacheKey, ...], now: float
+    ) -> list[Action]:
+        self.ledger.close(program)
+        actions: list[Action] = []
+        for key in keys:
+            if self.policy.release_cache:
+                actions.extend(self._release(key, now))
+            self.router.prefixes.forget(key)
+        return actions
+
+    def _release(self, key: CacheKey, now: float) -> list[Action]:
+        self._holds.pop(key, None)
+        copies = self.router.prefixes.list_copies(key, now)
+        self.router.prefixes.forget(key)
+        return [ReleaseCache(endpoint, key) for endpoint, _ in copies]
+
+    def _observe_cache(
+        self, endpoint: EndpointId, events: tuple[CacheEvent, ...], now: float
+    ) -> None:
+        if self.policy.routing is Routing.AFFINITY and endpoint in self.router.targets:
+            self.router.prefixes.observe(endpoint, events, now)
+
+    def _tick(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for endpoint, queue in self._queues.items():
+            if queue.size:
+                actions.extend(self._pump(endpoint, now))
+                actions.extend(self._requeue(queue, now))
+        actions.extend(self._drop_unused(now))
+        return actions
+
+    def _requeue(self, queue: JobQueue, now: float) -> list[Action]:
+        """Choose again for jobs that have waited long at an endpoint."""
+        actions: list[Action] = []
+        for entry in queue.list_oldest(REQUEUE_BATCH):
+            if not entry.is_in(queue.endpoint):
+                continue
+            if now - entry.queued_at < self.policy.requeue_s:
+                continue
+            entry.queued_at = now
+            actions.extend(self._move(entry, now))
+        return actions
+
+    def _move(self, entry: Entry, now: float) -> list[Action]:
+        load = self.router.loads[entry.endpoint]  # type: ignore[index]
+        load.queued -= 1
+        choice = self.router.choose(entry.job, now)
+        load.queued += 1
+        if choice is None or choice.endpoint == entry.endpoint:
+            return []
+        self._take_out(entry)
+        self._enqueue(entry, choice, now)
+        return self._pump(choice.endpoint, now)
+
+    def _drop_unused(self, now: float) -> list[Action]:
+        """Drop prefixes whose program has paused longer than the hold time."""
+        actions: list[Action] = []
+        while self._holds:
+            key, (endpoint, until) = next(iter(self._holds.items()))
+            if until > now:
+                break
+            del self._holds[key]
+            self.router.prefixes.forget(key, endpoint)
+            actions.append(ReleaseCache(endpoint, key))
+        return actions
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -7,10 +7,10 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.scheduling.dispatcher import (
-    Job,
-    Placement,
-    PlacementOutcome,
+    Dispatch,
+    DispatchRequest,
 )
+from burdockwall.process.scheduling.jobs import Result
 from burdockwall.request.caller import (
     Presented,
     check_customer,
@@ -25,6 +25,7 @@
 from burdockwall.types import ModelName, ProgramId, RouteKind
 from burdockwall.version.view import View
 
+ENDPOINT_FAULTS = (Code.ENDPOINT_UNREACHABLE, Code.ENDPOINT_FAILED)
 DEFAULT_TYPE = "application/octet-stream"
 
 
@@ -41,26 +42,36 @@
     trace.customer, trace.route = customer.name, route.name
     await parts.limits.admit_call(customer, route)
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
-    job = Job(customer.name, program, route, view.pools[route.pool])
-    placement = await parts.dispatcher.acquire(job)
-    trace.program, trace.endpoint = program, placement.endpoint.name
-    outcome = PlacementOutcome.FAILED
+    request = DispatchRequest(
+        customer.name,
+        program,
+        route,
+        view.pools[route.pool],
+        weight=customer.weight,
+    )
+    dispatch = await parts.dispatcher.acquire(request)
+    trace.program, trace.endpoint = program, dispatch.endpoint.name
+    result = Result.CANCELLED
     try:
-        await _forward(parts, exchange, placement, presented)
-        outcome = PlacementOutcome.FINISHED
+        await _forward(parts, exchange, dispatch, presented)
+        result = Result.SUCCEEDED
+    except RequestRefused as error:
+        if error.code in ENDPOINT_FAULTS:
+            result = Result.FAILED
+        raise
     finally:
-        parts.dispatcher.release(placement, outcome)
+        parts.dispatcher.release(dispatch, result)
 
 
 async def _forward(
-    parts: Parts, exchange: Exchange, placement: Placement, presented: Presented
+    parts: Parts, exchange: Exchange, dispatch: Dispatch, presented: Presented
 ) -> None:
     query = strip_query(exchange, presented)
     path = f"{exchange.raw_path}?{query}" if query else exchange.raw_path
     body = exchange.stream_body(parts.settings.max_body_bytes)
     try:
         async with parts.clients.open_stream(
-            placement.endpoint,
+            dispatch.endpoint,
             exchange.method,
             path,
             strip_headers(exchange, presented),
@@ -75,6 +86,6 @@
         code = Code.ENDPOINT_UNREACHABLE
         raise RequestRefused(code, retry_after_s=1.0) from error
     except httpx.TransportError as error:
-        await parts.clients.replace(placement.endpoint)
+        await parts.clients.replace(dispatch.endpoint)
         raise RequestRefused(Code.ENDPOINT_FAILED) from error
     await exchange.finish()
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -10,6 +10,7 @@
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
 from burdockwall.process.programs.records import ProgramTable
 from burdockwall.process.scheduling.dispatcher import Dispatcher
+from burdockwall.process.scheduling.policy import create_policy
 from burdockwall.request.streams import StreamTable
 from burdockwall.settings import Settings
 
@@ -37,7 +38,13 @@
         clock=clock,
         programs=ProgramTable(),
         limits=LimitClient(host, settings, host.bus.incarnation, generator),
-        dispatcher=Dispatcher(),
+        dispatcher=Dispatcher(
+            create_policy(settings),
+            settings.failure_domain,
+            settings.schedule_queue_limit_s,
+            clock,
+            generator,
+        ),
         clients=EndpointClients(
             settings.endpoint_connect_s, settings.endpoint_silence_s
         ),
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -63,7 +63,7 @@
         self.append = append
         self._started_at: EndpointId | None = None
 
-    async def run(self, endpoint: Endpoint, attempts: int) -> None:
+    async def run(self, endpoint: Endpoint, attempts: int, headers: Headers) -> None:
         """Relay to the end of the answer, or raise EndpointLost.
 
         Attempts that bring no further event count; one that does starts anew.
@@ -73,7 +73,7 @@
         while left:
             before = self.buffer.events
             try:
-                await self._relay_once(endpoint)
+                await self._relay_once(endpoint, headers)
             except (httpx.ConnectError, httpx.ConnectTimeout):
                 raise EndpointLost(sent or bool(self.buffer.events)) from None
             except httpx.TransportError:
@@ -90,9 +90,10 @@
                 break
         raise EndpointLost(sent)
 
-    async def _relay_once(self, endpoint: Endpoint) -> None:
+    async def _relay_once(self, endpoint: Endpoint, hints: Headers) -> None:
         upstream = self.upstream
-        headers = [*upstream.headers, (b"request-id", upstream.request.encode())]
+        request = (b"request-id", upstream.request.encode())
+        headers = [*upstream.headers, *hints, request]
         if self.buffer.events:
             offset = str(self.buffer.events).encode()
             headers.append((b"last-event-id", offset))
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -14,7 +14,8 @@
 )
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.programs.records import Turn
-from burdockwall.process.scheduling.dispatcher import Job, PlacementOutcome
+from burdockwall.process.scheduling.dispatcher import DispatchRequest
+from burdockwall.process.scheduling.jobs import Result
 from burdockwall.request.caller import (
     check_body,
     check_customer,
@@ -179,29 +180,36 @@
     excluded: frozenset[EndpointId] = frozenset()
     sent = False
     while not stream.buffer.done:
-        job = Job(
-            turn.customer, turn.program, request.route, request.endpoints, excluded
+        wanted = DispatchRequest(
+            turn.customer,
+            turn.program,
+            request.route,
+            request.endpoints,
+            excluded,
+            sum(len(message.content) for message in turn.prompt),
+            request.customer.weight,
         )
         try:
-            placement = await parts.dispatcher.acquire(job)
+            dispatch = await parts.dispatcher.acquire(wanted)
         except RequestRefused:
             if sent:
                 raise RequestRefused(Code.ENDPOINT_FAILED) from None
             raise
-        stream.endpoint = placement.endpoint.name
-        outcome = PlacementOutcome.CANCELLED
+        stream.endpoint = dispatch.endpoint.name
+        result = Result.CANCELLED
         try:
-            await relay.run(placement.endpoint, parts.settings.endpoint_attempts)
-            outcome = PlacementOutcome.FINISHED
+            attempts = parts.settings.endpoint_attempts
+            await relay.run(dispatch.endpoint, attempts, dispatch.list_headers())
+            result = Result.SUCCEEDED
         except EndpointLost as error:
-            outcome = PlacementOutcome.FAILED
-            excluded |= {placement.endpoint.name}
+            result = Result.FAILED
+            excluded |= {dispatch.endpoint.name}
             sent = sent or error.sent
             if not await allow_retry(len(excluded)):
                 code = Code.ENDPOINT_FAILED if sent else Code.ENDPOINT_UNREACHABLE
                 raise RequestRefused(code, retry_after_s=1.0) from None
         finally:
-            parts.dispatcher.release(placement, outcome)
+            parts.dispatcher.release(dispatch, result, stream.buffer.events)
 
 
 def _build_upstream(request: TurnRequest, turn: Turn) -> Upstream:
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -61,6 +61,34 @@
     peer_plaintext: bool = False
     abandon_grace_s: float = 5.0
     stream_keep_s: float = 30.0
+    schedule_routing: str = "affinity"
+    schedule_order: str = "attained_service"
+    schedule_window: str = "shared"
+    schedule_endpoint_calls: int = 24
+    schedule_claim_share: float = 0.5
+    schedule_instances: int = 6
+    schedule_pass_priorities: bool = True
+    schedule_release_cache: bool = True
+    schedule_prefill_token_s: float = 0.000125
+    schedule_move_token_s: float = 0.00001
+    schedule_output_token_s: float = 0.002
+    schedule_load_call_s: float = 0.05
+    schedule_far_s: float = 0.003
+    schedule_ageing_s: float = 20.0
+    schedule_ageing_every: int = 8
+    schedule_service_quantum_s: float = 0.5
+    schedule_requeue_s: float = 0.5
+    schedule_prefix_records: int = 20000
+    schedule_prefix_doubt_s: float = 120.0
+    schedule_pause_hold_s: float = 30.0
+    schedule_failures_to_eject: int = 3
+    schedule_slow_ratio: float = 3.0
+    schedule_slow_samples: int = 10
+    schedule_eject_s: float = 5.0
+    schedule_eject_limit_s: float = 60.0
+    schedule_ejected_share: float = 0.5
+    schedule_queue_limit_s: float = 30.0
+    schedule_poll_s: float = 0.5
 
 
 class Kind(Enum):
@@ -506,6 +534,279 @@
         1,
         1000000,
     ),
+    Option(
+        "scheduling",
+        "routing",
+        "schedule_routing",
+        Kind.CHOICE,
+        "",
+        "How an endpoint is chosen.",
+        choices=("affinity", "least_outstanding", "round_robin"),
+    ),
+    Option(
+        "scheduling",
+        "order",
+        "schedule_order",
+        Kind.CHOICE,
+        "",
+        "How waiting calls are ordered.",
+        choices=("attained_service", "program_fcfs", "fcfs"),
+    ),
+    Option(
+        "scheduling",
+        "window",
+        "schedule_window",
+        Kind.CHOICE,
+        "",
+        "How calls let into an endpoint are bounded.",
+        choices=("shared", "split", "unlimited"),
+    ),
+    Option(
+        "scheduling",
+        "endpoint_calls",
+        "schedule_endpoint_calls",
+        Kind.INTEGER,
+        "calls",
+        "Most calls at an endpoint from all instances.",
+        1,
+        4096,
+    ),
+    Option(
+        "scheduling",
+        "claim_share",
+        "schedule_claim_share",
+        Kind.NUMBER,
+        "",
+        "Share of the free places that an instance may claim.",
+        0.01,
+        1,
+    ),
+    Option(
+        "scheduling",
+        "instances",
+        "schedule_instances",
+        Kind.INTEGER,
+        "",
+        "Instances that share an endpoint before its first report.",
+        1,
+        1000,
+    ),
+    Option(
+        "scheduling",
+        "pass_priorities",
+        "schedule_pass_priorities",
+        Kind.BOOLEAN,
+        "",
+        "Whether engines are told the order of calls.",
+    ),
+    Option(
+        "scheduling",
+        "release_cache",
+        "schedule_release_cache",
+        Kind.BOOLEAN,
+        "",
+        "Whether engines are told to drop unused prefixes.",
+    ),
+    Option(
+        "scheduling",
+        "prefill_token",
+        "schedule_prefill_token_s",
+        Kind.NUMBER,
+        "s",
+        "Time of an engine to prefill one token.",
+        0,
+        1,
+    ),
+    Option(
+        "scheduling",
+        "move_token",
+        "schedule_move_token_s",
+        Kind.NUMBER,
+        "s",
+        "Time to move the cache of one token.",
+        0,
+        1,
+    ),
+    Option(
+        "scheduling",
+        "output_token",
+        "schedule_output_token_s",
+        Kind.NUMBER,
+        "s",
+        "Share of an engine taken by one generated token.",
+        0,
+        1,
+    ),
+    Option(
+        "scheduling",
+        "load_call",
+        "schedule_load_call_s",
+        Kind.NUMBER,
+        "s",
+        "Delay that one more call causes at an engine.",
+        0,
+        60,
+    ),
+    Option(
+        "scheduling",
+        "far",
+        "schedule_far_s",
+        Kind.NUMBER,
+        "s",
+        "Cost of an endpoint in another failure domain.",
+        0,
+        60,
+    ),
+    Option(
+        "scheduling",
+        "ageing",
+        "schedule_ageing_s",
+        Kind.NUMBER,
+        "s",
+        "Wait after which a call may pass its class.",
+        0.1,
+        3600,
+    ),
+    Option(
+        "scheduling",
+        "ageing_every",
+        "schedule_ageing_every",
+        Kind.INTEGER,
+        "calls",
+        "One start in so many goes to a call that has aged.",
+        1,
+        1000,
+    ),
+    Option(
+        "scheduling",
+        "service_quantum",
+        "schedule_service_quantum_s",
+        Kind.NUMBER,
+        "s",
+        "Service that raises a program by its first level.",
+        0.01,
+        3600,
+    ),
+    Option(
+        "scheduling",
+        "requeue",
+        "schedule_requeue_s",
+        Kind.NUMBER,
+        "s",
+        "Wait after which another endpoint is considered.",
+        0.01,
+        60,
+    ),
+    Option(
+        "scheduling",
+        "prefix_records",
+        "schedule_prefix_records",
+        Kind.INTEGER,
+        "",
+        "Most histories whose place is remembered.",
+        1,
+        1000000,
+    ),
+    Option(
+        "scheduling",
+        "prefix_doubt",
+        "schedule_prefix_doubt_s",
+        Kind.NUMBER,
+        "s",
+        "Time after which an unconfirmed prefix is doubted.",
+        1,
+        86400,
+    ),
+    Option(
+        "scheduling",
+        "pause_hold",
+        "schedule_pause_hold_s",
+        Kind.NUMBER,
+        "s",
+        "Pause of a program during which its cache is held.",
+        0,
+        3600,
+    ),
+    Option(
+        "scheduling",
+        "failures_to_eject",
+        "schedule_failures_to_eject",
+        Kind.INTEGER,
+        "calls",
+        "Failures in a row that eject an endpoint.",
+        1,
+        1000,
+    ),
+    Option(
+        "scheduling",
+        "slow_ratio",
+        "schedule_slow_ratio",
+        Kind.NUMBER,
+        "",
+        "Pace over the pool's pace that ejects an endpoint.",
+        1.1,
+        100,
+    ),
+    Option(
+        "scheduling",
+        "slow_samples",
+        "schedule_slow_samples",
+        Kind.INTEGER,
+        "calls",
+        "Calls before an endpoint is judged by its pace.",
+        1,
+        10000,
+    ),
+    Option(
+        "scheduling",
+        "eject",
+        "schedule_eject_s",
+        Kind.NUMBER,
+        "s",
+        "First time out of an ejected endpoint; it doubles.",
+        0.1,
+        3600,
+    ),
+    Option(
+        "scheduling",
+        "eject_limit",
+        "schedule_eject_limit_s",
+        Kind.NUMBER,
+        "s",
+        "Longest time out of an ejected endpoint.",
+        0.1,
+        86400,
+    ),
+    Option(
+        "scheduling",
+        "ejected_share",
+        "schedule_ejected_share",
+        Kind.NUMBER,
+        "",
+        "Largest share of a pool that is ejected at once.",
+        0,
+        0.9,
+    ),
+    Option(
+        "scheduling",
+        "queue_limit",
+        "schedule_queue_limit_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait of a call for an endpoint.",
+        0.1,
+        3600,
+    ),
+    Option(
+        "scheduling",
+        "poll",
+        "schedule_poll_s",
+        Kind.NUMBER,
+        "s",
+        "Interval between load and cache reports asked for.",
+        0.05,
+        3600,
+    ),
 )
 
 _BOOLEANS = {
