Refuse an engine that starts over instead of resuming

Cause: with the offset taken out of a resumed request, the check of a killed engine did not end: each round brought further events, so that attempts never ran out. Change: the first event after a resume must carry the next id, else code 1402.

--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -48,6 +48,7 @@
     def __init__(self, token_s: float = 0.001, cut_after: int = 0) -> None:
         self.token_s = token_s
         self.cut_after = cut_after
+        self.ignores_offset = False
         self.seen: list[bytes] = []
         self.requests: Counter[str] = Counter()
         self.cancelled = 0
@@ -70,6 +71,8 @@
         request = exchange.get_header(b"request-id") or ""
         self.requests[request] += 1
         offset = int(exchange.get_header(b"last-event-id") or 0)
+        if self.ignores_offset:
+            offset = 0
         await exchange.start(200, EVENT_HEADERS)
         tokens = generate_tokens(_drop_partial(completion))
         for number, token in enumerate(tokens, 1):
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -5,6 +5,7 @@
 from burdockwall.request.completion import DONE_DATA
 
 EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
 DONE_LINE = b"data: " + DONE_DATA + EVENT_END
 
 
@@ -64,3 +65,13 @@
         position = end + len(EVENT_END)
         count -= 1
     return Skipped(chunk[position:], count)
+
+
+def find_event_id(whole: bytes) -> int | None:
+    """Return the id of the first of some whole events, or None without one."""
+    event = whole[: whole.find(EVENT_END)]
+    for line in event.splitlines():
+        if line.startswith(ID_FIELD):
+            text = line[len(ID_FIELD) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -18,7 +18,7 @@
     CompletionRequest,
     join_answer,
 )
-from burdockwall.request.events import EventBuffer, EventCutter
+from burdockwall.request.events import EventBuffer, EventCutter, find_event_id
 from burdockwall.types import EndpointId, RequestId
 from burdockwall.version.configuration import Endpoint
 
@@ -99,14 +99,27 @@
             headers.append((b"last-event-id", offset))
         body = msgspec.json.encode(self._build_completion(endpoint))
         cutter = EventCutter()
+        resumed = bool(self.buffer.events)
         async with self.clients.open_stream(
             endpoint, "POST", upstream.path, headers, body
         ) as response:
             await _check_status(endpoint, response)
             async for chunk in response.aiter_raw():
                 whole = cutter.feed(chunk)
-                if whole:
-                    await self.append(whole)
+                if not whole:
+                    continue
+                if resumed:
+                    self._check_offset(endpoint, whole)
+                    resumed = False
+                await self.append(whole)
+
+    def _check_offset(self, endpoint: Endpoint, whole: bytes) -> None:
+        # An engine that starts over would double tokens, and never come to an end.
+        number = find_event_id(whole)
+        expected = self.buffer.events + 1
+        if number != expected:
+            detail = f"endpoint {endpoint.name} resumed at {number}, not {expected}"
+            raise RequestRefused(Code.ENDPOINT_FAILED, detail)
 
     def _build_completion(self, endpoint: Endpoint) -> CompletionRequest:
         completion = self.upstream.completion
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -5,6 +5,11 @@
     When an engine is killed in the middle of each of 4 answers
     Then every entry answer is whole, with no token lost or doubled
 
+  Scenario: An engine starts over where it was asked to resume
+    Given an entry site with 1 engines
+    When an engine that starts over is cut in the middle of an answer
+    Then the entry answer ends with code 1402 and no token is doubled
+
   Scenario: Open connections to an engine go silent for good
     Given an entry site with 1 engines
     When the open connections go silent in the middle of an answer
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from burdockwall.request.completion import join_answer
 from features.subjects.entry_failures import (
     GRACE_S,
     SILENCE_S,
@@ -28,6 +29,19 @@
     run(context, context.subject.kill_engines, count)
 
 
+@when("an engine that starts over is cut in the middle of an answer")
+def step_start_over(context):
+    run(context, context.subject.start_over)
+
+
+@then("the entry answer ends with code {code:d} and no token is doubled")
+def step_ends(context, code):
+    (asked,) = context.subject.asked
+    whole, _, error = asked.received.partition(b"event: error\n")
+    assert f'"code":{code}'.encode() in error, asked
+    assert asked.compute_expected().startswith(join_answer(whole)), asked
+
+
 @when("the open connections go silent in the middle of an answer")
 def step_silence(context):
     run(context, context.subject.silence_streams)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -106,6 +106,13 @@
             await anyio.sleep(4 * TOKEN_S)
             site.paths[0].kill()
 
+    async def start_over(self, site, client, path) -> None:
+        site.engines[0].ignores_offset = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.ask_whole, client, path, 1)
+            await anyio.sleep(4 * TOKEN_S)
+            site.paths[0].silence_open_connections()
+
     async def silence_streams(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self.ask_whole, client, path, 1)
