--- /dev/null
+++ b/benchmarks/_control_cluster.py
@@ -0,0 +1,172 @@
+"""Run control replicas on virtual time, with the delays of a deployment."""
+
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from burdockwall.fakes.files import FakeFiles
+from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.machine import Send
+from burdockwall.process.control.commands import IssueKey, SubmitConfiguration
+from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.entries import (
+    Entry,
+    HardState,
+    Member,
+    Membership,
+    MembershipChange,
+    VoterId,
+)
+from burdockwall.process.control.events import Propose
+from burdockwall.process.control.journal import Identity, Journal
+from burdockwall.process.control.messages import CONTROL_MESSAGES
+from burdockwall.process.control.replica import (
+    CallDone,
+    Flush,
+    FlushSoon,
+    Replica,
+    encode_command,
+)
+from burdockwall.process.control.state import ControlState
+from burdockwall.types import (
+    CallId,
+    CustomerId,
+    InstanceId,
+    OperatorId,
+    Term,
+    Version,
+)
+from burdockwall.version.configuration import (
+    Configuration,
+    Customer,
+    print_configuration,
+)
+from burdockwall.version.keys import compute_digest
+
+OPERATOR = OperatorId("operator")
+CUSTOMER = CustomerId("customer")
+
+
+def build_submission() -> SubmitConfiguration:
+    """Build the configuration that the keys of a run belong to."""
+    text = print_configuration(Configuration(customers=(Customer(CUSTOMER),)))
+    return SubmitConfiguration(
+        operator=OPERATOR, submission="first", based_on=Version(0), text=text
+    )
+
+
+def build_key(number: int) -> IssueKey:
+    """Build one change: a key with a digest of its own."""
+    return IssueKey(
+        operator=OPERATOR,
+        submission=f"submission-{number:026d}",
+        customer=CUSTOMER,
+        digest=compute_digest(str(number)),
+    )
+
+
+class CountingNetwork(FakeNetwork):
+    """Count the bytes of the messages that are sent."""
+
+    sent_bytes = 0
+
+    def send(self, sender: InstanceId, action: Send) -> None:
+        """Send a message and count its encoded size."""
+        self.sent_bytes += len(msgspec.msgpack.encode(action.message))
+        super().send(sender, action)
+
+
+@dataclass(slots=True)
+class Load:
+    """Hold what a run of changes took, in seconds."""
+
+    waited_s: list[float] = field(default_factory=list)
+    virtual_s: float = 0.0
+    processor_s: float = 0.0
+    sent_bytes: int = 0
+
+
+class BenchmarkCluster:
+    """Run voters that are in agreement, and time what they acknowledge."""
+
+    def __init__(self, seed: int, voters: int, one_way_s: float, sync_s: float) -> None:
+        self.sync_s = sync_s
+        weather = Weather(one_way_s * 0.9, one_way_s * 1.1)
+        self.network = CountingNetwork(seed, weather, self._perform)
+        self.replicas: dict[InstanceId, Replica] = {}
+        self.sent_at: dict[CallId, float] = {}
+        self.waited_s: list[float] = []
+        self.on_done = lambda: None
+        names = [InstanceId(f"control-{number}") for number in range(1, voters + 1)]
+        members = Membership(
+            tuple(Member(VoterId(name), name, voting=True) for name in names)
+        )
+        first = Entry(Term(0), 1, MembershipChange(members))
+        for name, member in zip(names, members.members, strict=True):
+            journal = Journal(FakeFiles(random.Random(seed)))
+            identity = Identity(member.voter, name)
+            journal.create(identity, [HardState("cluster"), first])
+            recovered = journal.recover()
+            chance = random.Random(f"{seed} {name}")
+            consensus = Consensus(member, recovered, names, chance)
+            replica = Replica(consensus, journal, ControlState(), recovered)
+            self.replicas[name] = replica
+            self.network.start(name, [(replica, CONTROL_MESSAGES)])
+        self.network.run_until(10.0)
+        self.leader = next(
+            name for name, item in self.replicas.items() if item.consensus.is_leader
+        )
+
+    def _perform(self, instance: InstanceId, action: Any, now: float) -> None:
+        replica = self.replicas[instance]
+        match action:
+            case FlushSoon():
+                self.network.schedule(
+                    self.sync_s,
+                    lambda: self.network.apply(instance, replica, Flush()),
+                )
+            case CallDone(call=call) if call in self.sent_at:
+                self.waited_s.append(now - self.sent_at.pop(call))
+                self.on_done()
+            case _:
+                pass
+
+    def propose(self, number: int) -> None:
+        """Propose one change at the leader."""
+        call = CallId(number + 1)
+        self.sent_at[call] = self.network.now
+        command = build_key(number) if number else build_submission()
+        data = encode_command(command, self.network.now)
+        self.network.apply(self.leader, self.replicas[self.leader], Propose(call, data))
+
+    def run(self, count: int, in_flight: int) -> Load:
+        """Run changes, so many in flight at a time, until all are acknowledged."""
+        self.propose(0)
+        self.network.run_until(self.network.now + 1.0)
+        self.waited_s = []
+        started, bytes_before = self.network.now, self.network.sent_bytes
+        processor = time.process_time()
+        next_number = 1
+
+        def propose_next() -> None:
+            nonlocal next_number
+            if next_number <= count:
+                next_number += 1
+                self.propose(next_number - 1)
+
+        self.on_done = propose_next
+        for _ in range(in_flight):
+            propose_next()
+        ended = started
+        while len(self.waited_s) < count:
+            self.network.run_until(self.network.now + 0.005)
+            ended = self.network.now
+        return Load(
+            self.waited_s,
+            ended - started,
+            time.process_time() - processor,
+            self.network.sent_bytes - bytes_before,
+        )
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,188 @@
+"""Measure the control state: acknowledgement, syncs, restart, size, idle cost."""
+
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+
+from benchmarks._control_cluster import (
+    BenchmarkCluster,
+    Load,
+    build_key,
+    build_submission,
+)
+from benchmarks.result import Result, create_result
+from burdockwall.machine import Tick
+from burdockwall.process.control.events import Persist, Propose
+from burdockwall.process.control.journal import Journal
+from burdockwall.process.control.opening import bootstrap_replica, open_replica
+from burdockwall.process.control.replica import Flush, Replica, encode_command
+from burdockwall.process.control.state import ControlState
+from burdockwall.settings import Settings
+from burdockwall.types import CallId
+
+SEED = 1
+ONE_WAY_S = 0.0015
+CHANGES = 2000
+IN_FLIGHT = 64
+SYNCS = 300
+IN_FORCE_S = 8.0
+CONTROL_BYTES_PER_S = 5000.0
+CONTROL_CORE_SHARE = 0.044
+IDLE_S = 60.0
+
+
+def find_percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def create_folder() -> "tempfile.TemporaryDirectory[str]":
+    """Create a folder on the disk of the checkout, not in memory."""
+    return tempfile.TemporaryDirectory(dir=Path.cwd(), prefix=".benchmark-")
+
+
+def time_syncs() -> list[float]:
+    """Time flushes of one small entry on this disk: two syncs each."""
+    times = []
+    with create_folder() as folder:
+        replica = open_new(Path(folder))
+        journal = replica.storage
+        hard = replica.consensus.core.hard
+        for number in range(SYNCS):
+            journal.append(Persist(number, hard))
+            started = time.perf_counter()
+            journal.flush()
+            times.append(time.perf_counter() - started)
+        close_replica(replica)
+    return times
+
+
+async def time_thread_hops() -> list[float]:
+    """Time the way to a worker thread and back."""
+    times = []
+    for _ in range(SYNCS):
+        started = time.perf_counter()
+        await anyio.to_thread.run_sync(time.perf_counter)
+        times.append(time.perf_counter() - started)
+    return times
+
+
+def open_new(folder: Path) -> Replica:
+    """Create and open a single voter in a folder."""
+    settings = Settings(data_folder=folder)
+    bootstrap_replica(settings)
+    return open_replica(settings, ControlState())
+
+
+def close_replica(replica: Replica) -> None:
+    """Release the files of a replica."""
+    if isinstance(replica.storage, Journal):
+        replica.storage.files.close()
+
+
+def start_replica(replica: Replica) -> None:
+    """Let a single voter elect itself and apply its log."""
+    replica.handle(Tick(), 0.0)
+    for _ in range(4):
+        replica.handle(Flush(), 0.0)
+
+
+def measure_restart(changes: int) -> list[Result]:
+    """Measure the files and the restart after a number of changes."""
+    with create_folder() as name:
+        folder = Path(name)
+        replica = open_new(folder)
+        start_replica(replica)
+        for number in range(changes):
+            command = build_key(number) if number else build_submission()
+            data = encode_command(command, float(number))
+            replica.handle(Propose(CallId(number + 1), data), float(number))
+            # As group commit does under load, several changes share a sync.
+            if number % 50 == 0 or number == changes - 1:
+                replica.handle(Flush(), float(number))
+        replica.handle(Flush(), 0.0)
+        assert replica.state.version == changes
+        close_replica(replica)
+        size = sum(path.stat().st_size for path in folder.iterdir())
+        started = time.perf_counter()
+        state = ControlState()
+        replica = open_replica(Settings(data_folder=folder), state)
+        start_replica(replica)
+        elapsed = time.perf_counter() - started
+        assert state.version == changes
+        close_replica(replica)
+    return [
+        create_result(f"control/restart_{changes}", elapsed, "s"),
+        create_result(f"control/files_{changes}", size / 1000, "KB"),
+    ]
+
+
+def describe_load(voters: int, load: Load) -> list[Result]:
+    """Describe a loaded run of some voters."""
+    name = f"control/{voters}_voters"
+    count = len(load.waited_s)
+    each_us = load.processor_s / count / voters * 1e6
+    return [
+        create_result(f"{name}/changes", count / load.virtual_s, "1/s", SEED),
+        create_result(
+            f"{name}/acknowledged_p99",
+            find_percentile(load.waited_s, 0.99),
+            "s",
+            SEED,
+            bound=IN_FORCE_S,
+        ),
+        create_result(f"{name}/processor", each_us, "us a change a voter", SEED),
+        create_result(f"{name}/sent", load.sent_bytes / count, "bytes a change", SEED),
+    ]
+
+
+def measure_cluster(voters: int, sync_s: float) -> list[Result]:
+    """Measure changes one by one, many at once, and no changes at all."""
+    name = f"control/{voters}_voters"
+    one = BenchmarkCluster(SEED, voters, ONE_WAY_S, sync_s).run(200, 1)
+    many = BenchmarkCluster(SEED, voters, ONE_WAY_S, sync_s).run(CHANGES, IN_FLIGHT)
+    idle = BenchmarkCluster(SEED, voters, ONE_WAY_S, sync_s)
+    before, processor = idle.network.sent_bytes, time.process_time()
+    idle.network.run_until(idle.network.now + IDLE_S)
+    processor_s = time.process_time() - processor
+    sent = (idle.network.sent_bytes - before) / IDLE_S
+    single = find_percentile(one.waited_s, 0.5)
+    return [
+        create_result(f"{name}/alone_acknowledged_p50", single, "s", SEED),
+        *describe_load(voters, many),
+        create_result(
+            f"{name}/idle_sent_by_all",
+            sent,
+            "bytes/s",
+            SEED,
+            bound=CONTROL_BYTES_PER_S,
+        ),
+        create_result(
+            f"{name}/idle_core_share",
+            processor_s / IDLE_S / voters,
+            "cores",
+            SEED,
+            bound=CONTROL_CORE_SHARE,
+        ),
+    ]
+
+
+def measure() -> list[Result]:
+    """Measure everything; the time of a sync is that of this disk."""
+    syncs = time_syncs()
+    hops = anyio.run(time_thread_hops)
+    sync_s = find_percentile(syncs, 0.5)
+    results = [
+        create_result("control/sync_p50", sync_s, "s"),
+        create_result("control/sync_p99", find_percentile(syncs, 0.99), "s"),
+        create_result("control/thread_hop_p50", find_percentile(hops, 0.5), "s"),
+        create_result("control/thread_hop_p99", find_percentile(hops, 0.99), "s"),
+    ]
+    for voters in (3, 5):
+        results += measure_cluster(voters, sync_s)
+    for changes in (100, 1000, 12_000):
+        results += measure_restart(changes)
+    return results
--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -1,5 +1,8 @@
 """Call an instance as an operator; the command line does nothing else."""
 
+import secrets
+import time
+import urllib.parse
 import uuid
 from pathlib import Path
 from typing import TypeVar
@@ -9,19 +12,46 @@
 
 from burdockwall.connection.tls import choose_scheme, create_client_context
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.audit import AuditFilter
 from burdockwall.process.control.commands import (
-    AnyCommand,
+    AnyOperatorCommand,
+    DefineOperator,
+    ImportState,
     IssueKey,
+    Operator,
     Outcome,
+    Permission,
+    RemoveOperator,
+    RollBack,
     SubmitConfiguration,
     WithdrawKey,
 )
-from burdockwall.process.operations import AuditPage, StatePage, Status
+from burdockwall.process.control.console import AuditPage, ExportPage, StatePage
+from burdockwall.process.control.service import ReplicaStatus
+from burdockwall.process.control.withdrawals import is_digest
+from burdockwall.process.operations import Status
 from burdockwall.process.resolver import Resolution
-from burdockwall.types import Address, CustomerId, OperatorId, Version
+from burdockwall.types import (
+    Address,
+    CustomerId,
+    KeyDigest,
+    OperatorId,
+    Ran,
+    Version,
+)
 from burdockwall.version.keys import compute_digest, create_key
 
 CALL_TIMEOUT_S = 10.0
+LEADER_LIMIT_S = 10.0
+LEADER_PAUSE_S = 0.2
+TOKEN_PREFIX = "bwo_"
+TOKEN_BYTES = 24
+_TRY_ANOTHER = (
+    Code.NOT_LEADER,
+    Code.NO_QUORUM,
+    Code.CHANGE_UNKNOWN,
+    Code.UNREACHABLE,
+)
 T = TypeVar("T")
 
 
@@ -29,41 +59,117 @@
     return next(code for code in Code if code.value.number == number)
 
 
+class _NotConnected(OperatorError):
+    """Report that a call was certainly not sent."""
+
+
+def _choose_error(former: OperatorError | None, latest: OperatorError) -> OperatorError:
+    """Choose what to tell: what is unknown stays so, whoever refuses later."""
+    if former is None or isinstance(former, _NotConnected):
+        return latest
+    if isinstance(latest, _NotConnected) or former.code.value.ran is Ran.UNKNOWN:
+        return former
+    return latest
+
+
+def create_submission() -> str:
+    """Create a submission id, which a resend of the same command keeps."""
+    return uuid.uuid4().hex
+
+
+def create_token() -> str:
+    """Create an operator's token."""
+    return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
+
+
 class OperatorClient:
-    """Send operators' commands to one instance."""
+    """Send operators' commands to an instance, or to the one that leads."""
 
     def __init__(
-        self, address: Address, operator: OperatorId, authority: Path | None = None
+        self,
+        address: Address,
+        operator: OperatorId,
+        authority: Path | None = None,
+        token: str = "",
+        others: tuple[Address, ...] = (),
     ) -> None:
         self.address = address
         self.operator = operator
+        self.token = token
+        self.others = others
         self.scheme = choose_scheme(authority)
         self.tls = create_client_context(authority)
 
     def _call(
-        self, method: str, path: str, kind: type[T], body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        kind: type[T],
+        body: bytes | None = None,
+        address: Address | None = None,
     ) -> T:
-        url = f"{self.scheme}://{self.address}{path}"
+        address = address or self.address
+        url = f"{self.scheme}://{address}{path}"
+        headers = {"burdockwall-operator": str(self.operator)}
+        if self.token:
+            headers["authorization"] = f"Bearer {self.token}"
         try:
             response = httpx.request(
                 method,
                 url,
                 content=body,
+                headers=headers,
                 timeout=CALL_TIMEOUT_S,
                 trust_env=False,
                 verify=self.tls,
             )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise _NotConnected(Code.UNREACHABLE, f"{address}: {error}") from error
         except httpx.HTTPError as error:
-            detail = f"{self.address}: {error}"
+            detail = f"{address}: {error}"
             raise OperatorError(Code.UNREACHABLE, detail) from error
         if response.status_code != httpx.codes.OK:
             refusal = response.json()["error"]
             raise OperatorError(_find_code(refusal["code"]), refusal["message"])
         return msgspec.json.decode(response.content, type=kind)
 
-    def _run(self, command: AnyCommand) -> Outcome:
+    def _call_leader(
+        self, method: str, path: str, kind: type[T], body: bytes | None = None
+    ) -> T:
+        """Call instances until one that leads answers; the body is idempotent."""
+        worst: OperatorError | None = None
+        deadline = time.monotonic() + LEADER_LIMIT_S
+        addresses = [self.address, *self.others]
+        while True:
+            address = addresses.pop(0)
+            addresses.append(address)
+            try:
+                return self._call(method, path, kind, body, address)
+            except OperatorError as error:
+                if error.code not in _TRY_ANOTHER:
+                    raise
+                worst = _choose_error(worst, error)
+                if time.monotonic() >= deadline:
+                    raise worst from error
+                leader = self._find_leader(address, error)
+            if leader is not None and addresses[0] != leader:
+                addresses = [leader, *(item for item in addresses if item != leader)]
+            else:
+                time.sleep(LEADER_PAUSE_S)
+
+    def _find_leader(self, address: Address, error: OperatorError) -> Address | None:
+        if error.code is not Code.NOT_LEADER:
+            return None
+        try:
+            status = self._call("GET", "/control", ReplicaStatus, address=address)
+        except OperatorError:
+            return None
+        return status.leader_address or None
+
+    def run(self, command: AnyOperatorCommand) -> Outcome:
+        """Run a command once, however often it has to be sent."""
         body = msgspec.json.encode(command)
-        outcome = self._call("POST", "/commands", Outcome, body)
+        outcome = self._call_leader("POST", "/commands", Outcome, body)
         if outcome.code:
             raise OperatorError(_find_code(outcome.code), outcome.detail)
         return outcome
@@ -72,44 +178,124 @@
         """Read the status of the instance."""
         return self._call("GET", "/status", Status)
 
-    def read_audit(self) -> AuditPage:
-        """Read the audit trail."""
-        return self._call("GET", "/audit", AuditPage)
+    def read_replica(self) -> ReplicaStatus:
+        """Read the status of the instance's replica of the control state."""
+        return self._call("GET", "/control", ReplicaStatus)
+
+    def read_audit(self, chosen: AuditFilter | None = None) -> AuditPage:
+        """Read the records of the audit trail that a filter admits."""
+        query = msgspec.structs.asdict(chosen or AuditFilter())
+        fields = {name: value for name, value in query.items() if value is not None}
+        path = f"/audit?{urllib.parse.urlencode(fields)}"
+        return self._call_leader("GET", path, AuditPage)
 
     def read_configuration(self) -> StatePage:
         """Read the configuration in force."""
-        return self._call("GET", "/configuration", StatePage)
+        return self._call_leader("GET", "/configuration", StatePage)
 
-    def submit(self, text: str, based_on: Version | None = None) -> Outcome:
+    def submit(
+        self,
+        text: str,
+        based_on: Version | None = None,
+        submission: str | None = None,
+    ) -> Outcome:
         """Submit a configuration based on a version, by default the latest."""
         if based_on is None:
             based_on = Version(self.read_configuration().version)
-        submission = uuid.uuid4().hex
-        command = SubmitConfiguration(
-            operator=self.operator, submission=submission, based_on=based_on, text=text
+        return self.run(
+            SubmitConfiguration(
+                operator=self.operator,
+                submission=submission or create_submission(),
+                based_on=based_on,
+                text=text,
+            )
+        )
+
+    def roll_back(self, target: Version, based_on: Version | None = None) -> Outcome:
+        """Put the configuration of an earlier version in force again."""
+        if based_on is None:
+            based_on = Version(self.read_configuration().version)
+        return self.run(
+            RollBack(
+                operator=self.operator,
+                submission=create_submission(),
+                based_on=based_on,
+                target=target,
+            )
+        )
+
+    def export_state(self) -> bytes:
+        """Read an image of the whole state."""
+        return self._call_leader("GET", "/state", ExportPage).image
+
+    def import_state(self, image: bytes, based_on: Version | None = None) -> Outcome:
+        """Replace the state by an image."""
+        if based_on is None:
+            based_on = Version(self.read_configuration().version)
+        return self.run(
+            ImportState(
+                operator=self.operator,
+                submission=create_submission(),
+                based_on=based_on,
+                image=image,
+            )
         )
-        return self._run(command)
+
+    def define_operator(
+        self,
+        name: OperatorId,
+        permissions: tuple[Permission, ...],
+        customers: tuple[CustomerId, ...] = (),
+    ) -> str:
+        """Define an operator and return its new token; it is not stored."""
+        token = create_token()
+        defined = Operator(name, compute_digest(token), permissions, customers)
+        self.run(
+            DefineOperator(
+                operator=self.operator,
+                submission=create_submission(),
+                defined=defined,
+            )
+        )
+        return token
+
+    def remove_operator(self, name: OperatorId) -> Outcome:
+        """Remove an operator."""
+        return self.run(
+            RemoveOperator(
+                operator=self.operator, submission=create_submission(), name=name
+            )
+        )
+
+    def remove_replica(self, voter: str) -> ReplicaStatus:
+        """Remove a replica of the control state."""
+        query = urllib.parse.urlencode({"voter": voter})
+        path = f"/control/remove?{query}"
+        return self._call_leader("POST", path, ReplicaStatus)
 
     def issue_key(self, customer: CustomerId) -> str:
         """Issue a key for a customer and return it; it is not stored."""
         key = create_key()
-        command = IssueKey(
-            operator=self.operator,
-            submission=uuid.uuid4().hex,
-            customer=customer,
-            digest=compute_digest(key),
+        self.run(
+            IssueKey(
+                operator=self.operator,
+                submission=create_submission(),
+                customer=customer,
+                digest=compute_digest(key),
+            )
         )
-        self._run(command)
         return key
 
     def withdraw_key(self, key: str) -> Outcome:
-        """Withdraw a key."""
-        command = WithdrawKey(
-            operator=self.operator,
-            submission=uuid.uuid4().hex,
-            digest=compute_digest(key),
+        """Withdraw a key, given itself or its digest."""
+        digest = KeyDigest(key) if is_digest(key) else compute_digest(key)
+        return self.run(
+            WithdrawKey(
+                operator=self.operator,
+                submission=create_submission(),
+                digest=digest,
+            )
         )
-        return self._run(command)
 
     def drain(self) -> Status:
         """Ask the instance to leave."""
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -1,15 +1,25 @@
 """Parse the command line and call the public interface; do nothing else."""
 
 import sys
+from collections.abc import Callable
+from datetime import UTC, datetime
 from pathlib import Path
+from typing import TextIO
 
 import anyio
 import click
 
 from burdockwall import __version__
-from burdockwall.client import OperatorClient, resolve as resolve_caller
-from burdockwall.errors import BurdockwallError, InvalidFile
-from burdockwall.process.control.commands import Outcome
+from burdockwall.client import (
+    OperatorClient,
+    create_submission,
+    resolve as resolve_caller,
+)
+from burdockwall.errors import BurdockwallError, Code, InvalidFile, OperatorError
+from burdockwall.process.control.audit import AuditFilter, AuditRecord, verify_audit
+from burdockwall.process.control.commands import Outcome, Permission
+from burdockwall.process.control.opening import bootstrap_replica, join_replica
+from burdockwall.process.control.sections import compare_sections, split_sections
 from burdockwall.process.logs import create_log_handler
 from burdockwall.process.node import run_node
 from burdockwall.settings import Settings, read_settings
@@ -23,17 +33,43 @@
     "--settings", "settings_path", type=click.Path(path_type=Path), default=None
 )
 address_option = click.option(
-    "--address", default="127.0.0.1:8081", help="Operator address of an instance."
+    "--address",
+    default="127.0.0.1:8081",
+    help="Operator address of an instance; several are separated by commas.",
 )
-operator_option = click.option("--operator", default="operator", help="Your name.")
+
+
+def operator_option(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that say who the operator is."""
+    named = click.option("--operator", default="operator", help="Your name.")
+    token = click.option(
+        "--token",
+        envvar="BURDOCKWALL_TOKEN",
+        expose_value=True,
+        default="",
+        help="Your token; better given by BURDOCKWALL_TOKEN.",
+    )
+    return named(token(command))
 
 
 def _load_settings(path: Path | None) -> Settings:
     return read_settings(path) if path is not None else Settings()
 
 
-def _create_client(address: str, operator: str) -> OperatorClient:
-    return OperatorClient(Address(address), OperatorId(operator))
+def _create_client(address: str, operator: str = "") -> OperatorClient:
+    first, *others = (Address(item.strip()) for item in address.split(","))
+    context = click.get_current_context()
+    return OperatorClient(
+        first,
+        OperatorId(operator),
+        token=context.params.get("token") or "",
+        others=tuple(others),
+    )
+
+
+based_on_option = click.option(
+    "--based-on", type=int, default=None, help="Version it replaces."
+)
 
 
 @click.group()
@@ -65,16 +101,70 @@
 @cli.command()
 @address_option
 @operator_option
-@click.option("--based-on", type=int, default=None, help="Version it replaces.")
+@based_on_option
+@click.option("--dry-run", is_flag=True, help="Show the difference and stop.")
+@click.option("--submission", default=None, help="Id of a submission to resend.")
 @click.argument("configuration", type=click.File("r", encoding="utf-8"))
 def submit(
-    address: str, operator: str, based_on: int | None, configuration: click.File
+    address: str,
+    operator: str,
+    token: str,
+    based_on: int | None,
+    dry_run: bool,
+    submission: str | None,
+    configuration: TextIO,
+) -> None:
+    """Show the difference that a configuration makes, and submit it."""
+    text = configuration.read()
+    parse_configuration(text, configuration.name)
+    client = _create_client(address, operator)
+    current = client.read_configuration()
+    difference = compare_sections(split_sections(current.text), split_sections(text))
+    click.echo(difference or "no difference")
+    if dry_run:
+        click.echo(f"based on version {current.version}; not submitted")
+        return
+    submission = submission or create_submission()
+    click.echo(f"submission {submission}", err=True)
+    base = Version(based_on if based_on is not None else current.version)
+    _show_outcome(client.submit(text, base, submission))
+
+
+@cli.command()
+@address_option
+@operator_option
+@based_on_option
+@click.argument("version", type=int)
+def rollback(
+    address: str, operator: str, token: str, based_on: int | None, version: int
+) -> None:
+    """Put the configuration of an earlier version in force as a new version."""
+    client = _create_client(address, operator)
+    base = Version(based_on) if based_on is not None else None
+    _show_outcome(client.roll_back(Version(version), base))
+
+
+@cli.command("export")
+@address_option
+@operator_option
+@click.argument("image", type=click.Path(path_type=Path))
+def export_state(address: str, operator: str, token: str, image: Path) -> None:
+    """Write the whole control state to a file."""
+    image.write_bytes(_create_client(address, operator).export_state())
+
+
+@cli.command("import")
+@address_option
+@operator_option
+@based_on_option
+@click.argument("image", type=click.Path(path_type=Path, exists=True))
+def import_state(
+    address: str, operator: str, token: str, based_on: int | None, image: Path
 ) -> None:
-    """Submit a configuration."""
+    """Replace the control state by one that was exported."""
     base = Version(based_on) if based_on is not None else None
-    text: str = configuration.read()  # type: ignore[attr-defined]
-    outcome = _create_client(address, operator).submit(text, base)
-    _show_outcome(outcome)
+    client = _create_client(address, operator)
+    _show_outcome(client.import_state(image.read_bytes(), base))
 
 
 def _show_outcome(outcome: Outcome) -> None:
@@ -92,16 +182,62 @@
 
 @cli.command()
 @address_option
-def audit(address: str) -> None:
-    """Show the audit trail."""
-    for record in _create_client(address, "").read_audit().records:
+@operator_option
+@click.option("--by", default=None, help="Only changes of this operator.")
+@click.option("--action", default=None, help="Only this kind of change.")
+@click.option("--code", type=int, default=None, help="Only this code; 0 for taken.")
+@click.option("--since", type=float, default=None, help="Seconds since the epoch.")
+@click.option("--until", type=float, default=None, help="Seconds since the epoch.")
+@click.option("--contains", default=None, help="Only differences with this text.")
+@click.option("--limit", type=int, default=None, help="Only the latest ones.")
+@click.option("--verify", is_flag=True, help="Check the chain of all records.")
+def audit(
+    address: str,
+    operator: str,
+    token: str,
+    by: str | None,
+    action: str | None,
+    code: int | None,
+    since: float | None,
+    until: float | None,
+    contains: str | None,
+    limit: int | None,
+    verify: bool,
+) -> None:
+    """Show the audit trail, or verify it."""
+    client = _create_client(address, operator)
+    if verify:
+        _verify_audit(client.read_audit().records)
+        return
+    chosen = AuditFilter(
+        operator=by,
+        action=action,
+        code=code,
+        since_s=since,
+        until_s=until,
+        contains=contains,
+        limit=limit,
+    )
+    for record in client.read_audit(chosen).records:
         summary = record.difference.replace("\n", " ; ")
+        moment = datetime.fromtimestamp(record.at, UTC).isoformat(timespec="seconds")
         click.echo(
-            f"{record.index} {record.operator} {record.action} "
+            f"{record.index} {moment} {record.operator} {record.action} "
             f"version {record.version} code {record.code} {summary}"
         )
 
 
+def _verify_audit(records: list[AuditRecord]) -> None:
+    if not verify_audit(records):
+        detail = "the chain is broken: a record was changed, lost or added"
+        raise OperatorError(Code.AUDIT_BROKEN, detail)
+    if records:
+        first, last = records[0].index, records[-1]
+        click.echo(f"records {first} to {last.index} hold, chain {last.chain}")
+    if records and records[0].index != 1:
+        click.echo(f"records before {records[0].index} are not on this instance")
+
+
 @cli.command()
 @click.option("--address", default="127.0.0.1:8080", help="Caller address.")
 @click.option("--failure-domain", default="", help="Failure domain to prefer.")
@@ -122,7 +258,7 @@
 @address_option
 @operator_option
 @click.argument("customer")
-def issue_key(address: str, operator: str, customer: str) -> None:
+def issue_key(address: str, operator: str, token: str, customer: str) -> None:
     """Issue a key for a customer and show it once."""
     click.echo(_create_client(address, operator).issue_key(CustomerId(customer)))
 
@@ -131,11 +267,99 @@
 @address_option
 @operator_option
 @click.argument("key")
-def withdraw_key(address: str, operator: str, key: str) -> None:
+def withdraw_key(address: str, operator: str, token: str, key: str) -> None:
     """Withdraw a key."""
     _show_outcome(_create_client(address, operator).withdraw_key(key))
 
 
+@cli.group("operator")
+def operators() -> None:
+    """Define and remove operators."""
+
+
+@operators.command("define")
+@address_option
+@operator_option
+@click.option(
+    "--permission",
+    "permissions",
+    multiple=True,
+    type=click.Choice([item.value for item in Permission]),
+    required=True,
+)
+@click.option("--customer", "customers", multiple=True, help="Customers of its keys.")
+@click.argument("name")
+def define_operator(
+    address: str,
+    operator: str,
+    token: str,
+    permissions: tuple[str, ...],
+    customers: tuple[str, ...],
+    name: str,
+) -> None:
+    """Define an operator and show its token once."""
+    client = _create_client(address, operator)
+    shown = client.define_operator(
+        OperatorId(name),
+        tuple(Permission(item) for item in permissions),
+        tuple(CustomerId(item) for item in customers),
+    )
+    click.echo(shown)
+
+
+@operators.command("remove")
+@address_option
+@operator_option
+@click.argument("name")
+def remove_operator(address: str, operator: str, token: str, name: str) -> None:
+    """Remove an operator."""
+    _show_outcome(_create_client(address, operator).remove_operator(OperatorId(name)))
+
+
+@cli.group()
+def control() -> None:
+    """Create, join, show and remove replicas of the control state."""
+
+
+@control.command("bootstrap")
+@settings_option
+def bootstrap(settings_path: Path | None) -> None:
+    """Create a new cluster in the data folder, on its first instance."""
+    identity = bootstrap_replica(_load_settings(settings_path))
+    click.echo(f"replica {identity.voter} of a new cluster")
+
+
+@control.command("join")
+@settings_option
+def join(settings_path: Path | None) -> None:
+    """Create a replica that joins the cluster once it is served."""
+    identity = join_replica(_load_settings(settings_path))
+    click.echo(f"replica {identity.voter} joins when it is served")
+
+
+@control.command("show")
+@address_option
+def show_replica(address: str) -> None:
+    """Show an instance's replica and the members of the cluster."""
+    shown = _create_client(address).read_replica()
+    for name in shown.__struct_fields__:
+        if name != "members":
+            click.echo(f"{name}: {getattr(shown, name)}")
+    for member in shown.members:
+        kind = "voter" if member.voting else "learner"
+        click.echo(f"{kind}: {member.voter} on {member.instance}")
+
+
+@control.command("remove")
+@address_option
+@operator_option
+@click.argument("replica")
+def remove_replica(address: str, operator: str, token: str, replica: str) -> None:
+    """Remove a replica that won't come back."""
+    _create_client(address, operator).remove_replica(replica)
+    click.echo(f"removed {replica}")
+
+
 @cli.command()
 @address_option
 def drain(address: str) -> None:
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -5,12 +5,22 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from burdockwall.process.control import messages as control
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
-    limits.LimitDemand
+    control.AskPreVote
+    | control.AnswerPreVote
+    | control.AskVote
+    | control.AnswerVote
+    | control.Append
+    | control.AnswerAppend
+    | control.SendSnapshot
+    | control.AnswerSnapshot
+    | control.AskJoin
+    | limits.LimitDemand
     | limits.LimitGrants
     | limits.LimitRecall
     | membership.Beat
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -160,6 +160,9 @@
     NO_QUORUM = CodeRow(
         2014, 503, Ran.NOT_RUN, Retry.SAFE, "The control instances lack a quorum."
     )
+    AUDIT_BROKEN = CodeRow(
+        2015, 500, Ran.NOT_RUN, Retry.NEVER, "The audit trail fails its chain."
+    )
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- a/burdockwall/fakes/site.py
+++ b/burdockwall/fakes/site.py
@@ -170,8 +170,8 @@
 
 async def wait_for_version(node: Node, version: int) -> None:
     """Wait until an entry instance runs a version, the latest one, and limits."""
-    assert node.entry is not None and node.state is not None
-    version = max(version, node.state.version)
+    assert node.entry is not None and node.control is not None
+    version = max(version, node.control.version)
     with anyio.fail_after(START_LIMIT_S):
         while node.entry.view.version < version:
             await anyio.sleep(0.02)
--- a/burdockwall/process/control/journal.py
+++ b/burdockwall/process/control/journal.py
@@ -129,6 +129,8 @@
         self.files.truncate(name, 0)
         self.files.sync_folder()
         self._write_batch(records)
+        # With both marks on this journal, damage to one can't bring back the last.
+        self._write_mark()
 
     def _replace_file(self, name: str, data: bytes) -> None:
         temporary = name + TEMPORARY_SUFFIX
@@ -180,7 +182,7 @@
             raise StorageError(Code.JOURNAL_DAMAGED, f"{name} is missing")
         data = self.files.read(name)
         parsed = parse_records(data, mark.generation, mark.length)
-        replayed = _replay(parsed.records)
+        replayed = replay_records(parsed.records)
         snapshot = self._find_snapshot(names, replayed.base)
         self._sequence, self._generation = mark.sequence, mark.generation
         self._length, self._checksum = parsed.length, parsed.checksum
@@ -221,7 +223,8 @@
     entries: list[Entry]
 
 
-def _replay(records: list[Record]) -> Replayed:
+def replay_records(records: list[Record]) -> Replayed:
+    """Add up the records of a journal, later ones in place of earlier ones."""
     replayed = Replayed(0, HardState(), [])
     entries = replayed.entries
     for record in records:
@@ -255,4 +258,4 @@
     """Build the records of a new cluster whose only voter is one member."""
     voter = msgspec.structs.replace(member, voting=True)
     change = MembershipChange(Membership((voter,)))
-    return [HardState(cluster, Term(1)), Entry(Term(1), 1, change)]
+    return [HardState(cluster), Entry(Term(0), 1, change)]
--- /dev/null
+++ b/burdockwall/process/control/opening.py
@@ -0,0 +1,130 @@
+"""Create, join and open the replica that a data folder holds."""
+
+import random
+import secrets
+
+import msgspec
+
+from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.archive import AuditArchive
+from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.core import Timing
+from burdockwall.process.control.entries import HardState, Member, VoterId
+from burdockwall.process.control.events import Recovered
+from burdockwall.process.control.files import DiskFiles, Files, StorageError
+from burdockwall.process.control.journal import (
+    Identity,
+    Journal,
+    build_first_records,
+    replay_records,
+)
+from burdockwall.process.control.records import Record
+from burdockwall.process.control.replica import MemoryStorage, Replica
+from burdockwall.process.control.state import ControlState
+from burdockwall.settings import Settings
+from burdockwall.types import InstanceId
+
+SUFFIX_BYTES = 4
+
+
+def create_member(settings: Settings, voter: VoterId) -> Member:
+    """Describe this instance's replica from its settings."""
+    return Member(
+        voter=voter,
+        instance=settings.instance_id,
+        peer_address=settings.peer_address,
+        operator_address=settings.operator_address,
+    )
+
+
+def list_contacts(settings: Settings) -> list[InstanceId]:
+    """List the instances that may hold a replica."""
+    return settings.control_instances or [settings.instance_id]
+
+
+def _open_files(settings: Settings) -> DiskFiles:
+    if settings.data_folder is None:
+        raise OperatorError(Code.SETTINGS_INVALID, "[instance] data_folder is not set")
+    return DiskFiles(settings.data_folder)
+
+
+def _create_identity(settings: Settings, files: Files, bootstrap: bool) -> Identity:
+    journal = Journal(files)
+    if journal.read_identity() is not None:
+        detail = f"{settings.data_folder} holds a replica already"
+        raise StorageError(Code.IDENTITY_OTHER, detail)
+    suffix = secrets.token_hex(SUFFIX_BYTES)
+    voter = VoterId(f"{settings.instance_id}.{suffix}")
+    records: list[Record] = [HardState()]
+    if bootstrap:
+        member = create_member(settings, voter)
+        records = build_first_records(secrets.token_hex(SUFFIX_BYTES), member)
+    identity = Identity(voter, settings.instance_id)
+    journal.create(identity, records)
+    return identity
+
+
+def bootstrap_replica(settings: Settings) -> Identity:
+    """Create a new cluster in the data folder, with this replica as its voter."""
+    files = _open_files(settings)
+    try:
+        return _create_identity(settings, files, bootstrap=True)
+    finally:
+        files.close()
+
+
+def join_replica(settings: Settings) -> Identity:
+    """Create a replica in the data folder that asks to join a cluster."""
+    files = _open_files(settings)
+    try:
+        return _create_identity(settings, files, bootstrap=False)
+    finally:
+        files.close()
+
+
+def open_replica(settings: Settings, state: ControlState) -> Replica:
+    """Open the replica of an instance, in memory where it has no data folder."""
+    if settings.data_folder is None:
+        return _open_in_memory(settings, state)
+    files = DiskFiles(settings.data_folder)
+    journal = Journal(files)
+    identity = journal.read_identity()
+    if identity is None:
+        detail = (
+            f"{settings.data_folder} holds no replica. For a new cluster run "
+            "`burdockwall control bootstrap` on one instance; on another, or where "
+            "a disk was lost, run `burdockwall control join`."
+        )
+        raise StorageError(Code.IDENTITY_LOST, detail)
+    if identity.instance != settings.instance_id:
+        detail = f"{settings.data_folder} belongs to instance {identity.instance}"
+        raise StorageError(Code.IDENTITY_OTHER, detail)
+    recovered = journal.recover()
+    consensus = _create_consensus(settings, identity.voter, recovered)
+    archive = AuditArchive(files)
+    return Replica(consensus, journal, state, recovered, archive)
+
+
+def _open_in_memory(settings: Settings, state: ControlState) -> Replica:
+    if list_contacts(settings) != [settings.instance_id]:
+        detail = "[instance] data_folder must be set where several hold the state"
+        raise OperatorError(Code.SETTINGS_INVALID, detail)
+    voter = VoterId(f"{settings.instance_id}.memory")
+    records = build_first_records("memory", create_member(settings, voter))
+    replayed = replay_records(records)
+    recovered = Recovered(replayed.hard, None, tuple(replayed.entries))
+    consensus = _create_consensus(settings, voter, recovered)
+    return Replica(consensus, MemoryStorage(), state, recovered)
+
+
+def _create_consensus(
+    settings: Settings, voter: VoterId, recovered: Recovered
+) -> Consensus:
+    known = msgspec.msgpack.encode((voter, recovered.hard))
+    return Consensus(
+        create_member(settings, voter),
+        recovered,
+        list_contacts(settings),
+        random.Random(known),
+        Timing(settings.election_timeout_s, settings.election_timeout_s / 5),
+    )
--- a/burdockwall/process/control/replica.py
+++ b/burdockwall/process/control/replica.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockwall.machine import Receive, Send
+from burdockwall.process.control.archive import AuditArchive
 from burdockwall.process.control.commands import AnyCommand, Outcome
 from burdockwall.process.control.consensus import Consensus
 from burdockwall.process.control.entries import (
@@ -127,16 +128,18 @@
         storage: Storage,
         state: ControlState,
         recovered: Recovered,
-        report: Callable[[OSError], None] = lambda error: None,
+        archive: AuditArchive | None = None,
     ) -> None:
         self.consensus = consensus
         self.storage = storage
         self.state = state
-        self.report = report
+        self.archive = archive
+        self.report: Callable[[OSError], None] = lambda error: None
         self.applied_index = 0
         self.applied_term = Term(0)
         self._membership = Membership()
         self._flush_asked = False
+        self._archive_due = False
         self._actions: list[Any] = []
         self._events: deque[Any] = deque()
         if recovered.snapshot is not None:
@@ -181,6 +184,10 @@
     def _flush(self) -> None:
         self._flush_asked = False
         try:
+            # The state may forget records after a snapshot, so they go first.
+            if self.archive is not None and self._archive_due:
+                self.archive.store(self.state.audit)
+                self._archive_due = False
             ticket = self.storage.flush()
         except OSError as error:
             # After a failed sync nobody knows what the disk holds.
@@ -207,6 +214,7 @@
             self._actions.append(CallDone(call, outcome))
 
     def _take_snapshot(self) -> Snapshot:
+        self._archive_due = True
         return Snapshot(
             self.applied_index,
             self.applied_term,
--- /dev/null
+++ b/burdockwall/process/control/service.py
@@ -0,0 +1,318 @@
+"""Serve the replicated control state to the other parts of a process."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import logbook
+import msgspec
+
+from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.audit import AuditFilter, AuditRecord, filter_audit
+from burdockwall.process.control.changes import Change
+from burdockwall.process.control.commands import (
+    AnyCommand,
+    AnyOperatorCommand,
+    DefineOperator,
+    Operator,
+    Outcome,
+    Permission,
+)
+from burdockwall.process.control.entries import Member
+from burdockwall.process.control.events import (
+    AskRead,
+    CallRefused,
+    CallUnknown,
+    MembershipChanged,
+    Propose,
+    RemoveMember,
+    ReplicaRole,
+    RoleChanged,
+)
+from burdockwall.process.control.messages import CONTROL_MESSAGES
+from burdockwall.process.control.opening import open_replica
+from burdockwall.process.control.replica import (
+    CallDone,
+    CommandApplied,
+    Flush,
+    FlushSoon,
+    encode_command,
+)
+from burdockwall.process.control.state import NO_CREDENTIAL, ControlState
+from burdockwall.process.host import Host
+from burdockwall.process.membership.messages import StateSnapshot
+from burdockwall.process.membership.source import take_snapshot
+from burdockwall.process.waiters import Waiters
+from burdockwall.settings import Settings
+from burdockwall.types import (
+    Address,
+    CallId,
+    InstanceId,
+    KeyDigest,
+    OperatorId,
+    ShardId,
+    Term,
+    Version,
+)
+from burdockwall.version.shards import ShardView
+
+CALL_LIMIT_S = 5.0
+# What clocks of two instances may differ by in rate, on both sides.
+CLOCK_MARGIN = 0.1
+REFUSALS_BURST = 20
+REFUSALS_PER_S = 1.0
+NO_CALL = CallId(0)
+START_CALL = CallId(-1)
+LOOPBACK = ("127.", "localhost:", "[::1]:")
+
+Answer = CallDone | CallRefused | CallUnknown
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True):
+    """Describe a replica to operators."""
+
+    voter: str
+    role: str
+    term: int
+    leader: str
+    leader_address: Address
+    last_index: int
+    commit: int
+    applied: int
+    members: list[Member]
+
+
+class ControlService:
+    """Run the replica of this instance and answer calls on it."""
+
+    def __init__(
+        self, settings: Settings, host: Host, wall_clock: Callable[[], float]
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.wall_clock = wall_clock
+        self.state = ControlState()
+        self.replica = open_replica(settings, self.state)
+        self.replica.report = self._report_failure
+        self.on_applied: list[Callable[[CommandApplied], None]] = []
+        self._logger = logbook.Logger("control")
+        self._waiters: Waiters[Answer] = Waiters()
+        self._flush_due = anyio.Event()
+        self._refusals = float(REFUSALS_BURST)
+        self._refused_at = 0.0
+        self._hosted = host.add(self.replica, CONTROL_MESSAGES, self._perform)
+
+    # What ControlSource asks for.
+
+    @property
+    def version(self) -> Version:
+        """Return the latest version that is applied here."""
+        return self.state.version
+
+    @property
+    def term(self) -> Term:
+        """Return the latest term that this instance knows."""
+        return self.replica.consensus.core.term
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """Return the leader of the term, where it is known."""
+        member = self.replica.consensus.find_leader()
+        return member.instance if member else None
+
+    def is_leader_confirmed(self, now: float) -> bool:
+        """Tell whether no other instance can have committed anything by now."""
+        core = self.replica.consensus.core
+        leadership = core.leadership
+        if leadership is None or core.applied < leadership.start_index:
+            return False
+        promised_s = core.timing.election_timeout_s * (1 - CLOCK_MARGIN)
+        return now - leadership.confirmed_at < promised_s
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        return self.state.changes_since(version)
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the latest version."""
+        return take_snapshot(self.state)
+
+    def get_shards(self) -> dict[ShardId, ShardView]:
+        """Return the latest view of each shard."""
+        return self.state.shards
+
+    # Calls.
+
+    def propose(self, command: AnyCommand) -> None:
+        """Propose a change of the leader's own; it may be lost."""
+        data = encode_command(command, self.wall_clock())
+        self.host.apply(self._hosted, Propose(NO_CALL, data))
+
+    async def run_command(
+        self, command: AnyOperatorCommand, credential: KeyDigest = NO_CREDENTIAL
+    ) -> Outcome:
+        """Replicate an operator's command and return its outcome, or raise."""
+        self._check_open()
+        self._limit_refusals(command, credential)
+        data = encode_command(command, self.wall_clock(), credential)
+        call = self._waiters.create()
+        answer = await self._wait(call, Propose(call, data))
+        assert answer.outcome is not None
+        return answer.outcome
+
+    async def confirm_read(self) -> None:
+        """Wait until the state may be read without missing a change, or raise."""
+        call = self._waiters.create()
+        await self._wait(call, AskRead(call))
+
+    async def remove_member(self, name: str) -> None:
+        """Remove a replica by its identity."""
+        members = self.replica.consensus.core.log.membership.members
+        for member in members:
+            if member.voter == name:
+                call = self._waiters.create()
+                await self._wait(call, RemoveMember(call, member.voter))
+                return
+        raise OperatorError(Code.BAD_REQUEST, f"no replica {name}")
+
+    async def _wait(self, call: CallId, event: object) -> CallDone:
+        self.host.apply(self._hosted, event)
+        try:
+            answer = await self._waiters.wait(call, CALL_LIMIT_S)
+        except TimeoutError as error:
+            if isinstance(event, AskRead):
+                raise OperatorError(Code.NO_QUORUM) from error
+            raise OperatorError(Code.CHANGE_UNKNOWN) from error
+        match answer:
+            case CallDone():
+                return answer
+            case CallUnknown():
+                raise OperatorError(Code.CHANGE_UNKNOWN)
+            case CallRefused():
+                raise self._build_refusal()
+
+    def _build_refusal(self) -> OperatorError:
+        consensus = self.replica.consensus
+        member = consensus.find_leader()
+        if consensus.core.role is ReplicaRole.FAILED:
+            detail = "this instance has stepped aside after a failed write"
+            return OperatorError(Code.NO_QUORUM, detail)
+        if member is None or consensus.is_leader:
+            return OperatorError(Code.NO_QUORUM)
+        detail = f"the leader is {member.instance} at {member.operator_address}"
+        return OperatorError(Code.NOT_LEADER, detail)
+
+    # Operators.
+
+    def authenticate(
+        self, name: OperatorId, credential: KeyDigest, permission: Permission | None
+    ) -> None:
+        """Raise OperatorError unless an operator may read what it asks for."""
+        self._check_open()
+        if not self.state.operators:
+            return
+        operator = self.state.authenticate(name, credential)
+        if permission is not None and permission not in operator.permissions:
+            detail = f"operator {name} lacks permission {permission.value}"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+
+    def _check_open(self) -> None:
+        if not self.state.operators and self.settings.first_operator:
+            detail = "the first operator is not defined yet"
+            raise OperatorError(Code.NO_QUORUM, detail)
+        local = self.settings.operator_address.startswith(LOOPBACK)
+        if not self.state.operators and not local:
+            detail = "no operator is defined; set [operators] name and digest"
+            raise OperatorError(Code.OPERATOR_REFUSED, detail)
+
+    def _limit_refusals(self, command: AnyCommand, credential: KeyDigest) -> None:
+        """Keep strangers from filling the log with refused attempts."""
+        if not self.state.operators:
+            return
+        try:
+            self.state.authenticate(command.operator, credential)
+        except OperatorError:
+            now = time.monotonic()
+            earned = (now - self._refused_at) * REFUSALS_PER_S
+            self._refusals = min(REFUSALS_BURST, self._refusals + earned)
+            self._refused_at = now
+            if self._refusals < 1:
+                raise
+            self._refusals -= 1
+
+    def list_audit(self, chosen: AuditFilter) -> list[AuditRecord]:
+        """Return the records that a filter admits, from files and from the state."""
+        recent = list(self.state.audit)
+        archive = self.replica.archive
+        older: list[AuditRecord] = []
+        if archive is not None and recent:
+            older = list(archive.read(before=recent[0].index))
+        return filter_audit(older + recent, chosen)
+
+    def read_status(self) -> ReplicaStatus:
+        """Describe the replica of this instance."""
+        consensus = self.replica.consensus
+        core = consensus.core
+        leader = consensus.find_leader()
+        return ReplicaStatus(
+            voter=core.me.voter,
+            role=core.role.value,
+            term=core.term,
+            leader=leader.instance if leader else "",
+            leader_address=leader.operator_address if leader else Address(""),
+            last_index=core.log.last_index,
+            commit=core.commit,
+            applied=core.applied,
+            members=list(core.log.membership.members),
+        )
+
+    # Actions.
+
+    def _perform(self, action: Any) -> None:
+        match action:
+            case FlushSoon():
+                self._flush_due.set()
+            case CallDone(call=call) if call == START_CALL:
+                self._define_first_operator()
+            case CallDone(call=call) | CallRefused(call=call) | CallUnknown(call=call):
+                self._waiters.complete(call, action)
+            case CommandApplied():
+                for notify in self.on_applied:
+                    notify(action)
+            case MembershipChanged(membership=membership):
+                for member in membership.members:
+                    self.host.bus.add_peer(member.instance, member.peer_address)
+            case RoleChanged(role=role, term=term, leader=leader):
+                extra = {"role": role.value, "term": term, "leader": leader}
+                self._logger.notice("control role", extra=extra)
+                if role is ReplicaRole.LEADER:
+                    # Whether operators are known shows once the log is applied.
+                    self.host.apply(self._hosted, AskRead(START_CALL))
+            case _:
+                pass
+
+    def _define_first_operator(self) -> None:
+        name, digest = self.settings.first_operator, self.settings.first_operator_digest
+        if not name or self.state.operators:
+            return
+        operator = Operator(OperatorId(name), KeyDigest(digest), tuple(Permission))
+        # The fixed submission makes the command idempotent over leaders.
+        command = DefineOperator(
+            operator=OperatorId("settings"),
+            submission=f"first operator {name}",
+            defined=operator,
+        )
+        data = encode_command(command, self.wall_clock())
+        self.host.apply(self._hosted, Propose(NO_CALL, data))
+
+    def _report_failure(self, error: OSError) -> None:
+        code = Code.DISK_FAILED.value.number
+        self._logger.error("stepped aside", extra={"code": code, "error": error})
+
+    async def run(self) -> None:
+        """Write and sync what is queued, once for all events at hand."""
+        while True:
+            await self._flush_due.wait()
+            self._flush_due = anyio.Event()
+            self.host.apply(self._hosted, Flush())
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -11,20 +11,19 @@
 from burdockwall.connection.peers import PeerBus
 from burdockwall.connection.tls import create_peer_contexts
 from burdockwall.errors import Code, InvalidFile, OperatorError
-from burdockwall.process.control.commands import AssignShards
-from burdockwall.process.control.state import ControlState
+from burdockwall.process.control.console import Console
+from burdockwall.process.control.service import ControlService
 from burdockwall.process.drain import CountUnderWay, StartDrain, StopServing
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
-from burdockwall.process.membership.source import SoleSource
 from burdockwall.process.operations import Operations, Status
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
-from burdockwall.types import EndpointState, Incarnation, Role
+from burdockwall.types import EndpointState, Incarnation, Role, Version
 
 OPERATOR_GRACE_S = 1.0
 CALLER_GRACE_S = 1.0
@@ -49,21 +48,18 @@
             create_peer_contexts(settings),
         )
         self.host = Host(self.bus, time.monotonic, settings.tick_interval_s)
-        self.state = ControlState() if settings.role is not Role.ENTRY else None
+        self.control: ControlService | None = None
         self.entry: Entry | None = None
         self.membership = self._create_membership(self.bus.incarnation)
-        if self.state is not None:
-            state = self.state
-            self.membership.add_registrar(
-                SoleSource(settings.instance_id, state),
-                lambda command: self._assign(state, command),
-            )
+        if settings.role is not Role.ENTRY:
+            self.control = ControlService(settings, self.host, time.time)
+            self.membership.add_registrar(self.control, self.control.propose)
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
-        self.operations = Operations(
-            settings, self.read_status, self.state, time.time, self.start_drain
-        )
+        self.operations = Operations(settings, self.read_status, self.start_drain)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
+        if self.control is not None:
+            Console(self.control).register(self.operations)
 
     def _create_entry(self) -> Entry:
         entry = Entry(
@@ -91,9 +87,6 @@
         )
         return Membership(self.host, details, control, self._install)
 
-    def _assign(self, state: ControlState, command: AssignShards) -> None:
-        state.apply(command, time.time())
-
     def _install(self, replica: StateReplica) -> None:
         if self.entry is not None:
             self.entry.install(replica)
@@ -118,7 +111,8 @@
     def read_status(self) -> Status:
         """Describe this instance."""
         entry = self.entry
-        version = entry.view.version if entry else self.state.version  # type: ignore[union-attr]
+        held = self.control.version if self.control else Version(0)
+        version = entry.view.version if entry else held
         return Status(
             instance=self.settings.instance_id,
             role=self.settings.role.value,
@@ -145,6 +139,8 @@
         async with anyio.create_task_group() as group:
             if self.bus.tls is not None or self.settings.peer_plaintext:
                 group.start_soon(self.bus.run, self.settings.peer_address)
+            if self.control is not None:
+                group.start_soon(self.control.run)
             group.start_soon(self.host.run)
             group.start_soon(self._watch_load)
             if self.entry is not None:
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -25,6 +25,9 @@
     peer_address: Address = Address("127.0.0.1:8082")
     peers: dict[InstanceId, Address] = field(default_factory=dict)
     control_instances: list[InstanceId] = field(default_factory=list)
+    election_timeout_s: float = 1.5
+    first_operator: str = ""
+    first_operator_digest: str = ""
     log_level: str = "info"
     log_format: str = "json"
     max_body_bytes: int = 8_388_608
@@ -198,6 +201,32 @@
         0.1,
         60,
     ),
+    Option(
+        "control",
+        "election_timeout",
+        "election_timeout_s",
+        Kind.NUMBER,
+        "s",
+        "Silence of the leader after which another is elected.",
+        0.5,
+        60,
+    ),
+    Option(
+        "operators",
+        "name",
+        "first_operator",
+        Kind.TEXT,
+        "",
+        "Operator who may change everything, defined while there is none.",
+    ),
+    Option(
+        "operators",
+        "digest",
+        "first_operator_digest",
+        Kind.TEXT,
+        "",
+        "SHA-256 of that operator's token, in hex digits.",
+    ),
     Option(
         "log",
         "level",
--- /dev/null
+++ b/features/subjects/control_journal.py
@@ -0,0 +1,246 @@
+"""Check journal and snapshot files against a plain model, from generated steps."""
+
+import random
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from burdockwall.fakes.files import CrashPoint, FakeFiles
+from burdockwall.process.control.entries import (
+    Data,
+    Entry,
+    HardState,
+    Membership,
+    Snapshot,
+    VoterId,
+)
+from burdockwall.process.control.events import Persist, Recovered, SaveSnapshot
+from burdockwall.process.control.files import StorageError
+from burdockwall.process.control.journal import (
+    MARK_NAME,
+    Identity,
+    Journal,
+    list_snapshots,
+    name_journal,
+)
+from burdockwall.process.control.records import MARK_SLOT_BYTES
+from burdockwall.types import InstanceId, Term
+
+IDENTITY = Identity(VoterId("control-1.0"), InstanceId("control-1"))
+
+
+class Model:
+    """Hold what a journal should hold: vote, snapshot and later entries."""
+
+    def __init__(self, hard=None, base=0, entries=()):
+        self.hard = hard or HardState()
+        self.base = base
+        self.entries = list(entries)
+
+    @property
+    def last(self) -> int:
+        return self.base + len(self.entries)
+
+    def copy(self) -> "Model":
+        return Model(self.hard, self.base, self.entries)
+
+    def add(self, record) -> None:
+        if isinstance(record, HardState):
+            self.hard = record
+            return
+        del self.entries[record.index - self.base - 1 :]
+        self.entries.append(record)
+
+    def cut(self, index: int) -> None:
+        self.entries = self.entries[max(0, index - self.base) :]
+        self.base = index
+
+    def same(self, found: Recovered) -> bool:
+        base = found.snapshot.index if found.snapshot else 0
+        entries = list(found.entries)
+        return (self.hard, self.base, self.entries) == (found.hard, base, entries)
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Write, flush, crash and damage; recover what was acknowledged."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def create(self, seed):
+        self.files = FakeFiles(random.Random(seed))
+        self.journal = Journal(self.files)
+        self.journal.create(IDENTITY, [HardState()])
+        self.synced = Model()
+        self.queued: list = []
+        self.ticket = 0
+        self.term = 1
+
+    def latest(self) -> Model:
+        model = self.synced.copy()
+        for action in self.queued:
+            self.step(model, action)
+        return model
+
+    def step(self, model, action) -> None:
+        match action:
+            case Persist(hard=hard, entries=entries):
+                for record in (hard, *entries):
+                    model.add(record)
+            case SaveSnapshot(snapshot=snapshot):
+                model.cut(snapshot.index)
+
+    def list_allowed(self) -> list[Model]:
+        """List what may be found after a crash before the flush ended."""
+        model = self.synced.copy()
+        allowed = [model.copy()]
+        for action in self.queued:
+            if isinstance(action, SaveSnapshot):
+                # The snapshot may last although its journal does not yet.
+                early = self.synced.copy()
+                early.cut(action.snapshot.index)
+                allowed.append(early)
+                self.step(model, action)
+                allowed.append(model.copy())
+                continue
+            for record in (action.hard, *action.entries):
+                model.add(record)
+                allowed.append(model.copy())
+        return allowed
+
+    @rule(count=st.integers(0, 3), back=st.integers(0, 2), size=st.integers(0, 60))
+    def persist(self, count, back, size):
+        self.ticket += 1
+        self.term += 1
+        model = self.latest()
+        first = max(model.base + 1, model.last + 1 - back)
+        entries = tuple(
+            Entry(Term(self.term), first + offset, Data(bytes(size)))
+            for offset in range(count)
+        )
+        action = Persist(self.ticket, HardState("c", Term(self.term)), entries)
+        self.journal.append(action)
+        self.queued.append(action)
+
+    @precondition(lambda self: self.latest().entries)
+    @rule(share=st.floats(0, 1))
+    def snapshot(self, share):
+        self.ticket += 1
+        model = self.latest()
+        position = int(share * (len(model.entries) - 1))
+        entry = model.entries[position]
+        snapshot = Snapshot(entry.index, entry.term, Membership(), b"state" * 20)
+        later = tuple(model.entries[position + 1 :])
+        action = SaveSnapshot(self.ticket, snapshot, model.hard, later)
+        self.journal.append(action)
+        self.queued.append(action)
+
+    @rule()
+    def flush(self):
+        expected = self.ticket if self.queued else None
+        assert self.journal.flush() == expected
+        self.synced, self.queued = self.latest(), []
+
+    @rule(after=st.integers(1, 16))
+    def flush_and_crash(self, after):
+        self.files.crash_at = self.files.operations + after
+        try:
+            self.journal.flush()
+        except CrashPoint:
+            self.reopen()
+            return
+        self.files.crash_at = None
+        self.synced, self.queued = self.latest(), []
+
+    @rule(space=st.integers(0, 300))
+    def flush_on_a_full_disk(self, space):
+        self.files.space_left = space
+        try:
+            self.journal.flush()
+        except OSError:
+            self.reopen()
+            return
+        self.files.space_left = None
+        self.synced, self.queued = self.latest(), []
+
+    @rule()
+    def reopen(self):
+        self.files.crash()
+        self.journal = Journal(self.files)
+        found = self.journal.recover()
+        matching = [model for model in self.list_allowed() if model.same(found)]
+        assert matching, (found, [vars(model) for model in self.list_allowed()])
+        self.synced, self.queued = matching[0], []
+
+    def expect_refusal(self, name: str, place: int, bit: int, number: int) -> None:
+        self.files.flip(name, place, bit)
+        try:
+            Journal(self.files).recover()
+        except StorageError as error:
+            assert error.code.value.number == number
+        else:
+            raise AssertionError(f"a flipped bit of {name} was not found")
+        finally:
+            self.files.flip(name, place, bit)
+
+    @precondition(lambda self: not self.queued)
+    @rule(share=st.floats(0, 0.999), bit=st.integers(0, 7))
+    def flip_journal(self, share, bit):
+        name = name_journal(self.journal._generation)
+        place = int(share * len(self.files.read(name)))
+        self.expect_refusal(name, place, bit, 2101)
+
+    @precondition(lambda self: not self.queued and self.synced.base)
+    @rule(share=st.floats(0, 0.999), bit=st.integers(0, 7))
+    def flip_snapshot(self, share, bit):
+        name = list_snapshots(self.files.list_names())[0]
+        place = int(share * len(self.files.read(name)))
+        self.expect_refusal(name, place, bit, 2102)
+
+    @precondition(lambda self: not self.queued and self.journal._sequence > 1)
+    @rule(place=st.integers(0, 27), bit=st.integers(0, 7))
+    def flip_latest_mark(self, place, bit):
+        offset = (self.journal._sequence % 2) * MARK_SLOT_BYTES
+        self.files.flip(MARK_NAME, offset + place, bit)
+        self.journal = Journal(self.files)
+        try:
+            found = self.journal.recover()
+        except StorageError:
+            # The older mark names a journal that a snapshot has replaced.
+            self.files.flip(MARK_NAME, offset + place, bit)
+            self.reopen()
+            return
+        assert self.synced.same(found)
+
+    @precondition(lambda self: not self.queued and self.synced.entries)
+    @rule(size=st.integers(1, 20))
+    def lose_synced_tail(self, size):
+        name = name_journal(self.journal._generation)
+        data = self.files.read(name)
+        self.files.truncate(name, len(data) - size)
+        try:
+            Journal(self.files).recover()
+        except StorageError as error:
+            assert error.code.value.number == 2101
+        else:
+            raise AssertionError("a lost tail was not found")
+        finally:
+            self.files.write(name, 0, data)
+            self.files.sync(name)
+
+
+def check_journal(examples: int) -> None:
+    """Run generated steps, the same on each run."""
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=30,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(JournalMachine, settings=chosen)
