--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -26,7 +26,12 @@
     SubmitConfiguration,
     WithdrawKey,
 )
-from burdockwall.process.control.console import AuditPage, ExportPage, StatePage
+from burdockwall.process.control.console import (
+    AuditPage,
+    ExportPage,
+    InForcePage,
+    StatePage,
+)
 from burdockwall.process.control.service import ReplicaStatus
 from burdockwall.process.control.withdrawals import is_digest
 from burdockwall.process.operations import Status
@@ -41,7 +46,7 @@
 )
 from burdockwall.version.keys import compute_digest, create_key
 
-CALL_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 15.0
 LEADER_LIMIT_S = 10.0
 LEADER_PAUSE_S = 0.2
 TOKEN_PREFIX = "bwo_"
@@ -189,6 +194,11 @@
         path = f"/audit?{urllib.parse.urlencode(fields)}"
         return self._call_leader("GET", path, AuditPage)
 
+    def wait_in_force(self, version: Version) -> InForcePage:
+        """Wait until no instance acts under an earlier version, or raise."""
+        query = urllib.parse.urlencode({"version": version})
+        return self._call_leader("GET", f"/in-force?{query}", InForcePage)
+
     def read_configuration(self) -> StatePage:
         """Read the configuration in force."""
         return self._call_leader("GET", "/configuration", StatePage)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -228,14 +228,18 @@
 
 
 def _verify_audit(records: list[AuditRecord]) -> None:
-    if not verify_audit(records):
+    if not records:
+        click.echo("no records")
+        return
+    first, last = records[0], records[-1]
+    whole = first.index == 1
+    holds = verify_audit(records) if whole else verify_audit(records[1:], first.chain)
+    if not holds:
         detail = "the chain is broken: a record was changed, lost or added"
         raise OperatorError(Code.AUDIT_BROKEN, detail)
-    if records:
-        first, last = records[0].index, records[-1]
-        click.echo(f"records {first} to {last.index} hold, chain {last.chain}")
-    if records and records[0].index != 1:
-        click.echo(f"records before {records[0].index} are not on this instance")
+    click.echo(f"records {first.index} to {last.index} hold, chain {last.chain}")
+    if not whole:
+        click.echo(f"records before {first.index} are not on this instance")
 
 
 @cli.command()
@@ -268,8 +272,14 @@
 @operator_option
 @click.argument("key")
 def withdraw_key(address: str, operator: str, token: str, key: str) -> None:
-    """Withdraw a key."""
-    _show_outcome(_create_client(address, operator).withdraw_key(key))
+    """Withdraw a key, and wait until no instance admits it any more."""
+    client = _create_client(address, operator)
+    outcome = client.withdraw_key(key)
+    _show_outcome(outcome)
+    page = client.wait_in_force(outcome.version)
+    click.echo(f"confirmed by {' '.join(page.confirmed) or 'none'}")
+    if page.lapsed:
+        click.echo(f"waited for the leases of {' '.join(page.lapsed)}")
 
 
 @cli.group("operator")
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -5,7 +5,7 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
-from burdockwall.process.control import messages as control
+from burdockwall.process.control import copier, messages as control
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.types import Incarnation, InstanceId
@@ -20,6 +20,8 @@
     | control.SendSnapshot
     | control.AnswerSnapshot
     | control.AskJoin
+    | copier.AskAudit
+    | copier.AnswerAudit
     | limits.LimitDemand
     | limits.LimitGrants
     | limits.LimitRecall
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -163,6 +163,13 @@
     AUDIT_BROKEN = CodeRow(
         2015, 500, Ran.NOT_RUN, Retry.NEVER, "The audit trail fails its chain."
     )
+    IN_FORCE_UNKNOWN = CodeRow(
+        2016,
+        503,
+        Ran.UNKNOWN,
+        Retry.SAFE,
+        "The version is accepted, but may not be in force everywhere yet.",
+    )
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- a/burdockwall/process/control/archive.py
+++ b/burdockwall/process/control/archive.py
@@ -1,10 +1,10 @@
 """Keep every audit record in files that are only ever appended to."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import msgspec
 
-from burdockwall.process.control.audit import AuditRecord
+from burdockwall.process.control.audit import CHAIN_START, AuditRecord, compute_chain
 from burdockwall.process.control.files import Files
 
 PREFIX = "audit-"
@@ -19,64 +19,80 @@
 
 
 class AuditArchive:
-    """Append records before the state forgets them, and read them back."""
+    """Append records in the order of their index, and read them back."""
 
     def __init__(self, files: Files) -> None:
         self.files = files
         self.last_index = 0
-        self._sizes: dict[str, int] = {}
-        names = self._list_segments()
-        if names:
-            self._open_last(names[-1])
+        self.last_chain = CHAIN_START
+        self._size = 0
+        names = [name for name in files.list_names() if name.startswith(PREFIX)]
+        for name in reversed(names):
+            if self._open_last(name):
+                return
 
-    def _list_segments(self) -> list[str]:
-        return [name for name in self.files.list_names() if name.startswith(PREFIX)]
-
-    def _open_last(self, name: str) -> None:
+    def _open_last(self, name: str) -> bool:
+        """Cut off what a crash has torn; tell whether a record is left."""
         data = self.files.read(name)
-        # A crash may have torn the last line; the state still holds its record.
-        whole = data[: data.rfind(b"\n") + 1]
-        lines = whole.splitlines()
-        while lines and not _is_record(lines[-1]):
-            whole = whole[: -len(lines.pop()) - 1]
-        if len(whole) != len(data):
-            self.files.truncate(name, len(whole))
+        records, size = _parse_lines(data)
+        if size != len(data):
+            self.files.truncate(name, size)
             self.files.sync(name)
-        self._sizes[name] = len(whole)
-        if lines:
-            self.last_index = _decoder.decode(lines[-1]).index
+        if not records:
+            return False
+        self.last_index, self.last_chain = records[-1].index, records[-1].chain
+        self._size = size
+        return True
 
     def store(self, records: Iterable[AuditRecord]) -> None:
-        """Append and sync the records that are not here yet."""
-        lines: dict[str, list[bytes]] = {}
+        """Append and sync the records that follow; leave out all others."""
+        lines: list[bytes] = []
+        index, chain = self.last_index, self.last_chain
         for record in records:
-            if record.index > self.last_index:
-                name = name_segment(record.index)
-                lines.setdefault(name, []).append(msgspec.json.encode(record) + b"\n")
-                self.last_index = record.index
-        for name, parts in lines.items():
-            data = b"".join(parts)
-            offset = self._sizes.get(name, 0)
-            self.files.write(name, offset, data)
-            self.files.sync(name)
-            self._sizes[name] = offset + len(data)
+            follows = record.index == index + 1
+            if not follows or compute_chain(chain, record) != record.chain:
+                continue
+            if name_segment(record.index) != name_segment(max(1, index)):
+                self._write(name_segment(index), lines)
+                self._size, lines = 0, []
+            index, chain = record.index, record.chain
+            lines.append(msgspec.json.encode(record) + b"\n")
         if lines:
-            self.files.sync_folder()
+            self._write(name_segment(index), lines)
+        self.last_index, self.last_chain = index, chain
+
+    def _write(self, name: str, lines: list[bytes]) -> None:
+        if not lines:
+            return
+        data = b"".join(lines)
+        self.files.write(name, self._size, data)
+        self.files.sync(name)
+        self.files.sync_folder()
+        self._size += len(data)
 
-    def read(self, before: int) -> Iterator[AuditRecord]:
-        """Return the records below an index, oldest first."""
-        for name in self._list_segments():
-            for line in self.files.read(name).splitlines():
-                if not _is_record(line):
-                    continue
-                record = _decoder.decode(line)
-                if record.index < before:
-                    yield record
+    def read(self, first: int, count: int) -> list[AuditRecord]:
+        """Return records from an index on, oldest first."""
+        found: list[AuditRecord] = []
+        while len(found) < count and first <= self.last_index:
+            records, _ = _parse_lines(self.files.read(name_segment(first)))
+            wanted = [record for record in records if record.index >= first]
+            found += wanted[: count - len(found)]
+            if not wanted:
+                break
+            first = wanted[-1].index + 1
+        return found
 
 
-def _is_record(line: bytes) -> bool:
-    try:
-        _decoder.decode(line)
-    except msgspec.DecodeError:
-        return False
-    return True
+def _parse_lines(data: bytes) -> tuple[list[AuditRecord], int]:
+    """Return the whole records, and the bytes that they take."""
+    records: list[AuditRecord] = []
+    size = 0
+    for line in data.splitlines(keepends=True):
+        if not line.endswith(b"\n"):
+            break
+        try:
+            records.append(_decoder.decode(line))
+        except msgspec.DecodeError:
+            break
+        size += len(line)
+    return records, size
--- a/burdockwall/process/control/console.py
+++ b/burdockwall/process/control/console.py
@@ -1,5 +1,7 @@
 """Answer operators about the control state: read, change, export and audit."""
 
+from collections.abc import Awaitable, Callable
+
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
@@ -8,10 +10,12 @@
 from burdockwall.process.control.commands import AnyOperatorCommand, Permission
 from burdockwall.process.control.service import ControlService, ReplicaStatus
 from burdockwall.process.control.state import NO_CREDENTIAL
+from burdockwall.process.membership.progress import InForce
 from burdockwall.process.operations import Operations
-from burdockwall.types import KeyDigest, OperatorId
+from burdockwall.types import KeyDigest, OperatorId, Version
 from burdockwall.version.keys import compute_digest
 
+WaitInForce = Callable[[Version], Awaitable[InForce]]
 COMMAND_BODY_BYTES = 33_554_432
 BEARER = "Bearer "
 OPERATOR_HEADER = b"burdockwall-operator"
@@ -37,6 +41,15 @@
     image: bytes
 
 
+class InForcePage(msgspec.Struct, frozen=True):
+    """Name the instances that confirmed a version, and those whose lease lapsed."""
+
+    version: int
+    waited_s: float
+    confirmed: tuple[str, ...]
+    lapsed: tuple[str, ...]
+
+
 def read_credential(exchange: Exchange) -> KeyDigest:
     """Return the digest of the operator's token, if one was sent."""
     header = exchange.get_header(b"authorization") or ""
@@ -48,14 +61,16 @@
 class Console:
     """Serve the operations of an instance that holds a replica."""
 
-    def __init__(self, service: ControlService) -> None:
+    def __init__(self, service: ControlService, wait_in_force: WaitInForce) -> None:
         self.service = service
+        self.wait_in_force = wait_in_force
 
     def register(self, operations: Operations) -> None:
         """Add the operations to those of the process."""
         operations.add_operation("GET", "/control", self._serve_replica)
         operations.add_operation("GET", "/configuration", self._serve_configuration)
         operations.add_operation("GET", "/audit", self._serve_audit)
+        operations.add_operation("GET", "/in-force", self._serve_in_force)
         operations.add_operation("GET", "/state", self._serve_export)
         operations.add_operation("POST", "/commands", self._serve_command)
         operations.add_operation("POST", "/control/remove", self._serve_removal)
@@ -85,6 +100,19 @@
         records = self.service.list_audit(chosen)
         await exchange.answer_json(200, AuditPage(records))
 
+    async def _serve_in_force(self, exchange: Exchange) -> None:
+        await self.service.confirm_read()
+        self._authenticate(exchange, None)
+        version = dict(exchange.list_query()).get("version", "")
+        if not version.isdigit():
+            raise OperatorError(Code.BAD_REQUEST, "version is not a number")
+        try:
+            found = await self.wait_in_force(Version(int(version)))
+        except TimeoutError as error:
+            raise OperatorError(Code.IN_FORCE_UNKNOWN) from error
+        page = InForcePage(found.version, found.waited_s, found.confirmed, found.lapsed)
+        await exchange.answer_json(200, page)
+
     async def _serve_export(self, exchange: Exchange) -> None:
         await self.service.confirm_read()
         self._authenticate(exchange, Permission.STATE)
--- /dev/null
+++ b/burdockwall/process/control/copier.py
@@ -0,0 +1,92 @@
+"""Copy the audit records that this replica never applied from other replicas."""
+
+from collections.abc import Callable
+
+from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.control.archive import AuditArchive
+from burdockwall.process.control.audit import AuditRecord
+from burdockwall.process.control.state import ControlState
+from burdockwall.types import InstanceId
+
+COPY_RECORDS = 200
+COPY_INTERVAL_S = 1.0
+
+
+class AskAudit(Message, frozen=True):
+    """Ask for audit records from an index on."""
+
+    first: int
+
+
+class AnswerAudit(Message, frozen=True):
+    """Send audit records from an index on, as far as they are held."""
+
+    first: int
+    records: list[AuditRecord]
+
+
+COPY_MESSAGES: tuple[type[Message], ...] = (AskAudit, AnswerAudit)
+
+
+class AuditCopier:
+    """Fill the archive of a replica that was restored from a snapshot."""
+
+    def __init__(
+        self,
+        archive: AuditArchive,
+        state: ControlState,
+        list_peers: Callable[[], list[InstanceId]],
+    ) -> None:
+        self.archive = archive
+        self.state = state
+        self.list_peers = list_peers
+        self._due = 0.0
+        self._asked = 0
+
+    def handle(self, event: Tick | Receive, now: float) -> list[Send]:
+        """Take an event and return what to ask or answer."""
+        match event:
+            case Tick() if now >= self._due:
+                return self._ask(now)
+            case Receive(sender=sender, message=AskAudit(first=first)):
+                records = self.list_records(first, COPY_RECORDS)
+                return [Send(sender, AnswerAudit(first, records))]
+            case Receive(message=AnswerAudit() as answer):
+                return self._take(answer, now)
+            case _:
+                return []
+
+    def find_missing(self) -> int | None:
+        """Return the first index that neither files nor state hold, or None."""
+        wanted = self.archive.last_index + 1
+        if not self.state.audit or self.state.audit[0].index <= wanted:
+            return None
+        return wanted
+
+    def list_records(self, first: int, count: int) -> list[AuditRecord]:
+        """List records from an index on, from the files and then the state."""
+        found = self.archive.read(first, count)
+        following = found[-1].index + 1 if found else first
+        for record in self.state.audit:
+            if record.index == following and len(found) < count:
+                found.append(record)
+                following += 1
+        return found
+
+    def _ask(self, now: float) -> list[Send]:
+        self._due = now + COPY_INTERVAL_S
+        missing, peers = self.find_missing(), self.list_peers()
+        if missing is None or not peers:
+            return []
+        self._asked += 1
+        return [Send(peers[self._asked % len(peers)], AskAudit(missing))]
+
+    def _take(self, answer: AnswerAudit, now: float) -> list[Send]:
+        if answer.first != self.find_missing() or not answer.records:
+            return []
+        try:
+            self.archive.store(answer.records)
+        except OSError:
+            # What is missing is asked for again later.
+            return []
+        return self._ask(now)
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -19,6 +19,7 @@
     Outcome,
     Permission,
 )
+from burdockwall.process.control.copier import COPY_MESSAGES, AuditCopier
 from burdockwall.process.control.entries import Member
 from burdockwall.process.control.events import (
     AskRead,
@@ -102,6 +103,12 @@
         self._refusals = float(REFUSALS_BURST)
         self._refused_at = 0.0
         self._hosted = host.add(self.replica, CONTROL_MESSAGES, self._perform)
+        self.copier: AuditCopier | None = None
+        if self.replica.archive is not None:
+            self.copier = AuditCopier(
+                self.replica.archive, self.state, self._list_peers
+            )
+            host.add(self.copier, COPY_MESSAGES)
 
     # What ControlSource asks for.
 
@@ -243,12 +250,15 @@
 
     def list_audit(self, chosen: AuditFilter) -> list[AuditRecord]:
         """Return the records that a filter admits, from files and from the state."""
-        recent = list(self.state.audit)
-        archive = self.replica.archive
-        older: list[AuditRecord] = []
-        if archive is not None and recent:
-            older = list(archive.read(before=recent[0].index))
-        return filter_audit(older + recent, chosen)
+        if self.copier is None:
+            return filter_audit(list(self.state.audit), chosen)
+        last = self.state.audit[-1].index if self.state.audit else 0
+        return filter_audit(self.copier.list_records(1, last), chosen)
+
+    def _list_peers(self) -> list[InstanceId]:
+        members = self.replica.consensus.core.log.membership.members
+        own = self.settings.instance_id
+        return [member.instance for member in members if member.instance != own]
 
     def read_status(self) -> ReplicaStatus:
         """Describe the replica of this instance."""
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -59,7 +59,8 @@
         self.operations = Operations(settings, self.read_status, self.start_drain)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
         if self.control is not None:
-            Console(self.control).register(self.operations)
+            console = Console(self.control, self.membership.wait_in_force)
+            console.register(self.operations)
 
     def _create_entry(self) -> Entry:
         entry = Entry(
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -9,7 +9,14 @@
 from burdockwall.settings import Settings
 
 Serve = Callable[[Exchange], Awaitable[None]]
-CONTROL_PATHS = ("/control", "/configuration", "/audit", "/state", "/commands")
+CONTROL_PATHS = (
+    "/control",
+    "/configuration",
+    "/audit",
+    "/state",
+    "/commands",
+    "/in-force",
+)
 
 
 class Status(msgspec.Struct, frozen=True):
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -962,6 +962,12 @@
         remedy = "Set [tls] peer_certificate, peer_key and peer_authority, "
         remedy += "or peer_plaintext = yes."
         faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    digest = settings.first_operator_digest
+    if bool(settings.first_operator) != bool(digest) or len(digest) not in (0, 64):
+        place = f"{source}: [operators] name, digest"
+        problem = "one is given without the other, or the digest is not 64 hex digits"
+        remedy = "Give a name and the SHA-256 of a token, or neither."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
     return faults
 
 
--- /dev/null
+++ b/features/subjects/control_rules.py
@@ -0,0 +1,194 @@
+"""Lead one replica, step by step, to where it must keep a rule."""
+
+import random
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from unittest.mock import patch
+
+from burdockwall.fakes.files import FakeFiles
+from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.core import Core
+from burdockwall.process.control.entries import (
+    Data,
+    Entry,
+    HardState,
+    Member,
+    Membership,
+    MembershipChange,
+    Snapshot,
+    VoterId,
+)
+from burdockwall.process.control.events import Persist, Persisted, SaveSnapshot
+from burdockwall.process.control.follower import Follower
+from burdockwall.process.control.journal import Identity, Journal
+from burdockwall.process.control.leader import Leader
+from burdockwall.process.control.messages import (
+    AnswerAppend,
+    AnswerPreVote,
+    AnswerVote,
+    Append,
+    AskVote,
+    SendSnapshot,
+)
+from burdockwall.process.control.transfer import create_outgoing
+from burdockwall.types import InstanceId, Term
+
+NAMES = ("a", "b", "c")
+CLUSTER = "cluster"
+
+
+def build_entries(count: int) -> list[Entry]:
+    """Build a log of term 1: the membership, then data."""
+    members = tuple(
+        Member(VoterId(name), InstanceId(name), voting=True) for name in NAMES
+    )
+    change = MembershipChange(Membership(members))
+    data = [Entry(Term(1), index, Data(b"")) for index in range(2, count + 1)]
+    return [Entry(Term(1), 1, change), *data]
+
+
+class LoneReplica:
+    """Hold replica a of three, on its own disk; the test plays b and c."""
+
+    def __init__(self, entries: int) -> None:
+        self.files = FakeFiles(random.Random(1))
+        self.journal = Journal(self.files)
+        records = [HardState(CLUSTER, Term(1)), *build_entries(entries)]
+        self.journal.create(Identity(VoterId("a"), InstanceId("a")), records)
+        self.now = 0.0
+        self.open()
+
+    def open(self) -> None:
+        self.journal = Journal(self.files)
+        me = Member(VoterId("a"), InstanceId("a"), voting=True)
+        recovered = self.journal.recover()
+        chance = random.Random(1)
+        self.consensus = Consensus(me, recovered, [], chance)
+        self.handle(Tick())
+
+    def handle(self, event) -> list:
+        """Handle an event, sync what it asks for, and return what was sent."""
+        actions = self.consensus.handle(event, self.now)
+        for action in actions:
+            if isinstance(action, Persist | SaveSnapshot):
+                self.journal.append(action)
+        ticket = self.journal.flush()
+        if ticket is not None:
+            actions = actions + self.consensus.handle(Persisted(ticket), self.now)
+        sent = [action for action in actions if isinstance(action, Send)]
+        own = [action.message for action in sent if action.to == "a"]
+        for message in own:
+            sent += self.handle(Receive(InstanceId("a"), message))
+        return sent
+
+    def receive(self, kind, source: str, term: int, *fields) -> list:
+        message = kind(CLUSTER, VoterId(source), VoterId("a"), Term(term), *fields)
+        return self.handle(Receive(InstanceId(source), message))
+
+    def ask_vote(self, source: str, term: int) -> bool:
+        sent = self.receive(AskVote, source, term, 99, Term(term))
+        return any(
+            isinstance(action.message, AnswerVote) and action.message.granted
+            for action in sent
+        )
+
+    def win_election(self) -> None:
+        self.now += 10.0
+        self.handle(Tick())
+        core = self.consensus.core
+        self.receive(AnswerPreVote, "b", core.term, core.term, True)
+        self.receive(AnswerVote, "b", core.term, True)
+        assert self.consensus.is_leader
+
+
+def keep_vote() -> bool:
+    replica = LoneReplica(3)
+    replica.now = 10.0
+    assert replica.ask_vote("b", 5)
+    replica.files.crash()
+    replica.open()
+    replica.now = 20.0
+    return not replica.ask_vote("c", 5)
+
+
+def count_own_term() -> bool:
+    replica = LoneReplica(3)
+    replica.win_election()
+    core = replica.consensus.core
+    replica.receive(AnswerAppend, "b", core.term, True, 3, 0)
+    held = core.commit == 0
+    replica.receive(AnswerAppend, "b", core.term, True, 4, 0)
+    assert core.commit == 4
+    return held
+
+
+def keep_suffix() -> bool:
+    replica = LoneReplica(10)
+    membership = replica.consensus.core.log.membership
+    outgoing = create_outgoing(Snapshot(5, Term(1), membership, b"state"))
+    total = len(outgoing.data)
+    replica.receive(SendSnapshot, "b", 1, 5, 0, total, outgoing.data, 1)
+    core = replica.consensus.core
+    assert core.commit == 5
+    return core.log.last_index == 10
+
+
+def refuse_while_led() -> bool:
+    replica = LoneReplica(3)
+    replica.now = 10.0
+    replica.receive(Append, "b", 2, 3, Term(1), (), 3, 1)
+    replica.now += 1.0
+    refused = not replica.ask_vote("c", 3) and replica.consensus.core.term == 2
+    replica.now += 1.0
+    assert replica.ask_vote("c", 3)
+    return refused
+
+
+def persist_entries_only(core, hard, entries=()):
+    if entries:
+        persist(core, hard, entries)
+    core.hard = hard
+
+
+def commit_any_term(leader):
+    core = leader.core
+    match = core.leadership.find_match(core.log.membership, core.durable_index)
+    core.advance_commit(match)
+    advance(leader)
+
+
+def install_without_suffix(follower, snapshot):
+    follower.core.log.reset(Snapshot(0, Term(0), snapshot.membership, b""))
+    install(follower, snapshot)
+
+
+persist, advance, install = Core.persist, Leader.advance, Follower._install
+
+RULES: dict[str, tuple[Callable[[], bool], Callable[[], AbstractContextManager]]] = {
+    "a vote is kept over a restart": (
+        keep_vote,
+        lambda: patch.object(Core, "persist", persist_entries_only),
+    ),
+    "entries of earlier terms do not count": (
+        count_own_term,
+        lambda: patch.object(Leader, "advance", commit_any_term),
+    ),
+    "entries behind a snapshot are kept": (
+        keep_suffix,
+        lambda: patch.object(Follower, "_install", install_without_suffix),
+    ),
+    "no vote while a leader is heard": (
+        refuse_while_led,
+        lambda: patch.object(Core, "has_quorum_contact", lambda core: False),
+    ),
+}
+
+
+def check_rule(name: str, with_rule: bool = True) -> bool:
+    """Tell whether a rule held, with it or with it taken away."""
+    check, take_away = RULES[name]
+    if with_rule:
+        return check()
+    with take_away():
+        return check()
