Make good what a full bucket lost, recall unspent grants, measure limits

Holders now tell when they spent a grant, and the owner makes good what was lost since; a refusal counts what a recall brings back, and the recall goes out at once. benchmarks/limits.py compares with rate/N an instance and with a central call.

--- /dev/null
+++ b/benchmarks/_limit_network.py
@@ -0,0 +1,241 @@
+"""Run the limiter and two baselines on virtual time with the same requests."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from burdockwall.connection.wire import Acknowledgement, Envelope
+from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.machine import Send
+from burdockwall.process.limits.events import (
+    Admit,
+    Admitted,
+    Limit,
+    LimitsInstalled,
+    Refused,
+)
+from burdockwall.process.limits.holder import LimitHolder
+from burdockwall.process.limits.messages import LimitDemand, LimitGrants, LimitRecall
+from burdockwall.process.limits.owner import LimitOwner
+from burdockwall.process.limits.units import UNITS_PER_REQUEST, create_parameters
+from burdockwall.settings import Settings
+from burdockwall.types import (
+    CallId,
+    CustomerId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    SHARD_COUNT,
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
+
+# gRPC puts 5 bytes before a message and HTTP/2 9 before a frame.
+FRAME_BYTES = 14
+_encoder = msgspec.msgpack.Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Describe one request: when (s), where and whose."""
+
+    at: float
+    instance: int
+    customer: CustomerId
+
+
+@dataclass(slots=True)
+class Ideal:
+    """Hold one bucket that every instance reaches at once; it starts full."""
+
+    limit: Limit
+    level: float
+    at: float = 0.0
+    worst: float = 0.0
+
+    def refill(self, now: float) -> None:
+        """Add what has come in."""
+        grown = self.level + (now - self.at) * self.limit.rate_per_s
+        self.level = min(self.limit.burst, grown)
+        self.at = now
+
+    def take(self, now: float) -> bool:
+        """Take one request if the level allows it."""
+        self.refill(now)
+        if self.level < UNITS_PER_REQUEST:
+            return False
+        self.level -= UNITS_PER_REQUEST
+        return True
+
+    def force(self, now: float) -> None:
+        """Take one request whatever the level, and remember the lowest level."""
+        self.refill(now)
+        self.level -= UNITS_PER_REQUEST
+        self.worst = min(self.worst, self.level)
+
+
+def create_ideals(limits: dict[CustomerId, Limit], share: int = 1) -> dict[Any, Ideal]:
+    """Create a full bucket a customer, with a share of each limit."""
+    return {
+        name: Ideal(
+            Limit(limit.rate_per_s / share, limit.burst // share), limit.burst // share
+        )
+        for name, limit in limits.items()
+    }
+
+
+class CountingNetwork(FakeNetwork):
+    """Count the messages and bytes between instances, acknowledgements included."""
+
+    sent_bytes = 0
+    remote_messages = 0
+
+    def send(self, sender: InstanceId, action: Send) -> None:
+        """Count a message that leaves its instance, and send it."""
+        if action.to != sender:
+            self.remote_messages += 1
+            message: Any = action.message
+            envelope = Envelope(
+                sender, Incarnation(1_700_000_000_000_000_000), 1000, []
+            )
+            size = len(_encoder.encode(envelope)) + len(_encoder.encode(message))
+            reply = len(_encoder.encode(Acknowledgement(1000)))
+            self.sent_bytes += size + reply + 2 * FRAME_BYTES
+        super().send(sender, action)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Hold what became of the requests, by their numbers."""
+
+    admitted: set[int] = field(default_factory=set)
+    refused: set[int] = field(default_factory=set)
+    refused_within: set[int] = field(default_factory=set)
+    waiting: Counter[CustomerId] = field(default_factory=Counter)
+    waits_s: list[float] = field(default_factory=list)
+
+
+class LimiterRun:
+    """Drive owners and holders on every instance with a list of arrivals."""
+
+    def __init__(
+        self,
+        seed: int,
+        instances: int,
+        one_way_s: float,
+        limits: dict[CustomerId, Limit],
+        arrivals: list[Arrival],
+    ) -> None:
+        weather = Weather(0.9 * one_way_s, 1.1 * one_way_s)
+        self.network = CountingNetwork(seed, weather, self._perform)
+        self.names = [InstanceId(f"entry-{number}") for number in range(instances)]
+        self.arrivals = arrivals
+        self.checks = create_ideals(limits)
+        self.tally = Tally()
+        self.holders: dict[InstanceId, LimitHolder] = {}
+        views = {}
+        for number in range(SHARD_COUNT):
+            primary = self.names[number % instances]
+            shard = ShardId(number)
+            views[shard] = ShardView(shard, FencingNumber(1), primary)
+        for name in self.names:
+            self._start(name, limits, ShardMap(views))
+
+    def _start(
+        self, name: InstanceId, limits: dict[CustomerId, Limit], shards: ShardMap
+    ) -> None:
+        parameters = create_parameters(Settings())
+        incarnation = Incarnation(1_700_000_000_000_000_000)
+        holder = LimitHolder(name, incarnation, parameters)
+        owner = LimitOwner(name, incarnation, parameters, parameters.start_wait_s)
+        self.holders[name] = holder
+        self.network.start(
+            name, [(holder, (LimitGrants, LimitRecall)), (owner, (LimitDemand,))]
+        )
+        self.network.apply(name, owner, LimitsInstalled(limits))
+        self.network.apply(name, owner, LeaseRenewed(float("inf")))
+        self.network.apply(name, owner, ShardsInstalled(shards))
+        self.network.apply(name, holder, ShardsInstalled(shards))
+
+    def _perform(self, instance: InstanceId, action: Any, now: float) -> None:
+        match action:
+            case Admitted(call=call, customer=customer):
+                self.tally.waiting[customer] -= 1
+                self.checks[customer].force(now)
+                self.tally.admitted.add(call)
+                self.tally.waits_s.append(now - self.arrivals[call].at)
+            case Refused(call=call, customer=customer):
+                self.tally.waiting[customer] -= 1
+                self.tally.refused.add(call)
+                self._judge(call, customer, now)
+
+    def _judge(self, call: int, customer: CustomerId, now: float) -> None:
+        # Within rate: true time had room for it and for all that waited before it.
+        check = self.checks[customer]
+        check.refill(now)
+        ahead = (self.tally.waiting[customer] + 1) * UNITS_PER_REQUEST
+        if check.level >= ahead:
+            self.tally.refused_within.add(call)
+
+    def _ask(self, number: int) -> None:
+        arrival = self.arrivals[number]
+        name = self.names[arrival.instance]
+        self.tally.waiting[arrival.customer] += 1
+        admit = Admit(CallId(number), arrival.customer, UNITS_PER_REQUEST, 10.0)
+        self.network.apply(name, self.holders[name], admit)
+
+    def run(self, until: float) -> None:
+        """Run all arrivals and what follows from them."""
+        for number, arrival in enumerate(self.arrivals):
+            self.network.schedule(arrival.at, partial(self._ask, number))
+        self.network.run_until(until)
+
+    @property
+    def excess(self) -> float:
+        """Return the most requests in excess in any window of time."""
+        worst = min(check.worst for check in self.checks.values())
+        return abs(worst) / UNITS_PER_REQUEST
+
+
+def draw_arrivals(
+    generator: random.Random,
+    instances: int,
+    loads: dict[CustomerId, float],
+    since: float,
+    until: float,
+    calls_each: float = 4.0,
+) -> list[Arrival]:
+    """Draw programs that keep an instance for some calls, a short time apart."""
+    arrivals: list[Arrival] = []
+    for customer, load in loads.items():
+        at = since
+        while True:
+            at += generator.expovariate(load / calls_each)
+            if at >= until:
+                break
+            instance = generator.randrange(instances)
+            call_at = at
+            for _ in range(max(1, round(generator.expovariate(1 / calls_each)))):
+                arrivals.append(Arrival(call_at, instance, customer))
+                call_at += generator.expovariate(1.0)
+    return sorted(
+        (item for item in arrivals if item.at < until),
+        key=lambda item: (item.at, item.customer),
+    )
+
+
+def judge_arrivals(
+    arrivals: list[Arrival], take: Callable[[Arrival], bool]
+) -> set[int]:
+    """Return the numbers of the arrivals that a rule admits."""
+    return {number for number, item in enumerate(arrivals) if take(item)}
--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,303 @@
+"""Measure refusals within rate, excess, messages and the cost of a decision."""
+
+import random
+import statistics
+import time
+from dataclasses import dataclass
+
+from benchmarks._limit_network import (
+    Arrival,
+    Ideal,
+    LimiterRun,
+    create_ideals,
+    draw_arrivals,
+    judge_arrivals,
+)
+from benchmarks.result import Result, create_result
+from burdockwall.machine import Receive, Send
+from burdockwall.process.limits.events import Admit, Limit, LimitsInstalled
+from burdockwall.process.limits.holder import LimitHolder
+from burdockwall.process.limits.owner import LimitOwner
+from burdockwall.process.limits.units import UNITS_PER_REQUEST, create_parameters
+from burdockwall.settings import Settings
+from burdockwall.types import (
+    CallId,
+    CustomerId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    SHARD_COUNT,
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
+
+SEEDS = range(1, 11)
+SINCE_S = 6.0
+UNTIL_S = 46.0
+REFUSALS_BOUND = 0.001
+LARGE = Limit(40.0 * UNITS_PER_REQUEST, 80 * UNITS_PER_REQUEST)
+SMALL = Limit(8.0 * UNITS_PER_REQUEST, 16 * UNITS_PER_REQUEST)
+LOAD_SHARE = 0.7
+FLOOD_SHARE = 4.0
+TARGET_INSTANCES = 380
+TARGET_CUSTOMERS = 4800
+TARGET_REQUESTS_PER_S = 6600.0
+TARGET_SECONDS = 4.0
+BYTES_BOUND = 5000.0
+DECISION_BOUND_US = 1000.0
+DECISIONS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe a deployment: its instances and the delay between them."""
+
+    name: str
+    instances: int
+    one_way_s: float
+
+
+DEPLOYMENTS = (
+    Deployment("association-6", 6, 0.0015),
+    Deployment("association-9", 9, 0.0015),
+    Deployment("armorique-6", 6, 0.001),
+    Deployment("armorique-9", 9, 0.001),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Hold refusals within rate as shares, and other figures of one run."""
+
+    limiter: float
+    split: float
+    refused: float
+    ideal_refused: float
+    shortfall: float
+    excess: float
+    split_excess: float
+    messages_each: float
+    wait_median_s: float
+    wait_high_s: float
+
+
+def _create_limits() -> dict[CustomerId, Limit]:
+    limits = {CustomerId(f"large-{n}"): LARGE for n in range(2)}
+    limits |= {CustomerId(f"small-{n}"): SMALL for n in range(6)}
+    return limits
+
+
+def _compare(deployment: Deployment, seed: int, flood: bool) -> Shares:
+    limits = _create_limits()
+    loads = {
+        name: LOAD_SHARE * limit.rate_per_s / UNITS_PER_REQUEST
+        for name, limit in limits.items()
+    }
+    flooding = CustomerId("small-0")
+    if flood:
+        loads[flooding] *= FLOOD_SHARE / LOAD_SHARE
+    generator = random.Random(f"limits-{deployment.name}-{seed}-{flood}")
+    arrivals = draw_arrivals(generator, deployment.instances, loads, SINCE_S, UNTIL_S)
+    run = LimiterRun(seed, deployment.instances, deployment.one_way_s, limits, arrivals)
+    run.run(UNTIL_S + 2.0)
+    ideals = create_ideals(limits)
+    ideal = judge_arrivals(arrivals, lambda item: ideals[item.customer].take(item.at))
+    splits = [
+        create_ideals(limits, deployment.instances) for _ in range(deployment.instances)
+    ]
+    checks = create_ideals(limits)
+
+    def take_split(item: Arrival) -> bool:
+        taken = splits[item.instance][item.customer].take(item.at)
+        if taken:
+            checks[item.customer].force(item.at)
+        return taken
+
+    split = judge_arrivals(arrivals, take_split)
+    others = {n for n, item in enumerate(arrivals) if item.customer != flooding}
+    judged = others if flood else set(range(len(arrivals)))
+    flooded = ideal - others
+    waits = sorted(run.tally.waits_s)
+    return Shares(
+        limiter=len(judged & run.tally.refused_within) / len(judged),
+        split=len(judged & ideal - split) / len(judged),
+        refused=len(judged & run.tally.refused) / len(judged),
+        ideal_refused=len(judged - ideal) / len(judged),
+        shortfall=max(0.0, 1 - len(run.tally.admitted - others) / len(flooded)),
+        excess=run.excess,
+        split_excess=_find_excess(checks),
+        messages_each=run.network.remote_messages / len(arrivals),
+        wait_median_s=statistics.median(waits),
+        wait_high_s=waits[int(0.99 * len(waits))],
+    )
+
+
+def _find_excess(checks: dict[CustomerId, Ideal]) -> float:
+    return -min(check.worst for check in checks.values()) / UNITS_PER_REQUEST
+
+
+def _measure_deployment(deployment: Deployment) -> list[Result]:
+    results = []
+    for seed in SEEDS:
+        within = _compare(deployment, seed, flood=False)
+        flood = _compare(deployment, seed, flood=True)
+        name = deployment.name
+        results += [
+            create_result(
+                f"{name}: refusals within rate, baseline rate/N an instance",
+                within.limiter,
+                "share",
+                seed,
+                within.split,
+                REFUSALS_BOUND,
+            ),
+            create_result(
+                f"{name}: the same for the others while one sends 4 times its rate",
+                flood.limiter,
+                "share",
+                seed,
+                flood.split,
+                REFUSALS_BOUND,
+            ),
+            create_result(
+                f"{name}: all refusals, baseline one ideal bucket",
+                within.refused,
+                "share",
+                seed,
+                within.ideal_refused,
+            ),
+            create_result(
+                f"{name}: excess over rate and burst in any window",
+                max(within.excess, flood.excess),
+                "requests",
+                seed,
+                None,
+                0.0,
+            ),
+            create_result(
+                f"{name}: admitted short of one ideal bucket at 4 times the rate",
+                flood.shortfall,
+                "share",
+                seed,
+            ),
+            create_result(
+                f"{name}: messages a request, baseline a central call each",
+                within.messages_each,
+                "messages",
+                seed,
+                2 * (deployment.instances - 1) / deployment.instances,
+            ),
+            create_result(
+                f"{name}: median wait, baseline a central call each",
+                within.wait_median_s * 1000,
+                "ms",
+                seed,
+                2000 * deployment.one_way_s,
+            ),
+            create_result(
+                f"{name}: wait of 99 in 100, baseline a central call each",
+                within.wait_high_s * 1000,
+                "ms",
+                seed,
+                2000 * deployment.one_way_s,
+            ),
+        ]
+    return results
+
+
+def _measure_target(instances: int, customers: int, requests: float) -> list[Result]:
+    generator = random.Random(f"limits-target-{instances}")
+    names = [CustomerId(f"customer-{number:04}") for number in range(customers)]
+    shares = [1.0 / (rank + 10) for rank in range(customers)]
+    loads = {
+        name: requests * share / sum(shares)
+        for name, share in zip(names, shares, strict=True)
+    }
+    limits = {
+        name: Limit(
+            max(1.0, load / LOAD_SHARE) * UNITS_PER_REQUEST,
+            max(2, round(2 * load / LOAD_SHARE)) * UNITS_PER_REQUEST,
+        )
+        for name, load in loads.items()
+    }
+    until = SINCE_S + TARGET_SECONDS
+    arrivals = draw_arrivals(generator, instances, loads, SINCE_S, until)
+    run = LimiterRun(1, instances, 0.0015, limits, arrivals)
+    run.run(until)
+    seconds = TARGET_SECONDS * instances
+    name = f"{instances} instances, {customers} customers"
+    messages = run.network.remote_messages / seconds
+    return [
+        create_result(f"{name}: messages sent an instance", messages, "1/s"),
+        create_result(
+            f"{name}: bytes sent an instance",
+            run.network.sent_bytes / seconds,
+            "bytes/s",
+            bound=BYTES_BOUND,
+        ),
+        create_result(
+            f"{name}: excess over rate and burst", run.excess, "requests", bound=0.0
+        ),
+    ]
+
+
+def _measure_decision(customers: int) -> Result:
+    name = InstanceId("entry-1")
+    incarnation = Incarnation(1)
+    parameters = create_parameters(Settings())
+    holder = LimitHolder(name, incarnation, parameters)
+    owner = LimitOwner(name, incarnation, parameters, 0.0)
+    limit = Limit(1e6 * UNITS_PER_REQUEST, 10**6 * UNITS_PER_REQUEST)
+    limits = {CustomerId(f"customer-{n}"): limit for n in range(customers)}
+    views = {}
+    for number in range(SHARD_COUNT):
+        shard = ShardId(number)
+        views[shard] = ShardView(shard, FencingNumber(1), name)
+    owner.handle(LimitsInstalled(limits), 0.0)
+    owner.handle(LeaseRenewed(float("inf")), 0.0)
+    owner.handle(ShardsInstalled(ShardMap(views)), 0.0)
+    holder.handle(ShardsInstalled(ShardMap(views)), 0.0)
+    names = list(limits)
+    generator = random.Random(customers)
+    started = time.perf_counter()
+    for number in range(DECISIONS):
+        now = 10.0 + number / 100
+        admit = Admit(CallId(number), generator.choice(names), UNITS_PER_REQUEST, 1.0)
+        pending = holder.handle(admit, now)
+        while pending:
+            action = pending.pop()
+            if isinstance(action, Send):
+                receive = Receive(name, action.message)
+                target = (
+                    owner if type(action.message).__name__ == "LimitDemand" else holder
+                )
+                pending += target.handle(receive, now)
+    micros = (time.perf_counter() - started) / DECISIONS * 1e6
+    return create_result(
+        f"decision with demand and grant at {customers} customers",
+        micros,
+        "us",
+        bound=DECISION_BOUND_US,
+    )
+
+
+def measure() -> list[Result]:
+    """Measure both deployments, the target's messages and the cost of a decision."""
+    results = [
+        result
+        for deployment in DEPLOYMENTS
+        for result in _measure_deployment(deployment)
+    ]
+    for scale in (100, 10, 1):
+        results += _measure_target(
+            TARGET_INSTANCES // scale,
+            TARGET_CUSTOMERS // scale,
+            TARGET_REQUESTS_PER_S / scale,
+        )
+    results += [_measure_decision(customers) for customers in (8, 480, 4800)]
+    return results
--- a/burdockwall/process/limits/bucket.py
+++ b/burdockwall/process/limits/bucket.py
@@ -3,11 +3,17 @@
 What is granted and neither given back nor lapsed counts against the burst: level and
 outstanding grants together never exceed it, so no window of time ever sees more than
 the burst and what has come in since, whenever a grant is spent.
+
+While a spent grant still counts, the bucket may be full for the owner though it is not
+in truth, and what comes in is lost. The losses are remembered for a while: once a
+holder tells when it spent a grant, as much as was lost since is made good.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from burdockwall.process.limits.events import Limit
+from burdockwall.process.limits.units import GRANT_LIMIT_S
 from burdockwall.types import Incarnation, InstanceId, ShardId
 
 
@@ -32,6 +38,23 @@
     lapse_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class AheadGrant:
+    """Remember a grant for expected requests, which can be recalled."""
+
+    holder: InstanceId
+    units: int
+
+
+@dataclass(slots=True)
+class Loss:
+    """Remember units that came in over a time and found no room."""
+
+    since: float
+    until: float
+    units: float
+
+
 @dataclass(slots=True)
 class CustomerBucket:
     """Refill at a rate up to the burst less the outstanding grants.
@@ -48,7 +71,8 @@
     recalled_at: float = float("-inf")
     needs: dict[InstanceId, Need] = field(default_factory=dict)
     unseen: dict[InstanceId, list[Unseen]] = field(default_factory=dict)
-    ahead: dict[int, InstanceId] = field(default_factory=dict)
+    ahead: dict[int, AheadGrant] = field(default_factory=dict)
+    losses: deque[Loss] = field(default_factory=deque)
 
     @property
     def slowed_rate(self) -> float:
@@ -57,16 +81,42 @@
 
     def refill(self, now: float) -> None:
         """Add what has come in since the last refill."""
+        room = max(0.0, self.limit.burst - self.outstanding - self.level)
         if now > self.at:
-            self.level += (now - self.at) * self.slowed_rate
+            incoming = (now - self.at) * self.slowed_rate
+            if self.outstanding and incoming > room:
+                self._record_loss(incoming - room, now)
+            self.level += min(room, incoming)
             self.at = now
-        room = self.limit.burst - self.outstanding
-        self.level = max(0.0, min(self.level, room))
+        self.level = max(0.0, min(self.level, self.limit.burst - self.outstanding))
+
+    def _record_loss(self, units: float, now: float) -> None:
+        since = now - units / self.slowed_rate
+        self.losses.append(Loss(since, now, units))
+        while self.losses and self.losses[0].until < now - GRANT_LIMIT_S:
+            self.losses.popleft()
+
+    def make_good(self, units: int, spent_at: float) -> None:
+        """Add what was lost between a spend and its report, at most as much.
+
+        Only for a grant that counted as outstanding until now: once it has lapsed,
+        its room may have been filled and spent.
+        """
+        left = float(units)
+        for loss in reversed(self.losses):
+            if loss.since < spent_at or left <= 0.0:
+                break
+            part = min(left, loss.units)
+            loss.units -= part
+            left -= part
+            self.level += part
+        self.level = max(0.0, min(self.level, self.limit.burst - self.outstanding))
 
     def change_limit(self, limit: Limit, now: float) -> None:
         """Put a limit in force; what came in before it came at the former rate."""
         self.refill(now)
         self.limit = limit
+        self.losses.clear()
         self.refill(now)
 
     def take(self, units: int) -> None:
@@ -85,7 +135,11 @@
         """Count the units that all holders lack."""
         return sum(need.units for need in self.needs.values())
 
-    def list_unseen(
+    def count_ahead(self) -> int:
+        """Count the units that were granted for expected requests."""
+        return sum(grant.units for grant in self.ahead.values())
+
+    def count_unseen(
         self, holder: InstanceId, incarnation: Incarnation, seen: int, now: float
     ) -> int:
         """Forget the grants that a holder has seen; count the units of the rest."""
--- a/burdockwall/process/limits/grants.py
+++ b/burdockwall/process/limits/grants.py
@@ -16,6 +16,8 @@
     number: int
     units: int
     expires_at: float
+    spent_at: float
+    reports: bool
 
 
 @dataclass(slots=True)
@@ -106,12 +108,14 @@
         self.grants.append(grant)
         self.grants.sort(key=lambda item: item.expires_at)
 
-    def spend(self, units: int) -> bool:
+    def spend(self, units: int, now: float) -> bool:
         """Spend units if that many are held, and tell whether they were."""
         if self.count_held() < units:
             return False
         for grant in self.grants:
             part = min(units, grant.units)
+            if part:
+                grant.spent_at = now
             grant.units -= part
             units -= part
             if units == 0:
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -58,7 +58,7 @@
     sent_at: float = float("-inf")
     unreachable: bool = False
     wants: dict[CustomerId, CustomerGrants] = field(default_factory=dict)
-    closes: list[LimitClose] = field(default_factory=list)
+    closes: list[HeldGrant] = field(default_factory=list)
 
 
 class LimitHolder:
@@ -110,7 +110,7 @@
         entry.used_at = now
         entry.estimate.record(event.units, now)
         entry.expire(now)
-        if not entry.waiting and entry.spend(event.units):
+        if not entry.waiting and entry.spend(event.units, now):
             admitted = Admitted(event.call, event.customer, event.units)
             return [admitted, *self._ask_ahead(entry, now)]
         refused = self._refuse_at_once(entry, event, now)
@@ -165,7 +165,7 @@
     def _settle(self, entry: CustomerGrants, now: float) -> list[Action]:
         actions: list[Action] = []
         entry.expire(now)
-        while entry.waiting and entry.spend(entry.waiting[0].units):
+        while entry.waiting and entry.spend(entry.waiting[0].units, now):
             request = entry.waiting.popleft()
             actions.append(Admitted(request.call, entry.customer, request.units))
         return actions
@@ -217,7 +217,7 @@
             owner.awaited_since = now
         owner.flight = sequence
         owner.sent_at = now
-        return [Send(name, self._build_demand(owner, sequence, wants))]
+        return [Send(name, self._build_demand(owner, sequence, wants, now))]
 
     def _build_want(
         self, entry: CustomerGrants, sequence: int, now: float
@@ -235,9 +235,15 @@
         return LimitWant(entry.customer, need, head, ahead)
 
     def _build_demand(
-        self, owner: _Owner, sequence: int, wants: list[LimitWant]
+        self, owner: _Owner, sequence: int, wants: list[LimitWant], now: float
     ) -> LimitDemand:
-        closes, owner.closes = owner.closes, []
+        closes = [
+            LimitClose(
+                grant.number, grant.units, int((now - grant.spent_at) * MS_PER_S)
+            )
+            for grant in owner.closes
+        ]
+        owner.closes = []
         return LimitDemand(
             self.incarnation, sequence, owner.epoch, owner.seen, wants, closes
         )
@@ -290,7 +296,13 @@
                 owner.seen = max(owner.seen, grant.grant)
             entry = self._get_entry(grant.customer, now)
             held = HeldGrant(
-                sender, message.epoch, grant.grant, grant.units, expires_at
+                sender,
+                message.epoch,
+                grant.grant,
+                grant.units,
+                expires_at,
+                now,
+                grant.reports,
             )
             entry.add(held)
             entry.told = max(0, entry.told - grant.units)
@@ -340,7 +352,7 @@
             entry = self._customers.get(customer)
             if entry is not None and not entry.waiting:
                 self._return_grants(entry, float("inf"))
-        return self._send_closes(sender, owner)
+        return self._send_closes(sender, owner, now)
 
     # What lies idle.
 
@@ -351,13 +363,13 @@
         for grant in entry.take_grants(expiring_before):
             owner = self._owners.get(grant.owner)
             if owner is not None and owner.epoch == grant.epoch:
-                owner.closes.append(LimitClose(grant.number, grant.units))
+                owner.closes.append(grant)
 
-    def _send_closes(self, name: InstanceId, owner: _Owner) -> list[Action]:
+    def _send_closes(self, name: InstanceId, owner: _Owner, now: float) -> list[Action]:
         if not owner.closes:
             return []
         self._sequence += 1
-        return [Send(name, self._build_demand(owner, self._sequence, []))]
+        return [Send(name, self._build_demand(owner, self._sequence, [], now))]
 
     # Time.
 
@@ -375,8 +387,8 @@
             if awaited and now - owner.awaited_since >= self.parameters.wait_s:
                 owner.unreachable = True
             actions += self._flush(name, owner, now)
-            if any(close.unspent for close in owner.closes):
-                actions += self._send_closes(name, owner)
+            if any(grant.units or grant.reports for grant in owner.closes):
+                actions += self._send_closes(name, owner, now)
             elif now - owner.sent_at >= GRANT_LIMIT_S:
                 # What these grants were is past, so the owner counts them as spent.
                 owner.closes = []
--- a/burdockwall/process/limits/messages.py
+++ b/burdockwall/process/limits/messages.py
@@ -25,10 +25,14 @@
 
 
 class LimitClose(msgspec.Struct, frozen=True, array_like=True):
-    """End a grant and give back what is unspent of it."""
+    """End a grant and give back what is unspent of it.
+
+    `age_ms` is how long ago, by the holder's clock, the last of it was spent.
+    """
 
     grant: int
     unspent: int
+    age_ms: int = 0
 
 
 class LimitDemand(Message, frozen=True):
@@ -47,12 +51,16 @@
 
 
 class LimitGrant(msgspec.Struct, frozen=True, array_like=True):
-    """Grant units that may be spent within `valid_ms` of the demand being sent."""
+    """Grant units that may be spent within `valid_ms` of the demand being sent.
+
+    `reports` asks to tell soon when they are spent, where the rate makes it worth it.
+    """
 
     customer: CustomerId
     grant: int
     units: int
     valid_ms: int
+    reports: bool = False
 
 
 class LimitVerdict(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 
 from burdockwall.machine import Receive, Send, Tick
-from burdockwall.process.limits.bucket import CustomerBucket, Need, Unseen
+from burdockwall.process.limits.bucket import (
+    AheadGrant,
+    CustomerBucket,
+    Need,
+    Unseen,
+)
 from burdockwall.process.limits.events import Limit, LimitsInstalled, Reason
 from burdockwall.process.limits.messages import (
     LimitClose,
@@ -18,6 +23,7 @@
 from burdockwall.process.limits.units import (
     GRANT_LIMIT_S,
     MS_PER_S,
+    UNITS_PER_REQUEST,
     LimitParameters,
 )
 from burdockwall.types import (
@@ -167,32 +173,48 @@
     def _take_demand(
         self, sender: InstanceId, demand: LimitDemand, now: float
     ) -> list[Send]:
+        answers: list[_Answer] = []
         if demand.epoch == self.epoch:
             for close in demand.closes:
-                self._close_grant(sender, close, now)
+                self._close_grant(sender, close, answers, now)
+        if self._is_newest(sender, demand) and now < self.lease_until:
+            self._holders[sender].sequence = demand.sequence
+            answer = _Answer(sender, demand.incarnation, demand.sequence)
+            answers.insert(0, answer)
+            for want in demand.wants:
+                self._take_want(answer, answers, demand, want, now)
+        recalls: dict[InstanceId, list[CustomerId]] = {}
+        for want in demand.wants:
+            self._recall(want.customer, recalls, now)
+        sends = [self._build_message(answer) for answer in answers]
+        return sends + self._build_recalls(recalls)
+
+    def _is_newest(self, sender: InstanceId, demand: LimitDemand) -> bool:
         holder = self._holders.get(sender)
         if holder is None or demand.incarnation > holder.incarnation:
             holder = self._holders[sender] = _Holder(demand.incarnation, 0)
-        stale = (
-            demand.incarnation < holder.incarnation
-            or demand.sequence <= holder.sequence
-        )
-        if stale or not demand.wants or now >= self.lease_until:
-            return []
-        holder.sequence = demand.sequence
-        answer = _Answer(sender, demand.incarnation, demand.sequence)
-        answers = [answer]
-        for want in demand.wants:
-            self._take_want(answer, answers, demand, want, now)
-        return [self._build_message(item) for item in answers]
+        if demand.incarnation < holder.incarnation or not demand.wants:
+            return False
+        return demand.sequence > holder.sequence
 
-    def _close_grant(self, sender: InstanceId, close: LimitClose, now: float) -> None:
+    def _close_grant(
+        self,
+        sender: InstanceId,
+        close: LimitClose,
+        answers: list[_Answer],
+        now: float,
+    ) -> None:
         grant = self._outstanding.get(close.grant)
         if grant is None or grant.holder != sender:
             return
         del self._outstanding[close.grant]
         grant.bucket.ahead.pop(close.grant, None)
         grant.bucket.close(grant.units, close.unspent, now)
+        # The age counts by the holder's clock, which may run fast.
+        age_s = close.age_ms / MS_PER_S / self.parameters.lapse_factor
+        grant.bucket.make_good(grant.units - close.unspent, now - age_s)
+        if self._needy.get(grant.customer) is grant.bucket and now < self.lease_until:
+            self._serve(grant.customer, grant.bucket, answers, now)
 
     def _take_want(
         self,
@@ -216,7 +238,7 @@
         bucket.refill(now)
         seen = demand.seen if demand.epoch == self.epoch else 0
         holder = answer.holder
-        unseen = bucket.list_unseen(holder, demand.incarnation, seen, now)
+        unseen = bucket.count_unseen(holder, demand.incarnation, seen, now)
         units = want.need - unseen
         if units > 0:
             need = Need(demand.incarnation, demand.sequence, now, units, want.head)
@@ -282,12 +304,12 @@
         need = bucket.needs[answer.holder]
         rate = bucket.slowed_rate
         delay_s = max(0.0, bucket.at - now)
-        coming = bucket.level + rate * self.parameters.pending_s
+        coming = bucket.level + rate * self.parameters.pending_s + bucket.count_ahead()
         others = bucket.count_needs() - need.units
         fair = coming / len(bucket.needs)
         head = min(need.head, need.units)
         pending = int(max(coming - others, fair) // head) * head
-        if not pending and head <= coming:
+        if not pending and head <= coming and self._is_largest(answer, bucket, fair):
             pending = head
         if pending >= need.units:
             if delay_s:
@@ -304,6 +326,14 @@
             if not bucket.needs:
                 self._needy.pop(customer, None)
 
+    def _is_largest(self, answer: _Answer, bucket: CustomerBucket, fair: float) -> bool:
+        """Tell whether no other head is above the fair share of what comes in."""
+        return all(
+            need.head <= fair
+            for holder, need in bucket.needs.items()
+            if holder != answer.holder
+        )
+
     def _grant_ahead(
         self, answer: _Answer, want: LimitWant, bucket: CustomerBucket, now: float
     ) -> None:
@@ -316,7 +346,7 @@
         grant = self._record_grant(
             want.customer, bucket, answer.holder, units, now, valid_s
         )
-        bucket.ahead[grant.grant] = answer.holder
+        bucket.ahead[grant.grant] = AheadGrant(answer.holder, units)
         answer.grants.append(grant)
 
     def _refuse(
@@ -350,7 +380,8 @@
         lapse_at = received_at + valid_ms / MS_PER_S * self.parameters.lapse_factor
         self._outstanding[number] = _Outstanding(customer, bucket, holder, units)
         heapq.heappush(self._lapses, (lapse_at, number))
-        return LimitGrant(customer, number, units, valid_ms)
+        loss = bucket.limit.rate_per_s * valid_s
+        return LimitGrant(customer, number, units, valid_ms, loss >= UNITS_PER_REQUEST)
 
     def _lapse_grants(self, now: float) -> None:
         while self._lapses and self._lapses[0][0] <= now:
@@ -381,9 +412,12 @@
         for customer, bucket in list(self._needy.items()):
             bucket.refill(now)
             self._serve(customer, bucket, answers, now)
-            if bucket.needs:
-                self._recall(customer, bucket, recalls, now)
+            self._recall(customer, recalls, now)
         sends = [self._build_message(answer) for answer in answers]
+        return sends + self._build_recalls(recalls)
+
+    def _build_recalls(self, recalls: dict[InstanceId, list[CustomerId]]) -> list[Send]:
+        sends = []
         for holder, customers in recalls.items():
             incarnation = self._holders[holder].incarnation
             recall = LimitRecall(incarnation, self.epoch, customers)
@@ -393,14 +427,16 @@
     def _recall(
         self,
         customer: CustomerId,
-        bucket: CustomerBucket,
         recalls: dict[InstanceId, list[CustomerId]],
         now: float,
     ) -> None:
+        bucket = self._needy.get(customer)
+        if bucket is None or not bucket.ahead:
+            return
         if now - bucket.recalled_at < self.parameters.repeat_s:
             return
         bucket.recalled_at = now
-        for holder in dict.fromkeys(bucket.ahead.values()):
+        for holder in dict.fromkeys(item.holder for item in bucket.ahead.values()):
             recalls.setdefault(holder, []).append(customer)
 
 
--- a/burdockwall/process/limits/units.py
+++ b/burdockwall/process/limits/units.py
@@ -8,7 +8,7 @@
 UNITS_PER_REQUEST = 1000
 MS_PER_S = 1000
 GRANT_LIMIT_S = 1.0
-PENDING_SHARE = 0.8
+PENDING_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/limits_unsafe.feature
+++ b/features/limits_unsafe.feature
@@ -19,3 +19,4 @@
       | drawn faults           | the count of a grant's time from its demand       |
       | drawn faults           | the longer lapse at the owner                     |
       | drawn faults           | the slowed refill                                 |
+      | drawn faults           | the time of a spend in what is made good          |
--- a/features/subjects/limits_unsafe.py
+++ b/features/subjects/limits_unsafe.py
@@ -59,9 +59,9 @@
 class RepeatingOwner(LimitOwner):
     """Take a close each time that it comes."""
 
-    def _close_grant(self, sender, close, now):
+    def _close_grant(self, sender, close, answers, now):
         grant = self._outstanding.get(close.grant)
-        super()._close_grant(sender, close, now)
+        super()._close_grant(sender, close, answers, now)
         if grant is not None and grant.holder == sender:
             self._outstanding[close.grant] = grant
 
@@ -121,6 +121,22 @@
             bucket.__class__ = FastBucket
 
 
+class GenerousBucket(CustomerBucket):
+    """Make good what was lost before the units were spent, too."""
+
+    __slots__ = ()
+
+    def make_good(self, units, spent_at):
+        super().make_good(units, float("-inf"))
+
+
+class GenerousOwner(LimitOwner):
+    def _create_buckets(self, now):
+        super()._create_buckets(now)
+        for bucket in self.buckets.values():
+            bucket.__class__ = GenerousBucket
+
+
 class EagerNetwork(LimitNetwork):
     def get_start_wait_s(self):
         return 0.0
@@ -151,5 +167,6 @@
         holder_class=LateHolder
     ),
     "the longer lapse at the owner": MarginlessNetwork,
+    "the time of a spend in what is made good": create_class(owner_class=GenerousOwner),
     "the slowed refill": create_class(owner_class=FastOwner),
 }
