Close endpoint clients after everything that uses them

Cause: under load a check failed once in about ten: at shutdown a poller took a client that was being closed (RuntimeError in the log). Change: the entry closes the pools after its parts have ended, and a pool is forgotten before its clients are closed.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -144,7 +144,10 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        for pool in self._pools.values():
+        pools = list(self._pools.values())
+        # Nobody may take a client that is being closed.
+        self._pools.clear()
+        for pool in pools:
             for pooled in pool.clients:
+                pooled.replaced = True
                 await pooled.client.aclose()
-        self._pools.clear()
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -57,10 +57,15 @@
 
     async def run(self) -> None:
         """Produce answers and follow the endpoints until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.parts.streams.run)
-            group.start_soon(self.parts.dispatcher.run, self.settings.tick_interval_s)
-            group.start_soon(self.poller.run)
+        tick_s = self.settings.tick_interval_s
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.parts.streams.run)
+                group.start_soon(self.parts.dispatcher.run, tick_s)
+                group.start_soon(self.poller.run)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.parts.clients.close()
 
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -181,7 +181,6 @@
             CALLER_GRACE_S,
             create_limits(self.settings, self.entry.budget),
         )
-        await self.entry.parts.clients.close()
 
 
 async def run_node(settings: Settings) -> None:
