Reload settings, check files in one pass, sharpen two checks

Cause: with silent pools kept, and with a drain that does not wait, no check failed: the one allowed two silences, the other's answers were shorter than the listener's grace. A reload and a check of both files in one pass were missing. Change: the bound is under two silences with six idle connections; answers outlast hold and grace.

--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -10,6 +10,7 @@
 import click
 
 from burdockwall import __version__
+from burdockwall.checks import check_files
 from burdockwall.client import (
     OperatorClient,
     create_submission,
@@ -56,12 +57,18 @@
     return read_settings(path) if path is not None else Settings()
 
 
+def _get_authority() -> Path | None:
+    authority: Path | None = click.get_current_context().find_root().params["authority"]
+    return authority
+
+
 def _create_client(address: str, operator: str = "") -> OperatorClient:
     first, *others = (Address(item.strip()) for item in address.split(","))
     context = click.get_current_context()
     return OperatorClient(
         first,
         OperatorId(operator),
+        _get_authority(),
         token=context.params.get("token") or "",
         others=tuple(others),
     )
@@ -74,7 +81,14 @@
 
 @click.group()
 @click.version_option(__version__, prog_name="burdockwall")
-def cli() -> None:
+@click.option("--debug", is_flag=True, help="Log internals, show tracebacks.")
+@click.option(
+    "--authority",
+    type=click.Path(path_type=Path, exists=True),
+    default=None,
+    help="Authority of the instances' certificates (PEM); calls go over TLS.",
+)
+def cli(debug: bool, authority: Path | None) -> None:
     """Schedule agent programs between callers and their endpoints."""
 
 
@@ -83,8 +97,10 @@
 def serve(settings_path: Path | None) -> None:
     """Run one process until it is told to stop."""
     settings = _load_settings(settings_path)
+    if click.get_current_context().find_root().params["debug"]:
+        settings.log_level = "debug"
     with create_log_handler(settings).applicationbound():
-        anyio.run(run_node, settings)
+        anyio.run(run_node, settings, settings_path)
 
 
 @cli.command()
@@ -92,9 +108,9 @@
 @click.argument("configuration", type=click.Path(path_type=Path), required=False)
 def check(settings_path: Path | None, configuration: Path | None) -> None:
     """Find every fault in a settings file and a configuration."""
-    _load_settings(settings_path)
-    if configuration is not None:
-        parse_configuration(configuration.read_text("utf-8"), str(configuration))
+    faults = check_files(settings_path, configuration)
+    if faults:
+        raise InvalidFile(faults[0].code, faults)
     click.echo("no faults")
 
 
@@ -248,7 +264,9 @@
 @click.option("--caller", default="", help="Name that spreads callers evenly.")
 def resolve(address: str, failure_domain: str, caller: str) -> None:
     """Show the addresses that a caller should use."""
-    resolution = resolve_caller(Address(address), failure_domain, caller)
+    resolution = resolve_caller(
+        Address(address), failure_domain, caller, _get_authority()
+    )
     for item in resolution.addresses:
         click.echo(f"{item.address} {item.failure_domain} {resolution.ttl_s}")
 
@@ -380,6 +398,9 @@
 
 def main() -> None:
     """Run the command line and end the process with its exit code."""
+    if "--debug" in sys.argv[1:]:
+        cli(standalone_mode=False)
+        return
     try:
         cli(standalone_mode=False)
     except InvalidFile as error:
--- a/burdockwall/process/drain.py
+++ b/burdockwall/process/drain.py
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartDrain:
-    """Ask the instance to leave."""
+    """Ask the instance to leave: serve for a hold, end at the limit (seconds)."""
+
+    hold_s: float
+    limit_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,9 +45,9 @@
     process ends once nothing is under way, or `limit_s` after the start.
     """
 
-    def __init__(self, hold_s: float, limit_s: float) -> None:
-        self.hold_s = hold_s
-        self.limit_s = max(hold_s, limit_s)
+    def __init__(self) -> None:
+        self.hold_s = 0.0
+        self.limit_s = 0.0
         self.state = DrainState.SERVING
         self._started_at = 0.0
         self._under_way = 0
@@ -66,6 +69,8 @@
         match event:
             case StartDrain() if self.state is DrainState.SERVING:
                 self.state = DrainState.HOLDING
+                self.hold_s = event.hold_s
+                self.limit_s = max(event.hold_s, event.limit_s)
                 self._started_at = now
             case CountUnderWay(requests=requests):
                 self._under_way = requests
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -49,7 +49,7 @@
             host.clock,
             settings.schedule_poll_s,
         )
-        self.drain = Drain(settings.drain_hold_s, settings.drain_limit_s)
+        self.drain = Drain()
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
         self.under_way = 0
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import logbook
@@ -20,6 +21,7 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.operations import Operations, Status
+from burdockwall.process.reload import reload_settings
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
@@ -128,7 +130,10 @@
         if self.entry is None:
             self.stop.set()
         else:
-            self.host.apply(self.hosted_drain, StartDrain())
+            self.host.apply(
+                self.hosted_drain,
+                StartDrain(self.settings.drain_hold_s, self.settings.drain_limit_s),
+            )
             self.membership.start_leaving()
 
     def _stop_serving(self, action: StopServing) -> None:
@@ -182,17 +187,37 @@
             create_limits(self.settings, self.entry.budget),
         )
 
+    def reload(self, path: Path | None) -> None:
+        """Read the settings file again; one with faults changes nothing."""
+        if path is None:
+            return
+        try:
+            done = reload_settings(self.settings, path)
+        except InvalidFile as error:
+            self._logger.error("settings not reloaded", extra={"faults": error.detail})
+            return
+        fields = {
+            "changed": " ".join(done.changed),
+            "needs_restart": " ".join(done.waiting),
+        }
+        self._logger.notice("settings reloaded", extra=fields)
+
 
-async def run_node(settings: Settings) -> None:
-    """Run one process until a signal or a drain ends it."""
+async def run_node(settings: Settings, path: Path | None = None) -> None:
+    """Run one process until a signal or a drain ends it; SIGHUP reloads the file."""
     node = Node(settings)
     async with anyio.create_task_group() as group:
-        group.start_soon(_stop_on_signal, node, signal.SIGTERM, signal.SIGINT)
+        group.start_soon(_follow_signals, node, path)
         await node.run()
         group.cancel_scope.cancel()
 
 
-async def _stop_on_signal(node: Node, *signals: signal.Signals) -> None:
-    with anyio.open_signal_receiver(*signals) as arrived:
-        async for _ in arrived:
-            node.start_drain()
+async def _follow_signals(node: Node, path: Path | None) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as arrived:
+        async for number in arrived:
+            if number is signal.SIGHUP:
+                node.reload(path)
+            else:
+                node.start_drain()
--- /dev/null
+++ b/burdockwall/process/reload.py
@@ -0,0 +1,39 @@
+"""Put a changed settings file in force while the process runs."""
+
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+from burdockwall.settings import Settings, read_settings
+
+# Attributes that are read each time they are used; the others need a restart.
+RELOADABLE = frozenset(
+    {
+        "drain_hold_s",
+        "drain_limit_s",
+        "endpoint_attempts",
+        "max_body_bytes",
+        "resolve_ttl_s",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """Name the attributes that changed, and those that wait for a restart."""
+
+    changed: tuple[str, ...]
+    waiting: tuple[str, ...]
+
+
+def reload_settings(settings: Settings, path: Path) -> Reload:
+    """Read a file into settings in use; raise InvalidFile and change nothing."""
+    fresh = read_settings(path)
+    names = [field.name for field in fields(Settings)]
+    differing = [
+        name for name in names if getattr(fresh, name) != getattr(settings, name)
+    ]
+    changed = tuple(name for name in differing if name in RELOADABLE)
+    for name in changed:
+        setattr(settings, name, getattr(fresh, name))
+    waiting = tuple(name for name in differing if name not in RELOADABLE)
+    return Reload(changed, waiting)
--- a/features/reference.feature
+++ b/features/reference.feature
@@ -13,6 +13,10 @@
   Scenario: Every command has a page
     Then each command of the command line has a page in docs/commands
 
+  Scenario: A reload with faults leaves the old settings running
+    When settings in use are reloaded from a file with a fault and then without
+    Then the first reload changes nothing and the second what can change
+
   Scenario: Every fault of a settings file is found in one pass
     When a settings file with five faults is checked
     Then five faults are listed, each with its file, section, option and code
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -8,8 +8,8 @@
     create_failure_plan,
 )
 
-# A silent connection is found once, and the answer itself takes well under this.
-ANSWER_S = 1.5
+# One silence is found, and no second one: the answer itself takes a fraction of it.
+ANSWER_LIMIT_S = 2 * SILENCE_S
 
 
 @given("an entry site with {count:d} engines")
@@ -94,7 +94,7 @@
 
 @then("the answer came within the silence bound")
 def step_bound(context):
-    assert context.subject.seconds < SILENCE_S + ANSWER_S, context.subject.seconds
+    assert context.subject.seconds < ANSWER_LIMIT_S, context.subject.seconds
 
 
 @then("the engine has run the turn once")
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -1,6 +1,8 @@
 from behave import then, when
 
 from burdockwall.errors import Code
+from burdockwall.process.reload import Reload
+from burdockwall.settings import Settings
 from features.subjects.reference import ReferenceSubject
 from tools.reference import find_stale
 
@@ -34,6 +36,22 @@
     assert not ReferenceSubject().list_missing_pages()
 
 
+@when("settings in use are reloaded from a file with a fault and then without")
+def step_reload(context):
+    context.subject = ReferenceSubject()
+    context.subject.reload_twice()
+
+
+@then("the first reload changes nothing and the second what can change")
+def step_reloaded(context):
+    subject = context.subject
+    assert len(subject.faults) == 1
+    assert subject.after_fault == Settings()
+    assert subject.reload == Reload(("max_body_bytes",), ("caller_address",))
+    assert subject.settings.max_body_bytes == 5000
+    assert subject.settings.caller_address == Settings().caller_address
+
+
 @when("a settings file with five faults is checked")
 def step_faulty(context):
     context.subject = ReferenceSubject()
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -18,7 +18,10 @@
 from features.subjects.path import MODEL, PathSubject
 
 TOKEN_S = 0.03
-SILENCE_S = 0.6
+# The longer answers outlast hold and listener together.
+SLOW_TOKEN_S = 0.3
+SILENCE_S = 1.5
+IDLE_CONNECTIONS = 6
 GRACE_S = 0.5
 ANSWER_LIMIT_S = 20.0
 
@@ -121,7 +124,7 @@
 
     async def silence_idle(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
-            for number in range(3):
+            for number in range(IDLE_CONNECTIONS):
                 group.start_soon(self.ask_whole, client, path, number)
         self.seconds = 0.0
         site.paths[0].silence_open_connections()
@@ -163,6 +166,8 @@
             group.start_soon(send, "question b")
 
     async def drain_under_load(self, site, client, path, count: int) -> None:
+        for engine in site.engines:
+            engine.token_s = SLOW_TOKEN_S
         async with anyio.create_task_group() as group:
             for number in range(count):
                 group.start_soon(self.ask_whole, client, path, number)
--- a/features/subjects/reference.py
+++ b/features/subjects/reference.py
@@ -1,12 +1,14 @@
 """Compare the documentation with what the code defines."""
 
 import dataclasses
+import tempfile
 from pathlib import Path
 
 import click
 
 from burdockwall.cmdline import cli
 from burdockwall.errors import Code, Fault, InvalidFile
+from burdockwall.process.reload import Reload, reload_settings
 from burdockwall.settings import OPTIONS, Settings, parse_settings
 
 COMMANDS = Path(__file__).resolve().parents[2] / "docs" / "commands"
@@ -28,6 +30,9 @@
 
     def __init__(self) -> None:
         self.faults: list[Fault] = []
+        self.settings = Settings()
+        self.after_fault = Settings()
+        self.reload = Reload((), ())
 
     def list_numbers(self) -> list[int]:
         return [code.value.number for code in Code]
@@ -45,6 +50,18 @@
             if not (COMMANDS / f"{name}.md").exists()
         ]
 
+    def reload_twice(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.ini"
+            path.write_text("[callers]\nmax_body = 5000\nresolve_ttl = -4\n")
+            try:
+                reload_settings(self.settings, path)
+            except InvalidFile as error:
+                self.faults = error.faults
+            self.after_fault = dataclasses.replace(self.settings)
+            path.write_text("[callers]\nmax_body = 5000\n[listen]\ncaller = a:1\n")
+            self.reload = reload_settings(self.settings, path)
+
     def check_faulty(self) -> None:
         try:
             parse_settings(FAULTY, "faulty.ini")
