--- a/features/entry_input.feature
+++ b/features/entry_input.feature
@@ -38,5 +38,5 @@
 
   Scenario: Many idle callers leave others unharmed
     Given an entry site for bad input
-    When 1000 callers connect and stay idle
+    When 10000 callers connect and stay idle
     Then a good request on another connection is answered
--- a/features/subjects/entry_input.py
+++ b/features/subjects/entry_input.py
@@ -1,5 +1,6 @@
 """Send faulty requests and connections to a running entry instance."""
 
+import sys
 from dataclasses import dataclass, field
 
 import anyio
@@ -8,6 +9,7 @@
 from burdockwall.fakes.engine import FakeEngine
 from burdockwall.fakes.site import Site, SitePlan
 from burdockwall.settings import Settings
+from features.subjects.idle_holder import READY
 from features.subjects.path import MODEL, TOKEN_S, PathSubject
 
 BODY_LIMIT_BYTES = 50_000
@@ -139,10 +141,13 @@
 
     async def stay_idle(self, site, client, path, count: int) -> None:
         host, _, port = site.node.settings.caller_address.rpartition(":")
-        streams = [await anyio.connect_tcp(host, int(port)) for _ in range(count)]
-        base = f"http://{site.node.settings.caller_address}"
-        async with httpx.AsyncClient(base_url=base, trust_env=False) as fresh:
-            good = await path.post_turn(fresh, path.build_headers(1), "good")
-            assert good.status_code == 200, good.text
-        for stream in streams:
-            await stream.aclose()
+        command = [sys.executable, "-m", "features.subjects.idle_holder"]
+        command += [host, port, str(count)]
+        async with await anyio.open_process(command, stderr=None) as holder:
+            ready = await holder.stdout.receive()
+            assert ready == f"{READY} {count}\n".encode(), ready
+            base = f"http://{site.node.settings.caller_address}"
+            async with httpx.AsyncClient(base_url=base, trust_env=False) as fresh:
+                good = await path.post_turn(fresh, path.build_headers(1), "good")
+                assert good.status_code == 200, good.text
+            holder.terminate()
