--- /dev/null
+++ b/benchmarks/_scheduling_runs.py
@@ -0,0 +1,149 @@
+"""Run seeded workloads under several policies and keep what became of programs."""
+
+from dataclasses import dataclass, field, replace
+
+from burdockwall.fakes.scheduling_site import SchedulingSite
+from burdockwall.fakes.workloads import (
+    ARMORIQUE,
+    ASSOCIATION,
+    Deployment,
+    Ending,
+    ProgramSpec,
+    generate_workload,
+    list_customers,
+)
+from burdockwall.process.scheduling.policy import Order, Policy, Routing, Window
+from burdockwall.types import CustomerId, ProgramId
+
+WARM_S = 200.0
+MEASURED_S = 500.0
+ARRIVALS_S = 700.0
+LIMIT_S = 3000.0
+STEP_S = 50.0
+OFFENDER = 1
+OFFENDER_FACTOR = 4.0
+BASE = Policy(
+    routing=Routing.LEAST_OUTSTANDING,
+    order=Order.FCFS,
+    window=Window.UNLIMITED,
+    pass_priorities=False,
+    release_cache=False,
+)
+BASELINES = {
+    "round_robin": replace(BASE, routing=Routing.ROUND_ROBIN),
+    "least_outstanding": BASE,
+    "fcfs_by_call": replace(BASE, window=Window.SPLIT),
+}
+OURS = "burdockwall"
+POLICIES = {**BASELINES, OURS: Policy()}
+# Programs a second at which the engines under least outstanding calls prefill for
+# about 80% of the time; each run states the share that it saw.
+RATES = {ASSOCIATION.name: 1.2, ARMORIQUE.name: 1.1}
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Name one run."""
+
+    deployment: Deployment
+    policy: str
+    seed: int
+    offends: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold what a run measured; times in seconds."""
+
+    case: Case
+    latency_s: dict[ProgramId, float] = field(default_factory=dict)
+    waited_s: dict[ProgramId, float] = field(default_factory=dict)
+    customers: dict[ProgramId, CustomerId] = field(default_factory=dict)
+    classes: dict[ProgramId, str] = field(default_factory=dict)
+    unfinished: int = 0
+    wasted_token_s: float = 0.0
+    prefill_share: float = 0.0
+    failed_calls: int = 0
+
+    def list_latencies(self, priority: str = "") -> list[float]:
+        """List the latencies of all programs, or of those of one class."""
+        return [
+            latency
+            for program, latency in self.latency_s.items()
+            if priority in ("", self.classes[program])
+        ]
+
+
+def compute_quantile(values: list[float], quantile: float) -> float:
+    """Return the value at a quantile from 0 to 1."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
+
+
+def run_case(case: Case, slow_endpoint: bool = False, lost: bool = False) -> Run:
+    """Run one case until every measured program has finished."""
+    deployment = case.deployment
+    policy = replace(POLICIES[case.policy], instances=deployment.entries)
+    factors = {}
+    if case.offends:
+        factors[list_customers(deployment)[OFFENDER]] = OFFENDER_FACTOR
+    rate = RATES[deployment.name]
+    programs = generate_workload(deployment, case.seed, rate, ARRIVALS_S, factors)
+    measured = [
+        spec
+        for spec in programs
+        if WARM_S <= spec.start_s < MEASURED_S and spec.ending is Ending.FINISHED
+    ]
+    site = SchedulingSite(deployment, policy, case.seed)
+    _plan_faults(site, slow_endpoint, lost)
+    site.begin(programs)
+    shares: list[float] = []
+    for at in (WARM_S, ARRIVALS_S):
+        site.network.schedule(at, lambda: shares.append(_sum_prefilling(site)))
+    site.network.run_until(ARRIVALS_S)
+    while site.now < LIMIT_S and not _all_finished(site, measured):
+        site.network.run_until(site.now + STEP_S)
+    site.finish_accounts()
+    run = Run(case, failed_calls=site.failed_calls)
+    run.prefill_share = (shares[1] - shares[0]) / (ARRIVALS_S - WARM_S)
+    run.wasted_token_s = sum(item.wasted_token_s for item in site.engines.values())
+    for spec in measured:
+        _record(run, site, spec)
+    return run
+
+
+def _plan_faults(site: SchedulingSite, slow_endpoint: bool, lost: bool) -> None:
+    if slow_endpoint:
+        engine = next(iter(site.engines.values()))
+
+        def slow_down() -> None:
+            engine.advance(site.now)
+            engine.speed = 0.2
+
+        site.network.schedule(WARM_S, slow_down)
+    if lost:
+        site.network.schedule(WARM_S + 50.0, lambda: site.lose_instance(1))
+
+
+def _sum_prefilling(site: SchedulingSite) -> float:
+    engines = site.engines.values()
+    return sum(engine.prefilling_s for engine in engines) / len(engines)
+
+
+def _all_finished(site: SchedulingSite, programs: list[ProgramSpec]) -> bool:
+    return all(site.results[spec.program].finished for spec in programs)
+
+
+def _record(run: Run, site: SchedulingSite, spec: ProgramSpec) -> None:
+    result = site.results[spec.program]
+    program = spec.program
+    run.customers[program] = spec.customer
+    run.classes[program] = spec.kind.priority.value
+    if result.finished:
+        run.latency_s[program] = result.latency_s
+        run.waited_s[program] = result.waited_s
+    else:
+        # An unfinished program counts with the time it has had so far.
+        run.unfinished += 1
+        run.latency_s[program] = site.now - result.started_s
+        run.waited_s[program] = site.now - result.started_s
--- a/burdockwall/fakes/engine_model.py
+++ b/burdockwall/fakes/engine_model.py
@@ -94,7 +94,7 @@
     failing: bool = False
     now: float = 0.0
     wasted_token_s: float = 0.0
-    busy_s: float = 0.0
+    prefilling_s: float = 0.0
     prefilled_tokens: float = 0.0
     events: list[CacheEvent] = field(default_factory=list)
     _waiting: list[_Sequence] = field(default_factory=list)
@@ -207,7 +207,8 @@
         head, decoding = self._split()
         if head is None and not decoding:
             return
-        self.busy_s += seconds
+        if head is not None:
+            self.prefilling_s += seconds
         steps = seconds / self._compute_step(head, len(decoding))
         for item in decoding:
             item.decode_left -= steps
--- a/burdockwall/fakes/scheduling_site.py
+++ b/burdockwall/fakes/scheduling_site.py
@@ -358,13 +358,25 @@
 
     def run(self, programs: list[ProgramSpec], until_s: float) -> None:
         """Run programs to an end time."""
-        for spec in programs:
-            self.network.schedule(spec.start_s, lambda spec=spec: self._begin(spec))  # type: ignore[misc]
+        self.begin(programs)
         self.network.run_until(until_s)
+        self.finish_accounts()
+
+    def count_calls(self) -> int:
+        """Count the calls that wait or run."""
+        return len(self._calls)
+
+    def finish_accounts(self) -> None:
+        """Count what is left in the engines' caches as wasted."""
         for engine in self.engines.values():
             engine.advance(self.now)
             engine.finish_accounts()
 
+    def begin(self, programs: list[ProgramSpec]) -> None:
+        """Plan the start of every program."""
+        for spec in programs:
+            self.network.schedule(spec.start_s, lambda spec=spec: self._begin(spec))  # type: ignore[misc]
+
     def _begin(self, spec: ProgramSpec) -> None:
         result = ProgramResult(spec.program, spec.customer, spec.kind, self.now)
         self.results[spec.program] = result
--- a/burdockwall/process/scheduling/health.py
+++ b/burdockwall/process/scheduling/health.py
@@ -28,6 +28,7 @@
     failures: int = 0
     samples: int = 0
     pace_s: float = 0.0
+    sampled_at: float = 0.0
     ejections: int = 0
     until: float = 0.0
     probes: int = 0
@@ -72,13 +73,21 @@
         if record is not None and record.health is Health.PROBING:
             record.probes += 1
 
-    def compute_slowness(self, endpoint: EndpointId) -> float:
-        """Return the endpoint's pace over the pool's, at least 1."""
+    def compute_slowness(self, endpoint: EndpointId, now: float) -> float:
+        """Return the endpoint's pace over the pool's, at least 1.
+
+        An old sample counts no more, or an endpoint once slow would never be tried.
+        """
         record = self.records.get(endpoint)
         if record is None or not record.samples or not self.pool_pace_s:
             return 1.0
+        if self._is_stale(record, now):
+            return 1.0
         return max(1.0, record.pace_s / self.pool_pace_s)
 
+    def _is_stale(self, record: Record, now: float) -> bool:
+        return now - record.sampled_at > self.policy.eject_limit_s
+
     def observe(self, endpoint: EndpointId, outcome: Outcome, now: float) -> None:
         """Take the outcome of a call."""
         record = self.records.get(endpoint)
@@ -91,6 +100,9 @@
             self._observe_failure(endpoint, record, now)
             return
         record.failures = 0
+        if self._is_stale(record, now):
+            record.samples = 0
+        record.sampled_at = now
         self._observe_pace(record, outcome)
         if record.health is Health.PROBING:
             self._finish_probe(record, outcome, now)
--- a/burdockwall/process/scheduling/load.py
+++ b/burdockwall/process/scheduling/load.py
@@ -1,5 +1,6 @@
 """Estimate each endpoint's load from own calls and lagging reports."""
 
+import math
 from dataclasses import dataclass
 
 from burdockwall.process.scheduling.policy import Policy, Window
@@ -39,10 +40,11 @@
             self.allowed = self._claim(total)
 
     def _claim(self, total: int) -> int:
-        """Claim a share of the free places, or give up a fair part of the excess."""
+        """Claim some even shares of the free places, or give up part of the excess."""
         free = self.capacity - max(total, self.running)
         if free >= 0:
-            return max(1, self.running + int(free * self.policy.claim_share))
+            share = min(1.0, self.policy.claim_factor / max(1, self.policy.instances))
+            return max(1, self.running + math.ceil(free * share))
         part = self.running / max(1, total)
         return max(1, int(self.running + free * part))
 
--- /dev/null
+++ b/burdockwall/process/scheduling/placement.py
@@ -0,0 +1,230 @@
+"""Decide which endpoint loads which model, adapter and version.
+
+The planner runs where the orders are made. It follows demand with a moving average,
+changes an endpoint rarely, and keeps within the rate of the weight store.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from burdockwall.machine import Tick
+from burdockwall.process.scheduling.jobs import Asset
+from burdockwall.types import EndpointId, FencingNumber
+
+NEGLIGIBLE_S = 1e-9
+
+
+class OrderKind(Enum):
+    """Name what an endpoint is told to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """Tell an endpoint to load or unload an asset; a higher number replaces it."""
+
+    endpoint: EndpointId
+    kind: OrderKind
+    asset: Asset
+    number: FencingNumber
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPolicy:
+    """Hold the parameters of placement; times in seconds, sizes in bytes."""
+
+    slots: int = 1
+    store_bytes_per_s: float = 1e9
+    hold_s: float = 120.0
+    half_life_s: float = 60.0
+    gain_ratio: float = 1.5
+    least_copies: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class AssetSize:
+    """State the size of an asset's weights in bytes."""
+
+    asset: Asset
+    weight_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class ObserveDemand:
+    """Report the work wanted of an asset since the last report, in engine seconds."""
+
+    asset: Asset
+    work_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ObserveEndpoint:
+    """Report what an endpoint has loaded, or that it is gone."""
+
+    endpoint: EndpointId
+    loaded: tuple[Asset, ...] = ()
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class _Hosted:
+    """Hold what an endpoint has, what it was told, and since when."""
+
+    loaded: tuple[Asset, ...]
+    changed_at: float = float("-inf")
+    loading: Asset | None = None
+
+
+@dataclass(slots=True)
+class PlacementPlanner:
+    """Order one change at a time from a weight store of limited rate."""
+
+    policy: PlacementPolicy
+    sizes: dict[Asset, float]
+    endpoints: dict[EndpointId, _Hosted] = field(default_factory=dict)
+    demand_s: dict[Asset, float] = field(default_factory=dict)
+    store_free_at: float = 0.0
+    number: int = 0
+    _faded_at: float = 0.0
+
+    def handle(
+        self, event: ObserveDemand | ObserveEndpoint | Tick, now: float
+    ) -> list[LoadOrder]:
+        """Take an event and return the orders that follow."""
+        match event:
+            case ObserveDemand(asset=asset, work_s=work_s):
+                self._fade(now)
+                self.demand_s[asset] = self.demand_s.get(asset, 0.0) + work_s
+            case ObserveEndpoint():
+                self._observe(event)
+            case Tick():
+                self._fade(now)
+                return self._plan(now)
+        return []
+
+    def _observe(self, event: ObserveEndpoint) -> None:
+        if event.gone:
+            self.endpoints.pop(event.endpoint, None)
+            return
+        hosted = self.endpoints.setdefault(event.endpoint, _Hosted(event.loaded))
+        hosted.loaded = event.loaded
+        if hosted.loading in event.loaded:
+            hosted.loading = None
+
+    def _fade(self, now: float) -> None:
+        passed = max(0.0, now - self._faded_at)
+        self._faded_at = max(self._faded_at, now)
+        factor = 0.5 ** (passed / self.policy.half_life_s)
+        for asset in self.demand_s:
+            self.demand_s[asset] *= factor
+
+    def _plan(self, now: float) -> list[LoadOrder]:
+        if now < self.store_free_at:
+            return []
+        wanted = self._choose_asset()
+        if wanted is None:
+            return []
+        endpoint = self._choose_endpoint(wanted, now)
+        return [] if endpoint is None else self._order(endpoint, wanted, now)
+
+    def _count_copies(self, asset: Asset) -> int:
+        return sum(
+            asset in hosted.loaded or hosted.loading == asset
+            for hosted in self.endpoints.values()
+        )
+
+    def _compute_need(self, asset: Asset) -> float:
+        """Return the demand on each copy; an asset without a copy comes first."""
+        demand = self.demand_s.get(asset, 0.0)
+        copies = self._count_copies(asset)
+        return demand / copies if copies else float("inf") if demand > 0 else 0.0
+
+    def _choose_asset(self) -> Asset | None:
+        ranked = sorted(
+            (
+                asset
+                for asset in self.sizes
+                if self.demand_s.get(asset, 0.0) > NEGLIGIBLE_S
+            ),
+            key=lambda asset: (-self._compute_need(asset), _name(asset)),
+        )
+        return ranked[0] if ranked else None
+
+    def _choose_endpoint(self, wanted: Asset, now: float) -> EndpointId | None:
+        best: tuple[float, EndpointId] | None = None
+        for name in sorted(self.endpoints):
+            hosted = self.endpoints[name]
+            if wanted in hosted.loaded or hosted.loading is not None:
+                continue
+            if now - hosted.changed_at < self.policy.hold_s:
+                continue
+            loss = self._compute_loss(hosted)
+            if best is None or loss < best[0]:
+                best = (loss, name)
+        if best is None or not self._is_worth(wanted, best[0]):
+            return None
+        return best[1]
+
+    def _compute_loss(self, hosted: _Hosted) -> float:
+        """Return the demand that would fall on each copy left without this one."""
+        if len(hosted.loaded) < self.policy.slots:
+            return 0.0
+        victim = self._choose_victim(hosted)
+        demand = self.demand_s.get(victim, 0.0)
+        left = self._count_copies(victim) - 1
+        if demand <= NEGLIGIBLE_S:
+            return 0.0
+        return demand / left if left else float("inf")
+
+    def _choose_victim(self, hosted: _Hosted) -> Asset:
+        return min(
+            hosted.loaded,
+            key=lambda asset: (self._compute_need(asset), _name(asset)),
+        )
+
+    def _is_worth(self, wanted: Asset, loss: float) -> bool:
+        """Tell whether a change gains enough; a lone copy is never given up."""
+        copies = self._count_copies(wanted)
+        if loss == float("inf"):
+            return False
+        if copies == 0:
+            return True
+        after = self.demand_s[wanted] / (copies + 1)
+        if loss == 0.0:
+            return copies < self.policy.least_copies or after > NEGLIGIBLE_S
+        return self._compute_need(wanted) > self.policy.gain_ratio * loss
+
+    def _order(
+        self, endpoint: EndpointId, wanted: Asset, now: float
+    ) -> list[LoadOrder]:
+        hosted = self.endpoints[endpoint]
+        orders = []
+        if len(hosted.loaded) >= self.policy.slots:
+            victim = self._choose_victim(hosted)
+            orders.append(self._create(endpoint, OrderKind.UNLOAD, victim))
+            kept = tuple(asset for asset in hosted.loaded if asset != victim)
+            hosted.loaded = kept
+        orders.append(self._create(endpoint, OrderKind.LOAD, wanted))
+        hosted.loading = wanted
+        hosted.changed_at = now
+        transfer_s = self.sizes[wanted] / self.policy.store_bytes_per_s
+        self.store_free_at = now + transfer_s
+        return orders
+
+    def _create(self, endpoint: EndpointId, kind: OrderKind, asset: Asset) -> LoadOrder:
+        self.number += 1
+        return LoadOrder(endpoint, kind, asset, FencingNumber(self.number))
+
+
+def create_planner(
+    policy: PlacementPolicy, sizes: tuple[AssetSize, ...], first_number: FencingNumber
+) -> PlacementPlanner:
+    """Create a planner whose orders are numbered from a fenced number on."""
+    table = {size.asset: size.weight_bytes for size in sizes}
+    return PlacementPlanner(policy, table, number=first_number)
+
+
+def _name(asset: Asset) -> tuple[str, str, str]:
+    return (asset.model, asset.adapter, asset.version)
--- a/burdockwall/process/scheduling/policy.py
+++ b/burdockwall/process/scheduling/policy.py
@@ -38,7 +38,7 @@
     order: Order = Order.ATTAINED_SERVICE
     window: Window = Window.SHARED
     endpoint_calls: int = 24
-    claim_share: float = 0.5
+    claim_factor: float = 2.0
     instances: int = 6
     pass_priorities: bool = True
     release_cache: bool = True
@@ -70,7 +70,7 @@
         order=Order(settings.schedule_order),
         window=Window(settings.schedule_window),
         endpoint_calls=settings.schedule_endpoint_calls,
-        claim_share=settings.schedule_claim_share,
+        claim_factor=settings.schedule_claim_factor,
         instances=settings.schedule_instances,
         pass_priorities=settings.schedule_pass_priorities,
         release_cache=settings.schedule_release_cache,
--- a/burdockwall/process/scheduling/router.py
+++ b/burdockwall/process/scheduling/router.py
@@ -158,7 +158,7 @@
                 continue
             if not pool.ejector.admits(endpoint, now):
                 continue
-            choice = self._estimate(job, pool, endpoint, copies, reason)
+            choice = self._estimate(job, pool, endpoint, copies, reason, now)
             if best is None or choice.cost_s < best.cost_s:
                 best = choice
         # Every candidate may be ejected while others are not.
@@ -187,6 +187,7 @@
         endpoint: EndpointId,
         copies: dict[EndpointId, int],
         reason: str,
+        now: float,
     ) -> Choice:
         load = self.loads[endpoint]
         cached = min(copies.get(endpoint, 0), job.prompt_tokens)
@@ -200,7 +201,7 @@
         else:
             cost += load.count_calls() * self.policy.load_call_s
             cost += self.policy.load_call_s
-        cost *= pool.ejector.compute_slowness(endpoint)
+        cost *= pool.ejector.compute_slowness(endpoint, now)
         if pool.targets[endpoint].failure_domain != self.near:
             cost += self.policy.far_s
         return Choice(endpoint, reason, cost, cached, source, moved)
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -65,7 +65,7 @@
     schedule_order: str = "attained_service"
     schedule_window: str = "shared"
     schedule_endpoint_calls: int = 24
-    schedule_claim_share: float = 0.5
+    schedule_claim_factor: float = 2.0
     schedule_instances: int = 6
     schedule_pass_priorities: bool = True
     schedule_release_cache: bool = True
@@ -573,13 +573,13 @@
     ),
     Option(
         "scheduling",
-        "claim_share",
-        "schedule_claim_share",
+        "claim_factor",
+        "schedule_claim_factor",
         Kind.NUMBER,
         "",
-        "Share of the free places that an instance may claim.",
-        0.01,
-        1,
+        "Even shares of the free places that an instance may claim.",
+        0.1,
+        1000,
     ),
     Option(
         "scheduling",
--- /dev/null
+++ b/features/scheduling.feature
@@ -0,0 +1,47 @@
+Feature: Order of calls that wait for an endpoint
+  Classes are strict, nothing starves, programs with the least service come first.
+
+  Scenario: An urgent call overtakes all others
+    Given a scheduler of one endpoint with 1 place
+    When scheduler calls "chat=low lot=normal release=high ping=urgent" are queued behind a running one
+    And the scheduler's endpoint ends 4 calls
+    Then the scheduler has started "running ping release lot chat" in this order
+
+  Scenario: Abandoned work leaves the queue at once
+    Given a scheduler of one endpoint with 1 place
+    When scheduler calls "one two three" are queued behind a running one
+    And the scheduler's queued call "two" is abandoned
+    And the scheduler's endpoint ends 2 calls
+    Then the scheduler has started "running one three" in this order
+
+  Scenario: With the removal of abandoned work off, the check would fail
+    Given a scheduler that ignores abandonment, with 1 place
+    When scheduler calls "one two three" are queued behind a running one
+    And the scheduler's queued call "two" is abandoned
+    And the scheduler's endpoint ends 2 calls
+    Then the scheduler has started "running one two" in this order
+
+  Scenario: A low class does not starve
+    Given a scheduler of one endpoint with 1 place
+    When urgent scheduler calls arrive without end while a low one waits
+    Then the scheduler has started the low call within its ageing bound
+
+  Scenario: With the ageing bound off, a low class starves
+    Given a scheduler of one endpoint with 1 place and no ageing
+    When urgent scheduler calls arrive without end while a low one waits
+    Then the scheduler has never started the low call
+
+  Scenario: A program with little service comes before one with much
+    Given a scheduler of one endpoint with 1 place
+    When a scheduler program of 5 calls competes with new programs
+    Then the scheduler serves the new program first
+
+  Scenario: A customer with many calls does not hold up another
+    Given a scheduler of one endpoint with 1 place
+    When customer A queues 100 scheduler calls and customer B 10
+    Then the scheduler has served all 10 calls of B among the first 20
+
+  Scenario: Programs that are never ended are forgotten in the end
+    Given a scheduler of one endpoint with 1 place
+    When 60000 scheduler programs have come and gone
+    Then the scheduler's ledger holds at most 50000 programs
