--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -25,6 +25,9 @@
     peer_address: Address = Address("127.0.0.1:8082")
     peers: dict[InstanceId, Address] = field(default_factory=dict)
     control_instances: list[InstanceId] = field(default_factory=list)
+    election_timeout_s: float = 1.5
+    first_operator: str = ""
+    first_operator_digest: str = ""
     log_level: str = "info"
     log_format: str = "json"
     max_body_bytes: int = 8_388_608
@@ -198,6 +201,32 @@
         0.1,
         60,
     ),
+    Option(
+        "control",
+        "election_timeout",
+        "election_timeout_s",
+        Kind.NUMBER,
+        "s",
+        "Silence of the leader after which another is elected.",
+        0.5,
+        60,
+    ),
+    Option(
+        "operators",
+        "name",
+        "first_operator",
+        Kind.TEXT,
+        "",
+        "Operator who may change everything, defined while there is none.",
+    ),
+    Option(
+        "operators",
+        "digest",
+        "first_operator_digest",
+        Kind.TEXT,
+        "",
+        "SHA-256 of that operator's token, in hex digits.",
+    ),
     Option(
         "log",
         "level",
@@ -933,6 +962,12 @@
         remedy = "Set [tls] peer_certificate, peer_key and peer_authority, "
         remedy += "or peer_plaintext = yes."
         faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    digest = settings.first_operator_digest
+    if bool(settings.first_operator) != bool(digest) or len(digest) not in (0, 64):
+        place = f"{source}: [operators] name, digest"
+        problem = "one is given without the other, or the digest is not 64 hex digits"
+        remedy = "Give a name and the SHA-256 of a token, or neither."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
     return faults
 
 
