--- a/benchmarks/_scheduling_runs.py
+++ b/benchmarks/_scheduling_runs.py
@@ -15,10 +15,10 @@
 from burdockwall.process.scheduling.policy import Order, Policy, Routing, Window
 from burdockwall.types import CustomerId, ProgramId
 
-WARM_S = 200.0
-MEASURED_S = 400.0
-ARRIVALS_S = 600.0
-LIMIT_S = 3000.0
+WARM_S = 300.0
+MEASURED_S = 700.0
+ARRIVALS_S = 1000.0
+LIMIT_S = 4000.0
 STEP_S = 50.0
 OFFENDER = 1
 OFFENDER_FACTOR = 4.0
@@ -38,7 +38,7 @@
 POLICIES = {**BASELINES, OURS: Policy()}
 # Programs a second at which the engines under least outstanding calls prefill for
 # about 80% of the time; each run states the share that it saw.
-RATES = {ASSOCIATION.name: 1.2, ARMORIQUE.name: 1.1}
+RATES = {ASSOCIATION.name: 1.15, ARMORIQUE.name: 1.1}
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -36,6 +36,7 @@
 from burdockwall.process.control.withdrawals import is_digest
 from burdockwall.process.operations import Status
 from burdockwall.process.resolver import Resolution
+from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.types import (
     Address,
     CustomerId,
@@ -183,6 +184,10 @@
         """Read the status of the instance."""
         return self._call("GET", "/status", Status)
 
+    def read_placements(self) -> PlacementPage:
+        """Read where the instance has placed calls, and why."""
+        return self._call("GET", "/placements", PlacementPage)
+
     def read_replica(self) -> ReplicaStatus:
         """Read the status of the instance's replica of the control state."""
         return self._call("GET", "/control", ReplicaStatus)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -22,6 +22,7 @@
 from burdockwall.process.control.sections import compare_sections, split_sections
 from burdockwall.process.logs import create_log_handler
 from burdockwall.process.node import run_node
+from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.settings import Settings, read_settings
 from burdockwall.types import Address, CustomerId, OperatorId, Version
 from burdockwall.version.configuration import parse_configuration
@@ -173,11 +174,30 @@
 
 @cli.command()
 @address_option
-def status(address: str) -> None:
+@click.option("--placements", is_flag=True, help="Show endpoints and placements too.")
+def status(address: str, placements: bool) -> None:
     """Show the status of an instance."""
-    shown = _create_client(address, "").read_status()
+    client = _create_client(address, "")
+    shown = client.read_status()
     for name in shown.__struct_fields__:
         click.echo(f"{name}: {getattr(shown, name)}")
+    if placements:
+        _show_placements(client.read_placements())
+
+
+def _show_placements(page: PlacementPage) -> None:
+    for endpoint in page.endpoints:
+        click.echo(
+            f"endpoint {endpoint.endpoint}: {endpoint.health}, "
+            f"{endpoint.running} running, {endpoint.queued} queued, "
+            f"{endpoint.others} of others, {endpoint.allowed} allowed, "
+            f"slowness {endpoint.slowness}"
+        )
+    for placed in page.placements:
+        click.echo(
+            f"placed {placed.program} of {placed.customer} on {placed.endpoint}: "
+            f"{placed.reason}; level {placed.level}, waited {placed.waited_s:.3f} s"
+        )
 
 
 @cli.command()
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -21,6 +21,7 @@
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.operations import Operations, Status
 from burdockwall.process.resolver import Member
+from burdockwall.process.scheduling.explain import describe_placements
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
 from burdockwall.types import EndpointState, Incarnation, Role, Version
@@ -58,6 +59,7 @@
             self.entry = self._create_entry()
         self.operations = Operations(settings, self.read_status, self.start_drain)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
+        self.operations.add_operation("GET", "/placements", self._serve_placements)
         if self.control is not None:
             console = Console(self.control, self.membership.wait_in_force)
             console.register(self.operations)
@@ -97,6 +99,12 @@
             raise OperatorError(Code.NO_ROUTE, "a control instance has no callers")
         await exchange.answer_json(200, self.entry.read_metrics())
 
+    async def _serve_placements(self, exchange: Exchange) -> None:
+        if self.entry is None:
+            raise OperatorError(Code.NO_ROUTE, "a control instance places no calls")
+        page = describe_placements(self.entry.parts.dispatcher)
+        await exchange.answer_json(200, page)
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.drain.leaving
--- /dev/null
+++ b/features/steps/scheduling_path_steps.py
@@ -0,0 +1,51 @@
+from behave import given, then, when
+
+from features.subjects.scheduling_path import SchedulingPathSubject
+
+
+@given("a scheduling site with {count:d} engines")
+def step_site(context, count):
+    context.subject = SchedulingPathSubject(count)
+
+
+@when("a scheduled program of {turns:d} turns runs to its end")
+def step_run(context, turns):
+    context.subject.run(turns, end=False)
+
+
+@when("a scheduled program of {turns:d} turns runs and is ended")
+def step_run_and_end(context, turns):
+    context.subject.run(turns, end=True)
+
+
+@then("the scheduled program's turns all ran at one engine")
+def step_one(context):
+    assert len(context.subject.list_used()) == 1
+
+
+@then("that engine was told a priority level and one cache key")
+def step_told(context):
+    reports = context.subject.list_used()[0].reports
+    assert "" not in reports.levels, reports.levels
+    assert len(reports.cached) == 1, reports.cached
+
+
+@then("the scheduler has heard that engine's load and cache events")
+def step_heard(context):
+    cached = context.subject.list_used()[0].reports.cached
+    assert context.subject.heard_load > 0
+    assert context.subject.heard_keys == list(cached)
+
+
+@then("the operator sees why each scheduled call went there")
+def step_explained(context):
+    placed = context.subject.page.placements
+    assert len(placed) == 3
+    assert all(item.reason for item in placed)
+    assert "holds" in placed[-1].reason, placed
+
+
+@then("the engine has dropped the scheduled program's cache")
+def step_dropped(context):
+    reports = context.subject.list_used()[0].reports
+    assert context.subject.released and not reports.cached
--- /dev/null
+++ b/features/subjects/scheduling_path.py
@@ -0,0 +1,57 @@
+"""Drive scheduled calls through a running site on the loopback interface."""
+
+import anyio
+
+from burdockwall.fakes.engine import FakeEngine
+from burdockwall.fakes.site import CUSTOMER, SitePlan
+from burdockwall.process.scheduling.explain import PlacementPage
+from burdockwall.settings import Settings
+from burdockwall.types import ProgramId
+from features.subjects.path import PathSubject
+
+WAIT_LIMIT_S = 10.0
+POLL_S = 0.05
+
+
+class SchedulingPathSubject:
+    """Run one program and keep what the engines and the operator saw."""
+
+    def __init__(self, engines: int) -> None:
+        settings = Settings(drain_hold_s=0.0, schedule_poll_s=POLL_S)
+        self.engines = [FakeEngine(0.01) for _ in range(engines)]
+        self.path = PathSubject(SitePlan(self.engines, settings))
+        self.page = PlacementPage([], [])
+        self.heard_load = 0
+        self.heard_keys: list[str] = []
+        self.released: list[str] = []
+
+    def run(self, turns: int, end: bool) -> None:
+        async def act(site, client) -> None:
+            await self.path.send_turns(client, turns)
+            dispatcher = site.node.entry.parts.dispatcher
+            with anyio.fail_after(WAIT_LIMIT_S):
+                await self.wait_for_reports(dispatcher)
+            self.page = await anyio.to_thread.run_sync(site.operator.read_placements)
+            if end:
+                dispatcher.end_program(CUSTOMER, ProgramId("program-1"))
+                with anyio.fail_after(WAIT_LIMIT_S):
+                    await self.wait_for_release()
+
+        self.path.run(act)
+
+    async def wait_for_reports(self, dispatcher) -> None:
+        router = dispatcher.scheduler.router
+        while not self.heard_load or not self.heard_keys:
+            self.heard_load = max(load.sequence for load in router.loads.values())
+            if router.prefixes._sequences:
+                self.heard_keys = list(router.prefixes._keys)
+            await anyio.sleep(POLL_S)
+
+    async def wait_for_release(self) -> None:
+        while not self.released:
+            for engine in self.engines:
+                self.released.extend(engine.reports.released)
+            await anyio.sleep(POLL_S)
+
+    def list_used(self) -> list[FakeEngine]:
+        return [engine for engine in self.engines if engine.reports.levels]
