Check audit copies, kills at every file operation, and withdrawals

Cause: copies of audit records between replicas, and a kill at each write, were not checked.

Change: fault runs keep so few records that replicas copy them, and check that every replica's trail is whole; a voter is killed at each of its first 160 file operations; a withdrawal names the instances that confirmed it.

Conclusion: without the copying a run fails.

--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -74,6 +74,8 @@
 class ControlState:
     """Hold configuration, key digests, operators and the latest audit records."""
 
+    kept_audit_records = KEPT_AUDIT_RECORDS
+
     def __init__(self) -> None:
         self.version = Version(0)
         self.configuration_version = Version(0)
@@ -84,7 +86,7 @@
         self.operators: dict[OperatorId, Operator] = {}
         self.outcomes: dict[str, KnownOutcome] = {}
         self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
-        self.audit: deque[AuditRecord] = deque(maxlen=KEPT_AUDIT_RECORDS)
+        self.audit: deque[AuditRecord] = deque(maxlen=self.kept_audit_records)
         self.changes = ChangeLog()
         self.withdrawn = WithdrawnKeys()
 
@@ -374,7 +376,7 @@
         self.operators = dict(image.operators)
         self.outcomes = {known.submission: known for known in image.outcomes}
         self.history = deque(image.history, maxlen=KEPT_CONFIGURATIONS)
-        self.audit = deque(image.audit, maxlen=KEPT_AUDIT_RECORDS)
+        self.audit = deque(image.audit, maxlen=self.kept_audit_records)
         self.changes = ChangeLog(image.changes)
         self.withdrawn = decode_withdrawn(image.withdrawn)
 
--- a/features/control_cluster.feature
+++ b/features/control_cluster.feature
@@ -25,3 +25,8 @@
     When control operator "kay" is defined for keys and tries to submit and to export
     Then the control refusals are "2004 2004" and a wrong token is refused with 2004
     And the control state exported from it is taken over by another site
+
+  Scenario: A withdrawal returns when every instance has confirmed it
+    Given a control site of 3 instances
+    When a control key is withdrawn
+    Then the control withdrawal names 3 instances that confirmed it
--- a/features/control_faults_protections.feature
+++ b/features/control_faults_protections.feature
@@ -6,11 +6,12 @@
     Then a control run of 100 seeds fails
 
     Examples:
-      | protection         |
-      | sync               |
-      | answer after sync  |
-      | log comparison     |
-      | majority           |
-      | read round         |
-      | remembered outcome |
-      | new identity       |
+      | protection           |
+      | sync                 |
+      | answer after sync    |
+      | log comparison       |
+      | majority             |
+      | read round           |
+      | remembered outcome   |
+      | new identity         |
+      | copied audit records |
--- a/features/control_journal.feature
+++ b/features/control_journal.feature
@@ -24,3 +24,7 @@
     Given a control replica in a data folder
     When the control replica's disk is full and a change is proposed
     Then the control replica has stepped aside and refuses changes
+
+  Scenario: A single voter is killed at each of its file operations
+    When a control voter is killed at each of its first 160 file operations
+    Then every control voter kept what it had acknowledged
--- a/features/steps/control_cluster_steps.py
+++ b/features/steps/control_cluster_steps.py
@@ -22,6 +22,19 @@
     context.subject.actions.append(context.subject.issue_without_leader)
 
 
+@when("a control key is withdrawn")
+def step_withdraw(context):
+    context.subject.actions.append(context.subject.withdraw)
+
+
+@then("the control withdrawal names {count:d} instances that confirmed it")
+def step_check_withdrawal(context, count):
+    subject = context.subject
+    subject.run()
+    assert not subject.errors, subject.errors
+    assert len(subject.in_force.confirmed) == count, subject.in_force
+
+
 @when("two control instances are stopped and a key is issued")
 def step_minority(context):
     context.subject.actions.append(context.subject.issue_in_minority)
--- a/features/steps/control_journal_steps.py
+++ b/features/steps/control_journal_steps.py
@@ -77,3 +77,24 @@
     before = cluster.seen.refused
     cluster.propose(node, cluster.retry[0])
     assert cluster.seen.refused == before + 1
+
+
+@when("a control voter is killed at each of its first {count:d} file operations")
+def step_kill(context, count):
+    context.clusters = []
+    for number in range(1, count + 1):
+        cluster = ControlCluster(number, voters=1)
+        (node,) = cluster.nodes.values()
+        node.files.crash_at = node.files.operations + number
+        limit = cluster.network.now + 60.0
+        while cluster.is_up(node) and cluster.network.now < limit:
+            cluster.run(1.0)
+        assert not cluster.is_up(node), f"operation {number} was not reached"
+        context.clusters.append(cluster)
+
+
+@then("every control voter kept what it had acknowledged")
+def step_check_killed(context):
+    for cluster in context.clusters:
+        cluster.settle(3.0)
+    assert sum(len(item.seen.acknowledged) for item in context.clusters) > 1000
--- a/features/subjects/control_cluster.py
+++ b/features/subjects/control_cluster.py
@@ -5,6 +5,8 @@
 
 from burdockwall.fakes.files import CrashPoint, FakeFiles
 from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.process.control.archive import AuditArchive
+from burdockwall.process.control.audit import verify_audit
 from burdockwall.process.control.commands import (
     IssueKey,
     Outcome,
@@ -12,6 +14,7 @@
     WithdrawKey,
 )
 from burdockwall.process.control.consensus import Consensus
+from burdockwall.process.control.copier import COPY_MESSAGES, AuditCopier
 from burdockwall.process.control.core import Timing
 from burdockwall.process.control.entries import (
     HardState,
@@ -49,6 +52,12 @@
 COMPACT_ENTRIES = 12
 
 
+class ForgetfulState(ControlState):
+    """Keep so few audit records that replicas must copy them from each other."""
+
+    kept_audit_records = 30
+
+
 class BrokenInvariant(AssertionError):
     """Tell that something that must always hold does not."""
 
@@ -61,6 +70,7 @@
     files: FakeFiles
     member: Member
     replica: Replica | None = None
+    copier: AuditCopier | None = None
     lives: int = 0
 
 
@@ -87,12 +97,27 @@
     unknown: int = 0
 
 
+class CrashingCopier:
+    """Stop the instance where its copier's write is the point of the crash."""
+
+    def __init__(self, cluster: "ControlCluster", node: Node) -> None:
+        self.cluster = cluster
+        self.node = node
+
+    def handle(self, event, now: float) -> list:
+        try:
+            return self.node.copier.handle(event, now)
+        except CrashPoint:
+            self.cluster.crash(self.node)
+            return []
+
+
 class ControlCluster:
     """Drive replicas, a client and faults from one seed."""
 
     consensus_class = Consensus
     journal_class = Journal
-    state_class = ControlState
+    state_class = ForgetfulState
 
     def __init__(self, seed: int, voters: int = 3, weather: Weather | None = None):
         self.chance = random.Random(seed)
@@ -139,9 +164,15 @@
             Timing(),
             COMPACT_ENTRIES,
         )
-        node.replica = Replica(consensus, journal, self.state_class(), recovered)
+        archive = AuditArchive(node.files)
+        state = self.state_class()
+        node.replica = Replica(consensus, journal, state, recovered, archive)
+        others = [name for name in self.names if name != node.name]
+        node.copier = AuditCopier(archive, state, lambda: others)
         node.lives += 1
-        self.network.start(node.name, [(node.replica, CONTROL_MESSAGES)])
+        copier = CrashingCopier(self, node)
+        machines = [(node.replica, CONTROL_MESSAGES), (copier, COPY_MESSAGES)]
+        self.network.start(node.name, machines)
 
     def is_up(self, node: Node) -> bool:
         return self.network.nodes[node.name].up
@@ -359,3 +390,8 @@
                 raise BrokenInvariant(f"acknowledged {submission} is lost")
         if states[0].version < self.seen.version:
             raise BrokenInvariant("the version went back")
+        last = states[0].audit[-1].index
+        for node in self.nodes.values():
+            records = node.copier.list_records(1, last)
+            if len(records) != last or not verify_audit(records):
+                raise BrokenInvariant(f"the audit trail of {node.name} has gaps")
--- a/features/subjects/control_protections.py
+++ b/features/subjects/control_protections.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from burdockwall.fakes.files import FakeFiles
+from burdockwall.process.control.copier import AuditCopier
 from burdockwall.process.control.core import Core
 from burdockwall.process.control.election import Election
 from burdockwall.process.control.entries import HardState, Member
@@ -65,6 +66,10 @@
         lambda: patch.object(ControlState, "_keep_outcome", lambda state, known: None),
     ),
     "new identity": ("disks", nullcontext),
+    "copied audit records": (
+        "disks",
+        lambda: patch.object(AuditCopier, "_ask", lambda copier, now: []),
+    ),
 }
 
 
--- a/features/subjects/control_site.py
+++ b/features/subjects/control_site.py
@@ -133,6 +133,13 @@
         await self.call(client.submit, print_customers("a b"))
         await self.call(client.issue_key, CustomerId("a"))
 
+    async def withdraw(self) -> None:
+        await self.submit_and_issue()
+        client = self.create_client()
+        key = await self.call(client.issue_key, CustomerId("b"))
+        outcome = await self.call(client.withdraw_key, key)
+        self.in_force = await self.call(client.wait_in_force, outcome.version)
+
     async def issue_without_leader(self) -> None:
         leader = self.find_leader()
         assert leader is not None
