Log a submission as its difference

Change: the leader checks the text and proposes the sections that differ, with the text's digest; a resend in full gets the same answer. The configuration and its history have a module of their own.

Conclusion: what a change costs follows from what it changes.

--- a/burdockwall/process/control/commands.py
+++ b/burdockwall/process/control/commands.py
@@ -97,13 +97,27 @@
 )
 
 
+class ChangeSections(Command, frozen=True, kw_only=True):
+    """Replace a configuration by its difference, as the leader has checked it.
+
+    It stands in the log for a submission whose text has the digest; `found` is the
+    version of the configuration that the difference was made from.
+    """
+
+    based_on: Version
+    text_digest: bytes
+    found: Version
+    changed: dict[str, str]
+    removed: tuple[str, ...]
+
+
 class AssignShards(SystemCommand, frozen=True, kw_only=True):
     """Put later views of shards in force; all of them or none."""
 
     views: tuple[ShardView, ...]
 
 
-AnyCommand = AnyOperatorCommand | AssignShards
+AnyCommand = AnyOperatorCommand | ChangeSections | AssignShards
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/burdockwall/process/control/configurations.py
@@ -0,0 +1,106 @@
+"""Hold the configuration in force, by sections, and those before it."""
+
+import zlib
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockwall.errors import Code, InvalidFile, OperatorError
+from burdockwall.process.control.image import KeptConfiguration
+from burdockwall.process.control.sections import (
+    compare_sections,
+    join_sections,
+    split_sections,
+)
+from burdockwall.types import OperatorId, Version
+from burdockwall.version.configuration import parse_configuration
+
+KEPT_CONFIGURATIONS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Hold the sections that are new or changed, and the names of those gone."""
+
+    changed: dict[str, str]
+    removed: tuple[str, ...]
+    shown: str
+
+
+def check_sections(sections: dict[str, str]) -> None:
+    """Raise OperatorError with every fault of a configuration."""
+    try:
+        parse_configuration(join_sections(sections))
+    except InvalidFile as error:
+        raise OperatorError(Code.CONFIGURATION_INVALID, error.detail) from error
+
+
+def find_difference(old: dict[str, str], new: dict[str, str]) -> Difference:
+    """Compare two configurations section by section."""
+    changed = {name: text for name, text in new.items() if old.get(name) != text}
+    removed = tuple(sorted(old.keys() - new.keys()))
+    before = {name: old[name] for name in (*changed, *removed) if name in old}
+    return Difference(changed, removed, compare_sections(before, changed))
+
+
+class Configurations:
+    """Replace the configuration, and find an earlier one."""
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self.operator = OperatorId("")
+        self.sections: dict[str, str] = {}
+        self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
+
+    @property
+    def text(self) -> str:
+        """Return the text in force."""
+        return join_sections(self.sections)
+
+    def check_base(self, based_on: Version, latest: Version) -> None:
+        """Raise OperatorError unless nothing replaced what a change is based on.
+
+        Versions that changed only keys or operators don't outdate a submission.
+        """
+        if self.version <= based_on <= latest:
+            return
+        if based_on > latest:
+            detail = f"based on {based_on}, but the latest version is {latest}"
+        else:
+            detail = f"based on {based_on}, but version {self.version} "
+            detail += f"by {self.operator} won"
+        raise OperatorError(Code.VERSION_CONFLICT, detail)
+
+    def replace(self, sections: dict[str, str]) -> Difference:
+        """Put sections in force; note_accepted() follows with the version."""
+        difference = find_difference(self.sections, sections)
+        self.sections = sections
+        return difference
+
+    def note_accepted(self, version: Version, operator: OperatorId) -> None:
+        """Keep the configuration in force under its version."""
+        self.version = version
+        self.operator = operator
+        packed = zlib.compress(self.text.encode())
+        self.history.append(KeptConfiguration(version, packed))
+
+    def find(self, version: Version, latest: Version) -> dict[str, str]:
+        """Return the sections that were in force at a version, or raise."""
+        for kept in reversed(self.history):
+            if kept.version <= version <= latest:
+                return split_sections(zlib.decompress(kept.text).decode())
+        known = ", ".join(str(kept.version) for kept in self.history) or "none"
+        detail = f"version {version} is not kept; kept: {known}"
+        raise OperatorError(Code.VERSION_UNKNOWN, detail)
+
+    def restore(
+        self,
+        version: Version,
+        operator: OperatorId,
+        sections: dict[str, str],
+        history: Iterable[KeptConfiguration],
+    ) -> None:
+        """Become what an image holds."""
+        self.version, self.operator = version, operator
+        self.sections = dict(sections)
+        self.history = deque(history, maxlen=KEPT_CONFIGURATIONS)
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -18,6 +18,7 @@
     Operator,
     Outcome,
     Permission,
+    SubmitConfiguration,
 )
 from burdockwall.process.control.copier import COPY_MESSAGES, AuditCopier
 from burdockwall.process.control.entries import Member
@@ -40,6 +41,7 @@
     FlushSoon,
     encode_command,
 )
+from burdockwall.process.control.shortening import shorten_submission
 from burdockwall.process.control.state import NO_CREDENTIAL, ControlState
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import StateSnapshot
@@ -162,12 +164,23 @@
         """Replicate an operator's command and return its outcome, or raise."""
         self._check_open()
         self._limit_refusals(command, credential)
-        data = encode_command(command, self.wall_clock(), credential)
+        shortened = self._shorten(command)
+        data = encode_command(shortened, self.wall_clock(), credential)
         call = self._waiters.create()
         answer = await self._wait(call, Propose(call, data))
         assert answer.outcome is not None
         return answer.outcome
 
+    def _shorten(self, command: AnyOperatorCommand) -> AnyCommand:
+        core = self.replica.consensus.core
+        leadership = core.leadership
+        # Until it has applied all before its term, a leader may hold an old text.
+        current = leadership is not None and core.applied >= leadership.start_index
+        if isinstance(command, SubmitConfiguration) and current:
+            configurations = self.state.configurations
+            return shorten_submission(command, configurations, self.state.version)
+        return command
+
     async def confirm_read(self) -> None:
         """Wait until the state may be read without missing a change, or raise."""
         call = self._waiters.create()
--- /dev/null
+++ b/burdockwall/process/control/shortening.py
@@ -0,0 +1,78 @@
+"""Shorten a submission to its difference before it goes into the log."""
+
+import hashlib
+
+from burdockwall.errors import OperatorError
+from burdockwall.process.control.commands import (
+    AnyCommand,
+    ChangeSections,
+    SubmitConfiguration,
+)
+from burdockwall.process.control.configurations import (
+    Configurations,
+    check_sections,
+    find_difference,
+)
+from burdockwall.process.control.sections import split_sections
+from burdockwall.types import Version
+
+FIRST_VERSION = Version(0)
+
+
+def create_change(
+    command: SubmitConfiguration,
+    found: Version = FIRST_VERSION,
+    changed: dict[str, str] | None = None,
+    removed: tuple[str, ...] = (),
+) -> ChangeSections:
+    """Create the change that stands for a submission."""
+    return ChangeSections(
+        operator=command.operator,
+        submission=command.submission,
+        based_on=command.based_on,
+        text_digest=hashlib.sha256(command.text.encode()).digest(),
+        found=found,
+        changed=changed or {},
+        removed=removed,
+    )
+
+
+def strip_change(command: AnyCommand) -> AnyCommand:
+    """Reduce both forms of a submission to what identifies it."""
+    match command:
+        case SubmitConfiguration():
+            return create_change(command)
+        case ChangeSections():
+            return ChangeSections(
+                operator=command.operator,
+                submission=command.submission,
+                based_on=command.based_on,
+                text_digest=command.text_digest,
+                found=FIRST_VERSION,
+                changed={},
+                removed=(),
+            )
+        case _:
+            return command
+
+
+def shorten_submission(
+    command: SubmitConfiguration, current: Configurations, latest: Version
+) -> AnyCommand:
+    """Return the difference that a submission makes, or itself if it has faults.
+
+    A submission that is refused for its base needs no difference.
+    """
+    try:
+        current.check_base(command.based_on, latest)
+    except OperatorError:
+        return create_change(command, current.version)
+    sections = split_sections(command.text)
+    try:
+        check_sections(sections)
+    except OperatorError:
+        return command
+    difference = find_difference(current.sections, sections)
+    return create_change(
+        command, current.version, difference.changed, difference.removed
+    )
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -2,12 +2,11 @@
 
 import hashlib
 import hmac
-import zlib
 from collections import deque
 
 import msgspec
 
-from burdockwall.errors import Code, InvalidFile, OperatorError
+from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.audit import (
     CHAIN_START,
     AuditRecord,
@@ -18,6 +17,7 @@
 from burdockwall.process.control.commands import (
     AnyCommand,
     AssignShards,
+    ChangeSections,
     Command,
     DefineOperator,
     ImportState,
@@ -31,36 +31,32 @@
     SystemCommand,
     WithdrawKey,
 )
+from burdockwall.process.control.configurations import Configurations, check_sections
 from burdockwall.process.control.image import (
-    KeptConfiguration,
     KnownOutcome,
     StateImage,
     decode_image,
     encode_image,
 )
-from burdockwall.process.control.sections import (
-    compare_sections,
-    join_sections,
-    split_sections,
-)
+from burdockwall.process.control.sections import split_sections
+from burdockwall.process.control.shortening import strip_change
 from burdockwall.process.control.withdrawals import (
     WithdrawnKeys,
     decode_withdrawn,
     is_digest,
 )
 from burdockwall.types import CustomerId, KeyDigest, OperatorId, ShardId, Version
-from burdockwall.version.configuration import parse_configuration
 from burdockwall.version.shards import ShardView, describe_views
 
 DIGEST_SHOWN_CHARACTERS = 12
 KEPT_OUTCOMES = 16_384
-KEPT_CONFIGURATIONS = 16
 KEPT_AUDIT_RECORDS = 1024
 TEXT_DIGEST_BYTES = 16
 NO_CREDENTIAL = KeyDigest("")
 
 _PERMISSIONS: dict[type[Command], Permission] = {
     SubmitConfiguration: Permission.CONFIGURATION,
+    ChangeSections: Permission.CONFIGURATION,
     RollBack: Permission.CONFIGURATION,
     IssueKey: Permission.KEYS,
     WithdrawKey: Permission.KEYS,
@@ -68,6 +64,8 @@
     RemoveOperator: Permission.OPERATORS,
     ImportState: Permission.STATE,
 }
+# The log holds a submission as its difference.
+_ACTIONS: dict[type[Command], type[Command]] = {ChangeSections: SubmitConfiguration}
 _command_encoder = msgspec.msgpack.Encoder()
 
 
@@ -78,14 +76,11 @@
 
     def __init__(self) -> None:
         self.version = Version(0)
-        self.configuration_version = Version(0)
-        self.configuration_operator = OperatorId("")
-        self.sections: dict[str, str] = {}
+        self.configurations = Configurations()
         self.keys: dict[KeyDigest, CustomerId] = {}
         self.shards: dict[ShardId, ShardView] = {}
         self.operators: dict[OperatorId, Operator] = {}
         self.outcomes: dict[str, KnownOutcome] = {}
-        self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
         self.audit: deque[AuditRecord] = deque(maxlen=self.kept_audit_records)
         self.changes = ChangeLog()
         self.withdrawn = WithdrawnKeys()
@@ -93,7 +88,12 @@
     @property
     def text(self) -> str:
         """Return the configuration text in force."""
-        return join_sections(self.sections)
+        return self.configurations.text
+
+    @property
+    def sections(self) -> dict[str, str]:
+        """Return the sections of the configuration in force."""
+        return self.configurations.sections
 
     def apply(
         self, command: AnyCommand, at: float, credential: KeyDigest = NO_CREDENTIAL
@@ -174,11 +174,16 @@
         match command:
             case SubmitConfiguration(based_on=based_on, text=text):
                 self._check_base(based_on)
-                return self._replace_text(text, command.operator)
+                sections = split_sections(text)
+                check_sections(sections)
+                return self._replace_sections(sections, command.operator)
+            case ChangeSections():
+                self._check_base(command.based_on)
+                return self._change_sections(command)
             case RollBack(based_on=based_on, target=target):
                 self._check_base(based_on)
-                text = self.find_configuration(target)
-                return self._replace_text(text, command.operator)
+                sections = self.configurations.find(target, self.version)
+                return self._replace_sections(sections, command.operator)
             case IssueKey(customer=customer, digest=digest):
                 return self._issue_key(customer, digest)
             case WithdrawKey(digest=digest):
@@ -223,45 +228,28 @@
         return outcome
 
     def _check_base(self, based_on: Version) -> None:
-        # Versions that changed only keys or operators don't outdate a submission.
-        if self.configuration_version <= based_on <= self.version:
-            return
-        if based_on > self.version:
-            detail = f"based on {based_on}, but the latest version is {self.version}"
-        else:
-            detail = (
-                f"based on {based_on}, but version {self.configuration_version} "
-                f"by {self.configuration_operator} won"
-            )
-        raise OperatorError(Code.VERSION_CONFLICT, detail)
-
-    def _replace_text(self, text: str, operator: OperatorId) -> tuple[Outcome, str]:
-        old, new = self.sections, split_sections(text)
-        try:
-            parse_configuration(join_sections(new))
-        except InvalidFile as error:
-            raise OperatorError(Code.CONFIGURATION_INVALID, error.detail) from error
-        changed = {name: text for name, text in new.items() if old.get(name) != text}
-        removed = tuple(sorted(old.keys() - new.keys()))
-        self.sections = new
-        outcome = self._accept(sections=changed, removed_sections=removed)
-        self._keep_configuration(operator)
-        return outcome, compare_sections(old, new)
-
-    def _keep_configuration(self, operator: OperatorId) -> None:
-        self.configuration_version = self.version
-        self.configuration_operator = operator
-        packed = zlib.compress(self.text.encode())
-        self.history.append(KeptConfiguration(self.version, packed))
-
-    def find_configuration(self, version: Version) -> str:
-        """Return the configuration text in force at a version, or raise."""
-        for kept in reversed(self.history):
-            if kept.version <= version <= self.version:
-                return zlib.decompress(kept.text).decode()
-        known = [str(kept.version) for kept in self.history]
-        detail = f"version {version} is not kept; kept: {', '.join(known) or 'none'}"
-        raise OperatorError(Code.VERSION_UNKNOWN, detail)
+        self.configurations.check_base(based_on, self.version)
+
+    def _replace_sections(
+        self, sections: dict[str, str], operator: OperatorId
+    ) -> tuple[Outcome, str]:
+        difference = self.configurations.replace(sections)
+        outcome = self._accept(
+            sections=difference.changed, removed_sections=difference.removed
+        )
+        self.configurations.note_accepted(self.version, operator)
+        return outcome, difference.shown
+
+    def _change_sections(self, command: ChangeSections) -> tuple[Outcome, str]:
+        if command.found != self.configurations.version:
+            detail = f"made from {command.found}, not {self.configurations.version}"
+            raise OperatorError(Code.VERSION_CONFLICT, detail)
+        kept = {
+            name: text
+            for name, text in self.sections.items()
+            if name not in command.removed
+        }
+        return self._replace_sections({**kept, **command.changed}, command.operator)
 
     def _issue_key(
         self, customer: CustomerId, digest: KeyDigest
@@ -310,12 +298,11 @@
     def _import(self, data: bytes, operator: OperatorId) -> tuple[Outcome, str]:
         try:
             image = decode_image(data)
-            parse_configuration(join_sections(image.sections))
-        except (msgspec.DecodeError, InvalidFile) as error:
+            check_sections(image.sections)
+        except (msgspec.DecodeError, OperatorError) as error:
             raise OperatorError(Code.IMAGE_INVALID, str(error)) from error
-        old = self.sections
         self.withdrawn = self.withdrawn.merge(decode_withdrawn(image.withdrawn))
-        self.sections = image.sections
+        difference = self.configurations.replace(dict(image.sections))
         self.keys = {
             digest: customer
             for digest, customer in image.keys.items()
@@ -326,10 +313,10 @@
         outcome = self._accept()
         # Followers get the whole state, since the change record can't tell it.
         self.changes.clear()
-        self._keep_configuration(operator)
+        self.configurations.note_accepted(self.version, operator)
         chain = image.audit[-1].chain if image.audit else CHAIN_START
         summary = f"imported version {image.version}, audit chain {chain}\n"
-        return outcome, summary + compare_sections(old, self.sections)
+        return outcome, summary + difference.shown
 
     def _append_audit(
         self, command: AnyCommand, outcome: Outcome, difference: str, at: float
@@ -339,7 +326,7 @@
             index=previous.index + 1 if previous else 1,
             at=at,
             operator=command.operator,
-            action=type(command).__name__,
+            action=_ACTIONS.get(type(command), type(command)).__name__,
             difference=shorten_difference(difference),
             version=outcome.version,
             code=outcome.code,
@@ -352,14 +339,14 @@
         """Return everything that the state is made of."""
         return StateImage(
             version=self.version,
-            configuration_version=self.configuration_version,
-            configuration_operator=self.configuration_operator,
+            configuration_version=self.configurations.version,
+            configuration_operator=self.configurations.operator,
             sections=self.sections,
             keys=self.keys,
             withdrawn=self.withdrawn.encode(),
             operators=self.operators,
             outcomes=list(self.outcomes.values()),
-            history=list(self.history),
+            history=list(self.configurations.history),
             audit=list(self.audit),
             changes=self.changes.list_all(),
             shards=list(self.shards.values()),
@@ -368,14 +355,16 @@
     def restore(self, image: StateImage) -> None:
         """Become what an image holds."""
         self.version = image.version
-        self.configuration_version = image.configuration_version
-        self.configuration_operator = image.configuration_operator
-        self.sections = dict(image.sections)
+        self.configurations.restore(
+            image.configuration_version,
+            image.configuration_operator,
+            image.sections,
+            image.history,
+        )
         self.keys = dict(image.keys)
         self.shards = {view.shard: view for view in image.shards}
         self.operators = dict(image.operators)
         self.outcomes = {known.submission: known for known in image.outcomes}
-        self.history = deque(image.history, maxlen=KEPT_CONFIGURATIONS)
         self.audit = deque(image.audit, maxlen=self.kept_audit_records)
         self.changes = ChangeLog(image.changes)
         self.withdrawn = decode_withdrawn(image.withdrawn)
@@ -398,5 +387,6 @@
 
 
 def _compute_command_digest(command: AnyCommand) -> bytes:
-    whole = hashlib.sha256(_command_encoder.encode(command)).digest()
+    encoded = _command_encoder.encode(strip_change(command))
+    whole = hashlib.sha256(encoded).digest()
     return whole[:TEXT_DIGEST_BYTES]
--- a/features/control_state.feature
+++ b/features/control_state.feature
@@ -69,3 +69,14 @@
     Given a control state with customers "a"
     When 20000 control keys are issued and withdrawn
     Then the control state keeps no more than its bounds
+
+  Scenario: A submission and its difference in the log are one and the same
+    Given a control state with customers "a b"
+    When a control submission is applied as a difference and resent in full
+    Then the last control answers are "0 0"
+    And the control difference is 3 times smaller than the text
+
+  Scenario: A difference made from another configuration is refused
+    Given a control state with customers "a b"
+    When a control difference comes after the configuration has changed
+    Then the last control answers are "0 2003"
--- a/features/steps/control_state_steps.py
+++ b/features/steps/control_state_steps.py
@@ -3,9 +3,10 @@
 
 from burdockwall.process.control.audit import AuditFilter, filter_audit, verify_audit
 from burdockwall.process.control.changes import KEPT_CHANGES
+from burdockwall.process.control.configurations import KEPT_CONFIGURATIONS
+from burdockwall.process.control.shortening import shorten_submission
 from burdockwall.process.control.state import (
     KEPT_AUDIT_RECORDS,
-    KEPT_CONFIGURATIONS,
     KEPT_OUTCOMES,
     decode_state,
 )
@@ -164,6 +165,37 @@
             assert not verify_audit(swapped)
 
 
+@when("a control submission is applied as a difference and resent in full")
+def step_shorten(context):
+    subject = context.subject
+    names = " ".join(f"customer-{number}" for number in range(20))
+    subject.apply(subject.build_submit(print_customers(names)))
+    whole = subject.build_submit(print_customers(f"{names} new"))
+    state = subject.state
+    short = shorten_submission(whole, state.configurations, state.version)
+    subject.sizes = [len(msgspec.msgpack.encode(item)) for item in (short, whole)]
+    subject.outcomes.clear()
+    assert subject.apply(short) == subject.apply(whole)
+    assert subject.state.text == whole.text
+
+
+@then("the control difference is {factor:d} times smaller than the text")
+def step_check_sizes(context, factor):
+    short, whole = context.subject.sizes
+    assert short * factor < whole, context.subject.sizes
+
+
+@when("a control difference comes after the configuration has changed")
+def step_late_difference(context):
+    subject = context.subject
+    state = subject.state
+    late = subject.build_submit(print_customers("a c"), submission="late")
+    short = shorten_submission(late, state.configurations, state.version)
+    subject.apply(subject.build_submit(print_customers("a d")))
+    # Even a base that would pass does not put the difference on another text.
+    subject.apply(msgspec.structs.replace(short, based_on=state.version))
+
+
 @when("{count:d} random control commands are applied from seed {seed:d}")
 def step_random(context, count, seed):
     context.subject.run_random(count, seed)
@@ -220,6 +252,6 @@
 def step_check_bounds(context):
     state = context.subject.state
     assert len(state.outcomes) == KEPT_OUTCOMES
-    assert len(state.history) <= KEPT_CONFIGURATIONS
+    assert len(state.configurations.history) <= KEPT_CONFIGURATIONS
     assert len(state.audit) == KEPT_AUDIT_RECORDS
     assert len(state.changes.list_all()) <= KEPT_CHANGES
