--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,5 +1,6 @@
 """Measure the control state: acknowledgement, syncs, restart, size, idle cost."""
 
+import dataclasses
 import tempfile
 import time
 from pathlib import Path
@@ -7,6 +8,7 @@
 import anyio
 
 from benchmarks._control_cluster import (
+    OPERATOR,
     BenchmarkCluster,
     Load,
     build_key,
@@ -14,13 +16,22 @@
 )
 from benchmarks.result import Result, create_result
 from burdockwall.machine import Tick
+from burdockwall.process.control.commands import SubmitConfiguration
 from burdockwall.process.control.events import Persist, Propose
 from burdockwall.process.control.journal import Journal
 from burdockwall.process.control.opening import bootstrap_replica, open_replica
 from burdockwall.process.control.replica import Flush, Replica, encode_command
+from burdockwall.process.control.shortening import shorten_submission
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
-from burdockwall.types import CallId
+from burdockwall.types import Address, CallId, CustomerId, EndpointId, PoolName, Version
+from burdockwall.version.configuration import (
+    Configuration,
+    Customer,
+    Endpoint,
+    Pool,
+    print_configuration,
+)
 
 SEED = 1
 ONE_WAY_S = 0.0015
@@ -31,6 +42,8 @@
 CONTROL_BYTES_PER_S = 5000.0
 CONTROL_CORE_SHARE = 0.044
 IDLE_S = 60.0
+TARGET_CUSTOMERS = 4800
+TARGET_SERVERS = 2200
 
 
 def find_percentile(values: list[float], share: float) -> float:
@@ -170,6 +183,47 @@
     ]
 
 
+def measure_submission() -> list[Result]:
+    """Measure a submission that changes one customer of the target's size."""
+    customers = [
+        Customer(CustomerId(f"customer-{number}")) for number in range(TARGET_CUSTOMERS)
+    ]
+    pool = PoolName("pool")
+    endpoints = tuple(
+        Endpoint(EndpointId(f"endpoint-{number}"), pool, Address("10.0.0.1:80"))
+        for number in range(TARGET_SERVERS)
+    )
+    configuration = Configuration(tuple(customers), (Pool(pool),), endpoints)
+    state = ControlState()
+    first = build_text(print_configuration(configuration), Version(0), "first")
+    state.apply(first, 0.0)
+    customers[0] = Customer(customers[0].name, rate_per_s=11.0)
+    changed = dataclasses.replace(configuration, customers=tuple(customers))
+    text = print_configuration(changed)
+    second = build_text(text, state.version, "second")
+    started = time.process_time()
+    short = shorten_submission(second, state.configurations, state.version)
+    checked_s = time.process_time() - started
+    started = time.process_time()
+    outcome = state.apply(short, 1.0)
+    applied_s = time.process_time() - started
+    assert not outcome.code and state.text == text
+    entry = len(encode_command(short, 1.0))
+    return [
+        create_result("control/submission_text", len(text) / 1000, "KB"),
+        create_result("control/submission_entry", entry, "bytes"),
+        create_result("control/submission_checked", checked_s, "s at the leader"),
+        create_result("control/submission_applied", applied_s, "s at each voter"),
+    ]
+
+
+def build_text(text: str, based_on: Version, name: str) -> SubmitConfiguration:
+    """Build the submission of a text."""
+    return SubmitConfiguration(
+        operator=OPERATOR, submission=name, based_on=based_on, text=text
+    )
+
+
 def measure() -> list[Result]:
     """Measure everything; the time of a sync is that of this disk."""
     syncs = time_syncs()
@@ -185,4 +239,4 @@
         results += measure_cluster(voters, sync_s)
     for changes in (100, 1000, 12_000):
         results += measure_restart(changes)
-    return results
+    return results + measure_submission()
