Add records of programs and outcomes, replicated by shard

Cause: a process kept its programs alone, so its death lost them. Change: pure decisions on programs (order, history, budget, sub-agents) and on unrepeatable requests, applied on every replica of a shard by a primary with fenced views, and copies to joining replicas in bounded chunks.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -6,9 +6,15 @@
 from grpclib.encoding.base import CodecBase
 
 from burdockwall.process.membership import messages as membership
+from burdockwall.process.programs.messages import AnyRecordMessage
 from burdockwall.types import Incarnation, InstanceId
 
-AnyMessage = membership.Follow | membership.StateSnapshot | membership.StateCurrent
+AnyMessage = (
+    membership.Follow
+    | membership.StateSnapshot
+    | membership.StateCurrent
+    | AnyRecordMessage
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -66,6 +66,43 @@
     STREAM_ELSEWHERE = CodeRow(
         1205, 409, Ran.RAN, Retry.SAFE, "The rest of the stream is not held here."
     )
+    PROGRAM_ENDED = CodeRow(
+        1205, 410, Ran.NOT_RUN, Retry.NEVER, "The program has ended."
+    )
+    BUDGET_SPENT = CodeRow(
+        1206, 403, Ran.NOT_RUN, Retry.NEVER, "The program's budget is spent."
+    )
+    BUDGET_RESERVED = CodeRow(
+        1207, 409, Ran.NOT_RUN, Retry.SAFE, "Calls under way hold the rest of a budget."
+    )
+    PROGRAM_LIMIT = CodeRow(
+        1208, 409, Ran.NOT_RUN, Retry.NEVER, "A limit on a program's size is reached."
+    )
+    RECORDS_UNAVAILABLE = CodeRow(
+        1209, 503, Ran.NOT_RUN, Retry.SAFE, "The program's record cannot be written."
+    )
+    RECORDS_FULL = CodeRow(
+        1210, 503, Ran.NOT_RUN, Retry.SAFE, "The limit on records is reached."
+    )
+    CALL_REVOKED = CodeRow(
+        1211, 409, Ran.UNKNOWN, Retry.NEVER, "The call was cancelled or superseded."
+    )
+    # Idempotency keys.
+    IDEMPOTENCY_CONFLICT = CodeRow(
+        1221, 422, Ran.NOT_RUN, Retry.NEVER, "The key came before with another body."
+    )
+    IDEMPOTENCY_RUNNING = CodeRow(
+        1222, 409, Ran.UNKNOWN, Retry.SAME_KEY, "The first request is under way."
+    )
+    IDEMPOTENCY_EXPIRED = CodeRow(
+        1223, 409, Ran.UNKNOWN, Retry.NEVER, "The key's outcome is no longer kept."
+    )
+    OUTCOME_UNKNOWN = CodeRow(
+        1224, 504, Ran.UNKNOWN, Retry.SAME_KEY, "The request may have run."
+    )
+    SETTLED_AS_RUN = CodeRow(
+        1225, 409, Ran.RAN, Retry.NEVER, "An operator settled the request as run."
+    )
     # Limits and load.
     RATE_EXCEEDED = CodeRow(
         1301, 429, Ran.NOT_RUN, Retry.SAFE, "The customer's rate and burst are spent."
@@ -134,6 +171,14 @@
         return f"{number} {self.place}: {self.problem}. {self.remedy}"
 
 
+def find_code(number: int) -> Code:
+    """Return the code of a number."""
+    return _CODES[number]
+
+
+_CODES = {code.value.number: code for code in Code}
+
+
 class BurdockwallError(Exception):
     """Report a numbered result; the base of every error of the project."""
 
--- /dev/null
+++ b/burdockwall/process/programs/outcomes.py
@@ -0,0 +1,186 @@
+"""Keep the one outcome of each unrepeatable request.
+
+The record goes accepted, sending, done. It is written before each step: a request
+leaves only after `sending` is on every replica, so an accepted one that has not
+reached `sending` provably never left and may be sent by a new attempt.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from burdockwall.errors import Code
+from burdockwall.process.programs import calls, operations
+from burdockwall.process.programs.families import Decision, refuse
+from burdockwall.process.programs.operations import Order, Outcome, OutcomeKey
+from burdockwall.types import InstanceId, RequestId
+
+
+class OutcomeState(Enum):
+    """Name where an unrepeatable request stands."""
+
+    ACCEPTED = "accepted"
+    SENDING = "sending"
+    DONE = "done"
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+    SETTLED_RAN = "settled as run"
+    SETTLED_NOT_RUN = "settled as not run"
+
+
+_OPEN = (OutcomeState.ACCEPTED, OutcomeState.SENDING, OutcomeState.UNKNOWN)
+
+
+class OutcomeRecord(msgspec.Struct, array_like=True):
+    """Hold one unrepeatable request: its attempt, order and outcome."""
+
+    key: OutcomeKey
+    digest: bytes
+    request: RequestId
+    owner: InstanceId
+    order: Order
+    changed_at: float
+    state: OutcomeState = OutcomeState.ACCEPTED
+    outcome: Outcome | None = None
+    sequence: int = 0
+    note: str = ""
+
+
+def decide_claim(
+    record: OutcomeRecord | None, call: calls.Claim, expired: bool, lapsed: bool
+) -> Decision:
+    """Decide who runs a request; `lapsed` tells that its owner is silent."""
+    if expired:
+        return refuse(Code.IDEMPOTENCY_EXPIRED)
+    if record is None:
+        return _claim(call)
+    if record.digest != call.digest:
+        return refuse(Code.IDEMPOTENCY_CONFLICT)
+    match record.state:
+        case OutcomeState.ACCEPTED if record.request == call.request:
+            return Decision(calls.ClaimGranted())
+        case OutcomeState.ACCEPTED if lapsed:
+            return _claim(call)
+        case OutcomeState.ACCEPTED | OutcomeState.SENDING:
+            return Decision(calls.ClaimRunning())
+        case OutcomeState.DONE:
+            assert record.outcome is not None
+            return Decision(calls.ClaimFinished(record.outcome))
+        case OutcomeState.UNKNOWN:
+            return refuse(Code.OUTCOME_UNKNOWN)
+        case OutcomeState.SETTLED_RAN:
+            return refuse(Code.SETTLED_AS_RUN, record.note)
+        case _ if call.follows == record.request:
+            return _claim(call)
+        case _:
+            # A late copy of an ended attempt's claim must not run again, so a new
+            # attempt names the one that it follows.
+            return Decision(calls.ClaimFree(record.request))
+
+
+def _claim(call: calls.Claim) -> Decision:
+    operation = operations.Claimed(
+        call.key, call.request, call.digest, call.owner, call.order
+    )
+    return Decision(calls.ClaimGranted(), operation)
+
+
+def decide_sending(record: OutcomeRecord | None, call: calls.MarkSending) -> Decision:
+    """Decide whether an attempt may send."""
+    if record is None or record.request != call.request:
+        return refuse(Code.CALL_REVOKED)
+    match record.state:
+        case OutcomeState.ACCEPTED:
+            operation = operations.Sending(call.key, call.request)
+            return Decision(calls.Accepted(), operation)
+        case OutcomeState.SENDING:
+            return Decision(calls.Accepted())
+        case _:
+            return refuse(Code.CALL_REVOKED)
+
+
+def decide_outcome(record: OutcomeRecord | None, call: calls.RecordOutcome) -> Decision:
+    """Decide whether an attempt's outcome is stored."""
+    if record is None or record.request != call.request:
+        return refuse(Code.CALL_REVOKED)
+    if record.state in (OutcomeState.SENDING, OutcomeState.UNKNOWN):
+        operation = operations.Finished(call.key, call.request, call.outcome)
+        return Decision(calls.Accepted(), operation)
+    if record.state is OutcomeState.DONE:
+        return Decision(calls.Accepted())
+    return refuse(Code.CALL_REVOKED)
+
+
+def decide_not_sent(
+    record: OutcomeRecord | None, call: calls.RecordNotSent
+) -> Decision:
+    """Decide whether an attempt may be recorded as never sent."""
+    if record is None or record.request != call.request:
+        return refuse(Code.CALL_REVOKED)
+    if record.state in _OPEN:
+        operation = operations.NotSent(call.key, call.request)
+        return Decision(calls.Accepted(), operation)
+    if record.state is OutcomeState.NOT_SENT:
+        return Decision(calls.Accepted())
+    return refuse(Code.CALL_REVOKED)
+
+
+def decide_settle(record: OutcomeRecord | None, call: calls.Settle) -> Decision:
+    """Decide whether an operator may settle a record."""
+    if record is None:
+        return refuse(Code.PROGRAM_UNKNOWN, "no such record")
+    if record.state is not OutcomeState.UNKNOWN:
+        return refuse(Code.IDEMPOTENCY_RUNNING, f"the record is {record.state.value}")
+    operation = operations.Settled(call.key, call.operator, call.ran, call.note)
+    return Decision(calls.Accepted(), operation)
+
+
+def describe_unknown(record: OutcomeRecord, at: float) -> calls.UnknownOutcome:
+    """Describe an unknown outcome to the operator who settles it."""
+    return calls.UnknownOutcome(
+        customer=record.key.customer,
+        route=record.key.route,
+        key=record.key.key,
+        request=record.request,
+        method=record.order.method,
+        path=record.order.path,
+        body=record.order.body,
+        owner=record.owner,
+        age_s=at - record.changed_at,
+    )
+
+
+def apply_change(
+    record: OutcomeRecord, operation: operations.AnyOperation, at: float
+) -> None:
+    """Change a record that exists."""
+    match operation:
+        case operations.Claimed():
+            record.request = operation.request
+            record.owner = operation.owner
+            record.order = operation.order
+            record.state = OutcomeState.ACCEPTED
+        case operations.Sending():
+            record.state = OutcomeState.SENDING
+        case operations.Finished(outcome=outcome):
+            record.state = OutcomeState.DONE
+            record.outcome = outcome
+            record.order = Order(record.order.method, record.order.path, [], b"")
+        case operations.NotSent():
+            record.state = OutcomeState.NOT_SENT
+        case operations.BecameUnknown():
+            record.state = OutcomeState.UNKNOWN
+        case operations.Settled(ran=ran, operator=operator, note=note):
+            ran_state = OutcomeState.SETTLED_RAN
+            record.state = ran_state if ran else OutcomeState.SETTLED_NOT_RUN
+            record.note = f"{operator}: {note}"
+    record.changed_at = at
+
+
+def find_due_forgetting(
+    record: OutcomeRecord, at: float, retention_s: float
+) -> operations.ForgotOutcome | None:
+    """Return the removal that time has made due; an open record is kept."""
+    if record.state in _OPEN or at - record.changed_at < retention_s:
+        return None
+    return operations.ForgotOutcome(record.key)
--- /dev/null
+++ b/burdockwall/process/programs/store.py
@@ -0,0 +1,96 @@
+"""Hold the replicas of this instance's shards and hand them their events."""
+
+from burdockwall.machine import Message, Receive, Tick
+from burdockwall.process.programs.families import Limits
+from burdockwall.process.programs.messages import (
+    Committed,
+    CopyChunk,
+    CopyTaken,
+    Prepare,
+    Prepared,
+    RecordCall,
+    StartView,
+    ViewReport,
+)
+from burdockwall.process.programs.replica import Action, ShardReplica
+from burdockwall.types import InstanceId, ShardId
+from burdockwall.version.shards import LeaseRenewed, ShardsInstalled, ShardView
+
+STORE_MESSAGES: tuple[type[Message], ...] = (
+    RecordCall,
+    StartView,
+    ViewReport,
+    Prepare,
+    Prepared,
+    Committed,
+    CopyChunk,
+    CopyTaken,
+)
+
+
+class RecordStore:
+    """Keep a replica of every shard whose view names this instance."""
+
+    def __init__(self, instance: InstanceId, limits: Limits) -> None:
+        self.instance = instance
+        self.limits = limits
+        self.replicas: dict[ShardId, ShardReplica] = {}
+        self.lease_until = 0.0
+
+    def handle(
+        self, event: Tick | Receive | ShardsInstalled | LeaseRenewed, now: float
+    ) -> list[Action]:
+        """Take an event and return what to send or do."""
+        match event:
+            case Tick():
+                for replica in self.replicas.values():
+                    replica.tick(now)
+            case LeaseRenewed(until=until):
+                self.lease_until = max(self.lease_until, until)
+                for replica in self.replicas.values():
+                    replica.lease_until = self.lease_until
+            case ShardsInstalled(shards=shards):
+                for view in shards.views.values():
+                    self._install(view, now)
+            case Receive(sender=sender, message=StartView(view=view) as message):
+                if self._is_member(view):
+                    self._get(view.shard).receive(sender, message, now)
+            case Receive(sender=sender, message=message):
+                found = self.replicas.get(getattr(message, "shard", ShardId(-1)))
+                if found is not None:
+                    found.receive(sender, message, now)
+        return self._take_actions()
+
+    def _is_member(self, view: ShardView) -> bool:
+        return self.instance in (view.primary, *view.backups, *view.joining)
+
+    def _get(self, shard: ShardId) -> ShardReplica:
+        replica = self.replicas.get(shard)
+        if replica is None:
+            replica = ShardReplica(self.instance, shard, self.limits)
+            replica.lease_until = self.lease_until
+            self.replicas[shard] = replica
+        return replica
+
+    def _install(self, view: ShardView, now: float) -> None:
+        if self._is_member(view):
+            self._get(view.shard).install(view, now)
+            return
+        replica = self.replicas.get(view.shard)
+        if replica is not None:
+            replica.install(view, now)
+            if replica.view is view:
+                del self.replicas[view.shard]
+
+    def _take_actions(self) -> list[Action]:
+        actions: list[Action] = []
+        for replica in self.replicas.values():
+            if replica.actions:
+                actions += replica.actions
+                replica.actions = []
+        return actions
+
+
+def create_store(instance: InstanceId, limits: Limits | None = None) -> RecordStore:
+    """Create the store of an instance that holds nothing yet."""
+    return RecordStore(instance, limits or Limits())
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -22,6 +22,7 @@
 FencingNumber = NewType("FencingNumber", int)
 ShardId = NewType("ShardId", int)
 CallId = NewType("CallId", int)
+ProgramTag = NewType("ProgramTag", str)
 
 
 class Role(Enum):
