--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -1,21 +1,19 @@
 """Serve operators over HTTP: status, audit, submissions and keys."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
-from burdockwall.process.control.commands import (
-    AnyCommand,
-    AuditRecord,
-    Outcome,
-)
+from burdockwall.process.control.audit import AuditRecord
+from burdockwall.process.control.commands import AnyOperatorCommand, Outcome
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
 
+Serve = Callable[[Exchange], Awaitable[None]]
 OPERATOR_BODY_BYTES = 8_388_608
-_command_decoder = msgspec.json.Decoder(AnyCommand)
+_command_decoder = msgspec.json.Decoder(AnyOperatorCommand)
 
 
 class Status(msgspec.Struct, frozen=True):
@@ -58,6 +56,11 @@
         self.state = state
         self.wall_clock = wall_clock
         self.drain = drain
+        self._added: dict[tuple[str, str], Serve] = {}
+
+    def add_operation(self, method: str, path: str, serve: Serve) -> None:
+        """Let a part of the process serve one method and path of its own."""
+        self._added[(method, path)] = serve
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from an operator."""
@@ -65,7 +68,9 @@
             case ("GET", "/status"):
                 await exchange.answer_json(200, self.read_status())
             case ("GET", "/audit"):
-                await exchange.answer_json(200, AuditPage(self._get_state().audit))
+                await exchange.answer_json(
+                    200, AuditPage(list(self._get_state().audit))
+                )
             case ("GET", "/configuration"):
                 state = self._get_state()
                 page = StatePage(state.version, state.text)
@@ -75,6 +80,8 @@
             case ("POST", "/drain"):
                 self.drain()
                 await exchange.answer_json(200, self.read_status())
+            case operation if operation in self._added:
+                await self._added[operation](exchange)
             case _:
                 detail = f"no operation {exchange.method} {exchange.path}"
                 raise OperatorError(Code.NO_ROUTE, detail)
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -1,10 +1,12 @@
 """Gather the parts of a process that requests use."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.process.limits.limiter import Limiter
+from burdockwall.process.limits.retries import RetryGate, create_retry_policy
 from burdockwall.process.programs.records import ProgramTable
 from burdockwall.process.scheduling.dispatcher import Dispatcher
 from burdockwall.request.streams import StreamTable
@@ -22,6 +24,7 @@
     dispatcher: Dispatcher
     clients: EndpointClients
     streams: StreamTable
+    retries: RetryGate
 
 
 def create_parts(settings: Settings, clock: Callable[[], float]) -> Parts:
@@ -35,5 +38,6 @@
         clients=EndpointClients(
             settings.endpoint_connect_s, settings.endpoint_silence_s
         ),
-        streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s),
+        streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
+        retries=RetryGate(create_retry_policy(settings), clock, random.Random()),
     )
