--- /dev/null
+++ b/features/subjects/programs_faults.py
@@ -0,0 +1,480 @@
+"""Drive programs and bookings through a cluster under faults from a seed."""
+
+import hashlib
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.programs import calls
+from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.families import create_key
+from burdockwall.process.programs.operations import Order, Outcome, OutcomeKey
+from burdockwall.process.programs.outcomes import OutcomeState
+from burdockwall.process.programs.unrepeatable import (
+    Attempt,
+    LostError,
+    Means,
+    NoAnswerError,
+    NotSentError,
+    run_once,
+)
+from burdockwall.types import (
+    CustomerId,
+    EndpointId,
+    IdempotencyKey,
+    InstanceId,
+    ProgramId,
+    RequestId,
+    RouteName,
+)
+from features.subjects.programs_cluster import Cluster, create_shards
+
+CUSTOMER = CustomerId("association")
+RESERVE = Spend(tokens=10, calls=1, cost=1.0)
+ORDER = Order("POST", "/bookings", [], b"body")
+DIGEST = b"0" * 16
+
+
+class Check(AssertionError):
+    """Report a broken promise with the seed that shows it."""
+
+
+class FaultRun:
+    """Hold one seeded run: callers, an engine, a booking service, and faults."""
+
+    def __init__(self, seed, turns=4, bookings=5, programs=3, cluster_type=Cluster, **options):
+        self.seed = seed
+        self.cluster = cluster_type(seed, create_shards(3), **options)
+        self.random = self.cluster.random
+        self.turns = turns
+        self.runs = {}
+        self.consumed = {}
+        self.histories = {}
+        self.booked = {}
+        self.told_not_run = set()
+        self.budget = Budget(tokens=turns * 40, calls=400, cost=1e9, time_s=1e9)
+        self.points = 0
+        self.crash_point = self.random.randrange(1, 120)
+        self.requests = 0
+        self.crashed = []
+        self.cluster.on_accepted = self.send_accepted
+        self.programs = [ProgramId(f"program-{index}") for index in range(programs)]
+        self.keys = [
+            OutcomeKey(CUSTOMER, RouteName("book"), IdempotencyKey(f"key-{index}"))
+            for index in range(bookings)
+        ]
+
+    def check(self, holds, text):
+        if not holds:
+            raise Check(f"seed {self.seed} at {self.cluster.now:.3f}: {text}")
+
+    # Faults.
+
+    def pass_point(self, instance):
+        """Crash the instance here if this is the seed's point."""
+        self.points += 1
+        if self.points == self.crash_point and self.may_crash([instance]):
+            self.crash([instance])
+            return True
+        return False
+
+    def may_crash(self, instances):
+        """Tell whether the losses stay within two or one failure domain."""
+        lost = {*self.crashed, *instances}
+        domains = {self.cluster.domains[item] for item in lost}
+        if self.cluster.is_repaired():
+            self.crashed = []
+            lost = set(instances)
+            domains = {self.cluster.domains[item] for item in lost}
+        return len(lost) <= 2 or len(domains) == 1
+
+    def crash(self, instances):
+        for instance in instances:
+            self.cluster.crash(instance)
+            self.crashed.append(instance)
+            delay = self.random.choice((0.05, 0.5, 3.0, 8.0))
+            self.cluster.network.schedule(
+                delay, lambda item=instance: self.cluster.restart(item)
+            )
+
+    def schedule_faults(self):
+        network = self.cluster.network
+        for _ in range(self.random.randrange(1, 4)):
+            at = self.random.uniform(0.3, 12.0)
+            kind = self.random.choice(("two", "domain", "cut", "one", "again", "one-way"))
+            network.schedule(at, lambda kind=kind: self.inject(kind))
+
+    def inject(self, kind):
+        names = list(self.cluster.domains)
+        network = self.cluster.network
+        match kind:
+            case "one":
+                chosen = [self.random.choice(names)]
+            case "two":
+                chosen = self.random.sample(names, 2)
+            case "domain":
+                domain = self.random.choice(("a", "b", "c"))
+                chosen = [i for i in names if self.cluster.domains[i] == domain]
+            case "again":
+                # A second loss as soon as the repair is reported.
+                if not self.cluster.is_repaired():
+                    network.schedule(0.05, lambda: self.inject(kind))
+                    return
+                view = next(iter(self.cluster.views.values()))[0]
+                chosen = [view.primary, view.backups[0]]
+            case "cut":
+                network.isolate(self.random.choice(names))
+                network.schedule(self.random.uniform(0.5, 5.0), network.heal)
+                return
+            case _:
+                one, two = self.random.sample(names, 2)
+                network.cut(one, two)
+                network.schedule(self.random.uniform(0.5, 5.0), network.heal)
+                return
+        chosen = [item for item in chosen if self.cluster.is_up(item)]
+        if chosen and self.may_crash(chosen) and not network.cuts:
+            self.crash(chosen)
+
+    def create_request(self):
+        self.requests += 1
+        return RequestId(f"r{self.requests}")
+
+    def choose_entry(self):
+        return self.random.choice(self.cluster.list_up())
+
+    # Programs.
+
+    def run_caller(self, program, number=1, tries=0):
+        """Send one turn through some instance; again elsewhere until it is done."""
+        if number > self.turns:
+            return
+        instance = self.choose_entry()
+        state = {"done": False}
+        network = self.cluster.network
+
+        async def attempt():
+            state["done"] = await self.send_turn(instance, program, number)
+
+        def look():
+            if state["done"]:
+                self.run_caller(program, number + 1)
+            elif tries < 60:
+                self.run_caller(program, number, tries + 1)
+            else:
+                self.check(False, f"{program} turn {number} never ended")
+
+        self.cluster.spawn(instance, attempt())
+        wait = self.random.choice((0.4, 1.0, 2.5))
+        network.schedule(wait, look)
+        if self.random.random() < 0.15:
+            # A second caller races on the same turn.
+            other = self.choose_entry()
+            self.cluster.spawn(other, self.send_turn(other, program, number))
+
+    async def send_turn(self, instance, program, number):
+        key = create_key(CUSTOMER, program)
+        shard = self.cluster.get_shard(key)
+        request = self.create_request()
+        digest = hashlib.sha256(f"{program} {number}".encode()).digest()
+        begin = calls.BeginCall(
+            key, program, request, number, digest, RESERVE, instance, self.budget
+        )
+        if self.pass_point(instance):
+            return False
+        try:
+            answer = await self.cluster.ask(instance, shard, begin)
+        except NoAnswerError:
+            return False
+        if self.pass_point(instance):
+            return False
+        if isinstance(answer, calls.TurnRepeated):
+            self.acknowledge(program, number, answer.content)
+            return True
+        if isinstance(answer, calls.Refused):
+            known = self.histories.get(program, [])
+            if answer.code == Code.TURN_GAP.value.number:
+                self.check(False, f"{program} {number}: gap after {len(known)} turns")
+            self.check(
+                answer.code
+                not in (
+                    Code.TURN_STALE.value.number,
+                    Code.PROGRAM_ENDED.value.number,
+                    Code.BUDGET_SPENT.value.number,
+                ),
+                f"{program} turn {number} refused {answer}",
+            )
+            return False
+        return await self.run_turn(instance, program, number, request, answer)
+
+    async def run_turn(self, instance, program, number, request, granted):
+        key = create_key(CUSTOMER, program)
+        shard = self.cluster.get_shard(key)
+        self.check(granted.number == number, "another turn was granted")
+        acknowledged = self.histories.get(program, [])
+        self.check(
+            granted.turns == acknowledged[: number - 1],
+            f"{program} turn {number} got history {granted.turns}, not {acknowledged}",
+        )
+        self.cluster.hold(instance, request, shard)
+        used = self.random.randrange(1, 11)
+        self.consumed[program] = self.consumed.get(program, 0) + used
+        await self.cluster.pause(self.random.uniform(0.01, 0.3))
+        if self.pass_point(instance):
+            return False
+        content = f"{program} {number} by {request}".encode()
+        finish = calls.FinishTurn(
+            key, program, request, content, Spend(used, 1, 1.0), EndpointId("e1")
+        )
+        try:
+            answer = await self.cluster.ask(instance, shard, finish)
+        except NoAnswerError:
+            return False
+        finally:
+            self.cluster.release(instance, request)
+        if self.pass_point(instance) or not isinstance(answer, calls.Accepted):
+            return False
+        self.acknowledge(program, number, content)
+        return True
+
+    def acknowledge(self, program, number, content):
+        known = self.histories.setdefault(program, [])
+        self.check(
+            content.startswith(f"{program} {number} ".encode()), "histories are mixed"
+        )
+        if number <= len(known):
+            self.check(known[number - 1] == content, "a turn has two answers")
+        else:
+            self.check(number == len(known) + 1, "a turn was skipped")
+            known.append(content)
+
+    # Bookings.
+
+    def build_means(self, instance):
+        async def ask(key, call):
+            if self.pass_point(instance):
+                await self.cluster.pause(0.0)
+            answer = await self.cluster.ask(instance, self.cluster.get_shard(key), call)
+            if self.pass_point(instance):
+                await self.cluster.pause(0.0)
+            return answer
+
+        async def transmit(request, order):
+            return await self.transmit(instance, request, order)
+
+        return Means(
+            ask,
+            transmit,
+            self.cluster.pause,
+            lambda request, key: self.cluster.hold(
+                instance, request, self.cluster.get_shard(key)
+            ),
+            lambda request: self.cluster.release(instance, request),
+        )
+
+    async def transmit(self, instance, request, order):
+        key = order.path
+        if self.pass_point(instance):
+            await self.cluster.pause(0.0)
+        fate = self.random.random()
+        await self.cluster.pause(self.random.uniform(0.001, 0.05))
+        if fate < 0.15:
+            raise NotSentError
+        self.runs[key] = self.runs.get(key, 0) + 1
+        self.sent.add(request)
+        self.check(self.runs[key] <= 1, f"{key} ran {self.runs[key]} times")
+        self.check(key not in self.told_not_run, f"{key} ran after 'not run'")
+        while request in self.resumed:
+            request = self.resumed[request]
+        self.check(request not in self.refused, f"{key} {request} ran after 'not run'")
+        await self.cluster.pause(self.random.uniform(0.001, 0.5))
+        if self.pass_point(instance):
+            await self.cluster.pause(0.0)
+        if fate < 0.3:
+            raise LostError
+        return Outcome(200, "text/plain", f"booked {key}".encode())
+
+    def book(self, key, tries=0):
+        instance = self.choose_entry()
+        network = self.cluster.network
+        state = {"end": None}
+
+        async def attempt():
+            state["end"] = await self.send_booking(instance, key)
+
+        def look():
+            if state["end"] == "booked":
+                return
+            if state["end"] == "not run" and self.random.random() < 0.5:
+                # The caller gives up and trusts the refusal.
+                self.stop_booking(key)
+                return
+            if tries < 40:
+                self.book(key, tries + 1)
+
+        self.cluster.spawn(instance, attempt())
+        network.schedule(self.random.choice((0.3, 1.5, 4.0)), look)
+
+    def stop_booking(self, key):
+        name = key.key
+        if name not in self.shared and self.trying[name] == 0:
+            self.check(self.runs.get(name, 0) == 0, f"{name}: 'not run' is false")
+            self.told_not_run.add(name)
+
+    async def send_booking(self, instance, key):
+        name = key.key
+        if self.trying.get(name, 0):
+            # Another attempt of the same caller is still under way.
+            self.shared.add(name)
+        self.trying[name] = self.trying.get(name, 0) + 1
+        order = Order("POST", name, [], b"body")
+        attempt = Attempt(key, self.create_request(), DIGEST, instance, order, 6)
+        # Whoever crashes meanwhile leaves the count as it is: not known to be over.
+        try:
+            outcome = await run_once(attempt, self.build_means(instance))
+        except RequestRefused as error:
+            self.trying[name] -= 1
+            row = error.code.value
+            if row.ran.value == "not run":
+                self.check(attempt.request not in self.sent, "'not run' is false")
+                self.refused.add(attempt.request)
+                return "not run"
+            if error.code is not Code.OUTCOME_UNKNOWN:
+                return "again"
+            return "unknown"
+        self.trying[name] -= 1
+        self.check(self.runs.get(name, 0) == 1, f"{name} answered but not run")
+        former = self.booked.setdefault(name, outcome)
+        self.check(former == outcome, f"{name} has two outcomes")
+        return "booked"
+
+    def send_accepted(self, instance, record):
+        order = record.order
+        attempt = Attempt(
+            record.key, self.create_request(), record.digest, instance, order, 6
+        )
+        self.resumed[attempt.request] = record.request
+
+        async def resume():
+            try:
+                await run_once(attempt, self.build_means(instance))
+            except RequestRefused:
+                return
+
+        self.cluster.spawn(instance, resume())
+
+    # The run.
+
+    def run(self):
+        self.trying, self.resumed = {}, {}
+        self.refused, self.sent, self.shared = set(), set(), set()
+        network = self.cluster.network
+        network.run_until(2.0)
+        self.check(self.cluster.is_repaired(), "the cluster did not start")
+        self.schedule_faults()
+        for program in self.programs:
+            self.run_caller(program)
+        for key in self.keys:
+            at = self.random.uniform(0.0, 6.0)
+            network.schedule(at, lambda key=key: self.book(key))
+            if self.random.random() < 0.3:
+                self.shared.add(key.key)
+                network.schedule(at, lambda key=key: self.book(key))
+        network.run_until(25.0)
+        network.heal()
+        for instance in self.cluster.domains:
+            self.cluster.restart(instance)
+        network.run_until(70.0)
+        self.check_end()
+        self.cluster.close()
+        return self
+
+    def check_end(self):
+        self.check(self.cluster.is_repaired(), "the cluster was not repaired")
+        for program in self.programs:
+            self.check(
+                len(self.histories.get(program, [])) == self.turns,
+                f"{program} ended after {len(self.histories.get(program, []))} turns",
+            )
+            self.check_program(program)
+        for key in self.keys:
+            self.check_key(key)
+        self.check_replicas()
+
+    def get_primary_state(self, key):
+        shard = self.cluster.get_shard(key)
+        view, _, _ = self.cluster.views[shard]
+        return self.cluster.stores[view.primary].replicas[shard].state
+
+    def check_program(self, program):
+        key = create_key(CUSTOMER, program)
+        family = self.get_primary_state(key).families.get(key)
+        self.check(family is not None, f"{program} is lost")
+        record = family.programs[program]
+        kept = [turn.content for turn in record.turns]
+        self.check(kept == self.histories[program], f"{program} lost history")
+        self.check(not record.running, f"{program} holds a dead call")
+        self.check(family.budget.admits(family.spent), f"{program} is over budget")
+        self.check(
+            self.consumed[program] <= family.spent.tokens,
+            f"{program} consumed {self.consumed[program]} of {family.spent.tokens}",
+        )
+
+    def check_key(self, key):
+        record = self.get_primary_state(key).outcomes.get(key)
+        name = key.key
+        runs = self.runs.get(name, 0)
+        if name in self.booked:
+            self.check(
+                record is not None and record.state is OutcomeState.DONE,
+                f"{name} was acknowledged and is lost",
+            )
+            self.check(record.outcome == self.booked[name], f"{name} changed")
+        if record is None:
+            self.check(runs == 0, f"{name} ran without a record")
+            return
+        self.check(
+            record.state not in (OutcomeState.ACCEPTED, OutcomeState.SENDING),
+            f"{name} is still {record.state.value}",
+        )
+        if record.state is OutcomeState.DONE:
+            self.check(runs == 1, f"{name} done but ran {runs} times")
+        if record.state is OutcomeState.NOT_SENT:
+            self.check(runs == 0, f"{name} not sent but ran")
+        if name in self.told_not_run:
+            self.check(runs == 0, f"{name}: 'not run' is false")
+
+    def check_replicas(self):
+        """Check that all replicas of a shard hold the same records."""
+        for shard, (view, _, _) in self.cluster.views.items():
+            replicas = [
+                self.cluster.stores[item].replicas[shard]
+                for item in (view.primary, *view.backups)
+            ]
+            first = replicas[0].state
+            for other in replicas[1:]:
+                self.check(other.state.families == first.families, "replicas differ")
+                self.check(other.state.outcomes == first.outcomes, "replicas differ")
+                self.check(other.state.running == first.running, "indexes differ")
+
+
+def run_seeds(low, high, **options):
+    """Run seeds and return what was counted; the first broken promise raises."""
+    total = {"turns": 0, "booked": 0, "unknown": 0, "crashes": 0}
+    for seed in range(low, high):
+        run = FaultRun(seed, **options).run()
+        total["turns"] += sum(len(item) for item in run.histories.values())
+        total["booked"] += len(run.booked)
+        total["crashes"] += sum(run.cluster.lives.values()) - len(run.cluster.lives)
+    return total
+
+
+def find_failure(high, **options):
+    """Return the first seed whose check fails, with the text, or None."""
+    for seed in range(high):
+        try:
+            FaultRun(seed, **options).run()
+        except Check as error:
+            return seed, str(error)
+    return None
+
+
+def list_instances(run):
+    return [InstanceId(item) for item in run.cluster.domains]
