--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -10,9 +10,21 @@
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
-    membership.Follow
+    membership.Beat
+    | membership.Report
+    | membership.Grant
+    | membership.NotLeader
+    | membership.StateChanges
     | membership.StateSnapshot
-    | membership.StateCurrent
+    | membership.MemberChanges
+    | membership.MemberSnapshot
+    | membership.Probe
+    | membership.ProbeResult
+    | membership.Ping
+    | membership.Pong
+    | membership.Release
+    | membership.Released
+    | membership.CopyDone
     | AnyRecordMessage
 )
 
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -23,6 +23,7 @@
 ShardId = NewType("ShardId", int)
 CallId = NewType("CallId", int)
 ProgramTag = NewType("ProgramTag", str)
+MemberNumber = NewType("MemberNumber", int)
 
 
 class Role(Enum):
--- a/features/subjects/programs_cluster.py
+++ b/features/subjects/programs_cluster.py
@@ -75,7 +75,7 @@
     """Hold instances in three failure domains and assign their views."""
 
     def __init__(self, seed, shards, per_domain=2, copies=3, limits=None, **options):
-        weather = Weather(loss=options.get("loss", 0.02), doubling=0.05)
+        weather = Weather(loss=0.02, doubling=0.05, late=0.02, late_high_s=3.0)
         self.network = FakeNetwork(seed, weather, self.perform)
         self.random = self.network.random
         self.limits = limits or Limits(
@@ -265,9 +265,7 @@
         if full[0] != view.primary:
             since = max(since, self.granted[view.primary] + 0.05)
         new = ShardView(shard, number, full[0], tuple(full[1:]), tuple(joining))
-        kept = {
-            item: lives.get(item, self.lives[item]) for item in [*full, *joining]
-        }
+        kept = {item: lives.get(item, self.lives[item]) for item in [*full, *joining]}
         kept.update({item: self.lives[item] for item in joining})
         self.views[shard] = (new, kept, since)
 
--- a/features/subjects/programs_faults.py
+++ b/features/subjects/programs_faults.py
@@ -40,7 +40,9 @@
 class FaultRun:
     """Hold one seeded run: callers, an engine, a booking service, and faults."""
 
-    def __init__(self, seed, turns=4, bookings=5, programs=3, cluster_type=Cluster, **options):
+    def __init__(
+        self, seed, turns=4, bookings=5, programs=3, cluster_type=Cluster, **options
+    ):
         self.seed = seed
         self.cluster = cluster_type(seed, create_shards(3), **options)
         self.random = self.cluster.random
@@ -99,7 +101,9 @@
         network = self.cluster.network
         for _ in range(self.random.randrange(1, 4)):
             at = self.random.uniform(0.3, 12.0)
-            kind = self.random.choice(("two", "domain", "cut", "one", "again", "one-way"))
+            kind = self.random.choice(
+                ("two", "domain", "cut", "one", "again", "one-way")
+            )
             network.schedule(at, lambda kind=kind: self.inject(kind))
 
     def inject(self, kind):
