--- a/burdockwall/process/programs/replica.py
+++ b/burdockwall/process/programs/replica.py
@@ -38,8 +38,14 @@
 from burdockwall.process.programs.operations import RecordKey
 from burdockwall.process.programs.outcomes import OutcomeRecord
 from burdockwall.process.programs.state import ShardState
-from burdockwall.types import FencingNumber, InstanceId, RequestId, ShardId
-from burdockwall.version.shards import ShardView
+from burdockwall.types import (
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    ShardId,
+)
+from burdockwall.version.shards import CopyConfirmed, ShardView
 
 # Operations under way in a shard, and those kept for a replica that is joining.
 WINDOW_OPERATIONS = 64
@@ -51,15 +57,6 @@
 REPORT_INTERVAL_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class ReportCopied:
-    """Tell the membership that a joining instance holds the whole shard."""
-
-    shard: ShardId
-    number: FencingNumber
-    instance: InstanceId
-
-
 @dataclass(frozen=True, slots=True)
 class SendAccepted:
     """Ask the shell to send an accepted request that never left."""
@@ -67,7 +64,7 @@
     record: OutcomeRecord
 
 
-Action = Send | ReportCopied | SendAccepted | ProgramGone
+Action = Send | CopyConfirmed | SendAccepted | ProgramGone
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,11 +110,13 @@
     """Hold one shard on one instance, as primary, backup or joining replica."""
 
     instance: InstanceId
+    incarnation: Incarnation
     shard: ShardId
     limits: Limits
     view: ShardView | None = None
     holds: bool = False
     serving: bool = False
+    suspended: bool = False
     state: ShardState = field(init=False)
     log: dict[int, LogEntry] = field(default_factory=dict)
     committed: int = 0
@@ -167,12 +166,13 @@
         """Take a later view; an earlier or equal one is ignored."""
         if self.view is not None and view.number <= self.view.number:
             return
-        members = (view.primary, *view.backups)
-        if self.instance not in members:
+        full = self.instance in (view.primary, *view.backups)
+        if not full or not view.names(self.instance, self.incarnation):
             # Left out or joining: whatever is held here is no longer complete.
             self._reset()
         self.view = view
         self.serving = False
+        self.suspended = False
         self.confirmed = self.committed
         self.receiver = None
         self.followers = {}
@@ -182,6 +182,11 @@
         if view.primary == self.instance:
             self._start(now)
 
+    def suspend(self) -> None:
+        """Stop acting as primary until a later view; the records stay."""
+        self.suspended = True
+        self.serving = False
+
     def _reset(self) -> None:
         self.state = ShardState(self.limits)
         self.log.clear()
@@ -214,7 +219,7 @@
         ]
 
     def _begin_serving(self, now: float) -> None:
-        if self.serving or not self.is_primary:
+        if self.serving or self.suspended or not self.is_primary:
             return
         required = self._list_required()
         if not all(item.reported for item in required):
@@ -312,7 +317,7 @@
             item = self.followers.get(peer)
             if item and item.counted and item.confirmed >= self.committed:
                 number = self.view.number
-                self.actions.append(ReportCopied(self.shard, number, peer))
+                self.actions.append(CopyConfirmed(self.shard, number, peer))
 
     def _take_chunk(self, sender: InstanceId, chunk: CopyChunk, now: float) -> None:
         if not self._is_from_primary(sender, chunk.number):
--- a/burdockwall/process/programs/store.py
+++ b/burdockwall/process/programs/store.py
@@ -13,8 +13,13 @@
     ViewReport,
 )
 from burdockwall.process.programs.replica import Action, ShardReplica
-from burdockwall.types import InstanceId, ShardId
-from burdockwall.version.shards import LeaseRenewed, ShardsInstalled, ShardView
+from burdockwall.types import Incarnation, InstanceId, ShardId
+from burdockwall.version.shards import (
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
 
 STORE_MESSAGES: tuple[type[Message], ...] = (
     RecordCall,
@@ -31,8 +36,11 @@
 class RecordStore:
     """Keep a replica of every shard whose view names this instance."""
 
-    def __init__(self, instance: InstanceId, limits: Limits) -> None:
+    def __init__(
+        self, instance: InstanceId, incarnation: Incarnation, limits: Limits
+    ) -> None:
         self.instance = instance
+        self.incarnation = incarnation
         self.limits = limits
         self.replicas: dict[ShardId, ShardReplica] = {}
         self.lease_until = 0.0
@@ -52,6 +60,7 @@
             case ShardsInstalled(shards=shards):
                 for view in shards.views.values():
                     self._install(view, now)
+                self._suspend_missing(shards)
             case Receive(sender=sender, message=StartView(view=view) as message):
                 if self._is_member(view):
                     self._get(view.shard).receive(sender, message, now)
@@ -62,12 +71,18 @@
         return self._take_actions()
 
     def _is_member(self, view: ShardView) -> bool:
-        return self.instance in (view.primary, *view.backups, *view.joining)
+        return view.names(self.instance, self.incarnation)
+
+    def _suspend_missing(self, shards: ShardMap) -> None:
+        # A released view is taken out of the map before its successor is known.
+        for shard, replica in self.replicas.items():
+            if shard not in shards.views:
+                replica.suspend()
 
     def _get(self, shard: ShardId) -> ShardReplica:
         replica = self.replicas.get(shard)
         if replica is None:
-            replica = ShardReplica(self.instance, shard, self.limits)
+            replica = ShardReplica(self.instance, self.incarnation, shard, self.limits)
             replica.lease_until = self.lease_until
             self.replicas[shard] = replica
         return replica
@@ -91,6 +106,8 @@
         return actions
 
 
-def create_store(instance: InstanceId, limits: Limits | None = None) -> RecordStore:
+def create_store(
+    instance: InstanceId, incarnation: Incarnation, limits: Limits | None = None
+) -> RecordStore:
     """Create the store of an instance that holds nothing yet."""
-    return RecordStore(instance, limits or Limits())
+    return RecordStore(instance, incarnation, limits or Limits())
--- a/features/subjects/programs_cluster.py
+++ b/features/subjects/programs_cluster.py
@@ -12,11 +12,18 @@
     Revoke,
 )
 from burdockwall.process.programs.families import Limits
-from burdockwall.process.programs.replica import ReportCopied, SendAccepted
+from burdockwall.process.programs.replica import SendAccepted
 from burdockwall.process.programs.store import STORE_MESSAGES, RecordStore
 from burdockwall.process.programs.unrepeatable import NoAnswerError
-from burdockwall.types import FencingNumber, InstanceId, RequestId, ShardId
+from burdockwall.types import (
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    ShardId,
+)
 from burdockwall.version.shards import (
+    CopyConfirmed,
     LeaseRenewed,
     ShardMap,
     ShardsInstalled,
@@ -120,7 +127,9 @@
 
     def start(self, instance):
         self.lives[instance] += 1
-        store = self.store_type(instance, self.limits)
+        store = self.store_type(
+            instance, Incarnation(self.lives[instance]), self.limits
+        )
         asker = RecordAsker(f"{instance}.{self.lives[instance]}")
         self.stores[instance], self.askers[instance] = store, asker
         machines = [(store, STORE_MESSAGES), (asker, ASKER_MESSAGES)]
@@ -141,7 +150,7 @@
                     future.set(answer)
             case Revoke(request=request):
                 self.revoked[request] = now
-            case ReportCopied():
+            case CopyConfirmed():
                 if self.is_connected(instance):
                     life = self.lives[action.instance]
                     report = (action, life)
@@ -203,8 +212,8 @@
             if self.domains[name] not in [self.domains[item] for item in chosen]:
                 chosen.append(name)
         chosen = chosen[: self.copies]
-        view = ShardView(shard, FencingNumber(1), chosen[0], tuple(chosen[1:]))
-        return (view, {item: self.lives[item] for item in chosen}, 0.0)
+        lives = {item: self.lives[item] for item in chosen}
+        return (build_view(shard, 1, chosen, [], lives), lives, 0.0)
 
     def beat(self):
         for instance in self.domains:
@@ -260,13 +269,12 @@
 
     def set_view(self, shard, full, joining, lives):
         view, _, _ = self.views[shard]
-        number = FencingNumber(view.number + 1)
         since = self.now
         if full[0] != view.primary:
             since = max(since, self.granted[view.primary] + 0.05)
-        new = ShardView(shard, number, full[0], tuple(full[1:]), tuple(joining))
         kept = {item: lives.get(item, self.lives[item]) for item in [*full, *joining]}
         kept.update({item: self.lives[item] for item in joining})
+        new = build_view(shard, view.number + 1, full, joining, kept)
         self.views[shard] = (new, kept, since)
 
     def take_report(self, report, life):
@@ -297,6 +305,17 @@
         return names[hash_key(key) % len(names)]
 
 
+def build_view(shard, number, full, joining, lives):
+    return ShardView(
+        shard,
+        FencingNumber(number),
+        full[0],
+        tuple(full[1:]),
+        tuple(joining),
+        tuple(Incarnation(lives[item]) for item in [*full, *joining]),
+    )
+
+
 def hash_key(key):
     return sum(str(key).encode()) % 9973
 
