--- a/features/subjects/programs_cluster.py
+++ b/features/subjects/programs_cluster.py
@@ -82,7 +82,8 @@
     """Hold instances in three failure domains and assign their views."""
 
     def __init__(self, seed, shards, per_domain=2, copies=3, limits=None, **options):
-        weather = Weather(loss=0.02, doubling=0.05, late=0.02, late_high_s=3.0)
+        late = options.get("late", 0.02)
+        weather = Weather(loss=0.02, doubling=0.05, late=late, late_high_s=3.0)
         self.network = FakeNetwork(seed, weather, self.perform)
         self.random = self.network.random
         self.limits = limits or Limits(
@@ -104,6 +105,7 @@
         self.views = {}
         self.tasks = []
         self.on_accepted = lambda instance, record: None
+        self.ask_timeout_s = options.get("ask_timeout_s", ASK_TIMEOUT_S)
         self.trust_reports = options.get("trust_reports", True)
         for instance in self.domains:
             self.start(instance)
@@ -187,7 +189,7 @@
                 self.network.apply(instance, asker, Forget(token))
                 future.set(error=NoAnswerError())
 
-        self.network.schedule(ASK_TIMEOUT_S, expire)
+        self.network.schedule(self.ask_timeout_s, expire)
         asker = self.askers[instance]
         self.network.apply(instance, asker, Ask(token, shard, call))
         return await future
@@ -296,7 +298,8 @@
                 return False
             if not all(self.is_connected(item) for item in full):
                 return False
-            if not self.stores[view.primary].replicas[view.shard].serving:
+            replica = self.stores[view.primary].replicas.get(view.shard)
+            if replica is None or not replica.serving:
                 return False
         return True
 
--- a/features/subjects/programs_faults.py
+++ b/features/subjects/programs_faults.py
@@ -20,7 +20,6 @@
     CustomerId,
     EndpointId,
     IdempotencyKey,
-    InstanceId,
     ProgramId,
     RequestId,
     RouteName,
@@ -370,7 +369,8 @@
         self.trying, self.resumed = {}, {}
         self.refused, self.sent, self.shared = set(), set(), set()
         network = self.cluster.network
-        network.run_until(2.0)
+        while not self.cluster.is_repaired() and network.now < 20.0:
+            network.run_until(network.now + 1.0)
         self.check(self.cluster.is_repaired(), "the cluster did not start")
         self.schedule_faults()
         for program in self.programs:
@@ -381,11 +381,11 @@
             if self.random.random() < 0.3:
                 self.shared.add(key.key)
                 network.schedule(at, lambda key=key: self.book(key))
-        network.run_until(25.0)
+        network.run_until(network.now + 25.0)
         network.heal()
         for instance in self.cluster.domains:
             self.cluster.restart(instance)
-        network.run_until(70.0)
+        network.run_until(network.now + 45.0)
         self.check_end()
         self.cluster.close()
         return self
@@ -459,26 +459,35 @@
                 self.check(other.state.running == first.running, "indexes differ")
 
 
-def run_seeds(low, high, **options):
-    """Run seeds and return what was counted; the first broken promise raises."""
-    total = {"turns": 0, "booked": 0, "unknown": 0, "crashes": 0}
-    for seed in range(low, high):
-        run = FaultRun(seed, **options).run()
-        total["turns"] += sum(len(item) for item in run.histories.values())
-        total["booked"] += len(run.booked)
-        total["crashes"] += sum(run.cluster.lives.values()) - len(run.cluster.lives)
-    return total
+class FaultRuns:
+    """Run a range of seeds and count what they met."""
 
+    def __init__(self, low, high, **options):
+        self.seeds = range(low, high)
+        self.options = options
+        self.broken = []
+        self.count = self.crashes = self.booked = self.unknown = self.not_run = 0
 
-def find_failure(high, **options):
-    """Return the first seed whose check fails, with the text, or None."""
-    for seed in range(high):
-        try:
-            FaultRun(seed, **options).run()
-        except Check as error:
-            return seed, str(error)
-    return None
-
-
-def list_instances(run):
-    return [InstanceId(item) for item in run.cluster.domains]
+    def run(self, stop_at_first=False):
+        for seed in self.seeds:
+            run = FaultRun(seed, **self.options)
+            try:
+                run.run()
+            except Check as error:
+                self.broken.append(str(error))
+                if stop_at_first:
+                    return
+            self.count_run(run)
+
+    def count_run(self, run):
+        lives = run.cluster.lives
+        self.count += 1
+        self.crashes += sum(lives.values()) - len(lives)
+        self.booked += len(run.booked)
+        self.not_run += len(run.refused)
+        states = [
+            record.state
+            for key in run.keys
+            if (record := run.get_primary_state(key).outcomes.get(key))
+        ]
+        self.unknown += states.count(OutcomeState.UNKNOWN)
