--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -5,12 +5,16 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.process.programs.messages import AnyRecordMessage
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
-    membership.Beat
+    limits.LimitDemand
+    | limits.LimitGrants
+    | limits.LimitRecall
+    | membership.Beat
     | membership.Report
     | membership.Grant
     | membership.NotLeader
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -39,7 +39,7 @@
     customer = check_customer(view, route, presented)
     check_places(exchange, presented)
     trace.customer, trace.route = customer.name, route.name
-    parts.limiter.admit(customer, route.cost, parts.clock())
+    await parts.limits.admit_call(customer, route)
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
     job = Job(customer.name, program, route, view.pools[route.pool])
     placement = await parts.dispatcher.acquire(job)
@@ -75,6 +75,6 @@
         code = Code.ENDPOINT_UNREACHABLE
         raise RequestRefused(code, retry_after_s=1.0) from error
     except httpx.TransportError as error:
-        parts.clients.replace(placement.endpoint)
+        await parts.clients.replace(placement.endpoint)
         raise RequestRefused(Code.ENDPOINT_FAILED) from error
     await exchange.finish()
