--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -74,7 +74,10 @@
         1205, 409, Ran.RAN, Retry.SAFE, "The rest of the stream is not held here."
     )
     PROGRAM_ENDED = CodeRow(
-        1205, 410, Ran.NOT_RUN, Retry.NEVER, "The program has ended."
+        1212, 410, Ran.NOT_RUN, Retry.NEVER, "The program has ended."
+    )
+    TURN_NOT_STORED = CodeRow(
+        1213, 503, Ran.UNKNOWN, Retry.SAFE, "The turn's answer could not be stored."
     )
     BUDGET_SPENT = CodeRow(
         1206, 403, Ran.NOT_RUN, Retry.NEVER, "The program's budget is spent."
--- /dev/null
+++ b/burdockwall/process/programs/client.py
@@ -0,0 +1,162 @@
+"""Await the answers of shards' primaries on the loop."""
+
+from collections.abc import Callable
+
+import anyio
+
+from burdockwall.errors import RequestRefused, find_code
+from burdockwall.process.host import Host
+from burdockwall.process.programs import calls
+from burdockwall.process.programs.asker import (
+    ASKER_MESSAGES,
+    Ask,
+    Complete,
+    Forget,
+    Hold,
+    RecordAsker,
+    Release,
+    Revoke,
+)
+from burdockwall.process.programs.families import Limits, ProgramGone
+from burdockwall.process.programs.operations import FamilyKey, OutcomeKey, RecordKey
+from burdockwall.process.programs.outcomes import OutcomeRecord
+from burdockwall.process.programs.replica import SendAccepted
+from burdockwall.process.programs.store import STORE_MESSAGES, create_store
+from burdockwall.process.programs.unrepeatable import NoAnswerError
+from burdockwall.process.waiters import Waiters
+from burdockwall.types import CallId, Incarnation, RequestId, ShardId
+from burdockwall.version.shards import (
+    CopyConfirmed,
+    LeaseRenewed,
+    ShardsInstalled,
+    find_record_shard,
+)
+
+ASK_TIMEOUT_S = 8.0
+
+
+def find_shard(key: RecordKey) -> ShardId:
+    """Return the shard that holds a record."""
+    match key:
+        case FamilyKey(customer=customer, root=root):
+            return find_record_shard(customer, root)
+        case OutcomeKey(customer=customer, route=route, key=text):
+            return find_record_shard(customer, f"{route}\0{text}")
+
+
+class RecordClient:
+    """Host this instance's replicas, and ask the primaries of all shards."""
+
+    def __init__(
+        self,
+        host: Host,
+        incarnation: Incarnation,
+        limits: Limits,
+        on_gone: Callable[[ProgramGone], None] = lambda gone: None,
+        on_accepted: Callable[[OutcomeRecord], None] = lambda record: None,
+    ) -> None:
+        self.instance = host.bus.instance
+        self.host = host
+        self.on_gone = on_gone
+        self.on_accepted = on_accepted
+        self.prefix = f"{self.instance}.{incarnation}"
+        self.store = create_store(self.instance, incarnation, limits)
+        self.asker = RecordAsker(self.prefix)
+        self._waiters: Waiters[calls.AnyAnswer] = Waiters()
+        self._tokens: dict[RequestId, CallId] = {}
+        self._revocations: dict[RequestId, Callable[[], None]] = {}
+        host.add(
+            self.store,
+            STORE_MESSAGES,
+            self._perform_store,
+            (ShardsInstalled, LeaseRenewed),
+        )
+        self._hosted_asker = host.add(
+            self.asker, ASKER_MESSAGES, self._perform_asker, (ShardsInstalled,)
+        )
+
+    def _perform_store(
+        self, action: CopyConfirmed | SendAccepted | ProgramGone
+    ) -> None:
+        match action:
+            case CopyConfirmed():
+                self.host.publish(action)
+            case SendAccepted(record=record):
+                self.on_accepted(record)
+            case ProgramGone():
+                self.on_gone(action)
+
+    def _perform_asker(self, action: Complete | Revoke) -> None:
+        match action:
+            case Complete(token=token, answer=answer):
+                call = self._tokens.get(token)
+                if call is not None:
+                    self._waiters.complete(call, answer)
+            case Revoke(request=request):
+                revoke = self._revocations.get(request)
+                if revoke is not None:
+                    revoke()
+
+    async def ask(
+        self, shard: ShardId, call: calls.AnyCall, timeout_s: float = ASK_TIMEOUT_S
+    ) -> calls.AnyAnswer:
+        """Return the primary's answer, or raise NoAnswerError.
+
+        A write that gets no answer may still have been made.
+        """
+        number = self._waiters.create()
+        token = RequestId(f"{self.prefix}.{number}")
+        self._tokens[token] = number
+        try:
+            self.host.apply(self._hosted_asker, Ask(token, shard, call))
+            return await self._waiters.wait(number, timeout_s)
+        except TimeoutError as error:
+            raise NoAnswerError from error
+        finally:
+            self._tokens.pop(token, None)
+            self.host.apply(self._hosted_asker, Forget(token))
+
+    async def ask_record(self, key: RecordKey, call: calls.AnyCall) -> calls.AnyAnswer:
+        """Ask the primary of a record's shard."""
+        return await self.ask(find_shard(key), call)
+
+    def hold(
+        self,
+        request: RequestId,
+        key: RecordKey,
+        revoke: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Keep a running call alive; `revoke` is called if it is taken away."""
+        self._revocations[request] = revoke
+        self.host.apply(self._hosted_asker, Hold(request, find_shard(key)))
+
+    def release(self, request: RequestId) -> None:
+        """Stop keeping a call alive."""
+        self._revocations.pop(request, None)
+        self.host.apply(self._hosted_asker, Release(request))
+
+    def list_shards(self) -> list[ShardId]:
+        """List the shards that have a primary."""
+        return list(self.asker.shards.views)
+
+    async def ask_all(self, call: calls.AnyCall) -> list[calls.AnyAnswer]:
+        """Ask every shard; those that give no answer in time are left out."""
+        answers: list[calls.AnyAnswer] = []
+
+        async def ask_one(shard: ShardId) -> None:
+            try:
+                answers.append(await self.ask(shard, call))
+            except NoAnswerError:
+                return
+
+        async with anyio.create_task_group() as group:
+            for shard in self.list_shards():
+                group.start_soon(ask_one, shard)
+        return answers
+
+
+def raise_refusal(answer: calls.AnyAnswer) -> None:
+    """Raise RequestRefused where an answer is a refusal."""
+    if isinstance(answer, calls.Refused):
+        code = find_code(answer.code)
+        raise RequestRefused(code, answer.detail, retry_after_s=1.0)
--- /dev/null
+++ b/burdockwall/process/programs/history.py
@@ -0,0 +1,87 @@
+"""Encode turns once, compressed, and keep recent histories at the entry."""
+
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.request.completion import ChatMessage
+from burdockwall.types import CustomerId, ProgramId, ProgramTag
+
+COMPRESSION_LEVEL = 1
+
+
+class TurnContent(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what one turn adds to a history: new messages and the answer."""
+
+    messages: list[ChatMessage]
+    answer: str
+    events: int
+
+
+_decoder = msgspec.msgpack.Decoder(TurnContent)
+
+
+def encode_turn(content: TurnContent) -> bytes:
+    """Encode a turn as it is replicated and kept."""
+    return zlib.compress(msgspec.msgpack.encode(content), COMPRESSION_LEVEL)
+
+
+def decode_turn(data: bytes) -> TurnContent:
+    """Decode a turn."""
+    return _decoder.decode(zlib.decompress(data))
+
+
+def build_prompt(turns: list[bytes], messages: list[ChatMessage]) -> list[ChatMessage]:
+    """Build the whole prompt from the history and what is new."""
+    prompt: list[ChatMessage] = []
+    for data in turns:
+        content = decode_turn(data)
+        prompt += content.messages
+        prompt.append(ChatMessage("assistant", content.answer))
+    return prompt + messages
+
+
+@dataclass(slots=True)
+class _Held:
+    tag: ProgramTag
+    turns: list[bytes]
+    size_bytes: int
+
+
+class HistoryCache:
+    """Keep the histories of recent programs, so that a turn brings only the rest."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.size_bytes = 0
+        self._held: OrderedDict[tuple[CustomerId, ProgramId], _Held] = OrderedDict()
+
+    def find(
+        self, customer: CustomerId, program: ProgramId
+    ) -> tuple[ProgramTag, list[bytes]]:
+        """Return the tag and turns that are held, or nothing of an empty tag."""
+        held = self._held.get((customer, program))
+        if held is None:
+            return ProgramTag(""), []
+        return held.tag, held.turns
+
+    def put(
+        self,
+        customer: CustomerId,
+        program: ProgramId,
+        tag: ProgramTag,
+        turns: list[bytes],
+    ) -> None:
+        """Hold a history and drop the least recent ones over the limit."""
+        key = (customer, program)
+        former = self._held.pop(key, None)
+        if former is not None:
+            self.size_bytes -= former.size_bytes
+        size = sum(len(turn) for turn in turns)
+        self._held[key] = _Held(tag, turns, size)
+        self.size_bytes += size
+        while self.size_bytes > self.limit_bytes and self._held:
+            _, dropped = self._held.popitem(last=False)
+            self.size_bytes -= dropped.size_bytes
--- /dev/null
+++ b/burdockwall/process/programs/programs.py
@@ -0,0 +1,236 @@
+"""Begin, finish and end the calls of programs on behalf of requests."""
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.programs import calls
+from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.client import (
+    RecordClient,
+    find_shard,
+    raise_refusal,
+)
+from burdockwall.process.programs.families import create_key
+from burdockwall.process.programs.history import (
+    HistoryCache,
+    TurnContent,
+    build_prompt,
+    decode_turn,
+    encode_turn,
+)
+from burdockwall.process.programs.operations import EndReason, FamilyKey
+from burdockwall.process.programs.unrepeatable import NoAnswerError
+from burdockwall.request.completion import ChatMessage
+from burdockwall.types import (
+    CustomerId,
+    EndpointId,
+    ProgramId,
+    ProgramTag,
+    RequestId,
+)
+
+UNAVAILABLE_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TurnOrder:
+    """Describe the turn that a caller asks for."""
+
+    customer: CustomerId
+    program: ProgramId
+    number: int | None
+    digest: bytes
+    messages: list[ChatMessage]
+    reserve: Spend
+    budget: Budget
+    supersedes: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """Hold a granted turn; one without a key belongs to no program."""
+
+    customer: CustomerId
+    program: ProgramId
+    number: int
+    request: RequestId
+    tag: ProgramTag
+    messages: list[ChatMessage]
+    prompt: list[ChatMessage]
+    history: list[bytes]
+    reserve: Spend
+    key: FamilyKey | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatedTurn:
+    """Hold the first answer to a turn that has finished."""
+
+    customer: CustomerId
+    program: ProgramId
+    number: int
+    answer: str
+
+
+class Programs:
+    """Ask for turns and tool calls, and settle them."""
+
+    def __init__(self, client: RecordClient, cache_bytes: int) -> None:
+        self.client = client
+        self.cache = HistoryCache(cache_bytes)
+
+    def create_single(self, order: TurnOrder) -> Turn:
+        """Create a turn that belongs to no program and leaves no record."""
+        request = RequestId(f"single-{uuid.uuid4().hex}")
+        return Turn(
+            customer=order.customer,
+            program=ProgramId(request),
+            number=1,
+            request=request,
+            tag=ProgramTag(""),
+            messages=order.messages,
+            prompt=order.messages,
+            history=[],
+            reserve=order.reserve,
+        )
+
+    async def begin_turn(self, order: TurnOrder) -> Turn | RepeatedTurn:
+        """Begin the next turn of a program, or raise RequestRefused."""
+        key = create_key(order.customer, order.program)
+        request = self._create_request(key)
+        tag, held = self.cache.find(order.customer, order.program)
+        begin = calls.BeginCall(
+            key=key,
+            program=order.program,
+            request=request,
+            number=order.number,
+            digest=order.digest,
+            reserve=order.reserve,
+            owner=self.client.instance,
+            budget=order.budget,
+            supersedes=order.supersedes,
+            held=len(held),
+            held_tag=tag,
+        )
+        answer = await self._ask(key, begin)
+        if isinstance(answer, calls.TurnRepeated):
+            content = decode_turn(answer.content)
+            number = order.number or 0
+            return RepeatedTurn(order.customer, order.program, number, content.answer)
+        assert isinstance(answer, calls.CallGranted)
+        history = [*held[: answer.held], *answer.turns]
+        return Turn(
+            customer=order.customer,
+            program=order.program,
+            number=answer.number,
+            request=request,
+            tag=answer.tag,
+            messages=order.messages,
+            prompt=build_prompt(history, order.messages),
+            history=history,
+            reserve=order.reserve,
+            key=key,
+        )
+
+    def _create_request(self, key: FamilyKey) -> RequestId:
+        # The shard in the id tells a sweep whom to ask.
+        return RequestId(f"{find_shard(key)}.{uuid.uuid4().hex}")
+
+    async def _ask(self, key: FamilyKey, call: calls.AnyCall) -> calls.AnyAnswer:
+        try:
+            answer = await self.client.ask_record(key, call)
+        except NoAnswerError as error:
+            raise RequestRefused(
+                Code.RECORDS_UNAVAILABLE, retry_after_s=UNAVAILABLE_RETRY_S
+            ) from error
+        raise_refusal(answer)
+        return answer
+
+    def hold(self, turn: Turn, revoke: Callable[[], None]) -> None:
+        """Keep a turn alive; `revoke` is called if it is taken away."""
+        if turn.key is not None:
+            self.client.hold(turn.request, turn.key, revoke)
+
+    def release(self, turn: Turn) -> None:
+        """Stop keeping a turn alive."""
+        if turn.key is not None:
+            self.client.release(turn.request)
+
+    async def finish_turn(
+        self, turn: Turn, answer: str, tokens: int, endpoint: EndpointId
+    ) -> None:
+        """Store a finished turn on every replica, or raise RequestRefused."""
+        if turn.key is None:
+            return
+        content = encode_turn(TurnContent(turn.messages, answer, tokens))
+        spend = Spend(tokens, 1, turn.reserve.cost)
+        finish = calls.FinishTurn(
+            turn.key, turn.program, turn.request, content, spend, endpoint
+        )
+        try:
+            stored = await self.client.ask_record(turn.key, finish)
+        except NoAnswerError as error:
+            raise RequestRefused(Code.TURN_NOT_STORED) from error
+        raise_refusal(stored)
+        history = [*turn.history, content]
+        self.cache.put(turn.customer, turn.program, turn.tag, history)
+
+    async def abandon_turn(
+        self, turn: Turn, tokens: int, endpoint: EndpointId, gone: bool
+    ) -> None:
+        """End a turn that has no answer; `gone` tells that its caller left."""
+        if turn.key is None:
+            return
+        spend = Spend(tokens, 1 if endpoint else 0, turn.reserve.cost if endpoint else 0)
+        end = calls.EndCall(
+            turn.key, turn.program, turn.request, spend, endpoint, gone
+        )
+        try:
+            await self.client.ask_record(turn.key, end)
+        except NoAnswerError:
+            # Its lease lapses and the record ends it.
+            return
+
+    async def begin_tool(
+        self,
+        customer: CustomerId,
+        program: ProgramId,
+        reserve: Spend,
+        budget: Budget,
+    ) -> Turn:
+        """Reserve a tool call in its program's budget, or raise RequestRefused."""
+        key = create_key(customer, program)
+        request = self._create_request(key)
+        begin = calls.BeginCall(
+            key=key,
+            program=program,
+            request=request,
+            number=None,
+            digest=b"",
+            reserve=reserve,
+            owner=self.client.instance,
+            budget=budget,
+            tool=True,
+        )
+        answer = await self._ask(key, begin)
+        assert isinstance(answer, calls.CallGranted)
+        tag = answer.tag
+        return Turn(customer, program, 0, request, tag, [], [], [], reserve, key)
+
+    async def end_program(
+        self, customer: CustomerId, program: ProgramId, reason: EndReason
+    ) -> None:
+        """End a program with its sub-agents, or raise RequestRefused."""
+        key = create_key(customer, program)
+        await self._ask(key, calls.EndProgram(key, program, reason))
+
+    async def read_program(
+        self, customer: CustomerId, program: ProgramId
+    ) -> calls.ProgramShown:
+        """Return where a program stands, or raise RequestRefused."""
+        key = create_key(customer, program)
+        answer = await self._ask(key, calls.ReadProgram(key, program))
+        assert isinstance(answer, calls.ProgramShown)
+        return answer
