Serve programs from replicated records

Cause: order, history and outcomes lived in one process. Change: turns begin and finish in replicated records, the end of an answer is told once it is stored; unrepeatable calls with an idempotency key run at most once; callers can read and cancel a program; ended programs are cancelled and swept at the engines.

--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -17,10 +17,11 @@
 from burdockwall.process.resolver import Member, resolve_addresses
 from burdockwall.process.scheduling.poller import EndpointPoller
 from burdockwall.request.flow import serve_request
+from burdockwall.request.once import AcceptedSender
 from burdockwall.request.parts import create_parts
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import FailureDomain
+from burdockwall.types import FailureDomain, RouteKind
 from burdockwall.version.view import build_empty_view, build_view
 
 RESOLVE_PATH = "/v1/resolve"
@@ -49,6 +50,7 @@
             host.clock,
             settings.schedule_poll_s,
         )
+        self.accepted = AcceptedSender(self.parts, lambda: self.view)
         self.drain = Drain(settings.drain_hold_s, settings.drain_limit_s)
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
@@ -61,6 +63,8 @@
             group.start_soon(self.parts.streams.run)
             group.start_soon(self.parts.dispatcher.run, self.settings.tick_interval_s)
             group.start_soon(self.poller.run)
+            group.start_soon(self.parts.reclaimer.run)
+            group.start_soon(self.accepted.run)
 
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
@@ -68,6 +72,12 @@
         self.view = build_view(replica.version, text, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
+        self.parts.reclaimer.engines = {
+            endpoint.name: endpoint
+            for pool in self.view.configuration.pools
+            if pool.kind is RouteKind.MODEL
+            for endpoint in self.view.pools[pool.name]
+        }
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from a caller."""
--- a/burdockwall/process/programs/programs.py
+++ b/burdockwall/process/programs/programs.py
@@ -183,10 +183,10 @@
         """End a turn that has no answer; `gone` tells that its caller left."""
         if turn.key is None:
             return
-        spend = Spend(tokens, 1 if endpoint else 0, turn.reserve.cost if endpoint else 0)
-        end = calls.EndCall(
-            turn.key, turn.program, turn.request, spend, endpoint, gone
+        spend = Spend(
+            tokens, 1 if endpoint else 0, turn.reserve.cost if endpoint else 0
         )
+        end = calls.EndCall(turn.key, turn.program, turn.request, spend, endpoint, gone)
         try:
             await self.client.ask_record(turn.key, end)
         except NoAnswerError:
@@ -226,6 +226,14 @@
         key = create_key(customer, program)
         await self._ask(key, calls.EndProgram(key, program, reason))
 
+    async def supersede(self, customer: CustomerId, program: ProgramId) -> None:
+        """End a program in whose place a newer question came, if it is known."""
+        try:
+            await self.end_program(customer, program, EndReason.SUPERSEDED)
+        except RequestRefused as error:
+            if error.code is not Code.PROGRAM_UNKNOWN:
+                raise
+
     async def read_program(
         self, customer: CustomerId, program: ProgramId
     ) -> calls.ProgramShown:
--- /dev/null
+++ b/burdockwall/process/programs/reclaimer.py
@@ -0,0 +1,184 @@
+"""Cancel engine calls until confirmed, release caches, and sweep engines."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import httpx
+import logbook
+import msgspec
+
+from burdockwall.connection.endpoints import EndpointClients
+from burdockwall.process.programs import calls
+from burdockwall.process.programs.client import RecordClient
+from burdockwall.process.programs.families import ProgramGone
+from burdockwall.process.programs.sweep import (
+    CancelRequest,
+    Checked,
+    CheckGone,
+    DropCache,
+    EngineListed,
+    ListEngine,
+    Sweep,
+    SweepAction,
+    SweepEvent,
+    SweepTick,
+)
+from burdockwall.process.programs.unrepeatable import NoAnswerError
+from burdockwall.settings import Settings
+from burdockwall.types import EndpointId, ProgramTag, RequestId
+from burdockwall.version.configuration import Endpoint
+
+CANCEL_PATH = "/v1/cancel"
+RELEASE_PATH = "/v1/cache/release"
+LIST_PATH = "/v1/held"
+JSON_HEADERS = [(b"content-type", b"application/json")]
+FIRST_PAUSE_S = 0.1
+LAST_PAUSE_S = 2.0
+TICK_S = 0.5
+# What an engine without these paths answers; it frees by its own means.
+UNSUPPORTED = (httpx.codes.NOT_FOUND, httpx.codes.METHOD_NOT_ALLOWED)
+
+
+class CancelBody(msgspec.Struct, frozen=True):
+    """Name the request to cancel."""
+
+    request: RequestId
+
+
+class ReleaseBody(msgspec.Struct, frozen=True):
+    """Name the program whose cache is released."""
+
+    program: ProgramTag
+
+
+class HeldPage(msgspec.Struct, frozen=True):
+    """Hold what an engine lists: requests, cached programs, last event number."""
+
+    sequence: int = 0
+    requests: list[RequestId] = []
+    programs: list[ProgramTag] = []
+
+
+class Reclaimer:
+    """Carry out what the sweep and the ends of programs ask for."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: RecordClient,
+        clients: EndpointClients,
+        clock: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.client = client
+        self.clients = clients
+        self.clock = clock
+        self.engines: dict[EndpointId, Endpoint] = {}
+        self.sweep = Sweep(client.instance, settings.sweep_interval_s)
+        self.confirmed = 0
+        self.unconfirmed = 0
+        self._group: anyio.abc.TaskGroup | None = None
+        self._open: set[tuple[EndpointId, str]] = set()
+        self._logger = logbook.Logger("reclaimer")
+        client.on_gone = self.release
+
+    async def run(self) -> None:
+        """Sweep and repeat orders until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                views = self.client.asker.shards.views.values()
+                instances = tuple(sorted({view.primary for view in views}))
+                endpoints = tuple(sorted(self.engines))
+                self._apply(SweepTick(endpoints, instances))
+                await anyio.sleep(TICK_S)
+
+    def cancel(self, endpoint: EndpointId, request: RequestId) -> None:
+        """Cancel a request at an engine until the engine confirms it."""
+        body = msgspec.json.encode(CancelBody(request))
+        self._start(endpoint, CANCEL_PATH, body, request)
+
+    def release(self, gone: ProgramGone) -> None:
+        """Release the caches of a program that has ended."""
+        for endpoint in gone.endpoints:
+            self._drop(endpoint, gone.tag)
+
+    def _drop(self, endpoint: EndpointId, tag: ProgramTag) -> None:
+        body = msgspec.json.encode(ReleaseBody(tag))
+        self._start(endpoint, RELEASE_PATH, body, tag)
+
+    def _start(self, name: EndpointId, path: str, body: bytes, what: str) -> None:
+        endpoint = self.engines.get(name)
+        order = (name, f"{path} {what}")
+        if endpoint is None or self._group is None or order in self._open:
+            return
+        self._open.add(order)
+        self._group.start_soon(self._repeat, endpoint, path, body, order)
+
+    async def _repeat(
+        self, endpoint: Endpoint, path: str, body: bytes, order: tuple[EndpointId, str]
+    ) -> None:
+        pause = FIRST_PAUSE_S
+        try:
+            with anyio.move_on_after(self.settings.cancel_limit_s):
+                while not await self._post(endpoint, path, body):
+                    await anyio.sleep(pause)
+                    pause = min(LAST_PAUSE_S, pause * 2)
+                self.confirmed += 1
+                return
+            self.unconfirmed += 1
+            # The sweep finds it on the engine's own list.
+            self._logger.warning("{} gave no confirmation of {}", *order)
+        finally:
+            self._open.discard(order)
+
+    async def _post(self, endpoint: Endpoint, path: str, body: bytes) -> bool:
+        try:
+            async with self.clients.open_stream(
+                endpoint, "POST", path, JSON_HEADERS, body
+            ) as response:
+                await response.aread()
+                return response.is_success or response.status_code in UNSUPPORTED
+        except httpx.TransportError:
+            return False
+
+    def _apply(self, event: SweepEvent) -> None:
+        for action in self.sweep.handle(event, self.clock()):
+            self._perform(action)
+
+    def _perform(self, action: SweepAction) -> None:
+        assert self._group is not None
+        match action:
+            case ListEngine(endpoint=name) if name in self.engines:
+                self._group.start_soon(self._list, self.engines[name])
+            case CheckGone():
+                self._group.start_soon(self._check, action)
+            case CancelRequest(endpoint=name, request=request):
+                self.cancel(name, request)
+            case DropCache(endpoint=name, tag=tag):
+                self._drop(name, tag)
+
+    async def _list(self, endpoint: Endpoint) -> None:
+        try:
+            async with self.clients.open_stream(
+                endpoint, "GET", LIST_PATH, [], None
+            ) as response:
+                body = await response.aread()
+            if not response.is_success:
+                return
+            page = msgspec.json.decode(body, type=HeldPage)
+        except (httpx.TransportError, msgspec.DecodeError):
+            return
+        listed = EngineListed(
+            endpoint.name, page.sequence, tuple(page.programs), tuple(page.requests)
+        )
+        self._apply(listed)
+
+    async def _check(self, check: CheckGone) -> None:
+        try:
+            answer = await self.client.ask(check.shard, check.call)
+        except NoAnswerError:
+            return
+        if isinstance(answer, calls.GoneFound):
+            self._apply(Checked(check.endpoint, answer))
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -20,6 +20,7 @@
     strip_headers,
     strip_query,
 )
+from burdockwall.request.once import serve_once
 from burdockwall.request.parts import Parts
 from burdockwall.request.trace import RequestTrace
 from burdockwall.types import ModelName, ProgramId, RouteKind
@@ -41,6 +42,10 @@
     check_places(exchange, presented)
     trace.customer, trace.route = customer.name, route.name
     await parts.limits.admit_call(customer, route)
+    key = exchange.get_header(b"idempotency-key")
+    if key is not None and not route.repeatable:
+        await serve_once(parts, view, exchange, presented, customer, route, key)
+        return
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
     request = DispatchRequest(
         customer.name,
--- a/burdockwall/request/completion.py
+++ b/burdockwall/request/completion.py
@@ -74,3 +74,10 @@
         event = _event_decoder.decode(data)
         parts.extend(choice.delta.content for choice in event.choices)
     return "".join(parts)
+
+
+def format_whole(answer: str) -> bytes:
+    """Format a whole answer as the events of a stream."""
+    event = CompletionEvent([Choice(Delta(answer))])
+    data = msgspec.json.encode(event)
+    return b"id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n" % (data, DONE_DATA)
--- a/burdockwall/request/flow.py
+++ b/burdockwall/request/flow.py
@@ -3,6 +3,7 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.request.calls import serve_call
 from burdockwall.request.parts import Parts
+from burdockwall.request.program import PROGRAMS_PATH, serve_program
 from burdockwall.request.trace import RequestTrace
 from burdockwall.request.turns import serve_turn
 from burdockwall.version.view import View
@@ -12,7 +13,9 @@
     parts: Parts, view: View, exchange: Exchange, trace: RequestTrace
 ) -> None:
     """Serve one request under one version of the state."""
-    if view.find_model_route(exchange.path):
+    if exchange.path.startswith(PROGRAMS_PATH):
+        await serve_program(parts, view, exchange)
+    elif view.find_model_route(exchange.path):
         await serve_turn(parts, view, exchange, trace)
     else:
         await serve_call(parts, view, exchange, trace)
--- /dev/null
+++ b/burdockwall/request/once.py
@@ -0,0 +1,152 @@
+"""Send unrepeatable requests: with an idempotency key at most one of them runs."""
+
+import hashlib
+import uuid
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import httpx
+
+from burdockwall.connection.exchange import Exchange
+from burdockwall.errors import RequestRefused
+from burdockwall.process.programs import calls
+from burdockwall.process.programs.client import find_shard
+from burdockwall.process.programs.operations import Order, Outcome, OutcomeKey
+from burdockwall.process.programs.outcomes import OutcomeRecord
+from burdockwall.process.programs.unrepeatable import (
+    Attempt,
+    LostError,
+    Means,
+    NotSentError,
+    run_once,
+)
+from burdockwall.process.scheduling.dispatcher import DispatchRequest
+from burdockwall.process.scheduling.jobs import Result
+from burdockwall.request.caller import (
+    Presented,
+    check_body,
+    strip_headers,
+    strip_query,
+)
+from burdockwall.request.parts import Parts
+from burdockwall.types import CustomerId, IdempotencyKey, ProgramId, RequestId
+from burdockwall.version.configuration import Customer, Route
+from burdockwall.version.view import View
+
+JOINS = 20
+DEFAULT_TYPE = "application/octet-stream"
+KEY_LIMIT_CHARACTERS = 512
+
+
+async def serve_once(
+    parts: Parts,
+    view: View,
+    exchange: Exchange,
+    presented: Presented,
+    customer: Customer,
+    route: Route,
+    key: str,
+) -> None:
+    """Answer with the one outcome of an idempotency key, or raise RequestRefused."""
+    body = await exchange.read_body(parts.settings.max_body_bytes)
+    check_body(body, presented)
+    query = strip_query(exchange, presented)
+    path = f"{exchange.raw_path}?{query}" if query else exchange.raw_path
+    order = Order(exchange.method, path, strip_headers(exchange, presented), body)
+    record = OutcomeKey(customer.name, route.name, IdempotencyKey(key))
+    attempt = create_attempt(parts, record, _compute_digest(order), order)
+    # A caller that leaves must not cut off what may have been sent.
+    with anyio.CancelScope(shield=True):
+        outcome = await run_once(attempt, _build_means(parts, view, route))
+    await exchange.start(
+        outcome.status, [(b"content-type", outcome.content_type.encode())]
+    )
+    await exchange.write(outcome.body)
+    await exchange.finish()
+
+
+def _compute_digest(order: Order) -> bytes:
+    start = f"{order.method}\0{order.path}\0".encode()
+    return hashlib.sha256(start + order.body).digest()
+
+
+def create_attempt(
+    parts: Parts, key: OutcomeKey, digest: bytes, order: Order
+) -> Attempt:
+    """Create an attempt of this instance to run a request."""
+    request = RequestId(f"{find_shard(key)}.{uuid.uuid4().hex}")
+    owner = parts.programs.client.instance
+    return Attempt(key, request, digest, owner, order, JOINS)
+
+
+def _build_means(parts: Parts, view: View, route: Route) -> Means:
+    client = parts.programs.client
+
+    async def ask(key: OutcomeKey, call: calls.AnyCall) -> calls.AnyAnswer:
+        return await client.ask_record(key, call)
+
+    async def transmit(request: RequestId, order: Order) -> Outcome:
+        return await _transmit(parts, view, route, request, order)
+
+    return Means(ask, transmit, anyio.sleep, client.hold, client.release)
+
+
+async def _transmit(
+    parts: Parts, view: View, route: Route, request: RequestId, order: Order
+) -> Outcome:
+    wanted = DispatchRequest(
+        CustomerId(""), ProgramId(request), route, view.pools[route.pool]
+    )
+    try:
+        dispatch = await parts.dispatcher.acquire(wanted)
+    except RequestRefused as error:
+        raise NotSentError from error
+    result = Result.FAILED
+    try:
+        async with parts.clients.open_stream(
+            dispatch.endpoint, order.method, order.path, order.headers, order.body
+        ) as response:
+            body = await response.aread()
+            kind = response.headers.get("content-type", DEFAULT_TYPE)
+            result = Result.SUCCEEDED
+            return Outcome(response.status_code, kind, body)
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise NotSentError from error
+    except httpx.TransportError as error:
+        await parts.clients.replace(dispatch.endpoint)
+        raise LostError from error
+    finally:
+        parts.dispatcher.release(dispatch, result)
+
+
+class AcceptedSender:
+    """Send accepted requests whose instance died before it sent them."""
+
+    def __init__(self, parts: Parts, get_view: Callable[[], View]) -> None:
+        self.parts = parts
+        self.get_view = get_view
+        self.sent = 0
+        self._group: anyio.abc.TaskGroup | None = None
+        parts.programs.client.on_accepted = self.add
+
+    async def run(self) -> None:
+        """Send what is added until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    def add(self, record: OutcomeRecord) -> None:
+        """Send one accepted request, unless its route is gone."""
+        route = self.get_view().routes.get(record.key.route)
+        if self._group is not None and route is not None:
+            self._group.start_soon(self._send, record, route)
+
+    async def _send(self, record: OutcomeRecord, route: Route) -> None:
+        attempt = create_attempt(self.parts, record.key, record.digest, record.order)
+        try:
+            await run_once(attempt, _build_means(self.parts, self.get_view(), route))
+            self.sent += 1
+        except RequestRefused:
+            # What is known stands in the record.
+            return
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -8,7 +8,10 @@
 from burdockwall.process.host import Host
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
-from burdockwall.process.programs.records import ProgramTable
+from burdockwall.process.programs.client import RecordClient
+from burdockwall.process.programs.families import Limits
+from burdockwall.process.programs.programs import Programs
+from burdockwall.process.programs.reclaimer import Reclaimer
 from burdockwall.process.scheduling.dispatcher import Dispatcher
 from burdockwall.process.scheduling.policy import create_policy
 from burdockwall.request.streams import StreamTable
@@ -21,7 +24,8 @@
 
     settings: Settings
     clock: Callable[[], float]
-    programs: ProgramTable
+    programs: Programs
+    reclaimer: Reclaimer
     limits: LimitClient
     dispatcher: Dispatcher
     clients: EndpointClients
@@ -29,14 +33,35 @@
     retries: RetryGate
 
 
+def create_limits(settings: Settings) -> Limits:
+    """Create the limits of records from the settings."""
+    return Limits(
+        depth=settings.program_depth,
+        fan_out=settings.program_fan_out,
+        family=settings.program_family,
+        turns=settings.program_turns,
+        history_bytes=settings.program_history_bytes,
+        lease_s=settings.program_lease_s,
+        grace_s=settings.program_grace_s,
+        retention_s=settings.program_retention_s,
+        call_lease_s=settings.call_lease_s,
+        outcome_retention_s=settings.outcome_retention_s,
+        records=settings.shard_records,
+        tombstones=settings.shard_tombstones,
+    )
+
+
 def create_parts(settings: Settings, host: Host) -> Parts:
     """Create the parts of one process from its settings."""
     clock = host.clock
     generator = random.Random()
+    client = RecordClient(host, host.bus.incarnation, create_limits(settings))
+    clients = EndpointClients(settings.endpoint_connect_s, settings.endpoint_silence_s)
     return Parts(
         settings=settings,
         clock=clock,
-        programs=ProgramTable(),
+        programs=Programs(client, settings.history_cache_bytes),
+        reclaimer=Reclaimer(settings, client, clients, clock),
         limits=LimitClient(host, settings, host.bus.incarnation, generator),
         dispatcher=Dispatcher(
             create_policy(settings),
@@ -45,9 +70,7 @@
             clock,
             generator,
         ),
-        clients=EndpointClients(
-            settings.endpoint_connect_s, settings.endpoint_silence_s
-        ),
+        clients=clients,
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, generator),
     )
--- /dev/null
+++ b/burdockwall/request/program.py
@@ -0,0 +1,152 @@
+"""Read what a request says of its program, and serve a program to its caller."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import msgspec
+
+from burdockwall.connection.exchange import Exchange
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.history import decode_turn
+from burdockwall.process.programs.operations import EndReason
+from burdockwall.request.caller import find_key
+from burdockwall.request.completion import ChatMessage
+from burdockwall.request.parts import Parts
+from burdockwall.settings import Settings
+from burdockwall.types import CustomerId, ProgramId
+from burdockwall.version.view import View
+
+PROGRAMS_PATH = "/v1/programs/"
+ID_LIMIT_CHARACTERS = 512
+
+
+@dataclass(frozen=True, slots=True)
+class Headers:
+    """Hold a request's program, its budget, and what it supersedes."""
+
+    program: ProgramId | None
+    number: int | None
+    budget: Budget
+    supersedes: ProgramId | None
+
+
+class ProgramPage(msgspec.Struct, frozen=True):
+    """Show a program to its caller."""
+
+    program: str
+    state: str
+    reason: str
+    turn: int
+    running: int
+    children: list[ProgramId]
+    budget: Budget
+    spent: Spend
+    reserved: Spend
+    age_s: float
+    history: list[ChatMessage]
+
+
+def read_headers(exchange: Exchange, settings: Settings) -> Headers:
+    """Read the headers that concern a program, or raise RequestRefused."""
+    program = exchange.get_header(b"program-id")
+    parent = exchange.get_header(b"parent-program-id")
+    supersedes = exchange.get_header(b"supersedes")
+    return Headers(
+        program=_join_ids(program, parent),
+        number=read_number(exchange, b"program-turn"),
+        budget=_read_budget(exchange, settings),
+        supersedes=_check_id(supersedes) if supersedes else None,
+    )
+
+
+def _join_ids(program: str | None, parent: str | None) -> ProgramId | None:
+    if program is None:
+        if parent is not None:
+            raise RequestRefused(Code.BAD_REQUEST, "a sub-agent needs a program-id")
+        return None
+    if parent is None or program.startswith(f"{parent}/"):
+        return _check_id(program)
+    return _check_id(f"{parent}/{program}")
+
+
+def _check_id(text: str) -> ProgramId:
+    whole = all(text.split("/"))
+    if not whole or len(text) > ID_LIMIT_CHARACTERS or not text.isprintable():
+        raise RequestRefused(Code.BAD_REQUEST, f"{text!r} is no program id")
+    return ProgramId(text)
+
+
+def read_number(exchange: Exchange, name: bytes) -> int | None:
+    """Read a header that holds a whole number, or raise RequestRefused."""
+    text = exchange.get_header(name)
+    if text is None:
+        return None
+    if not text.isdecimal():
+        detail = f"header {name.decode()} is {text!r}, not a number"
+        raise RequestRefused(Code.BAD_REQUEST, detail)
+    return int(text)
+
+
+def _read_amount(exchange: Exchange, name: bytes, default: float) -> float:
+    text = exchange.get_header(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < float("inf"):
+        detail = f"header {name.decode()} is {text!r}, not an amount"
+        raise RequestRefused(Code.BAD_REQUEST, detail)
+    return min(value, default)
+
+
+def _read_budget(exchange: Exchange, settings: Settings) -> Budget:
+    """Read the budget; a caller may lower what the settings give, not raise it."""
+    return Budget(
+        tokens=int(_read_amount(exchange, b"budget-tokens", settings.budget_tokens)),
+        calls=int(_read_amount(exchange, b"budget-calls", settings.budget_calls)),
+        cost=_read_amount(exchange, b"budget-cost", settings.budget_cost),
+        time_s=_read_amount(exchange, b"budget-time", settings.budget_time_s),
+    )
+
+
+async def serve_program(parts: Parts, view: View, exchange: Exchange) -> None:
+    """Show or cancel a program; another customer's is unknown like any other."""
+    presented = find_key(exchange)
+    if presented.key is None:
+        raise RequestRefused(Code.KEY_MISSING)
+    customer = view.find_customer(presented.key).name
+    program = _check_id(unquote(exchange.path.removeprefix(PROGRAMS_PATH)))
+    match exchange.method:
+        case "GET":
+            await exchange.answer_json(200, await _show(parts, customer, program))
+        case "DELETE":
+            reason = EndReason.CANCELLED
+            await parts.programs.end_program(customer, program, reason)
+            await exchange.answer_json(200, await _show(parts, customer, program))
+        case _:
+            raise RequestRefused(Code.BAD_REQUEST, f"no {exchange.method} of a program")
+
+
+async def _show(parts: Parts, customer: CustomerId, program: ProgramId) -> ProgramPage:
+    shown = await parts.programs.read_program(customer, program)
+    history: list[ChatMessage] = []
+    for data in shown.turns:
+        content = decode_turn(data)
+        history += content.messages
+        history.append(ChatMessage("assistant", content.answer))
+    return ProgramPage(
+        program=shown.program,
+        state=shown.state,
+        reason=shown.reason,
+        turn=shown.turn,
+        running=len(shown.running),
+        children=shown.children,
+        budget=shown.budget,
+        spent=shown.spent,
+        reserved=shown.reserved,
+        age_s=shown.age_s,
+        history=history,
+    )
--- a/burdockwall/request/streams.py
+++ b/burdockwall/request/streams.py
@@ -37,6 +37,7 @@
         self.ended = False
         self.error: BurdockwallError | None = None
         self.scope = anyio.CancelScope()
+        self.revoked = False
         self._changed = anyio.Event()
 
     async def append(self, whole: bytes) -> None:
@@ -46,6 +47,11 @@
         self.buffer.add(whole)
         self._notify()
 
+    def revoke(self) -> None:
+        """Stop producing: the turn was cancelled or superseded."""
+        self.revoked = True
+        self.scope.cancel()
+
     def end(self, error: BurdockwallError | None = None) -> None:
         """End the stream, with an error where it is not whole."""
         self.ended = True
@@ -62,6 +68,9 @@
         while True:
             changed = self._changed
             parts = self.buffer.list_parts(position)
+            if self.buffer.done and not self.ended:
+                # The end is told once the answer is stored.
+                parts = parts[:-1]
             position += len(parts)
             if parts:
                 skipped = skip_events(b"".join(parts), offset)
@@ -113,6 +122,13 @@
             )
         return stream
 
+    def add_ended(self, key: StreamKey, body_digest: str, whole: bytes) -> LiveStream:
+        """Create the stream of an answer that is whole already; it is not kept."""
+        stream = LiveStream(key, body_digest, self.clock)
+        stream.buffer.add(whole)
+        stream.end()
+        return stream
+
     def start(self, key: StreamKey, body_digest: str, produce: Produce) -> LiveStream:
         """Start producing an answer."""
         if self._group is None:
@@ -134,6 +150,8 @@
             self._logger.exception("producing {} failed", stream.key.program)
             error = RequestRefused(Code.INTERNAL, type(raised).__name__)
         finally:
+            if stream.revoked and error is not None:
+                error = RequestRefused(Code.CALL_REVOKED)
             stream.end(error)
         if error is None:
             await anyio.sleep(self.keep_s)
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -1,9 +1,9 @@
 """Serve one turn of a program: a completion, streamed whole to its caller."""
 
 import hashlib
-import uuid
 from dataclasses import dataclass
 
+import anyio
 import msgspec
 
 from burdockwall.connection.exchange import (
@@ -13,7 +13,8 @@
     run_while_present,
 )
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
-from burdockwall.process.programs.records import Turn
+from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.programs import RepeatedTurn, Turn, TurnOrder
 from burdockwall.process.scheduling.dispatcher import DispatchRequest
 from burdockwall.process.scheduling.jobs import Result
 from burdockwall.request.caller import (
@@ -27,17 +28,20 @@
     CompletionAnswer,
     CompletionRequest,
     Delta,
+    format_whole,
     join_answer,
     parse_completion,
 )
 from burdockwall.request.parts import Parts
+from burdockwall.request.program import read_headers, read_number
 from burdockwall.request.relay import EndpointLost, Relay, Upstream
 from burdockwall.request.streams import LiveStream, StreamKey
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import EndpointId, ProgramId, RequestId
+from burdockwall.types import EndpointId, ProgramId
 from burdockwall.version.configuration import Customer, Endpoint, Route
 from burdockwall.version.view import View
 
+NO_ENDPOINT = EndpointId("")
 EVENT_STREAM_HEADERS = [
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-store"),
@@ -51,8 +55,10 @@
     customer: Customer
     route: Route
     endpoints: tuple[Endpoint, ...]
-    program: ProgramId
+    program: ProgramId | None
     number: int | None
+    budget: Budget
+    supersedes: ProgramId | None
     offset: int
     completion: CompletionRequest
     body_digest: str
@@ -64,7 +70,7 @@
     """Serve one turn, or raise RequestRefused before the answer starts."""
     request = await _read_request(parts, view, exchange)
     trace.customer, trace.route = request.customer.name, request.route.name
-    trace.program = request.program
+    trace.program = request.program or ""
     stream = _join_stream(parts, request)
     if stream is None:
         stream = await _start_stream(parts, request)
@@ -88,31 +94,23 @@
     check_places(exchange, presented)
     check_body(body, presented)
     check_body(msgspec.json.encode(completion), presented)
-    program = exchange.get_header(b"program-id") or f"single-{uuid.uuid4().hex}"
+    headers = read_headers(exchange, parts.settings)
     return TurnRequest(
         customer=customer,
         route=route,
         endpoints=view.pools[route.pool],
-        program=ProgramId(program),
-        number=_read_number(exchange, b"program-turn"),
-        offset=_read_number(exchange, b"last-event-id") or 0,
+        program=headers.program,
+        number=headers.number,
+        budget=headers.budget,
+        supersedes=headers.supersedes,
+        offset=read_number(exchange, b"last-event-id") or 0,
         completion=completion,
         body_digest=hashlib.sha256(body).hexdigest(),
     )
 
 
-def _read_number(exchange: Exchange, name: bytes) -> int | None:
-    text = exchange.get_header(name)
-    if text is None:
-        return None
-    if not text.isdecimal():
-        detail = f"header {name.decode()} is {text!r}, not a number"
-        raise RequestRefused(Code.BAD_REQUEST, detail)
-    return int(text)
-
-
 def _join_stream(parts: Parts, request: TurnRequest) -> LiveStream | None:
-    if request.number is None:
+    if request.number is None or request.program is None:
         return None
     key = StreamKey(request.customer.name, request.program, request.number)
     stream = parts.streams.find(key, request.body_digest)
@@ -122,16 +120,22 @@
 
 
 async def _start_stream(parts: Parts, request: TurnRequest) -> LiveStream:
-    turn = parts.programs.begin_turn(
-        request.customer.name,
-        request.program,
-        request.number,
-        request.completion.messages,
-    )
+    try:
+        turn = await _begin_turn(parts, request)
+    except RequestRefused as error:
+        stream = _join_stream(parts, request)
+        if error.code is not Code.TURN_RUNNING or stream is None:
+            raise
+        # The same caller's other request began it meanwhile.
+        return stream
     key = StreamKey(turn.customer, turn.program, turn.number)
+    if isinstance(turn, RepeatedTurn):
+        events = format_whole(turn.answer)
+        return parts.streams.add_ended(key, request.body_digest, events)
+    granted = turn
 
     async def produce(stream: LiveStream) -> None:
-        await _produce_answer(parts, request, turn, stream)
+        await _produce_answer(parts, request, granted, stream)
 
     started = False
     try:
@@ -141,21 +145,56 @@
         return stream
     finally:
         if not started:
-            parts.programs.abandon_turn(turn)
+            with anyio.CancelScope(shield=True):
+                await parts.programs.abandon_turn(granted, 0, NO_ENDPOINT, False)
+
+
+async def _begin_turn(parts: Parts, request: TurnRequest) -> Turn | RepeatedTurn:
+    customer = request.customer.name
+    other = request.supersedes
+    order = TurnOrder(
+        customer=customer,
+        program=request.program or ProgramId(""),
+        number=request.number,
+        digest=bytes.fromhex(request.body_digest),
+        messages=request.completion.messages,
+        reserve=Spend(request.completion.max_tokens, 1, request.route.cost),
+        budget=request.budget,
+        supersedes=other is not None and other == request.program,
+    )
+    if request.program is None:
+        return parts.programs.create_single(order)
+    if other is not None and other != request.program:
+        await parts.programs.supersede(customer, other)
+    return await parts.programs.begin_turn(order)
 
 
 async def _produce_answer(
     parts: Parts, request: TurnRequest, turn: Turn, stream: LiveStream
 ) -> None:
     finished = False
+    parts.programs.hold(turn, stream.revoke)
     try:
         await _relay_answer(parts, request, turn, stream)
         answer = join_answer(stream.buffer.join())
-        parts.programs.finish_turn(turn, answer, stream.buffer.events)
+        # The last event that the engine counts is the end of the stream.
+        tokens = max(0, stream.buffer.events - 1)
+        endpoint = EndpointId(stream.endpoint)
+        await parts.programs.finish_turn(turn, answer, tokens, endpoint)
         finished = True
     finally:
+        parts.programs.release(turn)
         if not finished:
-            parts.programs.abandon_turn(turn)
+            with anyio.CancelScope(shield=True):
+                await _abandon(parts, turn, stream)
+
+
+async def _abandon(parts: Parts, turn: Turn, stream: LiveStream) -> None:
+    endpoint = EndpointId(stream.endpoint)
+    if endpoint:
+        parts.reclaimer.cancel(endpoint, turn.request)
+    gone = stream.scope.cancel_called and not stream.revoked
+    await parts.programs.abandon_turn(turn, stream.buffer.events, endpoint, gone)
 
 
 async def _relay_answer(
@@ -214,11 +253,12 @@
 
 def _build_upstream(request: TurnRequest, turn: Turn) -> Upstream:
     return Upstream(
-        request=RequestId(uuid.uuid4().hex),
+        request=turn.request,
         path=request.route.path,
         headers=[
             (b"content-type", b"application/json"),
             (b"priority", request.route.priority.value.encode()),
+            (b"program", turn.tag.encode()),
         ],
         completion=msgspec.structs.replace(
             request.completion, messages=turn.prompt, stream=True
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -61,6 +61,25 @@
     peer_plaintext: bool = False
     abandon_grace_s: float = 5.0
     stream_keep_s: float = 30.0
+    program_lease_s: float = 1_800.0
+    program_grace_s: float = 30.0
+    program_retention_s: float = 3_600.0
+    outcome_retention_s: float = 86_400.0
+    call_lease_s: float = 5.0
+    program_depth: int = 8
+    program_fan_out: int = 32
+    program_family: int = 256
+    program_turns: int = 1_000
+    program_history_bytes: int = 8_388_608
+    budget_tokens: int = 1_000_000
+    budget_calls: int = 2_000
+    budget_cost: float = 1_000_000.0
+    budget_time_s: float = 86_400.0
+    history_cache_bytes: int = 33_554_432
+    shard_records: int = 20_000
+    shard_tombstones: int = 4_000_000
+    sweep_interval_s: float = 10.0
+    cancel_limit_s: float = 30.0
     schedule_routing: str = "affinity"
     schedule_order: str = "attained_service"
     schedule_window: str = "shared"
@@ -334,6 +353,196 @@
         0,
         3600,
     ),
+    Option(
+        "programs",
+        "lease",
+        "program_lease_s",
+        Kind.NUMBER,
+        "s",
+        "How long a program may be idle before it has lapsed.",
+        1,
+        604_800,
+    ),
+    Option(
+        "programs",
+        "grace",
+        "program_grace_s",
+        Kind.NUMBER,
+        "s",
+        "Time from a caller's leaving until its program is abandoned.",
+        0,
+        86_400,
+    ),
+    Option(
+        "programs",
+        "retention",
+        "program_retention_s",
+        Kind.NUMBER,
+        "s",
+        "How long an ended program can still be read.",
+        1,
+        604_800,
+    ),
+    Option(
+        "programs",
+        "outcome_retention",
+        "outcome_retention_s",
+        Kind.NUMBER,
+        "s",
+        "How long the outcome of an idempotency key is kept; then the key is refused.",
+        1,
+        31_536_000,
+    ),
+    Option(
+        "programs",
+        "call_lease",
+        "call_lease_s",
+        Kind.NUMBER,
+        "s",
+        "Silence after which a call under way counts as dead.",
+        1,
+        3_600,
+    ),
+    Option(
+        "programs",
+        "depth",
+        "program_depth",
+        Kind.INTEGER,
+        "",
+        "Deepest level of sub-agents.",
+        0,
+        64,
+    ),
+    Option(
+        "programs",
+        "fan_out",
+        "program_fan_out",
+        Kind.INTEGER,
+        "",
+        "Most sub-agents of one program.",
+        0,
+        1_024,
+    ),
+    Option(
+        "programs",
+        "family",
+        "program_family",
+        Kind.INTEGER,
+        "",
+        "Most programs under one root program.",
+        1,
+        65_536,
+    ),
+    Option(
+        "programs",
+        "turns",
+        "program_turns",
+        Kind.INTEGER,
+        "",
+        "Most turns of one program.",
+        1,
+        100_000,
+    ),
+    Option(
+        "programs",
+        "history",
+        "program_history_bytes",
+        Kind.INTEGER,
+        "bytes",
+        "Largest compressed history of one program.",
+        1_024,
+        1_073_741_824,
+    ),
+    Option(
+        "programs",
+        "budget_tokens",
+        "budget_tokens",
+        Kind.INTEGER,
+        "tokens",
+        "Tokens that a program may generate unless its caller says less.",
+        1,
+        1_000_000_000,
+    ),
+    Option(
+        "programs",
+        "budget_calls",
+        "budget_calls",
+        Kind.INTEGER,
+        "",
+        "Calls of a program unless its caller says less.",
+        1,
+        1_000_000,
+    ),
+    Option(
+        "programs",
+        "budget_cost",
+        "budget_cost",
+        Kind.NUMBER,
+        "",
+        "Sum of route costs of a program unless its caller says less.",
+        0,
+        1_000_000_000,
+    ),
+    Option(
+        "programs",
+        "budget_time",
+        "budget_time_s",
+        Kind.NUMBER,
+        "s",
+        "Longest life of a program unless its caller says less.",
+        1,
+        2_592_000,
+    ),
+    Option(
+        "programs",
+        "history_cache",
+        "history_cache_bytes",
+        Kind.INTEGER,
+        "bytes",
+        "Histories that an entry keeps to ask only for newer turns.",
+        0,
+        4_294_967_296,
+    ),
+    Option(
+        "programs",
+        "shard_records",
+        "shard_records",
+        Kind.INTEGER,
+        "",
+        "Most programs and outcomes in one shard.",
+        1,
+        10_000_000,
+    ),
+    Option(
+        "programs",
+        "shard_tombstones",
+        "shard_tombstones",
+        Kind.INTEGER,
+        "",
+        "Most expired keys that a shard remembers.",
+        1,
+        100_000_000,
+    ),
+    Option(
+        "programs",
+        "sweep",
+        "sweep_interval_s",
+        Kind.NUMBER,
+        "s",
+        "Interval at which each engine is asked what it holds.",
+        0.1,
+        3_600,
+    ),
+    Option(
+        "programs",
+        "cancel_limit",
+        "cancel_limit_s",
+        Kind.NUMBER,
+        "s",
+        "How long a cancellation is repeated before the sweep takes over.",
+        0.1,
+        3_600,
+    ),
     Option(
         "drain",
         "hold",
