Check programs over HTTP, and settle unknown outcomes

Cause: callers and operators could not see what the records hold. Change: a superseding turn skips the rejoining of the turn it replaces; operators list and settle unknown outcomes; the stand-in engine lists, cancels and releases.

--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -50,18 +50,23 @@
         self.cut_after = cut_after
         self.seen: list[bytes] = []
         self.requests: Counter[str] = Counter()
-        self.cancelled = 0
         self.reports = EngineReports()
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from an entry instance."""
         if await self.reports.serve(exchange):
             return
+        request = exchange.get_header(b"request-id") or ""
         self.reports.running += 1
         try:
-            await self._serve_completion(exchange)
+            with anyio.CancelScope() as scope:
+                self.reports.open_requests[request] = scope
+                await self._serve_completion(exchange)
         finally:
             self.reports.running -= 1
+            # A resumed stream may have taken the place of a cut one.
+            if self.reports.open_requests.get(request) is scope:
+                del self.reports.open_requests[request]
 
     async def _serve_completion(self, exchange: Exchange) -> None:
         body = await exchange.read_body(ENGINE_BODY_BYTES)
@@ -89,6 +94,7 @@
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
+        self.hold_s = 0.0
         self.seen: list[bytes] = []
 
     async def serve(self, exchange: Exchange) -> None:
@@ -97,4 +103,5 @@
         self.seen.append(record_request(exchange, body))
         name = exchange.get_header(b"idempotency-key") or body.decode()
         self.runs[name] += 1
+        await anyio.sleep(self.hold_s)
         await exchange.answer_json(200, {"filed": name, "run": self.runs[name]})
--- a/burdockwall/fakes/engine_reports.py
+++ b/burdockwall/fakes/engine_reports.py
@@ -2,7 +2,10 @@
 
 from collections import Counter
 
+import anyio
+
 from burdockwall.connection.exchange import Exchange
+from burdockwall.process.programs.reclaimer import CANCEL_PATH, LIST_PATH, HeldPage
 from burdockwall.process.scheduling.poller import (
     EVENTS_PATH,
     LOAD_PATH,
@@ -15,6 +18,7 @@
     CachePage,
     LoadReport,
 )
+from burdockwall.types import ProgramTag, RequestId
 
 KEY_BYTES = 1024
 CAPACITY_CALLS = 32
@@ -30,6 +34,9 @@
         self.released: list[CacheKey] = []
         self._events: list[CacheEvent] = []
         self._reports = 0
+        self.open_requests: dict[str, anyio.CancelScope] = {}
+        self.cancelled: list[str] = []
+        self.cancels_lost = 0
 
     def store(self, exchange: Exchange, tokens: int) -> None:
         """Keep the prefix that a call has named."""
@@ -55,10 +62,31 @@
                 await exchange.answer_json(200, CachePage(self._events[after:]))
             case path if path == RELEASE_PATH:
                 await self._release(exchange)
+            case path if path == LIST_PATH:
+                page = HeldPage(
+                    len(self._events),
+                    [RequestId(name) for name in self.open_requests],
+                    [ProgramTag(key) for key in self.cached],
+                )
+                await exchange.answer_json(200, page)
+            case path if path == CANCEL_PATH:
+                await self._cancel(exchange)
             case _:
                 return False
         return True
 
+    async def _cancel(self, exchange: Exchange) -> None:
+        name = (await exchange.read_body(KEY_BYTES)).decode()
+        if self.cancels_lost > 0:
+            self.cancels_lost -= 1
+            await exchange.answer_json(503, CachePage([]))
+            return
+        self.cancelled.append(name)
+        scope = self.open_requests.get(name)
+        if scope is not None:
+            scope.cancel()
+        await exchange.answer_json(200, CachePage([]))
+
     async def _release(self, exchange: Exchange) -> None:
         key = CacheKey((await exchange.read_body(KEY_BYTES)).decode())
         self.released.append(key)
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -21,6 +21,7 @@
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.membership.source import SoleSource
 from burdockwall.process.operations import Operations, Status
+from burdockwall.process.programs.unknowns import add_unknowns
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
@@ -63,6 +64,8 @@
         self.operations = Operations(
             settings, self.read_status, self.state, time.time, self.start_drain
         )
+        if self.entry is not None:
+            add_unknowns(self.operations, self.entry.parts.programs.client)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
 
     def _create_entry(self) -> Entry:
--- a/burdockwall/process/programs/reclaimer.py
+++ b/burdockwall/process/programs/reclaimer.py
@@ -25,14 +25,14 @@
     SweepTick,
 )
 from burdockwall.process.programs.unrepeatable import NoAnswerError
+from burdockwall.process.scheduling.poller import RELEASE_PATH
 from burdockwall.settings import Settings
 from burdockwall.types import EndpointId, ProgramTag, RequestId
 from burdockwall.version.configuration import Endpoint
 
 CANCEL_PATH = "/v1/cancel"
-RELEASE_PATH = "/v1/cache/release"
 LIST_PATH = "/v1/held"
-JSON_HEADERS = [(b"content-type", b"application/json")]
+TEXT_HEADERS = [(b"content-type", b"text/plain")]
 FIRST_PAUSE_S = 0.1
 LAST_PAUSE_S = 2.0
 TICK_S = 0.5
@@ -40,18 +40,6 @@
 UNSUPPORTED = (httpx.codes.NOT_FOUND, httpx.codes.METHOD_NOT_ALLOWED)
 
 
-class CancelBody(msgspec.Struct, frozen=True):
-    """Name the request to cancel."""
-
-    request: RequestId
-
-
-class ReleaseBody(msgspec.Struct, frozen=True):
-    """Name the program whose cache is released."""
-
-    program: ProgramTag
-
-
 class HeldPage(msgspec.Struct, frozen=True):
     """Hold what an engine lists: requests, cached programs, last event number."""
 
@@ -96,8 +84,7 @@
 
     def cancel(self, endpoint: EndpointId, request: RequestId) -> None:
         """Cancel a request at an engine until the engine confirms it."""
-        body = msgspec.json.encode(CancelBody(request))
-        self._start(endpoint, CANCEL_PATH, body, request)
+        self._start(endpoint, CANCEL_PATH, request)
 
     def release(self, gone: ProgramGone) -> None:
         """Release the caches of a program that has ended."""
@@ -105,16 +92,15 @@
             self._drop(endpoint, gone.tag)
 
     def _drop(self, endpoint: EndpointId, tag: ProgramTag) -> None:
-        body = msgspec.json.encode(ReleaseBody(tag))
-        self._start(endpoint, RELEASE_PATH, body, tag)
+        self._start(endpoint, RELEASE_PATH, tag)
 
-    def _start(self, name: EndpointId, path: str, body: bytes, what: str) -> None:
+    def _start(self, name: EndpointId, path: str, what: str) -> None:
         endpoint = self.engines.get(name)
         order = (name, f"{path} {what}")
         if endpoint is None or self._group is None or order in self._open:
             return
         self._open.add(order)
-        self._group.start_soon(self._repeat, endpoint, path, body, order)
+        self._group.start_soon(self._repeat, endpoint, path, what.encode(), order)
 
     async def _repeat(
         self, endpoint: Endpoint, path: str, body: bytes, order: tuple[EndpointId, str]
@@ -136,7 +122,7 @@
     async def _post(self, endpoint: Endpoint, path: str, body: bytes) -> bool:
         try:
             async with self.clients.open_stream(
-                endpoint, "POST", path, JSON_HEADERS, body
+                endpoint, "POST", path, TEXT_HEADERS, body
             ) as response:
                 await response.aread()
                 return response.is_success or response.status_code in UNSUPPORTED
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -59,6 +59,7 @@
     excluded: frozenset[EndpointId] = frozenset()
     body_bytes: int = 0
     weight: float = 1.0
+    cache_key: CacheKey = CacheKey("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +221,9 @@
 def _create_job(call: CallId, request: DispatchRequest) -> Job:
     route = request.route
     is_model = route.kind is RouteKind.MODEL
-    key = compute_cache_key(request.customer, request.program)
+    key = request.cache_key
+    if not key:
+        key = compute_cache_key(request.customer, request.program)
     return Job(
         call=call,
         pool=route.pool,
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -17,6 +17,7 @@
 from burdockwall.process.programs.programs import RepeatedTurn, Turn, TurnOrder
 from burdockwall.process.scheduling.dispatcher import DispatchRequest
 from burdockwall.process.scheduling.jobs import Result
+from burdockwall.process.scheduling.reports import CacheKey
 from burdockwall.request.caller import (
     check_body,
     check_customer,
@@ -112,6 +113,8 @@
 def _join_stream(parts: Parts, request: TurnRequest) -> LiveStream | None:
     if request.number is None or request.program is None:
         return None
+    if request.supersedes == request.program:
+        return None
     key = StreamKey(request.customer.name, request.program, request.number)
     stream = parts.streams.find(key, request.body_digest)
     if stream is None and request.offset:
@@ -227,6 +230,8 @@
             excluded,
             sum(len(message.content) for message in turn.prompt),
             request.customer.weight,
+            # The tag of the program's life, by which a sweep knows what is gone.
+            CacheKey(turn.tag),
         )
         try:
             dispatch = await parts.dispatcher.acquire(wanted)
@@ -258,7 +263,6 @@
         headers=[
             (b"content-type", b"application/json"),
             (b"priority", request.route.priority.value.encode()),
-            (b"program", turn.tag.encode()),
         ],
         completion=msgspec.structs.replace(
             request.completion, messages=turn.prompt, stream=True
