--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -200,6 +200,16 @@
     NO_QUORUM = CodeRow(
         2014, 503, Ran.NOT_RUN, Retry.SAFE, "The control instances lack a quorum."
     )
+    AUDIT_BROKEN = CodeRow(
+        2015, 500, Ran.NOT_RUN, Retry.NEVER, "The audit trail fails its chain."
+    )
+    IN_FORCE_UNKNOWN = CodeRow(
+        2016,
+        503,
+        Ran.UNKNOWN,
+        Retry.SAFE,
+        "The version is accepted, but may not be in force everywhere yet.",
+    )
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -25,6 +25,9 @@
     peer_address: Address = Address("127.0.0.1:8082")
     peers: dict[InstanceId, Address] = field(default_factory=dict)
     control_instances: list[InstanceId] = field(default_factory=list)
+    election_timeout_s: float = 1.5
+    first_operator: str = ""
+    first_operator_digest: str = ""
     log_level: str = "info"
     log_format: str = "json"
     max_body_bytes: int = 8_388_608
@@ -84,7 +87,7 @@
     schedule_order: str = "attained_service"
     schedule_window: str = "shared"
     schedule_endpoint_calls: int = 24
-    schedule_claim_share: float = 0.5
+    schedule_claim_factor: float = 2.0
     schedule_instances: int = 6
     schedule_pass_priorities: bool = True
     schedule_release_cache: bool = True
@@ -217,6 +220,32 @@
         0.1,
         60,
     ),
+    Option(
+        "control",
+        "election_timeout",
+        "election_timeout_s",
+        Kind.NUMBER,
+        "s",
+        "Silence of the leader after which another is elected.",
+        0.5,
+        60,
+    ),
+    Option(
+        "operators",
+        "name",
+        "first_operator",
+        Kind.TEXT,
+        "",
+        "Operator who may change everything, defined while there is none.",
+    ),
+    Option(
+        "operators",
+        "digest",
+        "first_operator_digest",
+        Kind.TEXT,
+        "",
+        "SHA-256 of that operator's token, in hex digits.",
+    ),
     Option(
         "log",
         "level",
@@ -782,13 +811,13 @@
     ),
     Option(
         "scheduling",
-        "claim_share",
-        "schedule_claim_share",
+        "claim_factor",
+        "schedule_claim_factor",
         Kind.NUMBER,
         "",
-        "Share of the free places that an instance may claim.",
-        0.01,
-        1,
+        "Even shares of the free places that an instance may claim.",
+        0.1,
+        1000,
     ),
     Option(
         "scheduling",
@@ -1142,6 +1171,12 @@
         remedy = "Set [tls] peer_certificate, peer_key and peer_authority, "
         remedy += "or peer_plaintext = yes."
         faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
+    digest = settings.first_operator_digest
+    if bool(settings.first_operator) != bool(digest) or len(digest) not in (0, 64):
+        place = f"{source}: [operators] name, digest"
+        problem = "one is given without the other, or the digest is not 64 hex digits"
+        remedy = "Give a name and the SHA-256 of a token, or neither."
+        faults.append(Fault(Code.SETTINGS_INVALID, place, problem, remedy))
     return faults
 
 
