--- /dev/null
+++ b/benchmarks/programs.py
@@ -0,0 +1,308 @@
+"""Measure what replicated program records cost, and what reclamation saves."""
+
+import random
+import tracemalloc
+from dataclasses import dataclass
+
+import msgspec
+
+from benchmarks._reclamation import measure_reclamation
+from benchmarks.result import Result, create_result
+from burdockwall.connection.wire import Envelope
+from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.machine import Machine, Message, Send
+from burdockwall.process.programs import calls, operations
+from burdockwall.process.programs.asker import (
+    ASKER_MESSAGES,
+    Ask,
+    Complete,
+    RecordAsker,
+)
+from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.families import Limits
+from burdockwall.process.programs.history import TurnContent, encode_turn
+from burdockwall.process.programs.operations import FamilyKey
+from burdockwall.process.programs.state import ShardState
+from burdockwall.process.programs.store import STORE_MESSAGES, RecordStore
+from burdockwall.request.completion import ChatMessage
+from burdockwall.types import (
+    CustomerId,
+    EndpointId,
+    FencingNumber,
+    Incarnation,
+    InstanceId,
+    ProgramId,
+    RequestId,
+    ShardId,
+)
+from burdockwall.version.shards import (
+    LeaseRenewed,
+    ShardMap,
+    ShardsInstalled,
+    ShardView,
+)
+
+SEED = 1
+TURNS = 50
+TARGET_TURNS = 530
+TARGET_TOKENS = 270_000
+TOKENS_PER_TURN = TARGET_TOKENS // TARGET_TURNS
+WORD_COUNT = 4096
+PROGRAMS_MOVED = 100
+TARGET_PROGRAMS = 160_000
+TARGET_INSTANCES = 380
+COPIES = 3
+SHARD = ShardId(0)
+NAMES = tuple(InstanceId(f"i{number}") for number in range(4))
+FOREVER_S = 1e9
+
+
+def create_text(generator: random.Random, tokens: int) -> str:
+    """Create text of as many words, drawn with the skew of a language."""
+    ranks = [int(generator.paretovariate(1.0)) % WORD_COUNT for _ in range(tokens)]
+    return " ".join(f"{rank * 2_654_435_761 % 100_003:x}" for rank in ranks)
+
+
+def create_content(generator: random.Random) -> bytes:
+    """Encode one turn of the target's size."""
+    question = create_text(generator, TOKENS_PER_TURN // 2)
+    answer = create_text(generator, TOKENS_PER_TURN // 2)
+    messages = [ChatMessage("user", question)]
+    return encode_turn(TurnContent(messages, answer, TOKENS_PER_TURN // 2))
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Count the messages and bytes between instances."""
+
+    messages: int = 0
+    size_bytes: int = 0
+
+
+class Bench:
+    """Run one shard on four instances with a fixed delay one way."""
+
+    def __init__(self, delay_s: float, backups: int) -> None:
+        weather = Weather(delay_low_s=delay_s, delay_high_s=delay_s)
+        self.network = FakeNetwork(SEED, weather, self._perform)
+        self.traffic = Traffic()
+        self.answers: dict[RequestId, tuple[calls.AnyAnswer, float]] = {}
+        self.stores: dict[InstanceId, RecordStore] = {}
+        self.number = 0
+        self.caller = NAMES[3]
+        for name in NAMES:
+            self._start(name)
+        self.install(NAMES[0], NAMES[1 : 1 + backups], ())
+        self._count_messages()
+
+    def _start(self, name: InstanceId) -> None:
+        store = RecordStore(name, Incarnation(1), Limits(lease_s=FOREVER_S))
+        self.stores[name] = store
+        asker = RecordAsker(name)
+        if name == self.caller:
+            self.asker = asker
+        machines: list[tuple[Machine, tuple[type[Message], ...]]] = [
+            (store, STORE_MESSAGES),
+            (asker, ASKER_MESSAGES),
+        ]
+        self.network.start(name, machines)
+        self.network.apply(name, store, LeaseRenewed(FOREVER_S))
+
+    def _count_messages(self) -> None:
+        send = self.network.send
+
+        def count(sender: InstanceId, action: Send) -> None:
+            if action.to != sender:
+                self.traffic.messages += 1
+                self.traffic.size_bytes += measure_bytes(action.message)
+            send(sender, action)
+
+        self.network.send = count  # type: ignore[method-assign]
+
+    def install(
+        self,
+        primary: InstanceId,
+        backups: tuple[InstanceId, ...],
+        joining: tuple[InstanceId, ...],
+    ) -> None:
+        """Put the next view in force on every instance that is up."""
+        self.number += 1
+        view = ShardView(SHARD, FencingNumber(self.number), primary, backups, joining)
+        event = ShardsInstalled(ShardMap({SHARD: view}))
+        for name, node in self.network.nodes.items():
+            if node.up:
+                self.network.apply(name, self.stores[name], event)
+        self.network.apply(self.caller, self.asker, event)
+        self.network.run_until(self.network.now + 1.0)
+
+    def _perform(self, instance: InstanceId, action: object, now: float) -> None:
+        if isinstance(action, Complete):
+            self.answers[action.token] = (action.answer, now)
+
+    def ask(self, call: calls.AnyCall) -> tuple[calls.AnyAnswer, float]:
+        """Ask the primary and return its answer and the time it took."""
+        token = RequestId(f"t{len(self.answers)}")
+        started = self.network.now
+        self.network.apply(self.caller, self.asker, Ask(token, SHARD, call))
+        while token not in self.answers:
+            self.network.run_until(self.network.now + 0.0005)
+        answer, at = self.answers[token]
+        return answer, at - started
+
+    def run_turn(self, program: ProgramId, number: int, content: bytes) -> float:
+        """Run one turn of a program and return the time that its records took."""
+        key = FamilyKey(CustomerId("association"), program)
+        request = RequestId(f"0.{program}.{number}")
+        spend = Spend(TOKENS_PER_TURN, 1, 1.0)
+        begin = calls.BeginCall(
+            key, program, request, number, b"", spend, self.caller, Budget(10**9)
+        )
+        # An entry that served the former turn holds them all.
+        held = msgspec.structs.replace(
+            begin, held=number - 1, held_tag=f"p-0.{program}.1"
+        )
+        _, began_s = self.ask(held)
+        finish = calls.FinishTurn(
+            key, program, request, content, spend, EndpointId("e")
+        )
+        _, finished_s = self.ask(finish)
+        return began_s + finished_s
+
+
+def measure_bytes(message: Message) -> int:
+    """Return the size of a message as it travels."""
+    return len(msgspec.msgpack.encode(Envelope("", 0, 0, [message])))  # type: ignore[arg-type,list-item]
+
+
+def measure_turns(delay_ms: float) -> list[Result]:
+    """Measure what three copies add to a turn against one copy."""
+    found = []
+    for backups in (0, 2):
+        generator = random.Random(SEED)
+        bench = Bench(delay_ms / 1000, backups)
+        bench.traffic.messages = bench.traffic.size_bytes = 0
+        times = [
+            bench.run_turn(ProgramId("p"), number, create_content(generator))
+            for number in range(1, TURNS + 1)
+        ]
+        traffic = bench.traffic
+        found.append(
+            (
+                sum(times) / TURNS * 1000,
+                traffic.size_bytes / TURNS,
+                traffic.messages / TURNS,
+            )
+        )
+    one, three = found
+    name = f"turn at {delay_ms} ms one way"
+    # Two writes wait for one way and back each.
+    bound_ms = 4 * delay_ms + 0.5
+    return [
+        create_result(
+            f"{name}: added time", three[0] - one[0], "ms", SEED, bound=bound_ms
+        ),
+        create_result(f"{name}: time of records", three[0], "ms", SEED, one[0]),
+        create_result(f"{name}: bytes", three[1], "bytes", SEED, one[1]),
+        create_result(f"{name}: messages", three[2], "messages", SEED, one[2]),
+    ]
+
+
+def fill_program(state: ShardState, program: ProgramId, turns: int) -> int:
+    """Give a shard a program of some turns; return the last sequence number."""
+    generator = random.Random(SEED)
+    key = FamilyKey(CustomerId("association"), program)
+    sequence = 0
+    for number in range(1, turns + 1):
+        request = RequestId(f"0.{program}.{number}")
+        begin = operations.BeganCall(
+            key, program, request, number, bytes(32), Spend(), NAMES[0], Budget()
+        )
+        content = create_content(generator)
+        finish = operations.FinishedTurn(
+            key, program, request, content, Spend(), EndpointId("e")
+        )
+        state.apply(begin, sequence + 1, 0.0)
+        state.apply(finish, sequence + 2, 0.0)
+        sequence += 2
+    return sequence
+
+
+def measure_memory() -> list[Result]:
+    """Measure the memory of a program at 10, 100 and 530 turns."""
+    results = []
+    for turns in (10, 100, TARGET_TURNS):
+        state = ShardState(Limits())
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        fill_program(state, ProgramId("p"), turns)
+        after, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        plain = turns * TOKENS_PER_TURN * 5
+        name = f"memory of a program of {turns} turns"
+        results.append(
+            create_result(name, float(after - before), "bytes", SEED, float(plain))
+        )
+    whole = results[-1].value
+    share = whole * TARGET_PROGRAMS * COPIES / TARGET_INSTANCES
+    name = "memory an instance if all 160,000 programs were full"
+    results.append(create_result(name, share, "bytes", SEED))
+    return results
+
+
+def measure_move(delay_ms: float) -> list[Result]:
+    """Measure the hand-over of a dead primary and the copy to a new instance."""
+    bench = Bench(delay_ms / 1000, 2)
+    generator = random.Random(SEED)
+    contents = [create_content(generator) for _ in range(20)]
+    for index in range(PROGRAMS_MOVED):
+        for number, content in enumerate(contents, 1):
+            bench.run_turn(ProgramId(f"p{index}"), number, content)
+    bench.network.crash(NAMES[0])
+    bench.traffic.messages = bench.traffic.size_bytes = 0
+    started = bench.network.now
+    view_s = _install_and_wait(bench)
+    copied_s = bench.network.now - started
+    held = bench.stores[NAMES[3]].replicas[SHARD]
+    assert held.holds and len(held.state.families) == PROGRAMS_MOVED
+    name = f"move {PROGRAMS_MOVED} programs of 20 turns at {delay_ms} ms"
+    return [
+        create_result(f"{name}: first answer", view_s * 1000, "ms", SEED),
+        create_result(f"{name}: whole again", copied_s, "s", SEED),
+        create_result(
+            f"{name}: bytes a program",
+            bench.traffic.size_bytes / PROGRAMS_MOVED,
+            "bytes",
+            SEED,
+        ),
+    ]
+
+
+def _install_and_wait(bench: Bench) -> float:
+    started = bench.network.now
+    bench.number += 1
+    view = ShardView(
+        SHARD, FencingNumber(bench.number), NAMES[1], (NAMES[2],), (NAMES[3],)
+    )
+    event = ShardsInstalled(ShardMap({SHARD: view}))
+    for name in NAMES[1:]:
+        bench.network.apply(name, bench.stores[name], event)
+    bench.network.apply(bench.caller, bench.asker, event)
+    read = calls.ReadProgram(
+        FamilyKey(CustomerId("association"), ProgramId("p0")), ProgramId("p0")
+    )
+    bench.ask(read)
+    answered = bench.network.now - started
+    while not bench.stores[NAMES[3]].replicas[SHARD].holds:
+        bench.network.run_until(bench.network.now + 0.001)
+    return answered
+
+
+def measure() -> list[Result]:
+    """Measure everything about program records."""
+    results = []
+    for delay_ms in (1.5, 1.0):
+        results += measure_turns(delay_ms)
+    results += measure_memory()
+    results += measure_move(1.5)
+    results += measure_reclamation()
+    return results
--- a/burdockwall/process/programs/replica.py
+++ b/burdockwall/process/programs/replica.py
@@ -127,6 +127,7 @@
     busy: dict[RecordKey, deque[Waiting]] = field(default_factory=dict)
     answers: dict[int, tuple[Waiting, calls.AnyAnswer]] = field(default_factory=dict)
     renewed: dict[RequestId, float] = field(default_factory=dict)
+    early: dict[RequestId, tuple[InstanceId, RecordCall]] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     receiver: CopyReceiver | None = None
     _copies: int = 0
@@ -179,6 +180,7 @@
         self.busy.clear()
         self.answers.clear()
         self.renewed.clear()
+        self.early.clear()
         if view.primary == self.instance:
             self._start(now)
 
@@ -235,6 +237,14 @@
         if all(item.holds for item in required):
             self._commit(now)
             self.serving = self.committed >= self._start_tail
+        if self.serving:
+            self._take_early(now)
+
+    def _take_early(self, now: float) -> None:
+        early = list(self.early.values())
+        self.early.clear()
+        for sender, message in early:
+            self._take_call(sender, message, now)
 
     def _take_start(self, sender: InstanceId, message: StartView, now: float) -> None:
         view = message.view
@@ -479,6 +489,9 @@
     def _take_call(self, sender: InstanceId, message: RecordCall, now: float) -> None:
         if not self.serving or now >= self.lease_until:
             # The asker repeats its call to the primary that it learns of.
+            waits = self.is_primary and not self.serving and not self.suspended
+            if waits and len(self.early) < QUEUED_CALLS:
+                self.early[message.token] = (sender, message)
             return
         waiting = Waiting(sender, message.token, message.call)
         match message.call:
