Count silence anew after a primary could not listen

Cause: on a busy machine a primary that had not listened for seconds ended calls whose owners were alive (seen as code 1211 in entry_failures), and the end of the stream was shown before the error. Change: the time of silence starts anew after a late clock event or a lapsed lease; an answer that was not stored never shows its end.

--- a/burdockwall/process/programs/replica.py
+++ b/burdockwall/process/programs/replica.py
@@ -55,6 +55,8 @@
 COMMIT_INTERVAL_S = 1.0
 DUE_INTERVAL_S = 1.0
 REPORT_INTERVAL_S = 0.5
+# A primary whose clock events come this late has not listened in between.
+DEAF_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +135,7 @@
     _copies: int = 0
     _start_tail: int = 0
     _started_at: float = 0.0
+    _ticked_at: float = 0.0
     _joined: FencingNumber = FencingNumber(0)
     _offered: dict[RequestId, float] = field(default_factory=dict)
     _reported_at: float = 0.0
@@ -543,6 +546,10 @@
             return
         for peer, item in self.followers.items():
             self._repeat(peer, item, now)
+        if now >= self.lease_until or now - self._ticked_at >= DEAF_S:
+            # It heard no renewals meanwhile, so silence counts anew.
+            self._started_at = now
+        self._ticked_at = now
         if not self.serving or now >= self.lease_until:
             return
         self._tell_committed(now)
--- a/burdockwall/request/streams.py
+++ b/burdockwall/request/streams.py
@@ -68,7 +68,7 @@
         while True:
             changed = self._changed
             parts = self.buffer.list_parts(position)
-            if self.buffer.done and not self.ended:
+            if self.buffer.done and (not self.ended or self.error is not None):
                 # The end is told once the answer is stored.
                 parts = parts[:-1]
             position += len(parts)
