--- a/burdockwall/fakes/network.py
+++ b/burdockwall/fakes/network.py
@@ -24,6 +24,8 @@
     delay_high_s: float = 0.003
     loss: float = 0.0
     doubling: float = 0.0
+    late: float = 0.0
+    late_high_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -141,6 +143,8 @@
             delay = self.random.uniform(
                 self.weather.delay_low_s, self.weather.delay_high_s
             )
+            if self.weather.late and self.random.random() < self.weather.late:
+                delay += self.random.uniform(0, self.weather.late_high_s)
             self.schedule(delay, lambda: self._deliver(sender, action))
 
     def _deliver(self, sender: InstanceId, action: Send) -> None:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -21,6 +21,7 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.operations import Operations, Status
+from burdockwall.process.programs.unknowns import add_unknowns
 from burdockwall.process.reload import reload_settings
 from burdockwall.process.resolver import Member
 from burdockwall.process.scheduling.explain import describe_placements
@@ -60,6 +61,8 @@
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
         self.operations = Operations(settings, self.read_status, self.start_drain)
+        if self.entry is not None:
+            add_unknowns(self.operations, self.entry.parts.programs.client)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
         self.operations.add_operation("GET", "/placements", self._serve_placements)
         if self.control is not None:
