Run fleets under faults from seeds

With any of ten protections removed a check fails. The runs found that a leader took members it had not heard of yet for lost; it now waits for proof.

--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -79,6 +79,8 @@
 
 def _show_outcome(outcome: Outcome) -> None:
     click.echo(f"version {outcome.version}")
+    if outcome.detail:
+        click.echo(outcome.detail)
 
 
 @cli.command()
--- /dev/null
+++ b/burdockwall/fakes/control.py
@@ -0,0 +1,75 @@
+"""Stand in for the replicated control log: one leader at a time, or none."""
+
+from collections.abc import Callable
+
+from burdockwall.process.control.changes import Change
+from burdockwall.process.control.commands import AnyCommand, Outcome
+from burdockwall.process.control.state import ControlState
+from burdockwall.process.membership.messages import StateSnapshot
+from burdockwall.process.membership.source import take_snapshot
+from burdockwall.types import InstanceId, ShardId, Term, Version
+from burdockwall.version.shards import ShardView
+
+
+class FakeControlLog:
+    """Hold the committed state and who leads; commits are instant."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self.term = Term(0)
+        self.leader: InstanceId | None = None
+        self.observe: Callable[[AnyCommand, Outcome], None] = lambda command, out: None
+
+    def depose(self) -> None:
+        """Leave the log without a leader."""
+        self.leader = None
+
+    def elect(self, instance: InstanceId) -> None:
+        """Make an instance the leader of the next term."""
+        self.term = Term(self.term + 1)
+        self.leader = instance
+
+    def commit(self, command: AnyCommand, at: float) -> Outcome:
+        """Apply a command."""
+        outcome = self.state.apply(command, at)
+        self.observe(command, outcome)
+        return outcome
+
+
+class FakeSource:
+    """Read the fake log as one control instance."""
+
+    def __init__(self, instance: InstanceId, log: FakeControlLog) -> None:
+        self.instance = instance
+        self.log = log
+
+    @property
+    def version(self) -> Version:
+        """Return the latest version."""
+        return self.log.state.version
+
+    @property
+    def term(self) -> Term:
+        """Return the latest term."""
+        return self.log.term
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """Return the leader, if there is one."""
+        return self.log.leader
+
+    def is_leader_confirmed(self, now: float) -> bool:
+        """Tell whether this instance leads."""
+        return self.log.leader == self.instance
+
+    def changes_since(self, version: Version) -> list[Change] | None:
+        """Return what later versions changed, or None where that is not kept."""
+        return self.log.state.changes_since(version)
+
+    def take_snapshot(self) -> StateSnapshot:
+        """Return the whole of the latest version."""
+        return take_snapshot(self.log.state)
+
+    def get_shards(self) -> dict[ShardId, ShardView]:
+        """Return the latest view of each shard."""
+        return self.log.state.shards
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -35,7 +35,7 @@
     BEAT_INTERVAL_S,
     SILENCE_S,
 )
-from burdockwall.process.membership.tree import group_members
+from burdockwall.process.membership.tree import FAN_OUT, group_members
 from burdockwall.process.membership.witness import Witness
 from burdockwall.types import (
     EndpointId,
@@ -94,8 +94,14 @@
 class Agent:
     """Follow the leader on behalf of one incarnation of an instance."""
 
-    def __init__(self, details: InstanceDetails, control: list[InstanceId]) -> None:
+    def __init__(
+        self,
+        details: InstanceDetails,
+        control: list[InstanceId],
+        fan_out: int = FAN_OUT,
+    ) -> None:
         self.details = details
+        self.fan_out = fan_out
         self.leaving = False
         self.term = Term(0)
         self.replica = StateReplica()
@@ -258,7 +264,7 @@
         if not installed:
             return []
         members = self.roster.list_entries()
-        self.path.set_groups(group_members(members))
+        self.path.set_groups(group_members(members, self.fan_out))
         announced = MembersInstalled(tuple(members), self.roster.endpoints)
         return [announced, *self._push(now), *self._resend(now)]
 
--- a/burdockwall/process/membership/fleet.py
+++ b/burdockwall/process/membership/fleet.py
@@ -45,18 +45,29 @@
 
     records: dict[Holder, Record]
     now: float
+    departed: frozenset[Holder] = frozenset()
+    unknown: EndpointState = EndpointState.SUSPECTED
     loads: dict[InstanceId, Load] = field(default_factory=dict)
     live: list[Holder] = field(default_factory=list)
     domains: int = 0
+    instances: frozenset[InstanceId] = frozenset()
 
     def __post_init__(self) -> None:
+        self.instances = frozenset(holder.instance for holder in self.records)
         self.live = [holder for holder in self.records if self.is_live(holder)]
         self.domains = len({self.get_domain(holder) for holder in self.live})
 
     def get_state(self, holder: Holder) -> EndpointState | None:
-        """Return the state of an incarnation, or None where it is not a member."""
+        """Return the state of an incarnation, or None where it can't come back.
+
+        A leader may not have heard yet of those that joined under a former one.
+        """
         record = self.records.get(holder)
-        return record.state if record is not None else None
+        if record is not None:
+            heard = record.granted or record.state is not EndpointState.LIVE
+            return record.state if heard else EndpointState.SUSPECTED
+        replaced = holder.instance in self.instances
+        return None if replaced or holder in self.departed else self.unknown
 
     def is_live(self, holder: Holder) -> bool:
         """Tell whether the incarnation is live."""
@@ -120,15 +131,19 @@
 
 
 def create_fleet(
-    records: Iterable[Record], views: Iterable[ShardView], now: float
+    records: Iterable[Record],
+    views: Iterable[ShardView],
+    now: float,
+    departed: Iterable[Holder] = (),
+    unknown: EndpointState = EndpointState.SUSPECTED,
 ) -> Fleet:
     """Create the fleet of the members that serve callers."""
     members = {
         Holder(record.details.instance, record.details.incarnation): record
         for record in records
-        if record.details.role is not Role.CONTROL and record.granted
+        if record.details.role is not Role.CONTROL
     }
-    fleet = Fleet(members, now)
+    fleet = Fleet(members, now, frozenset(departed), unknown)
     for view in views:
         holders = list_holders(view)
         fleet.get_load(holders[0]).primaries += 1
--- a/burdockwall/process/membership/planner.py
+++ b/burdockwall/process/membership/planner.py
@@ -16,6 +16,7 @@
     Release,
     Released,
 )
+from burdockwall.process.membership.page import ShardHealth
 from burdockwall.process.membership.records import Record
 from burdockwall.process.membership.views import (
     BACKUPS,
@@ -32,7 +33,7 @@
     ShardId,
     Term,
 )
-from burdockwall.version.shards import ShardView
+from burdockwall.version.shards import SHARD_COUNT, ShardView
 
 PLAN_INTERVAL_S = 0.5
 SETTLE_S = 0.3
@@ -51,18 +52,6 @@
     command: AssignShards
 
 
-@dataclass(frozen=True, slots=True)
-class ShardHealth:
-    """Count the shards by what protects them."""
-
-    assigned: int = 0
-    whole: int = 0
-    joining: int = 0
-    waiting: int = 0
-    emptied: int = 0
-    failure_domains: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class _Outstanding:
     proposal: Propose
@@ -74,8 +63,9 @@
 class Planner:
     """Propose later views; one proposal at a time."""
 
-    def __init__(self, instance: InstanceId) -> None:
+    def __init__(self, instance: InstanceId, shard_count: int = SHARD_COUNT) -> None:
         self.instance = instance
+        self.shard_count = shard_count
         self.term = Term(0)
         self.health = ShardHealth()
         self._counter = 0
@@ -141,7 +131,10 @@
             return []
         self._planned_at = now
         self._joins = min(JOINS_PER_S, self._joins + min(1.0, elapsed) * JOINS_PER_S)
-        fleet = create_fleet(records, views.values(), now)
+        known = now >= self._former_until
+        unknown = EndpointState.FAILED if known else EndpointState.SUSPECTED
+        departed = self._lapses
+        fleet = create_fleet(records, views.values(), now, departed, unknown)
         if not views:
             return self._start(fleet, now)
         return self._improve(fleet, views, now)
@@ -169,7 +162,7 @@
             self._ready_at = now + SETTLE_S
         if now < self._ready_at:
             return []
-        return [self._propose(assign_first(fleet), frozenset(), now)]
+        return [self._propose(assign_first(fleet, self.shard_count), frozenset(), now)]
 
     def _propose(
         self, views: list[ShardView], blocked: frozenset[Holder], now: float
@@ -276,10 +269,10 @@
     def _is_out(self, holder: Holder, fleet: Fleet) -> bool:
         if fleet.is_gone(holder):
             return True
-        record = fleet.records[holder]
-        silent_s = fleet.now - record.heard_at
-        suspected = record.state is EndpointState.SUSPECTED
-        return suspected and silent_s >= SUSPECTED_LIMIT_S
+        record = fleet.records.get(holder)
+        if record is None or record.state is not EndpointState.SUSPECTED:
+            return False
+        return fleet.now - record.heard_at >= SUSPECTED_LIMIT_S
 
     def _has_stopped(self, holder: Holder, fleet: Fleet) -> bool:
         record = fleet.records.get(holder)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -35,6 +35,7 @@
     Term,
     Version,
 )
+from burdockwall.version.shards import SHARD_COUNT
 
 REGISTRAR_MESSAGES = (Report, ProbeResult, Released, CopyDone)
 
@@ -62,7 +63,11 @@
     """Answer reports while this instance is the confirmed leader."""
 
     def __init__(
-        self, instance: InstanceId, source: ControlSource, followed: Roster
+        self,
+        instance: InstanceId,
+        source: ControlSource,
+        followed: Roster,
+        shard_count: int = SHARD_COUNT,
     ) -> None:
         self.instance = instance
         self.source = source
@@ -73,7 +78,7 @@
         self.records: dict[MemberNumber, Record] = {}
         self.publisher = Publisher(source, self.roster)
         self.detector = Detector()
-        self.planner = Planner(instance)
+        self.planner = Planner(instance, shard_count)
         self.progress = Progress()
         self.platform: PlatformList | None = None
         self._reporters: dict[InstanceId, float] = {}
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -1,9 +1,9 @@
 """Join the membership machines of a process to its bus, views and waiters."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from burdockwall.connection.peers import PeerBus
+from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.commands import AssignShards
 from burdockwall.process.host import Host
 from burdockwall.process.membership.agent import (
@@ -18,7 +18,8 @@
     MemberEntry,
     Stamp,
 )
-from burdockwall.process.membership.planner import Propose, ShardHealth
+from burdockwall.process.membership.page import FleetPage, describe_member
+from burdockwall.process.membership.planner import Propose
 from burdockwall.process.membership.progress import InForce
 from burdockwall.process.membership.registrar import (
     REGISTRAR_MESSAGES,
@@ -43,20 +44,6 @@
 IN_FORCE_LIMIT_S = 2 * KEY_STOP_S
 
 
-@dataclass(frozen=True, slots=True)
-class FleetRow:
-    """Describe one instance as the leader sees it."""
-
-    instance: InstanceId
-    role: Role
-    region: str
-    failure_domain: str
-    state: EndpointState
-    version: Version
-    lease_s: float
-    silent_s: float
-
-
 class Membership:
     """Run the agent of an instance, and the registrar where it holds the state."""
 
@@ -137,6 +124,19 @@
         self.host.apply(self._hosted_registrar, AwaitInForce(call, version))
         return await self._waiters.wait(call, IN_FORCE_LIMIT_S)
 
+    async def confirm_in_force(self, version: Version) -> str:
+        """Wait until a version is in force and describe what was waited for."""
+        try:
+            found = await self.wait_in_force(version)
+        except TimeoutError as error:
+            detail = f"version {version} is accepted, but not known to be in force"
+            raise OperatorError(Code.CHANGE_UNKNOWN, detail) from error
+        confirmed = " ".join(sorted(found.confirmed)) or "no instance"
+        text = f"in force after {found.waited_s:.1f} s; confirmed by {confirmed}"
+        if found.lapsed:
+            text += f"; lease lapsed at {' '.join(sorted(found.lapsed))}"
+        return text
+
     def list_members(self) -> list[Member]:
         """List the instances that callers may use, from the member list."""
         return [
@@ -154,29 +154,11 @@
         """Return the stamp of the member list in force."""
         return self.agent.roster.stamp
 
-    def read_fleet(self) -> list[FleetRow]:
-        """Describe every member, at the leader; elsewhere the list is empty."""
+    def read_fleet(self) -> FleetPage:
+        """Describe every member, at the leader."""
         registrar = self.registrar
         now = self.host.clock()
         if registrar is None or not registrar.is_leading(now):
-            return []
-        return [
-            FleetRow(
-                instance=record.details.instance,
-                role=record.details.role,
-                region=record.details.region,
-                failure_domain=record.details.failure_domain,
-                state=record.state,
-                version=record.version,
-                lease_s=max(0.0, record.lapses_at - now),
-                silent_s=now - record.heard_at,
-            )
-            for record in registrar.records.values()
-        ]
-
-    def read_shards(self) -> ShardHealth | None:
-        """Describe the protection of the shards, at the leader."""
-        registrar = self.registrar
-        if registrar is None or not registrar.is_leading(self.host.clock()):
-            return None
-        return registrar.planner.health
+            return FleetPage(False, self.agent.term)
+        rows = [describe_member(record, now) for record in registrar.records.values()]
+        return FleetPage(True, registrar.term, rows, registrar.planner.health)
--- a/burdockwall/process/membership/tree.py
+++ b/burdockwall/process/membership/tree.py
@@ -9,20 +9,22 @@
 FAN_OUT = 20
 
 
-def compute_fan_out(count: int) -> int:
-    """Return the bound on children, which two levels need for this many members."""
-    return max(FAN_OUT, math.isqrt(max(0, count - 1)) + 1)
+def compute_fan_out(count: int, fan_out: int) -> int:
+    """Return the bound on children, or what two levels need for so many members."""
+    return max(fan_out, math.isqrt(max(0, count - 1)) + 1)
 
 
-def group_members(members: Sequence[MemberEntry]) -> list[list[InstanceId]]:
+def group_members(
+    members: Sequence[MemberEntry], fan_out: int = FAN_OUT
+) -> list[list[InstanceId]]:
     """Group the live members; the first of each group is its relay.
 
     No group crosses regions, so that a report crosses between regions once.
     """
     live = [item for item in members if item.state is EndpointState.LIVE]
-    if len(live) <= FAN_OUT:
+    if len(live) <= fan_out:
         return [[item.details.instance] for item in live]
-    size = compute_fan_out(len(live))
+    size = compute_fan_out(len(live), fan_out)
     regions: dict[str, list[MemberEntry]] = {}
     for item in live:
         regions.setdefault(item.details.region, []).append(item)
--- a/burdockwall/process/membership/views.py
+++ b/burdockwall/process/membership/views.py
@@ -4,7 +4,7 @@
 
 from burdockwall.process.membership.fleet import Fleet, Holder, list_holders
 from burdockwall.types import EndpointState, FencingNumber, InstanceId, ShardId
-from burdockwall.version.shards import SHARD_COUNT, ShardView
+from burdockwall.version.shards import ShardView
 
 BACKUPS = 2
 COPIES = BACKUPS + 1
@@ -223,11 +223,11 @@
     )
 
 
-def assign_first(fleet: Fleet) -> list[ShardView]:
+def assign_first(fleet: Fleet, count: int) -> list[ShardView]:
     """Assign every shard for the first time; empty shards need no copying."""
     views = []
     live = fleet.list_live()
-    for number in range(SHARD_COUNT):
+    for number in range(count):
         shard = ShardId(number)
         primary = min(
             live,
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -61,8 +61,14 @@
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
         self.operations = Operations(
-            settings, self.read_status, self.state, time.time, self.start_drain
+            settings,
+            self.read_status,
+            self.state,
+            time.time,
+            self.start_drain,
+            self.membership.confirm_in_force,
         )
+        self.operations.add_operation("GET", "/fleet", self._serve_fleet)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
 
     def _create_entry(self) -> Entry:
@@ -103,6 +109,9 @@
             raise OperatorError(Code.NO_ROUTE, "a control instance has no callers")
         await exchange.answer_json(200, self.entry.read_metrics())
 
+    async def _serve_fleet(self, exchange: Exchange) -> None:
+        await exchange.answer_json(200, self.membership.read_fleet())
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.drain.leaving
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -7,9 +7,14 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.audit import AuditRecord
-from burdockwall.process.control.commands import AnyOperatorCommand, Outcome
+from burdockwall.process.control.commands import (
+    AnyOperatorCommand,
+    Outcome,
+    WithdrawKey,
+)
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
+from burdockwall.types import Version
 
 Serve = Callable[[Exchange], Awaitable[None]]
 OPERATOR_BODY_BYTES = 8_388_608
@@ -50,12 +55,14 @@
         state: ControlState | None,
         wall_clock: Callable[[], float],
         drain: Callable[[], None],
+        confirm: Callable[[Version], Awaitable[str]],
     ) -> None:
         self.settings = settings
         self.read_status = read_status
         self.state = state
         self.wall_clock = wall_clock
         self.drain = drain
+        self.confirm = confirm
         self._added: dict[tuple[str, str], Serve] = {}
 
     def add_operation(self, method: str, path: str, serve: Serve) -> None:
@@ -98,4 +105,8 @@
             command = _command_decoder.decode(body)
         except msgspec.DecodeError as error:
             raise OperatorError(Code.BAD_REQUEST, str(error)) from error
-        return state.apply(command, self.wall_clock())
+        outcome = state.apply(command, self.wall_clock())
+        if isinstance(command, WithdrawKey) and not outcome.code:
+            detail = await self.confirm(outcome.version)
+            outcome = msgspec.structs.replace(outcome, detail=detail)
+        return outcome
--- /dev/null
+++ b/features/membership_unprotected.feature
@@ -0,0 +1,18 @@
+Feature: Fleet checks fail where a protection is removed
+
+  Scenario Outline: Without "<protection>" a fleet run shows a fault
+    When fleets run without the protection "<protection>"
+    Then a fleet run shows a fault
+
+    Examples:
+      | protection                         |
+      | lease counted from sending         |
+      | grant bound to a version           |
+      | wait for the primary's lease       |
+      | no grant during a move             |
+      | wait for leases of former leaders  |
+      | views name incarnations            |
+      | versions only go forward           |
+      | release before a move              |
+      | wait for all that may hold a lease |
+      | a lost copy is proven              |
--- /dev/null
+++ b/features/subjects/fleet.py
@@ -0,0 +1,422 @@
+"""Run a fleet on virtual time and check what must hold at every moment."""
+
+import sys
+from dataclasses import dataclass, field
+from typing import Any
+
+from burdockwall.fakes.control import FakeControlLog, FakeSource
+from burdockwall.fakes.network import FakeNetwork, Weather
+from burdockwall.process.control.commands import (
+    AnyCommand,
+    AssignShards,
+    IssueKey,
+    Outcome,
+    SubmitConfiguration,
+    WithdrawKey,
+)
+from burdockwall.process.membership.agent import AGENT_MESSAGES, Agent, InstallState
+from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.planner import Propose
+from burdockwall.process.membership.progress import InForce
+from burdockwall.process.membership.registrar import (
+    REGISTRAR_MESSAGES,
+    AwaitInForce,
+    Registrar,
+)
+from burdockwall.process.membership.timing import CLOCK_RATE_MARGIN, KEY_STOP_S
+from burdockwall.types import (
+    Address,
+    CallId,
+    CustomerId,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    KeyDigest,
+    OperatorId,
+    Role,
+    Version,
+)
+from burdockwall.version.configuration import (
+    Configuration,
+    Customer,
+    print_configuration,
+)
+from burdockwall.version.keys import compute_digest
+from burdockwall.version.shards import CopyConfirmed, LeaseRenewed, ShardsInstalled
+
+CUSTOMER = CustomerId("customer-1")
+OPERATOR = OperatorId("operator")
+SHARDS = 12
+FAN_OUT = 3
+STEP_S = 0.25
+COPY_RETRY_S = 1.0
+QUIET_S = 20.0
+SETTLE_LIMIT_S = 180.0
+
+
+@dataclass
+class Life:
+    """Hold what one incarnation of an instance has done."""
+
+    incarnation: Incarnation
+    version: Version = Version(0)
+    primaries: frozenset[int] = frozenset()
+    copies: set[tuple[int, InstanceId]] = field(default_factory=set)
+
+
+class FleetSubject:
+    """Hold the fleet, its faults and what was found wrong."""
+
+    agent_type: type[Agent] = Agent
+    registrar_type: type[Registrar] = Registrar
+
+    def __init__(
+        self, seed: int, weather: Weather | None = None, entries: int = 6
+    ) -> None:
+        self.seed = seed
+        self.network = FakeNetwork(seed, weather, self.perform)
+        self.random = self.network.random
+        self.log = FakeControlLog()
+        self.log.observe = self.check_views
+        self.control = [InstanceId(f"control-{i}") for i in range(1, 4)]
+        self.entries = [InstanceId(f"entry-{i}") for i in range(1, entries + 1)]
+        self.lives: dict[InstanceId, Life] = {}
+        self.agents: dict[InstanceId, Agent] = {}
+        self.registrars: dict[InstanceId, Registrar] = {}
+        self.faults: list[str] = []
+        self.withdrawn: dict[KeyDigest, float] = {}
+        self.reports: list[InForce] = []
+        self.views: dict[int, Any] = {}
+        self.copied: set[tuple[int, InstanceId, Incarnation]] = set()
+        self.submissions = 0
+        self.assigned_at = 0.0
+        for instance in self.control + self.entries:
+            self.start(instance)
+        self.log.elect(self.control[0])
+
+    # The fleet.
+
+    def start(self, instance: InstanceId) -> None:
+        former = self.lives.get(instance)
+        life = Life(Incarnation(former.incarnation + 1 if former else 1))
+        self.lives[instance] = life
+        number = int(instance.rpartition("-")[2])
+        control = instance in self.control
+        details = InstanceDetails(
+            instance,
+            life.incarnation,
+            Role.CONTROL if control else Role.ENTRY,
+            "region-1",
+            FailureDomain("abc"[number % 3]),
+            Address(f"10.0.0.{number}:1"),
+            Address(f"10.0.0.{number}:2"),
+        )
+        agent = self.agent_type(details, self.control, FAN_OUT)
+        self.agents[instance] = agent
+        machines = [(agent, AGENT_MESSAGES)]
+        if control:
+            source = FakeSource(instance, self.log)
+            registrar = self.registrar_type(instance, source, agent.roster, SHARDS)
+            self.registrars[instance] = registrar
+            machines.append((registrar, REGISTRAR_MESSAGES))
+        node = self.network.start(instance, machines)
+        margin = CLOCK_RATE_MARGIN
+        node.clock_rate = self.random.uniform(1 - margin, 1 + margin)
+        node.clock_offset_s = self.random.uniform(-1000, 1000)
+
+    def crash(self, instance: InstanceId) -> None:
+        self.network.crash(instance)
+        if self.log.leader == instance:
+            self.log.depose()
+            self.network.schedule(self.random.uniform(0.3, 2.0), self.elect)
+
+    def elect(self) -> None:
+        up = [name for name in self.control if self.network.nodes[name].up]
+        if up and self.log.leader is None:
+            self.log.elect(self.random.choice(up))
+
+    def is_up(self, instance: InstanceId) -> bool:
+        return self.network.nodes[instance].up
+
+    def holds_lease(self, instance: InstanceId) -> bool:
+        if not self.is_up(instance):
+            return False
+        clock = self.network.read_clock(instance)
+        return clock < self.agents[instance].lease.until
+
+    # What the shell does.
+
+    def perform(self, instance: InstanceId, action: Any, now: float) -> None:
+        life = self.lives[instance]
+        match action:
+            case InstallState(replica=replica):
+                if replica.version <= life.version:
+                    self.report(f"{instance} went from {life.version}")
+                life.version = replica.version
+            case ShardsInstalled(shards=shards):
+                life.primaries = frozenset(
+                    shard
+                    for shard, view in shards.views.items()
+                    if view.primary == instance
+                )
+                self.check_primaries()
+                self.copy_joining(instance, shards)
+            case LeaseRenewed():
+                self.check_primaries()
+            case Propose(command=command):
+                self.propose(command)
+            case InForce():
+                self.check_in_force(action)
+
+    def propose(self, command: AssignShards) -> None:
+        term = self.log.term
+
+        def commit() -> None:
+            if self.log.term == term:
+                self.log.commit(command, self.network.now)
+
+        if self.random.random() < 0.9:
+            slow = self.random.random() < (0.9 if self.seed % 5 == 0 else 0.2)
+            low, high = (0.5, 3.0) if slow else (0.005, 0.1)
+            self.network.schedule(self.random.uniform(low, high), commit)
+
+    def copy_joining(self, instance: InstanceId, shards: Any) -> None:
+        life = self.lives[instance]
+        for shard in life.primaries:
+            view = shards.views[shard]
+            for joining in view.joining:
+                delay = self.random.uniform(0.1, 2.0)
+                event = CopyConfirmed(shard, view.number, joining)
+                self.network.schedule(delay, self.build_copy(instance, life, event))
+
+    def build_copy(self, instance: InstanceId, life: Life, event: CopyConfirmed):
+        def copy() -> None:
+            view = self.views[event.shard]
+            target = event.instance
+            if self.lives[instance] is not life or view.number != event.number:
+                return
+            acting = event.shard in life.primaries and self.holds_lease(instance)
+            incarnation = self.lives[target].incarnation
+            if not view.names(target, incarnation) or not self.is_up(instance):
+                return
+            if not acting or not self.is_up(target):
+                self.network.schedule(COPY_RETRY_S, copy)
+                return
+            self.copied.add((event.shard, target, incarnation))
+            self.network.apply(instance, self.agents[instance], event)
+
+        return copy
+
+    # Operators.
+
+    def submit(self, command_type: Any, **values: Any) -> Outcome | None:
+        if self.log.leader is None:
+            return None
+        self.submissions += 1
+        command = command_type(
+            operator=OPERATOR, submission=f"submission-{self.submissions}", **values
+        )
+        return self.log.commit(command, self.network.now)
+
+    def submit_configuration(self, rate: float) -> None:
+        text = print_configuration(
+            Configuration(customers=(Customer(CUSTOMER, rate_per_s=rate),))
+        )
+        version = self.log.state.version
+        self.submit(SubmitConfiguration, based_on=version, text=text)
+
+    def issue_key(self, name: str) -> None:
+        digest = compute_digest(name)
+        self.submit(IssueKey, customer=CUSTOMER, digest=digest)
+
+    def withdraw_key(self) -> None:
+        digests = sorted(self.log.state.keys)
+        if not digests:
+            return
+        digest = self.random.choice(digests)
+        outcome = self.submit(WithdrawKey, digest=digest)
+        leader = self.log.leader
+        if outcome is None or outcome.code or leader is None:
+            return
+        self.withdrawn[digest] = self.network.now
+        call = CallId(self.submissions)
+        event = AwaitInForce(call, outcome.version)
+        self.network.apply(leader, self.registrars[leader], event)
+
+    # What must hold.
+
+    def report(self, text: str) -> None:
+        self.faults.append(f"seed {self.seed} at {self.network.now:.3f}: {text}")
+
+    def check_primaries(self) -> None:
+        acting: dict[int, InstanceId] = {}
+        for instance in self.entries:
+            if not self.holds_lease(instance):
+                continue
+            for shard in self.lives[instance].primaries:
+                other = acting.setdefault(shard, instance)
+                if other != instance:
+                    self.report(f"shard {shard}: {other} and {instance} act")
+
+    def check_keys(self) -> None:
+        now = self.network.now
+        for instance in self.entries:
+            if not self.holds_lease(instance):
+                continue
+            for digest in self.agents[instance].replica.keys:
+                at = self.withdrawn.get(digest)
+                if at is not None and now > at + KEY_STOP_S:
+                    self.report(f"{instance} admits a key {now - at:.1f} s late")
+
+    def check_in_force(self, found: InForce) -> None:
+        self.reports.append(found)
+        for instance in self.entries:
+            version = self.agents[instance].replica.version
+            if self.holds_lease(instance) and version < found.version:
+                self.report(f"{instance} runs {version}, not {found.version}")
+
+    def check_views(self, command: AnyCommand, outcome: Outcome) -> None:
+        if not isinstance(command, AssignShards) or outcome.code:
+            return
+        for view in command.views:
+            former = self.views.get(view.shard)
+            # A resent command has the outcome of the first.
+            if former is not None and former.number >= view.number:
+                continue
+            if former is not None:
+                self.check_view(former, view)
+            self.views[view.shard] = view
+            self.assigned_at = self.network.now
+
+    def check_view(self, former: Any, view: Any) -> None:
+        held = list(zip(former.holders, former.incarnations, strict=True))
+        whole = held[: 1 + len(former.backups)]
+        copied = [
+            item for item in held[len(whole) :] if (view.shard, *item) in self.copied
+        ]
+        named = list(zip(view.holders, view.incarnations, strict=True))
+        claimed = named[: 1 + len(view.backups)]
+        alive = [item for item in whole if self.is_alive(*item)]
+        for position, item in enumerate(claimed):
+            if item in whole or item in copied:
+                continue
+            if position == 0 and not alive:
+                continue
+            self.report(f"shard {view.shard}: {item[0]} has no copy")
+        for item in claimed[1:]:
+            if item in copied:
+                continue
+            if item not in whole:
+                self.report(f"shard {view.shard}: backup {item[0]} has no copy")
+
+    def is_alive(self, instance: InstanceId, incarnation: Incarnation) -> bool:
+        same = self.lives[instance].incarnation == incarnation
+        return same and self.is_up(instance)
+
+    def check_settled(self) -> None:
+        if self.network.now - self.assigned_at < QUIET_S:
+            self.report(f"shards still move after {SETTLE_LIMIT_S} s")
+        latest = self.log.state.version
+        for instance in self.entries:
+            if self.agents[instance].replica.version != latest:
+                self.report(f"{instance} does not run {latest}")
+            if not self.holds_lease(instance):
+                self.report(f"{instance} has no lease")
+        acting = set()
+        for instance in self.entries:
+            acting |= self.lives[instance].primaries
+        if len(acting) != SHARDS:
+            self.report(f"{SHARDS - len(acting)} shards have no primary")
+        wanted = min(2, len(self.entries) - 1)
+        thin = [v.shard for v in self.views.values() if len(v.backups) < wanted]
+        if thin:
+            self.report(f"shards {thin} lack backups")
+
+    # Time.
+
+    def run(self, seconds: float) -> None:
+        end = self.network.now + seconds
+        while self.network.now < end and not self.faults:
+            self.network.run_until(min(end, self.network.now + STEP_S))
+            self.check_primaries()
+            self.check_keys()
+
+    def run_faults(self, seconds: float) -> None:
+        self.run(3.0)
+        self.submit_configuration(1.0)
+        for number in range(20):
+            self.issue_key(f"{self.seed}-{number}")
+        end = self.network.now + seconds
+        while self.network.now < end and not self.faults:
+            self.act()
+            self.run(self.random.uniform(0.1, 1.5))
+
+    def act(self) -> None:
+        """Do one thing at random."""
+        choice = self.random.random()
+        everyone = self.control + self.entries
+        if choice < 0.2:
+            self.withdraw_key()
+        elif choice < 0.3:
+            self.submit_configuration(self.random.uniform(1, 9))
+        elif choice < 0.42:
+            self.crash(self.random.choice(self.entries))
+        elif choice < 0.47:
+            self.crash(self.random.choice(self.control))
+        elif choice < 0.62:
+            for instance in everyone:
+                if not self.is_up(instance) and self.random.random() < 0.6:
+                    self.start(instance)
+        elif choice < 0.72:
+            self.network.isolate(self.random.choice(everyone))
+        elif choice < 0.82:
+            self.network.cut(*self.random.sample(everyone, 2))
+        elif choice < 0.92:
+            self.network.heal()
+        else:
+            self.log.depose()
+            self.network.schedule(self.random.uniform(0.1, 1.5), self.elect)
+
+    def run_calm(self) -> None:
+        self.network.heal()
+        self.network.weather = Weather()
+        for instance in self.control + self.entries:
+            if not self.is_up(instance):
+                self.start(instance)
+        if self.log.leader is None:
+            self.elect()
+        self.assigned_at = self.network.now
+        end = self.network.now + SETTLE_LIMIT_S
+        while not self.faults and self.network.now < end:
+            self.run(5.0)
+            if self.network.now - self.assigned_at >= QUIET_S:
+                break
+        if not self.faults:
+            self.check_settled()
+
+
+def run_seed(
+    seed: int, subject_type: type[FleetSubject] = FleetSubject
+) -> FleetSubject:
+    # Every third seed lets messages cross widely.
+    high_s = 1.2 if seed % 3 == 0 else 0.08
+    weather = Weather(0.001, high_s, loss=0.05, doubling=0.05)
+    subject = subject_type(seed, weather)
+    subject.run_faults(30.0)
+    if not subject.faults:
+        subject.run_calm()
+    return subject
+
+
+def main(first: int, count: int) -> int:
+    """Run any number of seeds: python -m features.subjects.fleet FIRST COUNT."""
+    faults = [
+        fault for seed in range(first, first + count) for fault in run_seed(seed).faults
+    ]
+    print("\n".join(faults))
+    print(f"{count} seeds from {first}, {len(faults)} faults")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- /dev/null
+++ b/features/subjects/fleet_unprotected.py
@@ -0,0 +1,113 @@
+"""Remove one protection at a time, to show that the fleet's checks can fail."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from burdockwall.process.membership.agent import Agent
+from burdockwall.process.membership.lease import Lease
+from burdockwall.process.membership.planner import Planner
+from burdockwall.process.membership.progress import Progress
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.membership.seals import Seals
+from burdockwall.process.membership.views import Draft
+from burdockwall.types import Version
+from features.subjects.fleet import FleetSubject, run_seed
+
+
+def _count_from_answer() -> Any:
+    take_grant = Agent._take_grant
+
+    def replace(self: Agent, grant: Any, now: float) -> Any:
+        if self.lease.knows(grant.sequence):
+            self.lease.record_sent(grant.sequence, now)
+        return take_grant(self, grant, now)
+
+    return mock.patch.object(Agent, "_take_grant", replace)
+
+
+def _ignore_version() -> Any:
+    accept = Lease.accept
+
+    def replace(self: Lease, sequence: int, version: Version, installed: Version):
+        return accept(self, sequence, Version(0), installed)
+
+    return mock.patch.object(Lease, "accept", replace)
+
+
+def _ignore_former_leases() -> Any:
+    start_term = Planner.start_term
+
+    def replace(self: Planner, term: Any, former_until: float) -> None:
+        start_term(self, term, float("-inf"))
+
+    return mock.patch.object(Planner, "start_term", replace)
+
+
+def _install_older() -> Any:
+    install = StateReplica.install_changes
+
+    def replace(self: StateReplica, message: Any) -> bool:
+        if message.version < self.version:
+            self.version = message.since
+        return install(self, message)
+
+    return mock.patch.object(StateReplica, "install_changes", replace)
+
+
+def _move_unreleased() -> Any:
+    build = Planner._build_release
+
+    def replace(self: Planner, draft: Any) -> Any:
+        self._released.add((draft.shard, draft.number))
+        return build(self, draft)
+
+    return mock.patch.object(Planner, "_build_release", replace)
+
+
+def _trust_lapse_of_unheard() -> Any:
+    examine = Progress._examine
+
+    def replace(self: Progress, waiting: Any, records: Any, now: float) -> Any:
+        confirmed = [item for item in records if item.version >= waiting.version]
+        return examine(self, waiting, confirmed, now)
+
+    return mock.patch.object(Progress, "_examine", replace)
+
+
+def _answer_always(name: str, owner: type, answer: Any) -> Callable[[], Any]:
+    def patch() -> Any:
+        return mock.patch.object(owner, name, lambda *arguments: answer)
+
+    return patch
+
+
+PROTECTIONS: dict[str, Callable[[], Any]] = {
+    "lease counted from sending": _count_from_answer,
+    "grant bound to a version": _ignore_version,
+    "wait for the primary's lease": _answer_always("_has_stopped", Planner, True),
+    "no grant during a move": _answer_always("is_blocked", Planner, False),
+    "wait for leases of former leaders": _ignore_former_leases,
+    "views name incarnations": _answer_always("_holds", Seals, True),
+    "versions only go forward": _install_older,
+    "release before a move": _move_unreleased,
+    "wait for all that may hold a lease": _trust_lapse_of_unheard,
+    "a lost copy is proven": _answer_always("is_lost", Draft, True),
+}
+
+
+@contextmanager
+def remove_protection(name: str) -> Iterator[None]:
+    with PROTECTIONS[name]():
+        yield
+
+
+def find_fault(name: str, seeds: range) -> FleetSubject | None:
+    """Return the first run that shows a fault without the protection."""
+    with remove_protection(name):
+        for seed in seeds:
+            subject = run_seed(seed)
+            if subject.faults:
+                return subject
+    return None
