--- a/features/subjects/fleet.py
+++ b/features/subjects/fleet.py
@@ -14,7 +14,12 @@
     SubmitConfiguration,
     WithdrawKey,
 )
-from burdockwall.process.membership.agent import AGENT_MESSAGES, Agent, InstallState
+from burdockwall.process.membership.agent import (
+    AGENT_MESSAGES,
+    Agent,
+    InstallState,
+    Leave,
+)
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.planner import Propose
 from burdockwall.process.membership.progress import InForce
@@ -49,6 +54,7 @@
 SHARDS = 12
 FAN_OUT = 3
 STEP_S = 0.25
+LEAVE_S = 8.0
 COPY_RETRY_S = 1.0
 QUIET_S = 20.0
 SETTLE_LIMIT_S = 180.0
@@ -130,6 +136,16 @@
             self.log.depose()
             self.network.schedule(self.random.uniform(0.3, 2.0), self.elect)
 
+    def leave(self, instance: InstanceId) -> None:
+        life = self.lives[instance]
+
+        def end() -> None:
+            if self.lives[instance] is life and self.is_up(instance):
+                self.crash(instance)
+
+        self.network.apply(instance, self.agents[instance], Leave())
+        self.network.schedule(LEAVE_S, end)
+
     def elect(self) -> None:
         up = [name for name in self.control if self.network.nodes[name].up]
         if up and self.log.leader is None:
@@ -359,7 +375,9 @@
             self.withdraw_key()
         elif choice < 0.3:
             self.submit_configuration(self.random.uniform(1, 9))
-        elif choice < 0.42:
+        elif choice < 0.36:
+            self.leave(self.random.choice(self.entries))
+        elif choice < 0.44:
             self.crash(self.random.choice(self.entries))
         elif choice < 0.47:
             self.crash(self.random.choice(self.control))
@@ -381,7 +399,7 @@
         self.network.heal()
         self.network.weather = Weather()
         for instance in self.control + self.entries:
-            if not self.is_up(instance):
+            if self.agents[instance].leaving or not self.is_up(instance):
                 self.start(instance)
         if self.log.leader is None:
             self.elect()
--- a/features/subjects/fleet_unprotected.py
+++ b/features/subjects/fleet_unprotected.py
@@ -9,6 +9,7 @@
 from burdockwall.process.membership.lease import Lease
 from burdockwall.process.membership.planner import Planner
 from burdockwall.process.membership.progress import Progress
+from burdockwall.process.membership.records import Record
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.seals import Seals
 from burdockwall.process.membership.views import Draft
@@ -86,7 +87,7 @@
 PROTECTIONS: dict[str, Callable[[], Any]] = {
     "lease counted from sending": _count_from_answer,
     "grant bound to a version": _ignore_version,
-    "wait for the primary's lease": _answer_always("_has_stopped", Planner, True),
+    "wait for the primary's lease": _answer_always("has_lapsed", Record, True),
     "no grant during a move": _answer_always("is_blocked", Planner, False),
     "wait for leases of former leaders": _ignore_former_leases,
     "views name incarnations": _answer_always("_holds", Seals, True),
