--- /dev/null
+++ b/benchmarks/distribution.py
@@ -0,0 +1,283 @@
+"""Measure how versions reach the fleet: time in force, bytes, messages, processor.
+
+Time is virtual, with the delays of the target; processor time is that of the state
+machines and the codec, plus the transport's share for each message.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from benchmarks.result import Result, create_result
+from burdockwall.connection.wire import Envelope, MessagePackCodec
+from burdockwall.fakes.control import FakeControlLog, FakeSource
+from burdockwall.fakes.network import FakeNetwork
+from burdockwall.machine import Machine, Message, Send
+from burdockwall.process.control.commands import IssueKey, SubmitConfiguration
+from burdockwall.process.membership.agent import AGENT_MESSAGES, Agent, InstallState
+from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.planner import Propose
+from burdockwall.process.membership.registrar import REGISTRAR_MESSAGES, Registrar
+from burdockwall.process.membership.tree import group_members, list_relays
+from burdockwall.types import (
+    Address,
+    CustomerId,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    KeyDigest,
+    OperatorId,
+    Role,
+    Version,
+)
+from burdockwall.version.configuration import (
+    Configuration,
+    Customer,
+    print_configuration,
+)
+
+SEED = 1
+CONTROLS = 3
+FLEETS = (9, 90, 380)
+CUSTOMERS = 100
+REGIONS = 4
+DOMAINS_PER_REGION = 4
+NEAR_S = (0.001, 0.0015)
+FAR_S = (0.02, 0.06)
+CHANGE_INTERVAL_S = 86_400 / 12_000
+WARM_S = 15.0
+RUN_S = 60.0
+# gRPC, HTTP/2, TCP and IP headers of one message, and its acknowledgement.
+FRAME_BYTES = 5 + 9 + 40
+ACKNOWLEDGEMENT_BYTES = FRAME_BYTES + 2
+# One message and its acknowledgement on an open stream take 0.4 ms at both ends.
+TRANSPORT_S = 0.0002
+IN_FORCE_BOUND_S = 8.0
+BYTES_BOUND = 5000.0
+PROCESSOR_BOUND_PERCENT = 4.4
+
+
+@dataclass(slots=True)
+class Usage:
+    """Sum what one instance has sent, received and computed."""
+
+    messages: int = 0
+    wire_bytes: int = 0
+    processor_s: float = 0.0
+
+
+class MeasuredNetwork(FakeNetwork):
+    """Delay messages by region and count what each instance spends."""
+
+    def __init__(self, seed: int, perform: Callable[[InstanceId, Any, float], None]):
+        super().__init__(seed, perform=perform)
+        self.regions: dict[InstanceId, str] = {}
+        self.usage: dict[InstanceId, Usage] = {}
+        self._codec = MessagePackCodec()
+
+    def apply(self, instance: InstanceId, machine: Machine, event: Any) -> None:
+        """Hand over an event and time the machine with what it triggers."""
+        usage = self.usage[instance]
+        began = time.process_time()
+        super().apply(instance, machine, event)
+        usage.processor_s += time.process_time() - began
+
+    def send(self, sender: InstanceId, action: Send) -> None:
+        """Count a message and deliver it after the delay of its regions."""
+        if action.to == sender:
+            super().send(sender, action)
+            return
+        size = self._carry(sender, action)
+        for instance in (sender, action.to):
+            usage = self.usage[instance]
+            usage.messages += 1
+            usage.wire_bytes += size + FRAME_BYTES + ACKNOWLEDGEMENT_BYTES
+        near = self.regions[sender] == self.regions[action.to]
+        low, high = NEAR_S if near else FAR_S
+        self.weather.delay_low_s, self.weather.delay_high_s = low, high
+        super().send(sender, action)
+
+    def _carry(self, sender: InstanceId, action: Send) -> int:
+        message: Any = action.message
+        envelope = Envelope(sender, Incarnation(1), 1, [message])
+        # The sender's share is timed by apply(), which has called this.
+        data = self._codec.encode(envelope, Envelope)
+        began = time.process_time()
+        self._codec.decode(data, Envelope)
+        elapsed = time.process_time() - began
+        self.usage[action.to].processor_s += elapsed
+        self.usage[sender].processor_s -= elapsed
+        return len(data)
+
+
+class MeasuredFleet:
+    """Run control instances and followers, and time how versions spread."""
+
+    def __init__(self, followers: int) -> None:
+        self.network = MeasuredNetwork(SEED, self.perform)
+        self.log = FakeControlLog()
+        self.control = [InstanceId(f"control-{n}") for n in range(CONTROLS)]
+        self.entries = [InstanceId(f"entry-{n:03}") for n in range(followers)]
+        self.agents: dict[InstanceId, Agent] = {}
+        self.accepted_at: dict[Version, float] = {}
+        self.behind: dict[Version, set[InstanceId]] = {}
+        self.spread_s: list[float] = []
+        self.submissions = 0
+        for number, instance in enumerate(self.control + self.entries):
+            self._start(instance, number)
+        self.log.elect(self.control[0])
+
+    def _start(self, instance: InstanceId, number: int) -> None:
+        region = f"region-{number % REGIONS}"
+        domain = f"{region}-{number // REGIONS % DOMAINS_PER_REGION}"
+        is_control = instance in self.control
+        details = InstanceDetails(
+            instance,
+            Incarnation(1_764_800_000_000_000_000 + number),
+            Role.CONTROL if is_control else Role.ENTRY,
+            region,
+            FailureDomain(domain),
+            Address(f"10.1.{number // 250}.{number % 250}:8082"),
+            Address(f"10.1.{number // 250}.{number % 250}:8080"),
+        )
+        agent = Agent(details, self.control)
+        self.agents[instance] = agent
+        self.network.regions[instance] = region
+        self.network.usage[instance] = Usage()
+        machines: list[tuple[Machine, tuple[type[Message], ...]]] = [
+            (agent, AGENT_MESSAGES)
+        ]
+        if is_control:
+            source = FakeSource(instance, self.log)
+            registrar = Registrar(instance, source, agent.roster)
+            machines.append((registrar, REGISTRAR_MESSAGES))
+        self.network.start(instance, machines)
+
+    def perform(self, instance: InstanceId, action: Any, now: float) -> None:
+        """Commit proposals and note which version an instance installs."""
+        match action:
+            case Propose(command=command):
+                self.log.commit(command, now)
+            case InstallState(replica=replica):
+                self._note_installed(instance, replica.version, now)
+
+    def _note_installed(
+        self, instance: InstanceId, version: Version, now: float
+    ) -> None:
+        for waiting in list(self.behind):
+            if waiting > version:
+                continue
+            self.behind[waiting].discard(instance)
+            if not self.behind[waiting]:
+                del self.behind[waiting]
+                self.spread_s.append(now - self.accepted_at[waiting])
+
+    def change(self) -> None:
+        """Issue a key or change one customer, in turn."""
+        self.submissions += 1
+        number = self.submissions
+        if number % 2:
+            self._submit_customers(number)
+        else:
+            self.log.commit(
+                IssueKey(
+                    operator=OperatorId("operator"),
+                    submission=str(number),
+                    customer=CustomerId("customer-0000"),
+                    digest=KeyDigest(f"{number:064x}"),
+                ),
+                self.network.now,
+            )
+        version = self.log.state.version
+        self.accepted_at[version] = self.network.now
+        self.behind[version] = set(self.entries)
+
+    def _submit_customers(self, number: int) -> None:
+        customers = tuple(
+            Customer(
+                CustomerId(f"customer-{item:04}"),
+                rate_per_s=10.0 + (number if item == number % CUSTOMERS else 0),
+            )
+            for item in range(CUSTOMERS)
+        )
+        command = SubmitConfiguration(
+            operator=OperatorId("operator"),
+            submission=str(number),
+            based_on=self.log.state.version,
+            text=print_configuration(Configuration(customers=customers)),
+        )
+        self.log.commit(command, self.network.now)
+
+    def run(self) -> None:
+        """Warm up, then change the state at the target's rate."""
+        self.network.run_until(WARM_S / 2)
+        self.change()
+        self.network.run_until(WARM_S)
+        self.spread_s.clear()
+        for instance in self.network.usage:
+            self.network.usage[instance] = Usage()
+        while self.network.now < WARM_S + RUN_S:
+            # Changes come at any moment between two ticks.
+            wait_s = self.network.random.uniform(0.9, 1.1) * CHANGE_INTERVAL_S
+            self.network.run_until(self.network.now + wait_s)
+            self.change()
+        self.network.run_until(self.network.now + CHANGE_INTERVAL_S)
+
+    def list_relays(self) -> list[InstanceId]:
+        """List the relays that have children."""
+        leader = self.agents[self.control[0]]
+        groups = group_members(leader.roster.list_entries())
+        if all(len(group) == 1 for group in groups):
+            return []
+        return [relay for relay in list_relays(groups) if relay in self.entries]
+
+
+def measure() -> list[Result]:
+    """Measure fleets of the present and of the target's size."""
+    results: list[Result] = []
+    for followers in FLEETS:
+        results += _measure_fleet(followers)
+    return results
+
+
+def _measure_fleet(followers: int) -> list[Result]:
+    fleet = MeasuredFleet(followers)
+    fleet.run()
+    name = f"distribution_{followers}"
+    unfinished = len(fleet.behind)
+    slowest = max(fleet.spread_s) if not unfinished else float("inf")
+    relays = fleet.list_relays()
+    leaves = [item for item in fleet.entries if item not in relays]
+    results = [
+        create_result(f"{name}_in_force", slowest, "s", SEED, bound=IN_FORCE_BOUND_S),
+    ]
+    results += _measure_role(fleet, f"{name}_leader", [fleet.control[0]])
+    results += _measure_role(fleet, f"{name}_leaf", leaves)
+    if relays:
+        results += _measure_role(fleet, f"{name}_relay", relays)
+    return results
+
+
+def _measure_role(
+    fleet: MeasuredFleet, name: str, instances: list[InstanceId]
+) -> list[Result]:
+    used = [fleet.network.usage[instance] for instance in instances]
+    seconds = fleet.network.now - WARM_S
+    # Sent and received together; the worst instance of the role.
+    messages = max(item.messages for item in used) / seconds
+    wire_bytes = max(item.wire_bytes for item in used) / seconds
+    processor = max(item.processor_s for item in used) / seconds
+    percent = 100 * (processor + messages * TRANSPORT_S)
+    return [
+        create_result(f"{name}_messages", messages, "1/s", SEED),
+        create_result(f"{name}_bytes", wire_bytes, "B/s", SEED, bound=BYTES_BOUND),
+        create_result(f"{name}_machines", 100 * processor, "% of a core", SEED),
+        create_result(
+            f"{name}_processor",
+            percent,
+            "% of a core",
+            SEED,
+            bound=PROCESSOR_BOUND_PERCENT,
+        ),
+    ]
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -31,8 +31,10 @@
 from burdockwall.process.membership.roster import Roster
 from burdockwall.process.membership.seals import Seals
 from burdockwall.process.membership.timing import (
-    BEAT_AFTER_GRANT_S,
     BEAT_INTERVAL_S,
+    HOLD_S,
+    LARGE_BEAT_INTERVAL_S,
+    LARGE_FLEET,
     SILENCE_S,
 )
 from burdockwall.process.membership.tree import FAN_OUT, group_members
@@ -112,6 +114,7 @@
         self.path = Path(details.instance, control)
         self.seals = Seals(details.instance, details.incarnation)
         self.witness = Witness()
+        self._interval_s = BEAT_INTERVAL_S
         self._sequence = 0
         self._beat_at = float("-inf")
         self._unanswered_at: float | None = None
@@ -176,7 +179,7 @@
         return actions
 
     def _beat(self, now: float) -> list[Action]:
-        self._beat_at = now + BEAT_INTERVAL_S
+        self._beat_at = now + self._interval_s
         hop = self.path.find_hop(now)
         if hop is None:
             return []
@@ -203,7 +206,9 @@
     def _report(self, target: InstanceId | None, now: float) -> list[Action]:
         if target is None:
             return []
-        self._beat_at = max(self._beat_at, now + BEAT_INTERVAL_S)
+        # Where there are children, their heartbeats set the pace.
+        slack_s = 2 * HOLD_S if self.collector.children else 0.0
+        self._beat_at = max(self._beat_at, now + self._interval_s + slack_s)
         self.collector.add_own(self.details, self._build_beat(now))
         self._sequence += 1
         report = self.collector.build_report(
@@ -234,15 +239,15 @@
             self.term = grant.term
             self._seals_end = (grant.term, grant.version)
         self.path.leader = grant.leader
-        passed = self.collector.pass_grant(grant, now)
+        passed = self.collector.pass_grant(grant, self._interval_s, now)
         if passed is not None:
             return [*passed, *self._expire_seals()]
         if not self.lease.knows(grant.sequence):
             return []
         self._unanswered_at = None
         hop = self.path.find_hop(now)
-        if hop is not None and not hop.is_control:
-            self._beat_at = now + BEAT_AFTER_GRANT_S
+        if hop is not None and not hop.is_control and grant.next_ms:
+            self._beat_at = now + grant.next_ms / 1000
         actions = self._expire_seals()
         installed = self.replica.version
         if self.lease.accept(grant.sequence, grant.version, installed):
@@ -264,6 +269,8 @@
         if not installed:
             return []
         members = self.roster.list_entries()
+        large = len(members) > LARGE_FLEET
+        self._interval_s = LARGE_BEAT_INTERVAL_S if large else BEAT_INTERVAL_S
         self.path.set_groups(group_members(members, self.fan_out))
         announced = MembersInstalled(tuple(members), self.roster.endpoints)
         return [announced, *self._push(now), *self._resend(now)]
--- a/burdockwall/process/membership/collector.py
+++ b/burdockwall/process/membership/collector.py
@@ -11,7 +11,11 @@
     Report,
 )
 from burdockwall.process.membership.roster import Roster
-from burdockwall.process.membership.timing import CHILD_LIMIT_S, HOLD_S
+from burdockwall.process.membership.timing import (
+    CHILD_LIMIT_S,
+    HOLD_S,
+    LEAST_PACE,
+)
 from burdockwall.types import Incarnation, InstanceId, MemberNumber, Version
 
 KEPT_REPORTS = 8
@@ -42,6 +46,7 @@
         self.children: dict[InstanceId, Child] = {}
         self._pending: dict[InstanceId, Beat] = {}
         self._first_at = 0.0
+        self._pace_at = float("-inf")
         self._details: InstanceDetails | None = None
         self._reports: dict[int, list[_Collected]] = {}
 
@@ -143,7 +148,15 @@
         if newer is None or newer.sequence < item.beat.sequence:
             self._pending[item.child] = item.beat
 
-    def pass_grant(self, grant: Grant, now: float) -> list[Send] | None:
+    def _compute_pace_ms(self, interval_s: float, now: float) -> int:
+        # All children send at one time, so that one report carries them.
+        while self._pace_at < now + LEAST_PACE * interval_s:
+            self._pace_at = max(self._pace_at + interval_s, now)
+        return round(1000 * (self._pace_at - now))
+
+    def pass_grant(
+        self, grant: Grant, interval_s: float, now: float
+    ) -> list[Send] | None:
         """Pass the grant of a report on; return None where it is of none.
 
         It goes to those whose heartbeats the report carried, this instance too.
@@ -152,6 +165,7 @@
         if collected is None:
             return None
         refused = set(grant.refused)
+        pace_ms = self._compute_pace_ms(interval_s, now)
         sends = []
         for item in collected:
             if item.number is None:
@@ -165,6 +179,7 @@
                 item.beat.incarnation,
                 item.beat.sequence,
                 grant.version,
+                next_ms=pace_ms,
             )
             sends.append(Send(item.child, own))
         return sends
--- a/burdockwall/process/membership/messages.py
+++ b/burdockwall/process/membership/messages.py
@@ -95,7 +95,8 @@
     """Renew the lease of all whose heartbeats the numbered message carried.
 
     The lease holds only where `version` or a later one is in force. `refused`
-    are members of the report that get no lease.
+    are members of the report that get no lease. `next_ms` is the time until the
+    child of a relay should send again.
     """
 
     term: Term
@@ -104,6 +105,7 @@
     sequence: int
     version: Version
     refused: list[MemberNumber] = []
+    next_ms: int = 0
 
 
 class NotLeader(Message, frozen=True):
--- a/burdockwall/process/membership/planner.py
+++ b/burdockwall/process/membership/planner.py
@@ -15,6 +15,7 @@
     InstanceDetails,
     Release,
     Released,
+    Stamp,
 )
 from burdockwall.process.membership.page import ShardHealth
 from burdockwall.process.membership.records import Record
@@ -32,10 +33,13 @@
     OperatorId,
     ShardId,
     Term,
+    Version,
 )
 from burdockwall.version.shards import SHARD_COUNT, ShardView
 
 PLAN_INTERVAL_S = 0.5
+# Where the last plan found nothing to do and nothing has changed since.
+IDLE_INTERVAL_S = 5.0
 SETTLE_S = 0.3
 PROPOSE_RETRY_S = 1.0
 # A suspected primary whose lease has lapsed is replaced after this long.
@@ -78,6 +82,7 @@
         self._copied: dict[tuple[ShardId, FencingNumber], set[InstanceId]] = {}
         self._joins = 0.0
         self._ready_at: float | None = None
+        self._idle_at: tuple[Version, Stamp] | None = None
         self._emptied = 0
         self._views: dict[ShardId, ShardView] = {}
 
@@ -92,6 +97,7 @@
         self._released = set()
         self._copied = {}
         self._ready_at = None
+        self._idle_at = None
 
     def note_lapse(self, details: InstanceDetails, lapses_at: float) -> None:
         """Remember when the lease of an incarnation that left the list lapses."""
@@ -120,14 +126,22 @@
         return self._outstanding is not None and holder in self._outstanding.blocked
 
     def plan(
-        self, records: Iterable[Record], views: dict[ShardId, ShardView], now: float
+        self,
+        records: Iterable[Record],
+        views: dict[ShardId, ShardView],
+        state: tuple[Version, Stamp],
+        now: float,
     ) -> list[Send | Propose]:
-        """Return the proposal and the requests to release that are due."""
+        """Return the proposal and the requests to release that are due.
+
+        `state` changes with the views and with the member list.
+        """
         self._views = views
         if self._outstanding is not None:
             return self._continue(self._outstanding, now)
         elapsed = now - self._planned_at
-        if elapsed < PLAN_INTERVAL_S:
+        idle = self._idle_at == state
+        if elapsed < (IDLE_INTERVAL_S if idle else PLAN_INTERVAL_S):
             return []
         self._planned_at = now
         self._joins = min(JOINS_PER_S, self._joins + min(1.0, elapsed) * JOINS_PER_S)
@@ -137,7 +151,10 @@
         fleet = create_fleet(records, views.values(), now, departed, unknown)
         if not views:
             return self._start(fleet, now)
-        return self._improve(fleet, views, now)
+        actions = self._improve(fleet, views, now)
+        waiting = self.health.waiting or self.health.joining
+        self._idle_at = None if actions or waiting else state
+        return actions
 
     def _continue(self, known: _Outstanding, now: float) -> list[Send | Propose]:
         done = all(
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -254,7 +254,8 @@
         endpoints = self._compare_endpoints()
         actions += self._change_roster(found.changed, found.removed, endpoints)
         views = self.source.get_shards()
-        actions += self.planner.plan(self.records.values(), views, now)
+        state = (self.source.version, self.roster.stamp)
+        actions += self.planner.plan(self.records.values(), views, state, now)
         actions += self.progress.check(self._list_holders(now), now)
         if self._roster_changed or self.source.version != self._seen_version:
             self._roster_changed = False
--- a/burdockwall/process/membership/timing.py
+++ b/burdockwall/process/membership/timing.py
@@ -12,9 +12,14 @@
 LAPSE_S = LEASE_S * (1 + CLOCK_RATE_MARGIN) / (1 - CLOCK_RATE_MARGIN)
 
 BEAT_INTERVAL_S = 1.0
-# A relay's children send again shortly before the relay's next report.
-BEAT_AFTER_GRANT_S = 0.75
+# Large fleets send less often, so that relays keep to their bytes a second.
+LARGE_FLEET = 60
+LARGE_BEAT_INTERVAL_S = 1.8
+# A relay holds heartbeats for this long; its children send that much before the
+# relay's next report is due.
 HOLD_S = 0.25
+# Least time from a grant to the next heartbeat, in heartbeat intervals.
+LEAST_PACE = 0.5
 SILENCE_S = 1.2
 AVOID_S = 10.0
 CHILD_LIMIT_S = 3.0
--- a/burdockwall/process/membership/tree.py
+++ b/burdockwall/process/membership/tree.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from burdockwall.process.membership.messages import MemberEntry
-from burdockwall.types import EndpointState, InstanceId
+from burdockwall.types import EndpointState, InstanceId, Role
 
 FAN_OUT = 20
 
@@ -21,7 +21,12 @@
 
     No group crosses regions, so that a report crosses between regions once.
     """
-    live = [item for item in members if item.state is EndpointState.LIVE]
+    # Control instances report to the leader themselves and relay for nobody.
+    live = [
+        item
+        for item in members
+        if item.state is EndpointState.LIVE and item.details.role is not Role.CONTROL
+    ]
     if len(live) <= fan_out:
         return [[item.details.instance] for item in live]
     size = compute_fan_out(len(live), fan_out)
--- /dev/null
+++ b/burdockwall/process/orders/carrier.py
@@ -0,0 +1,153 @@
+"""Give orders to endpoints: in order, repeated until done, fenced by number."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Tick
+from burdockwall.process.membership.timing import LAPSE_S
+from burdockwall.process.orders.order import (
+    NumberedOrder,
+    Order,
+    OrderResult,
+    create_number,
+)
+from burdockwall.types import EndpointId, FencingNumber, Term
+
+ORDER_TIMEOUT_S = 2.0
+RETRY_S = 1.0
+# By then the former leader's lease has lapsed and its last attempt has ended.
+FORMER_LEADER_S = LAPSE_S + ORDER_TIMEOUT_S
+
+
+@dataclass(frozen=True, slots=True)
+class StartTerm:
+    """Tell the carrier that its instance now leads a term."""
+
+    term: Term
+    has_former: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StopTerm:
+    """Tell the carrier that its instance does not lead any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """Ask for an order to be carried out."""
+
+    order: Order
+    checks_orders: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Attempted:
+    """Tell what became of an attempt."""
+
+    endpoint: EndpointId
+    number: FencingNumber
+    result: OrderResult
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Drop every order to an endpoint, which is gone."""
+
+    endpoint: EndpointId
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Ask the shell to send an order once, within ORDER_TIMEOUT_S."""
+
+    numbered: NumberedOrder
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """Tell that an order is done, or that a later leader has overtaken it."""
+
+    numbered: NumberedOrder
+    result: OrderResult
+
+
+Event = Tick | StartTerm | StopTerm | Give | Attempted | Withdraw
+Action = Attempt | Finished
+
+
+@dataclass(slots=True)
+class _Queue:
+    checks_orders: bool
+    orders: deque[NumberedOrder] = field(default_factory=deque)
+    under_way: bool = False
+    try_at: float = float("-inf")
+
+
+class OrderCarrier:
+    """Hold a queue for each endpoint while this instance leads."""
+
+    def __init__(self) -> None:
+        self.term: Term | None = None
+        self._counter = 0
+        self._wait_until = 0.0
+        self._queues: dict[EndpointId, _Queue] = {}
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take an event and return the attempts and results."""
+        match event:
+            case StartTerm(term=term, has_former=has_former):
+                self.term = term
+                self._counter = 0
+                self._queues = {}
+                self._wait_until = now + FORMER_LEADER_S if has_former else now
+            case StopTerm():
+                self.term = None
+                self._queues = {}
+            case Give(order=order, checks_orders=checks_orders):
+                self._add(order, checks_orders)
+            case Attempted():
+                return self._take_result(event, now)
+            case Withdraw(endpoint=endpoint):
+                self._queues.pop(endpoint, None)
+            case Tick():
+                pass
+        return self._attempt_due(now)
+
+    def count_waiting(self) -> int:
+        """Count the orders that are not done."""
+        return sum(len(queue.orders) for queue in self._queues.values())
+
+    def _add(self, order: Order, checks_orders: bool) -> None:
+        if self.term is None:
+            return
+        self._counter += 1
+        number = create_number(self.term, self._counter)
+        queue = self._queues.setdefault(order.endpoint, _Queue(checks_orders))
+        queue.checks_orders = checks_orders
+        queue.orders.append(NumberedOrder(number, order))
+
+    def _attempt_due(self, now: float) -> list[Action]:
+        attempts: list[Action] = []
+        for queue in self._queues.values():
+            if not queue.orders or queue.under_way or now < queue.try_at:
+                continue
+            if not queue.checks_orders and now < self._wait_until:
+                continue
+            # One at a time, so that none overtakes another.
+            queue.under_way = True
+            attempts.append(Attempt(queue.orders[0]))
+        return attempts
+
+    def _take_result(self, event: Attempted, now: float) -> list[Action]:
+        queue = self._queues.get(event.endpoint)
+        if queue is None or not queue.orders:
+            return []
+        head = queue.orders[0]
+        if head.number != event.number:
+            return []
+        queue.under_way = False
+        if event.result is OrderResult.FAILED:
+            queue.try_at = now + RETRY_S
+            return []
+        queue.orders.popleft()
+        return [Finished(head, event.result), *self._attempt_due(now)]
--- /dev/null
+++ b/burdockwall/process/orders/shell.py
@@ -0,0 +1,89 @@
+"""Send orders to endpoints over HTTP."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from burdockwall.process.host import Host, Hosted
+from burdockwall.process.orders.carrier import (
+    ORDER_TIMEOUT_S,
+    Attempt,
+    Attempted,
+    Finished,
+    Give,
+    OrderCarrier,
+)
+from burdockwall.process.orders.order import NumberedOrder, Order, OrderResult
+from burdockwall.types import Address, EndpointId
+
+ORDER_PATH = "/orders"
+
+
+class Orders:
+    """Carry orders while the instance leads."""
+
+    def __init__(
+        self,
+        host: Host,
+        find_address: Callable[[EndpointId], Address | None],
+        is_leading: Callable[[], bool],
+        finish: Callable[[Finished], None] = lambda finished: None,
+    ) -> None:
+        self.host = host
+        self.carrier = OrderCarrier()
+        self.find_address = find_address
+        self.is_leading = is_leading
+        self.finish = finish
+        self._group: anyio.abc.TaskGroup | None = None
+        self._client: httpx.AsyncClient | None = None
+        self.hosted: Hosted = host.add(self.carrier, (), self._perform)
+
+    def give(self, order: Order, checks_orders: bool) -> None:
+        """Queue an order for an endpoint."""
+        self.host.apply(self.hosted, Give(order, checks_orders))
+
+    def _perform(self, action: Attempt | Finished) -> None:
+        match action:
+            case Attempt(numbered=numbered):
+                if self._group is not None:
+                    self._group.start_soon(self._attempt, numbered)
+            case Finished():
+                self.finish(action)
+
+    async def run(self) -> None:
+        """Send what the carrier asks for until cancelled."""
+        async with httpx.AsyncClient(
+            trust_env=False, timeout=ORDER_TIMEOUT_S
+        ) as client:
+            self._client = client
+            async with anyio.create_task_group() as group:
+                self._group = group
+                await anyio.sleep_forever()
+
+    async def _attempt(self, numbered: NumberedOrder) -> None:
+        result = OrderResult.FAILED
+        # An attempt must end in time even where the endpoint answers slowly.
+        with anyio.move_on_after(ORDER_TIMEOUT_S):
+            result = await self._send(numbered)
+        event = Attempted(numbered.order.endpoint, numbered.number, result)
+        self.host.apply(self.hosted, event)
+
+    async def _send(self, numbered: NumberedOrder) -> OrderResult:
+        address = self.find_address(numbered.order.endpoint)
+        if address is None or self._client is None or not self.is_leading():
+            return OrderResult.FAILED
+        try:
+            response = await self._client.post(
+                f"http://{address}{ORDER_PATH}",
+                content=msgspec.json.encode(numbered),
+                headers={"content-type": "application/json"},
+            )
+        except httpx.HTTPError:
+            return OrderResult.FAILED
+        if response.status_code == httpx.codes.CONFLICT:
+            return OrderResult.STALE
+        done = response.status_code == httpx.codes.OK
+        return OrderResult.DONE if done else OrderResult.FAILED
--- /dev/null
+++ b/features/subjects/orders.py
@@ -0,0 +1,133 @@
+"""Give orders through two leaders in turn over a transport that loses and delays."""
+
+import random
+from collections.abc import Callable
+
+from burdockwall.fakes.network import FakeNetwork
+from burdockwall.machine import Tick
+from burdockwall.process.membership.timing import LAPSE_S
+from burdockwall.process.orders.carrier import (
+    ORDER_TIMEOUT_S,
+    Attempt,
+    Attempted,
+    Finished,
+    Give,
+    OrderCarrier,
+    StartTerm,
+)
+from burdockwall.process.orders.order import (
+    NumberedOrder,
+    Order,
+    OrderKind,
+    OrderResult,
+)
+from burdockwall.types import EndpointId, FencingNumber, InstanceId, Term
+
+ENDPOINTS = {EndpointId("checking"): True, EndpointId("trusting"): False}
+ORDERS = 8
+RUN_S = 120.0
+
+
+class OrdersSubject:
+    def __init__(self, seed: int, carrier_type: type[OrderCarrier] = OrderCarrier):
+        self.seed = seed
+        self.carrier_type = carrier_type
+        self.network = FakeNetwork(seed, perform=self.perform)
+        self.random: random.Random = self.network.random
+        self.carriers: dict[InstanceId, OrderCarrier] = {}
+        self.leads_until: dict[InstanceId, float] = {}
+        self.highest = {name: FencingNumber(0) for name in ENDPOINTS}
+        self.applied: dict[EndpointId, list[FencingNumber]] = {}
+        self.finished: list[Finished] = []
+        self.faults: list[str] = []
+
+    def lead(self, name: str, term: int, until: float) -> None:
+        instance = InstanceId(name)
+        carrier = self.carrier_type()
+        self.carriers[instance] = carrier
+        self.leads_until[instance] = until
+        self.network.start(instance, [(carrier, ())])
+        self.network.apply(instance, carrier, StartTerm(Term(term), term > 1))
+        for number in range(ORDERS):
+            for endpoint, checks in ENDPOINTS.items():
+                order = Order(endpoint, OrderKind.LOAD_MODEL, version=str(number))
+                delay = self.random.uniform(0, 6)
+                self.network.schedule(delay, self.build_give(instance, order, checks))
+
+    def build_give(
+        self, instance: InstanceId, order: Order, checks: bool
+    ) -> Callable[[], None]:
+        carrier = self.carriers[instance]
+        return lambda: self.network.apply(instance, carrier, Give(order, checks))
+
+    def perform(self, instance: InstanceId, action, now: float) -> None:
+        match action:
+            case Attempt(numbered=numbered):
+                self.attempt(instance, numbered)
+            case Finished():
+                self.finished.append(action)
+
+    def attempt(self, instance: InstanceId, numbered: NumberedOrder) -> None:
+        # The shell sends nothing once the leader's lease has lapsed.
+        result = OrderResult.FAILED
+        arrival = self.random.uniform(0, ORDER_TIMEOUT_S)
+        lost = self.random.random() < 0.3
+        leads = self.network.now < self.leads_until[instance]
+
+        def arrive() -> None:
+            nonlocal result
+            result = self.take_order(numbered)
+
+        def answer() -> None:
+            carrier = self.carriers[instance]
+            heard = result if self.random.random() < 0.7 else OrderResult.FAILED
+            event = Attempted(numbered.order.endpoint, numbered.number, heard)
+            self.network.apply(instance, carrier, event)
+
+        if leads and not lost:
+            self.network.schedule(arrival, arrive)
+        self.network.schedule(ORDER_TIMEOUT_S, answer)
+
+    def take_order(self, numbered: NumberedOrder) -> OrderResult:
+        endpoint = numbered.order.endpoint
+        highest = self.highest[endpoint]
+        if ENDPOINTS[endpoint] and numbered.number < highest:
+            return OrderResult.STALE
+        if numbered.number < highest:
+            self.faults.append(f"seed {self.seed}: {endpoint} took an old order")
+        self.highest[endpoint] = max(highest, numbered.number)
+        self.applied.setdefault(endpoint, []).append(numbered.number)
+        return OrderResult.DONE
+
+    def run(self) -> None:
+        change_at = self.random.uniform(1, 15)
+        self.lead("control-1", 1, change_at + LAPSE_S * 0.95)
+        self.network.run_until(change_at)
+        self.lead("control-2", 2, RUN_S * 2)
+        self.network.run_until(RUN_S)
+        new = self.carriers[InstanceId("control-2")]
+        if new.count_waiting():
+            self.faults.append(f"seed {self.seed}: {new.count_waiting()} not done")
+
+
+class HastyCarrier(OrderCarrier):
+    """Give orders without waiting for the former leader's lease."""
+
+    def handle(self, event, now):
+        if isinstance(event, StartTerm):
+            event = StartTerm(event.term, False)
+        return super().handle(event, now)
+
+
+class CrossingCarrier(OrderCarrier):
+    """Give every order of an endpoint at once."""
+
+    def handle(self, event, now):
+        actions = super().handle(event, now)
+        if isinstance(event, Give | Tick):
+            sent = [item.numbered for item in actions if isinstance(item, Attempt)]
+            for queue in self._queues.values():
+                if queue.orders and now >= self._wait_until:
+                    late = list(queue.orders)[1:3]
+                    actions += [Attempt(item) for item in late if item not in sent]
+        return actions
