--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from burdockwall.connection.peers import PeerBus
-from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.commands import AssignShards
 from burdockwall.process.host import Host
 from burdockwall.process.membership.agent import (
@@ -124,19 +123,6 @@
         self.host.apply(self._hosted_registrar, AwaitInForce(call, version))
         return await self._waiters.wait(call, IN_FORCE_LIMIT_S)
 
-    async def confirm_in_force(self, version: Version) -> str:
-        """Wait until a version is in force and describe what was waited for."""
-        try:
-            found = await self.wait_in_force(version)
-        except TimeoutError as error:
-            detail = f"version {version} is accepted, but not known to be in force"
-            raise OperatorError(Code.CHANGE_UNKNOWN, detail) from error
-        confirmed = " ".join(sorted(found.confirmed)) or "no instance"
-        text = f"in force after {found.waited_s:.1f} s; confirmed by {confirmed}"
-        if found.lapsed:
-            text += f"; lease lapsed at {' '.join(sorted(found.lapsed))}"
-        return text
-
     def list_members(self) -> list[Member]:
         """List the instances that callers may use, from the member list."""
         return [
