--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -20,7 +20,7 @@
 from burdockwall.request.parts import create_parts
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import FailureDomain
+from burdockwall.types import EndpointId, FailureDomain
 from burdockwall.version.view import build_empty_view, build_view
 
 RESOLVE_PATH = "/v1/resolve"
@@ -74,6 +74,10 @@
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
 
+    def set_leaving_endpoints(self, leaving: frozenset[EndpointId]) -> None:
+        """Give no new work to endpoints that are leaving or gone."""
+        self.parts.dispatcher.set_leaving(leaving)
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from a caller."""
         if exchange.path == RESOLVE_PATH:
--- a/burdockwall/process/membership/page.py
+++ b/burdockwall/process/membership/page.py
@@ -46,6 +46,7 @@
 
     leading: bool
     term: Term
+    leader: InstanceId | None = None
     instances: list[FleetRow] = []
     shards: ShardHealth = ShardHealth()
 
--- a/burdockwall/process/membership/platform.py
+++ b/burdockwall/process/membership/platform.py
@@ -1,8 +1,13 @@
 """Read the platform's lagging list of live and leaving instances and endpoints."""
 
+from collections.abc import Callable
+
+import anyio
+import httpx
+import logbook
 import msgspec
 
-from burdockwall.types import EndpointId, EndpointState, InstanceId
+from burdockwall.types import Address, EndpointId, EndpointState, InstanceId
 
 
 class PlatformList(msgspec.Struct, frozen=True):
@@ -10,3 +15,42 @@
 
     instances: dict[InstanceId, EndpointState] = {}
     endpoints: dict[EndpointId, EndpointState] = {}
+
+
+POLL_INTERVAL_S = 1.0
+POLL_TIMEOUT_S = 2.0
+LIST_PATH = "/instances"
+
+
+class PlatformReader:
+    """Read the list again and again while this instance leads."""
+
+    def __init__(
+        self,
+        address: Address,
+        is_leading: Callable[[], bool],
+        install: Callable[[PlatformList], None],
+    ) -> None:
+        self.url = f"http://{address}{LIST_PATH}"
+        self.is_leading = is_leading
+        self.install = install
+        self._logger = logbook.Logger("platform")
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with httpx.AsyncClient(timeout=POLL_TIMEOUT_S, trust_env=False) as client:
+            while True:
+                if self.is_leading():
+                    await self._read(client)
+                await anyio.sleep(POLL_INTERVAL_S)
+
+    async def _read(self, client: httpx.AsyncClient) -> None:
+        try:
+            response = await client.get(self.url)
+            response.raise_for_status()
+            published = msgspec.json.decode(response.content, type=PlatformList)
+        except (httpx.HTTPError, msgspec.DecodeError) as error:
+            # The last list stays in use; heartbeats tell of failures anyway.
+            self._logger.warning("platform list not read", extra={"error": str(error)})
+            return
+        self.install(published)
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -19,6 +19,7 @@
 )
 from burdockwall.process.membership.page import FleetPage, describe_member
 from burdockwall.process.membership.planner import Propose
+from burdockwall.process.membership.platform import PlatformList
 from burdockwall.process.membership.progress import InForce
 from burdockwall.process.membership.registrar import (
     REGISTRAR_MESSAGES,
@@ -36,6 +37,7 @@
     EndpointState,
     InstanceId,
     Role,
+    Term,
     Version,
 )
 from burdockwall.version.shards import CopyConfirmed, LeaseRenewed, ShardsInstalled
@@ -59,6 +61,7 @@
         self.registrar: Registrar | None = None
         self.members: tuple[MemberEntry, ...] = ()
         self.endpoints: dict[EndpointId, EndpointState] = {}
+        self.on_endpoints: Callable[[frozenset[EndpointId]], None] | None = None
         self._install = install
         self._propose: Callable[[AssignShards], None] = lambda command: None
         self._waiters: Waiters[InForce] = Waiters()
@@ -98,6 +101,8 @@
                 self.endpoints = endpoints
                 for member in members:
                     self._learn(member.details)
+                if self.on_endpoints is not None:
+                    self.on_endpoints(frozenset(endpoints))
                 self.host.publish(action)
             case LeaseRenewed() | ShardsInstalled():
                 self.host.publish(action)
@@ -114,6 +119,21 @@
             case Propose(command=command):
                 self._propose(command)
 
+    def install_platform(self, published: PlatformList) -> None:
+        """Take what the platform has published."""
+        if self.registrar is not None:
+            self.host.apply(self._hosted_registrar, published)
+
+    def get_led_term(self) -> Term | None:
+        """Return the term that this instance leads now, or None."""
+        registrar = self.registrar
+        return registrar.term if registrar is not None and self.is_leading() else None
+
+    def is_leading(self) -> bool:
+        """Tell whether this instance grants leases now."""
+        registrar = self.registrar
+        return registrar is not None and registrar.is_leading(self.host.clock())
+
     async def wait_in_force(self, version: Version) -> InForce:
         """Wait until no instance acts under an earlier version, at the leader.
 
@@ -131,6 +151,7 @@
                 entry.details.caller_address,
                 entry.details.failure_domain,
                 entry.state,
+                entry.details.region,
             )
             for entry in self.members
             if entry.details.role is not Role.CONTROL
@@ -145,6 +166,7 @@
         registrar = self.registrar
         now = self.host.clock()
         if registrar is None or not registrar.is_leading(now):
-            return FleetPage(False, self.agent.term)
+            return FleetPage(False, self.agent.term, self.agent.path.leader)
         rows = [describe_member(record, now) for record in registrar.records.values()]
-        return FleetPage(True, registrar.term, rows, registrar.planner.health)
+        leader = registrar.instance
+        return FleetPage(True, registrar.term, leader, rows, registrar.planner.health)
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -17,13 +17,23 @@
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.platform import PlatformReader
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.operations import Operations, Status
+from burdockwall.process.orders.shell import Orders
 from burdockwall.process.resolver import Member
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
-from burdockwall.types import EndpointState, Incarnation, Role, Version
+from burdockwall.types import (
+    Address,
+    EndpointId,
+    EndpointState,
+    Incarnation,
+    Role,
+    Version,
+)
+from burdockwall.version.configuration import parse_configuration
 
 OPERATOR_GRACE_S = 1.0
 CALLER_GRACE_S = 1.0
@@ -54,8 +64,12 @@
         if settings.role is not Role.ENTRY:
             self.control = ControlService(settings, self.host, time.time)
             self.membership.add_registrar(self.control, self.control.propose)
+            self.orders = Orders(
+                self.host, self._find_endpoint_address, self.membership.get_led_term
+            )
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
+            self.membership.on_endpoints = self.entry.set_leaving_endpoints
         self.operations = Operations(settings, self.read_status, self.start_drain)
         self.operations.add_operation("GET", "/fleet", self._serve_fleet)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
@@ -148,11 +162,36 @@
                 group.start_soon(self.control.run)
             group.start_soon(self.host.run)
             group.start_soon(self._watch_load)
+            if self.control is not None:
+                group.start_soon(self._lead)
             if self.entry is not None:
                 group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
+    async def _lead(self) -> None:
+        """Run what only the leader of the control state does."""
+        membership = self.membership
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.orders.run)
+            if self.settings.platform_address:
+                reader = PlatformReader(
+                    self.settings.platform_address,
+                    membership.is_leading,
+                    membership.install_platform,
+                )
+                group.start_soon(reader.run)
+
+    def _find_endpoint_address(self, endpoint: EndpointId) -> Address | None:
+        state = self.control.state if self.control is not None else None
+        if state is None:
+            return None
+        configuration = parse_configuration(state.text)
+        for item in configuration.endpoints:
+            if item.name == endpoint:
+                return item.address
+        return None
+
     async def _watch_load(self) -> None:
         entry = self.entry
         while entry is not None:
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockwall.process.host import Host, Hosted
+from burdockwall.process.membership.timing import FIRST_TERM
 from burdockwall.process.orders.carrier import (
     ORDER_TIMEOUT_S,
     Attempt,
@@ -15,9 +16,10 @@
     Finished,
     Give,
     OrderCarrier,
+    StartTerm,
 )
 from burdockwall.process.orders.order import NumberedOrder, Order, OrderResult
-from burdockwall.types import Address, EndpointId
+from burdockwall.types import Address, EndpointId, Term
 
 ORDER_PATH = "/orders"
 
@@ -29,13 +31,13 @@
         self,
         host: Host,
         find_address: Callable[[EndpointId], Address | None],
-        is_leading: Callable[[], bool],
+        get_led_term: Callable[[], Term | None],
         finish: Callable[[Finished], None] = lambda finished: None,
     ) -> None:
         self.host = host
         self.carrier = OrderCarrier()
         self.find_address = find_address
-        self.is_leading = is_leading
+        self.get_led_term = get_led_term
         self.finish = finish
         self._group: anyio.abc.TaskGroup | None = None
         self._client: httpx.AsyncClient | None = None
@@ -61,7 +63,21 @@
             self._client = client
             async with anyio.create_task_group() as group:
                 self._group = group
-                await anyio.sleep_forever()
+                while True:
+                    self._follow_leadership()
+                    await anyio.sleep(self.host.tick_s)
+
+    def _follow_leadership(self) -> None:
+        # A leader that is unconfirmed for a moment keeps its term and its queue.
+        term = self.get_led_term()
+        if term is not None and term != self.carrier.term:
+            event = StartTerm(term, term > FIRST_TERM)
+            self.host.apply(self.hosted, event)
+
+    def _leads(self) -> bool:
+        return (
+            self.carrier.term is not None and self.get_led_term() == self.carrier.term
+        )
 
     async def _attempt(self, numbered: NumberedOrder) -> None:
         result = OrderResult.FAILED
@@ -73,7 +89,7 @@
 
     async def _send(self, numbered: NumberedOrder) -> OrderResult:
         address = self.find_address(numbered.order.endpoint)
-        if address is None or self._client is None or not self.is_leading():
+        if address is None or self._client is None or not self._leads():
             return OrderResult.FAILED
         try:
             response = await self._client.post(
--- a/burdockwall/process/resolver.py
+++ b/burdockwall/process/resolver.py
@@ -18,6 +18,7 @@
     address: Address
     failure_domain: FailureDomain
     state: EndpointState = EndpointState.LIVE
+    region: str = ""
 
 
 class ResolvedAddress(msgspec.Struct, frozen=True):
@@ -41,10 +42,23 @@
 def resolve_addresses(
     members: list[Member], near: FailureDomain, caller: str, ttl_s: float
 ) -> Resolution:
-    """Choose addresses for a caller; callers spread evenly over equal ones."""
+    """Choose addresses for a caller; callers spread evenly over equal ones.
+
+    The caller's failure domain comes first, then others of its region. A leaving
+    instance is not given out; a suspected one only where none is live.
+    """
     live = [item for item in members if item.state is EndpointState.LIVE]
+    if not live:
+        suspected = EndpointState.SUSPECTED
+        live = [item for item in members if item.state is suspected]
+    regions = {item.region for item in members if item.failure_domain == near}
     order = sorted(
-        live, key=lambda item: (item.failure_domain != near, _spread(caller, item))
+        live,
+        key=lambda item: (
+            item.failure_domain != near,
+            item.region not in regions,
+            _spread(caller, item),
+        ),
     )
     addresses = [
         ResolvedAddress(item.address, item.failure_domain)
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -118,6 +118,7 @@
         self.explanations: deque[Explanation] = deque(maxlen=EXPLANATIONS)
         self.releases: deque[ReleaseCache] = deque(maxlen=RELEASES)
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        self._leaving: frozenset[EndpointId] = frozenset()
         self.pool_kinds: dict[PoolName, RouteKind] = {}
         self._waiters: Waiters[Placement | None] = Waiters()
 
@@ -128,9 +129,19 @@
         if endpoints == self.endpoints:
             return
         self.endpoints = endpoints
+        self._install_targets()
+
+    def set_leaving(self, leaving: frozenset[EndpointId]) -> None:
+        """Give no new work to the endpoints that the platform says are leaving."""
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self._install_targets()
+
+    def _install_targets(self) -> None:
         targets = tuple(
             Target(item.name, item.pool, item.failure_domain)
-            for item in configuration.endpoints
+            for item in self.endpoints.values()
+            if item.name not in self._leaving
         )
         self.apply(TargetsInstalled(targets))
 
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -25,6 +25,7 @@
     peer_address: Address = Address("127.0.0.1:8082")
     peers: dict[InstanceId, Address] = field(default_factory=dict)
     control_instances: list[InstanceId] = field(default_factory=list)
+    platform_address: Address = Address("")
     election_timeout_s: float = 1.5
     first_operator: str = ""
     first_operator_digest: str = ""
@@ -227,6 +228,14 @@
         "",
         "SHA-256 of that operator's token, in hex digits.",
     ),
+    Option(
+        "platform",
+        "address",
+        "platform_address",
+        Kind.ADDRESS,
+        "",
+        "Where the platform publishes its list of instances; unset: no list.",
+    ),
     Option(
         "log",
         "level",
