--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -36,6 +36,7 @@
     Customer,
     print_configuration,
 )
+from burdockwall.version.shards import CopyConfirmed, ShardMap, ShardsInstalled
 
 SEED = 1
 CONTROLS = 3
@@ -46,7 +47,8 @@
 NEAR_S = (0.001, 0.0015)
 FAR_S = (0.02, 0.06)
 CHANGE_INTERVAL_S = 86_400 / 12_000
-WARM_S = 15.0
+COPY_S = 0.5
+WARM_S = 30.0
 RUN_S = 60.0
 # gRPC, HTTP/2, TCP and IP headers of one message, and its acknowledgement.
 FRAME_BYTES = 5 + 9 + 40
@@ -159,9 +161,23 @@
         match action:
             case Propose(command=command):
                 self.log.commit(command, now)
+            case ShardsInstalled(shards=shards):
+                self._confirm_copies(instance, shards)
             case InstallState(replica=replica):
                 self._note_installed(instance, replica.version, now)
 
+    def _confirm_copies(self, instance: InstanceId, shards: ShardMap) -> None:
+        for view in shards.views.values():
+            for joining in view.joining:
+                if view.primary == instance:
+                    event = CopyConfirmed(view.shard, view.number, joining)
+                    self.network.schedule(COPY_S, self._build_copy(instance, event))
+
+    def _build_copy(
+        self, instance: InstanceId, event: CopyConfirmed
+    ) -> Callable[[], None]:
+        return lambda: self.network.apply(instance, self.agents[instance], event)
+
     def _note_installed(
         self, instance: InstanceId, version: Version, now: float
     ) -> None:
--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -34,6 +34,7 @@
 )
 from burdockwall.process.control.service import ReplicaStatus
 from burdockwall.process.control.withdrawals import is_digest
+from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.operations import Status
 from burdockwall.process.resolver import Resolution
 from burdockwall.types import (
@@ -183,6 +184,10 @@
         """Read the status of the instance."""
         return self._call("GET", "/status", Status)
 
+    def read_fleet(self) -> FleetPage:
+        """Read the fleet as the instance sees it."""
+        return self._call("GET", "/fleet", FleetPage)
+
     def read_replica(self) -> ReplicaStatus:
         """Read the status of the instance's replica of the control state."""
         return self._call("GET", "/control", ReplicaStatus)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -21,6 +21,7 @@
 from burdockwall.process.control.opening import bootstrap_replica, join_replica
 from burdockwall.process.control.sections import compare_sections, split_sections
 from burdockwall.process.logs import create_log_handler
+from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.node import run_node
 from burdockwall.settings import Settings, read_settings
 from burdockwall.types import Address, CustomerId, OperatorId, Version
@@ -173,10 +174,32 @@
         click.echo(outcome.detail)
 
 
+def _show_fleet(page: FleetPage) -> None:
+    if not page.leading:
+        leader = page.leader or "unknown"
+        raise OperatorError(Code.NOT_LEADER, f"ask the leader, which is {leader}")
+    for row in page.instances:
+        click.echo(
+            f"{row.instance} {row.role.value} {row.region}/{row.failure_domain} "
+            f"{row.state.value} version {row.version} lease {row.lease_s:.1f} s "
+            f"heard {row.silent_s:.1f} s ago"
+        )
+    shards = page.shards
+    click.echo(
+        f"shards: {shards.assigned} assigned, {shards.whole} whole, "
+        f"{shards.joining} being copied, {shards.waiting} waiting, "
+        f"{shards.emptied} emptied, {shards.failure_domains} failure domains"
+    )
+
+
 @cli.command()
 @address_option
-def status(address: str) -> None:
-    """Show the status of an instance."""
+@click.option("--fleet", is_flag=True, help="Show every instance, from the leader.")
+def status(address: str, fleet: bool) -> None:
+    """Show the status of an instance or of the fleet."""
+    if fleet:
+        _show_fleet(_create_client(address, "").read_fleet())
+        return
     shown = _create_client(address, "").read_status()
     for name in shown.__struct_fields__:
         click.echo(f"{name}: {getattr(shown, name)}")
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -85,6 +85,17 @@
         """Return until when, by the host's clock, this instance may act."""
         return self.agent.lease.until
 
+    def get_lease_s(self) -> float:
+        """Return for how long this instance may still act."""
+        return max(0.0, self.lease_until - self.host.clock())
+
+    def get_state(self) -> EndpointState:
+        """Return where the member list says that this instance stands."""
+        for member in self.members:
+            if member.details.instance == self.agent.details.instance:
+                return member.state
+        return EndpointState.SUSPECTED
+
     def start_leaving(self) -> None:
         """Tell the fleet that this instance takes no new work."""
         self.host.apply(self._hosted_agent, Leave())
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -139,6 +139,9 @@
             version=version,
             under_way=entry.under_way if entry else 0,
             leaving=entry.drain.leaving if entry else False,
+            state=self.membership.get_state().value,
+            lease_s=self.membership.get_lease_s(),
+            leader=self.membership.agent.path.leader or "",
         )
 
     def start_drain(self) -> None:
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -7,6 +7,7 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
 from burdockwall.settings import Settings
+from burdockwall.types import EndpointState
 
 Serve = Callable[[Exchange], Awaitable[None]]
 CONTROL_PATHS = (
@@ -28,6 +29,9 @@
     version: int
     under_way: int
     leaving: bool
+    state: str = EndpointState.LIVE.value
+    lease_s: float = 0.0
+    leader: str = ""
 
 
 class Operations:
--- a/features/subjects/fleet_site.py
+++ b/features/subjects/fleet_site.py
@@ -7,10 +7,10 @@
 
 from burdockwall.client import OperatorClient, resolve
 from burdockwall.errors import OperatorError
-from burdockwall.fakes.site import CUSTOMER, SitePlan, build_configuration
 from burdockwall.fakes.engine import FakeEngine, FakeService
 from burdockwall.fakes.platform import FakePlatform
 from burdockwall.fakes.ports import find_address
+from burdockwall.fakes.site import CUSTOMER, SitePlan, build_configuration
 from burdockwall.process.membership.platform import PlatformList
 from burdockwall.process.node import Node
 from burdockwall.process.web import serve_address
