Parse only the sections that a version changes

With 4,800 customers an instance spent 0.50 s of processor time on each version, on the loop that relays tokens.

--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -9,7 +9,6 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.memory import ByteBudget
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
-from burdockwall.process.control.sections import join_sections
 from burdockwall.process.drain import Drain
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
@@ -21,7 +20,7 @@
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
 from burdockwall.types import EndpointId, FailureDomain
-from burdockwall.version.view import build_empty_view, build_view
+from burdockwall.version.view import ViewBuilder, build_empty_view
 
 RESOLVE_PATH = "/v1/resolve"
 REFUSED_RETRY_S = 1.0
@@ -40,6 +39,7 @@
         self.settings = settings
         self.list_members = list_members
         self.get_lease_end = get_lease_end
+        self.builder = ViewBuilder()
         self.view = build_empty_view()
         self.parts = create_parts(settings, host)
         self.clock = host.clock
@@ -69,8 +69,7 @@
 
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
-        text = join_sections(replica.sections)
-        self.view = build_view(replica.version, text, replica.keys)
+        self.view = self.builder.build(replica.version, replica.sections, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
 
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -6,6 +6,7 @@
 
 import configparser
 import dataclasses
+import functools
 import io
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -136,6 +137,11 @@
     return text.getvalue()
 
 
+@functools.cache
+def _list_hints(kind: Any) -> dict[str, Any]:
+    return get_type_hints(kind)
+
+
 def _convert_value(kind: Any, text: str) -> object:
     base = getattr(kind, "__supertype__", kind)
     if base is bool:
@@ -170,7 +176,7 @@
             known = ", ".join(SECTION_TYPES)
             self.report(f"[{section}]", "the section is unknown", f"Use {known} NAME.")
             return None
-        hints = get_type_hints(kind)
+        hints = _list_hints(kind)
         converted: dict[str, Any] = {"name": name}
         for option, text in values.items():
             if option not in hints or option == "name":
@@ -226,25 +232,46 @@
 
 def parse_configuration(text: str, source: str = "configuration") -> Configuration:
     """Parse a submitted text; raise InvalidFile with every fault found."""
-    parser = configparser.ConfigParser(interpolation=None)
     reader = _ItemReader(source)
+    configuration = join_items(_read_items(text, reader))
+    _check_references(configuration, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return configuration
+
+
+def parse_items(text: str) -> dict[str, Item]:
+    """Parse sections of an accepted text, without their references to others."""
+    reader = _ItemReader("accepted configuration")
+    items = _read_items(text, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return items
+
+
+def _read_items(text: str, reader: _ItemReader) -> dict[str, Item]:
+    parser = configparser.ConfigParser(interpolation=None)
     try:
-        parser.read_string(text, source)
+        parser.read_string(text, reader.source)
     except configparser.Error as error:
         reader.report("text", str(error).replace("\n", " "), "Correct the syntax.")
         raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults) from error
-    found: dict[str, list[Any]] = {name: [] for name in _SECTION_FIELDS.values()}
+    items = {}
     for section in parser.sections():
         item = reader.read_item(section, dict(parser.items(section)))
         if item is not None:
-            found[_SECTION_FIELDS[section.partition(" ")[0]]].append(item)
-    configuration = Configuration(
+            items[section] = item
+    return items
+
+
+def join_items(items: dict[str, Item]) -> Configuration:
+    """Join the items of sections into a configuration."""
+    found: dict[str, list[Any]] = {name: [] for name in _SECTION_FIELDS.values()}
+    for section, item in items.items():
+        found[_SECTION_FIELDS[section.partition(" ")[0]]].append(item)
+    return Configuration(
         **{
-            name: tuple(sorted(items, key=lambda item: item.name))
-            for name, items in found.items()
+            name: tuple(sorted(group, key=lambda item: item.name))
+            for name, group in found.items()
         }
     )
-    _check_references(configuration, reader)
-    if reader.faults:
-        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
-    return configuration
--- a/burdockwall/version/view.py
+++ b/burdockwall/version/view.py
@@ -1,6 +1,6 @@
 """Hold one version of the control state in the shape that requests need."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.types import (
@@ -17,11 +17,16 @@
     Configuration,
     Customer,
     Endpoint,
+    Item,
     Route,
+    join_items,
     parse_configuration,
+    parse_items,
 )
 from burdockwall.version.keys import compute_digest
 
+DEFAULT_SECTION = "DEFAULT"
+
 
 @dataclass(frozen=True, slots=True)
 class View:
@@ -72,23 +77,64 @@
 
 def build_view(version: Version, text: str, keys: dict[KeyDigest, CustomerId]) -> View:
     """Build the view of a version from its configuration text and key digests."""
-    configuration = parse_configuration(text)
-    pools: dict[PoolName, tuple[Endpoint, ...]] = {
-        pool.name: () for pool in configuration.pools
+    return _index(version, parse_configuration(text), keys)
+
+
+def _index(
+    version: Version, configuration: Configuration, keys: dict[KeyDigest, CustomerId]
+) -> View:
+    pools: dict[PoolName, list[Endpoint]] = {
+        pool.name: [] for pool in configuration.pools
     }
     for endpoint in configuration.endpoints:
-        pools[endpoint.pool] += (endpoint,)
+        pools[endpoint.pool].append(endpoint)
     return View(
         version=version,
         configuration=configuration,
         keys=keys,
         customers={item.name: item for item in configuration.customers},
-        pools=pools,
+        pools={name: tuple(members) for name, members in pools.items()},
         endpoints={item.name: item for item in configuration.endpoints},
         routes={item.name: item for item in configuration.routes},
     )
 
 
+class ViewBuilder:
+    """Build the views of one version after the other, parsing only what changed."""
+
+    def __init__(self) -> None:
+        self._sections: dict[str, str] = {}
+        self._items: dict[str, Item] = {}
+        self._view = build_empty_view()
+
+    def build(
+        self,
+        version: Version,
+        sections: dict[str, str],
+        keys: dict[KeyDigest, CustomerId],
+    ) -> View:
+        """Build the view of a version from its sections and key digests."""
+        if sections is self._sections:
+            self._view = replace(self._view, version=version, keys=keys)
+            return self._view
+        if DEFAULT_SECTION in sections:
+            # Its options apply to every other section.
+            self._items = parse_items("".join(sections.values()))
+        else:
+            self._parse_changed(sections)
+        self._sections = sections
+        self._view = _index(version, join_items(self._items), keys)
+        return self._view
+
+    def _parse_changed(self, sections: dict[str, str]) -> None:
+        old = {} if DEFAULT_SECTION in self._sections else self._sections
+        changed = [
+            text for name, text in sections.items() if name and old.get(name) != text
+        ]
+        items = self._items | parse_items("".join(changed))
+        self._items = {name: item for name, item in items.items() if name in sections}
+
+
 def build_empty_view() -> View:
     """Build the view of version 0, which admits nothing."""
     return build_view(Version(0), "", {})
