--- a/burdockwall/process/membership/fleet.py
+++ b/burdockwall/process/membership/fleet.py
@@ -50,10 +50,15 @@
     loads: dict[InstanceId, Load] = field(default_factory=dict)
     live: list[Holder] = field(default_factory=list)
     domains: int = 0
-    instances: frozenset[InstanceId] = frozenset()
+    heard: dict[InstanceId, Incarnation] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.instances = frozenset(holder.instance for holder in self.records)
+        # A former leader's list may name an incarnation before the one in a view.
+        self.heard = {
+            holder.instance: holder.incarnation
+            for holder, record in self.records.items()
+            if record.granted
+        }
         self.live = [holder for holder in self.records if self.is_live(holder)]
         self.domains = len({self.get_domain(holder) for holder in self.live})
 
@@ -66,7 +71,8 @@
         if record is not None:
             heard = record.granted or record.state is not EndpointState.LIVE
             return record.state if heard else EndpointState.SUSPECTED
-        replaced = holder.instance in self.instances
+        later = self.heard.get(holder.instance, holder.incarnation)
+        replaced = later > holder.incarnation
         return None if replaced or holder in self.departed else self.unknown
 
     def is_live(self, holder: Holder) -> bool:
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -6,7 +6,6 @@
 
 import configparser
 import dataclasses
-import functools
 import io
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -100,6 +99,9 @@
     "endpoint": "endpoints",
     "route": "routes",
 }
+_HINTS: dict[str, dict[str, Any]] = {
+    word: get_type_hints(kind) for word, kind in SECTION_TYPES.items()
+}
 _TRUE_WORDS = {"yes": True, "no": False}
 
 
@@ -137,11 +139,6 @@
     return text.getvalue()
 
 
-@functools.cache
-def _list_hints(kind: Any) -> dict[str, Any]:
-    return get_type_hints(kind)
-
-
 def _convert_value(kind: Any, text: str) -> object:
     base = getattr(kind, "__supertype__", kind)
     if base is bool:
@@ -176,7 +173,7 @@
             known = ", ".join(SECTION_TYPES)
             self.report(f"[{section}]", "the section is unknown", f"Use {known} NAME.")
             return None
-        hints = _list_hints(kind)
+        hints = _HINTS[word]
         converted: dict[str, Any] = {"name": name}
         for option, text in values.items():
             if option not in hints or option == "name":
