--- a/burdockwall/process/membership/planner.py
+++ b/burdockwall/process/membership/planner.py
@@ -15,7 +15,9 @@
     InstanceDetails,
     Release,
     Released,
+    Stamp,
 )
+from burdockwall.process.membership.page import ShardHealth
 from burdockwall.process.membership.records import Record
 from burdockwall.process.membership.views import (
     BACKUPS,
@@ -31,10 +33,13 @@
     OperatorId,
     ShardId,
     Term,
+    Version,
 )
-from burdockwall.version.shards import ShardView
+from burdockwall.version.shards import SHARD_COUNT, ShardView
 
 PLAN_INTERVAL_S = 0.5
+# Where the last plan found nothing to do and nothing has changed since.
+IDLE_INTERVAL_S = 5.0
 SETTLE_S = 0.3
 PROPOSE_RETRY_S = 1.0
 # A suspected primary whose lease has lapsed is replaced after this long.
@@ -51,18 +56,6 @@
     command: AssignShards
 
 
-@dataclass(frozen=True, slots=True)
-class ShardHealth:
-    """Count the shards by what protects them."""
-
-    assigned: int = 0
-    whole: int = 0
-    joining: int = 0
-    waiting: int = 0
-    emptied: int = 0
-    failure_domains: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class _Outstanding:
     proposal: Propose
@@ -74,8 +67,9 @@
 class Planner:
     """Propose later views; one proposal at a time."""
 
-    def __init__(self, instance: InstanceId) -> None:
+    def __init__(self, instance: InstanceId, shard_count: int = SHARD_COUNT) -> None:
         self.instance = instance
+        self.shard_count = shard_count
         self.term = Term(0)
         self.health = ShardHealth()
         self._counter = 0
@@ -88,6 +82,7 @@
         self._copied: dict[tuple[ShardId, FencingNumber], set[InstanceId]] = {}
         self._joins = 0.0
         self._ready_at: float | None = None
+        self._idle_at: tuple[Version, Stamp] | None = None
         self._emptied = 0
         self._views: dict[ShardId, ShardView] = {}
 
@@ -102,6 +97,7 @@
         self._released = set()
         self._copied = {}
         self._ready_at = None
+        self._idle_at = None
 
     def note_lapse(self, details: InstanceDetails, lapses_at: float) -> None:
         """Remember when the lease of an incarnation that left the list lapses."""
@@ -130,21 +126,35 @@
         return self._outstanding is not None and holder in self._outstanding.blocked
 
     def plan(
-        self, records: Iterable[Record], views: dict[ShardId, ShardView], now: float
+        self,
+        records: Iterable[Record],
+        views: dict[ShardId, ShardView],
+        state: tuple[Version, Stamp],
+        now: float,
     ) -> list[Send | Propose]:
-        """Return the proposal and the requests to release that are due."""
+        """Return the proposal and the requests to release that are due.
+
+        `state` changes with the views and with the member list.
+        """
         self._views = views
         if self._outstanding is not None:
             return self._continue(self._outstanding, now)
         elapsed = now - self._planned_at
-        if elapsed < PLAN_INTERVAL_S:
+        idle = self._idle_at == state
+        if elapsed < (IDLE_INTERVAL_S if idle else PLAN_INTERVAL_S):
             return []
         self._planned_at = now
         self._joins = min(JOINS_PER_S, self._joins + min(1.0, elapsed) * JOINS_PER_S)
-        fleet = create_fleet(records, views.values(), now)
+        known = now >= self._former_until
+        unknown = EndpointState.FAILED if known else EndpointState.SUSPECTED
+        departed = self._lapses
+        fleet = create_fleet(records, views.values(), now, departed, unknown)
         if not views:
             return self._start(fleet, now)
-        return self._improve(fleet, views, now)
+        actions = self._improve(fleet, views, now)
+        waiting = self.health.waiting or self.health.joining
+        self._idle_at = None if actions or waiting else state
+        return actions
 
     def _continue(self, known: _Outstanding, now: float) -> list[Send | Propose]:
         done = all(
@@ -169,7 +179,7 @@
             self._ready_at = now + SETTLE_S
         if now < self._ready_at:
             return []
-        return [self._propose(assign_first(fleet), frozenset(), now)]
+        return [self._propose(assign_first(fleet, self.shard_count), frozenset(), now)]
 
     def _propose(
         self, views: list[ShardView], blocked: frozenset[Holder], now: float
@@ -276,10 +286,10 @@
     def _is_out(self, holder: Holder, fleet: Fleet) -> bool:
         if fleet.is_gone(holder):
             return True
-        record = fleet.records[holder]
-        silent_s = fleet.now - record.heard_at
-        suspected = record.state is EndpointState.SUSPECTED
-        return suspected and silent_s >= SUSPECTED_LIMIT_S
+        record = fleet.records.get(holder)
+        if record is None or record.state is not EndpointState.SUSPECTED:
+            return False
+        return fleet.now - record.heard_at >= SUSPECTED_LIMIT_S
 
     def _has_stopped(self, holder: Holder, fleet: Fleet) -> bool:
         record = fleet.records.get(holder)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -35,6 +35,7 @@
     Term,
     Version,
 )
+from burdockwall.version.shards import SHARD_COUNT
 
 REGISTRAR_MESSAGES = (Report, ProbeResult, Released, CopyDone)
 
@@ -62,7 +63,11 @@
     """Answer reports while this instance is the confirmed leader."""
 
     def __init__(
-        self, instance: InstanceId, source: ControlSource, followed: Roster
+        self,
+        instance: InstanceId,
+        source: ControlSource,
+        followed: Roster,
+        shard_count: int = SHARD_COUNT,
     ) -> None:
         self.instance = instance
         self.source = source
@@ -73,7 +78,7 @@
         self.records: dict[MemberNumber, Record] = {}
         self.publisher = Publisher(source, self.roster)
         self.detector = Detector()
-        self.planner = Planner(instance)
+        self.planner = Planner(instance, shard_count)
         self.progress = Progress()
         self.platform: PlatformList | None = None
         self._reporters: dict[InstanceId, float] = {}
@@ -249,7 +254,8 @@
         endpoints = self._compare_endpoints()
         actions += self._change_roster(found.changed, found.removed, endpoints)
         views = self.source.get_shards()
-        actions += self.planner.plan(self.records.values(), views, now)
+        state = (self.source.version, self.roster.stamp)
+        actions += self.planner.plan(self.records.values(), views, state, now)
         actions += self.progress.check(self._list_holders(now), now)
         if self._roster_changed or self.source.version != self._seen_version:
             self._roster_changed = False
