Don't revoke a turn that is being stored

Cause: a renewal between the write of a finished turn and its answer found the call over and cancelled it (code 1211 in entry_failures on a busy machine).

--- a/burdockwall/process/programs/programs.py
+++ b/burdockwall/process/programs/programs.py
@@ -164,6 +164,8 @@
         """Store a finished turn on every replica, or raise RequestRefused."""
         if turn.key is None:
             return
+        # A renewal that crosses the end finds the call over; it is not revoked.
+        self.client.hold(turn.request, turn.key)
         content = encode_turn(TurnContent(turn.messages, answer, tokens))
         spend = Spend(tokens, 1, turn.reserve.cost)
         finish = calls.FinishTurn(
