--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -37,6 +37,7 @@
 from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.operations import Status
 from burdockwall.process.resolver import Resolution
+from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.types import (
     Address,
     CustomerId,
@@ -188,6 +189,10 @@
         """Read the fleet as the instance sees it."""
         return self._call("GET", "/fleet", FleetPage)
 
+    def read_placements(self) -> PlacementPage:
+        """Read where the instance has placed calls, and why."""
+        return self._call("GET", "/placements", PlacementPage)
+
     def read_replica(self) -> ReplicaStatus:
         """Read the status of the instance's replica of the control state."""
         return self._call("GET", "/control", ReplicaStatus)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -10,6 +10,7 @@
 import click
 
 from burdockwall import __version__
+from burdockwall.checks import check_files
 from burdockwall.client import (
     OperatorClient,
     create_submission,
@@ -23,6 +24,7 @@
 from burdockwall.process.logs import create_log_handler
 from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.node import run_node
+from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.settings import Settings, read_settings
 from burdockwall.types import Address, CustomerId, OperatorId, Version
 from burdockwall.version.configuration import parse_configuration
@@ -57,12 +59,18 @@
     return read_settings(path) if path is not None else Settings()
 
 
+def _get_authority() -> Path | None:
+    authority: Path | None = click.get_current_context().find_root().params["authority"]
+    return authority
+
+
 def _create_client(address: str, operator: str = "") -> OperatorClient:
     first, *others = (Address(item.strip()) for item in address.split(","))
     context = click.get_current_context()
     return OperatorClient(
         first,
         OperatorId(operator),
+        _get_authority(),
         token=context.params.get("token") or "",
         others=tuple(others),
     )
@@ -75,7 +83,14 @@
 
 @click.group()
 @click.version_option(__version__, prog_name="burdockwall")
-def cli() -> None:
+@click.option("--debug", is_flag=True, help="Log internals, show tracebacks.")
+@click.option(
+    "--authority",
+    type=click.Path(path_type=Path, exists=True),
+    default=None,
+    help="Authority of the instances' certificates (PEM); calls go over TLS.",
+)
+def cli(debug: bool, authority: Path | None) -> None:
     """Schedule agent programs between callers and their endpoints."""
 
 
@@ -84,8 +99,10 @@
 def serve(settings_path: Path | None) -> None:
     """Run one process until it is told to stop."""
     settings = _load_settings(settings_path)
+    if click.get_current_context().find_root().params["debug"]:
+        settings.log_level = "debug"
     with create_log_handler(settings).applicationbound():
-        anyio.run(run_node, settings)
+        anyio.run(run_node, settings, settings_path)
 
 
 @cli.command()
@@ -93,9 +110,9 @@
 @click.argument("configuration", type=click.Path(path_type=Path), required=False)
 def check(settings_path: Path | None, configuration: Path | None) -> None:
     """Find every fault in a settings file and a configuration."""
-    _load_settings(settings_path)
-    if configuration is not None:
-        parse_configuration(configuration.read_text("utf-8"), str(configuration))
+    faults = check_files(settings_path, configuration)
+    if faults:
+        raise InvalidFile(faults[0].code, faults)
     click.echo("no faults")
 
 
@@ -195,14 +212,33 @@
 @cli.command()
 @address_option
 @click.option("--fleet", is_flag=True, help="Show every instance, from the leader.")
-def status(address: str, fleet: bool) -> None:
+@click.option("--placements", is_flag=True, help="Show endpoints and placements too.")
+def status(address: str, fleet: bool, placements: bool) -> None:
     """Show the status of an instance or of the fleet."""
+    client = _create_client(address, "")
     if fleet:
-        _show_fleet(_create_client(address, "").read_fleet())
+        _show_fleet(client.read_fleet())
         return
-    shown = _create_client(address, "").read_status()
+    shown = client.read_status()
     for name in shown.__struct_fields__:
         click.echo(f"{name}: {getattr(shown, name)}")
+    if placements:
+        _show_placements(client.read_placements())
+
+
+def _show_placements(page: PlacementPage) -> None:
+    for endpoint in page.endpoints:
+        click.echo(
+            f"endpoint {endpoint.endpoint}: {endpoint.health}, "
+            f"{endpoint.running} running, {endpoint.queued} queued, "
+            f"{endpoint.others} of others, {endpoint.allowed} allowed, "
+            f"slowness {endpoint.slowness}"
+        )
+    for placed in page.placements:
+        click.echo(
+            f"placed {placed.program} of {placed.customer} on {placed.endpoint}: "
+            f"{placed.reason}; level {placed.level}, waited {placed.waited_s:.3f} s"
+        )
 
 
 @cli.command()
@@ -273,7 +309,9 @@
 @click.option("--caller", default="", help="Name that spreads callers evenly.")
 def resolve(address: str, failure_domain: str, caller: str) -> None:
     """Show the addresses that a caller should use."""
-    resolution = resolve_caller(Address(address), failure_domain, caller)
+    resolution = resolve_caller(
+        Address(address), failure_domain, caller, _get_authority()
+    )
     for item in resolution.addresses:
         click.echo(f"{item.address} {item.failure_domain} {resolution.ttl_s}")
 
@@ -405,6 +443,9 @@
 
 def main() -> None:
     """Run the command line and end the process with its exit code."""
+    if "--debug" in sys.argv[1:]:
+        cli(standalone_mode=False)
+        return
     try:
         cli(standalone_mode=False)
     except InvalidFile as error:
