Drive a tool call, a resent filing and the budget in the demonstration

Cause: the demonstration showed neither a tool call nor the budget, and a program's page gave its budget as a list without names.

--- a/burdockwall/fakes/demo.py
+++ b/burdockwall/fakes/demo.py
@@ -47,8 +47,29 @@
 async def file_certificate(client: httpx.AsyncClient, key: str) -> None:
     """File the certificate twice with one idempotency key."""
     headers = {"authorization": f"Bearer {key}", "idempotency-key": "certificate-1"}
-    response = await client.post("/filings", headers=headers, content=b"certificate")
-    click.echo(f"filing: {response.status_code} {response.text}")
+    for word in ("filing", "resent"):
+        response = await client.post("/filings", headers=headers, content=b"kitchen 7")
+        click.echo(f"{word}: {response.status_code} {response.text}")
+
+
+async def look_up(client: httpx.AsyncClient, key: str) -> None:
+    """Call a tool of the program."""
+    headers = {"authorization": f"Bearer {key}", "program-id": PROGRAM}
+    response = await client.get("/stock/filters", headers=headers)
+    click.echo(f"tool: {response.status_code} {response.text}")
+
+
+async def show_program(client: httpx.AsyncClient, key: str) -> None:
+    """Print where the program stands, and its budget."""
+    headers = {"authorization": f"Bearer {key}"}
+    response = await client.get(f"/v1/programs/{PROGRAM}", headers=headers)
+    page = response.json()
+    click.echo(f"program: turn {page['turn']}, {len(page['history'])} messages")
+    spent, budget = page["spent"], page["budget"]
+    click.echo(
+        f"budget: {spent['tokens']} of {budget['tokens']} tokens, "
+        f"{spent['calls']} of {budget['calls']} calls"
+    )
 
 
 async def run_demo() -> None:
@@ -63,8 +84,11 @@
             click.echo(f"resolve: {resolution.json()['addresses'][0]['address']}")
             for number, question in enumerate(QUESTIONS, 1):
                 await ask_turn(client, key, number, question)
+                if number == 1:
+                    await look_up(client, key)
             await file_certificate(client, key)
-        click.echo(f"program latency: {time.monotonic() - started:.2f} s")
+            click.echo(f"program latency: {time.monotonic() - started:.2f} s")
+            await show_program(client, key)
         page = await anyio.to_thread.run_sync(site.operator.read_audit)
         for record in page.records:
             click.echo(
--- a/burdockwall/request/program.py
+++ b/burdockwall/request/program.py
@@ -7,7 +7,7 @@
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, RequestRefused
-from burdockwall.process.programs.budget import Budget, Spend
+from burdockwall.process.programs.budget import Budget
 from burdockwall.process.programs.history import decode_turn
 from burdockwall.process.programs.operations import EndReason
 from burdockwall.request.caller import find_key
@@ -31,6 +31,23 @@
     supersedes: ProgramId | None
 
 
+class SpendPage(msgspec.Struct, frozen=True):
+    """Show tokens, calls and cost by name."""
+
+    tokens: int
+    calls: int
+    cost: float
+
+
+class BudgetPage(msgspec.Struct, frozen=True):
+    """Show a budget by name; the time is in seconds."""
+
+    tokens: int
+    calls: int
+    cost: float
+    time_s: float
+
+
 class ProgramPage(msgspec.Struct, frozen=True):
     """Show a program to its caller."""
 
@@ -40,9 +57,9 @@
     turn: int
     running: int
     children: list[ProgramId]
-    budget: Budget
-    spent: Spend
-    reserved: Spend
+    budget: BudgetPage
+    spent: SpendPage
+    reserved: SpendPage
     age_s: float
     history: list[ChatMessage]
 
@@ -144,9 +161,9 @@
         turn=shown.turn,
         running=len(shown.running),
         children=shown.children,
-        budget=shown.budget,
-        spent=shown.spent,
-        reserved=shown.reserved,
+        budget=BudgetPage(*msgspec.structs.astuple(shown.budget)),
+        spent=SpendPage(*msgspec.structs.astuple(shown.spent)),
+        reserved=SpendPage(*msgspec.structs.astuple(shown.reserved)),
         age_s=shown.age_s,
         history=history,
     )
--- a/features/steps/programs_http_steps.py
+++ b/features/steps/programs_http_steps.py
@@ -32,11 +32,11 @@
     subject.run()
     page = subject.results["page"].json()
     assert page["turn"] == count and page["state"] == "active", page
-    assert page["spent"][1] == count and page["reserved"][1] == 0, page
+    assert page["spent"]["calls"] == count and page["reserved"]["calls"] == 0, page
     answers = [item["content"] for item in page["history"][1::2]]
     assert answers == subject.answers["p1"], page
     tokens = sum(len(answer.split()) for answer in answers)
-    assert page["spent"][0] == tokens, page
+    assert page["spent"]["tokens"] == tokens, page
 
 
 @when(
