Check only the sections of a submission that differ

Change: a checker keeps the items of the last text that it found in order and parses the sections that differ; references are checked over all. With a fault it falls back to the whole text, so every fault is reported. A check on random texts compares both.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -201,6 +201,7 @@
     changed = dataclasses.replace(configuration, customers=tuple(customers))
     text = print_configuration(changed)
     second = build_text(text, state.version, "second")
+    state.configurations.checker.check(state.sections)
     started = time.process_time()
     short = shorten_submission(second, state.configurations, state.version)
     checked_s = time.process_time() - started
--- a/burdockwall/process/control/configurations.py
+++ b/burdockwall/process/control/configurations.py
@@ -13,7 +13,12 @@
     split_sections,
 )
 from burdockwall.types import OperatorId, Version
-from burdockwall.version.configuration import parse_configuration
+from burdockwall.version.configuration import (
+    Item,
+    join_items,
+    parse_configuration,
+    parse_sections,
+)
 
 KEPT_CONFIGURATIONS = 16
 
@@ -43,6 +48,38 @@
     return Difference(changed, removed, compare_sections(before, changed))
 
 
+class SectionChecker:
+    """Check configurations, and parse only what differs from the last one."""
+
+    def __init__(self) -> None:
+        self._texts: dict[str, str] = {}
+        self._items: dict[str, Item] = {}
+
+    def check(self, sections: dict[str, str]) -> None:
+        """Raise OperatorError with every fault of a configuration."""
+        # Only a named section means the same wherever it stands.
+        if not all(" " in name for name in sections):
+            check_sections(sections)
+            return
+        changed = {
+            name: text
+            for name, text in sections.items()
+            if self._texts.get(name) != text
+        }
+        try:
+            parsed = parse_sections(join_sections(changed))
+            items = {
+                name: parsed[name] if name in changed else self._items[name]
+                for name in sections
+            }
+            join_items(items.values())
+        except (InvalidFile, KeyError):
+            # Faults are reported for the whole text, in one pass.
+            check_sections(sections)
+            return
+        self._texts, self._items = dict(sections), items
+
+
 class Configurations:
     """Replace the configuration, and find an earlier one."""
 
@@ -50,6 +87,7 @@
         self.version = Version(0)
         self.operator = OperatorId("")
         self.sections: dict[str, str] = {}
+        self.checker = SectionChecker()
         self.history: deque[KeptConfiguration] = deque(maxlen=KEPT_CONFIGURATIONS)
 
     @property
--- a/burdockwall/process/control/shortening.py
+++ b/burdockwall/process/control/shortening.py
@@ -10,7 +10,6 @@
 )
 from burdockwall.process.control.configurations import (
     Configurations,
-    check_sections,
     find_difference,
 )
 from burdockwall.process.control.sections import split_sections
@@ -69,7 +68,7 @@
         return create_change(command, current.version)
     sections = split_sections(command.text)
     try:
-        check_sections(sections)
+        current.checker.check(sections)
     except OperatorError:
         return command
     difference = find_difference(current.sections, sections)
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -7,7 +7,7 @@
 import configparser
 import dataclasses
 import io
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, get_type_hints
@@ -149,6 +149,11 @@
     return base(text)
 
 
+_HINTS: dict[type[Item], dict[str, Any]] = {
+    kind: get_type_hints(kind) for kind in SECTION_TYPES.values()
+}
+
+
 class _ItemReader:
     """Collect the faults of one configuration text while reading its items."""
 
@@ -170,7 +175,7 @@
             known = ", ".join(SECTION_TYPES)
             self.report(f"[{section}]", "the section is unknown", f"Use {known} NAME.")
             return None
-        hints = get_type_hints(kind)
+        hints = _HINTS[kind]
         converted: dict[str, Any] = {"name": name}
         for option, text in values.items():
             if option not in hints or option == "name":
@@ -224,27 +229,51 @@
             )
 
 
-def parse_configuration(text: str, source: str = "configuration") -> Configuration:
-    """Parse a submitted text; raise InvalidFile with every fault found."""
+def _read_sections(text: str, reader: _ItemReader) -> dict[str, Item]:
     parser = configparser.ConfigParser(interpolation=None)
-    reader = _ItemReader(source)
     try:
-        parser.read_string(text, source)
+        parser.read_string(text, reader.source)
     except configparser.Error as error:
         reader.report("text", str(error).replace("\n", " "), "Correct the syntax.")
         raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults) from error
-    found: dict[str, list[Any]] = {name: [] for name in _SECTION_FIELDS.values()}
+    found = {}
     for section in parser.sections():
         item = reader.read_item(section, dict(parser.items(section)))
         if item is not None:
-            found[_SECTION_FIELDS[section.partition(" ")[0]]].append(item)
-    configuration = Configuration(
-        **{
-            name: tuple(sorted(items, key=lambda item: item.name))
-            for name, items in found.items()
-        }
-    )
+            found[section] = item
+    return found
+
+
+def _join_items(items: Iterable[Item], reader: _ItemReader) -> Configuration:
+    found: dict[type[Item], list[Any]] = {kind: [] for kind in SECTION_TYPES.values()}
+    for item in items:
+        found[type(item)].append(item)
+    fields = {
+        _SECTION_FIELDS[word]: tuple(sorted(found[kind], key=lambda item: item.name))
+        for word, kind in SECTION_TYPES.items()
+    }
+    configuration = Configuration(**fields)
     _check_references(configuration, reader)
     if reader.faults:
         raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
     return configuration
+
+
+def parse_configuration(text: str, source: str = "configuration") -> Configuration:
+    """Parse a submitted text; raise InvalidFile with every fault found."""
+    reader = _ItemReader(source)
+    return _join_items(_read_sections(text, reader).values(), reader)
+
+
+def parse_sections(text: str, source: str = "configuration") -> dict[str, Item]:
+    """Parse sections without what they refer to; raise InvalidFile on a fault."""
+    reader = _ItemReader(source)
+    items = _read_sections(text, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return items
+
+
+def join_items(items: Iterable[Item], source: str = "configuration") -> Configuration:
+    """Build a configuration from parsed sections; raise InvalidFile on a fault."""
+    return _join_items(items, _ItemReader(source))
--- a/features/control_state.feature
+++ b/features/control_state.feature
@@ -80,3 +80,6 @@
     Given a control state with customers "a b"
     When a control difference comes after the configuration has changed
     Then the last control answers are "0 2003"
+
+  Scenario: A check of what differs finds what a check of the whole finds
+    Then 400 random control texts from seed 5 get the same verdict either way
--- a/features/steps/control_state_steps.py
+++ b/features/steps/control_state_steps.py
@@ -1,16 +1,28 @@
+import random
+
 import msgspec
 from behave import given, then, when
 
+from burdockwall.errors import OperatorError
 from burdockwall.process.control.audit import AuditFilter, filter_audit, verify_audit
 from burdockwall.process.control.changes import KEPT_CHANGES
-from burdockwall.process.control.configurations import KEPT_CONFIGURATIONS
+from burdockwall.process.control.configurations import (
+    KEPT_CONFIGURATIONS,
+    SectionChecker,
+    check_sections,
+)
+from burdockwall.process.control.sections import split_sections
 from burdockwall.process.control.shortening import shorten_submission
 from burdockwall.process.control.state import (
     KEPT_AUDIT_RECORDS,
     KEPT_OUTCOMES,
     decode_state,
 )
-from features.subjects.control_state import ControlStateSubject, print_customers
+from features.subjects.control_state import (
+    ControlStateSubject,
+    build_random_text,
+    print_customers,
+)
 
 
 @given('a control state with customers "{names}"')
@@ -255,3 +267,25 @@
     assert len(state.configurations.history) <= KEPT_CONFIGURATIONS
     assert len(state.audit) == KEPT_AUDIT_RECORDS
     assert len(state.changes.list_all()) <= KEPT_CHANGES
+
+
+def find_verdict(check, sections):
+    try:
+        check(sections)
+    except OperatorError as error:
+        return error.detail
+    return ""
+
+
+@then(
+    "{count:d} random control texts from seed {seed:d} get the same verdict either way"
+)
+def step_check_texts(context, count, seed):
+    chance = random.Random(seed)
+    checker = SectionChecker()
+    verdicts = []
+    for _ in range(count):
+        sections = split_sections(build_random_text(chance))
+        verdicts.append(find_verdict(check_sections, sections))
+        assert find_verdict(checker.check, sections) == verdicts[-1], sections
+    assert 20 < verdicts.count("") < count - 20
--- a/features/subjects/control_state.py
+++ b/features/subjects/control_state.py
@@ -130,3 +130,23 @@
             for digest in change.removed_keys:
                 keys.pop(KeyDigest(digest), None)
         return sections, keys
+
+
+def build_random_text(chance: random.Random) -> str:
+    """Build a text of a few sections, some of them with faults."""
+    sections = []
+    for name in chance.sample("abcd", chance.randint(0, 4)):
+        value = chance.choice(("1", "2", "0", "x"))
+        option = chance.choice(("rate_per_s", "rate_per_s", "burst", "wrong"))
+        sections.append(f"[customer {name}]\n{option} = {value}\n")
+    for name in chance.sample("pq", chance.randint(0, 2)):
+        sections.append(f"[pool {name}]\nkind = model\n")
+    for name in chance.sample("ef", chance.randint(0, 2)):
+        pool = chance.choice("pq")
+        sections.append(f"[endpoint {name}]\npool = {pool}\naddress = h:1\n")
+    if chance.random() < 0.1:
+        sections.append(chance.choice(("[DEFAULT]\nburst = 3\n", "[odd]\n", "x\n")))
+    if chance.random() < 0.1 and sections:
+        sections.append(sections[0])
+    chance.shuffle(sections)
+    return "".join(sections)
