--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -8,6 +8,7 @@
 from burdockwall.process.control import copier, messages as control
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
+from burdockwall.process.programs.messages import AnyRecordMessage
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
@@ -40,6 +41,7 @@
     | membership.Release
     | membership.Released
     | membership.CopyDone
+    | AnyRecordMessage
 )
 
 
--- a/burdockwall/process/control/configurations.py
+++ b/burdockwall/process/control/configurations.py
@@ -15,9 +15,10 @@
 from burdockwall.types import OperatorId, Version
 from burdockwall.version.configuration import (
     Item,
+    check_configuration,
     join_items,
     parse_configuration,
-    parse_sections,
+    parse_items,
 )
 
 KEPT_CONFIGURATIONS = 16
@@ -67,12 +68,12 @@
             if self._texts.get(name) != text
         }
         try:
-            parsed = parse_sections(join_sections(changed))
+            parsed = parse_items(join_sections(changed))
             items = {
                 name: parsed[name] if name in changed else self._items[name]
                 for name in sections
             }
-            join_items(items.values())
+            check_configuration(join_items(items))
         except (InvalidFile, KeyError):
             # Faults are reported for the whole text, in one pass.
             check_sections(sections)
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -9,7 +9,6 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.memory import ByteBudget
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
-from burdockwall.process.control.sections import join_sections
 from burdockwall.process.drain import Drain
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
@@ -17,11 +16,12 @@
 from burdockwall.process.resolver import Member, resolve_addresses
 from burdockwall.process.scheduling.poller import EndpointPoller
 from burdockwall.request.flow import serve_request
+from burdockwall.request.once import AcceptedSender
 from burdockwall.request.parts import create_parts
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import FailureDomain
-from burdockwall.version.view import build_empty_view, build_view
+from burdockwall.types import EndpointId, FailureDomain, RouteKind
+from burdockwall.version.view import ViewBuilder, build_empty_view
 
 RESOLVE_PATH = "/v1/resolve"
 REFUSED_RETRY_S = 1.0
@@ -40,6 +40,7 @@
         self.settings = settings
         self.list_members = list_members
         self.get_lease_end = get_lease_end
+        self.builder = ViewBuilder()
         self.view = build_empty_view()
         self.parts = create_parts(settings, host)
         self.clock = host.clock
@@ -49,6 +50,7 @@
             host.clock,
             settings.schedule_poll_s,
         )
+        self.accepted = AcceptedSender(self.parts, lambda: self.view)
         self.drain = Drain()
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
@@ -63,16 +65,27 @@
                 group.start_soon(self.parts.streams.run)
                 group.start_soon(self.parts.dispatcher.run, tick_s)
                 group.start_soon(self.poller.run)
+                group.start_soon(self.parts.reclaimer.run)
+                group.start_soon(self.accepted.run)
         finally:
             with anyio.CancelScope(shield=True):
                 await self.parts.clients.close()
 
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
-        text = join_sections(replica.sections)
-        self.view = build_view(replica.version, text, replica.keys)
+        self.view = self.builder.build(replica.version, replica.sections, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
+        self.parts.reclaimer.engines = {
+            endpoint.name: endpoint
+            for pool in self.view.configuration.pools
+            if pool.kind is RouteKind.MODEL
+            for endpoint in self.view.pools[pool.name]
+        }
+
+    def set_leaving_endpoints(self, leaving: frozenset[EndpointId]) -> None:
+        """Give no new work to endpoints that are leaving or gone."""
+        self.parts.dispatcher.set_leaving(leaving)
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from a caller."""
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -1,7 +1,6 @@
 """Join the membership machines of a process to its bus, views and waiters."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from burdockwall.connection.peers import PeerBus
 from burdockwall.process.control.commands import AssignShards
@@ -18,7 +17,9 @@
     MemberEntry,
     Stamp,
 )
-from burdockwall.process.membership.planner import Propose, ShardHealth
+from burdockwall.process.membership.page import FleetPage, describe_member
+from burdockwall.process.membership.planner import Propose
+from burdockwall.process.membership.platform import PlatformList
 from burdockwall.process.membership.progress import InForce
 from burdockwall.process.membership.registrar import (
     REGISTRAR_MESSAGES,
@@ -36,6 +37,7 @@
     EndpointState,
     InstanceId,
     Role,
+    Term,
     Version,
 )
 from burdockwall.version.shards import CopyConfirmed, LeaseRenewed, ShardsInstalled
@@ -43,20 +45,6 @@
 IN_FORCE_LIMIT_S = 2 * KEY_STOP_S
 
 
-@dataclass(frozen=True, slots=True)
-class FleetRow:
-    """Describe one instance as the leader sees it."""
-
-    instance: InstanceId
-    role: Role
-    region: str
-    failure_domain: str
-    state: EndpointState
-    version: Version
-    lease_s: float
-    silent_s: float
-
-
 class Membership:
     """Run the agent of an instance, and the registrar where it holds the state."""
 
@@ -73,6 +61,7 @@
         self.registrar: Registrar | None = None
         self.members: tuple[MemberEntry, ...] = ()
         self.endpoints: dict[EndpointId, EndpointState] = {}
+        self.on_endpoints: Callable[[frozenset[EndpointId]], None] | None = None
         self._install = install
         self._propose: Callable[[AssignShards], None] = lambda command: None
         self._waiters: Waiters[InForce] = Waiters()
@@ -96,6 +85,17 @@
         """Return until when, by the host's clock, this instance may act."""
         return self.agent.lease.until
 
+    def get_lease_s(self) -> float:
+        """Return for how long this instance may still act."""
+        return max(0.0, self.lease_until - self.host.clock())
+
+    def get_state(self) -> EndpointState:
+        """Return where the member list says that this instance stands."""
+        for member in self.members:
+            if member.details.instance == self.agent.details.instance:
+                return member.state
+        return EndpointState.SUSPECTED
+
     def start_leaving(self) -> None:
         """Tell the fleet that this instance takes no new work."""
         self.host.apply(self._hosted_agent, Leave())
@@ -112,6 +112,8 @@
                 self.endpoints = endpoints
                 for member in members:
                     self._learn(member.details)
+                if self.on_endpoints is not None:
+                    self.on_endpoints(frozenset(endpoints))
                 self.host.publish(action)
             case LeaseRenewed() | ShardsInstalled():
                 self.host.publish(action)
@@ -128,6 +130,21 @@
             case Propose(command=command):
                 self._propose(command)
 
+    def install_platform(self, published: PlatformList) -> None:
+        """Take what the platform has published."""
+        if self.registrar is not None:
+            self.host.apply(self._hosted_registrar, published)
+
+    def get_led_term(self) -> Term | None:
+        """Return the term that this instance leads now, or None."""
+        registrar = self.registrar
+        return registrar.term if registrar is not None and self.is_leading() else None
+
+    def is_leading(self) -> bool:
+        """Tell whether this instance grants leases now."""
+        registrar = self.registrar
+        return registrar is not None and registrar.is_leading(self.host.clock())
+
     async def wait_in_force(self, version: Version) -> InForce:
         """Wait until no instance acts under an earlier version, at the leader.
 
@@ -145,6 +162,7 @@
                 entry.details.caller_address,
                 entry.details.failure_domain,
                 entry.state,
+                entry.details.region,
             )
             for entry in self.members
             if entry.details.role is not Role.CONTROL
@@ -154,29 +172,12 @@
         """Return the stamp of the member list in force."""
         return self.agent.roster.stamp
 
-    def read_fleet(self) -> list[FleetRow]:
-        """Describe every member, at the leader; elsewhere the list is empty."""
+    def read_fleet(self) -> FleetPage:
+        """Describe every member, at the leader."""
         registrar = self.registrar
         now = self.host.clock()
         if registrar is None or not registrar.is_leading(now):
-            return []
-        return [
-            FleetRow(
-                instance=record.details.instance,
-                role=record.details.role,
-                region=record.details.region,
-                failure_domain=record.details.failure_domain,
-                state=record.state,
-                version=record.version,
-                lease_s=max(0.0, record.lapses_at - now),
-                silent_s=now - record.heard_at,
-            )
-            for record in registrar.records.values()
-        ]
-
-    def read_shards(self) -> ShardHealth | None:
-        """Describe the protection of the shards, at the leader."""
-        registrar = self.registrar
-        if registrar is None or not registrar.is_leading(self.host.clock()):
-            return None
-        return registrar.planner.health
+            return FleetPage(False, self.agent.term, self.agent.path.leader)
+        rows = [describe_member(record, now) for record in registrar.records.values()]
+        leader = registrar.instance
+        return FleetPage(True, registrar.term, leader, rows, registrar.planner.health)
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -7,7 +7,7 @@
 import configparser
 import dataclasses
 import io
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, get_type_hints
@@ -99,6 +99,9 @@
     "endpoint": "endpoints",
     "route": "routes",
 }
+_HINTS: dict[str, dict[str, Any]] = {
+    word: get_type_hints(kind) for word, kind in SECTION_TYPES.items()
+}
 _TRUE_WORDS = {"yes": True, "no": False}
 
 
@@ -149,11 +152,6 @@
     return base(text)
 
 
-_HINTS: dict[type[Item], dict[str, Any]] = {
-    kind: get_type_hints(kind) for kind in SECTION_TYPES.values()
-}
-
-
 class _ItemReader:
     """Collect the faults of one configuration text while reading its items."""
 
@@ -175,7 +173,7 @@
             known = ", ".join(SECTION_TYPES)
             self.report(f"[{section}]", "the section is unknown", f"Use {known} NAME.")
             return None
-        hints = _HINTS[kind]
+        hints = _HINTS[word]
         converted: dict[str, Any] = {"name": name}
         for option, text in values.items():
             if option not in hints or option == "name":
@@ -229,51 +227,56 @@
             )
 
 
-def _read_sections(text: str, reader: _ItemReader) -> dict[str, Item]:
+def parse_configuration(text: str, source: str = "configuration") -> Configuration:
+    """Parse a submitted text; raise InvalidFile with every fault found."""
+    reader = _ItemReader(source)
+    configuration = join_items(_read_items(text, reader))
+    _check_references(configuration, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return configuration
+
+
+def parse_items(text: str) -> dict[str, Item]:
+    """Parse sections of an accepted text, without their references to others."""
+    reader = _ItemReader("accepted configuration")
+    items = _read_items(text, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
+    return items
+
+
+def _read_items(text: str, reader: _ItemReader) -> dict[str, Item]:
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(text, reader.source)
     except configparser.Error as error:
         reader.report("text", str(error).replace("\n", " "), "Correct the syntax.")
         raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults) from error
-    found = {}
+    items = {}
     for section in parser.sections():
         item = reader.read_item(section, dict(parser.items(section)))
         if item is not None:
-            found[section] = item
-    return found
-
-
-def _join_items(items: Iterable[Item], reader: _ItemReader) -> Configuration:
-    found: dict[type[Item], list[Any]] = {kind: [] for kind in SECTION_TYPES.values()}
-    for item in items:
-        found[type(item)].append(item)
-    fields = {
-        _SECTION_FIELDS[word]: tuple(sorted(found[kind], key=lambda item: item.name))
-        for word, kind in SECTION_TYPES.items()
-    }
-    configuration = Configuration(**fields)
-    _check_references(configuration, reader)
-    if reader.faults:
-        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
-    return configuration
+            items[section] = item
+    return items
 
 
-def parse_configuration(text: str, source: str = "configuration") -> Configuration:
-    """Parse a submitted text; raise InvalidFile with every fault found."""
-    reader = _ItemReader(source)
-    return _join_items(_read_sections(text, reader).values(), reader)
+def join_items(items: dict[str, Item]) -> Configuration:
+    """Join the items of sections into a configuration."""
+    found: dict[str, list[Any]] = {name: [] for name in _SECTION_FIELDS.values()}
+    for section, item in items.items():
+        found[_SECTION_FIELDS[section.partition(" ")[0]]].append(item)
+    return Configuration(
+        **{
+            name: tuple(sorted(group, key=lambda item: item.name))
+            for name, group in found.items()
+        }
+    )
 
 
-def parse_sections(text: str, source: str = "configuration") -> dict[str, Item]:
-    """Parse sections without what they refer to; raise InvalidFile on a fault."""
-    reader = _ItemReader(source)
-    items = _read_sections(text, reader)
+def check_configuration(configuration: Configuration) -> None:
+    """Check what sections refer to; raise InvalidFile with every fault found."""
+    reader = _ItemReader("configuration")
+    _check_references(configuration, reader)
     if reader.faults:
         raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
-    return items
-
-
-def join_items(items: Iterable[Item], source: str = "configuration") -> Configuration:
-    """Build a configuration from parsed sections; raise InvalidFile on a fault."""
-    return _join_items(items, _ItemReader(source))
