--- /dev/null
+++ b/features/steps/fleet_kill_steps.py
@@ -0,0 +1,44 @@
+from behave import given, then, when
+
+from features.subjects.fleet_kill import FleetKillSubject
+
+
+@given("three processes of a fleet to kill")
+def step_start(context):
+    context.subject = FleetKillSubject()
+    context.subject.start()
+
+
+@when("{count:d} programs run a turn through one process of the fleet")
+def step_first(context, count):
+    context.count = count
+    context.subject.run_first_turns(count)
+
+
+@when(
+    "that process is killed with {turns:d} further turns and {filings:d} filings"
+    " under way"
+)
+def step_kill(context, turns, filings):
+    context.subject.kill_under_way(turns, filings)
+
+
+@then("every program goes on through another process with its whole history")
+def step_go_on(context):
+    for number in range(context.count):
+        answer = context.subject.go_on(number)
+        assert answer == context.subject.compute_second(number), number
+
+
+@then("every filing that was under way has run at most once, whatever is resent")
+def step_filings(context):
+    subject = context.subject
+    subject.resend_filings()
+    for name, outcomes in subject.filings.items():
+        assert subject.service.runs[name] <= 1, (name, outcomes)
+    assert sum(subject.service.runs.values()), subject.filings
+
+
+@then("the killed process comes back with its disk and serves again")
+def step_back(context):
+    context.subject.restart_killed()
