--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -45,3 +45,8 @@
     Given a scheduler of one endpoint with 1 place
     When 60000 scheduler programs have come and gone
     Then the scheduler's ledger holds at most 50000 programs
+
+  Scenario: Calls queued at an endpoint that leaves go to another
+    Given a scheduler of 2 endpoints with 1 place each
+    When 20 scheduler calls are queued and the second endpoint leaves
+    Then the scheduler sends nothing more there and loses no call
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -178,3 +178,27 @@
 @then("the scheduler's ledger holds at most {count:d} programs")
 def step_ledger_check(context, count):
     assert len(context.ledger._programs) <= count
+
+
+@given("a scheduler of {count:d} endpoints with {places:d} place each")
+def step_several(context, count, places):
+    context.subject = SchedulingSubject(count, places)
+
+
+@when("{count:d} scheduler calls are queued and the second endpoint leaves")
+def step_leave(context, count):
+    subject = context.subject
+    for number in range(count):
+        subject.submit(f"p-{number}")
+    context.before = dict(subject.sent)
+    assert set(context.before) == {"e0", "e1"}, context.before
+    subject.install(1)
+    while subject.running:
+        subject.finish_first(latency_s=1.0, output_tokens=10)
+
+
+@then("the scheduler sends nothing more there and loses no call")
+def step_left(context):
+    subject = context.subject
+    assert subject.sent["e1"] == context.before["e1"], subject.sent
+    assert len(subject.started) == len(subject.names), subject.rejected
