Share endpoints by the number of live instances

Cause: the number of instances was a setting that had to follow the member list. Change: each instance counts the live members once a second and takes its share.

--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -15,14 +15,16 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import Member, resolve_addresses
+from burdockwall.process.scheduling.jobs import InstancesCounted
 from burdockwall.process.scheduling.poller import EndpointPoller
 from burdockwall.request.flow import serve_request
 from burdockwall.request.parts import create_parts
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import FailureDomain
+from burdockwall.types import EndpointState, FailureDomain
 from burdockwall.version.view import build_empty_view, build_view
 
+COUNT_INTERVAL_S = 1.0
 RESOLVE_PATH = "/v1/resolve"
 REFUSED_RETRY_S = 1.0
 
@@ -63,10 +65,19 @@
                 group.start_soon(self.parts.streams.run)
                 group.start_soon(self.parts.dispatcher.run, tick_s)
                 group.start_soon(self.poller.run)
+            group.start_soon(self._count_instances)
         finally:
             with anyio.CancelScope(shield=True):
                 await self.parts.clients.close()
 
+    async def _count_instances(self) -> None:
+        dispatcher = self.parts.dispatcher
+        while True:
+            members = self.list_members()
+            live = [one for one in members if one.state is EndpointState.LIVE]
+            dispatcher.apply(InstancesCounted(max(1, len(live))))
+            await anyio.sleep(COUNT_INTERVAL_S)
+
     def install(self, replica: StateReplica) -> None:
         """Put a version of the control state in force."""
         text = join_sections(replica.sections)
--- a/burdockwall/process/scheduling/jobs.py
+++ b/burdockwall/process/scheduling/jobs.py
@@ -118,6 +118,13 @@
     targets: tuple[Target, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class InstancesCounted:
+    """Tell the scheduler how many instances share the endpoints."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class Submit:
     """Queue a job."""
@@ -189,6 +196,7 @@
 
 Event = (
     TargetsInstalled
+    | InstancesCounted
     | Submit
     | Cancel
     | Finish
--- a/burdockwall/process/scheduling/load.py
+++ b/burdockwall/process/scheduling/load.py
@@ -23,8 +23,17 @@
 
     def __post_init__(self) -> None:
         self.capacity = self.policy.endpoint_calls
+        self._split()
+
+    def _split(self) -> None:
         self.allowed = max(1, self.capacity // max(1, self.policy.instances))
 
+    def share(self, policy: Policy) -> None:
+        """Take a policy with another number of instances."""
+        self.policy = policy
+        if policy.window is Window.SPLIT or not self.sequence:
+            self._split()
+
     def observe(self, report: LoadReport) -> None:
         """Take a report; a late or doubled one is ignored."""
         # An endpoint that restarted counts from one again.
--- a/burdockwall/process/scheduling/scheduler.py
+++ b/burdockwall/process/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from burdockwall.machine import Tick
@@ -11,6 +11,7 @@
     Cancel,
     EndProgram,
     Finish,
+    InstancesCounted,
     Job,
     ObserveCache,
     ObserveLoad,
@@ -84,6 +85,8 @@
                 self._observe_cache(endpoint, events, now)
             case TargetsInstalled():
                 return self._install(event, now)
+            case InstancesCounted(count=count):
+                self._share(count)
             case Tick():
                 return self._tick(now)
         return []
@@ -101,6 +104,14 @@
                 self._queues[endpoint] = queue
         return self._place_again(displaced, now)
 
+    def _share(self, count: int) -> None:
+        if count == self.policy.instances:
+            return
+        self.policy = replace(self.policy, instances=count)
+        self.router.policy = self.policy
+        for load in self.router.loads.values():
+            load.share(self.policy)
+
     def _submit(self, job: Job, now: float) -> list[Action]:
         self._numbers += 1
         started = self.ledger.open(job.program, now)
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -616,7 +616,7 @@
         "schedule_instances",
         Kind.INTEGER,
         "",
-        "Instances that share an endpoint before its first report.",
+        "Instances that share endpoints, until the member list is known.",
         1,
         1000,
     ),
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -50,3 +50,10 @@
     Given a scheduler of 2 endpoints with 1 place each
     When 20 scheduler calls are queued and the second endpoint leaves
     Then the scheduler sends nothing more there and loses no call
+
+  Scenario: An instance takes a larger share when others are gone
+    Given a scheduler of one endpoint with 24 places shared by 6 instances
+    When 30 scheduler calls are queued
+    Then the scheduler runs 4 calls
+    When the scheduler hears that 3 instances are left
+    Then the scheduler runs 8 calls
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from burdockwall.process.scheduling.jobs import InstancesCounted
 from burdockwall.process.scheduling.ledger import Ledger
 from burdockwall.process.scheduling.queue import JobQueue
 from burdockwall.process.scheduling.scheduler import Scheduler
@@ -202,3 +203,27 @@
     subject = context.subject
     assert subject.sent["e1"] == context.before["e1"], subject.sent
     assert len(subject.started) == len(subject.names), subject.rejected
+
+
+@given(
+    "a scheduler of one endpoint with {places:d} places shared by {count:d} instances"
+)
+def step_shared(context, places, count):
+    context.subject = SchedulingSubject(1, places, instances=count)
+
+
+@when("{count:d} scheduler calls are queued")
+def step_queue_many(context, count):
+    for number in range(count):
+        context.subject.submit(f"p-{number}")
+
+
+@when("the scheduler hears that {count:d} instances are left")
+def step_left_instances(context, count):
+    context.subject.apply(InstancesCounted(count))
+    context.subject.tick(0.1)
+
+
+@then("the scheduler runs {count:d} calls")
+def step_running(context, count):
+    assert len(context.subject.running) == count, context.subject.running
