--- a/burdockwall/process/scheduling/router.py
+++ b/burdockwall/process/scheduling/router.py
@@ -73,7 +73,9 @@
         self.pools = {
             pool: self._install_pool(pool, members) for pool, members in by_pool.items()
         }
-        self.loads = {
+        # An endpoint that comes back finds its calls under way still counted.
+        former = {name: load for name, load in self.loads.items() if load.running}
+        self.loads = former | {
             name: self.loads.get(name) or Load(self.policy) for name in self.targets
         }
 
--- a/burdockwall/process/scheduling/scheduler.py
+++ b/burdockwall/process/scheduling/scheduler.py
@@ -78,7 +78,7 @@
                 return self._end_program(program, keys, now)
             case ObserveLoad(endpoint=endpoint, report=report):
                 load = self.router.loads.get(endpoint)
-                if load is not None:
+                if load is not None and endpoint in self._queues:
                     load.observe(report)
                     return self._pump(endpoint, now)
             case ObserveCache(endpoint=endpoint, events=events):
@@ -98,6 +98,8 @@
             name for name in self._queues if name not in self.router.targets
         ]:
             displaced.extend(self._queues.pop(endpoint).drain())
+            if endpoint in self.router.loads:
+                self.router.loads[endpoint].queued = 0
         for endpoint in self.router.targets:
             if endpoint not in self._queues:
                 queue = JobQueue(endpoint, self.policy, self.ledger)
@@ -207,7 +209,8 @@
         load = self.router.loads.get(endpoint)
         if load is not None:
             load.running -= 1
-            actions.extend(self._pump(endpoint, now))
+            if endpoint in self._queues:
+                actions.extend(self._pump(endpoint, now))
         return actions
 
     def _settle(self, running: Running, outcome: Outcome) -> None:
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -57,3 +57,8 @@
     Then the scheduler runs 4 calls
     When the scheduler hears that 3 instances are left
     Then the scheduler runs 8 calls
+
+  Scenario: An endpoint that comes back finds its calls still counted
+    Given a scheduler of 2 endpoints with 1 place each
+    When the scheduler's second endpoint leaves and comes back with calls under way
+    Then the scheduler has no more than 1 call at either endpoint
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -227,3 +227,21 @@
 @then("the scheduler runs {count:d} calls")
 def step_running(context, count):
     assert len(context.subject.running) == count, context.subject.running
+
+
+@when("the scheduler's second endpoint leaves and comes back with calls under way")
+def step_return(context):
+    subject = context.subject
+    for number in range(2):
+        subject.submit(f"p-{number}")
+    subject.install(1)
+    subject.install(2)
+    for number in range(2, 6):
+        subject.submit(f"p-{number}")
+
+
+@then("the scheduler has no more than {places:d} call at either endpoint")
+def step_either(context, places):
+    placed = list(context.subject.running.values())
+    assert set(placed) == {"e0", "e1"}, placed
+    assert max(placed.count(name) for name in placed) <= places, placed
