--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -9,11 +9,12 @@
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
 from burdockwall.process.programs.client import RecordClient
-from burdockwall.process.programs.families import Limits
+from burdockwall.process.programs.families import Limits, ProgramGone
 from burdockwall.process.programs.programs import Programs
 from burdockwall.process.programs.reclaimer import Reclaimer
 from burdockwall.process.scheduling.dispatcher import Dispatcher
 from burdockwall.process.scheduling.policy import create_policy
+from burdockwall.process.scheduling.reports import CacheKey
 from burdockwall.request.streams import StreamTable
 from burdockwall.settings import Settings
 
@@ -57,19 +58,27 @@
     generator = random.Random()
     client = RecordClient(host, host.bus.incarnation, create_limits(settings))
     clients = EndpointClients(settings.endpoint_connect_s, settings.endpoint_silence_s)
+    reclaimer = Reclaimer(settings, client, clients, clock)
+    dispatcher = Dispatcher(
+        create_policy(settings),
+        settings.failure_domain,
+        settings.schedule_queue_limit_s,
+        clock,
+        generator,
+    )
+
+    def end_history(gone: ProgramGone) -> None:
+        reclaimer.release(gone)
+        dispatcher.end_history(CacheKey(gone.tag))
+
+    client.on_gone = end_history
     return Parts(
         settings=settings,
         clock=clock,
         programs=Programs(client, settings.history_cache_bytes),
-        reclaimer=Reclaimer(settings, client, clients, clock),
+        reclaimer=reclaimer,
         limits=LimitClient(host, settings, host.bus.incarnation, generator),
-        dispatcher=Dispatcher(
-            create_policy(settings),
-            settings.failure_domain,
-            settings.schedule_queue_limit_s,
-            clock,
-            generator,
-        ),
+        dispatcher=dispatcher,
         clients=clients,
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, generator),
--- a/features/subjects/scheduling_path.py
+++ b/features/subjects/scheduling_path.py
@@ -3,10 +3,10 @@
 import anyio
 
 from burdockwall.fakes.engine import FakeEngine
-from burdockwall.fakes.site import CUSTOMER, SitePlan
+from burdockwall.fakes.site import SitePlan
 from burdockwall.process.scheduling.explain import PlacementPage
+from burdockwall.process.scheduling.reports import CacheKey
 from burdockwall.settings import Settings
-from burdockwall.types import ProgramId
 from features.subjects.path import PathSubject
 
 WAIT_LIMIT_S = 10.0
@@ -33,7 +33,7 @@
                 await self.wait_for_reports(dispatcher)
             self.page = await anyio.to_thread.run_sync(site.operator.read_placements)
             if end:
-                dispatcher.end_program(CUSTOMER, ProgramId("program-1"))
+                dispatcher.end_history(CacheKey(self.heard_keys[0]))
                 with anyio.fail_after(WAIT_LIMIT_S):
                     await self.wait_for_release()
 
