End the scheduled program of a check through its record

Cause: engines know a program's cache by the tag of its life, which the record holds, so the scheduler's own name for it releases nothing. Change: the check ends the program as a caller does (DELETE); it still waits for the engine to drop the cache.

--- a/features/subjects/scheduling_path.py
+++ b/features/subjects/scheduling_path.py
@@ -3,10 +3,9 @@
 import anyio
 
 from burdockwall.fakes.engine import FakeEngine
-from burdockwall.fakes.site import CUSTOMER, SitePlan
+from burdockwall.fakes.site import SitePlan
 from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.settings import Settings
-from burdockwall.types import ProgramId
 from features.subjects.path import PathSubject
 
 WAIT_LIMIT_S = 10.0
@@ -33,7 +32,9 @@
                 await self.wait_for_reports(dispatcher)
             self.page = await anyio.to_thread.run_sync(site.operator.read_placements)
             if end:
-                dispatcher.end_program(CUSTOMER, ProgramId("program-1"))
+                headers = self.path.build_headers(1)
+                ended = await client.delete("/v1/programs/program-1", headers=headers)
+                assert ended.status_code == 200, ended.text
                 with anyio.fail_after(WAIT_LIMIT_S):
                     await self.wait_for_release()
 
