--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -212,10 +212,9 @@
         outcome = Outcome(result, latency_s, None, output_tokens)
         self.apply(Finish(dispatch.call, outcome))
 
-    def end_program(self, customer: CustomerId, program: ProgramId) -> None:
-        """Let engines drop the cache of a program that is over."""
-        key = compute_cache_key(customer, program)
-        self.apply(EndProgram(_name_program(customer, program), (key,)))
+    def end_history(self, key: CacheKey) -> None:
+        """Let engines drop the cache of a history that is over."""
+        self.apply(EndProgram(ProgramId(key), (key,)))
 
     async def run(self, interval_s: float) -> None:
         """Tell the scheduler the time until cancelled."""
