Copy shards sooner in small fleets, and show a kill of a real process

Cause: with three processes just started, 236 of 256 shards had one copy when that process was killed 10 s later, and their programs waited for it for good: copies started at 8 a second whatever the size of the fleet (256 shards, two copies each: 64 s). Ruled out: the planner losing the dead instance (it was failed after 10 s), consensus (a leader after 2 s). Change: copies start at up to 64 a second, less in larger fleets, since each is a view for each instance; the check waits until every shard has its copies. Until its first copies are confirmed a shard has one copy; see docs/PROMISES.md.

--- a/burdockwall/process/membership/planner.py
+++ b/burdockwall/process/membership/planner.py
@@ -44,8 +44,11 @@
 PROPOSE_RETRY_S = 1.0
 # A suspected primary whose lease has lapsed is replaced after this long.
 SUSPECTED_LIMIT_S = 10.0
-JOINS_PER_S = 8.0
-JOINING_LIMIT = 16
+# Each copy is a view for each instance, so a large fleet starts fewer a second.
+VIEWS_SENT_PER_S = 512.0
+LEAST_JOINS_PER_S = 8.0
+MOST_JOINS_PER_S = 64.0
+JOINING_LIMIT = 64
 SYSTEM_OPERATOR = OperatorId("system")
 
 
@@ -144,11 +147,12 @@
         if elapsed < (IDLE_INTERVAL_S if idle else PLAN_INTERVAL_S):
             return []
         self._planned_at = now
-        self._joins = min(JOINS_PER_S, self._joins + min(1.0, elapsed) * JOINS_PER_S)
         known = now >= self._former_until
         unknown = EndpointState.FAILED if known else EndpointState.SUSPECTED
         departed = self._lapses
         fleet = create_fleet(records, views.values(), now, departed, unknown)
+        rate = _compute_joins(len(fleet.list_live()))
+        self._joins = min(rate, self._joins + min(1.0, elapsed) * rate)
         if not views:
             return self._start(fleet, now)
         actions = self._improve(fleet, views, now)
@@ -348,6 +352,12 @@
         )
 
 
+def _compute_joins(instances: int) -> float:
+    """Compute how many copies may be started a second in a fleet of a size."""
+    rate = VIEWS_SENT_PER_S / max(1, instances)
+    return max(LEAST_JOINS_PER_S, min(MOST_JOINS_PER_S, rate))
+
+
 def _move_copies(
     fleet: Fleet,
     views: dict[ShardId, ShardView],
--- a/features/subjects/fleet_kill.py
+++ b/features/subjects/fleet_kill.py
@@ -23,6 +23,7 @@
 from burdockwall.types import Address, ModelName, OperatorId
 from burdockwall.version.configuration import print_configuration
 from burdockwall.version.keys import compute_digest
+from burdockwall.version.shards import SHARD_COUNT
 
 ROOT = Path(__file__).resolve().parents[2]
 NAMES = ("both-1", "both-2", "both-3")
@@ -112,6 +113,7 @@
         client = self.create_client()
         client.submit(print_configuration(plan))
         self.key = client.issue_key(CUSTOMER)
+        self.wait(self.is_whole)
         self.wait(lambda: all(self.is_serving(item) for item in self.members))
 
     def run_command(self, *arguments: str) -> None:
@@ -137,6 +139,17 @@
             return 0
         return sum(member.voting for member in shown.members)
 
+    def is_whole(self) -> bool:
+        """Tell whether every shard has its copies."""
+        for member in self.members:
+            client = OperatorClient(member.operator, OperatorId("ann"), token=TOKEN)
+            try:
+                health = client.read_fleet().shards
+            except OperatorError:
+                continue
+            return health.whole == SHARD_COUNT and not health.joining
+        return False
+
     def is_serving(self, member: Member) -> bool:
         try:
             answer = self.post_turn(member, f"probe-{member.name}", 1, "probe", 5.0)
