--- a/burdockwall/process/programs/programs.py
+++ b/burdockwall/process/programs/programs.py
@@ -221,6 +221,16 @@
         tag = answer.tag
         return Turn(customer, program, 0, request, tag, [], [], [], reserve, key)
 
+    async def end_tool(self, tool: Turn) -> None:
+        """Settle a tool call at what was reserved for it."""
+        assert tool.key is not None
+        end = calls.EndCall(tool.key, tool.program, tool.request, tool.reserve)
+        try:
+            await self.client.ask_record(tool.key, end)
+        except NoAnswerError:
+            # Its lease lapses and the record ends it.
+            return
+
     async def end_program(
         self, customer: CustomerId, program: ProgramId, reason: EndReason
     ) -> None:
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -22,8 +22,10 @@
 )
 from burdockwall.request.once import serve_once
 from burdockwall.request.parts import Parts
+from burdockwall.request.program import charge_tool
 from burdockwall.request.trace import RequestTrace
 from burdockwall.types import ModelName, ProgramId, RouteKind
+from burdockwall.version.configuration import Customer, Route
 from burdockwall.version.view import View
 
 ENDPOINT_FAULTS = (Code.ENDPOINT_UNREACHABLE, Code.ENDPOINT_FAILED)
@@ -42,6 +44,19 @@
     check_places(exchange, presented)
     trace.customer, trace.route = customer.name, route.name
     await parts.limits.admit_call(customer, route)
+    async with charge_tool(parts, exchange, customer, route):
+        await _serve_charged(parts, view, exchange, trace, presented, customer, route)
+
+
+async def _serve_charged(
+    parts: Parts,
+    view: View,
+    exchange: Exchange,
+    trace: RequestTrace,
+    presented: Presented,
+    customer: Customer,
+    route: Route,
+) -> None:
     key = exchange.get_header(b"idempotency-key")
     if key is not None and not route.repeatable:
         await serve_once(parts, view, exchange, presented, customer, route, key)
--- a/burdockwall/request/program.py
+++ b/burdockwall/request/program.py
@@ -1,13 +1,16 @@
 """Read what a request says of its program, and serve a program to its caller."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from urllib.parse import unquote
 
+import anyio
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, RequestRefused
-from burdockwall.process.programs.budget import Budget
+from burdockwall.process.programs.budget import Budget, Spend
 from burdockwall.process.programs.history import decode_turn
 from burdockwall.process.programs.operations import EndReason
 from burdockwall.request.caller import find_key
@@ -15,6 +18,7 @@
 from burdockwall.request.parts import Parts
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, ProgramId
+from burdockwall.version.configuration import Customer, Route
 from burdockwall.version.view import View
 
 PROGRAMS_PATH = "/v1/programs/"
@@ -129,6 +133,28 @@
     )
 
 
+@asynccontextmanager
+async def charge_tool(
+    parts: Parts, exchange: Exchange, customer: Customer, route: Route
+) -> AsyncIterator[None]:
+    """Charge a call to the budget of the program that it names, if any."""
+    headers = read_headers(exchange, parts.settings)
+    if headers.program is None:
+        yield
+        return
+    reserve = Spend(0, 1, route.cost)
+    tool = await parts.programs.begin_tool(
+        customer.name, headers.program, reserve, headers.budget
+    )
+    parts.programs.hold(tool, lambda: None)
+    try:
+        yield
+    finally:
+        parts.programs.release(tool)
+        with anyio.CancelScope(shield=True):
+            await parts.programs.end_tool(tool)
+
+
 async def serve_program(parts: Parts, view: View, exchange: Exchange) -> None:
     """Show or cancel a program; another customer's is unknown like any other."""
     presented = find_key(exchange)
--- a/features/programs_http.feature
+++ b/features/programs_http.feature
@@ -57,3 +57,8 @@
     Then the operator sees the unknown outcome of key "k1" with its body
     And after it is settled as run the key "k1" is refused with code 1225
     And the service of programs ran once
+
+  Scenario: A tool call is charged to its program
+    Given a site for programs
+    When a caller runs 1 turns of program "p1" and files once in it
+    Then the program page shows 2 calls spent
--- a/features/steps/programs_http_steps.py
+++ b/features/steps/programs_http_steps.py
@@ -369,3 +369,26 @@
 
     subject.add(act)
     subject.run()
+
+
+@when('a caller runs {count:d} turns of program "{program}" and files once in it')
+def step_run_tool(context, count, program):
+    subject = context.subject
+
+    async def act():
+        await subject.run_turns(program, count)
+        headers = subject.build_headers(idempotency_key="k1", program_id=program)
+        filed = await subject.client.post("/filings", headers=headers, content=b"c")
+        assert filed.status_code == 200, filed.text
+        subject.results["page"] = await subject.read(program)
+
+    subject.add(act)
+
+
+@then("the program page shows {count:d} calls spent")
+def step_check_calls(context, count):
+    subject = context.subject
+    subject.run()
+    page = subject.results["page"].json()
+    assert page["spent"]["calls"] == count, page
+    assert page["reserved"]["calls"] == 0, page
