Bound the requests that wait for endpoints by class and customer

Nothing bounded the jobs that wait, and a request was held to its end though its caller would have left. A full queue now sheds the lowest class first, and within a class the customer that holds most for its weight; each class keeps a reserve. A deadline that cannot be met by the pace of the queue is refused at once, with when to come again. Status lists refusals by customer and reason.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -83,6 +83,9 @@
     LIMIT_UNREACHABLE = CodeRow(
         1303, 503, Ran.NOT_RUN, Retry.SAFE, "The owner of the rate does not answer."
     )
+    DEADLINE_UNMET = CodeRow(
+        1305, 503, Ran.NOT_RUN, Retry.SAFE, "The request's deadline cannot be met."
+    )
     COST_ABOVE_BURST = CodeRow(
         1304, 403, Ran.NOT_RUN, Retry.NEVER, "The route costs more than the burst."
     )
--- /dev/null
+++ b/burdockwall/process/admission/queue.py
@@ -0,0 +1,216 @@
+"""Decide which jobs may wait for an endpoint when there are more than can run."""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from burdockwall.types import CallId, CustomerId, PoolName, PriorityClass
+
+DRAIN_WINDOW_S = 5.0
+DRAIN_LEAST_S = 0.5
+RETRY_UNKNOWN_S = 1.0
+
+
+class ShedReason(Enum):
+    """Name why a job may not wait."""
+
+    QUEUE_FULL = "the queue is full"
+    DISPLACED = "more urgent or less served work took its place"
+    DEADLINE = "its deadline cannot be met"
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingJob:
+    """Describe a job that wants to wait; `deadline` is a time of the same clock."""
+
+    call: CallId
+    pool: PoolName
+    customer: CustomerId
+    priority: PriorityClass = PriorityClass.NORMAL
+    weight: float = 1.0
+    deadline: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    """Refuse a job that has not run, and say when to come again."""
+
+    call: CallId
+    reason: ShedReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Let a job wait; another may have lost its place to it."""
+
+    call: CallId
+    displaced: Shed | None = None
+
+
+@dataclass(slots=True)
+class _Drain:
+    """Measure how many jobs start a second while others wait."""
+
+    busy_since: float = 0.0
+    starts: deque[float] = field(default_factory=deque)
+
+    def record(self, now: float) -> None:
+        self.starts.append(now)
+        self._trim(now)
+
+    def _trim(self, now: float) -> None:
+        while self.starts and self.starts[0] < now - DRAIN_WINDOW_S:
+            self.starts.popleft()
+
+    def compute_rate(self, now: float) -> float:
+        """Return jobs a second, 0 where none has started lately."""
+        self._trim(now)
+        busy_s = min(DRAIN_WINDOW_S, now - self.busy_since)
+        return len(self.starts) / max(DRAIN_LEAST_S, busy_s)
+
+
+@dataclass(slots=True)
+class _PoolQueue:
+    """Hold the waiting jobs of one pool by class and customer, oldest first."""
+
+    size: int = 0
+    drain: _Drain = field(default_factory=_Drain)
+    classes: dict[PriorityClass, dict[CustomerId, list[WaitingJob]]] = field(
+        default_factory=lambda: {priority: {} for priority in PriorityClass}
+    )
+
+    def count_class(self, priority: PriorityClass) -> int:
+        return sum(len(jobs) for jobs in self.classes[priority].values())
+
+    def count_jobs(self, priority: PriorityClass, customer: CustomerId) -> int:
+        return len(self.classes[priority].get(customer, ()))
+
+    def count_ahead(self, job: WaitingJob) -> int:
+        """Count the jobs that run before a new one: urgent ones, then by turns."""
+        ahead = 0
+        for priority in PriorityClass:
+            if priority.rank < job.priority.rank:
+                ahead += self.count_class(priority)
+        own = self.count_jobs(job.priority, job.customer)
+        for customer, jobs in self.classes[job.priority].items():
+            if customer != job.customer:
+                ahead += min(len(jobs), own + 1)
+        return ahead + own
+
+    def find_heaviest(self, priority: PriorityClass) -> WaitingJob | None:
+        """Return the newest job of the customer that holds most for its weight."""
+        heaviest: list[WaitingJob] | None = None
+        most = 0.0
+        for jobs in self.classes[priority].values():
+            load = len(jobs) / jobs[-1].weight
+            if load > most:
+                heaviest, most = jobs, load
+        return heaviest[-1] if heaviest else None
+
+    def add(self, job: WaitingJob, now: float) -> None:
+        if self.size == 0:
+            self.drain = _Drain(now)
+        self.size += 1
+        self.classes[job.priority].setdefault(job.customer, []).append(job)
+
+    def remove(self, job: WaitingJob) -> None:
+        customers = self.classes[job.priority]
+        jobs = customers[job.customer]
+        jobs.remove(job)
+        self.size -= 1
+        if not jobs:
+            del customers[job.customer]
+
+    def list_jobs(self) -> Iterator[tuple[int, WaitingJob]]:
+        """Yield each job with the least number of jobs that run before it."""
+        urgent = 0
+        for customers in self.classes.values():
+            for jobs in customers.values():
+                yield from ((urgent + place, job) for place, job in enumerate(jobs))
+            urgent += sum(len(jobs) for jobs in customers.values())
+
+
+class AdmissionQueue:
+    """Bound the jobs that wait for each pool.
+
+    When the queue is full, the lowest class loses first, and within a class the
+    customer that holds most for its weight. Each class keeps a reserve of places, so
+    that none is starved for ever.
+    """
+
+    def __init__(self, limit: int, reserve_share: float) -> None:
+        self.limit = limit
+        self.reserve = int(limit * reserve_share)
+        self._pools: dict[PoolName, _PoolQueue] = {}
+        self._jobs: dict[CallId, WaitingJob] = {}
+
+    def offer(self, job: WaitingJob, now: float) -> Admitted | Shed:
+        """Decide whether a job may wait."""
+        queue = self._pools.setdefault(job.pool, _PoolQueue())
+        wait_s = self._estimate_wait(queue, queue.count_ahead(job), now)
+        if job.deadline is not None and now + wait_s > job.deadline:
+            return Shed(job.call, ShedReason.DEADLINE, max(RETRY_UNKNOWN_S, wait_s))
+        displaced = None
+        if queue.size >= self.limit:
+            victim = self._find_victim(queue, job)
+            retry_s = self._estimate_wait(queue, queue.size, now) or RETRY_UNKNOWN_S
+            if victim is None:
+                return Shed(job.call, ShedReason.QUEUE_FULL, retry_s)
+            self._remove(victim)
+            displaced = Shed(victim.call, ShedReason.DISPLACED, retry_s)
+        queue.add(job, now)
+        self._jobs[job.call] = job
+        return Admitted(job.call, displaced)
+
+    def leave(self, call: CallId, started: bool, now: float) -> None:
+        """Take out a job that has started or been given up."""
+        job = self._jobs.get(call)
+        if job is None:
+            return
+        if started:
+            self._pools[job.pool].drain.record(now)
+        self._remove(job)
+
+    def review(self, now: float) -> list[Shed]:
+        """Shed the jobs whose deadline can no longer be met."""
+        shed: list[Shed] = []
+        for queue in self._pools.values():
+            for ahead, job in list(queue.list_jobs()):
+                if job.deadline is None:
+                    continue
+                wait_s = self._estimate_wait(queue, ahead, now)
+                if now + wait_s >= job.deadline:
+                    retry_s = max(RETRY_UNKNOWN_S, wait_s)
+                    shed.append(Shed(job.call, ShedReason.DEADLINE, retry_s))
+                    self._remove(job)
+        return shed
+
+    def _estimate_wait(self, queue: _PoolQueue, ahead: int, now: float) -> float:
+        rate = queue.drain.compute_rate(now)
+        return ahead / rate if rate and queue.size else 0.0
+
+    def _find_victim(self, queue: _PoolQueue, job: WaitingJob) -> WaitingJob | None:
+        below_reserve = queue.count_class(job.priority) < self.reserve
+        for priority in reversed(PriorityClass):
+            if priority is job.priority:
+                heaviest = queue.find_heaviest(priority)
+                if heaviest is not None and _holds_more(queue, heaviest, job):
+                    return heaviest
+                continue
+            lower = priority.rank > job.priority.rank
+            spare = queue.count_class(priority) > self.reserve
+            if spare and (lower or below_reserve):
+                return queue.find_heaviest(priority)
+        return None
+
+    def _remove(self, job: WaitingJob) -> None:
+        del self._jobs[job.call]
+        self._pools[job.pool].remove(job)
+
+
+def _holds_more(queue: _PoolQueue, heaviest: WaitingJob, job: WaitingJob) -> bool:
+    held = queue.count_jobs(job.priority, heaviest.customer)
+    own = queue.count_jobs(job.priority, job.customer) + 1
+    return held / heaviest.weight > own / job.weight
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -60,6 +60,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.parts.streams.run)
             group.start_soon(self.parts.dispatcher.run, self.settings.tick_interval_s)
+            group.start_soon(self.parts.admission.run, self.settings.tick_interval_s)
             group.start_soon(self.poller.run)
 
     def install(self, replica: StateReplica) -> None:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -126,6 +126,9 @@
             version=version,
             under_way=entry.under_way if entry else 0,
             leaving=entry.drain.leaving if entry else False,
+            limit_refusals=entry.parts.limits.explain_refusals() if entry else [],
+            sheds=entry.parts.admission.explain_sheds() if entry else [],
+            retries_refused=entry.parts.retries.budget.refused if entry else 0,
         )
 
     def start_drain(self) -> None:
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -6,9 +6,11 @@
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.admission.gate import ShedCount
 from burdockwall.process.control.audit import AuditRecord
 from burdockwall.process.control.commands import AnyOperatorCommand, Outcome
 from burdockwall.process.control.state import ControlState
+from burdockwall.process.limits.client import LimitRefusals
 from burdockwall.settings import Settings
 
 Serve = Callable[[Exchange], Awaitable[None]]
@@ -25,6 +27,9 @@
     version: int
     under_way: int
     leaving: bool
+    limit_refusals: list[LimitRefusals] = []
+    sheds: list[ShedCount] = []
+    retries_refused: int = 0
 
 
 class AuditPage(msgspec.Struct, frozen=True):
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -13,6 +13,8 @@
 KEY_HEADERS = (b"authorization", b"x-api-key", b"api-key", b"proxy-authorization")
 KEY_PARAMETERS = ("key", "api_key", "access_token")
 KEY_COOKIES = ("key", "api_key", "access_token")
+DEADLINE_HEADER = b"request-deadline-ms"
+MS_PER_S = 1000
 BEARER_PREFIX = "bearer "
 ID_HEADERS = (b"program-id", b"parent-program-id", b"idempotency-key")
 DOT_SEGMENTS = {".", ".."}
@@ -129,3 +131,14 @@
     if route.customers and customer.name not in route.customers:
         raise RequestRefused(Code.ROUTE_FORBIDDEN)
     return customer
+
+
+def read_deadline(exchange: Exchange, now: float) -> float | None:
+    """Return the time by which a caller wants its answer to start, if it says so."""
+    text = exchange.get_header(DEADLINE_HEADER)
+    if text is None:
+        return None
+    if not text.isdecimal():
+        detail = f"header {DEADLINE_HEADER.decode()} is {text!r}, not a number"
+        raise RequestRefused(Code.BAD_REQUEST, detail)
+    return now + int(text) / MS_PER_S
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -17,6 +17,7 @@
     check_places,
     find_key,
     guard_body,
+    read_deadline,
     strip_headers,
     strip_query,
 )
@@ -49,7 +50,8 @@
         view.pools[route.pool],
         weight=customer.weight,
     )
-    dispatch = await parts.dispatcher.acquire(request)
+    deadline = read_deadline(exchange, parts.clock())
+    dispatch = await parts.admission.acquire(request, deadline)
     trace.program, trace.endpoint = program, dispatch.endpoint.name
     result = Result.CANCELLED
     try:
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -21,6 +21,7 @@
     check_customer,
     check_places,
     find_key,
+    read_deadline,
 )
 from burdockwall.request.completion import (
     Choice,
@@ -56,6 +57,7 @@
     offset: int
     completion: CompletionRequest
     body_digest: str
+    deadline: float | None
 
 
 async def serve_turn(
@@ -98,6 +100,7 @@
         offset=_read_number(exchange, b"last-event-id") or 0,
         completion=completion,
         body_digest=hashlib.sha256(body).hexdigest(),
+        deadline=read_deadline(exchange, parts.clock()),
     )
 
 
@@ -190,7 +193,7 @@
             request.customer.weight,
         )
         try:
-            dispatch = await parts.dispatcher.acquire(wanted)
+            dispatch = await parts.admission.acquire(wanted, request.deadline)
         except RequestRefused:
             if sent:
                 raise RequestRefused(Code.ENDPOINT_FAILED) from None
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -50,6 +50,8 @@
     limit_clock_margin: float = 0.0005
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
+    admission_limit: int = 512
+    admission_reserve: float = 0.05
     body_memory_bytes: int = 268_435_456
     body_silence_s: float = 10.0
     caller_idle_s: float = 30.0
@@ -534,6 +536,26 @@
         1,
         1000000,
     ),
+    Option(
+        "admission",
+        "limit",
+        "admission_limit",
+        Kind.INTEGER,
+        "requests",
+        "Most requests that wait for one pool on this instance.",
+        1,
+        100_000,
+    ),
+    Option(
+        "admission",
+        "reserve",
+        "admission_reserve",
+        Kind.NUMBER,
+        "",
+        "Share of the places that each class keeps when the queue is full.",
+        0,
+        0.25,
+    ),
     Option(
         "scheduling",
         "routing",
