--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import logbook
@@ -17,14 +18,26 @@
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.platform import PlatformReader
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.operations import Operations, Status
+from burdockwall.process.orders.shell import Orders
+from burdockwall.process.programs.unknowns import add_unknowns
+from burdockwall.process.reload import reload_settings
 from burdockwall.process.resolver import Member
 from burdockwall.process.scheduling.explain import describe_placements
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
-from burdockwall.types import EndpointState, Incarnation, Role, Version
+from burdockwall.types import (
+    Address,
+    EndpointId,
+    EndpointState,
+    Incarnation,
+    Role,
+    Version,
+)
+from burdockwall.version.configuration import parse_configuration
 
 OPERATOR_GRACE_S = 1.0
 CALLER_GRACE_S = 1.0
@@ -55,9 +68,16 @@
         if settings.role is not Role.ENTRY:
             self.control = ControlService(settings, self.host, time.time)
             self.membership.add_registrar(self.control, self.control.propose)
+            self.orders = Orders(
+                self.host, self._find_endpoint_address, self.membership.get_led_term
+            )
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
+            self.membership.on_endpoints = self.entry.set_leaving_endpoints
         self.operations = Operations(settings, self.read_status, self.start_drain)
+        if self.entry is not None:
+            add_unknowns(self.operations, self.entry.parts.programs.client)
+        self.operations.add_operation("GET", "/fleet", self._serve_fleet)
         self.operations.add_operation("GET", "/metrics", self._serve_metrics)
         self.operations.add_operation("GET", "/placements", self._serve_placements)
         if self.control is not None:
@@ -105,6 +125,9 @@
         page = describe_placements(self.entry.parts.dispatcher)
         await exchange.answer_json(200, page)
 
+    async def _serve_fleet(self, exchange: Exchange) -> None:
+        await exchange.answer_json(200, self.membership.read_fleet())
+
     def list_members(self) -> list[Member]:
         """List the entry instances that this process knows."""
         leaving = self.entry is not None and self.entry.drain.leaving
@@ -132,6 +155,9 @@
             limit_refusals=entry.parts.limits.explain_refusals() if entry else [],
             sheds=entry.parts.admission.explain_sheds() if entry else [],
             retries_refused=entry.parts.retries.budget.refused if entry else 0,
+            state=self.membership.get_state().value,
+            lease_s=self.membership.get_lease_s(),
+            leader=self.membership.agent.path.leader or "",
         )
 
     def start_drain(self) -> None:
@@ -139,7 +165,10 @@
         if self.entry is None:
             self.stop.set()
         else:
-            self.host.apply(self.hosted_drain, StartDrain())
+            self.host.apply(
+                self.hosted_drain,
+                StartDrain(self.settings.drain_hold_s, self.settings.drain_limit_s),
+            )
             self.membership.start_leaving()
 
     def _stop_serving(self, action: StopServing) -> None:
@@ -155,11 +184,36 @@
                 group.start_soon(self.control.run)
             group.start_soon(self.host.run)
             group.start_soon(self._watch_load)
+            if self.control is not None:
+                group.start_soon(self._lead)
             if self.entry is not None:
                 group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
+    async def _lead(self) -> None:
+        """Run what only the leader of the control state does."""
+        membership = self.membership
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.orders.run)
+            if self.settings.platform_address:
+                reader = PlatformReader(
+                    self.settings.platform_address,
+                    membership.is_leading,
+                    membership.install_platform,
+                )
+                group.start_soon(reader.run)
+
+    def _find_endpoint_address(self, endpoint: EndpointId) -> Address | None:
+        state = self.control.state if self.control is not None else None
+        if state is None:
+            return None
+        configuration = parse_configuration(state.text)
+        for item in configuration.endpoints:
+            if item.name == endpoint:
+                return item.address
+        return None
+
     async def _watch_load(self) -> None:
         entry = self.entry
         while entry is not None:
@@ -193,17 +247,37 @@
             create_limits(self.settings, self.entry.budget),
         )
 
+    def reload(self, path: Path | None) -> None:
+        """Read the settings file again; one with faults changes nothing."""
+        if path is None:
+            return
+        try:
+            done = reload_settings(self.settings, path)
+        except InvalidFile as error:
+            self._logger.error("settings not reloaded", extra={"faults": error.detail})
+            return
+        fields = {
+            "changed": " ".join(done.changed),
+            "needs_restart": " ".join(done.waiting),
+        }
+        self._logger.notice("settings reloaded", extra=fields)
+
 
-async def run_node(settings: Settings) -> None:
-    """Run one process until a signal or a drain ends it."""
+async def run_node(settings: Settings, path: Path | None = None) -> None:
+    """Run one process until a signal or a drain ends it; SIGHUP reloads the file."""
     node = Node(settings)
     async with anyio.create_task_group() as group:
-        group.start_soon(_stop_on_signal, node, signal.SIGTERM, signal.SIGINT)
+        group.start_soon(_follow_signals, node, path)
         await node.run()
         group.cancel_scope.cancel()
 
 
-async def _stop_on_signal(node: Node, *signals: signal.Signals) -> None:
-    with anyio.open_signal_receiver(*signals) as arrived:
-        async for _ in arrived:
-            node.start_drain()
+async def _follow_signals(node: Node, path: Path | None) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as arrived:
+        async for number in arrived:
+            if number is signal.SIGHUP:
+                node.reload(path)
+            else:
+                node.start_drain()
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -9,6 +9,7 @@
 from burdockwall.process.admission.gate import ShedCount
 from burdockwall.process.limits.client import LimitRefusals
 from burdockwall.settings import Settings
+from burdockwall.types import EndpointState
 
 Serve = Callable[[Exchange], Awaitable[None]]
 CONTROL_PATHS = (
@@ -33,6 +34,9 @@
     limit_refusals: list[LimitRefusals] = []
     sheds: list[ShedCount] = []
     retries_refused: int = 0
+    state: str = EndpointState.LIVE.value
+    lease_s: float = 0.0
+    leader: str = ""
 
 
 class Operations:
