--- a/burdockwall/process/scheduling/scheduler.py
+++ b/burdockwall/process/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from burdockwall.machine import Tick
@@ -11,6 +11,7 @@
     Cancel,
     EndProgram,
     Finish,
+    InstancesCounted,
     Job,
     ObserveCache,
     ObserveLoad,
@@ -77,13 +78,15 @@
                 return self._end_program(program, keys, now)
             case ObserveLoad(endpoint=endpoint, report=report):
                 load = self.router.loads.get(endpoint)
-                if load is not None:
+                if load is not None and endpoint in self._queues:
                     load.observe(report)
                     return self._pump(endpoint, now)
             case ObserveCache(endpoint=endpoint, events=events):
                 self._observe_cache(endpoint, events, now)
             case TargetsInstalled():
                 return self._install(event, now)
+            case InstancesCounted(count=count):
+                self._share(count)
             case Tick():
                 return self._tick(now)
         return []
@@ -95,12 +98,22 @@
             name for name in self._queues if name not in self.router.targets
         ]:
             displaced.extend(self._queues.pop(endpoint).drain())
+            if endpoint in self.router.loads:
+                self.router.loads[endpoint].queued = 0
         for endpoint in self.router.targets:
             if endpoint not in self._queues:
                 queue = JobQueue(endpoint, self.policy, self.ledger)
                 self._queues[endpoint] = queue
         return self._place_again(displaced, now)
 
+    def _share(self, count: int) -> None:
+        if count == self.policy.instances:
+            return
+        self.policy = replace(self.policy, instances=count)
+        self.router.policy = self.policy
+        for load in self.router.loads.values():
+            load.share(self.policy)
+
     def _submit(self, job: Job, now: float) -> list[Action]:
         self._numbers += 1
         started = self.ledger.open(job.program, now)
@@ -196,7 +209,8 @@
         load = self.router.loads.get(endpoint)
         if load is not None:
             load.running -= 1
-            actions.extend(self._pump(endpoint, now))
+            if endpoint in self._queues:
+                actions.extend(self._pump(endpoint, now))
         return actions
 
     def _settle(self, running: Running, outcome: Outcome) -> None:
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -272,3 +272,11 @@
             for name, group in found.items()
         }
     )
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """Check what sections refer to; raise InvalidFile with every fault found."""
+    reader = _ItemReader("configuration")
+    _check_references(configuration, reader)
+    if reader.faults:
+        raise InvalidFile(Code.CONFIGURATION_INVALID, reader.faults)
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from burdockwall.process.scheduling.jobs import InstancesCounted
 from burdockwall.process.scheduling.ledger import Ledger
 from burdockwall.process.scheduling.queue import JobQueue
 from burdockwall.process.scheduling.scheduler import Scheduler
@@ -178,3 +179,69 @@
 @then("the scheduler's ledger holds at most {count:d} programs")
 def step_ledger_check(context, count):
     assert len(context.ledger._programs) <= count
+
+
+@given("a scheduler of {count:d} endpoints with {places:d} place each")
+def step_several(context, count, places):
+    context.subject = SchedulingSubject(count, places)
+
+
+@when("{count:d} scheduler calls are queued and the second endpoint leaves")
+def step_leave(context, count):
+    subject = context.subject
+    for number in range(count):
+        subject.submit(f"p-{number}")
+    context.before = dict(subject.sent)
+    assert set(context.before) == {"e0", "e1"}, context.before
+    subject.install(1)
+    while subject.running:
+        subject.finish_first(latency_s=1.0, output_tokens=10)
+
+
+@then("the scheduler sends nothing more there and loses no call")
+def step_left(context):
+    subject = context.subject
+    assert subject.sent["e1"] == context.before["e1"], subject.sent
+    assert len(subject.started) == len(subject.names), subject.rejected
+
+
+@given(
+    "a scheduler of one endpoint with {places:d} places shared by {count:d} instances"
+)
+def step_shared(context, places, count):
+    context.subject = SchedulingSubject(1, places, instances=count)
+
+
+@when("{count:d} scheduler calls are queued")
+def step_queue_many(context, count):
+    for number in range(count):
+        context.subject.submit(f"p-{number}")
+
+
+@when("the scheduler hears that {count:d} instances are left")
+def step_left_instances(context, count):
+    context.subject.apply(InstancesCounted(count))
+    context.subject.tick(0.1)
+
+
+@then("the scheduler runs {count:d} calls")
+def step_running(context, count):
+    assert len(context.subject.running) == count, context.subject.running
+
+
+@when("the scheduler's second endpoint leaves and comes back with calls under way")
+def step_return(context):
+    subject = context.subject
+    for number in range(2):
+        subject.submit(f"p-{number}")
+    subject.install(1)
+    subject.install(2)
+    for number in range(2, 6):
+        subject.submit(f"p-{number}")
+
+
+@then("the scheduler has no more than {places:d} call at either endpoint")
+def step_either(context, places):
+    placed = list(context.subject.running.values())
+    assert set(placed) == {"e0", "e1"}, placed
+    assert max(placed.count(name) for name in placed) <= places, placed
