--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -66,6 +66,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self.parts.streams.run)
                 group.start_soon(self.parts.dispatcher.run, tick_s)
+                group.start_soon(self.parts.admission.run, tick_s)
                 group.start_soon(self.poller.run)
                 group.start_soon(self.parts.reclaimer.run)
                 group.start_soon(self.accepted.run)
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -6,6 +6,8 @@
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.admission.gate import ShedCount
+from burdockwall.process.limits.client import LimitRefusals
 from burdockwall.settings import Settings
 from burdockwall.types import EndpointState
 
@@ -29,6 +31,9 @@
     version: int
     under_way: int
     leaving: bool
+    limit_refusals: list[LimitRefusals] = []
+    sheds: list[ShedCount] = []
+    retries_refused: int = 0
     state: str = EndpointState.LIVE.value
     lease_s: float = 0.0
     leader: str = ""
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 from burdockwall.connection.endpoints import EndpointClients
+from burdockwall.process.admission.gate import AdmissionGate
+from burdockwall.process.admission.queue import AdmissionQueue
 from burdockwall.process.host import Host
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
@@ -29,6 +31,7 @@
     reclaimer: Reclaimer
     limits: LimitClient
     dispatcher: Dispatcher
+    admission: AdmissionGate
     clients: EndpointClients
     streams: StreamTable
     retries: RetryGate
@@ -56,6 +59,7 @@
     """Create the parts of one process from its settings."""
     clock = host.clock
     generator = random.Random()
+    waiting = AdmissionQueue(settings.admission_limit, settings.admission_reserve)
     client = RecordClient(host, host.bus.incarnation, create_limits(settings))
     clients = EndpointClients(settings.endpoint_connect_s, settings.endpoint_silence_s)
     reclaimer = Reclaimer(settings, client, clients, clock)
@@ -79,6 +83,7 @@
         reclaimer=reclaimer,
         limits=LimitClient(host, settings, host.bus.incarnation, generator),
         dispatcher=dispatcher,
+        admission=AdmissionGate(waiting, dispatcher, clock),
         clients=clients,
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, generator),
