Split the settings: the class, the table by subject, the conversion

Change: options/ holds the table in five modules and the conversion of values; settings.py keeps the class and the reading of files, in short functions.

--- /dev/null
+++ b/burdockwall/options/option.py
@@ -0,0 +1,101 @@
+"""Define what an option is, and convert its text to a typed value."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from burdockwall.types import Address, InstanceId, Role
+
+
+class Kind(Enum):
+    """Name the type of an option's value."""
+
+    TEXT = "text"
+    INTEGER = "integer"
+    NUMBER = "number"
+    BOOLEAN = "yes or no"
+    CHOICE = "choice"
+    PATH = "path"
+    ADDRESS = "host:port"
+    NAMES = "names"
+    PEERS = "name=host:port list"
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """Map one option of the file to an attribute of Settings."""
+
+    section: str
+    name: str
+    attribute: str
+    kind: Kind
+    unit: str
+    help: str
+    low: float | None = None
+    high: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+_BOOLEANS = {
+    "yes": True,
+    "true": True,
+    "on": True,
+    "no": False,
+    "false": False,
+    "off": False,
+}
+
+
+def _convert_number(option: Option, text: str) -> float | int:
+    value = int(text) if option.kind is Kind.INTEGER else float(text)
+    low, high = option.low, option.high
+    if (low is not None and value < low) or (high is not None and value > high):
+        raise ValueError(f"is outside {low} to {high} {option.unit}".rstrip())
+    return value
+
+
+def _convert_address(text: str) -> Address:
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65_535:
+        raise ValueError("is not host:port")
+    return Address(text)
+
+
+def _convert_peers(text: str) -> dict[InstanceId, Address]:
+    peers = {}
+    for item in text.split():
+        name, separator, address = item.partition("=")
+        if not separator:
+            raise ValueError(f"has {item!r}, which is not name=host:port")
+        peers[InstanceId(name)] = _convert_address(address)
+    return peers
+
+
+def _convert_choice(option: Option, text: str) -> Any:
+    if text not in option.choices:
+        raise ValueError(f"is not one of {', '.join(option.choices)}")
+    return Role(text) if option.attribute == "role" else text
+
+
+def _convert_boolean(text: str) -> bool:
+    if text.lower() not in _BOOLEANS:
+        raise ValueError("is not yes or no")
+    return _BOOLEANS[text.lower()]
+
+
+def convert_option(option: Option, text: str) -> Any:
+    """Convert an option's text to its typed value, or raise ValueError."""
+    converters: dict[Kind, Callable[[str], Any]] = {
+        Kind.TEXT: str,
+        Kind.INTEGER: lambda value: _convert_number(option, value),
+        Kind.NUMBER: lambda value: _convert_number(option, value),
+        Kind.BOOLEAN: _convert_boolean,
+        Kind.CHOICE: lambda value: _convert_choice(option, value),
+        Kind.PATH: Path,
+        Kind.ADDRESS: _convert_address,
+        Kind.NAMES: lambda value: [InstanceId(name) for name in value.split()],
+        Kind.PEERS: _convert_peers,
+    }
+    return converters[option.kind](text)
--- a/features/subjects/reference.py
+++ b/features/subjects/reference.py
@@ -8,8 +8,9 @@
 
 from burdockwall.cmdline import cli
 from burdockwall.errors import Code, Fault, InvalidFile
+from burdockwall.options import OPTIONS
 from burdockwall.process.reload import Reload, reload_settings
-from burdockwall.settings import OPTIONS, Settings, parse_settings
+from burdockwall.settings import Settings, parse_settings
 
 COMMANDS = Path(__file__).resolve().parents[2] / "docs" / "commands"
 FAULTY = """\
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 from burdockwall.errors import Code
-from burdockwall.settings import OPTIONS, Option, Settings
+from burdockwall.options import OPTIONS, Option
+from burdockwall.settings import Settings
 
 ROOT = Path(__file__).resolve().parent.parent
 ERRORS_PAGE = ROOT / "docs" / "ERRORS.md"
