--- a/features/subjects/programs_faults.py
+++ b/features/subjects/programs_faults.py
@@ -32,6 +32,9 @@
 DIGEST = b"0" * 16
 
 
+KINDS = ("two", "domain", "cut", "one", "again", "one-way")
+
+
 class Check(AssertionError):
     """Report a broken promise with the seed that shows it."""
 
@@ -53,6 +56,7 @@
         self.told_not_run = set()
         self.budget = Budget(tokens=turns * 40, calls=400, cost=1e9, time_s=1e9)
         self.points = 0
+        self.kinds = options.get("kinds", KINDS)
         self.crash_point = self.random.randrange(1, 120)
         self.requests = 0
         self.crashed = []
@@ -100,9 +104,7 @@
         network = self.cluster.network
         for _ in range(self.random.randrange(1, 4)):
             at = self.random.uniform(0.3, 12.0)
-            kind = self.random.choice(
-                ("two", "domain", "cut", "one", "again", "one-way")
-            )
+            kind = self.random.choice(self.kinds)
             network.schedule(at, lambda kind=kind: self.inject(kind))
 
     def inject(self, kind):
--- a/features/subjects/programs_protections.py
+++ b/features/subjects/programs_protections.py
@@ -115,4 +115,7 @@
 }
 
 # Runs under which a protection matters often enough to show within few seeds.
-OPTIONS = {"not run is known": {"ask_timeout_s": 0.02}}
+OPTIONS = {
+    "not run is known": {"ask_timeout_s": 0.02},
+    "act under a lease": {"kinds": ("cut",)},
+}
