--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -23,6 +23,7 @@
     check_customer,
     check_places,
     find_key,
+    read_deadline,
 )
 from burdockwall.request.completion import (
     Choice,
@@ -63,6 +64,7 @@
     offset: int
     completion: CompletionRequest
     body_digest: str
+    deadline: float | None
 
 
 async def serve_turn(
@@ -107,6 +109,7 @@
         offset=read_number(exchange, b"last-event-id") or 0,
         completion=completion,
         body_digest=hashlib.sha256(body).hexdigest(),
+        deadline=read_deadline(exchange, parts.clock()),
     )
 
 
@@ -234,7 +237,7 @@
             CacheKey(turn.tag),
         )
         try:
-            dispatch = await parts.dispatcher.acquire(wanted)
+            dispatch = await parts.admission.acquire(wanted, request.deadline)
         except RequestRefused:
             if sent:
                 raise RequestRefused(Code.ENDPOINT_FAILED) from None
