Count leases on a clock that runs while a machine is suspended

Cause: the monotonic clock stops while a machine is suspended, so that a lapsed lease would seem to hold when it wakes. Change: the process reads the clock that includes suspension.

--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -12,6 +12,7 @@
 from burdockwall.connection.peers import PeerBus
 from burdockwall.connection.tls import create_peer_contexts
 from burdockwall.errors import Code, InvalidFile, OperatorError
+from burdockwall.process.clock import read_clock
 from burdockwall.process.control.console import Console
 from burdockwall.process.control.service import ControlService
 from burdockwall.process.drain import CountUnderWay, StartDrain, StopServing
@@ -61,7 +62,7 @@
             settings.peer_silence_s,
             create_peer_contexts(settings),
         )
-        self.host = Host(self.bus, time.monotonic, settings.tick_interval_s)
+        self.host = Host(self.bus, read_clock, settings.tick_interval_s)
         self.control: ControlService | None = None
         self.entry: Entry | None = None
         self.membership = self._create_membership(self.bus.incarnation)
@@ -217,9 +218,9 @@
     async def _watch_load(self) -> None:
         entry = self.entry
         while entry is not None:
-            due = time.monotonic() + LOAD_INTERVAL_S
+            due = read_clock() + LOAD_INTERVAL_S
             await anyio.sleep(LOAD_INTERVAL_S)
-            entry.metrics.record_lag(max(0.0, time.monotonic() - due))
+            entry.metrics.record_lag(max(0.0, read_clock() - due))
             under_way = CountUnderWay(entry.count_under_way())
             self.host.apply(self.hosted_drain, under_way)
 
