Ask operators for their token before a drain or a settlement

Cause: whoever reached the operator port could drain an instance or settle an unknown outcome. Change: both need the token of the instance's first operator where the settings name one; commands list and settle unknown outcomes.

--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -36,14 +36,17 @@
 from burdockwall.process.control.withdrawals import is_digest
 from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.operations import Status
+from burdockwall.process.programs.unknowns import SettleBody, UnknownsPage
 from burdockwall.process.resolver import Resolution
 from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.types import (
     Address,
     CustomerId,
+    IdempotencyKey,
     KeyDigest,
     OperatorId,
     Ran,
+    RouteName,
     Version,
 )
 from burdockwall.version.keys import compute_digest, create_key
@@ -317,6 +320,23 @@
             )
         )
 
+    def list_unknowns(self) -> UnknownsPage:
+        """List the requests that may or may not have run."""
+        return self._call("GET", "/unknowns", UnknownsPage)
+
+    def settle_unknown(
+        self,
+        customer: CustomerId,
+        route: RouteName,
+        key: IdempotencyKey,
+        ran: bool,
+        note: str,
+    ) -> SettleBody:
+        """Record what was found out about an unknown outcome."""
+        body = SettleBody(self.operator, customer, route, key, ran, note)
+        encoded = msgspec.json.encode(body)
+        return self._call("POST", "/unknowns/settle", SettleBody, encoded)
+
     def drain(self) -> Status:
         """Ask the instance to leave."""
         return self._call("POST", "/drain", Status)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -26,7 +26,14 @@
 from burdockwall.process.node import run_node
 from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.settings import Settings, read_settings
-from burdockwall.types import Address, CustomerId, OperatorId, Version
+from burdockwall.types import (
+    Address,
+    CustomerId,
+    IdempotencyKey,
+    OperatorId,
+    RouteName,
+    Version,
+)
 from burdockwall.version.configuration import parse_configuration
 
 EXIT_REFUSED = 1
@@ -433,11 +440,57 @@
     click.echo(f"removed {replica}")
 
 
+@cli.group()
+def unknown() -> None:
+    """List and settle requests that may or may not have run."""
+
+
+@unknown.command("list")
+@address_option
+@operator_option
+def list_unknowns(address: str, operator: str, token: str) -> None:
+    """List the requests that may or may not have run."""
+    page = _create_client(address, operator).list_unknowns()
+    for item in page.items:
+        click.echo(
+            f"{item.customer} {item.route} {item.key}: {item.method} {item.path}, "
+            f"sent by {item.owner} {item.age_s:.0f} s ago, request {item.request}"
+        )
+    if page.unheard:
+        click.echo(f"{page.unheard} shards did not answer")
+
+
+@unknown.command("settle")
+@address_option
+@operator_option
+@click.option("--ran/--not-run", required=True, help="What the service says.")
+@click.option("--note", default="", help="How it was found out.")
+@click.argument("customer")
+@click.argument("route")
+@click.argument("key")
+def settle_unknown(
+    address: str,
+    operator: str,
+    token: str,
+    ran: bool,
+    note: str,
+    customer: str,
+    route: str,
+    key: str,
+) -> None:
+    """Record whether such a request has run."""
+    client = _create_client(address, operator)
+    names = CustomerId(customer), RouteName(route), IdempotencyKey(key)
+    client.settle_unknown(*names, ran, note)
+    click.echo("settled")
+
+
 @cli.command()
 @address_option
-def drain(address: str) -> None:
+@operator_option
+def drain(address: str, operator: str, token: str) -> None:
     """Ask an instance to leave gracefully."""
-    _create_client(address, "").drain()
+    _create_client(address, operator).drain()
     click.echo("leaving")
 
 
--- a/burdockwall/process/control/console.py
+++ b/burdockwall/process/control/console.py
@@ -9,15 +9,13 @@
 from burdockwall.process.control.audit import AuditFilter, AuditRecord
 from burdockwall.process.control.commands import AnyOperatorCommand, Permission
 from burdockwall.process.control.service import ControlService, ReplicaStatus
-from burdockwall.process.control.state import NO_CREDENTIAL
+from burdockwall.process.credential import read_credential
 from burdockwall.process.membership.progress import InForce
 from burdockwall.process.operations import Operations
-from burdockwall.types import KeyDigest, OperatorId, Version
-from burdockwall.version.keys import compute_digest
+from burdockwall.types import OperatorId, Version
 
 WaitInForce = Callable[[Version], Awaitable[InForce]]
 COMMAND_BODY_BYTES = 33_554_432
-BEARER = "Bearer "
 OPERATOR_HEADER = b"burdockwall-operator"
 _command_decoder = msgspec.json.Decoder(AnyOperatorCommand)
 
@@ -50,14 +48,6 @@
     lapsed: tuple[str, ...]
 
 
-def read_credential(exchange: Exchange) -> KeyDigest:
-    """Return the digest of the operator's token, if one was sent."""
-    header = exchange.get_header(b"authorization") or ""
-    if not header.startswith(BEARER):
-        return NO_CREDENTIAL
-    return compute_digest(header.removeprefix(BEARER))
-
-
 class Console:
     """Serve the operations of an instance that holds a replica."""
 
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -7,11 +7,14 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.admission.gate import ShedCount
+from burdockwall.process.credential import check_local_operator
 from burdockwall.process.limits.client import LimitRefusals
 from burdockwall.settings import Settings
 from burdockwall.types import EndpointState
 
 Serve = Callable[[Exchange], Awaitable[None]]
+# Changes that the instance itself makes, without the control state.
+LOCAL_CHANGES = (("POST", "/drain"), ("POST", "/unknowns/settle"))
 CONTROL_PATHS = (
     "/control",
     "/configuration",
@@ -59,6 +62,8 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request from an operator."""
+        if (exchange.method, exchange.path) in LOCAL_CHANGES:
+            check_local_operator(self.settings, exchange)
         match (exchange.method, exchange.path):
             case ("GET", "/status"):
                 await exchange.answer_json(200, self.read_status())
--- a/features/fleet_kill.feature
+++ b/features/fleet_kill.feature
@@ -7,4 +7,5 @@
     And that process is killed with 9 further turns and 4 filings under way
     Then every program goes on through another process with its whole history
     And every filing that was under way has run at most once, whatever is resent
+    And a drain without the operator's token is refused with code 2004
     And the killed process comes back with its disk and serves again
--- a/features/steps/fleet_kill_steps.py
+++ b/features/steps/fleet_kill_steps.py
@@ -39,6 +39,11 @@
     assert sum(subject.service.runs.values()), subject.filings
 
 
+@then("a drain without the operator's token is refused with code {code:d}")
+def step_drain(context, code):
+    assert context.subject.drain_without_token() == code
+
+
 @then("the killed process comes back with its disk and serves again")
 def step_back(context):
     context.subject.restart_killed()
--- a/features/subjects/fleet_kill.py
+++ b/features/subjects/fleet_kill.py
@@ -270,6 +270,14 @@
         last = [outcomes[-1] for outcomes in self.filings.values()]
         return not any(outcome.startswith(("503", "429", "cut")) for outcome in last)
 
+    def drain_without_token(self) -> int:
+        client = OperatorClient(self.members[1].operator, OperatorId("stranger"))
+        try:
+            client.drain()
+        except OperatorError as error:
+            return error.code.value.number
+        return 0
+
     def restart_killed(self) -> None:
         self.serve(self.members[0])
         self.wait(lambda: self.is_serving(self.members[0]))
