Configure what an endpoint serves: model, adapter, version, role

Cause: the router matched models, adapters, versions and roles, but no configuration could name them, so that every engine was taken to serve everything. Change: endpoints have assets, role and moves_cache, routes adapter and version; the model comes from the route, or else from the caller's body. Measured: with two engines, six callers of one model are answered by the one that serves it; a model that none serves is refused with 1401, not run. What is loaded is configured, not yet ordered by placement.

--- a/burdockwall/fakes/site.py
+++ b/burdockwall/fakes/site.py
@@ -61,6 +61,7 @@
     rate_per_s: float = 20.0
     burst: int = 40
     authority: Path | None = None
+    assets: dict[int, tuple[str, ...]] = field(default_factory=dict)
 
 
 def build_configuration(
@@ -70,7 +71,12 @@
     llm = PoolName("llm")
     filing = PoolName("filing")
     endpoints = [
-        Endpoint(EndpointId(f"engine-{number}"), llm, address)
+        Endpoint(
+            EndpointId(f"engine-{number}"),
+            llm,
+            address,
+            assets=plan.assets.get(number, ()),
+        )
         for number, address in enumerate(engines, 1)
     ]
     return Configuration(
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -12,6 +12,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.machine import Tick
 from burdockwall.process.scheduling.jobs import (
+    Asset,
     Cancel,
     EndProgram,
     Event,
@@ -26,6 +27,7 @@
     Submit,
     Target,
     TargetsInstalled,
+    parse_asset,
 )
 from burdockwall.process.scheduling.policy import Policy
 from burdockwall.process.scheduling.reports import CacheKey
@@ -36,6 +38,7 @@
     CustomerId,
     EndpointId,
     FailureDomain,
+    ModelName,
     PoolName,
     ProgramId,
     RouteKind,
@@ -60,6 +63,7 @@
     body_bytes: int = 0
     weight: float = 1.0
     cache_key: CacheKey = CacheKey("")
+    model: ModelName = ModelName("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +144,7 @@
 
     def _install_targets(self) -> None:
         targets = tuple(
-            Target(item.name, item.pool, item.failure_domain)
+            _create_target(item)
             for item in self.endpoints.values()
             if item.name not in self._leaving
         )
@@ -246,4 +250,21 @@
         prompt_tokens=request.body_bytes // BYTES_PER_TOKEN if is_model else 0,
         repeatable=route.repeatable,
         excluded=request.excluded,
+        asset=_choose_asset(request) if is_model else Asset(),
+    )
+
+
+def _choose_asset(request: DispatchRequest) -> Asset:
+    route = request.route
+    return Asset(route.model or request.model, route.adapter, route.version)
+
+
+def _create_target(endpoint: Endpoint) -> Target:
+    return Target(
+        endpoint.name,
+        endpoint.pool,
+        endpoint.failure_domain,
+        tuple(parse_asset(text) for text in endpoint.assets),
+        endpoint.role,
+        endpoint.moves_cache,
     )
--- a/burdockwall/process/scheduling/jobs.py
+++ b/burdockwall/process/scheduling/jobs.py
@@ -8,6 +8,7 @@
     CallId,
     CustomerId,
     EndpointId,
+    EndpointRole,
     FailureDomain,
     ModelName,
     PoolName,
@@ -17,14 +18,6 @@
 )
 
 
-class EndpointRole(Enum):
-    """Name which phase of a completion an engine serves."""
-
-    ANY = "any"
-    PREFILL = "prefill"
-    DECODE = "decode"
-
-
 @dataclass(frozen=True, slots=True)
 class Asset:
     """Name what an engine must have loaded; empty fields match everything."""
@@ -42,6 +35,13 @@
         )
 
 
+def parse_asset(text: str) -> Asset:
+    """Parse MODEL, MODEL+ADAPTER, MODEL@VERSION or MODEL+ADAPTER@VERSION."""
+    rest, _, version = text.partition("@")
+    model, _, adapter = rest.partition("+")
+    return Asset(ModelName(model), adapter, version)
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """Describe an endpoint as the router sees it; no asset means all of them."""
--- a/burdockwall/process/scheduling/router.py
+++ b/burdockwall/process/scheduling/router.py
@@ -5,11 +5,17 @@
 
 from burdockwall.process.scheduling.affinity import PrefixTable
 from burdockwall.process.scheduling.health import Ejector
-from burdockwall.process.scheduling.jobs import Asset, EndpointRole, Job, Target
+from burdockwall.process.scheduling.jobs import Asset, Job, Target
 from burdockwall.process.scheduling.load import Load
 from burdockwall.process.scheduling.policy import Policy, Routing
 from burdockwall.process.scheduling.ring import Ring
-from burdockwall.types import EndpointId, FailureDomain, PoolName, RouteKind
+from burdockwall.types import (
+    EndpointId,
+    EndpointRole,
+    FailureDomain,
+    PoolName,
+    RouteKind,
+)
 
 HOMES = 2
 SAMPLES = 2
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -235,6 +235,7 @@
             request.customer.weight,
             # The tag of the program's life, by which a sweep knows what is gone.
             CacheKey(turn.tag),
+            request.completion.model,
         )
         try:
             dispatch = await parts.admission.acquire(wanted, request.deadline)
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -66,6 +66,14 @@
     SERVICE = "service"
 
 
+class EndpointRole(Enum):
+    """Name which phase of a completion an engine serves."""
+
+    ANY = "any"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class EndpointState(Enum):
     """Name where an endpoint or instance stands in its life."""
 
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -17,6 +17,7 @@
     Address,
     CustomerId,
     EndpointId,
+    EndpointRole,
     FailureDomain,
     ModelName,
     PoolName,
@@ -46,7 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """Describe an endpoint: where it is and what it takes."""
+    """Describe an endpoint: where it is and what it takes.
+
+    `assets` names what it serves, each as MODEL, MODEL+ADAPTER, MODEL@VERSION or
+    MODEL+ADAPTER@VERSION; without one it serves everything.
+    """
 
     name: EndpointId
     pool: PoolName
@@ -54,6 +59,9 @@
     failure_domain: FailureDomain = FailureDomain("a")
     checks_orders: bool = False
     tls: bool = False
+    assets: tuple[str, ...] = ()
+    role: EndpointRole = EndpointRole.ANY
+    moves_cache: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +81,8 @@
     priority: PriorityClass = PriorityClass.NORMAL
     customers: tuple[CustomerId, ...] = ()
     cost: float = 1.0
+    adapter: str = ""
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -43,6 +43,17 @@
     When two callers send different bodies for one turn
     Then one entry caller wins and the other is refused as not run
 
+  Scenario: A model runs only at an engine that serves it
+    Given an entry site with 2 engines of which engine 2 serves the model
+    When 6 callers ask at once at different paces
+    Then every entry answer is whole, with no token lost or doubled
+    And only engine 2 has run them
+
+  Scenario: A model that no engine serves is refused
+    Given an entry site with 1 engines of which engine 0 serves the model
+    When a caller asks for the model that no engine serves
+    Then the entry caller is refused with code 1401 as not run
+
   Scenario: The instance shuts down under load
     Given an entry site with 2 engines
     When the instance drains while 20 callers are answered
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -17,6 +17,34 @@
     context.subject = EntryFailureSubject(create_failure_plan(count))
 
 
+@given(
+    "an entry site with {count:d} engines of which engine {serving:d} serves the model"
+)
+def step_asset_site(context, count, serving):
+    plan = create_failure_plan(count)
+    plan.assets = {
+        number: ("inspector",) if number == serving else ("cellar",)
+        for number in range(1, count + 1)
+    }
+    context.subject = EntryFailureSubject(plan)
+
+
+@when("a caller asks for the model that no engine serves")
+def step_ask_unserved(context):
+    run(context, context.subject.ask_refused)
+
+
+@then("the entry caller is refused with code {code:d} as not run")
+def step_refused(context, code):
+    assert context.subject.late_outcomes == [f"503 {code} not run"]
+
+
+@then("only engine {serving:d} has run them")
+def step_only(context, serving):
+    for number, engine in enumerate(context.subject.plan.engines, 1):
+        assert bool(engine.requests) == (number == serving), number
+
+
 def run(context, method, *arguments):
     async def act(site, client, path):
         await method(site, client, path, *arguments)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -165,6 +165,12 @@
             group.start_soon(send, "question a")
             group.start_soon(send, "question b")
 
+    async def ask_refused(self, site, client, path) -> None:
+        response = await path.post_turn(client, path.build_headers(1), "question")
+        code = response.headers.get("burdockwall-code", "")
+        ran = response.headers.get("burdockwall-ran", "")
+        self.late_outcomes.append(f"{response.status_code} {code} {ran}")
+
     async def drain_under_load(self, site, client, path, count: int) -> None:
         for engine in site.engines:
             engine.token_s = SLOW_TOKEN_S
