Queue unrepeatable calls under their customer

Cause: calls with an idempotency key went past admission and were scheduled under an empty customer, so that one customer's filings could crowd out another's. Change: they wait like other calls, under their customer and its weight.

--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -36,6 +36,7 @@
 
 JOINS = 20
 DEFAULT_TYPE = "application/octet-stream"
+DEFAULT_WEIGHT = 1.0
 KEY_LIMIT_CHARACTERS = 512
 
 
@@ -58,7 +59,9 @@
     attempt = create_attempt(parts, record, _compute_digest(order), order)
     # A caller that leaves must not cut off what may have been sent.
     with anyio.CancelScope(shield=True):
-        outcome = await run_once(attempt, _build_means(parts, view, route))
+        outcome = await run_once(
+            attempt, _build_means(parts, view, route, customer.name)
+        )
     await exchange.start(
         outcome.status, [(b"content-type", outcome.content_type.encode())]
     )
@@ -80,26 +83,32 @@
     return Attempt(key, request, digest, owner, order, JOINS)
 
 
-def _build_means(parts: Parts, view: View, route: Route) -> Means:
+def _build_means(parts: Parts, view: View, route: Route, customer: CustomerId) -> Means:
     client = parts.programs.client
 
     async def ask(key: OutcomeKey, call: calls.AnyCall) -> calls.AnyAnswer:
         return await client.ask_record(key, call)
 
     async def transmit(request: RequestId, order: Order) -> Outcome:
-        return await _transmit(parts, view, route, request, order)
+        wanted = _build_request(view, route, customer, request)
+        return await _transmit(parts, wanted, order)
 
     return Means(ask, transmit, anyio.sleep, client.hold, client.release)
 
 
-async def _transmit(
-    parts: Parts, view: View, route: Route, request: RequestId, order: Order
-) -> Outcome:
-    wanted = DispatchRequest(
-        CustomerId(""), ProgramId(request), route, view.pools[route.pool]
-    )
+def _build_request(
+    view: View, route: Route, customer: CustomerId, request: RequestId
+) -> DispatchRequest:
+    known = view.customers.get(customer)
+    weight = known.weight if known is not None else DEFAULT_WEIGHT
+    endpoints = view.pools[route.pool]
+    program = ProgramId(request)
+    return DispatchRequest(customer, program, route, endpoints, weight=weight)
+
+
+async def _transmit(parts: Parts, wanted: DispatchRequest, order: Order) -> Outcome:
     try:
-        dispatch = await parts.dispatcher.acquire(wanted)
+        dispatch = await parts.admission.acquire(wanted, None)
     except RequestRefused as error:
         raise NotSentError from error
     result = Result.FAILED
@@ -144,8 +153,9 @@
 
     async def _send(self, record: OutcomeRecord, route: Route) -> None:
         attempt = create_attempt(self.parts, record.key, record.digest, record.order)
+        means = _build_means(self.parts, self.get_view(), route, record.key.customer)
         try:
-            await run_once(attempt, _build_means(self.parts, self.get_view(), route))
+            await run_once(attempt, means)
             self.sent += 1
         except RequestRefused:
             # What is known stands in the record.
