--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -38,6 +38,7 @@
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+SUMMARY_CHARACTERS = 160
 
 settings_option = click.option(
     "--settings", "settings_path", type=click.Path(path_type=Path), default=None
@@ -259,6 +260,7 @@
 @click.option("--contains", default=None, help="Only differences with this text.")
 @click.option("--limit", type=int, default=None, help="Only the latest ones.")
 @click.option("--verify", is_flag=True, help="Check the chain of all records.")
+@click.option("--full", is_flag=True, help="Show differences whole.")
 def audit(
     address: str,
     operator: str,
@@ -271,6 +273,7 @@
     contains: str | None,
     limit: int | None,
     verify: bool,
+    full: bool,
 ) -> None:
     """Show the audit trail, or verify it."""
     client = _create_client(address, operator)
@@ -287,7 +290,7 @@
         limit=limit,
     )
     for record in client.read_audit(chosen).records:
-        summary = record.difference.replace("\n", " ; ")
+        summary = _shorten(record.difference.replace("\n", " ; "), full)
         moment = datetime.fromtimestamp(record.at, UTC).isoformat(timespec="seconds")
         click.echo(
             f"{record.index} {moment} {record.operator} {record.action} "
@@ -295,6 +298,12 @@
         )
 
 
+def _shorten(summary: str, full: bool) -> str:
+    if full or len(summary) <= SUMMARY_CHARACTERS:
+        return summary
+    return f"{summary[:SUMMARY_CHARACTERS]} ..."
+
+
 def _verify_audit(records: list[AuditRecord]) -> None:
     if not records:
         click.echo("no records")
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -8,16 +8,15 @@
 
 from burdockwall.connection.exchange import (
     Exchange,
-    Headers,
-    build_refusal,
     run_while_present,
 )
-from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.programs.budget import Budget, Spend
 from burdockwall.process.programs.programs import RepeatedTurn, Turn, TurnOrder
-from burdockwall.process.scheduling.dispatcher import DispatchRequest
+from burdockwall.process.scheduling.dispatcher import Dispatch, DispatchRequest
 from burdockwall.process.scheduling.jobs import Result
 from burdockwall.process.scheduling.reports import CacheKey
+from burdockwall.request.answers import write_events, write_whole
 from burdockwall.request.caller import (
     check_body,
     check_customer,
@@ -26,10 +25,7 @@
     read_deadline,
 )
 from burdockwall.request.completion import (
-    Choice,
-    CompletionAnswer,
     CompletionRequest,
-    Delta,
     format_whole,
     join_answer,
     parse_completion,
@@ -44,10 +40,6 @@
 from burdockwall.version.view import View
 
 NO_ENDPOINT = EndpointId("")
-EVENT_STREAM_HEADERS = [
-    (b"content-type", b"text/event-stream"),
-    (b"cache-control", b"no-store"),
-]
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +71,11 @@
         stream = await _start_stream(parts, request)
 
     async def write() -> None:
-        await _write_answer(parts, exchange, request, stream, trace)
+        if request.completion.stream:
+            offset = request.offset
+            await write_events(parts.streams, exchange, stream, offset, trace)
+        else:
+            await write_whole(parts.streams, exchange, stream)
 
     try:
         await run_while_present(exchange, write)
@@ -225,39 +221,59 @@
     excluded: frozenset[EndpointId] = frozenset()
     sent = False
     while not stream.buffer.done:
-        wanted = DispatchRequest(
-            turn.customer,
-            turn.program,
-            request.route,
-            request.endpoints,
-            excluded,
-            sum(len(message.content) for message in turn.prompt),
-            request.customer.weight,
-            # The tag of the program's life, by which a sweep knows what is gone.
-            CacheKey(turn.tag),
-            request.completion.model,
-        )
-        try:
-            dispatch = await parts.admission.acquire(wanted, request.deadline)
-        except RequestRefused:
-            if sent:
-                raise RequestRefused(Code.ENDPOINT_FAILED) from None
-            raise
+        dispatch = await _acquire(parts, request, turn, excluded, sent)
         stream.endpoint = dispatch.endpoint.name
-        result = Result.CANCELLED
         try:
-            attempts = parts.settings.endpoint_attempts
-            await relay.run(dispatch.endpoint, attempts, dispatch.list_headers())
-            result = Result.SUCCEEDED
+            await _relay_from(parts, relay, dispatch, stream)
         except EndpointLost as error:
-            result = Result.FAILED
             excluded |= {dispatch.endpoint.name}
             sent = sent or error.sent
             if not await allow_retry(len(excluded)):
                 code = Code.ENDPOINT_FAILED if sent else Code.ENDPOINT_UNREACHABLE
                 raise RequestRefused(code, retry_after_s=1.0) from None
-        finally:
-            parts.dispatcher.release(dispatch, result, stream.buffer.events)
+
+
+async def _acquire(
+    parts: Parts,
+    request: TurnRequest,
+    turn: Turn,
+    excluded: frozenset[EndpointId],
+    sent: bool,
+) -> Dispatch:
+    wanted = DispatchRequest(
+        turn.customer,
+        turn.program,
+        request.route,
+        request.endpoints,
+        excluded,
+        sum(len(message.content) for message in turn.prompt),
+        request.customer.weight,
+        # The tag of the program's life, by which a sweep knows what is gone.
+        CacheKey(turn.tag),
+        request.completion.model,
+    )
+    try:
+        return await parts.admission.acquire(wanted, request.deadline)
+    except RequestRefused:
+        if sent:
+            # It may have run at an endpoint that was lost since.
+            raise RequestRefused(Code.ENDPOINT_FAILED) from None
+        raise
+
+
+async def _relay_from(
+    parts: Parts, relay: Relay, dispatch: Dispatch, stream: LiveStream
+) -> None:
+    result = Result.CANCELLED
+    try:
+        attempts = parts.settings.endpoint_attempts
+        await relay.run(dispatch.endpoint, attempts, dispatch.list_headers())
+        result = Result.SUCCEEDED
+    except EndpointLost:
+        result = Result.FAILED
+        raise
+    finally:
+        parts.dispatcher.release(dispatch, result, stream.buffer.events)
 
 
 def _build_upstream(request: TurnRequest, turn: Turn) -> Upstream:
@@ -272,52 +288,3 @@
             request.completion, messages=turn.prompt, stream=True
         ),
     )
-
-
-def _build_headers(stream: LiveStream) -> Headers:
-    return [
-        (b"program-id", stream.key.program.encode()),
-        (b"program-turn", str(stream.key.turn).encode()),
-    ]
-
-
-async def _write_answer(
-    parts: Parts,
-    exchange: Exchange,
-    request: TurnRequest,
-    stream: LiveStream,
-    trace: RequestTrace,
-) -> None:
-    if request.completion.stream:
-        await _write_events(parts, exchange, request, stream, trace)
-    else:
-        await _write_whole(parts, exchange, stream)
-
-
-async def _write_events(
-    parts: Parts,
-    exchange: Exchange,
-    request: TurnRequest,
-    stream: LiveStream,
-    trace: RequestTrace,
-) -> None:
-    try:
-        async for chunk in parts.streams.read(stream, request.offset):
-            if not exchange.started:
-                headers = EVENT_STREAM_HEADERS + _build_headers(stream)
-                await exchange.start(200, headers)
-            await exchange.write(chunk)
-    except BurdockwallError as error:
-        if not exchange.started:
-            raise
-        trace.code = error.code.value.number
-        refusal = msgspec.json.encode({"error": build_refusal(error)})
-        await exchange.write(b"event: error\ndata: %s\n\n" % refusal)
-    await exchange.finish()
-
-
-async def _write_whole(parts: Parts, exchange: Exchange, stream: LiveStream) -> None:
-    chunks = [chunk async for chunk in parts.streams.read(stream, 0)]
-    text = join_answer(b"".join(chunks))
-    answer = CompletionAnswer([Choice(message=Delta(text))])
-    await exchange.answer_json(200, answer, _build_headers(stream))
