Let callers lower their class, show metrics, check silent peers

Cause: the class of a request could not be chosen, metrics were shown by HTTP only, and the replacement of silent connections between instances had no check.

--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -4,6 +4,7 @@
 import time
 import urllib.parse
 import uuid
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TypeVar
 
@@ -35,6 +36,7 @@
 from burdockwall.process.control.service import ReplicaStatus
 from burdockwall.process.control.withdrawals import is_digest
 from burdockwall.process.membership.page import FleetPage
+from burdockwall.process.metrics import MetricsPage
 from burdockwall.process.operations import Status
 from burdockwall.process.programs.unknowns import SettleBody, UnknownsPage
 from burdockwall.process.resolver import Resolution
@@ -92,6 +94,14 @@
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceMetrics:
+    """Join an instance's operator address to its metrics."""
+
+    address: Address
+    page: MetricsPage
+
+
 class OperatorClient:
     """Send operators' commands to an instance, or to the one that leads."""
 
@@ -320,6 +330,15 @@
             )
         )
 
+    def read_metrics(self) -> list[InstanceMetrics]:
+        """Read the metrics of every instance that the client knows."""
+        return [
+            InstanceMetrics(
+                address, self._call("GET", "/metrics", MetricsPage, address=address)
+            )
+            for address in (self.address, *self.others)
+        ]
+
     def list_unknowns(self) -> UnknownsPage:
         """List the requests that may or may not have run."""
         return self._call("GET", "/unknowns", UnknownsPage)
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -12,6 +12,7 @@
 from burdockwall import __version__
 from burdockwall.checks import check_files
 from burdockwall.client import (
+    InstanceMetrics,
     OperatorClient,
     create_submission,
     resolve as resolve_caller,
@@ -221,9 +222,14 @@
 @address_option
 @click.option("--placements", is_flag=True, help="Show endpoints and placements too.")
 @click.option("--fleet", is_flag=True, help="Show every instance, from the leader.")
-def status(address: str, placements: bool, fleet: bool) -> None:
+@click.option("--metrics", is_flag=True, help="Show the metrics of each address.")
+def status(address: str, placements: bool, fleet: bool, metrics: bool) -> None:
     """Show the status of an instance or of the fleet."""
     client = _create_client(address, "")
+    if metrics:
+        for item in client.read_metrics():
+            _show_metrics(item)
+        return
     if fleet:
         _show_fleet(client.read_fleet())
         return
@@ -234,6 +240,31 @@
         _show_placements(client.read_placements())
 
 
+def _show_metrics(item: InstanceMetrics) -> None:
+    page = item.page
+    click.echo(
+        f"{item.address}: {page.in_flight} in flight, {page.open_streams} streams, "
+        f"{page.body_bytes_held} bytes of bodies, "
+        f"{page.endpoint_replacements} pools replaced"
+    )
+    tables = {
+        "route": page.routes,
+        "first token": page.first_tokens,
+        "customer": page.customers,
+        "endpoint": page.endpoints,
+        "loop": {"lag": page.loop_lag},
+    }
+    for kind, table in tables.items():
+        for name, latency in table.items():
+            click.echo(
+                f"  {kind} {name}: {latency.count} times, {latency.p50_ms} / "
+                f"{latency.p95_ms} / {latency.p99_ms} ms (50, 95, 99 in 100), "
+                f"{latency.max_ms} ms at most"
+            )
+    for code, count in page.refusals.items():
+        click.echo(f"  refused with {code}: {count} times")
+
+
 def _show_placements(page: PlacementPage) -> None:
     for endpoint in page.endpoints:
         click.echo(
--- a/burdockwall/process/logs.py
+++ b/burdockwall/process/logs.py
@@ -44,9 +44,3 @@
     if settings.log_format == "json":
         handler.formatter = format_json
     return handler
-
-
-def create_logger(channel: str, settings: Settings) -> logbook.Logger:
-    """Create a logger for one channel of an instance."""
-    logger = logbook.Logger(channel)
-    return logger
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -1,18 +1,19 @@
 """Find out who sent a request, and take the key out of what goes on."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
 from burdockwall.connection.exchange import Exchange, Headers
 from burdockwall.errors import Code, RequestRefused
-from burdockwall.types import CustomerId
+from burdockwall.types import CustomerId, PriorityClass
 from burdockwall.version.configuration import Customer, Route
 from burdockwall.version.view import View
 
 KEY_HEADERS = (b"authorization", b"x-api-key", b"api-key", b"proxy-authorization")
 KEY_PARAMETERS = ("key", "api_key", "access_token")
 KEY_COOKIES = ("key", "api_key", "access_token")
+PRIORITY_HEADER = b"program-priority"
 DEADLINE_HEADER = b"request-deadline-ms"
 MS_PER_S = 1000
 BEARER_PREFIX = "bearer "
@@ -133,6 +134,22 @@
     return customer
 
 
+def choose_priority(exchange: Exchange, route: Route) -> Route:
+    """Return the route under the class that a caller asks for, if it is lower."""
+    text = exchange.get_header(PRIORITY_HEADER)
+    if text is None:
+        return route
+    try:
+        asked = PriorityClass(text.lower())
+    except ValueError as error:
+        detail = f"header {PRIORITY_HEADER.decode()} is {text!r}, not a class"
+        raise RequestRefused(Code.BAD_REQUEST, detail) from error
+    # Only the configuration raises a class, or every caller would.
+    if asked.rank <= route.priority.rank:
+        return route
+    return replace(route, priority=asked)
+
+
 def read_deadline(exchange: Exchange, now: float) -> float | None:
     """Return the time by which a caller wants its answer to start, if it says so."""
     text = exchange.get_header(DEADLINE_HEADER)
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -15,6 +15,7 @@
     Presented,
     check_customer,
     check_places,
+    choose_priority,
     find_key,
     guard_body,
     read_deadline,
@@ -41,6 +42,7 @@
     route = view.find_route(exchange.path, ModelName(""))
     if route.kind is not RouteKind.SERVICE:
         raise RequestRefused(Code.NO_ROUTE, f"no service at {exchange.path!r}")
+    route = choose_priority(exchange, route)
     customer = check_customer(view, route, presented)
     check_places(exchange, presented)
     trace.customer, trace.route = customer.name, route.name
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -21,6 +21,7 @@
     check_body,
     check_customer,
     check_places,
+    choose_priority,
     find_key,
     read_deadline,
 )
@@ -89,6 +90,7 @@
     body = await exchange.read_body(parts.settings.max_body_bytes)
     completion = parse_completion(body)
     route = view.find_route(exchange.path, completion.model)
+    route = choose_priority(exchange, route)
     customer = check_customer(view, route, presented)
     check_places(exchange, presented)
     check_body(body, presented)
--- a/features/path.feature
+++ b/features/path.feature
@@ -27,6 +27,21 @@
     When a caller files with the key in every place
     Then no endpoint has seen the key
 
+  Scenario: A route open to all needs no key
+    Given a running site
+    When a caller without a key uses the route open to all
+    Then the call without a key is answered
+
+  Scenario: No log line holds a key or a prompt
+    Given a running site
+    When a caller sends 2 turns of one program and the log is kept
+    Then the log names the program and holds neither key nor prompt
+
+  Scenario: A caller may lower its class and not raise it
+    Given a running site
+    When a caller asks for the classes "low" and "urgent" and "king"
+    Then the engine is told "low" and "normal" and the third is refused
+
   Scenario: A stale turn and a gap are refused
     Given a running site
     When a caller sends turn 5 of a new program
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,4 +1,5 @@
 import anyio
+import logbook
 from behave import given, then, when
 
 from burdockwall.fakes.site import wait_for_version
@@ -102,3 +103,59 @@
     key = context.subject.key.encode()
     assert context.subject.seen
     assert not [seen for seen in context.subject.seen if key in seen]
+
+
+@when("a caller without a key uses the route open to all")
+def step_open(context):
+    subject = context.subject
+
+    async def act(site, client):
+        subject.refusal = await client.get("/stock/filters")
+
+    subject.run(act)
+
+
+@then("the call without a key is answered")
+def step_open_answered(context):
+    assert context.subject.refusal.status_code == 200, context.subject.refusal.text
+
+
+@when("a caller sends {count:d} turns of one program and the log is kept")
+def step_log(context, count):
+    subject = context.subject
+    with logbook.TestHandler(level=logbook.DEBUG) as handler:
+        subject.run(lambda site, client: subject.send_turns(client, count))
+        records = [f"{item.message} {item.extra}" for item in handler.records]
+    context.log = "\n".join(records)
+
+
+@then("the log names the program and holds neither key nor prompt")
+def step_log_clean(context):
+    assert "program-1" in context.log
+    assert context.subject.key not in context.log
+    assert "question 1" not in context.log
+
+
+@when('a caller asks for the classes "{first}" and "{second}" and "{third}"')
+def step_classes(context, first, second, third):
+    subject = context.subject
+
+    async def act(site, client):
+        for number, name in enumerate((first, second, third), 1):
+            headers = subject.build_headers(1)
+            headers |= {"program-id": f"class-{number}", "program-priority": name}
+            subject.refusal = await subject.post_turn(client, headers, "question")
+
+    subject.run(act)
+
+
+@then('the engine is told "{first}" and "{second}" and the third is refused')
+def step_told(context, first, second):
+    told = [
+        line.removeprefix(b"priority: ").decode()
+        for seen in context.subject.seen
+        for line in seen.splitlines()
+        if line.startswith(b"priority: ")
+    ]
+    assert told == [first, second], told
+    assert context.subject.refusal.headers["burdockwall-code"] == "1001"
--- /dev/null
+++ b/features/subjects/peers.py
@@ -0,0 +1,72 @@
+"""Exchange messages between two instances while the path between them fails."""
+
+import time
+
+import anyio
+
+from burdockwall.connection.peers import RECONNECT_DELAY_S, PeerBus
+from burdockwall.fakes.ports import find_address
+from burdockwall.fakes.proxy import FakePath
+from burdockwall.process.membership.messages import Ping
+from burdockwall.types import Incarnation, InstanceId
+
+SILENCE_S = 1.0
+# One silence, one pause before the fresh connection, and time to connect.
+ARRIVAL_LIMIT_S = SILENCE_S + RECONNECT_DELAY_S + 2.0
+SEND_INTERVAL_S = 0.1
+NEAR = InstanceId("near")
+FAR = InstanceId("far")
+
+
+class PeersSubject:
+    def __init__(self) -> None:
+        self.path: FakePath | None = None
+        self.arrived: list[int] = []
+        self.seconds: float | None = None
+        self.replaced = 0
+
+    def run(self, fail) -> None:
+        anyio.run(self._run, fail)
+
+    def create_listener(self) -> PeerBus:
+        bus = PeerBus(FAR, Incarnation(1), {}, SILENCE_S)
+        bus.connect(lambda sender, message: self.arrived.append(message.nonce))
+        return bus
+
+    async def _run(self, fail) -> None:
+        self.path = FakePath(find_address(), find_address())
+        peers = {FAR: self.path.listen}
+        near = PeerBus(NEAR, Incarnation(1), peers, SILENCE_S)
+        near.connect(lambda sender, message: None)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.path.run)
+            listening = anyio.CancelScope()
+            group.start_soon(self._listen, listening)
+            group.start_soon(near.run, find_address())
+            await self._send_until_arrived(near, 0)
+            await fail(group, listening)
+            started = time.monotonic()
+            await self._send_until_arrived(near, 1000)
+            self.seconds = time.monotonic() - started
+            self.replaced = near.links[FAR].replaced
+            group.cancel_scope.cancel()
+
+    async def _listen(self, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self.create_listener().run(self.path.target)
+
+    async def _send_until_arrived(self, near: PeerBus, first: int) -> None:
+        nonce = first
+        with anyio.fail_after(4 * ARRIVAL_LIMIT_S):
+            while not any(item >= first for item in self.arrived):
+                near.send(FAR, Ping(nonce))
+                nonce += 1
+                await anyio.sleep(SEND_INTERVAL_S)
+
+    async def silence(self, group, listening) -> None:
+        self.path.silence_open_connections()
+
+    async def restart(self, group, listening) -> None:
+        listening.cancel()
+        await anyio.sleep(SEND_INTERVAL_S)
+        group.start_soon(self._listen, anyio.CancelScope())
