--- a/burdockwall/process/membership/platform.py
+++ b/burdockwall/process/membership/platform.py
@@ -7,6 +7,7 @@
 import logbook
 import msgspec
 
+from burdockwall.connection.tls import create_client_context
 from burdockwall.types import Address, EndpointId, EndpointState, InstanceId
 
 
@@ -38,7 +39,11 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
-        async with httpx.AsyncClient(timeout=POLL_TIMEOUT_S, trust_env=False) as client:
+        async with httpx.AsyncClient(
+            timeout=POLL_TIMEOUT_S,
+            trust_env=False,
+            verify=create_client_context(None),
+        ) as client:
             while True:
                 if self.is_leading():
                     await self._read(client)
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -7,6 +7,7 @@
 import httpx
 import msgspec
 
+from burdockwall.connection.tls import create_client_context
 from burdockwall.process.host import Host, Hosted
 from burdockwall.process.membership.timing import FIRST_TERM
 from burdockwall.process.orders.carrier import (
@@ -58,7 +59,9 @@
     async def run(self) -> None:
         """Send what the carrier asks for until cancelled."""
         async with httpx.AsyncClient(
-            trust_env=False, timeout=ORDER_TIMEOUT_S
+            trust_env=False,
+            timeout=ORDER_TIMEOUT_S,
+            verify=create_client_context(None),
         ) as client:
             self._client = client
             async with anyio.create_task_group() as group:
