--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -29,6 +29,8 @@
 IDLE_CALLERS = 1000
 FIRST_TOKEN_LIMIT_MS = 1100.0
 TOKEN_GAP_LIMIT_MS = 47.0
+CONTROL_CORE_LIMIT = 0.044
+IDLE_MEASURE_S = 10.0
 CONTROL_MEMORY_LIMIT_MB = 64.0
 TOKEN_RATIO_LIMIT = 1.5
 MEGABYTE = 1_048_576
@@ -145,6 +147,12 @@
             yield RunningEntry(process, caller, headers)
 
 
+def _measure_idle(process: Measured) -> float:
+    before = process.read_processor_s()
+    time.sleep(IDLE_MEASURE_S)
+    return (process.read_processor_s() - before) / IDLE_MEASURE_S
+
+
 async def _hold_idle(address: Address, relay: Measured) -> int:
     host, _, port = address.rpartition(":")
     streams = [await anyio.connect_tcp(host, int(port)) for _ in range(IDLE_CALLERS)]
@@ -167,9 +175,17 @@
             relay_cost = _measure_relay(process, bare, {})
         with _start_entry(engine) as entry:
             resident = entry.process.read_resident_bytes()
+            core_share = _measure_idle(entry.process)
             idle = anyio.run(_hold_idle, entry.address, entry.process)
             cost = _measure_relay(entry.process, entry.address, entry.headers)
-    return [*_compare_costs(cost, relay_cost), *_list_memory(resident, idle)]
+    without_callers = create_result(
+        "path.processor_without_callers", core_share, "cores", bound=CONTROL_CORE_LIMIT
+    )
+    return [
+        *_compare_costs(cost, relay_cost),
+        without_callers,
+        *_list_memory(resident, idle),
+    ]
 
 
 def _compare_costs(cost: Cost, relay: Cost) -> list[Result]:
--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from burdockwall.connection.tls import choose_scheme, create_client_context
-from burdockwall.errors import Code, OperatorError
+from burdockwall.errors import Code, OperatorError, find_code
 from burdockwall.process.control.audit import AuditFilter
 from burdockwall.process.control.commands import (
     AnyOperatorCommand,
@@ -67,10 +67,6 @@
 T = TypeVar("T")
 
 
-def _find_code(number: int) -> Code:
-    return next(code for code in Code if code.value.number == number)
-
-
 class _NotConnected(OperatorError):
     """Report that a call was certainly not sent."""
 
@@ -150,7 +146,7 @@
             raise OperatorError(Code.UNREACHABLE, detail) from error
         if response.status_code != httpx.codes.OK:
             refusal = response.json()["error"]
-            raise OperatorError(_find_code(refusal["code"]), refusal["message"])
+            raise OperatorError(find_code(refusal["code"]), refusal["message"])
         return msgspec.json.decode(response.content, type=kind)
 
     def _call_leader(
@@ -191,7 +187,7 @@
         body = msgspec.json.encode(command)
         outcome = self._call_leader("POST", "/commands", Outcome, body)
         if outcome.code:
-            raise OperatorError(_find_code(outcome.code), outcome.detail)
+            raise OperatorError(find_code(outcome.code), outcome.detail)
         return outcome
 
     def read_status(self) -> Status:
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -150,12 +150,18 @@
     return replace(route, priority=asked)
 
 
-def read_deadline(exchange: Exchange, now: float) -> float | None:
-    """Return the time by which a caller wants its answer to start, if it says so."""
-    text = exchange.get_header(DEADLINE_HEADER)
+def read_number(exchange: Exchange, name: bytes) -> int | None:
+    """Read a header that holds a whole number, or raise RequestRefused."""
+    text = exchange.get_header(name)
     if text is None:
         return None
     if not text.isdecimal():
-        detail = f"header {DEADLINE_HEADER.decode()} is {text!r}, not a number"
+        detail = f"header {name.decode()} is {text!r}, not a number"
         raise RequestRefused(Code.BAD_REQUEST, detail)
-    return now + int(text) / MS_PER_S
+    return int(text)
+
+
+def read_deadline(exchange: Exchange, now: float) -> float | None:
+    """Return the time by which a caller wants its answer to start, if it says so."""
+    wait_ms = read_number(exchange, DEADLINE_HEADER)
+    return None if wait_ms is None else now + wait_ms / MS_PER_S
--- a/burdockwall/request/program.py
+++ b/burdockwall/request/program.py
@@ -13,7 +13,7 @@
 from burdockwall.process.programs.budget import Budget, Spend
 from burdockwall.process.programs.history import decode_turn
 from burdockwall.process.programs.operations import EndReason
-from burdockwall.request.caller import find_key
+from burdockwall.request.caller import find_key, read_number
 from burdockwall.request.completion import ChatMessage
 from burdockwall.request.parts import Parts
 from burdockwall.settings import Settings
@@ -98,17 +98,6 @@
     return ProgramId(text)
 
 
-def read_number(exchange: Exchange, name: bytes) -> int | None:
-    """Read a header that holds a whole number, or raise RequestRefused."""
-    text = exchange.get_header(name)
-    if text is None:
-        return None
-    if not text.isdecimal():
-        detail = f"header {name.decode()} is {text!r}, not a number"
-        raise RequestRefused(Code.BAD_REQUEST, detail)
-    return int(text)
-
-
 def _read_amount(exchange: Exchange, name: bytes, default: float) -> float:
     text = exchange.get_header(name)
     if text is None:
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -24,6 +24,7 @@
     choose_priority,
     find_key,
     read_deadline,
+    read_number,
 )
 from burdockwall.request.completion import (
     CompletionRequest,
@@ -32,7 +33,7 @@
     parse_completion,
 )
 from burdockwall.request.parts import Parts
-from burdockwall.request.program import read_headers, read_number
+from burdockwall.request.program import read_headers
 from burdockwall.request.relay import EndpointLost, Relay, Upstream
 from burdockwall.request.streams import LiveStream, StreamKey
 from burdockwall.request.trace import RequestTrace
