Keep documents in the control state, and check shared mappings without naming a folder

Cause: the users' platform numbers its configurations itself and refuses a tree that names a shared-memory folder outside tests. PutDocument keeps a document under its author's number, the highest wins, and distribution carries it. The binary's check now refuses every mapping of a file outside the program, every shared writable one, and every descriptor that is open for writing anywhere.

--- a/burdockwall/process/control/changes.py
+++ b/burdockwall/process/control/changes.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from burdockwall.types import CustomerId, KeyDigest, Version
+from burdockwall.types import CustomerId, DocumentName, KeyDigest, Version
 from burdockwall.version.shards import ShardView
 
 KEPT_CHANGES = 1024
@@ -13,8 +13,15 @@
 KEY_BYTES = 100
 
 
+class Document(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what is kept under a name, and the number that its author gave it."""
+
+    number: int
+    data: bytes
+
+
 class Change(msgspec.Struct, frozen=True, array_like=True):
-    """Describe what one version changed: sections, digests of keys, shards."""
+    """Describe what one version changed: sections, key digests, shards, documents."""
 
     version: Version
     sections: dict[str, str] = {}
@@ -22,10 +29,12 @@
     keys: dict[KeyDigest, CustomerId] = {}
     removed_keys: tuple[KeyDigest, ...] = ()
     shards: tuple[ShardView, ...] = ()
+    documents: dict[DocumentName, Document] = {}
 
     def measure_bytes(self) -> int:
         """Estimate the memory that the change takes."""
         texts = sum(len(text) for text in self.sections.values())
+        texts += sum(len(each.data) for each in self.documents.values())
         names = len(self.sections) + len(self.removed_sections)
         keys = len(self.keys) + len(self.removed_keys)
         return texts + (names + keys + len(self.shards) + 1) * KEY_BYTES
--- a/burdockwall/process/control/commands.py
+++ b/burdockwall/process/control/commands.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+from burdockwall.types import (
+    CustomerId,
+    DocumentName,
+    KeyDigest,
+    OperatorId,
+    Version,
+)
 from burdockwall.version.shards import ShardView
 
 
@@ -86,6 +92,14 @@
     image: bytes
 
 
+class PutDocument(Command, frozen=True, kw_only=True):
+    """Keep a document under a number that its author chose; the highest wins."""
+
+    name: DocumentName
+    number: int
+    data: bytes
+
+
 AnyOperatorCommand = (
     SubmitConfiguration
     | RollBack
@@ -94,6 +108,7 @@
     | DefineOperator
     | RemoveOperator
     | ImportState
+    | PutDocument
 )
 
 
--- a/burdockwall/process/control/image.py
+++ b/burdockwall/process/control/image.py
@@ -3,9 +3,15 @@
 import msgspec
 
 from burdockwall.process.control.audit import AuditRecord
-from burdockwall.process.control.changes import Change
+from burdockwall.process.control.changes import Change, Document
 from burdockwall.process.control.commands import Operator, Outcome
-from burdockwall.types import CustomerId, KeyDigest, OperatorId, Version
+from burdockwall.types import (
+    CustomerId,
+    DocumentName,
+    KeyDigest,
+    OperatorId,
+    Version,
+)
 from burdockwall.version.shards import ShardView
 
 
@@ -39,6 +45,7 @@
     audit: list[AuditRecord]
     changes: list[Change] = []
     shards: list[ShardView] = []
+    documents: dict[DocumentName, Document] = {}
 
 
 _encoder = msgspec.msgpack.Encoder(order="deterministic")
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -13,7 +13,7 @@
     compute_chain,
     shorten_difference,
 )
-from burdockwall.process.control.changes import Change, ChangeLog
+from burdockwall.process.control.changes import Change, ChangeLog, Document
 from burdockwall.process.control.commands import (
     AnyCommand,
     AssignShards,
@@ -25,6 +25,7 @@
     Operator,
     Outcome,
     Permission,
+    PutDocument,
     RemoveOperator,
     RollBack,
     SubmitConfiguration,
@@ -45,7 +46,14 @@
     decode_withdrawn,
     is_digest,
 )
-from burdockwall.types import CustomerId, KeyDigest, OperatorId, ShardId, Version
+from burdockwall.types import (
+    CustomerId,
+    DocumentName,
+    KeyDigest,
+    OperatorId,
+    ShardId,
+    Version,
+)
 from burdockwall.version.shards import ShardView, describe_views
 
 DIGEST_SHOWN_CHARACTERS = 12
@@ -63,6 +71,7 @@
     DefineOperator: Permission.OPERATORS,
     RemoveOperator: Permission.OPERATORS,
     ImportState: Permission.STATE,
+    PutDocument: Permission.CONFIGURATION,
 }
 # The log holds a submission as its difference.
 _ACTIONS: dict[type[Command], type[Command]] = {ChangeSections: SubmitConfiguration}
@@ -84,6 +93,7 @@
         self.audit: deque[AuditRecord] = deque(maxlen=self.kept_audit_records)
         self.changes = ChangeLog()
         self.withdrawn = WithdrawnKeys()
+        self.documents: dict[DocumentName, Document] = {}
 
     @property
     def text(self) -> str:
@@ -199,6 +209,8 @@
                 return self._import(image, command.operator)
             case AssignShards(views=views):
                 return self._assign_shards(views)
+            case PutDocument():
+                return self._put_document(command)
 
     def _accept(
         self,
@@ -207,6 +219,7 @@
         keys: dict[KeyDigest, CustomerId] | None = None,
         removed_keys: tuple[KeyDigest, ...] = (),
         shards: tuple[ShardView, ...] = (),
+        documents: dict[DocumentName, Document] | None = None,
     ) -> Outcome:
         self.version = Version(self.version + 1)
         change = Change(
@@ -216,6 +229,7 @@
             keys or {},
             removed_keys,
             shards,
+            documents or {},
         )
         self.changes.append(change)
         return Outcome(version=self.version)
@@ -295,6 +309,16 @@
         self.shards.update((view.shard, view) for view in views)
         return self._accept(shards=views), describe_views(views)
 
+    def _put_document(self, command: PutDocument) -> tuple[Outcome, str]:
+        known = self.documents.get(command.name)
+        if known is not None and command.number <= known.number:
+            shown = f"{command.name} {command.number} is not after {known.number}"
+            return Outcome(version=self.version), shown
+        document = Document(command.number, command.data)
+        self.documents[command.name] = document
+        shown = f"+{command.name} {command.number}, {len(command.data)} bytes"
+        return self._accept(documents={command.name: document}), shown
+
     def _import(self, data: bytes, operator: OperatorId) -> tuple[Outcome, str]:
         try:
             image = decode_image(data)
@@ -309,6 +333,7 @@
             if digest not in self.withdrawn
         }
         self.operators = image.operators or self.operators
+        self.documents = dict(image.documents)
         self.version = Version(max(self.version, image.version))
         outcome = self._accept()
         # Followers get the whole state, since the change record can't tell it.
@@ -350,6 +375,7 @@
             audit=list(self.audit),
             changes=self.changes.list_all(),
             shards=list(self.shards.values()),
+            documents=dict(self.documents),
         )
 
     def restore(self, image: StateImage) -> None:
@@ -364,6 +390,7 @@
         self.keys = dict(image.keys)
         self.shards = {view.shard: view for view in image.shards}
         self.operators = dict(image.operators)
+        self.documents = dict(image.documents)
         self.outcomes = {known.submission: known for known in image.outcomes}
         self.audit = deque(image.audit, maxlen=self.kept_audit_records)
         self.changes = ChangeLog(image.changes)
--- a/burdockwall/process/membership/fleet.py
+++ b/burdockwall/process/membership/fleet.py
@@ -8,7 +8,6 @@
     EndpointState,
     Incarnation,
     InstanceId,
-    Role,
     ShardId,
 )
 from burdockwall.version.shards import ShardView
@@ -147,7 +146,7 @@
     members = {
         Holder(record.details.instance, record.details.incarnation): record
         for record in records
-        if record.details.role is not Role.CONTROL
+        if record.details.role.serves_callers
     }
     fleet = Fleet(members, now, frozenset(departed), unknown)
     for view in views:
--- a/burdockwall/process/membership/messages.py
+++ b/burdockwall/process/membership/messages.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from burdockwall.machine import Message
-from burdockwall.process.control.changes import Change
+from burdockwall.process.control.changes import Change, Document
 from burdockwall.types import (
     Address,
     CustomerId,
+    DocumentName,
     EndpointId,
     EndpointState,
     FailureDomain,
@@ -129,6 +130,7 @@
     sections: dict[str, str]
     keys: dict[KeyDigest, CustomerId]
     shards: list[ShardView] = []
+    documents: dict[DocumentName, Document] = {}
 
 
 class MemberChanges(Message, frozen=True):
--- a/burdockwall/process/membership/replica.py
+++ b/burdockwall/process/membership/replica.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from burdockwall.process.control.changes import Change, ChangeLog
+from burdockwall.process.control.changes import Change, ChangeLog, Document
 from burdockwall.process.membership.messages import StateChanges, StateSnapshot
-from burdockwall.types import CustomerId, KeyDigest, ShardId, Version
+from burdockwall.types import CustomerId, DocumentName, KeyDigest, ShardId, Version
 from burdockwall.version.shards import ShardView
 
 
@@ -17,6 +17,7 @@
         self.sections: dict[str, str] = {}
         self.keys: dict[KeyDigest, CustomerId] = {}
         self.shards: dict[ShardId, ShardView] = {}
+        self.documents: dict[DocumentName, Document] = {}
         self.changes = ChangeLog()
 
     def install_snapshot(self, snapshot: StateSnapshot) -> bool:
@@ -27,6 +28,7 @@
         self.sections = dict(snapshot.sections)
         self.keys = dict(snapshot.keys)
         self.shards = {view.shard: view for view in snapshot.shards}
+        self.documents = dict(snapshot.documents)
         self.changes.clear()
         return True
 
@@ -50,6 +52,8 @@
         if change.shards:
             later = {view.shard: view for view in change.shards}
             self.shards = _merge(self.shards, later, ())
+        if change.documents:
+            self.documents = _merge(self.documents, change.documents, ())
         self.version = change.version
         self.changes.append(change)
 
@@ -62,7 +66,11 @@
     def take_snapshot(self) -> StateSnapshot:
         """Return the whole of the version in force."""
         return StateSnapshot(
-            self.version, self.sections, self.keys, list(self.shards.values())
+            self.version,
+            self.sections,
+            self.keys,
+            list(self.shards.values()),
+            self.documents,
         )
 
 
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -36,7 +36,6 @@
     EndpointId,
     EndpointState,
     InstanceId,
-    Role,
     Term,
     Version,
 )
@@ -165,7 +164,7 @@
                 entry.details.region,
             )
             for entry in self.members
-            if entry.details.role is not Role.CONTROL
+            if entry.details.role.serves_callers
         ]
 
     def get_stamp(self) -> Stamp:
--- a/burdockwall/process/membership/source.py
+++ b/burdockwall/process/membership/source.py
@@ -86,4 +86,5 @@
         sections=dict(state.sections),
         keys=dict(state.keys),
         shards=list(state.shards.values()),
+        documents=dict(state.documents),
     )
--- a/burdockwall/process/membership/tree.py
+++ b/burdockwall/process/membership/tree.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from burdockwall.process.membership.messages import MemberEntry
-from burdockwall.types import EndpointState, InstanceId, Role
+from burdockwall.types import EndpointState, InstanceId
 
 FAN_OUT = 20
 
@@ -25,7 +25,7 @@
     live = [
         item
         for item in members
-        if item.state is EndpointState.LIVE and item.details.role is not Role.CONTROL
+        if item.state is EndpointState.LIVE and item.details.role.serves_callers
     ]
     if len(live) <= fan_out:
         return [[item.details.instance] for item in live]
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -24,6 +24,7 @@
 CallId = NewType("CallId", int)
 ProgramTag = NewType("ProgramTag", str)
 MemberNumber = NewType("MemberNumber", int)
+DocumentName = NewType("DocumentName", str)
 
 
 class Role(Enum):
@@ -32,6 +33,12 @@
     ENTRY = "entry"
     CONTROL = "control"
     BOTH = "both"
+    STORAGE = "storage"
+
+    @property
+    def serves_callers(self) -> bool:
+        """Tell whether instances of this role take requests of callers."""
+        return self in (Role.ENTRY, Role.BOTH)
 
 
 class Ran(Enum):
--- a/features/subjects/binary.py
+++ b/features/subjects/binary.py
@@ -83,14 +83,22 @@
 
     def list_written_files(self) -> list[str]:
         found = [str(path) for path in (self.folder / "closed").rglob("*")]
-        descriptors = Path(f"/proc/{self.process.pid}/fd")
-        targets = [os.readlink(path) for path in descriptors.iterdir()]
         return found + [
-            target
-            for target in targets
-            if target.startswith(("/tmp", "/var", "/home", "/root", "/dev/shm"))
+            os.readlink(path)
+            for path in Path(f"/proc/{self.process.pid}/fd").iterdir()
+            if self._is_foreign(path)
         ]
 
+    def _is_foreign(self, descriptor: Path) -> bool:
+        # Read-only files of the interpreter and the archive are the program itself.
+        target = os.readlink(descriptor)
+        if not target.startswith("/") or target == os.devnull:
+            return False
+        details = descriptor.parents[1] / "fdinfo" / descriptor.name
+        flags = details.read_text().split("flags:")[1].split()[0]
+        writable = int(flags, 8) & os.O_ACCMODE != os.O_RDONLY
+        return writable or not _is_program(target)
+
     def list_shared_mappings(self) -> list[str]:
         lines = Path(f"/proc/{self.process.pid}/maps").read_text().splitlines()
         return [line for line in lines if _is_shared_memory(line)]
@@ -104,9 +112,17 @@
         return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
 
+def _is_program(path: str) -> bool:
+    # The archive loads its extension modules from anonymous files of its own.
+    places = (sys.base_prefix, sys.prefix, "/usr/", "/lib", "/memfd:", str(BINARY))
+    return path.startswith(places)
+
+
 def _is_shared_memory(line: str) -> bool:
     # The C library maps its own tables read-only and shared; memory that another
-    # process could use is writable, or has one of these names.
-    permissions = line.split()[1]
-    named = "/dev/shm" in line or "/SYSV" in line
-    return named or permissions.endswith("s") and "w" in permissions
+    # process could use is writable, or belongs to no file of the program.
+    _, permissions, _, _, _, *path = line.split(maxsplit=5)
+    name = path[0] if path else ""
+    foreign = name.startswith("/") and not _is_program(name)
+    shared = permissions.endswith("s")
+    return foreign or shared and ("w" in permissions or name.startswith("/memfd:"))
