--- a/features/subjects/binary.py
+++ b/features/subjects/binary.py
@@ -90,10 +90,13 @@
         ]
 
     def _is_foreign(self, descriptor: Path) -> bool:
-        # Read-only files of the interpreter and the archive are the program itself.
+        # Read-only files of the interpreter and the archive are the program itself,
+        # as are the anonymous files with its extension modules.
         target = os.readlink(descriptor)
         if not target.startswith("/") or target == os.devnull:
             return False
+        if target.startswith("/memfd:"):
+            return False
         details = descriptor.parents[1] / "fdinfo" / descriptor.name
         flags = details.read_text().split("flags:")[1].split()[0]
         writable = int(flags, 8) & os.O_ACCMODE != os.O_RDONLY
