--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -18,6 +18,7 @@
     resolve as resolve_caller,
 )
 from burdockwall.errors import BurdockwallError, Code, InvalidFile, OperatorError
+from burdockwall.platform.start import find_settings_path, run_role
 from burdockwall.process.control.audit import AuditFilter, AuditRecord, verify_audit
 from burdockwall.process.control.commands import Outcome, Permission
 from burdockwall.process.control.opening import bootstrap_replica, join_replica
@@ -114,6 +115,15 @@
         anyio.run(run_node, settings, settings_path)
 
 
+@cli.command()
+def platform() -> None:
+    """Run one process on the users' platform, with the settings that it names."""
+    path = find_settings_path()
+    settings = read_settings(path)
+    with create_log_handler(settings, sys.stdout).applicationbound():
+        anyio.run(run_role, settings, path)
+
+
 @cli.command()
 @settings_option
 @click.argument("configuration", type=click.Path(path_type=Path), required=False)
--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -126,6 +126,15 @@
         """End the answer's body."""
         await self._send({"type": "http.response.body", "body": b""})
 
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        if body:
+            await self.write(body)
+        await self._discard_body()
+        await self.finish()
+
     async def answer_json(
         self, status: int, value: object, headers: Headers | None = None
     ) -> None:
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -128,8 +128,10 @@
         peers: dict[InstanceId, Address],
         silence_s: float,
         tls: PeerContexts | None = None,
+        named_by_address: bool = False,
     ) -> None:
         self.tls = tls
+        self.named_by_address = named_by_address
         self.instance = instance
         self.incarnation = incarnation
         self.silence_s = silence_s
@@ -154,6 +156,9 @@
     def send(self, to: InstanceId, message: Message) -> None:
         """Queue a message for an instance; an unknown one is ignored."""
         link = self.links.get(to)
+        if link is None and self.named_by_address:
+            self.add_peer(to, Address(to))
+            link = self.links.get(to)
         if link is not None:
             link.put(cast(AnyMessage, message))
 
--- /dev/null
+++ b/burdockwall/connection/upstream.py
@@ -0,0 +1,182 @@
+"""Speak HTTP/1.1 to one endpoint over one connection, one request at a time.
+
+The endpoint's answers carry the id of their request, so that an answer that comes
+late, or twice, is told from the one that is awaited.
+"""
+
+import select
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import h11
+
+from burdockwall.connection.exchange import Headers
+from burdockwall.types import Address
+
+READ_BYTES = 65_536
+# A head within these bounds; more is a fault of the endpoint.
+HEAD_LIMIT_BYTES = 65_536
+PROBE_IDLE_S = 2
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 3
+UNACKNOWLEDGED_LIMIT_MS = 3000
+# Answers of earlier requests that one request may skip before it gives up.
+SKIPPED_ANSWERS = 4
+
+
+class UpstreamError(Exception):
+    """Report that a connection to an endpoint failed."""
+
+
+class ConnectFailed(UpstreamError):
+    """Report that no connection was made: nothing was sent."""
+
+
+class ConnectionBroken(UpstreamError):
+    """Report that a connection broke after a request was sent on it."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Hold the status and headers of an endpoint's answer."""
+
+    status: int
+    headers: Headers
+
+
+class UpstreamConnection:
+    """Send requests on a connection and read their answers."""
+
+    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self.stream = stream
+        self.used = False
+        self._socket: socket.socket = stream.extra(
+            anyio.abc.SocketAttribute.raw_socket
+        )
+        self._machine = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
+        )
+
+    def is_usable(self) -> bool:
+        """Tell whether nothing has arrived since the last answer, not even an end."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return not poll.poll(0)
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request."""
+        machine = self._machine
+        self.used = True
+        parts = [
+            machine.send(h11.Request(method=method, target=target, headers=headers))
+        ]
+        if body:
+            parts.append(machine.send(h11.Data(data=body)))
+        parts.append(machine.send(h11.EndOfMessage()))
+        data = b"".join(part for part in parts if part)
+        try:
+            await self.stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            # An answer may have come before the request was read whole.
+            return
+
+    async def read_head(self, is_own: Callable[[Headers], bool]) -> AnswerHead:
+        """Read the head of the answer, past answers that are not its own."""
+        for _ in range(SKIPPED_ANSWERS):
+            head = await self._read_any_head()
+            if is_own(head.headers):
+                return head
+            while await self.read_part() is not None:
+                pass
+            self._start_next()
+        raise ConnectionBroken("the answers belong to other requests")
+
+    async def _read_any_head(self) -> AnswerHead:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return AnswerHead(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionBroken("the answer has no head")
+
+    async def read_part(self) -> bytes | None:
+        """Read what has come of the body; None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        parts: list[bytes] = []
+        while isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            if self._machine.their_state is not h11.SEND_BODY:
+                break
+            event = self._take_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+        return b"".join(parts)
+
+    def _take_event(self) -> object:
+        try:
+            return self._machine.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionBroken(f"the answer is not HTTP: {error}") from error
+
+    async def _next_event(self) -> object:
+        if self._machine.their_state is h11.DONE:
+            return h11.EndOfMessage()
+        while True:
+            event = self._take_event()
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                raise ConnectionBroken("the connection was reset") from error
+            self._machine.receive_data(data)
+
+    def _start_next(self) -> None:
+        try:
+            self._machine.start_next_cycle()
+        except h11.LocalProtocolError as error:
+            raise ConnectionBroken("the connection takes no other answer") from error
+
+    def recycle(self) -> bool:
+        """Prepare for another request; tell whether that is possible."""
+        machine = self._machine
+        if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
+            return False
+        if machine.trailing_data[0]:
+            return False
+        machine.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+
+async def open_upstream(address: Address, timeout_s: float) -> UpstreamConnection:
+    """Connect to an endpoint, or raise ConnectFailed."""
+    host, _, port = address.rpartition(":")
+    try:
+        with anyio.fail_after(timeout_s):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailed(f"{address}: {error or 'no answer'}") from error
+    connected: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    for level, name, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    ):
+        connected.setsockopt(level, name, value)
+    return UpstreamConnection(stream)
--- /dev/null
+++ b/burdockwall/connection/upstreams.py
@@ -0,0 +1,90 @@
+"""Keep idle connections to endpoints, within a bound for each endpoint."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from burdockwall.connection.upstream import (
+    ConnectFailed,
+    UpstreamConnection,
+    open_upstream,
+)
+from burdockwall.types import Address
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 4.0
+# An endpoint may close at the time it names; a request must not cross that.
+IDLE_MARGIN_S = 1.0
+LEAST_CONNECTIONS = 2
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: UpstreamConnection
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _Pool:
+    idle: list[_Idle] = field(default_factory=list)
+    open: int = 0
+
+
+class Upstreams:
+    """Lend connections to endpoints by address."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.opened = 0
+        self._pools: dict[Address, _Pool] = {}
+
+    async def take(self, address: Address, limit: int) -> UpstreamConnection:
+        """Lend an idle connection or open one, or raise ConnectFailed."""
+        pool = self._pools.setdefault(address, _Pool())
+        while pool.idle:
+            idle = pool.idle.pop()
+            if idle.expires_at > self.clock() and idle.connection.is_usable():
+                return idle.connection
+            pool.open -= 1
+            await idle.connection.close()
+        if pool.open >= max(limit, LEAST_CONNECTIONS):
+            raise ConnectFailed(f"{address}: all {limit} connections are in use")
+        pool.open += 1
+        try:
+            connection = await open_upstream(address, CONNECT_TIMEOUT_S)
+        except BaseException:
+            pool.open -= 1
+            raise
+        self.opened += 1
+        return connection
+
+    async def give_back(
+        self,
+        address: Address,
+        connection: UpstreamConnection,
+        reusable: bool,
+        idle_s: float | None,
+    ) -> None:
+        """Take back a connection; keep it while the endpoint keeps it."""
+        pool = self._pools.setdefault(address, _Pool())
+        kept_s = IDLE_LIMIT_S if idle_s is None else idle_s - IDLE_MARGIN_S
+        if reusable and kept_s > 0 and connection.recycle():
+            pool.idle.append(_Idle(connection, self.clock() + kept_s))
+            return
+        pool.open -= 1
+        await connection.close()
+
+    async def expire(self) -> None:
+        """Close the connections that have been idle for too long."""
+        now = self.clock()
+        for address, pool in list(self._pools.items()):
+            expired = [idle for idle in pool.idle if idle.expires_at <= now]
+            pool.idle = [idle for idle in pool.idle if idle.expires_at > now]
+            for idle in expired:
+                pool.open -= 1
+                await idle.connection.close()
+            if not pool.open:
+                self._pools.pop(address, None)
+
+    def count_open(self) -> int:
+        """Count the connections that are open."""
+        return sum(pool.open for pool in self._pools.values())
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -7,8 +7,10 @@
 
 from burdockwall.process.control import copier, messages as control
 from burdockwall.process.limits import messages as limits
+from burdockwall.process.endpoints import EndpointList
 from burdockwall.process.membership import messages as membership
 from burdockwall.process.programs.messages import AnyRecordMessage
+from burdockwall.process.storage.messages import AnyStorageMessage
 from burdockwall.types import Incarnation, InstanceId
 
 AnyMessage = (
@@ -42,6 +44,8 @@
     | membership.Released
     | membership.CopyDone
     | AnyRecordMessage
+    | AnyStorageMessage
+    | EndpointList
 )
 
 
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -97,6 +97,12 @@
     CALL_REVOKED = CodeRow(
         1211, 409, Ran.UNKNOWN, Retry.NEVER, "The call was cancelled or superseded."
     )
+    TURN_UNKNOWN = CodeRow(
+        1214, 404, Ran.NOT_RUN, Retry.NEVER, "The customer has no such turn."
+    )
+    TURN_UNCERTAIN = CodeRow(
+        1215, 503, Ran.NOT_RUN, Retry.SAFE, "The earlier turn can't be read for now."
+    )
     # Idempotency keys.
     IDEMPOTENCY_CONFLICT = CodeRow(
         1221, 422, Ran.NOT_RUN, Retry.NEVER, "The key came before with another body."
--- a/burdockwall/options/option.py
+++ b/burdockwall/options/option.py
@@ -21,6 +21,7 @@
     ADDRESS = "host:port"
     NAMES = "names"
     PEERS = "name=host:port list"
+    ADDRESSES = "host:port list"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,5 +98,6 @@
         Kind.ADDRESS: _convert_address,
         Kind.NAMES: lambda value: [InstanceId(name) for name in value.split()],
         Kind.PEERS: _convert_peers,
+        Kind.ADDRESSES: lambda value: [_convert_address(one) for one in value.split()],
     }
     return converters[option.kind](text)
--- /dev/null
+++ b/burdockwall/platform/cloud.py
@@ -0,0 +1,84 @@
+"""Read the platform's list of servers."""
+
+import httpx
+import msgspec
+
+from burdockwall.connection.tls import create_client_context
+from burdockwall.platform.names import LIST_PATH
+from burdockwall.process.core import EndpointListUnread
+from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.types import Address, EndpointId, FailureDomain, ServiceName
+
+READ_TIMEOUT_S = 1.5
+PAGES_LIMIT = 100
+LEAVING = "draining"
+STATES = ("ready", LEAVING)
+
+
+class _Entry(msgspec.Struct):
+    """Hold what is needed of one entry; other writers' entries lack some of it."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+
+
+class _Page(msgspec.Struct):
+    instances: list[msgspec.Raw]
+    next: str | None = None
+
+
+class CloudList:
+    """Read all pages of the list."""
+
+    def __init__(self, address: Address) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}",
+            timeout=READ_TIMEOUT_S,
+            trust_env=False,
+            verify=create_client_context(None),
+        )
+
+    async def read(self) -> list[ListedEndpoint]:
+        """Return the servers of the list, or raise EndpointListUnread."""
+        found: list[ListedEndpoint] = []
+        token: str | None = None
+        for _ in range(PAGES_LIMIT):
+            page = await self._read_page(token)
+            found += [
+                entry for raw in page.instances if (entry := _convert(raw)) is not None
+            ]
+            token = page.next
+            if token is None:
+                return found
+        raise EndpointListUnread(f"the list has over {PAGES_LIMIT} pages")
+
+    async def _read_page(self, token: str | None) -> _Page:
+        query = {"page-token": token} if token else {}
+        try:
+            response = await self._client.get(LIST_PATH, params=query)
+            response.raise_for_status()
+            return msgspec.json.decode(response.content, type=_Page)
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            raise EndpointListUnread(f"{type(error).__name__}: {error}") from error
+
+
+def _convert(raw: msgspec.Raw) -> ListedEndpoint | None:
+    try:
+        entry = msgspec.json.decode(raw, type=_Entry)
+    except msgspec.MsgspecError:
+        # Entries of other writers name no server.
+        return None
+    if entry.state not in STATES or ":" not in entry.address:
+        return None
+    return ListedEndpoint(
+        EndpointId(entry.id),
+        ServiceName(entry.service),
+        Address(entry.address),
+        FailureDomain(entry.zone),
+        max(1, entry.slots),
+        entry.state == LEAVING,
+    )
--- /dev/null
+++ b/burdockwall/platform/codec.py
@@ -0,0 +1,167 @@
+"""Read callers' requests and endpoints' answers, and spell what they are told."""
+
+import msgspec
+
+from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.connection.upstream import AnswerHead
+from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.platform import names
+from burdockwall.process.scheduling.balance import LoadReport
+from burdockwall.request.passing import (
+    AnswerDetails,
+    PassedRequest,
+    Passing,
+    Refusal,
+    TurnDetails,
+)
+from burdockwall.types import ProgramId, RequestId, TurnId
+
+MS_PER_S = 1000.0
+LEAST_DEADLINE_MS = 1
+LOWEST_PRIORITY = 9
+MISDIRECTED = 421
+# Where the platform expects another status than the product's own interface.
+STATUSES = {
+    Code.BUDGET_SPENT: 402,
+    Code.TURN_NOT_STORED: 502,
+    Code.BODY_CUT: 400,
+}
+
+
+class PlatformCodec:
+    """Spell requests, answers and refusals as the platform does."""
+
+    def read_request(self, exchange: Exchange) -> PassedRequest:
+        """Read a caller's request, or raise RequestRefused."""
+        found = dict(exchange.headers)
+        request = _get_text(found, names.REQUEST_ID)
+        if not request:
+            raise RequestRefused(Code.BAD_REQUEST, "the request has no id")
+        program = _get_text(found, names.PROGRAM_ID)
+        target = exchange.raw_path
+        if exchange.query:
+            target = f"{target}?{exchange.query.decode('latin-1')}"
+        dropped = names.HOP_HEADERS | names.SYSTEM_HEADERS | _list_connection(found)
+        return PassedRequest(
+            request=RequestId(request),
+            method=exchange.method,
+            target=target,
+            host=_get_text(found, names.HOST).partition(":")[0].lower(),
+            path=exchange.raw_path,
+            headers=[item for item in exchange.headers if item[0] not in dropped],
+            key=_get_text(found, names.API_KEY) or None,
+            deadline_s=_get_seconds(found, names.DEADLINE_MS),
+            program=ProgramId(program) if program else None,
+            finish_s=_get_seconds(found, names.FINISH_MS),
+            turn=_read_turn(found, program),
+        )
+
+    def build_headers(self, request: PassedRequest, passing: Passing) -> Headers:
+        """Build the headers for an endpoint."""
+        left_ms = max(LEAST_DEADLINE_MS, int(passing.remaining_s * MS_PER_S))
+        headers = list(request.headers)
+        headers.append((names.DEADLINE_MS, str(left_ms).encode()))
+        headers.append((names.EXPECT_INSTANCE, passing.endpoint.name.encode()))
+        if passing.customer is not None:
+            headers.append((names.TENANT, passing.customer.encode()))
+        priority = min(LOWEST_PRIORITY, max(0, passing.rank))
+        headers.append((names.REQUEST_PRIORITY, str(priority).encode()))
+        if passing.body_bytes or request.method not in ("GET", "HEAD", "DELETE"):
+            headers.append((b"content-length", str(passing.body_bytes).encode()))
+        return headers
+
+    def is_answer_to(self, request: PassedRequest, headers: Headers) -> bool:
+        """Tell whether an answer belongs to a request."""
+        echoed = dict(headers).get(names.REQUEST_ID)
+        return echoed is None or echoed.decode("latin-1") == request.request
+
+    def read_answer(self, head: AnswerHead) -> AnswerDetails:
+        """Read what an answer says beside its content."""
+        found = dict(head.headers)
+        ran = names.NOT_EXECUTED not in found and head.status != MISDIRECTED
+        closes = b"close" in found.get(names.CONNECTION, b"").lower()
+        return AnswerDetails(
+            ran, closes, _read_idle_s(found), _read_load(found.get(names.SERVER_LOAD))
+        )
+
+    def select_headers(self, head: AnswerHead) -> Headers:
+        """Select the headers of an answer that go on to the caller."""
+        dropped = names.HOP_HEADERS | _list_connection(dict(head.headers))
+        return [item for item in head.headers if item[0] not in dropped]
+
+    def build_refusal(self, error: BurdockwallError) -> Refusal:
+        """Spell a refusal; its body names the code for whoever reads it."""
+        row = error.code.value
+        status = STATUSES.get(error.code, row.status)
+        headers: Headers = [(b"content-type", b"application/json")]
+        if error.retry_after_s is not None:
+            seconds = f"{error.retry_after_s:.3f}"
+            headers.append((names.RETRY_AFTER, seconds.encode()))
+        body = msgspec.json.encode(RefusalBody(row.number, error.detail))
+        return Refusal(status, headers, body)
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """Describe a refusal."""
+
+    code: int
+    error: str
+
+
+def _get_text(found: dict[bytes, bytes], name: bytes) -> str:
+    return found.get(name, b"").decode("latin-1").strip()
+
+
+def _get_number(found: dict[bytes, bytes], name: bytes) -> float | None:
+    text = _get_text(found, name)
+    if not text:
+        return None
+    try:
+        return float(text)
+    except ValueError as error:
+        detail = f"header {name.decode()!r} is {text!r}, not a number"
+        raise RequestRefused(Code.BAD_REQUEST, detail) from error
+
+
+def _get_seconds(found: dict[bytes, bytes], name: bytes) -> float | None:
+    value = _get_number(found, name)
+    return None if value is None else value / MS_PER_S
+
+
+def _read_turn(found: dict[bytes, bytes], program: str) -> TurnDetails | None:
+    if not program or names.TOKEN_USAGE not in found:
+        return None
+    budget = _get_number(found, names.TOKEN_BUDGET)
+    previous = _get_text(found, names.PREVIOUS_TURN)
+    usage = _get_text(found, names.TOKEN_USAGE)
+    most = usage.rpartition(",")[2]
+    if not most.isdigit():
+        raise RequestRefused(Code.BAD_REQUEST, f"token usage is {usage!r}")
+    return TurnDetails(
+        ProgramId(program),
+        None if budget is None else int(budget),
+        int(most),
+        TurnId(previous) if previous else None,
+    )
+
+
+def _list_connection(found: dict[bytes, bytes]) -> frozenset[bytes]:
+    """List the headers that a sender declares to concern only the connection."""
+    value = found.get(names.CONNECTION, b"")
+    return frozenset(item.strip().lower() for item in value.split(b",") if item)
+
+
+def _read_idle_s(found: dict[bytes, bytes]) -> float | None:
+    for item in found.get(names.KEEP_ALIVE, b"").split(b","):
+        name, _, value = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value)
+    return None
+
+
+def _read_load(value: bytes | None) -> LoadReport | None:
+    numbers = value.split(b",") if value else []
+    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+        return None
+    running, waiting, slots = (int(item) for item in numbers)
+    return LoadReport(running, waiting, slots)
--- /dev/null
+++ b/burdockwall/platform/control.py
@@ -0,0 +1,114 @@
+"""Answer operators, and callers that ask where to connect."""
+
+import msgspec
+
+from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.errors import (
+    BurdockwallError,
+    Code,
+    InvalidFile,
+    OperatorError,
+    RequestRefused,
+)
+from burdockwall.platform import names
+from burdockwall.platform.configuration import decode_deployment
+from burdockwall.process.control.documents import Documents
+from burdockwall.process.core import CoreNode
+from burdockwall.process.front import DEPLOYMENT
+from burdockwall.process.resolver import resolve_addresses
+from burdockwall.types import FailureDomain, OperatorId
+
+CONFIGURATION_LIMIT_BYTES = 16_777_216
+RETRY_AFTER_S = "0.3"
+OPERATOR = OperatorId("operator")
+JSON: Headers = [(b"content-type", b"application/json")]
+REDIRECT = 307
+
+
+class _Resolution(msgspec.Struct, rename="kebab"):
+    addrs: list[str]
+    ttl_s: float
+
+
+class _Failure(msgspec.Struct):
+    code: int
+    error: str
+
+
+class ControlCalls:
+    """Answer the calls of operators at a control instance."""
+
+    def __init__(self, node: CoreNode) -> None:
+        self.node = node
+        self.documents: Documents = node.documents
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        try:
+            await self._serve_call(exchange)
+        except BurdockwallError as error:
+            if exchange.started:
+                raise
+            await self._refuse(exchange, error)
+
+    async def _serve_call(self, exchange: Exchange) -> None:
+        call = (exchange.method, exchange.path)
+        if call == ("POST", names.CONFIG_PUT_PATH):
+            await self._put(exchange)
+        elif call == ("GET", names.CONFIG_GET_PATH):
+            await self._get(exchange)
+        else:
+            raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {exchange.path}")
+
+    async def _put(self, exchange: Exchange) -> None:
+        body = await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
+        deployment = decode_deployment(body)
+        await self.documents.put(DEPLOYMENT, deployment.number, body, OPERATOR)
+        await exchange.answer(200, JSON, b"{}")
+
+    async def _get(self, exchange: Exchange) -> None:
+        document = await self.documents.read(DEPLOYMENT)
+        if document is None:
+            raise OperatorError(Code.NOT_READY, "no configuration came yet")
+        await exchange.answer(200, JSON, document.data)
+
+    async def _refuse(self, exchange: Exchange, error: BurdockwallError) -> None:
+        leader = self.documents.find_leader_address()
+        if error.code is Code.NOT_LEADER and leader is not None:
+            location = f"http://{leader}{exchange.raw_path}".encode()
+            await exchange.answer(REDIRECT, [(b"location", location)], b"")
+            return
+        row = error.code.value
+        headers = list(JSON)
+        if row.status == 503:
+            headers.append((names.RETRY_AFTER, RETRY_AFTER_S.encode()))
+        status = 400 if isinstance(error, InvalidFile) else row.status
+        body = msgspec.json.encode(_Failure(row.number, error.detail))
+        await exchange.answer(status, headers, body)
+
+
+class DirectoryCalls:
+    """Answer callers that ask where to connect."""
+
+    def __init__(self, node: CoreNode, ttl_s: float) -> None:
+        self.node = node
+        self.ttl_s = ttl_s
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        query = dict(exchange.list_query())
+        near = FailureDomain(query.get("zone", ""))
+        members = self.node.member.membership.list_members()
+        resolution = resolve_addresses(members, near, "", self.ttl_s)
+        addresses = [item.address for item in resolution.addresses]
+        if exchange.path != names.RESOLVE_PATH or not addresses:
+            await exchange.answer(404 if addresses else 503, JSON, b"{}")
+            return
+        body = msgspec.json.encode(_Resolution(list(addresses), self.ttl_s))
+        await exchange.answer(200, JSON, body)
+
+
+def create_calls(node: CoreNode) -> None:
+    """Have a control instance answer operators and callers."""
+    directory = DirectoryCalls(node, node.settings.resolve_ttl_s)
+    node.serve_with(ControlCalls(node).serve, directory.serve)
--- /dev/null
+++ b/burdockwall/platform/names.py
@@ -0,0 +1,61 @@
+"""Name the headers, calls and words of the platform."""
+
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+API_KEY = b"x-api-key"
+# The name of the customer, for endpoints.
+TENANT = b"x-tenant"
+EXPECT_INSTANCE = b"x-expect-instance"
+SERVER_LOAD = b"x-server-load"
+NOT_EXECUTED = b"x-not-executed"
+REQUEST_PRIORITY = b"x-request-priority"
+PROGRAM_ID = b"x-program-id"
+FINISH_MS = b"x-finish-ms"
+TOKEN_BUDGET = b"x-token-budget"
+# Prompt tokens, and the most tokens that the answer may have.
+TOKEN_USAGE = b"x-token-usage"
+PREVIOUS_TURN = b"x-previous-turn"
+RETRY_AFTER = b"retry-after"
+KEEP_ALIVE = b"keep-alive"
+CONNECTION = b"connection"
+HOST = b"host"
+
+# Headers that concern one connection, or that only the system sets.
+HOP_HEADERS = frozenset(
+    {
+        CONNECTION,
+        KEEP_ALIVE,
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+SYSTEM_HEADERS = frozenset(
+    {
+        API_KEY,
+        TENANT,
+        EXPECT_INSTANCE,
+        DEADLINE_MS,
+        REQUEST_PRIORITY,
+        b"x-kv-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+
+READY_PATH = "/api/readyz"
+RESOLVE_PATH = "/api/resolve"
+CONFIG_PUT_PATH = "/api/config/put"
+CONFIG_GET_PATH = "/api/config/get"
+RETIRE_PREFIX = "/api/retire/"
+LIST_PATH = "/instances"
+
+SETTINGS_VARIABLE = "BURDOCKWALL_CONFIG"
--- a/burdockwall/process/control/consensus.py
+++ b/burdockwall/process/control/consensus.py
@@ -32,6 +32,7 @@
     ControlMessage,
     SendSnapshot,
 )
+from burdockwall.process.control.voters import VoterPolicy
 from burdockwall.types import InstanceId
 
 KEPT_ENTRIES = 200
@@ -59,11 +60,13 @@
         chance: random.Random,
         timing: Timing | None = None,
         compact_entries: int = COMPACT_ENTRIES,
+        policy: VoterPolicy | None = None,
     ) -> None:
         timing = timing or Timing()
         self.core = Core(me, recovered, timing, chance, compact_entries)
         self.election = Election(self.core)
-        self.leader = Leader(self.core, contacts)
+        policy = policy or VoterPolicy(tuple(contacts))
+        self.leader = Leader(self.core, policy)
         self.follower = Follower(self.core, contacts)
 
     @property
--- /dev/null
+++ b/burdockwall/process/control/documents.py
@@ -0,0 +1,63 @@
+"""Put and read numbered documents of the control state."""
+
+import hashlib
+
+import logbook
+
+from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.changes import Document
+from burdockwall.process.control.commands import PutDocument
+from burdockwall.process.control.service import ControlService
+from burdockwall.types import Address, DocumentName, OperatorId
+
+DIGEST_BYTES = 8
+
+
+class Documents:
+    """Serve the documents of the control state, at its leader."""
+
+    def __init__(self, control: ControlService) -> None:
+        self.control = control
+        self._logger = logbook.Logger("documents")
+
+    async def put(
+        self, name: DocumentName, number: int, data: bytes, operator: OperatorId
+    ) -> None:
+        """Keep a document unless its number is passed, or raise OperatorError."""
+        digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+        command = PutDocument(
+            operator=operator,
+            submission=f"{name} {number} {digest}",
+            name=name,
+            number=number,
+            data=data,
+        )
+        outcome = await self.control.run_command(command)
+        self._logger.notice(
+            "document accepted",
+            extra={
+                "document": name,
+                "number": number,
+                "digest": digest,
+                "version": outcome.version,
+                "in_force": self.control.state.documents[name].number,
+            },
+        )
+
+    async def read(self, name: DocumentName) -> Document | None:
+        """Return the newest document, or raise OperatorError where unsure."""
+        await self.control.confirm_read()
+        return self.control.state.documents.get(name)
+
+    def find_leader_address(self) -> Address | None:
+        """Return the operator address of the leader, where another one leads."""
+        consensus = self.control.replica.consensus
+        leader = consensus.find_leader()
+        if leader is None or consensus.is_leader or not leader.operator_address:
+            return None
+        return leader.operator_address
+
+
+def is_for_leader(error: OperatorError) -> bool:
+    """Tell whether another instance can answer what this one refused."""
+    return error.code is Code.NOT_LEADER
--- a/burdockwall/process/control/leader.py
+++ b/burdockwall/process/control/leader.py
@@ -33,8 +33,8 @@
     SendSnapshot,
 )
 from burdockwall.process.control.transfer import OutgoingSnapshot, create_outgoing
-from burdockwall.process.control.voters import choose_change, remove_member
-from burdockwall.types import CallId, InstanceId
+from burdockwall.process.control.voters import VoterPolicy, choose_change, remove_member
+from burdockwall.types import CallId
 
 APPEND_ENTRIES = 256
 APPEND_BYTES = 262_144
@@ -44,9 +44,9 @@
 class Leader:
     """Do the leader's part while this replica leads."""
 
-    def __init__(self, core: Core, allowed: list[InstanceId]) -> None:
+    def __init__(self, core: Core, policy: VoterPolicy) -> None:
         self.core = core
-        self.allowed = allowed
+        self.policy = policy
         self.joining: dict[VoterId, Member] = {}
         self.outgoing: OutgoingSnapshot | None = None
 
@@ -272,7 +272,7 @@
             core.log.membership,
             leadership,
             self.joining,
-            self.allowed,
+            self.policy,
             core.log.last_index,
             core.now,
             core.timing.election_timeout_s,
--- a/burdockwall/process/control/opening.py
+++ b/burdockwall/process/control/opening.py
@@ -21,10 +21,13 @@
 from burdockwall.process.control.records import Record
 from burdockwall.process.control.replica import MemoryStorage, Replica
 from burdockwall.process.control.state import ControlState
+from burdockwall.process.control.voters import VoterPolicy
 from burdockwall.settings import Settings
 from burdockwall.types import InstanceId
 
 SUFFIX_BYTES = 4
+# Where seeds are set, machines are replaced within seconds.
+SEEDED_REPLACE_SILENCE_S = 1.5
 
 
 def create_member(settings: Settings, voter: VoterId) -> Member:
@@ -38,10 +41,42 @@
 
 
 def list_contacts(settings: Settings) -> list[InstanceId]:
-    """List the instances that may hold a replica."""
+    """List the instances that may hold a replica, or know who does."""
+    if settings.seeds:
+        return list_seeds(settings)
     return settings.control_instances or [settings.instance_id]
 
 
+def list_seeds(settings: Settings) -> list[InstanceId]:
+    """Name the seeds by their peer addresses; ports are alike on all instances."""
+    port = settings.peer_address.rpartition(":")[2]
+    hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
+    return [InstanceId(f"{host}:{port}") for host in hosts]
+
+
+def prepare_replica(settings: Settings) -> None:
+    """Create the replica of an instance that has none, where seeds are set.
+
+    At the first start of the whole system the first of the seeds begins the
+    cluster and the others join it; later, an empty disk joins under a new identity.
+    """
+    files = _open_files(settings)
+    try:
+        if Journal(files).read_identity() is not None:
+            return
+        first = min(list_seeds(settings), default=None)
+        begins = settings.first_start and settings.instance_id == first
+        _create_identity(settings, files, bootstrap=begins)
+    finally:
+        files.close()
+
+
+def _create_policy(settings: Settings) -> VoterPolicy | None:
+    if not settings.seeds:
+        return None
+    return VoterPolicy(None, len(settings.seeds), SEEDED_REPLACE_SILENCE_S)
+
+
 def _open_files(settings: Settings) -> DiskFiles:
     if settings.data_folder is None:
         raise OperatorError(Code.SETTINGS_INVALID, "[instance] data_folder is not set")
@@ -127,4 +162,5 @@
         list_contacts(settings),
         random.Random(known),
         Timing(settings.election_timeout_s, settings.election_timeout_s / 5),
+        policy=_create_policy(settings),
     )
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -241,7 +241,8 @@
         if not self.state.operators and self.settings.first_operator:
             detail = "the first operator is not defined yet"
             raise OperatorError(Code.NO_QUORUM, detail)
-        local = self.settings.operator_address.startswith(LOOPBACK)
+        address = self.settings.operator_address
+        local = self.settings.operators_open or address.startswith(LOOPBACK)
         if not self.state.operators and not local:
             detail = "no operator is defined; set [operators] name and digest"
             raise OperatorError(Code.OPERATOR_REFUSED, detail)
--- a/burdockwall/process/control/voters.py
+++ b/burdockwall/process/control/voters.py
@@ -1,5 +1,7 @@
 """Decide the next change of the membership, one voter at a time."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from burdockwall.process.control.entries import Member, Membership, VoterId
@@ -10,6 +12,23 @@
 CAUGHT_UP_ENTRIES = 16
 
 
+@dataclass(frozen=True, slots=True)
+class VoterPolicy:
+    """Say who may vote.
+
+    Without `allowed` any instance may join. With `voters` set, a learner beyond that
+    many waits until it can take the place of a voter that is silent.
+    """
+
+    allowed: tuple[InstanceId, ...] | None
+    voters: int | None = None
+    replace_silence_s: float = REPLACE_SILENCE_S
+
+    def admits(self, instance: InstanceId) -> bool:
+        """Tell whether an instance may hold a replica."""
+        return self.allowed is None or instance in self.allowed
+
+
 def add_learner(membership: Membership, member: Member) -> Membership:
     """Add a learner in place of older learners of the same instance."""
     learner = msgspec.structs.replace(member, voting=False)
@@ -56,7 +75,7 @@
     membership: Membership,
     leadership: Leadership,
     joining: dict[VoterId, Member],
-    allowed: list[InstanceId],
+    policy: VoterPolicy,
     last_index: int,
     now: float,
     silence_s: float,
@@ -68,10 +87,11 @@
     then smaller than if the new one were added first.
     """
     for member in joining.values():
-        if member.instance in allowed and membership.find(member.voter) is None:
+        known = membership.find(member.voter) is not None
+        if policy.admits(member.instance) and not known:
             return add_learner(membership, member)
     for member in membership.members:
-        if member.voting or member.instance not in allowed:
+        if member.voting or not policy.admits(member.instance):
             continue
         progress = leadership.progress[member.voter]
         behind = last_index - progress.match
@@ -79,9 +99,13 @@
         if silent or progress.match == 0 or behind > CAUGHT_UP_ENTRIES:
             continue
         former = _find_former(membership, member)
+        if former is None and _is_full(membership, policy):
+            former = _find_longest_silent(membership, leadership)
+            if former is None:
+                continue
         if former is None:
             changed = promote_learner(membership, member.voter)
-        elif not _is_silent(leadership, former, now):
+        elif not _is_silent(leadership, former, now, policy.replace_silence_s):
             continue
         else:
             changed = remove_member(membership, former)
@@ -97,6 +121,24 @@
     return None
 
 
-def _is_silent(leadership: Leadership, voter: VoterId, now: float) -> bool:
+def _is_full(membership: Membership, policy: VoterPolicy) -> bool:
+    voters = len(membership.list_voters())
+    return policy.voters is not None and voters >= policy.voters
+
+
+def _find_longest_silent(
+    membership: Membership, leadership: Leadership
+) -> VoterId | None:
+    others = [
+        voter for voter in membership.list_voters() if voter in leadership.progress
+    ]
+    if not others:
+        return None
+    return min(others, key=lambda voter: leadership.progress[voter].answered_at)
+
+
+def _is_silent(
+    leadership: Leadership, voter: VoterId, now: float, silence_s: float
+) -> bool:
     progress = leadership.progress.get(voter)
-    return progress is not None and now - progress.answered_at >= REPLACE_SILENCE_S
+    return progress is not None and now - progress.answered_at >= silence_s
--- /dev/null
+++ b/burdockwall/process/endpoints.py
@@ -0,0 +1,115 @@
+"""Hold the endpoints of all services, as the leader publishes them."""
+
+import msgspec
+
+from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.types import (
+    Address,
+    EndpointId,
+    FailureDomain,
+    InstanceId,
+    ServiceName,
+    Term,
+)
+
+REPEAT_S = 1.0
+
+
+class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one endpoint; a leaving one takes no new work."""
+
+    name: EndpointId
+    service: ServiceName
+    address: Address
+    failure_domain: FailureDomain
+    slots: int
+    leaving: bool = False
+
+
+class EndpointList(Message, frozen=True):
+    """Carry the whole list; `counter` orders the lists of one term."""
+
+    term: Term
+    counter: int
+    endpoints: list[ListedEndpoint]
+
+
+class PublishEndpoints(msgspec.Struct, frozen=True):
+    """Tell the publisher what was read, and who follows, while it leads."""
+
+    term: Term
+    endpoints: list[ListedEndpoint]
+    followers: list[InstanceId]
+
+
+class EndpointPublisher:
+    """Send the list to its followers when it changes, and again at intervals."""
+
+    def __init__(self) -> None:
+        self._latest: PublishEndpoints | None = None
+        self._counter = 0
+        self._sent_at: dict[InstanceId, float] = {}
+
+    def handle(self, event: PublishEndpoints | Tick | Receive, now: float) -> list[Send]:
+        """Take what was read and return what to send."""
+        if not isinstance(event, PublishEndpoints):
+            return []
+        latest = self._latest
+        changed = latest is None or (latest.term, latest.endpoints) != (
+            event.term,
+            event.endpoints,
+        )
+        self._latest = event
+        if changed:
+            self._counter += 1
+        message = EndpointList(event.term, self._counter, event.endpoints)
+        sends = []
+        for follower in event.followers:
+            due = now - self._sent_at.get(follower, float("-inf")) >= REPEAT_S
+            if changed or due:
+                self._sent_at[follower] = now
+                sends.append(Send(follower, message))
+        return sends
+
+
+class EndpointFollower:
+    """Hold the latest list that a leader has sent."""
+
+    def __init__(self) -> None:
+        self.known = False
+        self.received_at = 0.0
+        self._stamp = (Term(0), 0)
+        self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
+        self._names: set[EndpointId] = set()
+
+    def handle(self, event: Tick | Receive, now: float) -> list[Send]:
+        """Take a list that is not older than the one held."""
+        match event:
+            case Receive(message=EndpointList() as message):
+                self._take(message, now)
+            case _:
+                pass
+        return []
+
+    def _take(self, message: EndpointList, now: float) -> None:
+        stamp = (message.term, message.counter)
+        if stamp < self._stamp:
+            return
+        self.known = True
+        self.received_at = now
+        if stamp == self._stamp:
+            return
+        self._stamp = stamp
+        self._by_service = {}
+        for endpoint in message.endpoints:
+            self._by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._names = {endpoint.name for endpoint in message.endpoints}
+
+    def list_serving(self, service: ServiceName) -> list[ListedEndpoint]:
+        """List the endpoints of a service that take new work."""
+        listed = self._by_service.get(service, [])
+        return [endpoint for endpoint in listed if not endpoint.leaving]
+
+    def list_names(self) -> set[EndpointId]:
+        """List every endpoint of the list."""
+        return self._names
--- /dev/null
+++ b/burdockwall/process/front.py
@@ -0,0 +1,293 @@
+"""Serve callers whose requests are passed on as they came."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import logbook
+
+from burdockwall.connection.exchange import Exchange, run_while_present
+from burdockwall.connection.upstreams import Upstreams
+from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.process.drain import (
+    CountUnderWay,
+    Drain,
+    DrainState,
+    StartDrain,
+    StopServing,
+)
+from burdockwall.process.endpoints import EndpointFollower, EndpointList
+from burdockwall.process.limits.client import LimitClient
+from burdockwall.process.limits.events import Limit
+from burdockwall.process.limits.units import UNITS_PER_REQUEST
+from burdockwall.process.member import FleetMember
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.metrics import Metrics
+from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.storage.keeper import TurnKeeper, TurnOutcome, TurnStart
+from burdockwall.process.storage.view import STORE_VIEW, decode_view
+from burdockwall.process.web import WebLimits, serve_address
+from burdockwall.request.forwarding import Forwarding, ForwardingParts
+from burdockwall.request.passing import PassedRequest, RequestCodec
+from burdockwall.request.trace import RequestTrace
+from burdockwall.settings import Settings
+from burdockwall.types import DocumentName, EndpointState
+from burdockwall.version.deployment import (
+    Deployment,
+    DeploymentView,
+    HostCustomer,
+    HostRoute,
+    digest_key,
+)
+
+DEPLOYMENT = DocumentName("deployment")
+NOT_READY_RETRY_S = 0.3
+LOAD_INTERVAL_S = 0.1
+EXPIRE_INTERVAL_S = 1.0
+CALLER_IDLE_S = 20.0
+STOP_GRACE_S = 0.5
+
+DecodeDeployment = Callable[[bytes], Deployment]
+
+
+class Front:
+    """Hold what an instance that serves callers keeps while its process lives."""
+
+    def __init__(
+        self, settings: Settings, codec: RequestCodec, decode: DecodeDeployment
+    ) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.decode = decode
+        self.member = FleetMember(settings, self._install)
+        host = self.member.host
+        self.clock = host.clock
+        self.view: DeploymentView | None = None
+        self.metrics = Metrics()
+        self.drain = Drain()
+        self.under_way = 0
+        self._logger = logbook.Logger("front")
+        self._settling: list[tuple[TurnStart, TurnOutcome]] = []
+        self._settle_due = anyio.Event()
+        chance = random.Random(self.member.incarnation)
+        self.limits = LimitClient(host, settings, self.member.incarnation, chance)
+        self.endpoints = EndpointFollower()
+        host.add(self.endpoints, (EndpointList,))
+        self._hosted_drain = host.add(self.drain, (), self._stop_serving)
+        self.keeper = TurnKeeper(
+            host,
+            self.member.incarnation,
+            settings.failure_domain,
+            self.member.find_domain,
+        )
+        self.balancer = Balancer(settings.failure_domain, chance)
+        self.upstreams = Upstreams(host.clock)
+        self.ended = anyio.Event()
+        self.parts = ForwardingParts(
+            codec,
+            self.upstreams,
+            self.endpoints,
+            self.balancer,
+            self.keeper,
+            host.clock,
+            self._count_instances,
+            lambda: self.drain.leaving,
+            self._settle_later,
+        )
+
+    def _count_instances(self) -> int:
+        members = self.member.membership.list_members()
+        live = [one for one in members if one.state is not EndpointState.FAILED]
+        return max(1, len(live))
+
+    # Versions.
+
+    def _install(self, replica: StateReplica) -> None:
+        stores = replica.documents.get(STORE_VIEW)
+        if stores is not None:
+            self.keeper.install_view(decode_view(stores.data))
+        document = replica.documents.get(DEPLOYMENT)
+        if document is None:
+            return
+        if self.view is not None and document.number <= self.view.number:
+            return
+        deployment = self.decode(document.data)
+        self.view = DeploymentView(deployment, self.clock())
+        self.limits.install_limits(
+            {
+                customer.name: Limit(
+                    int(customer.rate_per_s * UNITS_PER_REQUEST),
+                    int(max(customer.burst, 1.0) * UNITS_PER_REQUEST),
+                )
+                for customer in deployment.customers
+                if customer.rate_per_s > 0
+            }
+        )
+        self._logger.notice(
+            "configuration in force",
+            extra={
+                "number": deployment.number,
+                "version": replica.version,
+                "routes": len(deployment.routes),
+                "customers": len(deployment.customers),
+            },
+        )
+
+    # Requests.
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one request of a caller."""
+        trace = RequestTrace("", self.clock())
+        self.under_way += 1
+        try:
+            await self._serve_traced(exchange, trace)
+        except BurdockwallError as error:
+            trace.code = error.code.value.number
+            trace.detail = error.detail
+            if exchange.started or error.code is Code.CALLER_GONE:
+                raise
+            await self._refuse(exchange, error, trace)
+        finally:
+            self.under_way -= 1
+            self._record(trace)
+
+    async def _serve_traced(self, exchange: Exchange, trace: RequestTrace) -> None:
+        request = self.codec.read_request(exchange)
+        trace.request = request.request
+        trace.program = request.program or ""
+        view = self.view
+        if view is None:
+            raise RequestRefused(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
+        trace.configuration = view.number
+        route = view.find_route(request.host, request.path)
+        if route is None:
+            raise RequestRefused(Code.NO_ROUTE, f"{request.host} {request.path}")
+        trace.route = route.name
+        customer = self._authenticate(view, route, request)
+        if customer is not None:
+            trace.customer = customer.name
+        body = await exchange.read_body(view.deployment.bounds.body_bytes)
+        forwarding = Forwarding(
+            self.parts, view, exchange, request, route, customer, trace
+        )
+
+        async def run() -> None:
+            if customer is not None and customer.rate_per_s > 0:
+                await self.limits.admit(customer.name, 1.0)
+            trace.admitted_at = self.clock()
+            await forwarding.run(body)
+
+        await run_while_present(exchange, run)
+
+    def _authenticate(
+        self, view: DeploymentView, route: HostRoute, request: PassedRequest
+    ) -> HostCustomer | None:
+        if route.open or not view.deployment.customers:
+            return None
+        if request.key is None:
+            raise RequestRefused(Code.KEY_MISSING)
+        customer = view.find_customer(digest_key(request.key))
+        if customer is None:
+            raise RequestRefused(Code.KEY_REFUSED)
+        return customer
+
+    async def _refuse(
+        self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
+    ) -> None:
+        refusal = self.codec.build_refusal(error)
+        trace.status = refusal.status
+        headers = list(refusal.headers)
+        if self.drain.leaving:
+            headers.append((b"connection", b"close"))
+        await exchange.answer(refusal.status, headers, refusal.body)
+
+    def _record(self, trace: RequestTrace) -> None:
+        now = self.clock()
+        self.metrics.record_request(trace, now)
+        self._logger.info("request ended", extra=trace.describe(now))
+
+    # Settlements.
+
+    def _settle_later(self, start: TurnStart, outcome: TurnOutcome) -> None:
+        self._settling.append((start, outcome))
+        self._settle_due.set()
+
+    async def _settle(self) -> None:
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._settle_due.wait()
+                self._settle_due = anyio.Event()
+                settling, self._settling = self._settling, []
+                for start, outcome in settling:
+                    group.start_soon(self._settle_one, start, outcome)
+
+    async def _settle_one(self, start: TurnStart, outcome: TurnOutcome) -> None:
+        if not await self.keeper.end(start, outcome):
+            # The reservation stays: the turn counts at its most.
+            self._logger.warning(
+                "turn not settled",
+                extra={
+                    "request": start.turn,
+                    "program": start.program,
+                    "tokens": outcome.tokens,
+                },
+            )
+
+    # Readiness and leaving.
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should connect here."""
+        known = self.view is not None and self.endpoints.known
+        return known and not self.drain.leaving
+
+    async def serve_ready(self, exchange: Exchange) -> None:
+        """Tell whether callers should connect here, by the status alone."""
+        await exchange.answer(200 if self.is_ready() else 503, [], b"")
+
+    def _stop_serving(self, action: StopServing) -> None:
+        self._logger.notice("stopped serving", extra={"cut_off": action.left})
+        self.ended.set()
+
+    async def _follow_stop(self) -> None:
+        await self.member.stopping.wait()
+        settings = self.settings
+        start = StartDrain(settings.drain_hold_s, settings.drain_limit_s)
+        self.member.host.apply(self._hosted_drain, start)
+        self.member.membership.start_leaving()
+
+    async def _watch(self) -> None:
+        expire_at = self.clock() + EXPIRE_INTERVAL_S
+        while True:
+            due = self.clock() + LOAD_INTERVAL_S
+            await anyio.sleep(LOAD_INTERVAL_S)
+            now = self.clock()
+            self.metrics.record_lag(max(0.0, now - due))
+            if self.drain.state is not DrainState.SERVING:
+                under_way = CountUnderWay(self.under_way + len(self._settling))
+                self.member.host.apply(self._hosted_drain, under_way)
+            if now >= expire_at:
+                expire_at = now + EXPIRE_INTERVAL_S
+                await self.upstreams.expire()
+                self.balancer.forget(self.endpoints.list_names())
+
+    async def run(self, path: Path | None) -> None:
+        """Serve until stopped; requests under way end first."""
+        tasks = [
+            self._settle,
+            self._follow_stop,
+            self._watch,
+            self._serve_readiness,
+            self._serve_callers,
+        ]
+        await self.member.run(path, tasks)
+
+    async def _serve_callers(self) -> None:
+        limits = WebLimits(CALLER_IDLE_S, CALLER_IDLE_S)
+        address = self.settings.caller_address
+        await serve_address(address, self.serve, self.ended, STOP_GRACE_S, limits)
+
+    async def _serve_readiness(self) -> None:
+        address = self.settings.ready_address
+        if address:
+            await serve_address(address, self.serve_ready, self.ended, STOP_GRACE_S)
--- a/burdockwall/process/host.py
+++ b/burdockwall/process/host.py
@@ -55,6 +55,13 @@
         if hosted is not None:
             self.apply(hosted, Receive(sender, message))
 
+    def send(self, to: InstanceId, message: Message) -> None:
+        """Send a message to an instance, this one included."""
+        if to == self.bus.instance:
+            self.deliver(to, message)
+        else:
+            self.bus.send(to, message)
+
     def publish(self, event: object) -> None:
         """Hand an event of this instance to every machine that asked for its type."""
         for hosted in self._hosted:
@@ -65,10 +72,8 @@
         """Hand an event to a machine and perform what it asks for."""
         for action in hosted.machine.handle(event, self.clock()):
             match action:
-                case Send(to=to, message=message) if to == self.bus.instance:
-                    self.deliver(to, message)
                 case Send(to=to, message=message):
-                    self.bus.send(to, message)
+                    self.send(to, message)
                 case _:
                     hosted.perform(action)
 
--- a/burdockwall/process/limits/client.py
+++ b/burdockwall/process/limits/client.py
@@ -129,7 +129,10 @@
 
     def install(self, view: View) -> None:
         """Put the limits of a version in force."""
-        limits = list_limits(view, self.settings)
+        self.install_limits(list_limits(view, self.settings))
+
+    def install_limits(self, limits: dict[CustomerId, Limit]) -> None:
+        """Put limits in force."""
         self.host.apply(self._owner, LimitsInstalled(limits))
 
     async def admit_call(self, customer: Customer, route: Route) -> None:
--- a/burdockwall/process/logs.py
+++ b/burdockwall/process/logs.py
@@ -2,6 +2,7 @@
 
 import sys
 from datetime import UTC
+from typing import TextIO
 
 import logbook
 import msgspec
@@ -21,7 +22,7 @@
     level: str
     channel: str
     message: str
-    fields: dict[str, str]
+    fields: dict[str, object]
 
 
 def format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
@@ -31,15 +32,21 @@
         level=record.level_name.lower(),
         channel=record.channel,
         message=record.message,
-        fields={name: str(value) for name, value in sorted(record.extra.items())},
+        fields={name: _show(value) for name, value in sorted(record.extra.items())},
     )
     return msgspec.json.encode(line).decode()
 
 
-def create_log_handler(settings: Settings) -> logbook.Handler:
-    """Create the handler that writes the process's log to standard error."""
+def _show(value: object) -> object:
+    return value if isinstance(value, int | float | str | None) else str(value)
+
+
+def create_log_handler(
+    settings: Settings, stream: TextIO = sys.stderr
+) -> logbook.Handler:
+    """Create the handler that writes the process's log."""
     handler = logbook.StreamHandler(
-        sys.stderr, level=settings.log_level.upper(), format_string=TEXT_FORMAT
+        stream, level=settings.log_level.upper(), format_string=TEXT_FORMAT
     )
     if settings.log_format == "json":
         handler.formatter = format_json
--- /dev/null
+++ b/burdockwall/process/member.py
@@ -0,0 +1,137 @@
+"""Join what every instance of a fleet runs: peers, machines, membership."""
+
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import anyio
+import logbook
+
+from burdockwall.connection.peers import PeerBus
+from burdockwall.connection.tls import create_peer_contexts
+from burdockwall.errors import InvalidFile
+from burdockwall.process.clock import read_clock
+from burdockwall.process.control.opening import list_contacts
+from burdockwall.process.host import Host
+from burdockwall.process.membership.messages import InstanceDetails
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.membership.shell import Membership
+from burdockwall.process.reload import reload_settings
+from burdockwall.settings import Settings
+from burdockwall.types import FailureDomain, Incarnation, InstanceId
+
+WATCH_INTERVAL_S = 2.0
+
+
+class FleetMember:
+    """Hold the parts that instances of every role have."""
+
+    def __init__(
+        self, settings: Settings, install: Callable[[StateReplica], None]
+    ) -> None:
+        self.settings = settings
+        self.incarnation = Incarnation(time.time_ns())
+        self.bus = PeerBus(
+            settings.instance_id,
+            self.incarnation,
+            settings.peers,
+            settings.peer_silence_s,
+            create_peer_contexts(settings),
+            settings.named_by_address,
+        )
+        self.host = Host(self.bus, read_clock, settings.tick_interval_s)
+        details = InstanceDetails(
+            instance=settings.instance_id,
+            incarnation=self.incarnation,
+            role=settings.role,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_address,
+            caller_address=settings.caller_address,
+            name=settings.instance_name,
+        )
+        contacts = list_contacts(settings)
+        self.membership = Membership(self.host, details, contacts, install)
+        self.stopping = anyio.Event()
+        self._logger = logbook.Logger("instance")
+
+    def find_domain(self, instance: InstanceId) -> FailureDomain | None:
+        """Return the failure domain of a member, where it is known."""
+        for member in self.membership.members:
+            if member.details.instance == instance:
+                return member.details.failure_domain
+        return None
+
+    async def run(
+        self, path: Path | None, tasks: list[Callable[[], Coroutine[Any, Any, None]]]
+    ) -> None:
+        """Run the parts and some tasks until the last of the tasks ends."""
+        settings = self.settings
+        self._logger.notice(
+            "started",
+            extra={
+                "instance": settings.instance_id,
+                "name": settings.instance_name,
+                "role": settings.role.value,
+                "incarnation": self.incarnation,
+                "first_start": settings.first_start,
+            },
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.bus.run, settings.peer_address)
+            group.start_soon(self.host.run)
+            group.start_soon(self._follow_signals, path)
+            group.start_soon(self._watch_file, path)
+            for task in tasks[:-1]:
+                group.start_soon(task)
+            await tasks[-1]()
+            group.cancel_scope.cancel()
+        self._logger.notice("stopped", extra={"instance": settings.instance_id})
+
+    async def _follow_signals(self, path: Path | None) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as arrived:
+            async for number in arrived:
+                if number is signal.SIGHUP:
+                    self.reload(path)
+                else:
+                    self._logger.notice("stopping", extra={"signal": number.name})
+                    self.stopping.set()
+
+    async def _watch_file(self, path: Path | None) -> None:
+        text = _read_text(path)
+        while path is not None:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            found = _read_text(path)
+            if found != text:
+                text = found
+                self.reload(path)
+
+    def reload(self, path: Path | None) -> None:
+        """Read the settings file again; one with faults changes nothing."""
+        if path is None:
+            return
+        try:
+            done = reload_settings(self.settings, path)
+        except InvalidFile as error:
+            self._logger.error("settings not reloaded", extra={"faults": error.detail})
+            return
+        self.membership.set_control(list_contacts(self.settings))
+        self._logger.notice(
+            "settings reloaded",
+            extra={
+                "changed": " ".join(done.changed),
+                "needs_restart": " ".join(done.waiting),
+            },
+        )
+
+
+def _read_text(path: Path | None) -> str:
+    try:
+        return path.read_text(encoding="utf-8") if path is not None else ""
+    except OSError:
+        # A file that is being replaced is read again at the next look.
+        return ""
--- a/burdockwall/process/membership/messages.py
+++ b/burdockwall/process/membership/messages.py
@@ -43,6 +43,7 @@
     failure_domain: FailureDomain
     peer_address: Address
     caller_address: Address
+    name: str = ""
 
 
 class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -36,6 +36,7 @@
     EndpointId,
     EndpointState,
     InstanceId,
+    Role,
     Term,
     Version,
 )
@@ -57,6 +58,7 @@
         self.host = host
         self.bus: PeerBus = host.bus
         self.agent = Agent(details, control)
+        self._seeds = control
         self.registrar: Registrar | None = None
         self.members: tuple[MemberEntry, ...] = ()
         self.endpoints: dict[EndpointId, EndpointState] = {}
@@ -79,6 +81,16 @@
             self.registrar, REGISTRAR_MESSAGES, self._perform_registrar
         )
 
+    def set_control(self, control: list[InstanceId]) -> None:
+        """Report to these instances first, where no leader is known."""
+        self._seeds = control
+        listed = [
+            member.details.instance
+            for member in self.members
+            if member.details.role is Role.CONTROL
+        ]
+        self.agent.path.control = list(dict.fromkeys([*control, *listed]))
+
     @property
     def lease_until(self) -> float:
         """Return until when, by the host's clock, this instance may act."""
@@ -108,6 +120,7 @@
                 self._install(replica)
             case MembersInstalled(members=members, endpoints=endpoints):
                 self.members = members
+                self.set_control(self._seeds)
                 self.endpoints = endpoints
                 for member in members:
                     self._learn(member.details)
@@ -153,6 +166,12 @@
         self.host.apply(self._hosted_registrar, AwaitInForce(call, version))
         return await self._waiters.wait(call, IN_FORCE_LIMIT_S)
 
+    def list_all(self) -> tuple[MemberEntry, ...]:
+        """List every member: at the leader as it judges them, else as it told."""
+        if self.registrar is not None and self.is_leading():
+            return tuple(record.entry for record in self.registrar.records.values())
+        return self.members
+
     def list_members(self) -> list[Member]:
         """List the instances that callers may use, from the member list."""
         return [
--- a/burdockwall/process/reload.py
+++ b/burdockwall/process/reload.py
@@ -13,6 +13,7 @@
         "endpoint_attempts",
         "max_body_bytes",
         "resolve_ttl_s",
+        "seeds",
     }
 )
 
--- /dev/null
+++ b/burdockwall/process/scheduling/balance.py
@@ -0,0 +1,133 @@
+"""Choose the endpoint of a request: cached prefixes against load.
+
+It answers the load of many short turns whose programs come to any instance: the
+same program goes to the same endpoint while that one is no busier than others.
+"""
+
+import hashlib
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.types import EndpointId, FailureDomain
+
+# A report of an endpoint's load counts in full at first and not at all at this age.
+REPORT_LIFE_S = 1.0
+# Share of its places that a program's own endpoint may be busier by than the least.
+AFFINITY_SLACK = 0.35
+# What an endpoint in another failure domain costs, as a share of its places.
+FAR_SHARE = 0.05
+FAILURES_TO_AVOID = 2
+AVOID_S = 1.5
+AVOID_LIMIT_S = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Hold what an endpoint said of itself: requests running, waiting, places."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True)
+class _Known:
+    own: int = 0
+    reported: int = 0
+    own_at_report: int = 0
+    reported_at: float = float("-inf")
+    failures: int = 0
+    avoided_until: float = float("-inf")
+
+
+class Balancer:
+    """Count own work and reports of each endpoint, and choose among them."""
+
+    def __init__(self, near: FailureDomain, chance: random.Random) -> None:
+        self.near = near
+        self.chance = chance
+        self._known: dict[EndpointId, _Known] = {}
+
+    def choose(
+        self,
+        endpoints: Iterable[ListedEndpoint],
+        affinity: str,
+        now: float,
+        excluded: Iterable[EndpointId] = (),
+    ) -> ListedEndpoint | None:
+        """Return the endpoint for a request, or None where there is none."""
+        left = [item for item in endpoints if item.name not in set(excluded)]
+        sound = [item for item in left if self._get(item).avoided_until <= now]
+        candidates = sound or left
+        if not candidates:
+            return None
+        loads = {item.name: self._measure(item, now) for item in candidates}
+        least = min(
+            candidates,
+            key=lambda item: (loads[item.name], self.chance.random()),
+        )
+        if not affinity:
+            return least
+        own = max(candidates, key=lambda item: _weigh(affinity, item.name))
+        if loads[own.name] <= loads[least.name] + AFFINITY_SLACK:
+            return own
+        return least
+
+    def _get(self, endpoint: ListedEndpoint) -> _Known:
+        return self._known.setdefault(endpoint.name, _Known())
+
+    def _measure(self, endpoint: ListedEndpoint, now: float) -> float:
+        """Return the share of an endpoint's places that are taken."""
+        known = self._get(endpoint)
+        age = now - known.reported_at
+        trust = max(0.0, 1.0 - age / REPORT_LIFE_S)
+        others = max(0, known.reported - known.own_at_report) * trust
+        far = 0.0 if endpoint.failure_domain == self.near else FAR_SHARE
+        return (known.own + others) / max(1, endpoint.slots) + far
+
+    def start(self, endpoint: EndpointId) -> None:
+        """Count a request that is sent."""
+        self._known.setdefault(endpoint, _Known()).own += 1
+
+    def end(self, endpoint: EndpointId) -> None:
+        """Count a request that has ended."""
+        known = self._known.get(endpoint)
+        if known is not None and known.own:
+            known.own -= 1
+
+    def take_report(self, endpoint: EndpointId, report: LoadReport, now: float) -> None:
+        """Take the load that an answer told."""
+        known = self._known.setdefault(endpoint, _Known())
+        known.reported = report.running + report.waiting
+        known.own_at_report = known.own
+        known.reported_at = now
+
+    def succeed(self, endpoint: EndpointId) -> None:
+        """Note an answer."""
+        known = self._known.get(endpoint)
+        if known is not None:
+            known.failures = 0
+
+    def fail(self, endpoint: EndpointId, now: float) -> bool:
+        """Note a failure; tell whether the endpoint is avoided from now on."""
+        known = self._known.setdefault(endpoint, _Known())
+        known.failures += 1
+        if known.failures < FAILURES_TO_AVOID:
+            return False
+        doubled = AVOID_S * 2 ** (known.failures - FAILURES_TO_AVOID)
+        known.avoided_until = now + min(AVOID_LIMIT_S, doubled)
+        return True
+
+    def forget(self, kept: set[EndpointId]) -> None:
+        """Forget endpoints that are no longer listed and have no own work."""
+        self._known = {
+            name: known
+            for name, known in self._known.items()
+            if name in kept or known.own
+        }
+
+
+def _weigh(affinity: str, endpoint: EndpointId) -> bytes:
+    return hashlib.blake2b(f"{affinity}|{endpoint}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/burdockwall/process/storage/copier.py
@@ -0,0 +1,165 @@
+"""Copy the records that other stores hold and this one lacks."""
+
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.storage.ledger import Ledger
+from burdockwall.process.storage.messages import (
+    AskCopied,
+    AskIndex,
+    AskRecords,
+    Copied,
+    RecordIndex,
+)
+from burdockwall.process.storage.records import RecordKey, StoreState
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import Incarnation, InstanceId
+
+ASK_INTERVAL_S = 0.3
+ASK_TIMEOUT_S = 1.0
+ASKED_KEYS = 400
+# From this long after its start a store knows of all that was stored before it.
+SETTLE_S = 1.2
+
+
+@dataclass(frozen=True, slots=True)
+class ViewInstalled:
+    """Tell a store which stores hold the ledger."""
+
+    view: StoreView
+
+
+@dataclass(frozen=True, slots=True)
+class CompletenessChanged:
+    """Tell the shell whether the store holds all that was stored."""
+
+    complete: bool
+    sources: tuple[InstanceId, ...]
+
+
+@dataclass(slots=True)
+class _Source:
+    incarnation: Incarnation = Incarnation(0)
+    position: int = 0
+    complete: bool = False
+    asked_at: float = float("-inf")
+    awaited: bool = False
+    caught_up_at: float = float("-inf")
+    lacking: list[RecordKey] = field(default_factory=list)
+
+
+class Copier:
+    """Follow the logs of the other stores, and judge when this one is complete."""
+
+    def __init__(self, instance: InstanceId, ledger: Ledger) -> None:
+        self.instance = instance
+        self.ledger = ledger
+        self.view = StoreView()
+        self._sources: dict[InstanceId, _Source] = {}
+        self._incomplete_since = 0.0
+        self._started = False
+
+    def handle(
+        self, event: Tick | Receive | ViewInstalled, now: float
+    ) -> list[Send | CompletenessChanged]:
+        """Take an event and return what to ask and tell."""
+        if not self._started:
+            self._started = True
+            self._incomplete_since = now
+        match event:
+            case ViewInstalled(view=view):
+                return self._install(view, now)
+            case Receive(sender=sender, message=message):
+                return self._receive(sender, message, now)
+            case Tick():
+                return [*self._ask_due(now), *self._judge(now)]
+
+    def _install(
+        self, view: StoreView, now: float
+    ) -> list[Send | CompletenessChanged]:
+        if view.number <= self.view.number:
+            return []
+        self.view = view
+        for instance in view.instances:
+            if instance != self.instance:
+                self._sources.setdefault(instance, _Source())
+        member = view.find(self.instance)
+        state = self.ledger.state
+        since = member.since if member is not None else 0
+        if since == state.since:
+            return []
+        # A store that was left out for a while lacks what was stored meanwhile.
+        complete = state.complete and state.since == 0 and member is not None
+        self._incomplete_since = now
+        self.ledger.set_state(StoreState(complete, since), now)
+        return [CompletenessChanged(complete, ())]
+
+    def _receive(
+        self, sender: InstanceId, message: Message, now: float
+    ) -> list[Send | CompletenessChanged]:
+        match message:
+            case RecordIndex():
+                return [*self._take_index(sender, message, now)]
+            case AskCopied(source=source, since_s=since_s):
+                done = self._has_copied(source, now - since_s)
+                return [Send(sender, Copied(source, done))]
+            case _:
+                return []
+
+    def _has_copied(self, source: InstanceId, since: float) -> bool:
+        known = self._sources.get(source)
+        return known is not None and known.caught_up_at > since
+
+    def _take_index(
+        self, sender: InstanceId, index: RecordIndex, now: float
+    ) -> list[Send]:
+        source = self._sources.get(sender)
+        if source is None:
+            return []
+        source.awaited = False
+        source.incarnation = index.incarnation
+        source.position = index.position
+        source.complete = index.complete
+        source.lacking += [key for key in index.keys if not self.ledger.holds(key)]
+        if index.ended and not source.lacking:
+            source.caught_up_at = now
+        if not index.ended or source.lacking:
+            return self._ask(sender, source, now)
+        return []
+
+    def _ask_due(self, now: float) -> list[Send]:
+        sends: list[Send] = []
+        for instance, source in self._sources.items():
+            interval_s = ASK_TIMEOUT_S if source.awaited else ASK_INTERVAL_S
+            if now - source.asked_at >= interval_s:
+                sends += self._ask(instance, source, now)
+        return sends
+
+    def _ask(self, instance: InstanceId, source: _Source, now: float) -> list[Send]:
+        source.asked_at = now
+        source.awaited = True
+        source.lacking = [key for key in source.lacking if not self.ledger.holds(key)]
+        sends = []
+        if source.lacking:
+            sends.append(Send(instance, AskRecords(source.lacking[:ASKED_KEYS])))
+        sends.append(Send(instance, AskIndex(source.incarnation, source.position)))
+        return sends
+
+    def _judge(self, now: float) -> list[CompletenessChanged]:
+        state = self.ledger.state
+        if state.complete or self.view.find(self.instance) is None:
+            return []
+        since = self._incomplete_since + SETTLE_S
+        ready = [
+            instance
+            for instance in self.view.instances
+            if instance != self.instance and self._is_source(instance, since)
+        ]
+        if len(ready) < min(self.view.read_quorum, len(self.view.members) - 1):
+            return []
+        self.ledger.set_state(StoreState(True, state.since), now)
+        return [CompletenessChanged(True, tuple(ready))]
+
+    def _is_source(self, instance: InstanceId, since: float) -> bool:
+        source = self._sources[instance]
+        return source.complete and source.caught_up_at >= since
--- /dev/null
+++ b/burdockwall/process/storage/journal.py
@@ -0,0 +1,96 @@
+"""Write the records of a store to files, and read them back."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from burdockwall.process.control.files import Files
+from burdockwall.process.storage.records import (
+    StoredRecord,
+    encode_stored,
+    parse_stored,
+)
+
+SEGMENT_PREFIX = "ledger-"
+SEGMENT_DIGITS = 10
+SEGMENT_BYTES = 4_194_304
+
+
+@dataclass(slots=True)
+class _Segment:
+    number: int
+    bytes: int = 0
+    records: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """Hold the records found, and whether every file was there and whole."""
+
+    records: list[StoredRecord]
+    whole: bool
+
+
+def name_segment(number: int) -> str:
+    """Name the file of a segment."""
+    return f"{SEGMENT_PREFIX}{number:0{SEGMENT_DIGITS}}"
+
+
+class LedgerJournal:
+    """Append records to segments; remove a segment once all in it are released."""
+
+    def __init__(self, files: Files) -> None:
+        self.files = files
+        self._segments: deque[_Segment] = deque()
+        self._released = 0
+
+    def recover(self) -> Recovery:
+        """Read every record; what follows a fault in the last file is cut off."""
+        names = [
+            name
+            for name in self.files.list_names()
+            if name.startswith(SEGMENT_PREFIX)
+        ]
+        records: list[StoredRecord] = []
+        whole = True
+        for name in names:
+            number = int(name.removeprefix(SEGMENT_PREFIX))
+            if self._segments and number != self._segments[-1].number + 1:
+                whole = False
+            data = self.files.read(name)
+            found, length = parse_stored(data)
+            if length < len(data):
+                whole = whole and name == names[-1]
+                self.files.truncate(name, length)
+                self.files.sync(name)
+            records += found
+            self._segments.append(_Segment(number, length, len(found)))
+        return Recovery(records, whole)
+
+    def write(self, records: Sequence[StoredRecord]) -> None:
+        """Write records and sync them."""
+        data = b"".join(encode_stored(record) for record in records)
+        segment = self._open_segment()
+        name = name_segment(segment.number)
+        self.files.write(name, segment.bytes, data)
+        self.files.sync(name)
+        segment.bytes += len(data)
+        segment.records += len(records)
+
+    def _open_segment(self) -> _Segment:
+        if self._segments and self._segments[-1].bytes < SEGMENT_BYTES:
+            return self._segments[-1]
+        number = self._segments[-1].number + 1 if self._segments else 1
+        segment = _Segment(number)
+        self.files.truncate(name_segment(number), 0)
+        self.files.sync_folder()
+        self._segments.append(segment)
+        return segment
+
+    def release(self, records: int) -> None:
+        """Note that so many of the oldest records are needed no more."""
+        self._released += records
+        while len(self._segments) > 1 and self._released >= self._segments[0].records:
+            segment = self._segments.popleft()
+            self._released -= segment.records
+            self.files.remove(name_segment(segment.number))
--- /dev/null
+++ b/burdockwall/process/storage/ledger.py
@@ -0,0 +1,404 @@
+"""Keep turns and what they count against budgets, at one store.
+
+Facts about turns are applied in any order and any number of times, so that stores
+need no common order: any two that hold the same facts hold the same ledger. A fact
+is confirmed only once it is synced.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.storage.messages import (
+    AskIndex,
+    AskRecords,
+    BeginTurn,
+    ChainLink,
+    Charge,
+    EndTurn,
+    Presence,
+    RecordIndex,
+    RecordsFound,
+    StoreFull,
+    TurnBegun,
+    TurnEnded,
+)
+from burdockwall.process.storage.records import (
+    LedgerRecord,
+    RecordKey,
+    RecordKind,
+    StoredRecord,
+    StoreState,
+)
+from burdockwall.types import (
+    CustomerId,
+    Incarnation,
+    InstanceId,
+    ProgramId,
+    TurnId,
+)
+
+MS_PER_S = 1000
+# A program may come back within the retention of its last turn, and then goes on.
+ACCOUNT_RETENTIONS = 2.0
+# Records younger than this are on their way to every store anyway.
+INDEX_DELAY_S = 0.4
+INDEX_KEYS = 2000
+FOUND_BYTES = 262_144
+EXPIRE_INTERVAL_S = 1.0
+STATE_LIFE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """Ask the shell to write records; Stored with the ticket follows the sync."""
+
+    ticket: int
+    records: tuple[StoredRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """Tell that every record up to a ticket is synced."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Tell the shell how many of the oldest records are needed no more."""
+
+    records: int
+
+
+class ProgramKey(NamedTuple):
+    """Identify a program among all customers'."""
+
+    customer: CustomerId
+    program: ProgramId
+
+
+@dataclass(slots=True)
+class _Account:
+    charges: dict[TurnId, Charge] = field(default_factory=dict)
+    expires_at: float = 0.0
+
+
+@dataclass(slots=True)
+class _KeptTurn:
+    record: LedgerRecord
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Logged:
+    record: StoredRecord
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    ticket: int
+    to: InstanceId
+    message: Message
+
+
+class Ledger:
+    """Apply, confirm and look up the facts about turns."""
+
+    def __init__(
+        self, incarnation: Incarnation, complete: bool, limit_bytes: int
+    ) -> None:
+        self.incarnation = incarnation
+        self.state = StoreState(complete)
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self._accounts: dict[ProgramKey, _Account] = {}
+        self._turns: dict[TurnId, _KeptTurn] = {}
+        self._records: dict[RecordKey, LedgerRecord] = {}
+        self._log: deque[_Logged] = deque()
+        self._log_start = 0
+        self._ticket = 0
+        self._synced = 0
+        self._held: deque[_Held] = deque()
+        self._batch: list[StoredRecord] = []
+        self._expire_at = 0.0
+
+    def recover(self, records: Iterable[StoredRecord], now: float) -> None:
+        """Apply what the files held; all of it is kept for its whole time again."""
+        for record in records:
+            self._log.append(_Logged(record, now))
+            if isinstance(record, StoreState):
+                self.state = record
+            else:
+                self._apply(record, now)
+
+    def handle(
+        self, event: Tick | Receive | Stored, now: float
+    ) -> list[Store | Release | Send]:
+        """Take an event and return what to write and send."""
+        actions: list[Store | Release | Send] = []
+        match event:
+            case Stored(ticket=ticket):
+                self._synced = max(self._synced, ticket)
+            case Tick():
+                actions += self._expire(now)
+            case Receive(sender=sender, message=message):
+                actions += self._receive(sender, message, now)
+        return [*self._take_batch(), *actions, *self._confirm()]
+
+    def _take_batch(self) -> list[Store]:
+        if not self._batch:
+            return []
+        batch, self._batch = tuple(self._batch), []
+        return [Store(self._ticket, batch)]
+
+    def _receive(
+        self, sender: InstanceId, message: Message, now: float
+    ) -> list[Send]:
+        match message:
+            case BeginTurn() | EndTurn() if self.held_bytes >= self.limit_bytes:
+                return [Send(sender, StoreFull(message.call, message.incarnation))]
+            case BeginTurn():
+                self._begin(sender, message, now)
+            case EndTurn():
+                self._end(sender, message, now)
+            case AskIndex():
+                return [Send(sender, self._list_index(message, now))]
+            case AskRecords(keys=keys):
+                return [Send(sender, RecordsFound(self._find_records(keys)))]
+            case RecordsFound(records=records):
+                self.add_all(records, now)
+            case _:
+                pass
+        return []
+
+    # Turns.
+
+    def _begin(self, sender: InstanceId, message: BeginTurn, now: float) -> None:
+        record = LedgerRecord(
+            RecordKind.RESERVED,
+            message.customer,
+            message.program,
+            message.turn,
+            message.tokens,
+            message.retention_ms,
+        )
+        self.add(record, now)
+        account = self._accounts[ProgramKey(message.customer, message.program)]
+        others = [
+            charge for turn, charge in account.charges.items() if turn != message.turn
+        ]
+        presence = self._find_presence(message)
+        chain = None
+        if message.sends_chain and presence is Presence.KEPT and message.previous:
+            chain = self._collect_chain(message.previous)
+        self._reply(
+            sender,
+            TurnBegun(
+                message.call,
+                message.incarnation,
+                self.state.complete,
+                others,
+                presence,
+                chain,
+            ),
+        )
+
+    def _find_presence(self, message: BeginTurn) -> Presence:
+        if message.previous is None:
+            return Presence.NOT_ASKED
+        kept = self._turns.get(message.previous)
+        if kept is None:
+            return Presence.ABSENT
+        if kept.record.customer != message.customer:
+            return Presence.FOREIGN
+        if self._collect_chain(message.previous) is None:
+            return Presence.ABSENT
+        return Presence.KEPT
+
+    def _collect_chain(self, turn: TurnId) -> list[ChainLink] | None:
+        links: list[ChainLink] = []
+        following: TurnId | None = turn
+        while following is not None:
+            kept = self._turns.get(following)
+            if kept is None:
+                return None
+            links.append(ChainLink(kept.record.prompt, kept.record.answer))
+            following = kept.record.previous
+        links.reverse()
+        return links
+
+    def _end(self, sender: InstanceId, message: EndTurn, now: float) -> None:
+        record = LedgerRecord(
+            RecordKind.SETTLED,
+            message.customer,
+            message.program,
+            message.turn,
+            message.tokens,
+            message.retention_ms,
+            message.whole,
+            message.previous,
+            message.prompt,
+            message.answer,
+        )
+        self.add(record, now)
+        self._reply(sender, TurnEnded(message.call, message.incarnation))
+
+    def _reply(self, to: InstanceId, message: Message) -> None:
+        self._held.append(_Held(self._ticket, to, message))
+
+    def _confirm(self) -> list[Send]:
+        sends = []
+        while self._held and self._held[0].ticket <= self._synced:
+            held = self._held.popleft()
+            sends.append(Send(held.to, held.message))
+        return sends
+
+    # Records.
+
+    def add_all(self, records: Iterable[LedgerRecord], now: float) -> None:
+        """Add records that another store holds."""
+        for record in records:
+            self.add(record, now)
+
+    def add(self, record: LedgerRecord, now: float) -> None:
+        """Apply a record and have it written, unless it is held already."""
+        if record.key in self._records:
+            # What is held may not be synced yet: confirm with the latest ticket.
+            return
+        self._apply(record, now)
+        self._write(record, now)
+
+    def set_state(self, state: StoreState, now: float) -> None:
+        """Note whether the store holds all that was stored before."""
+        self.state = state
+        self._write(state, now)
+
+    def _write(self, record: StoredRecord, now: float) -> None:
+        if not self._batch:
+            self._ticket += 1
+        self._batch.append(record)
+        self._log.append(_Logged(record, now))
+
+    def holds(self, key: RecordKey) -> bool:
+        """Tell whether a record is held."""
+        return key in self._records
+
+    def _apply(self, record: LedgerRecord, now: float) -> None:
+        if record.key not in self._records:
+            self.held_bytes += record.measure_bytes()
+        self._records[record.key] = record
+        retention_s = record.retention_ms / MS_PER_S
+        account = self._accounts.setdefault(
+            ProgramKey(record.customer, record.program), _Account()
+        )
+        account.expires_at = max(
+            account.expires_at, now + ACCOUNT_RETENTIONS * retention_s
+        )
+        settled = record.kind is RecordKind.SETTLED
+        known = account.charges.get(record.turn)
+        if known is None or not known.settled:
+            account.charges[record.turn] = Charge(record.turn, record.tokens, settled)
+        if settled and record.whole:
+            self._turns[record.turn] = _KeptTurn(record, now + retention_s)
+            self._extend_chain(record.previous, now + retention_s)
+
+    def _extend_chain(self, turn: TurnId | None, until: float) -> None:
+        while turn is not None:
+            kept = self._turns.get(turn)
+            if kept is None:
+                return
+            kept.expires_at = max(kept.expires_at, until)
+            turn = kept.record.previous
+
+    # Other stores.
+
+    def _list_index(self, message: AskIndex, now: float) -> RecordIndex:
+        known = message.incarnation == self.incarnation
+        position = message.position if known else 0
+        position = max(position, self._log_start)
+        keys: list[RecordKey] = []
+        index = position - self._log_start
+        ended = True
+        while index < len(self._log):
+            logged = self._log[index]
+            if now - logged.at < INDEX_DELAY_S:
+                break
+            if len(keys) >= INDEX_KEYS:
+                ended = False
+                break
+            if isinstance(logged.record, LedgerRecord):
+                keys.append(logged.record.key)
+            index += 1
+        return RecordIndex(
+            self.incarnation, self.state.complete, self._log_start + index, ended, keys
+        )
+
+    def _find_records(self, keys: list[RecordKey]) -> list[LedgerRecord]:
+        found: list[LedgerRecord] = []
+        size = 0
+        for key in keys:
+            record = self._records.get(key)
+            if record is None:
+                continue
+            size += record.measure_bytes()
+            if found and size > FOUND_BYTES:
+                break
+            found.append(record)
+        return found
+
+    # Time.
+
+    def _expire(self, now: float) -> list[Release]:
+        if now < self._expire_at:
+            return []
+        self._expire_at = now + EXPIRE_INTERVAL_S
+        released = 0
+        for _ in range(len(self._log)):
+            logged = self._log[0]
+            if isinstance(logged.record, StoreState):
+                if logged.at + STATE_LIFE_S > now:
+                    break
+                self._log.popleft()
+                if logged.record == self.state:
+                    self._write(self.state, now)
+            elif not self._is_expired(logged.record, now):
+                if now < logged.at + self._get_log_life_s(logged.record):
+                    break
+                # Still needed by later turns: written again behind the newest.
+                self._log.popleft()
+                self._write(logged.record, now)
+            else:
+                self._log.popleft()
+                self._drop(logged.record)
+            released += 1
+            self._log_start += 1
+        self._expire_accounts(now)
+        return [Release(released)] if released else []
+
+    def _get_log_life_s(self, record: LedgerRecord) -> float:
+        return 2 * ACCOUNT_RETENTIONS * record.retention_ms / MS_PER_S
+
+    def _is_expired(self, record: LedgerRecord, now: float) -> bool:
+        kept = self._turns.get(record.turn)
+        if kept is not None and kept.expires_at > now:
+            return False
+        account = self._accounts.get(ProgramKey(record.customer, record.program))
+        return account is None or account.expires_at <= now
+
+    def _drop(self, record: LedgerRecord) -> None:
+        if self._records.pop(record.key, None) is not None:
+            self.held_bytes -= record.measure_bytes()
+        kept = self._turns.get(record.turn)
+        if kept is not None and kept.record.key == record.key:
+            del self._turns[record.turn]
+
+    def _expire_accounts(self, now: float) -> None:
+        expired = [
+            key for key, account in self._accounts.items() if account.expires_at <= now
+        ]
+        for key in expired:
+            del self._accounts[key]
--- /dev/null
+++ b/burdockwall/process/storage/node.py
@@ -0,0 +1,38 @@
+"""Run a store as a process."""
+
+from pathlib import Path
+
+from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.files import DiskFiles
+from burdockwall.process.member import FleetMember
+from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.storage.service import StoreService
+from burdockwall.process.storage.view import STORE_VIEW, decode_view
+from burdockwall.settings import Settings
+
+
+class StoreNode:
+    """Hold the parts of a store's process."""
+
+    def __init__(self, settings: Settings) -> None:
+        if settings.data_folder is None:
+            detail = "[instance] data_folder is not set"
+            raise OperatorError(Code.SETTINGS_INVALID, detail)
+        self.member = FleetMember(settings, self._install)
+        self.service = StoreService(
+            self.member.host,
+            settings.instance_id,
+            self.member.incarnation,
+            DiskFiles(settings.data_folder),
+            settings.first_start,
+            settings.store_limit_bytes,
+        )
+
+    def _install(self, replica: StateReplica) -> None:
+        stores = replica.documents.get(STORE_VIEW)
+        if stores is not None:
+            self.service.install_view(decode_view(stores.data))
+
+    async def run(self, path: Path | None) -> None:
+        """Run until stopped."""
+        await self.member.run(path, [self.service.run, self.member.stopping.wait])
--- /dev/null
+++ b/burdockwall/process/storage/records.py
@@ -0,0 +1,96 @@
+"""Define the records that a store keeps, and their form in its files."""
+
+import struct
+import zlib
+from enum import Enum
+
+import msgspec
+
+from burdockwall.types import CustomerId, ProgramId, TurnId
+
+FRAME = struct.Struct("<II")
+# What a record takes in memory beside its texts.
+RECORD_OVERHEAD_BYTES = 600
+
+
+class RecordKind(Enum):
+    """Name what a record tells of a turn."""
+
+    RESERVED = 0
+    SETTLED = 1
+
+
+class RecordKey(msgspec.Struct, frozen=True, array_like=True):
+    """Identify a record among all stores."""
+
+    kind: RecordKind
+    turn: TurnId
+
+
+class LedgerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Tell one fact about a turn; facts are the same in any order."""
+
+    kind: RecordKind
+    customer: CustomerId
+    program: ProgramId
+    turn: TurnId
+    tokens: int
+    retention_ms: int
+    whole: bool = False
+    previous: TurnId | None = None
+    prompt: bytes = b""
+    answer: bytes = b""
+
+    @property
+    def key(self) -> RecordKey:
+        """Return what identifies the record."""
+        return RecordKey(self.kind, self.turn)
+
+    def measure_bytes(self) -> int:
+        """Estimate the memory that the record takes."""
+        return RECORD_OVERHEAD_BYTES + len(self.prompt) + len(self.answer)
+
+
+class StoreState(msgspec.Struct, frozen=True, array_like=True):
+    """Tell whether from here on the store holds all that was stored.
+
+    `since` is the number of the view that made the store a member, 0 before one has.
+    """
+
+    complete: bool
+    since: int = 0
+
+
+StoredRecord = LedgerRecord | StoreState
+_encoder = msgspec.msgpack.Encoder()
+_record_decoder = msgspec.msgpack.Decoder(LedgerRecord)
+_state_decoder = msgspec.msgpack.Decoder(StoreState)
+_STATE_MARK = b"s"
+_RECORD_MARK = b"r"
+
+
+def encode_stored(record: StoredRecord) -> bytes:
+    """Encode a record with its length and checksum."""
+    mark = _STATE_MARK if isinstance(record, StoreState) else _RECORD_MARK
+    body = mark + _encoder.encode(record)
+    return FRAME.pack(len(body), zlib.crc32(body)) + body
+
+
+def parse_stored(data: bytes) -> tuple[list[StoredRecord], int]:
+    """Parse records up to the first fault; return them and where they end."""
+    records: list[StoredRecord] = []
+    offset = 0
+    while offset + FRAME.size <= len(data):
+        size, checksum = FRAME.unpack_from(data, offset)
+        body = data[offset + FRAME.size : offset + FRAME.size + size]
+        if not size or len(body) != size or zlib.crc32(body) != checksum:
+            break
+        records.append(_decode_body(body))
+        offset += FRAME.size + size
+    return records, offset
+
+
+def _decode_body(body: bytes) -> StoredRecord:
+    if body[:1] == _STATE_MARK:
+        return _state_decoder.decode(body[1:])
+    return _record_decoder.decode(body[1:])
--- /dev/null
+++ b/burdockwall/process/storage/roster.py
@@ -0,0 +1,103 @@
+"""Decide which stores hold the ledger, one change at a time."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockwall.process.membership.messages import MemberEntry
+from burdockwall.process.storage.view import StoreMember, StoreView
+from burdockwall.types import EndpointState, InstanceId, Role
+
+# At the first start the stores come within moments of each other.
+FIRST_VIEW_S = 2.0
+REMOVE_SILENCE_S = 5.0
+CHANGE_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ObserveStores:
+    """Tell the leader's planner who is a member, and which view is in force."""
+
+    members: tuple[MemberEntry, ...]
+    view: StoreView
+    leaving: frozenset[InstanceId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeView:
+    """Ask the shell to put a view in force."""
+
+    view: StoreView
+    reason: str
+
+
+class StorePlanner:
+    """Plan views of the stores while this instance leads."""
+
+    def __init__(self, tolerated_losses: int) -> None:
+        self.least_stores = 2 * tolerated_losses + 1
+        self._seen_since: float | None = None
+        self._live_at: dict[InstanceId, float] = {}
+        self._changed_at = float("-inf")
+
+    def reset(self) -> None:
+        """Forget what was observed under an earlier leadership."""
+        self._seen_since = None
+        self._live_at = {}
+
+    def handle(self, event: ObserveStores, now: float) -> list[ProposeView]:
+        """Take an observation and return the view that should follow, if any."""
+        live = _list_live(event.members)
+        for instance in live:
+            self._live_at[instance] = now
+        if live and self._seen_since is None:
+            self._seen_since = now
+            self._live_at |= {instance: now for instance in event.view.instances}
+        if self._seen_since is None or now - self._seen_since < FIRST_VIEW_S:
+            return []
+        if now - self._changed_at < CHANGE_INTERVAL_S:
+            return []
+        proposed = self._plan(event, live, now)
+        if proposed is None:
+            return []
+        self._changed_at = now
+        return [proposed]
+
+    def _plan(
+        self, event: ObserveStores, live: list[InstanceId], now: float
+    ) -> ProposeView | None:
+        view = event.view
+        number = view.number + 1
+        wanted = [instance for instance in live if instance not in event.leaving]
+        if not view.members:
+            members = tuple(StoreMember(instance, number) for instance in wanted)
+            return ProposeView(StoreView(number, members), "first stores")
+        for instance in wanted:
+            if view.find(instance) is None:
+                added = (*view.members, StoreMember(instance, number))
+                return ProposeView(StoreView(number, added), f"added {instance}")
+        return self._plan_removal(event, live, now)
+
+    def _plan_removal(
+        self, event: ObserveStores, live: list[InstanceId], now: float
+    ) -> ProposeView | None:
+        view = event.view
+        for member in view.members:
+            instance = member.instance
+            silent_s = now - self._live_at.get(instance, now)
+            others = [each for each in view.members if each != member]
+            present = [each for each in others if each.instance in live]
+            kept = StoreView(view.number + 1, tuple(others))
+            if silent_s < REMOVE_SILENCE_S and instance not in event.leaving:
+                continue
+            if len(present) == len(others) >= self.least_stores:
+                return ProposeView(kept, f"removed {instance}")
+        return None
+
+
+def _list_live(members: Iterable[MemberEntry]) -> list[InstanceId]:
+    live = (EndpointState.LIVE, EndpointState.LEAVING)
+    return sorted(
+        member.details.instance
+        for member in members
+        if member.details.role is Role.STORAGE and member.state in live
+    )
--- /dev/null
+++ b/burdockwall/process/storage/service.py
@@ -0,0 +1,124 @@
+"""Run the ledger of a store on its files."""
+
+from collections.abc import Sequence
+
+import anyio
+import anyio.to_thread
+import logbook
+
+from burdockwall.process.control.files import Files
+from burdockwall.process.host import Host
+from burdockwall.process.storage.copier import (
+    CompletenessChanged,
+    Copier,
+    ViewInstalled,
+)
+from burdockwall.process.storage.journal import LedgerJournal
+from burdockwall.process.storage.ledger import Ledger, Release, Store, Stored
+from burdockwall.process.storage.messages import (
+    AskCopied,
+    AskIndex,
+    AskRecords,
+    BeginTurn,
+    EndTurn,
+    RecordIndex,
+    RecordsFound,
+)
+from burdockwall.process.storage.records import StoredRecord, StoreState
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import Incarnation, InstanceId
+
+
+class StoreService:
+    """Host a store's machines, and write what they ask for in a thread."""
+
+    def __init__(
+        self,
+        host: Host,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        files: Files,
+        first_start: bool,
+        limit_bytes: int,
+    ) -> None:
+        self.host = host
+        self.journal = LedgerJournal(files)
+        self.ledger = Ledger(incarnation, first_start, limit_bytes)
+        self.copier = Copier(instance, self.ledger)
+        self.syncs = 0
+        self._logger = logbook.Logger("store")
+        self._queue: list[Store | Release] = []
+        self._due = anyio.Event()
+        self._recover(first_start)
+        self._hosted = host.add(
+            self.ledger,
+            (BeginTurn, EndTurn, AskIndex, AskRecords, RecordsFound),
+            self._perform,
+        )
+        self._hosted_copier = host.add(
+            self.copier, (RecordIndex, AskCopied), self._tell
+        )
+
+    def _recover(self, first_start: bool) -> None:
+        recovery = self.journal.recover()
+        now = self.host.clock()
+        self.ledger.recover(recovery.records, now)
+        state = self.ledger.state
+        if not recovery.records:
+            self.ledger.set_state(StoreState(first_start), now)
+        elif not recovery.whole:
+            self.ledger.set_state(StoreState(False, state.since), now)
+        self._logger.notice(
+            "store opened",
+            extra={
+                "records": len(recovery.records),
+                "whole": recovery.whole,
+                "complete": self.ledger.state.complete,
+                "since": self.ledger.state.since,
+            },
+        )
+
+    def install_view(self, view: StoreView) -> None:
+        """Follow a view of the stores."""
+        self.host.apply(self._hosted_copier, ViewInstalled(view))
+
+    def _perform(self, action: Store | Release) -> None:
+        self._queue.append(action)
+        self._due.set()
+
+    def _tell(self, action: CompletenessChanged) -> None:
+        self._logger.notice(
+            "completeness changed",
+            extra={
+                "complete": action.complete,
+                "sources": " ".join(action.sources),
+                "view": self.copier.view.number,
+            },
+        )
+
+    async def run(self) -> None:
+        """Write and sync what is queued, once for all that has come meanwhile."""
+        while True:
+            await self._due.wait()
+            self._due = anyio.Event()
+            queue, self._queue = self._queue, []
+            records = [
+                record
+                for action in queue
+                if isinstance(action, Store)
+                for record in action.records
+            ]
+            tickets = [action.ticket for action in queue if isinstance(action, Store)]
+            released = sum(
+                action.records for action in queue if isinstance(action, Release)
+            )
+            await anyio.to_thread.run_sync(self._write, records, released)
+            if tickets:
+                self.host.apply(self._hosted, Stored(tickets[-1]))
+
+    def _write(self, records: Sequence[StoredRecord], released: int) -> None:
+        if records:
+            self.journal.write(records)
+            self.syncs += 1
+        if released:
+            self.journal.release(released)
--- /dev/null
+++ b/burdockwall/process/storage/view.py
@@ -0,0 +1,56 @@
+"""Say which stores hold the ledger, and how many must answer."""
+
+import msgspec
+
+from burdockwall.types import DocumentName, InstanceId
+
+STORE_VIEW = DocumentName("stores")
+
+
+class StoreMember(msgspec.Struct, frozen=True):
+    """Name a store, and the number of the view that made it a member."""
+
+    instance: InstanceId
+    since: int
+
+
+class StoreView(msgspec.Struct, frozen=True):
+    """List the stores; later views have higher numbers.
+
+    Views differ by one store at a time, so that the quorums of two in a row meet.
+    """
+
+    number: int = 0
+    members: tuple[StoreMember, ...] = ()
+
+    @property
+    def instances(self) -> tuple[InstanceId, ...]:
+        """List the instances of the members."""
+        return tuple(member.instance for member in self.members)
+
+    @property
+    def write_quorum(self) -> int:
+        """Return how many stores must have synced a fact before it counts."""
+        return len(self.members) // 2 + 1
+
+    @property
+    def read_quorum(self) -> int:
+        """Return how many complete stores meet every write quorum."""
+        return len(self.members) - self.write_quorum + 1
+
+    def find(self, instance: InstanceId) -> StoreMember | None:
+        """Return the member that an instance is, or None."""
+        for member in self.members:
+            if member.instance == instance:
+                return member
+        return None
+
+
+def encode_view(view: StoreView) -> bytes:
+    """Encode a view for the control state."""
+    return msgspec.json.encode(view)
+
+
+def decode_view(data: bytes) -> StoreView:
+    """Decode a view of the control state."""
+    return msgspec.json.decode(data, type=StoreView)
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+DATA_FIELD = b"data:"
 DONE_LINE = b"data: " + DONE_DATA + EVENT_END
 
 
@@ -25,6 +26,11 @@
         self._tail = data[end:]
         return data[:end]
 
+    @property
+    def has_partial(self) -> bool:
+        """Tell whether an event has begun and not ended."""
+        return bool(self._tail)
+
 
 @dataclass(slots=True)
 class EventBuffer:
@@ -67,6 +73,19 @@
     return Skipped(chunk[position:], count)
 
 
+def join_event_data(whole: bytes) -> bytes:
+    """Join the data of some whole events, each followed by a line feed."""
+    texts = []
+    for event in whole.split(EVENT_END)[:-1]:
+        lines = [
+            line[len(DATA_FIELD) :].removeprefix(b" ")
+            for line in event.split(b"\n")
+            if line.startswith(DATA_FIELD)
+        ]
+        texts.append(b"\n".join(lines) + b"\n")
+    return b"".join(texts)
+
+
 def find_event_id(whole: bytes) -> int | None:
     """Return the id of the first of some whole events, or None without one."""
     event = whole[: whole.find(EVENT_END)]
--- /dev/null
+++ b/burdockwall/request/forwarding.py
@@ -0,0 +1,355 @@
+"""Pass one caller's request on to an endpoint, and its answer back.
+
+A request that may run only once is sent again only when an endpoint has said that it
+did not run. A turn is stored before the end of its answer goes out.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from burdockwall.connection.exchange import Exchange
+from burdockwall.connection.upstream import (
+    AnswerHead,
+    ConnectFailed,
+    ConnectionBroken,
+    UpstreamConnection,
+)
+from burdockwall.connection.upstreams import Upstreams
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
+from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.storage.keeper import TurnKeeper, TurnOutcome, TurnStart
+from burdockwall.request.events import EVENT_END, EventCutter, join_event_data
+from burdockwall.request.passing import (
+    AnswerDetails,
+    PassedRequest,
+    Passing,
+    RequestCodec,
+)
+from burdockwall.request.trace import RequestTrace
+from burdockwall.types import CustomerId, EndpointId, TurnId
+from burdockwall.version.deployment import (
+    DeploymentView,
+    HostCustomer,
+    HostRoute,
+    HostService,
+    RequestKind,
+    choose_service,
+)
+
+# The answer is there a little before the time that the operator allows.
+TIMEOUT_MARGIN_S = 0.03
+# Endpoints that may refuse one request as not run before its caller is refused.
+REFUSALS_PASSED_ON = 3
+RETRY_AFTER_S = 0.1
+STATUS_OK = range(200, 300)
+ANSWER_LIMIT_BYTES = 16_777_216
+# Who a turn on a route open to all belongs to.
+NOBODY = CustomerId("")
+
+
+@dataclass(slots=True)
+class ForwardingParts:
+    """Hold what requests share while the process lives."""
+
+    codec: RequestCodec
+    upstreams: Upstreams
+    endpoints: EndpointFollower
+    balancer: Balancer
+    keeper: TurnKeeper
+    clock: Callable[[], float]
+    count_instances: Callable[[], int]
+    is_leaving: Callable[[], bool]
+    settle_later: Callable[[TurnStart, TurnOutcome], None]
+
+
+class _NotRun(Exception):
+    """Tell that an endpoint did not run the request."""
+
+
+class _AnswerLost(Exception):
+    """Tell that the request may have run and its answer did not come whole."""
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Track what has become of the request so far."""
+
+    runs: int = 0
+    refusals: int = 0
+    tokens: int = 0
+    excluded: set[EndpointId] = field(default_factory=set)
+    settled: bool = False
+    last_failure: str = ""
+
+
+class Forwarding:
+    """Carry one request through its attempts."""
+
+    def __init__(
+        self,
+        parts: ForwardingParts,
+        view: DeploymentView,
+        exchange: Exchange,
+        request: PassedRequest,
+        route: HostRoute,
+        customer: HostCustomer | None,
+        trace: RequestTrace,
+    ) -> None:
+        self.parts = parts
+        self.view = view
+        self.exchange = exchange
+        self.request = request
+        self.route = route
+        self.customer = customer
+        self.trace = trace
+        self.progress = _Progress()
+        self.body = b""
+        self.turn: TurnStart | None = None
+        limit_s = route.timeout_s - TIMEOUT_MARGIN_S
+        if request.deadline_s is not None:
+            limit_s = min(limit_s, request.deadline_s)
+        self.expires_at = trace.started_at + limit_s
+
+    def _get_remaining_s(self) -> float:
+        return self.expires_at - self.parts.clock()
+
+    async def run(self, body: bytes) -> None:
+        """Answer the caller, or raise RequestRefused with what is true."""
+        self.body = body
+        with anyio.move_on_after(max(0.0, self._get_remaining_s())) as scope:
+            await self._run_turn()
+        if not scope.cancelled_caught:
+            return
+        if self.progress.runs:
+            raise RequestRefused(Code.OUTCOME_UNKNOWN, "the time is over")
+        raise RequestRefused(Code.DEADLINE_UNMET, retry_after_s=RETRY_AFTER_S)
+
+    async def _run_turn(self) -> None:
+        details = self.request.turn
+        if details is None or self.route.kind is not RequestKind.STREAM:
+            await self._run_attempts()
+            return
+        start = TurnStart(
+            self.customer.name if self.customer else NOBODY,
+            details.program,
+            TurnId(self.request.request),
+            details.previous if self.route.keeps_turns else None,
+            details.tokens,
+            details.budget,
+            self.route.retention_s,
+            self.route.keeps_turns,
+        )
+        self.turn = start
+        prompt = self.body
+        try:
+            chain = await self.parts.keeper.begin(start)
+            links = [link.prompt + link.answer for link in chain]
+            self.body = b"".join([*links, prompt])
+            self.trace.begun_at = self.parts.clock()
+            await self._run_attempts(prompt)
+        finally:
+            if not self.progress.settled:
+                outcome = TurnOutcome(self.progress.tokens, False)
+                self.parts.settle_later(start, outcome)
+
+    # Attempts.
+
+    async def _run_attempts(self, prompt: bytes = b"") -> None:
+        service = self.view.get_service(
+            choose_service(self.route.shares, self.request.request)
+        )
+        while True:
+            endpoint = self._choose(service)
+            try:
+                await self._attempt(endpoint, service, prompt)
+                return
+            except _NotRun as error:
+                self._note(endpoint, error)
+                self.progress.refusals += 1
+                if self.progress.refusals >= REFUSALS_PASSED_ON:
+                    self._refuse(Code.NO_ENDPOINT)
+            except _AnswerLost as error:
+                self._note(endpoint, error)
+                left = self.progress.runs < self.route.attempts
+                if self.exchange.started or not self.route.repeatable or not left:
+                    self._refuse(Code.ENDPOINT_FAILED)
+
+    def _note(self, endpoint: ListedEndpoint, error: Exception) -> None:
+        self.progress.excluded.add(endpoint.name)
+        self.progress.last_failure = str(error)
+        self.trace.failures.append(f"{endpoint.name}: {error}")
+
+    def _refuse(self, code: Code) -> None:
+        detail = self.progress.last_failure
+        if self.progress.runs and code is Code.NO_ENDPOINT:
+            code = Code.ENDPOINT_FAILED
+        raise RequestRefused(code, detail, RETRY_AFTER_S)
+
+    def _choose(self, service: HostService) -> ListedEndpoint:
+        endpoints = self.parts.endpoints.list_serving(service.name)
+        affinity = self.request.program or ""
+        endpoint = self.parts.balancer.choose(
+            endpoints,
+            affinity if service.engine is not None else "",
+            self.parts.clock(),
+            self.progress.excluded,
+        )
+        if endpoint is None:
+            self.progress.last_failure = (
+                self.progress.last_failure or f"no endpoint of {service.name}"
+            )
+            self._refuse(Code.NO_ENDPOINT)
+        assert endpoint is not None
+        return endpoint
+
+    async def _attempt(
+        self, endpoint: ListedEndpoint, service: HostService, prompt: bytes
+    ) -> None:
+        parts = self.parts
+        limit = service.connections // max(1, parts.count_instances())
+        try:
+            connection = await parts.upstreams.take(endpoint.address, limit)
+        except ConnectFailed as error:
+            parts.balancer.fail(endpoint.name, parts.clock())
+            raise _NotRun(str(error)) from error
+        reusable, details = False, None
+        parts.balancer.start(endpoint.name)
+        self.trace.endpoint = endpoint.name
+        try:
+            head = await self._send(connection, endpoint)
+            details = parts.codec.read_answer(head)
+            if details.load is not None:
+                parts.balancer.take_report(
+                    endpoint.name, details.load, parts.clock()
+                )
+            await self._take_answer(connection, head, details, prompt)
+            parts.balancer.succeed(endpoint.name)
+            reusable = not details.closes
+        except ConnectionBroken as error:
+            parts.balancer.fail(endpoint.name, parts.clock())
+            raise _AnswerLost(str(error)) from error
+        except _NotRun:
+            reusable = details is not None and not details.closes
+            raise
+        finally:
+            parts.balancer.end(endpoint.name)
+            with anyio.CancelScope(shield=True):
+                await parts.upstreams.give_back(
+                    endpoint.address,
+                    connection,
+                    reusable,
+                    details.idle_s if details else None,
+                )
+
+    async def _send(
+        self, connection: UpstreamConnection, endpoint: ListedEndpoint
+    ) -> AnswerHead:
+        customer = self.customer
+        rank = self.route.rank
+        if customer is not None and customer.rank is not None:
+            rank = customer.rank
+        passing = Passing(
+            endpoint,
+            self._get_remaining_s(),
+            customer.name if customer else None,
+            rank,
+            len(self.body),
+        )
+        request = self.request
+        headers = self.parts.codec.build_headers(request, passing)
+        self.progress.runs += 1
+        self.trace.sent_at = self.parts.clock()
+        await connection.send(request.method, request.target, headers, self.body)
+        return await connection.read_head(
+            lambda found: self.parts.codec.is_answer_to(request, found)
+        )
+
+    # Answers.
+
+    async def _take_answer(
+        self,
+        connection: UpstreamConnection,
+        head: AnswerHead,
+        details: AnswerDetails,
+        prompt: bytes,
+    ) -> None:
+        streams = self.route.kind is RequestKind.STREAM
+        if details.ran and streams and head.status in STATUS_OK:
+            await self._relay_stream(connection, head, prompt)
+            return
+        body = await _read_whole(connection)
+        if not details.ran:
+            self.progress.runs -= 1
+            raise _NotRun(f"answered {head.status}, not run")
+        headers = self.parts.codec.select_headers(head)
+        headers.append((b"content-length", str(len(body)).encode()))
+        self.trace.status = head.status
+        self.trace.first_byte_at = self.parts.clock()
+        await self._start(head.status, headers)
+        if body:
+            await self.exchange.write(body)
+        await self.exchange.finish()
+
+    async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        if self.parts.is_leaving():
+            headers.append((b"connection", b"close"))
+        await self.exchange.start(status, headers)
+
+    async def _relay_stream(
+        self, connection: UpstreamConnection, head: AnswerHead, prompt: bytes
+    ) -> None:
+        cutter = EventCutter()
+        answer: list[bytes] = []
+        while True:
+            part = await connection.read_part()
+            if part is None:
+                break
+            whole = cutter.feed(part)
+            if not whole:
+                continue
+            self.progress.tokens += whole.count(EVENT_END) * self._get_event_tokens()
+            if self.route.keeps_turns:
+                answer.append(join_event_data(whole))
+            if not self.exchange.started:
+                self.trace.first_byte_at = self.parts.clock()
+                self.trace.status = head.status
+                await self._start(head.status, self.parts.codec.select_headers(head))
+            await self.exchange.write(whole)
+        if cutter.has_partial:
+            raise ConnectionBroken("the stream ended within an event")
+        if not self.exchange.started:
+            self.trace.status = head.status
+            await self._start(head.status, self.parts.codec.select_headers(head))
+        await self._keep_turn(prompt, b"".join(answer))
+        await self.exchange.finish()
+
+    def _get_event_tokens(self) -> int:
+        for share in self.route.shares:
+            engine = self.view.get_service(share.service).engine
+            if engine is not None:
+                return engine.event_tokens
+        return 0
+
+    async def _keep_turn(self, prompt: bytes, answer: bytes) -> None:
+        if self.turn is None:
+            return
+        texts = (prompt, answer) if self.route.keeps_turns else (b"", b"")
+        outcome = TurnOutcome(self.progress.tokens, True, *texts)
+        self.trace.answered_at = self.parts.clock()
+        if not await self.parts.keeper.end(self.turn, outcome):
+            raise RequestRefused(Code.TURN_NOT_STORED)
+        self.progress.settled = True
+
+
+async def _read_whole(connection: UpstreamConnection) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while (part := await connection.read_part()) is not None:
+        size += len(part)
+        if size > ANSWER_LIMIT_BYTES:
+            raise ConnectionBroken(f"the answer exceeds {ANSWER_LIMIT_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -1,6 +1,9 @@
 """Keep what is known of one request for its log line and metrics."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+MS_PER_S = 1000
+DIGITS = 1
 
 
 @dataclass(slots=True)
@@ -15,3 +18,37 @@
     endpoint: str = ""
     first_byte_at: float | None = None
     code: int = 0
+    status: int = 0
+    configuration: int = 0
+    begun_at: float | None = None
+    sent_at: float | None = None
+    answered_at: float | None = None
+    failures: list[str] = field(default_factory=list)
+    detail: str = ""
+    admitted_at: float | None = None
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Describe the request for its log line; times are milliseconds from it."""
+        return {
+            "request": self.request,
+            "customer": self.customer,
+            "program": self.program,
+            "route": self.route,
+            "endpoint": self.endpoint,
+            "configuration": self.configuration,
+            "code": self.code,
+            "status": self.status,
+            "detail": self.detail,
+            "failures": "; ".join(self.failures),
+            "admitted_ms": self._measure_ms(self.admitted_at),
+            "begun_ms": self._measure_ms(self.begun_at),
+            "sent_ms": self._measure_ms(self.sent_at),
+            "first_byte_ms": self._measure_ms(self.first_byte_at),
+            "answered_ms": self._measure_ms(self.answered_at),
+            "total_ms": self._measure_ms(now),
+        }
+
+    def _measure_ms(self, at: float | None) -> float | None:
+        if at is None:
+            return None
+        return round((at - self.started_at) * MS_PER_S, DIGITS)
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -16,19 +16,29 @@
     """Hold every setting of one process; attributes are documented in OPTIONS."""
 
     instance_id: InstanceId = InstanceId("entry-1")
+    instance_name: str = ""
     role: Role = Role.BOTH
     failure_domain: FailureDomain = FailureDomain("a")
     region: str = "region-1"
     data_folder: Path | None = None
+    store_limit_bytes: int = 134_217_728
     caller_address: Address = Address("127.0.0.1:8080")
     operator_address: Address = Address("127.0.0.1:8081")
     peer_address: Address = Address("127.0.0.1:8082")
+    ready_address: Address = Address("")
+    directory_address: Address = Address("")
+    metrics_address: Address = Address("")
     peers: dict[InstanceId, Address] = field(default_factory=dict)
     control_instances: list[InstanceId] = field(default_factory=list)
+    seeds: list[Address] = field(default_factory=list)
+    named_by_address: bool = False
+    first_start: bool = False
+    tolerated_losses: int = 1
     platform_address: Address = Address("")
     election_timeout_s: float = 1.5
     first_operator: str = ""
     first_operator_digest: str = ""
+    operators_open: bool = False
     log_level: str = "info"
     log_format: str = "json"
     max_body_bytes: int = 8_388_608
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -24,6 +24,8 @@
 CallId = NewType("CallId", int)
 ProgramTag = NewType("ProgramTag", str)
 MemberNumber = NewType("MemberNumber", int)
+ServiceName = NewType("ServiceName", str)
+TurnId = NewType("TurnId", str)
 DocumentName = NewType("DocumentName", str)
 
 
--- /dev/null
+++ b/burdockwall/version/deployment.py
@@ -0,0 +1,161 @@
+"""Hold a configuration by hosts and paths: routes, services, customers, limits."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from burdockwall.types import CustomerId, KeyDigest, RouteName, ServiceName
+
+PREFIX_END = "/"
+
+
+class RequestKind(Enum):
+    """Name what may be repeated of a route's requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """Give a service a share of a route's requests."""
+
+    service: ServiceName
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostRoute:
+    """Describe one route; rank 0 is the most urgent, times are in seconds.
+
+    `attempts` bounds the endpoints that one request may run on. Where `keeps_turns`
+    is set, a request continues from an earlier one that is kept for `retention_s`.
+    """
+
+    name: RouteName
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_s: float
+    objective_s: float
+    rank: int
+    shares: tuple[ServiceShare, ...]
+    attempts: int
+    keeps_turns: bool
+    retention_s: float
+    open: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RequestKind.SAFE
+
+
+@dataclass(frozen=True, slots=True)
+class EngineShape:
+    """Describe the engines of a service: places, and tokens in each event."""
+
+    slots: int
+    event_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostService:
+    """Describe a service; `connections` is the most that one endpoint accepts."""
+
+    name: ServiceName
+    connections: int
+    engine: EngineShape | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostCustomer:
+    """Describe a customer; without a rate it has no limit."""
+
+    name: CustomerId
+    keys: tuple[KeyDigest, ...]
+    rank: int | None
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBounds:
+    """Bound what a caller may send, and for how long it may be idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Hold one numbered configuration."""
+
+    number: int
+    routes: tuple[HostRoute, ...]
+    services: dict[ServiceName, HostService]
+    customers: tuple[HostCustomer, ...]
+    bounds: CallerBounds = CallerBounds()
+
+
+def digest_key(key: str) -> KeyDigest:
+    """Compute the digest by which a key is known."""
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+@dataclass(slots=True)
+class DeploymentView:
+    """Find routes and customers of one configuration."""
+
+    deployment: Deployment
+    installed_at: float = 0.0
+    _routes: dict[tuple[str, str], HostRoute] = field(default_factory=dict)
+    _customers: dict[KeyDigest, HostCustomer] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        for route in self.deployment.routes:
+            self._routes[route.host, route.prefix] = route
+        for customer in self.deployment.customers:
+            for key in customer.keys:
+                self._customers[key] = customer
+
+    @property
+    def number(self) -> int:
+        """Return the operator's number of the configuration."""
+        return self.deployment.number
+
+    def find_route(self, host: str, path: str) -> HostRoute | None:
+        """Return the route of the host with the longest prefix of the path."""
+        end = path.rfind(PREFIX_END)
+        while end >= 0:
+            route = self._routes.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind(PREFIX_END, 0, end)
+        return None
+
+    def find_customer(self, key: KeyDigest) -> HostCustomer | None:
+        """Return the customer that holds a key."""
+        return self._customers.get(key)
+
+    def get_service(self, name: ServiceName) -> HostService:
+        """Return a service that a route names."""
+        return self.deployment.services[name]
+
+
+def choose_service(shares: Iterable[ServiceShare], request: str) -> ServiceName:
+    """Choose a service by weight; the same request gets the same one."""
+    weighted = [share for share in shares if share.weight > 0]
+    total = sum(share.weight for share in weighted)
+    digest = hashlib.blake2b(request.encode(), digest_size=8).digest()
+    point = int.from_bytes(digest, "big") % total
+    for share in weighted:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return weighted[-1].service
