--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -1,5 +1,6 @@
 """Answer operators, and callers that ask where to connect."""
 
+import logbook
 import msgspec
 
 from burdockwall.connection.exchange import Exchange, Headers
@@ -41,12 +42,21 @@
     def __init__(self, node: CoreNode) -> None:
         self.node = node
         self.documents: Documents = node.documents
+        self._logger = logbook.Logger("operators")
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one call."""
         try:
             await self._serve_call(exchange)
         except BurdockwallError as error:
+            self._logger.info(
+                "call refused",
+                extra={
+                    "call": f"{exchange.method} {exchange.path}",
+                    "code": error.code.value.number,
+                    "detail": error.detail,
+                },
+            )
             if exchange.started:
                 raise
             await self._refuse(exchange, error)
