--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -47,6 +47,7 @@
 EXPIRE_INTERVAL_S = 1.0
 CALLER_IDLE_S = 20.0
 STOP_GRACE_S = 0.5
+REQUEST_COST = 1.0
 
 DecodeDeployment = Callable[[bytes], Deployment]
 
@@ -94,6 +95,7 @@
             self._count_instances,
             lambda: self.drain.leaving,
             self._settle_later,
+            self._admit,
         )
 
     def _count_instances(self) -> int:
@@ -173,9 +175,6 @@
         )
 
         async def run() -> None:
-            if customer is not None and customer.rate_per_s > 0:
-                await self.limits.admit(customer.name, 1.0)
-            trace.admitted_at = self.clock()
             await forwarding.run(body)
 
         await run_while_present(exchange, run)
@@ -192,6 +191,9 @@
             raise RequestRefused(Code.KEY_REFUSED)
         return customer
 
+    async def _admit(self, customer: HostCustomer) -> None:
+        await self.limits.admit(customer.name, REQUEST_COST)
+
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
     ) -> None:
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -4,7 +4,7 @@
 did not run. A turn is stored before the end of its answer goes out.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -63,6 +63,7 @@
     count_instances: Callable[[], int]
     is_leaving: Callable[[], bool]
     settle_later: Callable[[TurnStart, TurnOutcome], None]
+    admit: Callable[[HostCustomer], Awaitable[None]]
 
 
 class _NotRun(Exception):
@@ -130,6 +131,7 @@
     async def _run_turn(self) -> None:
         details = self.request.turn
         if details is None or self.route.kind is not RequestKind.STREAM:
+            await self._admit()
             await self._run_attempts()
             return
         start = TurnStart(
@@ -149,12 +151,20 @@
             links = [link.prompt + link.answer for link in chain]
             self.body = b"".join([*links, prompt])
             self.trace.begun_at = self.parts.clock()
+            # A turn that its budget refuses runs nowhere, and counts nothing.
+            await self._admit()
             await self._run_attempts(prompt)
         finally:
             if not self.progress.settled:
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
+    async def _admit(self) -> None:
+        """Wait for the customer's rate, or raise RequestRefused."""
+        if self.customer is not None and self.customer.rate_per_s > 0:
+            await self.parts.admit(self.customer)
+        self.trace.admitted_at = self.parts.clock()
+
     # Attempts.
 
     async def _run_attempts(self, prompt: bytes = b"") -> None:
