--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -53,9 +53,7 @@
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self.stream = stream
         self.used = False
-        self._socket: socket.socket = stream.extra(
-            anyio.abc.SocketAttribute.raw_socket
-        )
+        self._socket: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._machine = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -6,8 +6,8 @@
 from grpclib.encoding.base import CodecBase
 
 from burdockwall.process.control import copier, messages as control
-from burdockwall.process.limits import messages as limits
 from burdockwall.process.endpoints import EndpointList
+from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.process.programs.messages import AnyRecordMessage
 from burdockwall.process.storage.messages import AnyStorageMessage
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -219,6 +219,10 @@
         Retry.SAFE,
         "The version is accepted, but may not be in force everywhere yet.",
     )
+    STORES_TOO_FEW = CodeRow(
+        2017, 409, Ran.NOT_RUN, Retry.NEVER, "Too few stores would be left."
+    )
+    STORE_UNKNOWN = CodeRow(2018, 404, Ran.NOT_RUN, Retry.NEVER, "No such store.")
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -14,7 +14,7 @@
 from burdockwall.platform import names
 from burdockwall.platform.configuration import decode_deployment
 from burdockwall.process.control.documents import Documents
-from burdockwall.process.core import CoreNode
+from burdockwall.process.core import CoreNode, find_store
 from burdockwall.process.front import DEPLOYMENT
 from burdockwall.process.resolver import resolve_addresses
 from burdockwall.types import FailureDomain, OperatorId
@@ -24,6 +24,7 @@
 OPERATOR = OperatorId("operator")
 JSON: Headers = [(b"content-type", b"application/json")]
 REDIRECT = 307
+STATES = {False: "running", True: "completed"}
 
 
 class _Resolution(msgspec.Struct, rename="kebab"):
@@ -31,6 +32,10 @@
     ttl_s: float
 
 
+class _Emptying(msgspec.Struct):
+    state: str
+
+
 class _Failure(msgspec.Struct):
     code: int
     error: str
@@ -67,6 +72,8 @@
             await self._put(exchange)
         elif call == ("GET", names.CONFIG_GET_PATH):
             await self._get(exchange)
+        elif exchange.path.startswith(names.RETIRE_PREFIX):
+            await self._serve_retire(exchange)
         else:
             raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {exchange.path}")
 
@@ -82,6 +89,26 @@
             raise OperatorError(Code.NOT_READY, "no configuration came yet")
         await exchange.answer(200, JSON, document.data)
 
+    async def _serve_retire(self, exchange: Exchange) -> None:
+        name, _, action = exchange.path.removeprefix(names.RETIRE_PREFIX).partition("/")
+        await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
+        await self.node.control.confirm_read()
+        instance = find_store(self.node, name)
+        if instance is None:
+            raise OperatorError(Code.STORE_UNKNOWN, f"no store {name!r}")
+        match (exchange.method, action):
+            case ("POST", "start"):
+                await self.node.start_emptying(instance)
+                await exchange.answer(200, JSON, b"{}")
+            case ("GET", "get"):
+                emptied = await self.node.is_emptied(instance)
+                if emptied is None:
+                    raise OperatorError(Code.STORE_UNKNOWN, f"{name!r} is in use")
+                body = msgspec.json.encode(_Emptying(STATES[emptied]))
+                await exchange.answer(200, JSON, body)
+            case _:
+                raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {action}")
+
     async def _refuse(self, exchange: Exchange, error: BurdockwallError) -> None:
         leader = self.documents.find_leader_address()
         if error.code is Code.NOT_LEADER and leader is not None:
--- a/burdockwall/process/control/documents.py
+++ b/burdockwall/process/control/documents.py
@@ -24,7 +24,7 @@
         self, name: DocumentName, number: int, data: bytes, operator: OperatorId
     ) -> None:
         """Keep a document unless its number is passed, or raise OperatorError."""
-        digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+        digest = digest_data(data)
         command = PutDocument(
             operator=operator,
             submission=f"{name} {number} {digest}",
@@ -58,6 +58,11 @@
         return leader.operator_address
 
 
+def digest_data(data: bytes) -> str:
+    """Compute the digest that tells documents of one number apart."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
 def is_for_leader(error: OperatorError) -> bool:
     """Tell whether another instance can answer what this one refused."""
     return error.code is Code.NOT_LEADER
--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -7,8 +7,9 @@
 import anyio
 import logbook
 
+from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.commands import PutDocument
-from burdockwall.process.control.documents import Documents
+from burdockwall.process.control.documents import Documents, digest_data
 from burdockwall.process.control.opening import prepare_replica
 from burdockwall.process.control.service import ControlService
 from burdockwall.process.endpoints import (
@@ -18,6 +19,16 @@
 )
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.storage.emptying import (
+    EMPTYING,
+    EmptyingPlanner,
+    EmptyingStores,
+    ObserveEmptying,
+    ProposeEmptying,
+    decode_emptying,
+    encode_emptying,
+)
+from burdockwall.process.storage.messages import Copied
 from burdockwall.process.storage.roster import (
     ObserveStores,
     ProposeView,
@@ -31,7 +42,7 @@
 )
 from burdockwall.process.web import Serve, serve_address
 from burdockwall.settings import Settings
-from burdockwall.types import EndpointState, InstanceId, OperatorId
+from burdockwall.types import DocumentName, EndpointState, InstanceId, OperatorId, Role
 
 LIST_INTERVAL_S = 1.0
 LIST_RETRY_S = 0.3
@@ -67,7 +78,11 @@
         self.documents = Documents(self.control)
         self.publisher = EndpointPublisher()
         self.planner = StorePlanner(settings.tolerated_losses)
+        self.emptying = EmptyingPlanner()
         self._hosted_publisher = host.add(self.publisher)
+        self._hosted_emptying = host.add(
+            self.emptying, (Copied,), self._propose_emptying
+        )
         self._logger = logbook.Logger("core")
         self._list_lost = False
         self._leading = False
@@ -87,6 +102,13 @@
         document = self.control.state.documents.get(STORE_VIEW)
         return decode_view(document.data) if document is not None else StoreView()
 
+    def get_emptying(self) -> EmptyingStores:
+        """Return which stores are emptied, as far as applied here."""
+        document = self.control.state.documents.get(EMPTYING)
+        if document is None:
+            return EmptyingStores()
+        return decode_emptying(document.data)
+
     # What only the leader does.
 
     async def _lead(self) -> None:
@@ -96,13 +118,56 @@
             if leading != self._leading:
                 self._leading = leading
                 self.planner.reset()
+                self.emptying.reset()
             if leading:
                 self._plan_stores()
 
     def _plan_stores(self) -> None:
-        observed = ObserveStores(self.member.membership.list_all(), self.get_view())
+        emptying, view = self.get_emptying(), self.get_view()
+        observed = ObserveStores(
+            self.member.membership.list_all(), view, emptying.instances
+        )
         for proposed in self.planner.handle(observed, self.member.host.clock()):
             self._propose_view(proposed)
+        self.member.host.apply(self._hosted_emptying, ObserveEmptying(emptying, view))
+
+    def _propose_emptying(self, proposed: ProposeEmptying) -> None:
+        later = proposed.emptying
+        self._logger.notice(
+            "store emptied",
+            extra={"store": proposed.instance, "number": later.number},
+        )
+        self._propose(EMPTYING, later.number, encode_emptying(later))
+
+    async def start_emptying(self, instance: InstanceId) -> None:
+        """Begin to empty a store, or raise OperatorError where too few are left."""
+        await self.control.confirm_read()
+        emptying = self.get_emptying()
+        if instance in emptying.instances:
+            return
+        left = [
+            entry.details.instance
+            for entry in self.member.membership.list_all()
+            if entry.details.role is Role.STORAGE
+            and entry.state is not EndpointState.FAILED
+            and entry.details.instance not in (*emptying.instances, instance)
+        ]
+        least = self.planner.least_stores
+        if len(left) < least:
+            detail = f"{len(left)} stores would be left, {least} are needed"
+            raise OperatorError(Code.STORES_TOO_FEW, detail)
+        later = EmptyingStores(
+            emptying.number + 1, (*emptying.running, instance), emptying.completed
+        )
+        await self.documents.put(EMPTYING, later.number, encode_emptying(later), SYSTEM)
+
+    async def is_emptied(self, instance: InstanceId) -> bool | None:
+        """Tell whether a store is empty for good; None where it is not asked for."""
+        await self.control.confirm_read()
+        emptying = self.get_emptying()
+        if instance not in emptying.instances:
+            return None
+        return instance in emptying.completed
 
     def _propose_view(self, proposed: ProposeView) -> None:
         view = proposed.view
@@ -114,13 +179,15 @@
                 "reason": proposed.reason,
             },
         )
-        data = encode_view(view)
+        self._propose(STORE_VIEW, view.number, encode_view(view))
+
+    def _propose(self, name: DocumentName, number: int, data: bytes) -> None:
         self.control.propose(
             PutDocument(
                 operator=SYSTEM,
-                submission=f"{STORE_VIEW} {view.number} {proposed.reason}",
-                name=STORE_VIEW,
-                number=view.number,
+                submission=f"{name} {number} {digest_data(data)}",
+                name=name,
+                number=number,
                 data=data,
             )
         )
@@ -192,10 +259,10 @@
         await self.member.run(path, tasks)
 
 
-def find_instance(node: CoreNode, name: str) -> InstanceId | None:
-    """Return the member with a name, or None."""
+def find_store(node: CoreNode, name: str) -> InstanceId | None:
+    """Return the store with a name, or None."""
     for entry in node.member.membership.list_all():
-        if name in (entry.details.name, entry.details.instance):
-            return entry.details.instance
+        details = entry.details
+        if details.role is Role.STORAGE and name in (details.name, details.instance):
+            return details.instance
     return None
-
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -50,7 +50,9 @@
         self._counter = 0
         self._sent_at: dict[InstanceId, float] = {}
 
-    def handle(self, event: PublishEndpoints | Tick | Receive, now: float) -> list[Send]:
+    def handle(
+        self, event: PublishEndpoints | Tick | Receive, now: float
+    ) -> list[Send]:
         """Take what was read and return what to send."""
         if not isinstance(event, PublishEndpoints):
             return []
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -25,7 +25,8 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics
 from burdockwall.process.scheduling.balance import Balancer
-from burdockwall.process.storage.keeper import TurnKeeper, TurnOutcome, TurnStart
+from burdockwall.process.storage.calls import TurnOutcome, TurnStart
+from burdockwall.process.storage.keeper import TurnKeeper
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.forwarding import Forwarding, ForwardingParts
@@ -271,6 +272,7 @@
             if now >= expire_at:
                 expire_at = now + EXPIRE_INTERVAL_S
                 await self.upstreams.expire()
+                self.keeper.refresh()
                 self.balancer.forget(self.endpoints.list_names())
 
     async def run(self, path: Path | None) -> None:
--- /dev/null
+++ b/burdockwall/process/storage/calls.py
@@ -0,0 +1,277 @@
+"""Ask the stores about turns, and judge when a quorum of them has answered."""
+
+from dataclasses import dataclass, field
+
+from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.storage.messages import (
+    BeginTurn,
+    EndTurn,
+    StoreFull,
+    TurnBegun,
+    TurnEnded,
+)
+from burdockwall.process.storage.tally import BeginTally, Verdict
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import (
+    CallId,
+    CustomerId,
+    Incarnation,
+    InstanceId,
+    ProgramId,
+    TurnId,
+)
+
+MS_PER_S = 1000
+# A message may be lost with its connection; the same one is sent again.
+REPEAT_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class TurnStart:
+    """Describe a turn that is about to run."""
+
+    customer: CustomerId
+    program: ProgramId
+    turn: TurnId
+    previous: TurnId | None
+    tokens: int
+    budget: int | None
+    retention_s: float
+    keeps: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TurnOutcome:
+    """Describe how a turn ended: tokens handed out, and the texts of a whole one."""
+
+    tokens: int
+    whole: bool
+    prompt: bytes = b""
+    answer: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class AskBegin:
+    """Ask to reserve a turn's tokens and to find the chain that it continues."""
+
+    call: CallId
+    start: TurnStart
+
+
+@dataclass(frozen=True, slots=True)
+class AskEnd:
+    """Ask to settle a turn."""
+
+    call: CallId
+    start: TurnStart
+    outcome: TurnOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Tell that nobody waits for a call any more."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class InstallView:
+    """Tell which stores hold the ledger, and which of them is nearest."""
+
+    view: StoreView
+    nearest: InstanceId | None
+
+
+@dataclass(frozen=True, slots=True)
+class BeginJudged:
+    """Tell what a quorum says about the beginning of a turn."""
+
+    call: CallId
+    verdict: Verdict
+    tally: BeginTally
+
+
+@dataclass(frozen=True, slots=True)
+class EndStored:
+    """Tell that a quorum has synced the end of a turn."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRefused:
+    """Tell that a store has reached its bound."""
+
+    store: InstanceId
+
+
+@dataclass(slots=True)
+class _Begin:
+    start: TurnStart
+    tally: BeginTally
+    sent_at: float = 0.0
+    asked_chain: set[InstanceId] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _End:
+    message: EndTurn
+    view: StoreView
+    sent_at: float = 0.0
+    stored: set[InstanceId] = field(default_factory=set)
+
+
+Event = Tick | Receive | AskBegin | AskEnd | Withdraw | InstallView
+Action = Send | BeginJudged | EndStored | StoreRefused
+
+
+class TurnCalls:
+    """Carry the calls of one instance to the stores."""
+
+    def __init__(self, incarnation: Incarnation) -> None:
+        self.incarnation = incarnation
+        self.view = StoreView()
+        self.nearest: InstanceId | None = None
+        self._begins: dict[CallId, _Begin] = {}
+        self._ends: dict[CallId, _End] = {}
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take an event and return what to send and what was judged."""
+        match event:
+            case Tick():
+                return self._repeat(now)
+            case Receive(sender=sender, message=message):
+                return self._receive(sender, message, now)
+            case AskBegin(call=call, start=start):
+                return self._begin(call, start, now)
+            case AskEnd():
+                return self._end(event, now)
+            case Withdraw(call=call):
+                self._begins.pop(call, None)
+                self._ends.pop(call, None)
+            case InstallView(view=view, nearest=nearest):
+                self.nearest = nearest
+                if view.number > self.view.number:
+                    self.view = view
+        return []
+
+    def _receive(
+        self, sender: InstanceId, message: Message, now: float
+    ) -> list[Action]:
+        match message:
+            case TurnBegun() if message.incarnation == self.incarnation:
+                return self._take_begun(sender, message, now)
+            case TurnEnded() if message.incarnation == self.incarnation:
+                return self._take_ended(sender, message)
+            case StoreFull():
+                return [StoreRefused(sender)]
+            case _:
+                return []
+
+    # The beginning of turns.
+
+    def _begin(self, call: CallId, start: TurnStart, now: float) -> list[Action]:
+        tally = BeginTally(
+            self.view,
+            start.tokens,
+            start.budget,
+            start.previous is not None,
+            start.keeps,
+        )
+        begin = _Begin(start, tally, now)
+        self._begins[call] = begin
+        senders = {self.nearest} if start.keeps and self.nearest else set()
+        return self._ask_stores(call, begin, senders)
+
+    def _ask_stores(
+        self, call: CallId, begin: _Begin, senders: set[InstanceId]
+    ) -> list[Action]:
+        """Ask the stores that have not answered, and some of all for the chain."""
+        start = begin.start
+        actions: list[Action] = []
+        for store in begin.tally.view.instances:
+            sends_chain = store in senders and start.previous is not None
+            if store in begin.tally.answers and not sends_chain:
+                continue
+            message = BeginTurn(
+                call,
+                self.incarnation,
+                start.customer,
+                start.program,
+                start.turn,
+                start.tokens,
+                int(start.retention_s * MS_PER_S),
+                start.previous,
+                sends_chain,
+            )
+            actions.append(Send(store, message))
+        begin.asked_chain |= senders
+        return actions
+
+    def _take_begun(
+        self, sender: InstanceId, answer: TurnBegun, now: float
+    ) -> list[Action]:
+        begin = self._begins.get(answer.call)
+        if begin is None:
+            return []
+        begin.tally.add(sender, answer)
+        verdict = begin.tally.judge()
+        if verdict is Verdict.OPEN:
+            return []
+        if verdict is Verdict.CHAIN_MISSING:
+            # The nearest store lacks the chain: another one that has it sends it.
+            keepers = set(begin.tally.list_keepers()) - begin.asked_chain
+            if self.nearest in begin.tally.answers and keepers:
+                begin.sent_at = now
+                return self._ask_stores(answer.call, begin, {min(keepers)})
+            return []
+        del self._begins[answer.call]
+        return [BeginJudged(answer.call, verdict, begin.tally)]
+
+    # The end of turns.
+
+    def _end(self, event: AskEnd, now: float) -> list[Action]:
+        start, outcome = event.start, event.outcome
+        message = EndTurn(
+            event.call,
+            self.incarnation,
+            start.customer,
+            start.program,
+            start.turn,
+            outcome.tokens,
+            outcome.whole,
+            int(start.retention_s * MS_PER_S),
+            start.previous,
+            outcome.prompt,
+            outcome.answer,
+        )
+        end = _End(message, self.view, now)
+        self._ends[event.call] = end
+        return [Send(store, message) for store in end.view.instances]
+
+    def _take_ended(self, sender: InstanceId, answer: TurnEnded) -> list[Action]:
+        end = self._ends.get(answer.call)
+        if end is None or end.view.find(sender) is None:
+            return []
+        end.stored.add(sender)
+        if len(end.stored) < end.view.write_quorum:
+            return []
+        del self._ends[answer.call]
+        return [EndStored(answer.call)]
+
+    # Time.
+
+    def _repeat(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for call, begin in self._begins.items():
+            if now - begin.sent_at >= REPEAT_S:
+                begin.sent_at = now
+                begin.tally.forget_partial()
+                keepers = begin.tally.list_keepers() if begin.start.keeps else []
+                actions += self._ask_stores(call, begin, set(keepers))
+        for end in self._ends.values():
+            if now - end.sent_at >= REPEAT_S:
+                end.sent_at = now
+                waiting = set(end.view.instances) - end.stored
+                actions += [Send(store, end.message) for store in sorted(waiting)]
+        return actions
--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -74,9 +74,7 @@
             case Tick():
                 return [*self._ask_due(now), *self._judge(now)]
 
-    def _install(
-        self, view: StoreView, now: float
-    ) -> list[Send | CompletenessChanged]:
+    def _install(self, view: StoreView, now: float) -> list[Send | CompletenessChanged]:
         if view.number <= self.view.number:
             return []
         self.view = view
@@ -108,7 +106,8 @@
 
     def _has_copied(self, source: InstanceId, since: float) -> bool:
         known = self._sources.get(source)
-        return known is not None and known.caught_up_at > since
+        complete = self.ledger.state.complete
+        return complete and known is not None and known.caught_up_at > since
 
     def _take_index(
         self, sender: InstanceId, index: RecordIndex, now: float
--- /dev/null
+++ b/burdockwall/process/storage/emptying.py
@@ -0,0 +1,121 @@
+"""Empty a store, so that it and one more may be lost with their disks.
+
+The store leaves the view first and takes no more records. Once every store of the
+view is complete and has copied all that it held, it is empty for good.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.machine import Receive, Send
+from burdockwall.process.storage.messages import AskCopied, Copied
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import DocumentName, InstanceId
+
+EMPTYING = DocumentName("emptying")
+# By then every entry instance writes to the view without the store.
+VIEW_SETTLE_S = 2.0
+ASK_INTERVAL_S = 0.4
+ANSWER_LIFE_S = 1.5
+
+
+class EmptyingStores(msgspec.Struct, frozen=True):
+    """Hold which stores are to be emptied, and which of them are empty."""
+
+    number: int = 0
+    running: tuple[InstanceId, ...] = ()
+    completed: tuple[InstanceId, ...] = ()
+
+    @property
+    def instances(self) -> frozenset[InstanceId]:
+        """List every store that must not be used for new records."""
+        return frozenset((*self.running, *self.completed))
+
+
+def encode_emptying(emptying: EmptyingStores) -> bytes:
+    """Encode for the control state."""
+    return msgspec.json.encode(emptying)
+
+
+def decode_emptying(data: bytes) -> EmptyingStores:
+    """Decode a document of the control state."""
+    return msgspec.json.decode(data, type=EmptyingStores)
+
+
+@dataclass(frozen=True, slots=True)
+class ObserveEmptying:
+    """Tell what the control state says, at the leader."""
+
+    emptying: EmptyingStores
+    view: StoreView
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeEmptying:
+    """Ask the shell to put a later state of the emptied stores in force."""
+
+    emptying: EmptyingStores
+    instance: InstanceId
+
+
+class EmptyingPlanner:
+    """Follow how far stores are emptied, while this instance leads."""
+
+    def __init__(self) -> None:
+        self._left_at: dict[InstanceId, float] = {}
+        self._answers: dict[tuple[InstanceId, InstanceId], float] = {}
+        self._asked_at = float("-inf")
+
+    def reset(self) -> None:
+        """Forget what was observed under an earlier leadership."""
+        self._left_at = {}
+        self._answers = {}
+
+    def handle(
+        self, event: ObserveEmptying | Receive, now: float
+    ) -> list[Send | ProposeEmptying]:
+        """Take an event and return what to ask and propose."""
+        match event:
+            case Receive(sender=sender, message=Copied(source=source, done=True)):
+                self._answers[source, sender] = now
+            case ObserveEmptying(emptying=emptying, view=view):
+                return self._observe(emptying, view, now)
+            case _:
+                pass
+        return []
+
+    def _observe(
+        self, emptying: EmptyingStores, view: StoreView, now: float
+    ) -> list[Send | ProposeEmptying]:
+        actions: list[Send | ProposeEmptying] = []
+        due = now - self._asked_at >= ASK_INTERVAL_S
+        for instance in emptying.running:
+            if view.find(instance) is not None:
+                self._left_at.pop(instance, None)
+                continue
+            settled_s = now - self._left_at.setdefault(instance, now) - VIEW_SETTLE_S
+            if settled_s <= 0:
+                continue
+            if self._is_copied(instance, view, now):
+                actions.append(_complete(emptying, instance))
+                break
+            if due:
+                self._asked_at = now
+                ask = AskCopied(instance, settled_s)
+                actions += [Send(member, ask) for member in view.instances]
+        return actions
+
+    def _is_copied(self, instance: InstanceId, view: StoreView, now: float) -> bool:
+        return all(
+            now - self._answers.get((instance, member), float("-inf")) < ANSWER_LIFE_S
+            for member in view.instances
+        )
+
+
+def _complete(emptying: EmptyingStores, instance: InstanceId) -> ProposeEmptying:
+    running = tuple(each for each in emptying.running if each != instance)
+    later = EmptyingStores(
+        emptying.number + 1, running, (*emptying.completed, instance)
+    )
+    return ProposeEmptying(later, instance)
--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -47,9 +47,7 @@
     def recover(self) -> Recovery:
         """Read every record; what follows a fault in the last file is cut off."""
         names = [
-            name
-            for name in self.files.list_names()
-            if name.startswith(SEGMENT_PREFIX)
+            name for name in self.files.list_names() if name.startswith(SEGMENT_PREFIX)
         ]
         records: list[StoredRecord] = []
         whole = True
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -73,6 +73,13 @@
     records: int
 
 
+class TurnKey(NamedTuple):
+    """Identify a turn; callers choose the ids, each customer's for itself."""
+
+    customer: CustomerId
+    turn: TurnId
+
+
 class ProgramKey(NamedTuple):
     """Identify a program among all customers'."""
 
@@ -116,7 +123,7 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self._accounts: dict[ProgramKey, _Account] = {}
-        self._turns: dict[TurnId, _KeptTurn] = {}
+        self._turns: dict[TurnKey, _KeptTurn] = {}
         self._records: dict[RecordKey, LedgerRecord] = {}
         self._log: deque[_Logged] = deque()
         self._log_start = 0
@@ -155,9 +162,7 @@
         batch, self._batch = tuple(self._batch), []
         return [Store(self._ticket, batch)]
 
-    def _receive(
-        self, sender: InstanceId, message: Message, now: float
-    ) -> list[Send]:
+    def _receive(self, sender: InstanceId, message: Message, now: float) -> list[Send]:
         match message:
             case BeginTurn() | EndTurn() if self.held_bytes >= self.limit_bytes:
                 return [Send(sender, StoreFull(message.call, message.incarnation))]
@@ -187,14 +192,16 @@
             message.retention_ms,
         )
         self.add(record, now)
-        account = self._accounts[ProgramKey(message.customer, message.program)]
+        # A turn that names another program this time is counted where it was first.
+        program = ProgramKey(message.customer, message.program)
+        account = self._accounts.get(program, _Account())
         others = [
             charge for turn, charge in account.charges.items() if turn != message.turn
         ]
         presence = self._find_presence(message)
         chain = None
         if message.sends_chain and presence is Presence.KEPT and message.previous:
-            chain = self._collect_chain(message.previous)
+            chain = self._collect_chain(message.customer, message.previous)
         self._reply(
             sender,
             TurnBegun(
@@ -210,20 +217,18 @@
     def _find_presence(self, message: BeginTurn) -> Presence:
         if message.previous is None:
             return Presence.NOT_ASKED
-        kept = self._turns.get(message.previous)
-        if kept is None:
-            return Presence.ABSENT
-        if kept.record.customer != message.customer:
-            return Presence.FOREIGN
-        if self._collect_chain(message.previous) is None:
+        if TurnKey(message.customer, message.previous) not in self._turns:
             return Presence.ABSENT
-        return Presence.KEPT
+        chain = self._collect_chain(message.customer, message.previous)
+        return Presence.PARTIAL if chain is None else Presence.KEPT
 
-    def _collect_chain(self, turn: TurnId) -> list[ChainLink] | None:
+    def _collect_chain(
+        self, customer: CustomerId, turn: TurnId
+    ) -> list[ChainLink] | None:
         links: list[ChainLink] = []
         following: TurnId | None = turn
         while following is not None:
-            kept = self._turns.get(following)
+            kept = self._turns.get(TurnKey(customer, following))
             if kept is None:
                 return None
             links.append(ChainLink(kept.record.prompt, kept.record.answer))
@@ -303,12 +308,14 @@
         if known is None or not known.settled:
             account.charges[record.turn] = Charge(record.turn, record.tokens, settled)
         if settled and record.whole:
-            self._turns[record.turn] = _KeptTurn(record, now + retention_s)
-            self._extend_chain(record.previous, now + retention_s)
+            key = TurnKey(record.customer, record.turn)
+            self._turns[key] = _KeptTurn(record, now + retention_s)
+            self._extend_chain(record, now + retention_s)
 
-    def _extend_chain(self, turn: TurnId | None, until: float) -> None:
+    def _extend_chain(self, record: LedgerRecord, until: float) -> None:
+        turn = record.previous
         while turn is not None:
-            kept = self._turns.get(turn)
+            kept = self._turns.get(TurnKey(record.customer, turn))
             if kept is None:
                 return
             kept.expires_at = max(kept.expires_at, until)
@@ -383,7 +390,7 @@
         return 2 * ACCOUNT_RETENTIONS * record.retention_ms / MS_PER_S
 
     def _is_expired(self, record: LedgerRecord, now: float) -> bool:
-        kept = self._turns.get(record.turn)
+        kept = self._turns.get(TurnKey(record.customer, record.turn))
         if kept is not None and kept.expires_at > now:
             return False
         account = self._accounts.get(ProgramKey(record.customer, record.program))
@@ -392,9 +399,10 @@
     def _drop(self, record: LedgerRecord) -> None:
         if self._records.pop(record.key, None) is not None:
             self.held_bytes -= record.measure_bytes()
-        kept = self._turns.get(record.turn)
+        turn = TurnKey(record.customer, record.turn)
+        kept = self._turns.get(turn)
         if kept is not None and kept.record.key == record.key:
-            del self._turns[record.turn]
+            del self._turns[turn]
 
     def _expire_accounts(self, now: float) -> None:
         expired = [
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -39,8 +39,9 @@
 
     NOT_ASKED = "not asked"
     KEPT = "kept"
+    # An earlier turn of its chain has not been copied to the store yet.
+    PARTIAL = "partial"
     ABSENT = "absent"
-    FOREIGN = "foreign"
 
 
 class BeginTurn(Message, frozen=True):
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -24,6 +24,7 @@
     """Identify a record among all stores."""
 
     kind: RecordKind
+    customer: CustomerId
     turn: TurnId
 
 
@@ -44,7 +45,7 @@
     @property
     def key(self) -> RecordKey:
         """Return what identifies the record."""
-        return RecordKey(self.kind, self.turn)
+        return RecordKey(self.kind, self.customer, self.turn)
 
     def measure_bytes(self) -> int:
         """Estimate the memory that the record takes."""
--- a/burdockwall/process/storage/roster.py
+++ b/burdockwall/process/storage/roster.py
@@ -51,7 +51,7 @@
             self._live_at[instance] = now
         if live and self._seen_since is None:
             self._seen_since = now
-            self._live_at |= {instance: now for instance in event.view.instances}
+            self._live_at |= dict.fromkeys(event.view.instances, now)
         if self._seen_since is None or now - self._seen_since < FIRST_VIEW_S:
             return []
         if now - self._changed_at < CHANGE_INTERVAL_S:
--- a/burdockwall/process/storage/tally.py
+++ b/burdockwall/process/storage/tally.py
@@ -55,11 +55,11 @@
 
     def _judge_presence(self, complete: list[TurnBegun]) -> Verdict:
         found = {answer.presence for answer in self.answers.values()}
-        if Presence.FOREIGN in found:
-            return Verdict.TURN_UNKNOWN
         if Presence.KEPT in found:
             lacks_chain = self.needs_chain and self.find_chain() is None
             return Verdict.CHAIN_MISSING if lacks_chain else Verdict.ADMITTED
+        if Presence.PARTIAL in found:
+            return Verdict.OPEN
         # Absent at so many complete stores: no write quorum ever held the turn.
         return Verdict.TURN_UNKNOWN
 
@@ -78,6 +78,12 @@
                     charges[charge.turn] = charge
         return sum(charge.tokens for charge in charges.values())
 
+    def forget_partial(self) -> None:
+        """Ask again the stores that may hold more of the chain by now."""
+        found = {answer.presence for answer in self.answers.values()}
+        if Presence.PARTIAL in found and Presence.KEPT not in found:
+            self.answers.clear()
+
     def find_chain(self) -> list[ChainLink] | None:
         """Return the earlier turns, the oldest first, or None until they came."""
         for answer in self.answers.values():
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -20,7 +20,8 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
 from burdockwall.process.scheduling.balance import Balancer
-from burdockwall.process.storage.keeper import TurnKeeper, TurnOutcome, TurnStart
+from burdockwall.process.storage.calls import TurnOutcome, TurnStart
+from burdockwall.process.storage.keeper import TurnKeeper
 from burdockwall.request.events import EVENT_END, EventCutter, join_event_data
 from burdockwall.request.passing import (
     AnswerDetails,
@@ -232,9 +233,7 @@
             head = await self._send(connection, endpoint)
             details = parts.codec.read_answer(head)
             if details.load is not None:
-                parts.balancer.take_report(
-                    endpoint.name, details.load, parts.clock()
-                )
+                parts.balancer.take_report(endpoint.name, details.load, parts.clock())
             await self._take_answer(connection, head, details, prompt)
             parts.balancer.succeed(endpoint.name)
             reusable = not details.closes
--- /dev/null
+++ b/features/steps/storage_steps.py
@@ -0,0 +1,225 @@
+from behave import given, then, when
+
+from burdockwall.process.storage.calls import TurnOutcome
+from burdockwall.process.storage.tally import Verdict
+from burdockwall.types import CustomerId
+from features.subjects.storage import (
+    StorageNetwork,
+    is_admitted,
+    name_store,
+    read_chain,
+)
+from features.subjects.storage_faults import UNSAFE, FaultSubject
+
+COUNTS = {"three": 3, "four": 4}
+
+
+@given("a ledger on {count} stores")
+def step_stores(context, count):
+    context.storage = StorageNetwork(stores=COUNTS[count])
+    context.storage.run(0.5)
+
+
+def run_turn(context, turn, program, previous, asked, answered):
+    storage = context.storage
+    start = storage.describe(turn, program, previous)
+    assert is_admitted(storage.begin(start))
+    outcome = TurnOutcome(1, True, asked.encode(), answered.encode())
+    assert storage.end(start, outcome)
+
+
+@when(
+    'turn "{turn}" starts program "{program}", asks "{asked}" and answers "{answered}"'
+)
+def step_turn(context, turn, program, asked, answered):
+    run_turn(context, turn, program, None, asked, answered)
+
+
+@when(
+    'turn "{turn}" continues "{previous}" of program "{program}", asks "{asked}" and '
+    'answers "{answered}"'
+)
+def step_next_turn(context, turn, program, previous, asked, answered):
+    run_turn(context, turn, program, previous, asked, answered)
+
+
+@when(
+    'stores 1 and 2 alone keep turn "{turn}" of program "{program}", which asks '
+    '"{asked}" and answers "{answered}"'
+)
+def step_turn_at_two(context, turn, program, asked, answered):
+    network = context.storage.network
+    network.isolate(name_store(3))
+    run_turn(context, turn, program, None, asked, answered)
+    network.heal()
+
+
+@then(
+    'turn "{turn}" after "{previous}" of program "{program}" gets the chain "{chain}"'
+)
+def step_chain(context, turn, program, previous, chain):
+    start = context.storage.describe(turn, program, previous)
+    judged = context.storage.begin(start)
+    assert is_admitted(judged), judged
+    assert read_chain(judged) == chain, read_chain(judged)
+
+
+@then(
+    'within {limit_s:f} s turn "{turn}" after "{previous}" of program "{program}" gets '
+    'the chain "{chain}"'
+)
+def step_chain_soon(context, turn, program, previous, chain, limit_s):
+    start = context.storage.describe(turn, program, previous)
+    judged = context.storage.begin(start, limit_s)
+    assert is_admitted(judged), judged
+    assert read_chain(judged) == chain, read_chain(judged)
+
+
+def check_unknown(context, start):
+    judged = context.storage.begin(start)
+    assert judged is not None and judged.verdict is Verdict.TURN_UNKNOWN, judged
+
+
+@then('turn "{turn}" after "{previous}" of program "{program}" is refused as unknown')
+def step_unknown(context, turn, program, previous):
+    check_unknown(context, context.storage.describe(turn, program, previous))
+
+
+@then('turn "{turn}" after "{previous}" is refused as unknown to another customer')
+def step_foreign(context, turn, previous):
+    start = context.storage.describe(
+        turn, "p", previous, customer=CustomerId("another")
+    )
+    check_unknown(context, start)
+
+
+@then('turn "{turn}" after "{previous}" of program "{program}" gets no verdict')
+def step_no_verdict(context, turn, program, previous):
+    start = context.storage.describe(turn, program, previous)
+    assert context.storage.begin(start) is None
+
+
+@when('turn "{turn}" of program "{program}" uses {tokens:d} tokens')
+def step_use(context, turn, program, tokens):
+    start = context.storage.describe(turn, program, tokens=tokens + 10)
+    assert is_admitted(context.storage.begin(start))
+    assert context.storage.end(start, TurnOutcome(tokens, True))
+
+
+def begin_within(context, turn, program, tokens, budget):
+    start = context.storage.describe(turn, program, None, tokens, budget)
+    return context.storage.begin(start)
+
+
+@when(
+    'turn "{turn}" of program "{program}" begins with {tokens:d} of {budget:d} tokens'
+)
+def step_begin_within(context, turn, program, tokens, budget):
+    assert is_admitted(begin_within(context, turn, program, tokens, budget))
+
+
+@then(
+    'turn "{turn}" of program "{program}" with {tokens:d} of {budget:d} tokens begins'
+)
+def step_begins_within(context, turn, program, tokens, budget):
+    assert is_admitted(begin_within(context, turn, program, tokens, budget))
+
+
+@then(
+    'turn "{turn}" of program "{program}" with {tokens:d} of {budget:d} tokens is '
+    "refused as over the budget"
+)
+def step_over_budget(context, turn, program, tokens, budget):
+    judged = begin_within(context, turn, program, tokens, budget)
+    assert judged is not None and judged.verdict is Verdict.BUDGET_SPENT, judged
+    start = context.storage.describe(turn, program, None, tokens, budget)
+    assert context.storage.end(start, TurnOutcome(0, False))
+
+
+@when('turn "{turn}" of program "{program}" ends without a token')
+def step_end_unused(context, turn, program):
+    start = context.storage.describe(turn, program)
+    assert context.storage.end(start, TurnOutcome(0, False))
+
+
+@when("store {number:d} is cut off")
+def step_cut(context, number):
+    context.storage.network.isolate(name_store(number))
+
+
+@when("store {number:d} is back")
+def step_back(context, number):
+    context.storage.network.heal()
+
+
+@when("store {number:d} loses its disk and starts again")
+def step_wipe(context, number):
+    context.storage.wipe(name_store(number))
+
+
+@when("each store loses its disk, {gap_s:f} s apart")
+def step_wipe_all(context, gap_s):
+    for name in list(context.storage.stores):
+        context.storage.wipe(name)
+        context.storage.run(gap_s)
+
+
+@then("store {number:d} is complete within {limit_s:f} s")
+def step_complete(context, number, limit_s):
+    name = name_store(number)
+
+    def is_complete():
+        return context.storage.stores[name].ledger.state.complete
+
+    assert context.storage.run_until(is_complete, limit_s)
+
+
+@when("store {number:d} is emptied")
+def step_empty(context, number):
+    context.emptied = name_store(number)
+    context.storage.empty(context.emptied)
+
+
+@then("the store is empty within {limit_s:d} s")
+def step_emptied(context, limit_s):
+    assert context.storage.run_until_empty(context.emptied, limit_s)
+
+
+@when("store {number:d} is gone")
+def step_gone(context, number):
+    context.storage.network.crash(name_store(number))
+
+
+@given("stores without {protection}")
+def step_unsafe(context, protection):
+    context.network_class = UNSAFE[protection]
+
+
+@when("stores run through drawn faults for {count:d} seeds from {first:d}")
+def step_faults(context, count, first):
+    context.subject = FaultSubject()
+    context.subject.run_seeds(first, count)
+
+
+@when(
+    "stores run through drawn faults for {count:d} seeds from {first:d}, until one "
+    "breaks"
+)
+def step_unsafe_faults(context, count, first):
+    context.subject = FaultSubject()
+    context.subject.network_class = context.network_class
+    context.subject.run_seeds(first, count, stop_at_broken=True)
+
+
+@then("no turn was lost or mixed and no budget was exceeded")
+def step_hold(context):
+    subject = context.subject
+    print(f"{subject.runs} runs, {subject.stored} turns kept")
+    assert subject.runs and subject.stored
+    assert not subject.broken, subject.broken
+
+
+@then("some turn was lost or some budget was exceeded")
+def step_broken(context):
+    print(f"broken: {context.subject.broken}")
+    assert context.subject.broken, f"none in {context.subject.runs} runs"
--- /dev/null
+++ b/features/storage.feature
@@ -0,0 +1,72 @@
+Feature: Stores keep what programs said and spent
+  Turns, their chains and what they count against budgets outlive crashes, power
+  losses and lost disks of as many stores as are tolerated.
+
+  Scenario: A turn that continues another gets the chain, the oldest first
+    Given a ledger on three stores
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And turn "b" continues "a" of program "p", asks "3" and answers "4"
+    Then turn "c" after "b" of program "p" gets the chain "12 34"
+
+  Scenario: A turn that nobody kept is unknown, and another customer's too
+    Given a ledger on three stores
+    When turn "a" starts program "p", asks "1" and answers "2"
+    Then turn "b" after "x" of program "p" is refused as unknown
+    And turn "b" after "a" is refused as unknown to another customer
+
+  Scenario: A budget counts what was used, and what turns under way may use
+    Given a ledger on three stores
+    When turn "a" of program "p" uses 30 tokens
+    And turn "b" of program "p" begins with 50 of 100 tokens
+    Then turn "c" of program "p" with 50 of 100 tokens is refused as over the budget
+    And turn "d" of program "p" with 20 of 100 tokens begins
+
+  Scenario: A turn that did not run gives its reservation back
+    Given a ledger on three stores
+    When turn "a" of program "p" begins with 90 of 100 tokens
+    And turn "a" of program "p" ends without a token
+    Then turn "b" of program "p" with 90 of 100 tokens begins
+
+  Scenario: A frozen store holds up no turn
+    Given a ledger on three stores
+    When store 1 is cut off
+    And turn "a" starts program "p", asks "1" and answers "2"
+    Then within 0.3 s turn "b" after "a" of program "p" gets the chain "12"
+
+  Scenario: A store whose disk was lost says nothing is absent until it has all
+    Given a ledger on three stores
+    When stores 1 and 2 alone keep turn "a" of program "p", which asks "1" and answers "2"
+    And store 1 loses its disk and starts again
+    And store 2 is cut off
+    Then turn "b" after "a" of program "p" gets no verdict
+    When store 2 is back
+    Then store 1 is complete within 4.4 s
+    And turn "c" after "a" of program "p" gets the chain "12"
+
+  Scenario: Stores lose their disks one after another
+    Given a ledger on three stores
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And each store loses its disk, 4.4 s apart
+    Then turn "b" after "a" of program "p" gets the chain "12"
+
+  Scenario: A store is emptied only when one more may be lost with its disk
+    Given a ledger on four stores
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And store 1 is emptied
+    Then the store is empty within 5 s
+    When store 1 is gone
+    And store 2 loses its disk and starts again
+    Then turn "b" after "a" of program "p" gets the chain "12"
+
+  Scenario Outline: Without <protection> some run breaks
+    Given stores without <protection>
+    When stores run through drawn faults for 300 seeds from 1, until one breaks
+    Then some turn was lost or some budget was exceeded
+
+    Examples:
+      | protection                   |
+      | the sync before the answer   |
+      | the quorum of writers        |
+      | the doubt of a lost disk     |
+      | the copies between stores    |
+      | the reservation of tokens    |
--- /dev/null
+++ b/features/subjects/storage_faults.py
@@ -0,0 +1,323 @@
+"""Run stores through faults drawn from a seed, and check what callers were told."""
+
+import random
+from dataclasses import dataclass, field
+
+from burdockwall.fakes.network import Weather
+from burdockwall.process.storage.calls import TurnCalls, TurnOutcome, TurnStart
+from burdockwall.process.storage.copier import Copier
+from burdockwall.process.storage.records import StoreState
+from burdockwall.process.storage.tally import BeginTally, Verdict
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import CallId, InstanceId, TurnId
+from features.subjects.storage import StorageNetwork, read_chain
+
+RUN_S = 14.0
+SETTLE_S = 6.0
+# The deployments ask for a store's copies within this time of its return.
+CATCH_UP_S = 4.4
+CALLERS = (InstanceId("front-1"), InstanceId("front-2"))
+MOST_TOKENS = 40
+BUDGET_TOKENS = 150
+STEP_S = 0.02
+
+
+@dataclass(slots=True)
+class ModelTurn:
+    """Hold what a caller knows of one of its turns."""
+
+    start: TurnStart
+    caller: InstanceId
+    begin: CallId
+    asked_at: float
+    expected_chain: str
+    end: CallId | None = None
+    outcome: TurnOutcome | None = None
+
+
+@dataclass(slots=True)
+class ModelProgram:
+    """Hold what the callers of one program were given."""
+
+    name: str
+    whole: dict[TurnId, str] = field(default_factory=dict)
+    handed: int = 0
+    turns: int = 0
+    running: int = 0
+
+
+class FaultRun:
+    """Run programs while stores crash, lose power or disks, and are cut off."""
+
+    def __init__(self, seed: int, network_class: type[StorageNetwork]) -> None:
+        self.random = random.Random(f"storage-faults-{seed}")
+        weather = Weather(
+            delay_high_s=self.random.choice((0.003, 0.003, 0.05)),
+            loss=self.random.choice((0.0, 0.0, 0.05)),
+            doubling=self.random.choice((0.0, 0.05)),
+        )
+        self.storage = network_class(seed, weather=weather)
+        self.storage.start_caller(CALLERS[1])
+        self.network = self.storage.network
+        self.programs = [ModelProgram(f"p{n}") for n in range(4)]
+        self.turns: list[ModelTurn] = []
+        self.broken: list[str] = []
+        self.stored = 0
+        self._down: InstanceId | None = None
+        self._next_fault = self.random.uniform(0.3, 1.0)
+
+    def run(self) -> None:
+        while self.network.now < RUN_S:
+            self._cause_fault()
+            self._advance_turns()
+            self._begin_turn()
+            self.storage.run(STEP_S)
+        self._end_faults()
+        self.storage.run(SETTLE_S)
+        self._check_all()
+
+    # Faults.
+
+    def _cause_fault(self) -> None:
+        if self.network.now < self._next_fault:
+            return
+        stores = list(self.storage.stores)
+        fault = self.random.choice(("wipe", "cut", "kill", "power", "power all"))
+        name = self.random.choice(stores)
+        match fault:
+            case "wipe":
+                self.storage.wipe(name)
+            case "cut":
+                self.network.isolate(name)
+                self._recover_later(self.network.heal, self.random.uniform(0.2, 3))
+            case "kill":
+                self.storage.restart_store(name)
+            case "power":
+                self.storage.lose_power(name)
+                self._recover_later(lambda: self._return(name), 0.5)
+            case "power all":
+                for each in stores:
+                    self.storage.lose_power(each)
+                    self._recover_later(lambda each=each: self._return(each), 0.8)
+        self._next_fault = (
+            self.network.now + 3.0 + CATCH_UP_S * self.random.uniform(0.35, 1)
+        )
+        if fault == "wipe":
+            self._next_fault = self.network.now + CATCH_UP_S
+
+    def _recover_later(self, recover, delay_s: float) -> None:
+        self.network.schedule(delay_s, recover)
+
+    def _return(self, name: InstanceId) -> None:
+        if not self.network.nodes[name].up:
+            self.storage.start_store(name, self.storage.stores[name].files, False)
+
+    def _end_faults(self) -> None:
+        self.network.heal()
+        for name in list(self.storage.stores):
+            self._return(name)
+
+    # Turns.
+
+    def _begin_turn(self) -> None:
+        program = self.random.choice(self.programs)
+        if self.random.random() > 0.4 or program.running >= 3:
+            return
+        program.turns += 1
+        program.running += 1
+        whole = list(program.whole)
+        latest = whole[-1:] if self.random.random() < 0.5 else whole
+        previous = self.random.choice(latest) if latest else None
+        turn = f"{program.name}-{program.turns}"
+        start = self.storage.describe(
+            turn,
+            program.name,
+            previous,
+            self.random.randint(1, MOST_TOKENS),
+            BUDGET_TOKENS,
+        )
+        caller = self.random.choice(CALLERS)
+        call = self.storage.ask_begin(start, caller)
+        chain = program.whole[previous] if previous else ""
+        self.turns.append(ModelTurn(start, caller, call, self.network.now, chain))
+
+    def _advance_turns(self) -> None:
+        for turn in list(self.turns):
+            program = self._find_program(turn.start)
+            if turn.end is None:
+                self._take_begin(turn, program)
+            elif turn.end in self.storage.judged.ends:
+                self._keep(turn, program)
+            elif self.network.now - turn.asked_at > 3.0:
+                # Not known to be kept: the caller gets no end of its answer.
+                self._forget(turn, program)
+
+    def _find_program(self, start: TurnStart) -> ModelProgram:
+        return next(each for each in self.programs if each.name == start.program)
+
+    def _take_begin(self, turn: ModelTurn, program: ModelProgram) -> None:
+        judged = self.storage.judged.begins.get(turn.begin)
+        if judged is None:
+            if self.network.now - turn.asked_at > 1.5:
+                self.storage.withdraw(turn.begin, turn.caller)
+                self._settle(turn, 0)
+                self._forget(turn, program)
+            return
+        if judged.verdict is Verdict.TURN_UNKNOWN:
+            self.broken.append(f"{turn.start.previous} is lost at {self.network.now}")
+        if judged.verdict is not Verdict.ADMITTED:
+            self._settle(turn, 0)
+            self._forget(turn, program)
+            return
+        chain = read_chain(judged)
+        if turn.start.previous and chain != turn.expected_chain:
+            self.broken.append(f"{turn.start.turn} got {chain!r}")
+        handed = self.random.randint(0, turn.start.tokens)
+        program.handed += handed
+        if program.handed > BUDGET_TOKENS + MOST_TOKENS:
+            self.broken.append(f"{program.name} was given {program.handed} tokens")
+        if self.random.random() < 0.1:
+            # Its caller has left, or its instance died: nothing is settled.
+            self._forget(turn, program)
+            return
+        whole = self.random.random() < 0.8
+        text = str(turn.start.turn).encode()
+        turn.outcome = TurnOutcome(handed, whole, text, b"!")
+        turn.end = self.storage.ask_end(turn.start, turn.outcome, turn.caller)
+        turn.asked_at = self.network.now
+
+    def _settle(self, turn: ModelTurn, tokens: int) -> None:
+        self.storage.ask_end(turn.start, TurnOutcome(tokens, False), turn.caller)
+
+    def _keep(self, turn: ModelTurn, program: ModelProgram) -> None:
+        if turn.outcome is not None and turn.outcome.whole:
+            chain = f"{turn.expected_chain} {turn.start.turn}!".strip()
+            program.whole[turn.start.turn] = chain
+            self.stored += 1
+        self._forget(turn, program)
+
+    def _forget(self, turn: ModelTurn, program: ModelProgram) -> None:
+        program.running -= 1
+        self.turns.remove(turn)
+
+    # What must hold at the end.
+
+    def _check_all(self) -> None:
+        for program in self.programs:
+            for turn, chain in program.whole.items():
+                start = self.storage.describe(f"check-{turn}", "check", turn, 1)
+                judged = self.storage.begin(start)
+                if judged is None or judged.verdict is not Verdict.ADMITTED:
+                    self.broken.append(f"{turn} is lost: {judged}")
+                elif read_chain(judged) != chain:
+                    self.broken.append(f"{turn} is mixed: {read_chain(judged)}")
+
+
+class FaultSubject:
+    """Run many seeds and collect what broke."""
+
+    def __init__(self) -> None:
+        self.network_class: type[StorageNetwork] = StorageNetwork
+        self.broken: list[str] = []
+        self.runs = 0
+        self.stored = 0
+
+    def run_seeds(self, first: int, count: int, stop_at_broken: bool = False) -> None:
+        for seed in range(first, first + count):
+            run = FaultRun(seed, self.network_class)
+            run.run()
+            self.runs += 1
+            self.stored += run.stored
+            self.broken += [f"seed {seed}: {line}" for line in run.broken]
+            if self.broken and stop_at_broken:
+                return
+
+
+class SoleQuorumView(StoreView):
+    """Take one store for a quorum of writers."""
+
+    @property
+    def write_quorum(self) -> int:
+        return 1
+
+    @property
+    def read_quorum(self) -> int:
+        return 1
+
+
+class IdleCopier(Copier):
+    """Copy nothing, and take itself for complete."""
+
+    def _ask_due(self, now):
+        return []
+
+    def _judge(self, now):
+        if not self.ledger.state.complete:
+            self.ledger.set_state(StoreState(True, self.ledger.state.since), now)
+        return []
+
+
+class ForgetfulTally(BeginTally):
+    """Count only what turns have used, not what those under way may use."""
+
+    def count_charges(self) -> int:
+        charges = {}
+        for answer in self.answers.values():
+            charges |= {
+                each.turn: each.tokens for each in answer.charges if each.settled
+            }
+        return sum(charges.values())
+
+
+class ForgetfulCalls(TurnCalls):
+    """Begin turns without regard to those under way."""
+
+    def _begin(self, call, start, now):
+        actions = super()._begin(call, start, now)
+        begin = self._begins[call]
+        tally = begin.tally
+        begin.tally = ForgetfulTally(
+            tally.view, tally.tokens, tally.budget, tally.continues, tally.needs_chain
+        )
+        return actions
+
+
+class EarlyAnswers(StorageNetwork):
+    """Answer before the sync."""
+
+    syncs_first = False
+
+
+class SoleWriters(StorageNetwork):
+    """Wait for one store only."""
+
+    def __init__(self, seed: int = 1, stores: int = 3, weather=None) -> None:
+        super().__init__(seed, stores, weather)
+        self.install_view(SoleQuorumView(2, self.view.members))
+
+
+class TrustingStores(StorageNetwork):
+    """Take an empty disk for a whole one."""
+
+    doubts_lost_disks = False
+
+
+class IdleStores(StorageNetwork):
+    """Copy nothing between stores."""
+
+    copier_class = IdleCopier
+
+
+class ForgetfulCallers(StorageNetwork):
+    """Reserve no tokens."""
+
+    calls_class = ForgetfulCalls
+
+
+UNSAFE = {
+    "the sync before the answer": EarlyAnswers,
+    "the quorum of writers": SoleWriters,
+    "the doubt of a lost disk": TrustingStores,
+    "the copies between stores": IdleStores,
+    "the reservation of tokens": ForgetfulCallers,
+}
