Queue log lines without blocking, and show metrics as text

Lines go to standard output in chunks that a writable pipe takes; a slow reader costs lines, which are counted, ordinary requests first.

--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -3,6 +3,8 @@
 import os
 from pathlib import Path
 
+import anyio
+
 from burdockwall.errors import Code, OperatorError
 from burdockwall.platform.cloud import CloudList
 from burdockwall.platform.codec import PlatformCodec
@@ -11,6 +13,7 @@
 from burdockwall.platform.names import SETTINGS_VARIABLE
 from burdockwall.process.core import CoreNode
 from burdockwall.process.front import Front
+from burdockwall.process.sink import LineSink
 from burdockwall.process.storage.node import StoreNode
 from burdockwall.settings import Settings
 from burdockwall.types import Role
@@ -25,8 +28,15 @@
     return Path(path)
 
 
-async def run_role(settings: Settings, path: Path) -> None:
+async def run_role(settings: Settings, path: Path, sink: LineSink) -> None:
     """Run a process until it is stopped."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(sink.run)
+        await _run(settings, path)
+        group.cancel_scope.cancel()
+
+
+async def _run(settings: Settings, path: Path) -> None:
     match settings.role:
         case Role.ENTRY:
             await Front(settings, PlatformCodec(), decode_deployment).run(path)
--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -89,6 +89,9 @@
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
 
+        self.member.gauges.add("term", lambda: float(self.control.term))
+        self.member.gauges.add("version", lambda: float(self.control.version))
+
     def _install(self, replica: StateReplica) -> None:
         """Follow nothing: a control instance reads its own replica."""
 
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -23,7 +23,6 @@
 from burdockwall.process.limits.units import UNITS_PER_REQUEST
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
-from burdockwall.process.metrics import Metrics
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.keeper import TurnKeeper
@@ -66,7 +65,7 @@
         host = self.member.host
         self.clock = host.clock
         self.view: DeploymentView | None = None
-        self.metrics = Metrics()
+        self.metrics = self.member.metrics
         self.drain = Drain()
         self.under_way = 0
         self._logger = logbook.Logger("front")
@@ -98,6 +97,15 @@
             self._settle_later,
             self._admit,
         )
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauges = self.member.gauges
+        gauges.add("requests_under_way", lambda: float(self.under_way))
+        gauges.add("configuration", lambda: float(self.view.number if self.view else 0))
+        gauges.add("upstream_connections", lambda: float(self.upstreams.count_open()))
+        gauges.add("upstream_connections_opened", lambda: float(self.upstreams.opened))
+        gauges.add("store_view", lambda: float(self.keeper.calls.view.number))
 
     def _count_instances(self) -> int:
         members = self.member.membership.list_members()
--- a/burdockwall/process/logs.py
+++ b/burdockwall/process/logs.py
@@ -2,11 +2,11 @@
 
 import sys
 from datetime import UTC
-from typing import TextIO
 
 import logbook
 import msgspec
 
+from burdockwall.process.sink import LineSink
 from burdockwall.settings import Settings
 
 TEXT_FORMAT = (
@@ -41,13 +41,25 @@
     return value if isinstance(value, int | float | str | None) else str(value)
 
 
-def create_log_handler(
-    settings: Settings, stream: TextIO = sys.stderr
-) -> logbook.Handler:
-    """Create the handler that writes the process's log."""
+def create_log_handler(settings: Settings) -> logbook.Handler:
+    """Create the handler that writes the process's log to standard error."""
     handler = logbook.StreamHandler(
-        stream, level=settings.log_level.upper(), format_string=TEXT_FORMAT
+        sys.stderr, level=settings.log_level.upper(), format_string=TEXT_FORMAT
     )
     if settings.log_format == "json":
         handler.formatter = format_json
     return handler
+
+
+class SinkHandler(logbook.Handler):  # type: ignore[misc]
+    """Queue each record as a JSON line, within the sink's bounds."""
+
+    def __init__(self, sink: LineSink, level: str) -> None:
+        super().__init__(level=level)
+        self.sink = sink
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a record; what was refused or failed is no ordinary line."""
+        informs = record.level <= logbook.INFO
+        ordinary = informs and not record.extra.get("code")
+        self.sink.put(format_json(record, self), ordinary)
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -14,15 +14,19 @@
 from burdockwall.errors import InvalidFile
 from burdockwall.process.clock import read_clock
 from burdockwall.process.control.opening import list_contacts
+from burdockwall.process.exposition import Gauges, MetricsPage
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
+from burdockwall.process.metrics import Metrics
 from burdockwall.process.reload import reload_settings
+from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain, Incarnation, InstanceId
 
 WATCH_INTERVAL_S = 2.0
+STOP_GRACE_S = 0.5
 
 
 class FleetMember:
@@ -54,6 +58,10 @@
         )
         contacts = list_contacts(settings)
         self.membership = Membership(self.host, details, contacts, install)
+        self.metrics = Metrics()
+        self.gauges = Gauges()
+        self.gauges.add("leading", lambda: float(self.membership.is_leading()))
+        self.gauges.add("members", lambda: float(len(self.membership.members)))
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
 
@@ -84,12 +92,19 @@
             group.start_soon(self.host.run)
             group.start_soon(self._follow_signals, path)
             group.start_soon(self._watch_file, path)
+            group.start_soon(self._serve_metrics)
             for task in tasks[:-1]:
                 group.start_soon(task)
             await tasks[-1]()
             group.cancel_scope.cancel()
         self._logger.notice("stopped", extra={"instance": settings.instance_id})
 
+    async def _serve_metrics(self) -> None:
+        address = self.settings.metrics_address
+        if address:
+            page = MetricsPage(self.metrics, self.gauges)
+            await serve_address(address, page.serve, anyio.Event(), STOP_GRACE_S)
+
     async def _follow_signals(self, path: Path | None) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- /dev/null
+++ b/burdockwall/process/sink.py
@@ -0,0 +1,89 @@
+"""Hand log lines to a file descriptor without ever waiting for its reader."""
+
+import os
+import select
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+
+# A pipe that polls as writable takes this much without blocking.
+CHUNK_BYTES = 4096
+LINES_LIMIT = 4096
+# Lines of ordinary requests that are written a second; the rest is counted.
+ORDINARY_PER_S = 300.0
+DRAIN_INTERVAL_S = 0.1
+DRAIN_CHUNKS = 64
+LAST_DRAINS = 20
+
+
+class LineSink:
+    """Queue lines within bounds; ordinary ones are the first to be left out."""
+
+    def __init__(self, descriptor: int, clock: Callable[[], float]) -> None:
+        self.descriptor = descriptor
+        self.clock = clock
+        self.left_out = 0
+        self._lines: deque[bytes] = deque()
+        self._partial = b""
+        self._allowance = ORDINARY_PER_S
+        self._refilled_at = clock()
+
+    def put(self, line: str, ordinary: bool) -> None:
+        """Queue a line, or count it as left out."""
+        full = len(self._lines) >= (LINES_LIMIT // 2 if ordinary else LINES_LIMIT)
+        if full or (ordinary and not self._take_allowance()):
+            self.left_out += 1
+            return
+        self._lines.append(line.encode(errors="replace") + b"\n")
+
+    def _take_allowance(self) -> bool:
+        now = self.clock()
+        earned = (now - self._refilled_at) * ORDINARY_PER_S
+        self._refilled_at = now
+        self._allowance = min(ORDINARY_PER_S, self._allowance + earned)
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
+    def drain(self) -> None:
+        """Write what the descriptor takes now."""
+        for _ in range(DRAIN_CHUNKS):
+            chunk = self._take_chunk()
+            if not chunk or not self._is_writable():
+                self._partial = chunk
+                return
+            written = os.write(self.descriptor, chunk)
+            self._partial = chunk[written:]
+
+    def _take_chunk(self) -> bytes:
+        parts = [self._partial]
+        size = len(self._partial)
+        while self._lines and size < CHUNK_BYTES:
+            line = self._lines.popleft()
+            parts.append(line)
+            size += len(line)
+        data = b"".join(parts)
+        rest = data[CHUNK_BYTES:]
+        if rest:
+            self._lines.appendleft(rest)
+        return data[:CHUNK_BYTES]
+
+    def _is_writable(self) -> bool:
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLOUT)
+        return any(events & select.POLLOUT for _, events in poll.poll(0))
+
+    async def run(self) -> None:
+        """Write what is queued, at intervals."""
+        while True:
+            self.drain()
+            await anyio.sleep(DRAIN_INTERVAL_S)
+
+    def close(self) -> None:
+        """Write what is left, as far as the reader takes it."""
+        for _ in range(LAST_DRAINS):
+            self.drain()
+            if not self._lines and not self._partial:
+                return
--- a/burdockwall/process/storage/node.py
+++ b/burdockwall/process/storage/node.py
@@ -28,6 +28,11 @@
             settings.store_limit_bytes,
         )
 
+        gauges, service = self.member.gauges, self.service
+        gauges.add("store_bytes", lambda: float(service.ledger.held_bytes))
+        gauges.add("store_complete", lambda: float(service.ledger.state.complete))
+        gauges.add("store_syncs", lambda: float(service.syncs))
+
     def _install(self, replica: StateReplica) -> None:
         stores = replica.documents.get(STORE_VIEW)
         if stores is not None:
