--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -15,6 +15,7 @@
 import grpclib.client
 import grpclib.const
 import grpclib.server
+import logbook
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from burdockwall.connection.tls import PeerContexts
@@ -62,6 +63,8 @@
         self._wake = anyio.Event()
         self._sent = 0
         self._acknowledged = 0
+        self._reached: bool | None = None
+        self._logger = logbook.Logger("peers")
 
     def put(self, message: AnyMessage) -> None:
         """Queue a message; the oldest is dropped when the queue is full."""
@@ -74,10 +77,23 @@
             await self._wait_for_message()
             try:
                 await self._connect_once()
-            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
                 self.replaced += 1
+                self._note_lost(error)
             await anyio.sleep(RECONNECT_DELAY_S)
 
+    def _note_lost(self, error: Exception) -> None:
+        if self._reached is not False:
+            problem = f"{type(error).__name__}: {error}"
+            extra = {"peer": self.address, "error": problem}
+            self._logger.warning("peer lost", extra=extra)
+        self._reached = False
+
+    def _note_reached(self) -> None:
+        if self._reached is False:
+            self._logger.notice("peer regained", extra={"peer": self.address})
+        self._reached = True
+
     async def _wait_for_message(self) -> None:
         if not self._queue:
             self._wake = anyio.Event()
@@ -116,6 +132,7 @@
         if reply is None:
             raise StreamTerminatedError("the peer closed the stream")
         self._acknowledged = reply.count
+        self._note_reached()
 
 
 class PeerBus:
