Send a restarted instance all that it lacks, also among constant changes

Now what a follower is known to have is forgotten with its incarnation, and an unconfirmed message puts nothing off.

--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -229,7 +229,11 @@
 
     def _take_beat(self, sender: InstanceId, beat: Beat, now: float) -> list[Action]:
         self.collector.add(sender, beat, now)
-        return list(self.publisher.update(sender, beat.version, beat.stamp, now))
+        return list(
+            self.publisher.update(
+                sender, beat.incarnation, beat.version, beat.stamp, now
+            )
+        )
 
     def _take_grant(self, grant: Grant, now: float) -> list[Action]:
         stale = grant.term < self.term
--- a/burdockwall/process/membership/publisher.py
+++ b/burdockwall/process/membership/publisher.py
@@ -13,7 +13,7 @@
 )
 from burdockwall.process.membership.roster import Roster
 from burdockwall.process.membership.timing import RESEND_CHANGES_S, RESEND_SNAPSHOT_S
-from burdockwall.types import InstanceId, Version
+from burdockwall.types import Incarnation, InstanceId, Version
 
 
 class StateReader(Protocol):
@@ -35,6 +35,13 @@
 
 @dataclass(slots=True)
 class _Follower:
+    """Hold what a follower has, if all that was sent has arrived.
+
+    Until the times of the first messages that it has not confirmed, what it reports
+    may be older than what is on its way to it.
+    """
+
+    incarnation: Incarnation
     version: Version = Version(0)
     version_until: float = float("-inf")
     stamp: Stamp = Stamp()
@@ -50,10 +57,18 @@
         self._followers: dict[InstanceId, _Follower] = {}
 
     def update(
-        self, follower: InstanceId, version: Version, stamp: Stamp, now: float
+        self,
+        follower: InstanceId,
+        incarnation: Incarnation,
+        version: Version,
+        stamp: Stamp,
+        now: float,
     ) -> list[Send]:
         """Take what a follower reports and send it what it lacks."""
-        known = self._followers.setdefault(follower, _Follower())
+        known = self._followers.get(follower)
+        if known is None or known.incarnation != incarnation:
+            known = _Follower(incarnation)
+            self._followers[follower] = known
         # What was sent lately may still be on its way.
         if now >= known.version_until or version > known.version:
             known.version = version
@@ -84,7 +99,8 @@
         answer = self.roster.answer_since(known.stamp)
         if answer is not None:
             known.stamp = self.roster.stamp
-            known.stamp_until = now + RESEND_CHANGES_S
+            if now >= known.stamp_until:
+                known.stamp_until = now + RESEND_CHANGES_S
             sends.append(Send(follower, answer))
         return sends
 
@@ -94,8 +110,10 @@
         since = known.version
         changes = self.state.changes_since(since)
         known.version = self.state.version
+        pending = now < known.version_until
         if changes is None:
             known.version_until = now + RESEND_SNAPSHOT_S
             return self.state.take_snapshot()
-        known.version_until = now + RESEND_CHANGES_S
+        if not pending:
+            known.version_until = now + RESEND_CHANGES_S
         return StateChanges(since, known.version, changes)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -170,7 +170,9 @@
             self._admit(join, changed, removed, now)
         actions += self._change_roster(changed, removed, {})
         self._reporters[sender] = now
-        actions += self.publisher.update(sender, report.version, report.stamp, now)
+        actions += self.publisher.update(
+            sender, report.incarnation, report.version, report.stamp, now
+        )
         if report.stamp.term != self.term and report.stamp != Stamp():
             # The numbers are another leader's; the new list is on its way.
             return actions
