Let the control leader own every rate, and bear its absence within the tolerance

The leader now owns all rates, and an entry instance that can't reach it admits a part of what the operators tolerate above rate and burst.

--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -18,17 +18,14 @@
     resolve as resolve_caller,
 )
 from burdockwall.errors import BurdockwallError, Code, InvalidFile, OperatorError
-from burdockwall.platform.start import find_settings_path, run_role
-from burdockwall.process.clock import read_clock
+from burdockwall.platform.start import run_process
 from burdockwall.process.control.audit import AuditFilter, AuditRecord, verify_audit
 from burdockwall.process.control.commands import Outcome, Permission
 from burdockwall.process.control.opening import bootstrap_replica, join_replica
 from burdockwall.process.control.sections import compare_sections, split_sections
-from burdockwall.process.logs import SinkHandler, create_log_handler
+from burdockwall.process.logs import create_log_handler
 from burdockwall.process.membership.page import FleetPage
-from burdockwall.process.node import run_node
 from burdockwall.process.scheduling.explain import PlacementPage
-from burdockwall.process.sink import LineSink
 from burdockwall.settings import Settings, read_settings
 from burdockwall.types import (
     Address,
@@ -110,6 +107,9 @@
 @settings_option
 def serve(settings_path: Path | None) -> None:
     """Run one process until it is told to stop."""
+    # Imported here, so that the other commands start quicker.
+    from burdockwall.process.node import run_node
+
     settings = _load_settings(settings_path)
     if click.get_current_context().find_root().params["debug"]:
         settings.log_level = "debug"
@@ -120,14 +120,7 @@
 @cli.command()
 def platform() -> None:
     """Run one process on the users' platform, with the settings that it names."""
-    path = find_settings_path()
-    settings = read_settings(path)
-    sink = LineSink(sys.stdout.fileno(), read_clock)
-    try:
-        with SinkHandler(sink, settings.log_level.upper()).applicationbound():
-            anyio.run(run_role, settings, path, sink)
-    finally:
-        sink.close()
+    run_process()
 
 
 @cli.command()
--- /dev/null
+++ b/burdockwall/fakes/servers.py
@@ -0,0 +1,123 @@
+"""Stand in for the users' platform: its servers and its list of them."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from burdockwall.connection.exchange import Exchange, Headers, run_while_present
+from burdockwall.errors import RequestRefused
+from burdockwall.fakes.ports import find_address
+from burdockwall.process.web import serve_address
+from burdockwall.types import Address
+
+STREAM_TYPE = (b"content-type", b"text/event-stream")
+
+
+@dataclass(slots=True)
+class SeenRequest:
+    """Remember what a server was sent."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class FakeServer:
+    """Answer requests as a server of the platform does, or fail on purpose."""
+
+    name: str
+    service: str
+    zone: str = "a"
+    address: Address = field(default_factory=find_address)
+    events: int = 3
+    state: str = "ready"
+    refusals: int = 0
+    cut_after: int | None = None
+    delay_s: float = 0.0
+    extra_answer: bool = False
+    seen: list[SeenRequest] = field(default_factory=list)
+    cancelled: int = 0
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        body = await exchange.read_body(1_000_000)
+        headers = {
+            key.decode(): value.decode("latin-1") for key, value in exchange.headers
+        }
+        target = exchange.raw_path
+        self.seen.append(SeenRequest(exchange.method, target, headers, body))
+        answer = self._build_headers(headers)
+        if self.refusals:
+            self.refusals -= 1
+            refused = [*answer, (b"x-not-executed", b"1")]
+            await exchange.answer(503, refused, b"full")
+            return
+        if headers.get("x-expect-instance") not in (None, self.name):
+            await exchange.answer(421, answer, b"")
+            return
+        try:
+            await run_while_present(
+                exchange, lambda: self._answer(exchange, answer, headers)
+            )
+        except RequestRefused:
+            # Whoever asked has closed the connection: the work stops.
+            self.cancelled += 1
+            raise
+
+    def _build_headers(self, headers: dict[str, str]) -> Headers:
+        return [
+            (b"x-request-id", headers.get("x-request-id", "").encode()),
+            (b"x-server-stamp", f"stamp-{self.name}-{len(self.seen)}".encode()),
+            (b"x-server-load", b"1,0,8"),
+        ]
+
+    async def _answer(
+        self, exchange: Exchange, answer: Headers, headers: dict[str, str]
+    ) -> None:
+        if "x-token-usage" not in headers:
+            await anyio.sleep(self.delay_s)
+            await exchange.answer(200, answer, b"done")
+            return
+        await exchange.start(200, [*answer, STREAM_TYPE])
+        for number in range(1, self.events + 1):
+            if self.cut_after is not None and number > self.cut_after:
+                raise ConnectionError("cut on purpose")
+            await anyio.sleep(self.delay_s)
+            await exchange.write(f"id: {number}\ndata: w{number}\n\n".encode())
+        await exchange.finish()
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until stopped."""
+        await serve_address(self.address, self.serve, stop, 0.1)
+
+
+@dataclass(slots=True)
+class FakeList:
+    """Publish a list of servers, with entries of another writer among them."""
+
+    servers: list[FakeServer]
+    address: Address = field(default_factory=find_address)
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        listed: list[object] = [
+            {
+                "id": server.name,
+                "service": server.service,
+                "address": server.address,
+                "zone": server.zone,
+                "slots": 8,
+                "state": server.state,
+            }
+            for server in self.servers
+        ]
+        listed += [{"id": 5}, "unreadable", {"id": "x", "state": "odd"}]
+        body = msgspec.json.encode({"instances": listed, "next": None})
+        await exchange.answer(200, [], body)
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until stopped."""
+        await serve_address(self.address, self.serve, stop, 0.1)
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -15,9 +15,9 @@
 from burdockwall.platform.configuration import decode_deployment
 from burdockwall.process.control.documents import Documents
 from burdockwall.process.core import CoreNode, find_store
-from burdockwall.process.front import DEPLOYMENT
 from burdockwall.process.resolver import resolve_addresses
 from burdockwall.types import FailureDomain, OperatorId
+from burdockwall.version.deployment import DEPLOYMENT
 
 CONFIGURATION_LIMIT_BYTES = 16_777_216
 RETRY_AFTER_S = "0.3"
--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -1,21 +1,17 @@
 """Start a process of the system on the platform, by the role in its settings."""
 
 import os
+import sys
 from pathlib import Path
 
 import anyio
 
 from burdockwall.errors import Code, OperatorError
-from burdockwall.platform.cloud import CloudList
-from burdockwall.platform.codec import PlatformCodec
-from burdockwall.platform.configuration import decode_deployment
-from burdockwall.platform.control import create_calls
 from burdockwall.platform.names import SETTINGS_VARIABLE
-from burdockwall.process.core import CoreNode
-from burdockwall.process.front import Front
+from burdockwall.process.clock import read_clock
+from burdockwall.process.logs import SinkHandler
 from burdockwall.process.sink import LineSink
-from burdockwall.process.storage.node import StoreNode
-from burdockwall.settings import Settings
+from burdockwall.settings import Settings, read_settings
 from burdockwall.types import Role
 
 
@@ -28,6 +24,18 @@
     return Path(path)
 
 
+def run_process() -> None:
+    """Run this process with the settings that the platform names."""
+    path = find_settings_path()
+    settings = read_settings(path)
+    sink = LineSink(sys.stdout.fileno(), read_clock)
+    try:
+        with SinkHandler(sink, settings.log_level.upper()).applicationbound():
+            anyio.run(run_role, settings, path, sink)
+    finally:
+        sink.close()
+
+
 async def run_role(settings: Settings, path: Path, sink: LineSink) -> None:
     """Run a process until it is stopped."""
     async with anyio.create_task_group() as group:
@@ -37,13 +45,26 @@
 
 
 async def _run(settings: Settings, path: Path) -> None:
+    # Only what the role needs is imported, since a restart must be quick.
     match settings.role:
         case Role.ENTRY:
+            from burdockwall.platform.codec import PlatformCodec
+            from burdockwall.platform.configuration import decode_deployment
+            from burdockwall.process.front import Front
+
             await Front(settings, PlatformCodec(), decode_deployment).run(path)
         case Role.STORAGE:
+            from burdockwall.process.storage.node import StoreNode
+
             await StoreNode(settings).run(path)
         case Role.CONTROL:
-            node = CoreNode(settings, CloudList(settings.platform_address))
+            from burdockwall.platform.cloud import CloudList
+            from burdockwall.platform.configuration import decode_deployment
+            from burdockwall.platform.control import create_calls
+            from burdockwall.process.core import CoreNode
+
+            reader = CloudList(settings.platform_address)
+            node = CoreNode(settings, reader, decode_deployment)
             create_calls(node)
             await node.run(path)
         case Role.BOTH:
--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -1,6 +1,7 @@
 """Run a control instance: configurations, members, stores, the list of endpoints."""
 
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -17,6 +18,7 @@
     ListedEndpoint,
     PublishEndpoints,
 )
+from burdockwall.process.limits.leading import LeaderLimits
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.storage.emptying import (
@@ -43,6 +45,7 @@
 from burdockwall.process.web import Serve, serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import DocumentName, EndpointState, InstanceId, OperatorId, Role
+from burdockwall.version.deployment import DEPLOYMENT, Deployment
 
 LIST_INTERVAL_S = 1.0
 LIST_RETRY_S = 0.3
@@ -66,7 +69,12 @@
 class CoreNode:
     """Hold the parts of a control instance."""
 
-    def __init__(self, settings: Settings, reader: EndpointReader) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        reader: EndpointReader,
+        decode: Callable[[bytes], Deployment],
+    ) -> None:
         self.settings = settings
         self.reader = reader
         prepare_replica(settings)
@@ -74,7 +82,10 @@
         host = self.member.host
         self.control = ControlService(settings, host, time.time)
         membership = self.member.membership
-        membership.add_registrar(self.control, self.control.propose)
+        membership.add_registrar(self.control, self.control.propose, plans_shards=False)
+        self.decode = decode
+        self.limits = LeaderLimits(host, settings, self.member.incarnation)
+        self._limited = 0
         self.documents = Documents(self.control)
         self.publisher = EndpointPublisher()
         self.planner = StorePlanner(settings.tolerated_losses)
@@ -122,9 +133,17 @@
                 self._leading = leading
                 self.planner.reset()
                 self.emptying.reset()
+            self._install_limits()
+            self.limits.follow(self.member.membership.get_led_term())
             if leading:
                 self._plan_stores()
 
+    def _install_limits(self) -> None:
+        document = self.control.state.documents.get(DEPLOYMENT)
+        if document is not None and document.number != self._limited:
+            self._limited = document.number
+            self.limits.install(self.decode(document.data))
+
     def _plan_stores(self) -> None:
         emptying, view = self.get_emptying(), self.get_view()
         observed = ObserveStores(
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -20,7 +20,12 @@
 from burdockwall.process.endpoints import EndpointFollower, EndpointList
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.events import Limit
-from burdockwall.process.limits.units import UNITS_PER_REQUEST
+from burdockwall.process.limits.leading import (
+    GraceBudget,
+    ToleratedExcess,
+    build_leader_shards,
+    list_deployment_limits,
+)
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.balance import Balancer
@@ -32,8 +37,9 @@
 from burdockwall.request.passing import PassedRequest, RequestCodec
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import DocumentName, EndpointState
+from burdockwall.types import CustomerId, EndpointState, InstanceId, Term
 from burdockwall.version.deployment import (
+    DEPLOYMENT,
     Deployment,
     DeploymentView,
     HostCustomer,
@@ -41,7 +47,6 @@
     digest_key,
 )
 
-DEPLOYMENT = DocumentName("deployment")
 NOT_READY_RETRY_S = 0.3
 LOAD_INTERVAL_S = 0.1
 EXPIRE_INTERVAL_S = 1.0
@@ -72,7 +77,18 @@
         self._settling: list[tuple[TurnStart, TurnOutcome]] = []
         self._settle_due = anyio.Event()
         chance = random.Random(self.member.incarnation)
-        self.limits = LimitClient(host, settings, self.member.incarnation, chance)
+        self.limits = LimitClient(
+            host, settings, self.member.incarnation, chance, follows_shards=False
+        )
+        self.grace = GraceBudget(
+            ToleratedExcess(
+                settings.limit_excess_window_s,
+                settings.limit_excess_share,
+                settings.limit_excess_requests,
+            )
+        )
+        self._limits_in_force: dict[CustomerId, Limit] = {}
+        self._rates_owner: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
         host.add(self.endpoints, (EndpointList,))
         self._hosted_drain = host.add(self.drain, (), self._stop_serving)
@@ -125,16 +141,7 @@
             return
         deployment = self.decode(document.data)
         self.view = DeploymentView(deployment, self.clock())
-        self.limits.install_limits(
-            {
-                customer.name: Limit(
-                    int(customer.rate_per_s * UNITS_PER_REQUEST),
-                    int(max(customer.burst, 1.0) * UNITS_PER_REQUEST),
-                )
-                for customer in deployment.customers
-                if customer.rate_per_s > 0
-            }
-        )
+        self._limits_in_force = list_deployment_limits(deployment)
         self._logger.notice(
             "configuration in force",
             extra={
@@ -201,7 +208,28 @@
         return customer
 
     async def _admit(self, customer: HostCustomer) -> None:
-        await self.limits.admit(customer.name, REQUEST_COST)
+        try:
+            await self.limits.admit(customer.name, REQUEST_COST)
+        except RequestRefused as error:
+            if error.code is not Code.LIMIT_UNREACHABLE:
+                raise
+            limit = self._limits_in_force[customer.name]
+            instances = self._count_instances()
+            if not self.grace.take(customer.name, limit, instances, self.clock()):
+                raise
+
+    def _follow_leader(self) -> None:
+        """Ask the leader of the control state for rates."""
+        agent = self.member.membership.agent
+        leader = agent.path.leader
+        if leader is None or (leader, agent.term) == self._rates_owner:
+            return
+        self._rates_owner = (leader, agent.term)
+        shards = build_leader_shards(leader, agent.term)
+        self.limits.install_shards(shards)
+        self._logger.notice(
+            "rates asked of", extra={"leader": leader, "term": agent.term}
+        )
 
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
@@ -273,6 +301,7 @@
             due = self.clock() + LOAD_INTERVAL_S
             await anyio.sleep(LOAD_INTERVAL_S)
             now = self.clock()
+            self._follow_leader()
             self.metrics.record_lag(max(0.0, now - due))
             if self.drain.state is not DrainState.SERVING:
                 under_way = CountUnderWay(self.under_way + len(self._settling))
--- a/burdockwall/process/limits/client.py
+++ b/burdockwall/process/limits/client.py
@@ -29,7 +29,7 @@
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, Incarnation, RouteName
 from burdockwall.version.configuration import Customer, Route
-from burdockwall.version.shards import LeaseRenewed, ShardsInstalled
+from burdockwall.version.shards import LeaseRenewed, ShardMap, ShardsInstalled
 from burdockwall.version.view import View
 
 ANSWER_GRACE_S = 2.0
@@ -96,6 +96,7 @@
         settings: Settings,
         incarnation: Incarnation,
         generator: random.Random,
+        follows_shards: bool = True,
     ) -> None:
         self.host = host
         self.settings = settings
@@ -112,7 +113,7 @@
             self._holder_machine,
             (LimitGrants, LimitRecall),
             self._perform,
-            (ShardsInstalled,),
+            (ShardsInstalled,) if follows_shards else (),
         )
         self._owner: Hosted = host.add(
             self._owner_machine,
@@ -127,6 +128,10 @@
             now
         )
 
+    def install_shards(self, shards: ShardMap) -> None:
+        """Ask the owners that a map names, where no published map is followed."""
+        self.host.apply(self._holder, ShardsInstalled(shards))
+
     def install(self, view: View) -> None:
         """Put the limits of a version in force."""
         self.install_limits(list_limits(view, self.settings))
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -1,6 +1,7 @@
 """Join what every instance of a fleet runs: peers, machines, membership."""
 
 import signal
+import threading
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -90,7 +91,9 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.bus.run, settings.peer_address)
             group.start_soon(self.host.run)
-            group.start_soon(self._follow_signals, path)
+            # Embedded in another program, an instance leaves its signals alone.
+            if threading.current_thread() is threading.main_thread():
+                group.start_soon(self._follow_signals, path)
             group.start_soon(self._watch_file, path)
             group.start_soon(self._serve_metrics)
             for task in tasks[:-1]:
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -68,6 +68,7 @@
         source: ControlSource,
         followed: Roster,
         shard_count: int = SHARD_COUNT,
+        plans_shards: bool = True,
     ) -> None:
         self.instance = instance
         self.source = source
@@ -78,6 +79,7 @@
         self.records: dict[MemberNumber, Record] = {}
         self.publisher = Publisher(source, self.roster)
         self.detector = Detector()
+        self.plans_shards = plans_shards
         self.planner = Planner(instance, shard_count)
         self.progress = Progress()
         self.platform: PlatformList | None = None
@@ -255,9 +257,10 @@
             self.records[entry.number].entry = entry
         endpoints = self._compare_endpoints()
         actions += self._change_roster(found.changed, found.removed, endpoints)
-        views = self.source.get_shards()
-        state = (self.source.version, self.roster.stamp)
-        actions += self.planner.plan(self.records.values(), views, state, now)
+        if self.plans_shards:
+            views = self.source.get_shards()
+            state = (self.source.version, self.roster.stamp)
+            actions += self.planner.plan(self.records.values(), views, state, now)
         actions += self.progress.check(self._list_holders(now), now)
         if self._roster_changed or self.source.version != self._seen_version:
             self._roster_changed = False
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -71,11 +71,16 @@
         )
 
     def add_registrar(
-        self, source: ControlSource, propose: Callable[[AssignShards], None]
+        self,
+        source: ControlSource,
+        propose: Callable[[AssignShards], None],
+        plans_shards: bool = True,
     ) -> None:
         """Grant leases and assign shards while this instance is the leader."""
         instance = self.agent.details.instance
-        self.registrar = Registrar(instance, source, self.agent.roster)
+        self.registrar = Registrar(
+            instance, source, self.agent.roster, plans_shards=plans_shards
+        )
         self._propose = propose
         self._hosted_registrar = self.host.add(
             self.registrar, REGISTRAR_MESSAGES, self._perform_registrar
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -62,6 +62,9 @@
     limit_idle_s: float = 0.2
     limit_repeat_s: float = 0.1
     limit_clock_margin: float = 0.0005
+    limit_excess_window_s: float = 5.0
+    limit_excess_share: float = 0.0
+    limit_excess_requests: float = 0.0
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
     admission_limit: int = 512
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -5,8 +5,15 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from burdockwall.types import CustomerId, KeyDigest, RouteName, ServiceName
-
+from burdockwall.types import (
+    CustomerId,
+    DocumentName,
+    KeyDigest,
+    RouteName,
+    ServiceName,
+)
+
+DEPLOYMENT = DocumentName("deployment")
 PREFIX_END = "/"
 
 
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,299 @@
+import copy
+import threading
+import time
+
+import httpx
+import msgspec
+from behave import given, then, when
+
+from features.subjects.platform import (
+    PlatformSite,
+    build_configuration,
+    build_routes,
+    describe_turn,
+)
+
+BUDGET_TOKENS = 10_000
+
+
+@given("a site with three control instances, three stores and two entry instances")
+def step_site(context):
+    context.site = PlatformSite()
+    context.add_cleanup(context.site.close)
+    context.site.start()
+
+
+def number_request(context):
+    context.requests = getattr(context, "requests", 0) + 1
+    return f"{context.requests:016x}"
+
+
+def ask(context, method, path, key, instance=1):
+    headers = {"x-request-id": number_request(context)}
+    if key:
+        headers["x-api-key"] = key
+    return context.site.ask(method, path, headers, instance=instance)
+
+
+@when('a caller asks for "{path}" with the key "{key}"')
+def step_ask(context, path, key):
+    context.answer = ask(context, "GET", path, key)
+
+
+@when('a caller asks for "{path}" without a key')
+def step_ask_without_key(context, path):
+    context.answer = ask(context, "GET", path, None)
+
+
+@then('the answer is {status:d} "{body}" with the server\'s signature')
+def step_answer(context, status, body):
+    assert context.answer.status_code == status, context.answer
+    assert context.answer.text == body
+    assert context.answer.headers["x-server-stamp"].startswith("stamp-tool")
+
+
+@then("the answer is {status:d}")
+def step_status(context, status):
+    assert context.answer.status_code == status, context.answer.text
+
+
+@then('the server saw "{target}" for customer "{customer}" without the key')
+def step_seen(context, target, customer):
+    (seen,) = [each for server in context.site.tools for each in server.seen]
+    assert seen.target == target, seen.target
+    assert seen.headers["x-tenant"] == customer
+    assert seen.headers["x-expect-instance"].startswith("tool-")
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 3000
+    assert "x-api-key" not in seen.headers
+    assert "key-one" not in str(seen)
+
+
+@given("the {which} tool server refuses {count:d} requests as not run")
+def step_refuse(context, which, count):
+    number = {"first": 0, "second": 1}[which]
+    context.site.tools[number].refusals = count
+
+
+@when('a caller sends {count:d} orders to "{path}" with the key "{key}"')
+def step_orders(context, count, path, key):
+    context.answers = [ask(context, "POST", path, key) for _ in range(count)]
+
+
+@then("every answer is {status:d}")
+def step_all(context, status):
+    assert [answer.status_code for answer in context.answers] == [status] * len(
+        context.answers
+    )
+
+
+@then("no order ran twice")
+def step_once(context):
+    ran = [answer.headers["x-server-stamp"] for answer in context.answers]
+    assert len(set(ran)) == len(ran)
+
+
+def run_turn(context, turn, previous, prompt, instance, budget=BUDGET_TOKENS):
+    headers = describe_turn(turn, previous, budget)
+    try:
+        context.answer = context.site.ask(
+            "POST", "/chat/1", headers, prompt.encode(), instance
+        )
+    except httpx.RemoteProtocolError:
+        context.answer = None
+
+
+@when('a turn "{turn}" asks "{prompt}" at instance {instance:d}')
+def step_turn(context, turn, prompt, instance):
+    run_turn(context, turn, None, prompt, instance)
+
+
+@when(
+    'turn "{turn}" continues "{previous}" and asks "{prompt}" at instance {instance:d}'
+)
+def step_next_turn(context, turn, previous, prompt, instance):
+    run_turn(context, turn, previous, prompt, instance)
+
+
+@when(
+    'turn "{turn}" with a budget of {budget:d} tokens asks "{prompt}" at instance '
+    "{instance:d}"
+)
+def step_turn_within(context, turn, budget, prompt, instance):
+    run_turn(context, turn, None, prompt, instance, budget)
+
+
+@then("the turn is answered with {events:d} events")
+def step_events(context, events):
+    assert context.answer.status_code == 200, context.answer.text
+    assert context.answer.text.count("\n\n") == events
+
+
+@then('the engine was sent "{body}"')
+def step_sent(context, body):
+    found = context.site.engine.seen[-1].body.decode()
+    assert found == body.replace("\\n", "\n"), found
+
+
+@then("the engine was sent nothing")
+def step_sent_nothing(context):
+    assert context.site.engine.seen == []
+
+
+@when("every store loses power and starts again")
+def step_restart_stores(context):
+    context.site.restart_stores()
+
+
+@given("the engine cuts its answers after {events:d} event")
+def step_cut(context, events):
+    context.site.engine.cut_after = events
+
+
+@then("the turn's answer is broken off")
+def step_broken(context):
+    assert context.answer is None
+
+
+@given("the engine takes {delay_s:f} s for each event")
+def step_slow(context, delay_s):
+    context.site.engine.delay_s = delay_s
+
+
+@when("a caller leaves {seconds:f} s after it has begun a turn")
+def step_leave(context, seconds):
+    headers = describe_turn("t1", None, BUDGET_TOKENS)
+    address = context.site.fronts[0].settings.caller_address
+    with httpx.Client(trust_env=False) as client:
+        request = client.build_request(
+            "POST",
+            f"http://{address}/chat/1",
+            headers={"host": "site.example", **headers},
+            content=b"one ",
+        )
+        started = threading.Timer(seconds, client.close)
+        started.start()
+        try:
+            response = client.send(request, stream=True)
+            time.sleep(seconds)
+            response.close()
+        except (httpx.HTTPError, RuntimeError):
+            pass
+        started.cancel()
+
+
+@then("the engine's work is stopped within {limit_s:f} s")
+def step_stopped(context, limit_s):
+    engine = context.site.engine
+    assert context.site.wait_for(lambda: engine.cancelled > 0, limit_s)
+
+
+@when('the operator sends configuration {version:d} without the route "{prefix}"')
+def step_put_less(context, version, prefix):
+    routes = [each for each in build_routes() if each["path-prefix"] != prefix]
+    context.operated = context.site.put(build_configuration(version, routes))
+
+
+@when("the operator sends configuration {version:d} with every route")
+def step_put(context, version):
+    context.operated = context.site.put(build_configuration(version))
+
+
+@when("the operator reads the configuration")
+def step_get(context):
+    context.operated = context.site.get()
+
+
+@then("the operator's call is answered {status:d}")
+def step_operated(context, status):
+    assert context.operated.status_code == status, context.operated.text
+
+
+@then("the operator's call is answered {status:d} with version {version:d}")
+def step_operated_version(context, status, version):
+    assert context.operated.status_code == status, context.operated.text
+    assert context.operated.json()["version"] == version
+
+
+@then('"{path}" is answered {status:d} within {limit_s:d} s')
+def step_answered(context, path, status, limit_s):
+    def is_answered():
+        found = [ask(context, "GET", path, "key-one", n).status_code for n in (1, 2)]
+        return found == [status, status]
+
+    assert context.site.wait_for(is_answered, limit_s)
+
+
+def spoil(fault):
+    configuration = copy.deepcopy(build_configuration(9))
+    routes = configuration["routes"]
+    match fault:
+        case "a cut end":
+            return msgspec.json.encode(configuration)[:-20]
+        case "an unknown service":
+            routes[0]["service"] = "nobody"
+        case "a place taken twice":
+            routes[1]["path-prefix"] = routes[0]["path-prefix"]
+        case "no weight":
+            del routes[0]["service"]
+            routes[0]["backends"] = [{"service": "tools", "weight": 0}]
+        case "no time-out":
+            routes[0]["timeout-ms"] = 0
+        case "a key shared":
+            configuration["tenants"][1]["api-keys"] = ["key-one"]
+    return configuration
+
+
+@when("the operator sends a configuration with {fault}")
+def step_put_invalid(context, fault):
+    context.operated = context.site.put(spoil(fault))
+
+
+@when('the operator empties the store "{name}"')
+def step_retire(context, name):
+    context.operated = context.site.retire(name)
+
+
+@when("a fourth store is added")
+def step_add_store(context):
+    site = context.site
+    site.call(site.start_store, 4, False)
+
+    def is_complete():
+        return site.stores[-1].service.ledger.state.complete
+
+    assert site.wait_for(is_complete, 10)
+
+
+@then('the store "{name}" is empty within {limit_s:d} s')
+def step_emptied(context, name, limit_s):
+    assert context.site.wait_for(lambda: context.site.is_emptied(name), limit_s)
+
+
+@then("the directory names {count:d} instances")
+def step_directory(context, count):
+    assert len(context.site.resolve()) == count
+
+
+@when("instance {number:d} is stopped")
+def step_stop_front(context, number):
+    context.site.stop_front(number)
+
+
+@then("the directory names {count:d} instance within {limit_s:d} s")
+def step_directory_soon(context, count, limit_s):
+    site = context.site
+    assert site.wait_for(lambda: len(site.resolve()) == count, limit_s)
+
+
+@when("the first tool server leaves")
+def step_server_leaves(context):
+    context.site.tools[0].state = "draining"
+
+
+@then("it receives no request {seconds:d} s later")
+def step_nothing_new(context, seconds):
+    time.sleep(seconds)
+    before = len(context.site.tools[0].seen)
+    for _ in range(6):
+        assert ask(context, "GET", "/tool/1", "key-one").status_code == 200
+    assert len(context.site.tools[0].seen) == before
--- /dev/null
+++ b/features/subjects/platform.py
@@ -0,0 +1,309 @@
+"""Run a whole site of the platform on one loop, with stand-ins around it."""
+
+import tempfile
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import anyio.from_thread
+import httpx
+import msgspec
+
+from burdockwall.fakes.ports import find_address
+from burdockwall.fakes.servers import FakeList, FakeServer
+from burdockwall.platform.cloud import CloudList
+from burdockwall.platform.codec import PlatformCodec
+from burdockwall.platform.configuration import decode_deployment
+from burdockwall.platform.control import create_calls
+from burdockwall.process.core import CoreNode
+from burdockwall.process.front import Front
+from burdockwall.process.storage.node import StoreNode
+from burdockwall.settings import Settings
+from burdockwall.types import Address, FailureDomain, InstanceId, Role
+
+HOST = "site.example"
+READY_LIMIT_S = 30.0
+CALL_TIMEOUT_S = 10.0
+EVENT_TOKENS = 9
+
+
+def build_routes() -> list[dict]:
+    base = {"host": HOST, "timeout-ms": 4000, "target-latency-ms": 200, "priority": 0}
+    return [
+        base
+        | {"name": "tool", "path-prefix": "/tool/", "route-kind": "safe"}
+        | {"service": "tools", "max-attempts": 2},
+        base
+        | {"name": "order", "path-prefix": "/order/", "route-kind": "unsafe"}
+        | {"service": "tools", "max-attempts": 1},
+        base
+        | {"name": "chat", "path-prefix": "/chat/", "route-kind": "streaming"}
+        | {"service": "engines", "max-attempts": 1, "retained": True}
+        | {"retention-s": 60.0, "resumable": False},
+    ]
+
+
+def build_configuration(version: int = 3, routes: list[dict] | None = None) -> dict:
+    return {
+        "version": version,
+        "routes": build_routes() if routes is None else routes,
+        "services": [
+            {"name": "tools", "health-path": "/healthz", "max-conns": 96},
+            {
+                "name": "engines",
+                "health-path": "/healthz",
+                "max-conns": 96,
+                "engine": {"slots": 8, "event-tokens": EVENT_TOKENS},
+            },
+        ],
+        "tenants": [
+            {"name": "one", "api-keys": ["key-one"], "rate-per-s": 100, "burst": 100},
+            {"name": "two", "api-keys": ["key-two"], "rate-per-s": 100, "burst": 100},
+        ],
+    }
+
+
+class PlatformSite:
+    """Hold the instances of a site and the stand-ins, on a loop of their own."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.tools = [FakeServer("tool-1", "tools"), FakeServer("tool-2", "tools")]
+        self.engine = FakeServer("engine-1", "engines")
+        self.cloud = FakeList([*self.tools, self.engine])
+        # Ports are alike on all machines; the hosts tell the machines apart.
+        port = find_address().rpartition(":")[2]
+        self.port = port
+        self.seeds = [Address(f"127.0.1.{n}:{self._take_port()}") for n in (1, 2, 3)]
+        self.cores: list[CoreNode] = []
+        self.stores: list[StoreNode] = []
+        self.fronts: list[Front] = []
+        self.directory = find_address()
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=self._run_thread, daemon=True)
+        self._stop: anyio.Event | None = None
+        self._portal: anyio.from_thread.BlockingPortal | None = None
+        self.failure: BaseException | None = None
+
+    @staticmethod
+    def _take_port() -> str:
+        return find_address().rpartition(":")[2]
+
+    def _create_settings(self, role: Role, host: str, name: str) -> Settings:
+        settings = Settings(
+            instance_id=InstanceId(f"{host}:{self.port}"),
+            instance_name=name,
+            role=role,
+            failure_domain=FailureDomain("a"),
+            peer_address=Address(f"{host}:{self.port}"),
+            seeds=self.seeds,
+            named_by_address=True,
+            first_start=True,
+            operators_open=True,
+            peer_plaintext=True,
+            peer_silence_s=1.0,
+            election_timeout_s=0.8,
+            platform_address=self.cloud.address,
+            resolve_ttl_s=2.0,
+            drain_hold_s=0.5,
+            drain_limit_s=3.0,
+        )
+        if role is not Role.ENTRY:
+            settings.data_folder = Path(self._folder.name) / name
+        return settings
+
+    # The loop.
+
+    def start(self) -> None:
+        self._thread.start()
+        assert self._started.wait(READY_LIMIT_S), self.failure
+        self.wait_for(self._is_ready, READY_LIMIT_S)
+
+    def _run_thread(self) -> None:
+        try:
+            anyio.run(self._run)
+        except BaseException as error:
+            self.failure = error
+            self._started.set()
+            raise
+
+    async def _run(self) -> None:
+        self._stop = anyio.Event()
+        async with (
+            anyio.from_thread.BlockingPortal() as portal,
+            anyio.create_task_group() as group,
+        ):
+            self._portal = portal
+            self._group = group
+            for fake in (*self.tools, self.engine, self.cloud):
+                group.start_soon(fake.run, self._stop)
+            for number in (1, 2, 3):
+                self._start_core(number)
+                self.start_store(number)
+            for number in (1, 2):
+                self._start_front(number)
+            self._started.set()
+            await self._stop.wait()
+            group.cancel_scope.cancel()
+
+    def _start(self, name: str, run: Callable) -> None:
+        async def run_in_scope() -> None:
+            with anyio.CancelScope() as scope:
+                self._scopes[name] = scope
+                await run(None)
+
+        self._group.start_soon(run_in_scope)
+
+    def _start_core(self, number: int) -> None:
+        host = f"127.0.1.{number}"
+        settings = self._create_settings(Role.CONTROL, host, f"core-{number}")
+        settings.operator_address = self.seeds[number - 1]
+        if number == 1:
+            settings.directory_address = self.directory
+        node = CoreNode(
+            settings, CloudList(settings.platform_address), decode_deployment
+        )
+        create_calls(node)
+        self.cores.append(node)
+        self._start(f"core-{number}", node.run)
+
+    def start_store(self, number: int, first: bool = True) -> None:
+        name = f"store-{number}"
+        settings = self._create_settings(Role.STORAGE, f"127.0.2.{number}", name)
+        settings.first_start = first
+        node = StoreNode(settings)
+        self.stores.append(node)
+        self._start(name, node.run)
+
+    def _start_front(self, number: int) -> None:
+        host = f"127.0.3.{number}"
+        settings = self._create_settings(Role.ENTRY, host, f"front-{number}")
+        settings.caller_address = Address(f"{host}:{self._take_port()}")
+        settings.ready_address = Address(f"{host}:{self._take_port()}")
+        front = Front(settings, PlatformCodec(), decode_deployment)
+        self.fronts.append(front)
+        self._start(f"front-{number}", front.run)
+
+    def call(self, function: Callable, *arguments: object) -> object:
+        assert self._portal is not None
+        return self._portal.call(function, *arguments)
+
+    def close(self) -> None:
+        if self._portal is not None and self._stop is not None:
+            self._portal.call(self._stop.set)
+            self._thread.join(10)
+        self._folder.cleanup()
+
+    def restart_stores(self) -> None:
+        def stop() -> None:
+            for number in (1, 2, 3):
+                self._scopes[f"store-{number}"].cancel()
+
+        self.call(stop)
+        anyio.run(anyio.sleep, 0.5)
+        for node in self.stores:
+            self.call(node.service.journal.files.close)
+        self.stores.clear()
+        for number in (1, 2, 3):
+            self.call(self.start_store, number, False)
+
+    def stop_front(self, number: int) -> None:
+        self.call(self.fronts[number - 1].member.stopping.set)
+
+    # Readiness.
+
+    def _is_ready(self) -> bool:
+        if self.put(build_configuration()).status_code != 200:
+            return False
+        return all(
+            front.is_ready()
+            and front.keeper.calls.view.members
+            and front.limits.is_ready()
+            for front in self.fronts
+        )
+
+    @staticmethod
+    def wait_for(condition: Callable[[], bool], limit_s: float) -> bool:
+        async def wait() -> bool:
+            with anyio.move_on_after(limit_s):
+                while not await anyio.to_thread.run_sync(condition):
+                    await anyio.sleep(0.1)
+                return True
+            return False
+
+        return anyio.run(wait)
+
+    # Operators and callers.
+
+    def _operate(self, method: str, path: str, content: bytes | None = None):
+        url = f"http://{self.seeds[0]}{path}"
+        try:
+            return httpx.request(
+                method,
+                url,
+                content=content,
+                follow_redirects=True,
+                timeout=CALL_TIMEOUT_S,
+                trust_env=False,
+            )
+        except httpx.HTTPError:
+            return httpx.Response(599)
+
+    def put(self, configuration: dict | bytes) -> httpx.Response:
+        content = configuration
+        if isinstance(content, dict):
+            content = msgspec.json.encode(content)
+        return self._operate("POST", "/api/config/put", content)
+
+    def get(self) -> httpx.Response:
+        return self._operate("GET", "/api/config/get")
+
+    def retire(self, name: str) -> httpx.Response:
+        body = msgspec.json.encode({"deadline-s": 10})
+        return self._operate("POST", f"/api/retire/{name}/start", body)
+
+    def is_emptied(self, name: str) -> bool:
+        answer = self._operate("GET", f"/api/retire/{name}/get")
+        return answer.status_code == 200 and answer.json() == {"state": "completed"}
+
+    def resolve(self) -> list[str]:
+        answer = httpx.get(
+            f"http://{self.directory}/api/resolve",
+            params={"name": HOST, "zone": "a", "region": "r"},
+            trust_env=False,
+        )
+        return answer.json().get("addrs", [])
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        content: bytes = b"",
+        instance: int = 1,
+    ) -> httpx.Response:
+        address = self.fronts[instance - 1].settings.caller_address
+        return httpx.request(
+            method,
+            f"http://{address}{path}",
+            headers={"host": HOST, "x-deadline-ms": "3000", **headers},
+            content=content or None,
+            timeout=CALL_TIMEOUT_S,
+            trust_env=False,
+        )
+
+
+def describe_turn(turn: str, previous: str | None, budget: int) -> dict[str, str]:
+    headers = {
+        "x-request-id": turn,
+        "x-api-key": "key-one",
+        "x-program-id": "p1",
+        "x-session-id": "s1",
+        "x-finish-ms": "5000",
+        "x-token-budget": str(budget),
+        "x-token-usage": "100,45",
+        "x-prompt-prefix": "5c1e07a2:100",
+    }
+    return headers | ({"x-previous-turn": previous} if previous else {})
