Refuse a turn at once that too few stores can vouch for

Cause: with two of three stores out of reach each turn waited 1.5 s for its quorum before it was refused, six times the share of its objective that is free. Now the state of the connections tells, and stores are probed while refusing. Test: platform, 'A turn that too few stores can vouch for' (failed before: no answer in 100 ms).

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -66,6 +66,11 @@
         self._reached: bool | None = None
         self._logger = logbook.Logger("peers")
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether the last connection failed and no other has worked since."""
+        return self._reached is False
+
     def put(self, message: AnyMessage) -> None:
         """Queue a message; the oldest is dropped when the queue is full."""
         self._queue.append(message)
@@ -179,6 +184,11 @@
         if link is not None:
             link.put(cast(AnyMessage, message))
 
+    def is_lost(self, peer: InstanceId) -> bool:
+        """Tell whether the last connection to an instance failed, and none since."""
+        link = self.links.get(peer)
+        return link is not None and link.lost
+
     def add_peer(self, peer: InstanceId, address: Address) -> None:
         """Learn the address of an instance; a changed one replaces the link."""
         if peer == self.instance:
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -4,6 +4,7 @@
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.storage.messages import (
+    AskCopied,
     BeginTurn,
     EndTurn,
     StoreFull,
@@ -82,6 +83,11 @@
     nearest: InstanceId | None
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeStores:
+    """Ask every store for a sign of life."""
+
+
 @dataclass(frozen=True, slots=True)
 class BeginJudged:
     """Tell what a quorum says about the beginning of a turn."""
@@ -121,7 +127,7 @@
     stored: set[InstanceId] = field(default_factory=set)
 
 
-Event = Tick | Receive | AskBegin | AskEnd | Withdraw | InstallView
+Event = Tick | Receive | AskBegin | AskEnd | Withdraw | InstallView | ProbeStores
 Action = Send | BeginJudged | EndStored | StoreRefused
 
 
@@ -149,6 +155,10 @@
             case Withdraw(call=call):
                 self._begins.pop(call, None)
                 self._ends.pop(call, None)
+            case ProbeStores():
+                # Any message does: what counts is that the connection answers it.
+                probe = AskCopied(InstanceId(""), 0.0)
+                return [Send(store, probe) for store in self.view.instances]
             case InstallView(view=view, nearest=nearest):
                 self.nearest = nearest
                 if view.number > self.view.number:
--- a/burdockwall/process/storage/keeper.py
+++ b/burdockwall/process/storage/keeper.py
@@ -12,6 +12,7 @@
     BeginJudged,
     EndStored,
     InstallView,
+    ProbeStores,
     StoreRefused,
     TurnCalls,
     TurnOutcome,
@@ -76,10 +77,21 @@
             case StoreRefused(store=store):
                 self._logger.error("store is full", extra={"store": store})
 
+    def _check_reach(self) -> None:
+        """Refuse at once what too few stores could answer."""
+        view = self.calls.view
+        bus = self.host.bus
+        reached = [each for each in view.instances if not bus.is_lost(each)]
+        if not view.members or len(reached) < view.write_quorum:
+            # They are asked all the same, so that their return shows.
+            self.host.apply(self._hosted, ProbeStores())
+            shown = " ".join(reached) or "none"
+            detail = f"stores within reach: {shown}"
+            raise RequestRefused(Code.RECORDS_UNAVAILABLE, detail, RETRY_AFTER_S)
+
     async def begin(self, start: TurnStart) -> list[ChainLink]:
         """Reserve a turn's tokens and return its chain, or raise RequestRefused."""
-        if not self.calls.view.members:
-            raise RequestRefused(Code.RECORDS_UNAVAILABLE, "no stores", RETRY_AFTER_S)
+        self._check_reach()
         call = self._waiters.create()
         self.host.apply(self._hosted, AskBegin(call, start))
         try:
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -41,6 +41,13 @@
     Then the answer is 402
     And the engine was sent nothing
 
+  Scenario: A turn that too few stores can vouch for is refused at once
+    When two stores are gone for 3 s
+    And turn "t1" with a budget of 500 tokens asks "one " at instance 1
+    Then the answer is 503
+    And it came within 100 ms and says when to come back
+    And the engine was sent nothing
+
   Scenario: A stream that its server cuts never looks complete
     Given the engine cuts its answers after 1 event
     When a turn "t1" asks "one " at instance 1
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -297,3 +297,19 @@
     for _ in range(6):
         assert ask(context, "GET", "/tool/1", "key-one").status_code == 200
     assert len(context.site.tools[0].seen) == before
+
+
+@when("two stores are gone for {seconds:d} s")
+def step_stores_gone(context, seconds):
+    context.site.stop_stores(2, 3)
+    for _ in range(seconds):
+        # Only what is asked of a store shows that it is gone.
+        run_turn(context, f"probe-{time.monotonic()}", None, "probe", 1)
+        time.sleep(1)
+    context.site.engine.seen.clear()
+
+
+@then("it came within {limit_ms:d} ms and says when to come back")
+def step_soon(context, limit_ms):
+    assert context.answer.elapsed.total_seconds() * 1000 < limit_ms
+    assert float(context.answer.headers["retry-after"]) > 0
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -196,12 +196,15 @@
             self._thread.join(10)
         self._folder.cleanup()
 
-    def restart_stores(self) -> None:
+    def stop_stores(self, *numbers: int) -> None:
         def stop() -> None:
-            for number in (1, 2, 3):
+            for number in numbers:
                 self._scopes[f"store-{number}"].cancel()
 
         self.call(stop)
+
+    def restart_stores(self) -> None:
+        self.stop_stores(1, 2, 3)
         anyio.run(anyio.sleep, 0.5)
         for node in self.stores:
             self.call(node.service.journal.files.close)
