--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,49 @@
+Feature: Routes, grace, placing and words of the platform decide alike everywhere
+
+  Scenario Outline: The longest prefix of the host decides
+    Given the routes "/a/" and "/a/b/" of host "h.example"
+    Then "<host>" and "<path>" lead to "<route>"
+
+    Examples:
+      | host      | path     | route |
+      | h.example | /a/x     | /a/   |
+      | h.example | /a/b/x   | /a/b/ |
+      | h.example | /a/b     | /a/   |
+      | h.example | /b/x     | none  |
+      | i.example | /a/x     | none  |
+
+  Scenario: Weights split the requests, and one request always goes to one service
+    Given shares of 90 for "old" and 10 for "new"
+    Then of 2000 requests 8 to 12 in 100 go to "new"
+
+  Scenario: Grace of all instances together stays within the tolerated excess
+    Given 9 instances and a tolerated excess of 20 requests and a tenth in 5 s
+    When each asks for grace 50 times a second for 20 s
+    Then no window of 5 s has more grace than is tolerated for 10 a second and burst 10
+
+  Scenario: A program stays at one endpoint until that one is busier than others
+    Given 5 endpoints with 16 places
+    Then a program is sent to one endpoint by every instance
+    When that endpoint has 8 more requests than the others
+    Then the program is sent to another one
+
+  Scenario: An endpoint that fails twice is avoided, and tried again later
+    Given 2 endpoints with 16 places
+    When the first endpoint fails 2 times
+    Then nothing is sent to the first endpoint for 1.4 s
+    And the first endpoint is sent something after 1.6 s
+
+  Scenario Outline: A request that the platform's words make invalid is refused
+    Then a request with "<header>" "<value>" is refused as malformed
+
+    Examples:
+      | header        | value |
+      | x-request-id  |       |
+      | x-deadline-ms | soon  |
+      | x-token-usage | 5,x   |
+
+  Scenario: A reader that stalls costs lines, not time
+    Given a pipe that nobody reads
+    When 20000 lines are logged
+    Then logging took less than 2 s and lines were left out
+    And a refused request's line is among the last to be left out
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,206 @@
+import os
+import random
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.platform.codec import PlatformCodec
+from burdockwall.process.limits.events import Limit
+from burdockwall.process.limits.leading import GraceBudget, ToleratedExcess
+from burdockwall.process.limits.units import UNITS_PER_REQUEST
+from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.sink import LINES_LIMIT, LineSink
+from burdockwall.types import CustomerId, FailureDomain, RouteName, ServiceName
+from burdockwall.version.deployment import (
+    Deployment,
+    DeploymentView,
+    HostRoute,
+    RequestKind,
+    ServiceShare,
+    choose_service,
+)
+from features.subjects.gateway import FakeExchange, PlacedRequests
+
+CUSTOMER = CustomerId("one")
+
+
+@given('the routes "{first}" and "{second}" of host "{host}"')
+def step_routes(context, first, second, host):
+    routes = tuple(
+        HostRoute(
+            name=RouteName(prefix),
+            host=host,
+            prefix=prefix,
+            kind=RequestKind.SAFE,
+            timeout_s=1.0,
+            objective_s=0.1,
+            rank=0,
+            shares=(ServiceShare(ServiceName("s"), 1),),
+            attempts=1,
+            keeps_turns=False,
+            retention_s=60.0,
+            open=True,
+            resumable=False,
+        )
+        for prefix in (first, second)
+    )
+    context.view = DeploymentView(Deployment(1, routes, {}, ()))
+
+
+@then('"{host}" and "{path}" lead to "{route}"')
+def step_route(context, host, path, route):
+    found = context.view.find_route(host, path)
+    assert (found.name if found else "none") == route
+
+
+@given('shares of {first:d} for "{old}" and {second:d} for "{new}"')
+def step_shares(context, first, old, second, new):
+    context.shares = (
+        ServiceShare(ServiceName(old), first),
+        ServiceShare(ServiceName(new), second),
+    )
+
+
+@then('of {count:d} requests {low:d} to {high:d} in 100 go to "{service}"')
+def step_split(context, count, low, high, service):
+    chosen = [choose_service(context.shares, f"r{n}") for n in range(count)]
+    again = [choose_service(context.shares, f"r{n}") for n in range(count)]
+    assert chosen == again
+    share = 100 * chosen.count(service) / count
+    assert low <= share <= high, share
+
+
+@given(
+    "{instances:d} instances and a tolerated excess of {requests:d} requests and a "
+    "tenth in {window_s:d} s"
+)
+def step_grace(context, instances, requests, window_s):
+    context.excess = ToleratedExcess(window_s, 0.1, requests)
+    context.budgets = [GraceBudget(context.excess) for _ in range(instances)]
+
+
+@when("each asks for grace {rate:d} times a second for {seconds:d} s")
+def step_ask_grace(context, rate, seconds):
+    limit = Limit(10 * UNITS_PER_REQUEST, 10 * UNITS_PER_REQUEST)
+    chance = random.Random(7)
+    starts = [chance.uniform(0, 5) for _ in context.budgets]
+    context.granted = []
+    for step in range(rate * seconds):
+        now = step / rate
+        for start, budget in zip(starts, context.budgets, strict=True):
+            instances = len(context.budgets)
+            if now >= start and budget.take(CUSTOMER, limit, instances, now):
+                context.granted.append(now)
+
+
+@then(
+    "no window of {window_s:d} s has more grace than is tolerated for {rate:d} a "
+    "second and burst {burst:d}"
+)
+def step_windows(context, window_s, rate, burst):
+    excess = context.excess
+    tolerated = excess.requests + excess.share * (rate * window_s + burst)
+    worst = max(
+        sum(start <= at < start + window_s for at in context.granted)
+        for start in context.granted
+    )
+    assert 0 < worst <= tolerated, worst
+
+
+@given("{count:d} endpoints with {slots:d} places")
+def step_endpoints(context, count, slots):
+    context.placed = PlacedRequests(count, slots)
+
+
+@then("a program is sent to one endpoint by every instance")
+def step_affinity(context):
+    chosen = {
+        context.placed.choose(Balancer(FailureDomain("a"), random.Random(n)))
+        for n in range(9)
+    }
+    assert len(chosen) == 1
+    context.chosen = chosen.pop()
+
+
+@when("that endpoint has {more:d} more requests than the others")
+def step_busy(context, more):
+    for _ in range(more):
+        context.placed.balancer.start(context.chosen)
+
+
+@then("the program is sent to another one")
+def step_other(context):
+    assert context.placed.choose(context.placed.balancer) != context.chosen
+
+
+@when("the first endpoint fails {count:d} times")
+def step_fail(context, count):
+    for _ in range(count):
+        context.placed.balancer.fail(context.placed.endpoints[0].name, 0.0)
+
+
+@then("nothing is sent to the first endpoint for {seconds:f} s")
+def step_avoided(context, seconds):
+    chosen = context.placed.count_chosen(seconds)
+    assert context.placed.endpoints[0].name not in chosen, chosen
+
+
+@then("the first endpoint is sent something after {seconds:f} s")
+def step_tried_again(context, seconds):
+    chosen = context.placed.count_chosen(seconds)
+    assert isinstance(chosen, Counter)
+    assert context.placed.endpoints[0].name in chosen, chosen
+
+
+@then('a request with "{header}" "{value}" is refused as malformed')
+def step_malformed(context, header, value):
+    check_malformed(header, value)
+
+
+@then('a request with "{header}" "" is refused as malformed')
+def step_malformed_empty(context, header):
+    check_malformed(header, "")
+
+
+def check_malformed(header, value):
+    headers = {"x-request-id": "1", "x-program-id": "p", "x-token-usage": "5,5"}
+    headers[header] = value
+    try:
+        PlatformCodec().read_request(FakeExchange(headers))
+    except RequestRefused as error:
+        assert error.code is Code.BAD_REQUEST
+    else:
+        raise AssertionError("it was taken")
+
+
+@given("a pipe that nobody reads")
+def step_pipe(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.sink = LineSink(writer, time.monotonic)
+
+
+@when("{count:d} lines are logged")
+def step_log(context, count):
+    started = time.monotonic()
+    for number in range(count):
+        context.sink.put(f"line {number} {'x' * 200}", ordinary=number % 2 == 0)
+        if number % 100 == 0:
+            context.sink.drain()
+    context.seconds = time.monotonic() - started
+
+
+@then("logging took less than {limit_s:d} s and lines were left out")
+def step_left_out(context, limit_s):
+    assert context.seconds < limit_s, context.seconds
+    assert context.sink.left_out > 0
+
+
+@then("a refused request's line is among the last to be left out")
+def step_order(context):
+    kept = [line for line in context.sink._lines if line.startswith(b"line ")]
+    refused = [line for line in kept if int(line.split()[1]) % 2]
+    assert len(refused) > LINES_LIMIT // 2, len(refused)
