--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -87,6 +87,8 @@
                 settings.limit_excess_requests,
             )
         )
+        self._listed = False
+        self.member.membership.hold_back()
         self._limits_in_force: dict[CustomerId, Limit] = {}
         self._rates_owner: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
@@ -277,9 +279,22 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers should connect here."""
-        known = self.view is not None and self.endpoints.known
+        known = (
+            self.view is not None
+            and self.endpoints.known
+            and self._rates_owner is not None
+            and bool(self.keeper.calls.view.members)
+        )
         return known and not self.drain.leaving
 
+    def _join_directory(self) -> None:
+        """Be given out to callers once they can be served."""
+        if self._listed or not self.is_ready():
+            return
+        self._listed = True
+        self.member.membership.start_serving()
+        self._logger.notice("ready for callers")
+
     async def serve_ready(self, exchange: Exchange) -> None:
         """Tell whether callers should connect here, by the status alone."""
         await exchange.answer(200 if self.is_ready() else 503, [], b"")
@@ -302,6 +317,7 @@
             await anyio.sleep(LOAD_INTERVAL_S)
             now = self.clock()
             self._follow_leader()
+            self._join_directory()
             self.metrics.record_lag(max(0.0, now - due))
             if self.drain.state is not DrainState.SERVING:
                 under_way = CountUnderWay(self.under_way + len(self._settling))
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -74,6 +74,11 @@
     """Tell the agent that its instance has begun to leave."""
 
 
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Tell the agent that its instance now takes work."""
+
+
 @dataclass(frozen=True, slots=True)
 class InstallState:
     """Ask the shell to put the replica's version in force."""
@@ -89,7 +94,7 @@
     endpoints: dict[EndpointId, EndpointState] = field(default_factory=dict)
 
 
-Event = Tick | Receive | Leave | CopyConfirmed
+Event = Tick | Receive | Leave | Serve | CopyConfirmed
 Action = Send | InstallState | MembersInstalled | LeaseRenewed | ShardsInstalled
 
 
@@ -130,6 +135,9 @@
             case Leave():
                 self.leaving = True
                 return self._beat(now)
+            case Serve():
+                self.leaving = False
+                return self._beat(now)
             case CopyConfirmed(shard=shard, number=number, instance=instance):
                 self._copies[CopyDone(shard, number, instance)] = None
                 return self._send_copies()
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -11,6 +11,7 @@
     InstallState,
     Leave,
     MembersInstalled,
+    Serve,
 )
 from burdockwall.process.membership.messages import (
     InstanceDetails,
@@ -116,6 +117,14 @@
         """Tell the fleet that this instance takes no new work."""
         self.host.apply(self._hosted_agent, Leave())
 
+    def hold_back(self) -> None:
+        """Join as an instance that takes no work, until start_serving()."""
+        self.agent.leaving = True
+
+    def start_serving(self) -> None:
+        """Tell the fleet that this instance takes work."""
+        self.host.apply(self._hosted_agent, Serve())
+
     def _perform_agent(
         self,
         action: InstallState | MembersInstalled | LeaseRenewed | ShardsInstalled,
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -94,7 +94,7 @@
     And the store "store-1" is empty within 10 s
 
   Scenario: The directory names the instances that are ready, and a leaving one no more
-    Then the directory names 2 instances
+    Then the directory names 2 instances within 3 s
     When instance 2 is stopped
     Then the directory names 1 instance within 3 s
 
