--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -35,6 +35,7 @@
     HOLD_S,
     LARGE_BEAT_INTERVAL_S,
     LARGE_FLEET,
+    LEADERLESS_RETRY_S,
     SILENCE_S,
 )
 from burdockwall.process.membership.tree import FAN_OUT, group_members
@@ -227,7 +228,11 @@
         return [Send(target, report), *self._send_copies()]
 
     def _redirect(self, leader: InstanceId | None, now: float) -> list[Action]:
-        if leader is None or leader == self.path.leader:
+        if leader is None:
+            # An election is under way: its end should not wait for a whole interval.
+            self._beat_at = min(self._beat_at, now + LEADERLESS_RETRY_S)
+            return []
+        if leader == self.path.leader:
             return []
         self.path.leader = leader
         self.collector.hold_again(now)
--- a/burdockwall/process/membership/timing.py
+++ b/burdockwall/process/membership/timing.py
@@ -21,6 +21,8 @@
 # Least time from a grant to the next heartbeat, in heartbeat intervals.
 LEAST_PACE = 0.5
 SILENCE_S = 1.2
+# Where a control instance knows no leader yet, it is asked again after this long.
+LEADERLESS_RETRY_S = 0.3
 AVOID_S = 10.0
 CHILD_LIMIT_S = 3.0
 RESEND_CHANGES_S = 1.0
