--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -234,7 +234,7 @@
             return []
         if leader == self.path.leader:
             return []
-        self.path.leader = leader
+        self.path.follow(leader)
         self.collector.hold_again(now)
         return self._beat(now)
 
--- a/burdockwall/process/membership/path.py
+++ b/burdockwall/process/membership/path.py
@@ -47,6 +47,14 @@
             return self.leader
         return self.control[self._turn % len(self.control)] if self.control else None
 
+    def follow(self, leader: InstanceId) -> None:
+        """Report to a leader that a control instance has named."""
+        self.leader = leader
+        for turn, hop in enumerate(self._list_hops()):
+            if hop.is_control and hop.instance == leader:
+                self._turn = turn
+                return
+
     def change(self, now: float) -> None:
         """Use another hop, since the present one is silent."""
         self._turn += 1
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -4,3 +4,9 @@
     Given an instance that reports to a control instance
     When the control instance answers that it knows no leader
     Then the instance reports again within 0.4 s
+
+  Scenario: An instance that is told the leader reports to it next, whatever it tried
+    Given an instance that reports to three control instances
+    When the first control instance is silent for 1.3 s
+    And the second control instance answers that the first one leads
+    Then the instance reports to the first one at once
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -18,8 +18,7 @@
 CONTROL = InstanceId("control-1")
 
 
-@given("an instance that reports to a control instance")
-def step_agent(context):
+def create_agent(control):
     details = InstanceDetails(
         InstanceId("entry-1"),
         Incarnation(1),
@@ -29,11 +28,52 @@
         Address("127.0.0.1:1"),
         Address("127.0.0.1:2"),
     )
-    context.agent = Agent(details, [CONTROL])
+    return Agent(details, control)
+
+
+@given("an instance that reports to a control instance")
+def step_agent(context):
+    context.agent = create_agent([CONTROL])
     context.now = 10.0
     assert count_reports(context.agent.handle(Tick(), context.now)) == 1
 
 
+@given("an instance that reports to three control instances")
+def step_agent_of_three(context):
+    context.agent = create_agent([InstanceId(f"control-{n}") for n in (1, 2, 3)])
+    context.now = 10.0
+    assert list_targets(context.agent.handle(Tick(), context.now)) == [CONTROL]
+
+
+def list_targets(actions):
+    return [
+        action.to
+        for action in actions
+        if isinstance(action, Send) and isinstance(action.message, Report)
+    ]
+
+
+@when("the first control instance is silent for {seconds:f} s")
+def step_silent(context, seconds):
+    until = context.now + seconds
+    targets = []
+    while context.now < until:
+        context.now += 0.1
+        targets += list_targets(context.agent.handle(Tick(), context.now))
+    assert targets[-1] == InstanceId("control-2"), targets
+
+
+@when("the second control instance answers that the first one leads")
+def step_told(context):
+    event = Receive(InstanceId("control-2"), NotLeader(CONTROL))
+    context.targets = list_targets(context.agent.handle(event, context.now))
+
+
+@then("the instance reports to the first one at once")
+def step_reports(context):
+    assert context.targets == [CONTROL], context.targets
+
+
 def count_reports(actions):
     return sum(
         isinstance(action, Send) and isinstance(action.message, Report)
