--- a/burdockwall/process/control/documents.py
+++ b/burdockwall/process/control/documents.py
@@ -4,7 +4,6 @@
 
 import logbook
 
-from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.changes import Document
 from burdockwall.process.control.commands import PutDocument
 from burdockwall.process.control.service import ControlService
@@ -61,8 +60,3 @@
 def digest_data(data: bytes) -> str:
     """Compute the digest that tells documents of one number apart."""
     return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
-
-
-def is_for_leader(error: OperatorError) -> bool:
-    """Tell whether another instance can answer what this one refused."""
-    return error.code is Code.NOT_LEADER
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -120,14 +120,22 @@
                     self.stopping.set()
 
     async def _watch_file(self, path: Path | None) -> None:
-        text = _read_text(path)
+        text = self._read_text(path) if path is not None else None
         while path is not None:
             await anyio.sleep(WATCH_INTERVAL_S)
-            found = _read_text(path)
-            if found != text:
+            found = self._read_text(path)
+            if found is not None and found != text:
                 text = found
                 self.reload(path)
 
+    def _read_text(self, path: Path) -> str | None:
+        try:
+            return path.read_text(encoding="utf-8")
+        except OSError as error:
+            # A file that is being replaced is read again at the next look.
+            self._logger.warning("settings not read", extra={"error": str(error)})
+            return None
+
     def reload(self, path: Path | None) -> None:
         """Read the settings file again; one with faults changes nothing."""
         if path is None:
@@ -145,11 +153,3 @@
                 "needs_restart": " ".join(done.waiting),
             },
         )
-
-
-def _read_text(path: Path | None) -> str:
-    try:
-        return path.read_text(encoding="utf-8") if path is not None else ""
-    except OSError:
-        # A file that is being replaced is read again at the next look.
-        return ""
