Bear full disks, clocks that were set back, and faults of one request

A store now writes again until it succeeds and confirms nothing meanwhile; control ends and starts afresh; a silent holder's incarnation is forgotten after 2 s; errors are logged and answered 500.

--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -11,6 +11,8 @@
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.commands import PutDocument
 from burdockwall.process.control.documents import Documents, digest_data
+from burdockwall.process.control.events import ReplicaRole
+from burdockwall.process.control.files import StorageError
 from burdockwall.process.control.opening import prepare_replica
 from burdockwall.process.control.service import ControlService
 from burdockwall.process.endpoints import (
@@ -133,11 +135,17 @@
                 self._leading = leading
                 self.planner.reset()
                 self.emptying.reset()
+            self._check_storage()
             self._install_limits()
             self.limits.follow(self.member.membership.get_led_term())
             if leading:
                 self._plan_stores()
 
+    def _check_storage(self) -> None:
+        """End the process after a failed write: a fresh start reads what is there."""
+        if self.control.replica.consensus.core.role is ReplicaRole.FAILED:
+            raise StorageError(Code.DISK_FAILED)
+
     def _install_limits(self) -> None:
         document = self.control.state.documents.get(DEPLOYMENT)
         if document is not None and document.number != self._limited:
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -168,6 +168,14 @@
             if exchange.started or error.code is Code.CALLER_GONE:
                 raise
             await self._refuse(exchange, error, trace)
+        except Exception as error:
+            trace.code = Code.INTERNAL.value.number
+            trace.detail = type(error).__name__
+            self._logger.exception("request failed", extra={"request": trace.request})
+            if exchange.started:
+                raise
+            refused = RequestRefused(Code.INTERNAL, trace.detail)
+            await self._refuse(exchange, refused, trace)
         finally:
             self.under_way -= 1
             self._record(trace)
@@ -215,9 +223,12 @@
         except RequestRefused as error:
             if error.code is not Code.LIMIT_UNREACHABLE:
                 raise
-            limit = self._limits_in_force[customer.name]
+            limit = self._limits_in_force.get(customer.name)
             instances = self._count_instances()
-            if not self.grace.take(customer.name, limit, instances, self.clock()):
+            now = self.clock()
+            if limit is None or not self.grace.take(
+                customer.name, limit, instances, now
+            ):
                 raise
 
     def _follow_leader(self) -> None:
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -43,6 +43,8 @@
 Event = Tick | Receive | ShardsInstalled | LeaseRenewed | LimitsInstalled
 AHEAD_BURST_SHARE = 0.5
 NO_LIMIT = Limit(0.0, 0)
+# No message of a former incarnation arrives after this long.
+HOLDER_SILENCE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
 class _Holder:
     incarnation: Incarnation
     sequence: int
+    heard_at: float
 
 
 @dataclass(slots=True)
@@ -177,7 +180,7 @@
         if demand.epoch == self.epoch:
             for close in demand.closes:
                 self._close_grant(sender, close, answers, now)
-        if self._is_newest(sender, demand) and now < self.lease_until:
+        if self._is_newest(sender, demand, now) and now < self.lease_until:
             self._holders[sender].sequence = demand.sequence
             answer = _Answer(sender, demand.incarnation, demand.sequence)
             answers.insert(0, answer)
@@ -189,10 +192,14 @@
         sends = [self._build_message(answer) for answer in answers]
         return sends + self._build_recalls(recalls)
 
-    def _is_newest(self, sender: InstanceId, demand: LimitDemand) -> bool:
+    def _is_newest(self, sender: InstanceId, demand: LimitDemand, now: float) -> bool:
         holder = self._holders.get(sender)
-        if holder is None or demand.incarnation > holder.incarnation:
-            holder = self._holders[sender] = _Holder(demand.incarnation, 0)
+        # A clock that was set back makes a later incarnation look like a former one.
+        silent = holder is not None and now - holder.heard_at >= HOLDER_SILENCE_S
+        if holder is None or silent or demand.incarnation > holder.incarnation:
+            holder = self._holders[sender] = _Holder(demand.incarnation, 0, now)
+        if demand.incarnation == holder.incarnation:
+            holder.heard_at = now
         if demand.incarnation < holder.incarnation or not demand.wants:
             return False
         return demand.sequence > holder.sequence
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -28,6 +28,9 @@
 from burdockwall.process.storage.view import StoreView
 from burdockwall.types import Incarnation, InstanceId
 
+# A full disk may have room again, and a failed sync may succeed on a rewrite.
+RETRY_WRITE_S = 0.5
+
 
 class StoreService:
     """Host a store's machines, and write what they ask for in a thread."""
@@ -112,10 +115,28 @@
             released = sum(
                 action.records for action in queue if isinstance(action, Release)
             )
-            await anyio.to_thread.run_sync(self._write, records, released)
+            await self._write_until_done(records, released)
             if tickets:
                 self.host.apply(self._hosted, Stored(tickets[-1]))
 
+    async def _write_until_done(
+        self, records: Sequence[StoredRecord], released: int
+    ) -> None:
+        """Write and sync; a disk that fails is tried again, and confirms nothing."""
+        failed = False
+        while True:
+            try:
+                await anyio.to_thread.run_sync(self._write, records, released)
+            except OSError as error:
+                if not failed:
+                    self._logger.error("write failed", extra={"error": str(error)})
+                failed = True
+                await anyio.sleep(RETRY_WRITE_S)
+                continue
+            if failed:
+                self._logger.notice("writes succeed again")
+            return
+
     def _write(self, records: Sequence[StoredRecord], released: int) -> None:
         if records:
             self.journal.write(records)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -47,3 +47,16 @@
     When 20000 lines are logged
     Then logging took less than 2 s and lines were left out
     And a refused request's line is among the last to be left out
+
+  Scenario: An instance whose clock was set back before its restart gets rates again
+    Given an owner of rates that knows an instance
+    When the instance starts again with a lower incarnation
+    Then it is granted nothing at once
+    And it is granted something 2.1 s later
+
+  Scenario: A full disk confirms nothing and loses nothing that was confirmed
+    Given a store's files with one record
+    When the disk is full and another record is written
+    Then the write fails
+    When the disk has room again and the record is written once more
+    Then both records are found after a power loss
