--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -87,6 +87,7 @@
         self._next_number = MemberNumber(1)
         self._seen_version = Version(0)
         self._roster_changed = False
+        self._announced = True
         self._departed: list[Record] = []
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -158,6 +159,7 @@
         self._reporters = {}
         self._departed = []
         self._seen_version = self.source.version
+        self._announced = False
 
     # Reports.
 
@@ -248,7 +250,7 @@
     # Time.
 
     def _tick(self, now: float) -> list[Action]:
-        actions: list[Action] = []
+        actions: list[Action] = [*self._announce()]
         found = self.detector.examine(self.records, self.platform, now)
         actions += found.probes
         for number in found.removed:
@@ -268,6 +270,17 @@
             actions += self._push(now)
         return actions
 
+    def _announce(self) -> list[Send]:
+        """Name the new leader to every member, which would else wait for a silence."""
+        if self._announced:
+            return []
+        self._announced = True
+        return [
+            Send(record.details.instance, NotLeader(self.instance))
+            for record in self.records.values()
+            if record.details.instance != self.instance
+        ]
+
     def push(self, now: float) -> list[Action]:
         """Send a version that was just accepted without waiting for a tick."""
         if not self._lead(now):
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -10,3 +10,8 @@
     When the first control instance is silent for 1.3 s
     And the second control instance answers that the first one leads
     Then the instance reports to the first one at once
+
+  Scenario: A new leader names itself to every member at once
+    Given a registrar that has followed two members
+    When it becomes the leader of the second term
+    Then both members are told who leads within 0.2 s, once
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,18 +1,28 @@
+import msgspec
 from behave import given, then, when
 
 from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.control.state import ControlState
 from burdockwall.process.membership.agent import Agent
 from burdockwall.process.membership.messages import (
     InstanceDetails,
+    MemberEntry,
+    MemberSnapshot,
     NotLeader,
     Report,
+    Stamp,
 )
+from burdockwall.process.membership.registrar import Registrar
+from burdockwall.process.membership.roster import Roster
+from burdockwall.process.membership.source import SoleSource
 from burdockwall.types import (
     Address,
     FailureDomain,
     Incarnation,
     InstanceId,
+    MemberNumber,
     Role,
+    Term,
 )
 
 CONTROL = InstanceId("control-1")
@@ -94,3 +104,51 @@
         context.now += 0.1
         reports += count_reports(context.agent.handle(Tick(), context.now))
     assert reports == 1, reports
+
+
+class ChangingSource(SoleSource):
+    """Lead a term only once it is told so."""
+
+    leads = False
+
+    def is_leader_confirmed(self, now):
+        return self.leads
+
+
+@given("a registrar that has followed two members")
+def step_registrar(context):
+    roster = Roster()
+    members = [
+        MemberEntry(
+            MemberNumber(number),
+            msgspec.structs.replace(
+                create_agent([CONTROL]).details, instance=InstanceId(f"entry-{number}")
+            ),
+        )
+        for number in (1, 2)
+    ]
+    roster.install_snapshot(MemberSnapshot(Stamp(Term(1), 3), members))
+    context.source = ChangingSource(CONTROL, ControlState())
+    context.registrar = Registrar(CONTROL, context.source, roster)
+    assert context.registrar.handle(Tick(), 1.0) == []
+
+
+@when("it becomes the leader of the second term")
+def step_leads(context):
+    context.source.leads = True
+    context.source.term = Term(2)
+
+
+@then("both members are told who leads within {limit_s:f} s, once")
+def step_named(context, limit_s):
+    named = []
+    for step in range(10):
+        actions = context.registrar.handle(Tick(), 1.1 + step * 0.1)
+        found = [
+            action.to
+            for action in actions
+            if isinstance(action, Send) and isinstance(action.message, NotLeader)
+        ]
+        assert not found or step * 0.1 <= limit_s
+        named += found
+    assert sorted(named) == ["entry-1", "entry-2"], named
