--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,7 +3,7 @@
 from features.subjects.fleet import run_seed
 from features.subjects.fleet_unprotected import find_fault
 
-UNPROTECTED_SEEDS = range(1, 121)
+UNPROTECTED_SEEDS = range(1, 241)
 
 
 @when("fleets run under faults with {count:d} seeds from {first:d}")
