Elect a leader at once where every voter has just started

Callers were refused meanwhile.

Change: a new start asks for pre-votes at once. A voter says where nothing but its start speaks against a vote, and names that start. Where all voters say so, or would vote, no leader is left; the request for the vote names the start that it answers, so that a word from before another restart does not count. The candidate's own start supports nobody.

Three rules in features/control_rules, each seen to fail without its protection; the first failed before.

--- a/burdockwall/process/control/consensus.py
+++ b/burdockwall/process/control/consensus.py
@@ -4,7 +4,12 @@
 from typing import Any
 
 from burdockwall.machine import Receive, Tick
-from burdockwall.process.control.core import COMPACT_ENTRIES, Core, Timing
+from burdockwall.process.control.core import (
+    COMPACT_ENTRIES,
+    EARLY_FIRST_S,
+    Core,
+    Timing,
+)
 from burdockwall.process.control.election import Election
 from burdockwall.process.control.entries import Member, Snapshot
 from burdockwall.process.control.events import (
@@ -106,6 +111,7 @@
         core.started = True
         core.heard_at = core.now
         core.reset_deadline()
+        core.reset_early(EARLY_FIRST_S)
         core.note_membership()
 
     def _refuse(self, event: Event) -> None:
@@ -170,7 +176,7 @@
                 return
             core.adopt_term(message.term, message.cluster)
         if message.term > core.term:
-            if isinstance(message, AskVote) and core.has_quorum_contact():
+            if isinstance(message, AskVote) and not self.election.may_vote(message):
                 return
             if not isinstance(message, AskPreVote):
                 core.adopt_term(message.term)
--- a/burdockwall/process/control/core.py
+++ b/burdockwall/process/control/core.py
@@ -32,6 +32,10 @@
 from burdockwall.types import InstanceId, Term
 
 COMPACT_ENTRIES = 1000
+START_BITS = 52
+# How soon after its start a replica asks whether any voter has a leader, and again.
+EARLY_FIRST_S = (0.0, 0.12)
+EARLY_AGAIN_S = (0.04, 0.16)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +90,10 @@
         self.leadership: Leadership | None = None
         self.now = 0.0
         self.started = False
+        # Names this start of the replica to others; never 0.
+        self.start = chance.getrandbits(START_BITS) + 1
+        self.contacted = False
+        self.early_at = 0.0
         self.heard_at = 0.0
         self.deadline = 0.0
         self.actions: list[Any] = []
@@ -120,6 +128,15 @@
         heard = self.leadership.confirmed_at if self.leadership else self.heard_at
         return self.now - heard < self.timing.election_timeout_s
 
+    def is_newly_started(self) -> bool:
+        """Tell whether a leader may rely on what this replica said before its start."""
+        recent = self.now - self.heard_at < self.timing.election_timeout_s
+        return recent and not self.contacted and self.leadership is None
+
+    def reset_early(self, bounds: tuple[float, float] = EARLY_AGAIN_S) -> None:
+        """Put off asking whether any voter has a leader."""
+        self.early_at = self.now + self.chance.uniform(*bounds)
+
     def reset_deadline(self) -> None:
         """Put the next election off by a random time."""
         timeout = self.timing.election_timeout_s
--- a/burdockwall/process/control/election.py
+++ b/burdockwall/process/control/election.py
@@ -21,21 +21,32 @@
     def __init__(self, core: Core) -> None:
         self.core = core
         self.votes: set[VoterId] = set()
+        self.starts: dict[VoterId, int] = {}
 
     def campaign_when_due(self) -> None:
         """Start or repeat a campaign at the deadline."""
         core = self.core
         alone = core.log.membership.list_voters() == [core.me.voter]
         idle = core.role is ReplicaRole.FOLLOWER
+        early = core.is_newly_started() and core.now >= core.early_at
         due = core.now >= core.deadline or (alone and idle)
-        if not due or not core.is_voter():
+        if not (due or early) or not core.is_voter():
             return
         if alone:
             self._start_vote()
             return
-        core.reset_deadline()
+        core.reset_early()
+        if due:
+            core.reset_deadline()
+        self._ask_pre_votes()
+
+    def _ask_pre_votes(self) -> None:
+        core = self.core
         core.set_role(ReplicaRole.PRE_CANDIDATE)
-        self.votes = {core.me.voter}
+        # A leader may still rely on what this replica confirmed before its start.
+        recent = core.is_newly_started()
+        self.votes = set() if recent else {core.me.voter}
+        self.starts = {core.me.voter: core.start} if recent else {}
         self._ask_others(
             AskPreVote(
                 cluster=core.hard.cluster,
@@ -51,6 +62,9 @@
         for member in self.core.list_others():
             if member.voting:
                 asked = msgspec.structs.replace(message, target=member.voter)
+                if isinstance(asked, AskVote):
+                    start = self.starts.get(member.voter, 0)
+                    asked = msgspec.structs.replace(asked, start=start)
                 self.core.send_synced(member.instance, asked)
 
     def _start_vote(self) -> None:
@@ -58,6 +72,7 @@
         core.vote_for(Term(core.term + 1), core.me.voter)
         core.set_role(ReplicaRole.CANDIDATE)
         core.reset_deadline()
+        core.reset_early()
         self.votes = set()
         # Its own vote counts once synced, by a message to itself.
         core.send_synced(
@@ -82,14 +97,19 @@
         asked = (message.last_term, message.last_index)
         return asked >= (log.last_term, log.last_index)
 
+    def may_vote(self, message: AskVote) -> bool:
+        """Tell whether no leader can rely on this replica's support."""
+        core = self.core
+        if not core.has_quorum_contact():
+            return True
+        return core.is_newly_started() and message.start == core.start
+
     def answer_pre_vote(self, event: Receive, message: AskPreVote) -> None:
         """Say whether this replica would vote, without any promise."""
         core = self.core
-        granted = (
-            message.term >= core.term
-            and not core.has_quorum_contact()
-            and self._is_current(message)
-        )
+        willing = message.term >= core.term and self._is_current(message)
+        granted = willing and not core.has_quorum_contact()
+        recent = willing and not granted and core.is_newly_started()
         answer = AnswerPreVote(
             core.hard.cluster,
             core.me.voter,
@@ -97,19 +117,30 @@
             core.term,
             message.term,
             granted,
+            core.start if recent else 0,
         )
         core.send_synced(event.sender, answer)
 
     def count_pre_vote(self, message: AnswerPreVote) -> None:
-        """Count a pre-vote and ask for votes on a majority."""
+        """Count a pre-vote; ask for votes on a majority, or where nobody leads.
+
+        Where all voters have just started, or would vote, no leader is left that
+        relies on any of them, and there is nothing to wait for.
+        """
         core = self.core
         if core.role is not ReplicaRole.PRE_CANDIDATE:
             return
-        if message.asked_term != core.term or not message.granted:
+        if message.asked_term != core.term:
+            return
+        if not core.log.membership.is_voter(message.source):
             return
-        if core.log.membership.is_voter(message.source):
+        if message.granted:
             self.votes.add(message.source)
-        if len(self.votes) >= core.quorum:
+        elif message.start:
+            self.starts[message.source] = message.start
+        answered = self.votes | set(self.starts)
+        leaderless = answered.issuperset(core.log.membership.list_voters())
+        if len(self.votes) >= core.quorum or leaderless:
             self._start_vote()
 
     def answer_vote(self, event: Receive, message: AskVote) -> None:
--- a/burdockwall/process/control/follower.py
+++ b/burdockwall/process/control/follower.py
@@ -48,6 +48,7 @@
     def _accept_leader(self, message: Append | SendSnapshot) -> None:
         core = self.core
         core.heard_at = core.now
+        core.contacted = True
         core.reset_deadline()
         core.set_role(ReplicaRole.FOLLOWER, message.source)
 
--- a/burdockwall/process/control/messages.py
+++ b/burdockwall/process/control/messages.py
@@ -22,17 +22,27 @@
 
 
 class AnswerPreVote(ControlMessage, frozen=True):
-    """Tell whether a vote in the asked term would be granted."""
+    """Tell whether a vote in the asked term would be granted.
+
+    `start` names this start of the replica where nothing but its recent start
+    speaks against the vote, and is 0 otherwise.
+    """
 
     asked_term: Term
     granted: bool
+    start: int = 0
 
 
 class AskVote(ControlMessage, frozen=True):
-    """Ask for the vote in a term."""
+    """Ask for the vote in a term.
+
+    `start` names the start of the asked replica whose wait is over, since every
+    voter has said that it neither leads nor follows a leader.
+    """
 
     last_index: int
     last_term: Term
+    start: int = 0
 
 
 class AnswerVote(ControlMessage, frozen=True):
--- a/features/control_rules.feature
+++ b/features/control_rules.feature
@@ -12,3 +12,6 @@
       | entries of earlier terms do not count  |
       | entries behind a snapshot are kept     |
       | no vote while a leader is heard        |
+      | no wait where every voter starts anew  |
+      | no vote by a word from before a start  |
+      | a new start does not support itself    |
--- a/features/subjects/control_rules.py
+++ b/features/subjects/control_rules.py
@@ -9,6 +9,7 @@
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.control.consensus import Consensus
 from burdockwall.process.control.core import Core
+from burdockwall.process.control.election import Election
 from burdockwall.process.control.entries import (
     Data,
     Entry,
@@ -28,6 +29,7 @@
     AnswerPreVote,
     AnswerVote,
     Append,
+    AskPreVote,
     AskVote,
     SendSnapshot,
 )
@@ -86,8 +88,8 @@
         message = kind(CLUSTER, VoterId(source), VoterId("a"), Term(term), *fields)
         return self.handle(Receive(InstanceId(source), message))
 
-    def ask_vote(self, source: str, term: int) -> bool:
-        sent = self.receive(AskVote, source, term, 99, Term(term))
+    def ask_vote(self, source: str, term: int, start: int = 0) -> bool:
+        sent = self.receive(AskVote, source, term, 99, Term(term), start)
         return any(
             isinstance(action.message, AnswerVote) and action.message.granted
             for action in sent
@@ -145,6 +147,45 @@
     return refused
 
 
+def elect_after_common_start() -> bool:
+    replica = LoneReplica(3)
+    replica.now = 0.1
+    asked = replica.handle(Tick())
+    if not any(isinstance(action.message, AskPreVote) for action in asked):
+        return False
+    core = replica.consensus.core
+    replica.receive(AnswerPreVote, "b", core.term, core.term, False, 7)
+    sent = replica.receive(AnswerPreVote, "c", core.term, core.term, False, 8)
+    starts = {
+        action.to: action.message.start
+        for action in sent
+        if isinstance(action.message, AskVote)
+    }
+    return starts == {"b": 7, "c": 8}
+
+
+def refuse_former_start() -> bool:
+    replica = LoneReplica(3)
+    replica.now = 0.1
+    start = replica.consensus.core.start
+    refused = not replica.ask_vote("b", 5, start + 1)
+    return replica.ask_vote("b", 6, start) and refused
+
+
+def count_no_own_support() -> bool:
+    replica = LoneReplica(3)
+    replica.now = 0.1
+    replica.handle(Tick())
+    core = replica.consensus.core
+    sent = replica.receive(AnswerPreVote, "b", core.term, core.term, True)
+    return not any(isinstance(action.message, AskVote) for action in sent)
+
+
+def ask_with_own_support(election):
+    ask(election)
+    election.votes = {election.core.me.voter}
+
+
 def persist_entries_only(core, hard, entries=()):
     if entries:
         persist(core, hard, entries)
@@ -164,6 +205,7 @@
 
 
 persist, advance, install = Core.persist, Leader.advance, Follower._install
+ask = Election._ask_pre_votes
 
 RULES: dict[str, tuple[Callable[[], bool], Callable[[], AbstractContextManager]]] = {
     "a vote is kept over a restart": (
@@ -182,6 +224,18 @@
         refuse_while_led,
         lambda: patch.object(Core, "has_quorum_contact", lambda core: False),
     ),
+    "no wait where every voter starts anew": (
+        elect_after_common_start,
+        lambda: patch.object(Core, "is_newly_started", lambda core: False),
+    ),
+    "no vote by a word from before a start": (
+        refuse_former_start,
+        lambda: patch.object(Election, "may_vote", lambda election, message: True),
+    ),
+    "a new start does not support itself": (
+        count_no_own_support,
+        lambda: patch.object(Election, "_ask_pre_votes", ask_with_own_support),
+    ),
 }
 
 
