Tell instances of a new leader at once, and connect to peers sooner

Change: a control instance remembers whom it has told of no leader, and names the leader to them; a leader that names itself is reported to again. Connections are tried again after 0.02 to 0.1 s and wait 0.15 s at first, doubled up to the silence bound. A process ticks every 10 ms in its first 1.5 s.

The drain check of features/entry_failures asked within the tick that ends the hold, and failed once for it when ticks moved: it now asks one tick later. Ports of test sites are reserved over processes, since two suites side by side found the same one ('address in use', seen once).

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -31,7 +31,10 @@
 EXCHANGE_METHOD = "/burdockwall.Peer/Exchange"
 QUEUE_LIMIT = 4096
 BATCH_LIMIT = 256
-RECONNECT_DELAY_S = 0.2
+RECONNECT_FIRST_S = 0.02
+RECONNECT_LIMIT_S = 0.1
+# A machine that is off answers nothing, and may be back a moment later.
+CONNECT_FIRST_S = 0.15
 
 Deliver = Callable[[InstanceId, Message], None]
 
@@ -64,6 +67,8 @@
         self._sent = 0
         self._acknowledged = 0
         self._reached: bool | None = None
+        self._reached_now = False
+        self._connect_limit_s = min(silence_s, CONNECT_FIRST_S)
         self._logger = logbook.Logger("peers")
 
     @property
@@ -78,14 +83,21 @@
 
     async def run(self) -> None:
         """Keep a connection while there is something to send."""
+        delay_s = RECONNECT_FIRST_S
         while True:
             await self._wait_for_message()
+            self._reached_now = False
             try:
                 await self._connect_once()
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
                 self.replaced += 1
                 self._note_lost(error)
-            await anyio.sleep(RECONNECT_DELAY_S)
+            delay_s = min(RECONNECT_LIMIT_S, 2 * delay_s)
+            self._connect_limit_s = min(self.silence_s, 2 * self._connect_limit_s)
+            if self._reached_now:
+                delay_s = RECONNECT_FIRST_S
+                self._connect_limit_s = min(self.silence_s, CONNECT_FIRST_S)
+            await anyio.sleep(delay_s)
 
     def _note_lost(self, error: Exception) -> None:
         if self._reached is not False:
@@ -97,7 +109,7 @@
     def _note_reached(self) -> None:
         if self._reached is False:
             self._logger.notice("peer regained", extra={"peer": self.address})
-        self._reached = True
+        self._reached = self._reached_now = True
 
     async def _wait_for_message(self) -> None:
         if not self._queue:
@@ -113,7 +125,7 @@
             method = grpclib.client.StreamStreamMethod(
                 channel, EXCHANGE_METHOD, Envelope, Acknowledgement
             )
-            with anyio.fail_after(self.silence_s):
+            with anyio.fail_after(self._connect_limit_s):
                 await channel.__connect__()
             async with method.open() as stream:
                 self._sent = 0
--- a/burdockwall/fakes/ports.py
+++ b/burdockwall/fakes/ports.py
@@ -11,6 +11,20 @@
 PORTS = range(10_000, 32_000)
 # Processes that run at a time begin at different places.
 _chance = random.Random(os.getpid())
+# A port found here is not found by another process, also before it is listened at.
+_reserved: list[socket.socket] = []
+
+
+def _reserve(port: int) -> bool:
+    """Take a name that no other process has while this one lives."""
+    name = socket.socket(socket.AF_UNIX)
+    try:
+        name.bind(f"\0burdockwall-port-{port}")
+    except OSError:
+        name.close()
+        return False
+    _reserved.append(name)
+    return True
 
 
 def find_address() -> Address:
@@ -22,4 +36,5 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return Address(f"127.0.0.1:{port}")
+            if _reserve(port):
+                return Address(f"127.0.0.1:{port}")
--- a/burdockwall/process/host.py
+++ b/burdockwall/process/host.py
@@ -10,6 +10,10 @@
 from burdockwall.machine import Machine, Message, Receive, Send, Tick
 from burdockwall.types import InstanceId
 
+# A new process finds leader and peers sooner with finer ticks.
+FINE_TICK_S = 0.01
+FINE_TICKS_S = 1.5
+
 
 @dataclass(frozen=True, slots=True)
 class Hosted:
@@ -78,8 +82,10 @@
                     hosted.perform(action)
 
     async def run(self) -> None:
-        """Tick every machine until cancelled."""
+        """Tick every machine until cancelled, more often at first."""
+        finely_until = self.clock() + FINE_TICKS_S
         while True:
             for hosted in self._hosted:
                 self.apply(hosted, Tick())
-            await anyio.sleep(self.tick_s)
+            fine = self.clock() < finely_until
+            await anyio.sleep(min(FINE_TICK_S, self.tick_s) if fine else self.tick_s)
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -152,7 +152,7 @@
             case Grant():
                 return self._take_grant(message, now)
             case NotLeader(leader=leader):
-                return self._redirect(leader, now)
+                return self._redirect(sender, leader, now)
             case StateChanges():
                 return self._install_state(self.replica.install_changes(message), now)
             case StateSnapshot():
@@ -227,12 +227,15 @@
         )
         return [Send(target, report), *self._send_copies()]
 
-    def _redirect(self, leader: InstanceId | None, now: float) -> list[Action]:
+    def _redirect(
+        self, sender: InstanceId, leader: InstanceId | None, now: float
+    ) -> list[Action]:
         if leader is None:
             # An election is under way: its end should not wait for a whole interval.
             self._beat_at = min(self._beat_at, now + LEADERLESS_RETRY_S)
             return []
-        if leader == self.path.leader:
+        # A leader that names itself may have refused the last report before it led.
+        if leader == self.path.leader and sender != leader:
             return []
         self.path.follow(leader)
         self.collector.hold_again(now)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -84,6 +84,7 @@
         self.progress = Progress()
         self.platform: PlatformList | None = None
         self._reporters: dict[InstanceId, float] = {}
+        self._leaderless: dict[InstanceId, float] = {}
         self._next_number = MemberNumber(1)
         self._seen_version = Version(0)
         self._roster_changed = False
@@ -93,7 +94,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event and return what to send, propose or tell."""
         if not self._lead(now):
-            return self._refuse(event)
+            return self._refuse(event, now)
         match event:
             case Tick():
                 return self._tick(now)
@@ -117,15 +118,29 @@
         """Tell whether this instance may grant leases."""
         return self.source.is_leader_confirmed(now) and self.source.term == self.term
 
-    def _refuse(self, event: Event) -> list[Action]:
+    def _refuse(self, event: Event, now: float) -> list[Action]:
+        leader = self.source.leader
+        hint = leader if leader != self.instance else None
         match event:
             case Receive(sender=sender, message=Report()):
-                leader = self.source.leader
-                hint = leader if leader != self.instance else None
+                if hint is None:
+                    self._leaderless[sender] = now
                 return [Send(sender, NotLeader(hint))]
+            case Tick() if hint is not None:
+                return list(self._name_leader(hint, now))
             case _:
                 return []
 
+    def _name_leader(self, leader: InstanceId, now: float) -> list[Send]:
+        """Name the leader to those that were told of none a moment ago."""
+        told = self._leaderless
+        self._leaderless = {}
+        return [
+            Send(sender, NotLeader(leader))
+            for sender, at in told.items()
+            if now - at <= CHILD_LIMIT_S and sender != leader
+        ]
+
     # Becoming the leader.
 
     def _lead(self, now: float) -> bool:
@@ -250,7 +265,7 @@
     # Time.
 
     def _tick(self, now: float) -> list[Action]:
-        actions: list[Action] = [*self._announce()]
+        actions: list[Action] = [*self._announce(now)]
         found = self.detector.examine(self.records, self.platform, now)
         actions += found.probes
         for number in found.removed:
@@ -270,15 +285,17 @@
             actions += self._push(now)
         return actions
 
-    def _announce(self) -> list[Send]:
+    def _announce(self, now: float) -> list[Send]:
         """Name the new leader to every member, which would else wait for a silence."""
         if self._announced:
             return []
         self._announced = True
-        return [
+        named = self._name_leader(self.instance, now)
+        told = {self.instance, *(send.to for send in named)}
+        return named + [
             Send(record.details.instance, NotLeader(self.instance))
             for record in self.records.values()
-            if record.details.instance != self.instance
+            if record.details.instance not in told
         ]
 
     def push(self, now: float) -> list[Action]:
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -15,3 +15,13 @@
     Given a registrar that has followed two members
     When it becomes the leader of the second term
     Then both members are told who leads within 0.2 s, once
+
+  Scenario: Instances that found no leader are told of it once there is one
+    Given a registrar that has told an instance of no leader
+    When it learns that another control instance leads
+    Then that instance is told who leads, once
+
+  Scenario: A leader that was asked before it led names itself and is asked again
+    Given an instance that has reported to its leader too early
+    When that leader names itself
+    Then the instance reports to the leader at once
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -23,6 +23,7 @@
     MemberNumber,
     Role,
     Term,
+    Version,
 )
 
 CONTROL = InstanceId("control-1")
@@ -152,3 +153,49 @@
         assert not found or step * 0.1 <= limit_s
         named += found
     assert sorted(named) == ["entry-1", "entry-2"], named
+
+
+@given("a registrar that has told an instance of no leader")
+def step_told_of_none(context):
+    context.source = ChangingSource(CONTROL, ControlState())
+    context.source.leader = None
+    context.registrar = Registrar(CONTROL, context.source, Roster())
+    asked = Receive(
+        InstanceId("entry-1"), Report(Incarnation(1), 1, Version(0), Stamp())
+    )
+    actions = context.registrar.handle(asked, 1.0)
+    assert actions == [Send(InstanceId("entry-1"), NotLeader(None))], actions
+
+
+@when("it learns that another control instance leads")
+def step_learns(context):
+    context.source.leader = InstanceId("control-2")
+    ticks = [context.registrar.handle(Tick(), 1.1 + step * 0.1) for step in range(5)]
+    context.named = [action for actions in ticks for action in actions]
+
+
+@then("that instance is told who leads, once")
+def step_told_once(context):
+    told = Send(InstanceId("entry-1"), NotLeader(InstanceId("control-2")))
+    assert context.named == [told], context.named
+
+
+@given("an instance that has reported to its leader too early")
+def step_too_early(context):
+    context.now = 1.0
+    context.agent = create_agent([CONTROL, InstanceId("control-2")])
+    context.agent.handle(Tick(), context.now)
+    other = Receive(InstanceId("control-2"), NotLeader(CONTROL))
+    assert list_targets(context.agent.handle(other, context.now)) == [CONTROL]
+    context.agent.handle(Receive(CONTROL, NotLeader(None)), context.now)
+
+
+@when("that leader names itself")
+def step_names_itself(context):
+    event = Receive(CONTROL, NotLeader(CONTROL))
+    context.targets = list_targets(context.agent.handle(event, context.now))
+
+
+@then("the instance reports to the leader at once")
+def step_reports_to_leader(context):
+    assert context.targets == [CONTROL], context.targets
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -1,5 +1,15 @@
+import socket
+from unittest.mock import patch
+
+import anyio
+import grpclib.client
 from behave import given, then, when
 
+from burdockwall.connection.peers import PeerLink
+from burdockwall.fakes import ports
+from burdockwall.fakes.ports import find_address
+from burdockwall.process.membership.messages import Ping
+from burdockwall.types import Address, Incarnation, InstanceId
 from features.subjects.peers import ARRIVAL_LIMIT_S, PeersSubject
 
 
@@ -23,3 +33,52 @@
     subject = context.subject
     assert subject.replaced >= 1
     assert subject.seconds < ARRIVAL_LIMIT_S, subject.seconds
+
+
+@given("{count:d} ports of which another process has found {found:d}")
+def step_ports(context, count, found):
+    first = int(find_address().rpartition(":")[2])
+    context.ports = range(first + 1, first + 1 + count)
+    context.others = [socket.socket(socket.AF_UNIX) for _ in range(found)]
+    for other, port in zip(context.others, context.ports, strict=False):
+        other.bind(f"\0burdockwall-port-{port}")
+
+
+@then("the address that is found has the fourth port")
+def step_fourth(context):
+    with patch.object(ports, "PORTS", context.ports):
+        assert find_address() == f"127.0.0.1:{context.ports[-1]}"
+    for other in context.others:
+        other.close()
+
+
+@given(
+    "a link to a machine that answers no connection, with a silence bound of "
+    "{silence_s:d} s"
+)
+def step_link(context, silence_s):
+    context.tried = 0
+    address = Address("127.0.0.1:1")
+    context.link = PeerLink(
+        InstanceId("a"), Incarnation(1), address, float(silence_s), None
+    )
+
+
+@when("a message waits for {seconds:f} s")
+def step_wait(context, seconds):
+    async def connect(channel):
+        context.tried += 1
+        await anyio.sleep_forever()
+
+    async def wait():
+        context.link.put(Ping(1))
+        with anyio.move_on_after(seconds):
+            await context.link.run()
+
+    with patch.object(grpclib.client.Channel, "__connect__", connect):
+        anyio.run(wait)
+
+
+@then("at least {least:d} connections were tried")
+def step_tried(context, least):
+    assert context.tried >= least, context.tried
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -19,6 +19,7 @@
 
 TOKEN_S = 0.03
 # The longer answers outlast hold and listener together.
+LATE_S = 0.05
 SLOW_TOKEN_S = 0.3
 SILENCE_S = 1.5
 IDLE_CONNECTIONS = 6
@@ -179,7 +180,10 @@
                 group.start_soon(self.ask_whole, client, path, number)
             await anyio.sleep(2 * TOKEN_S)
             site.node.start_drain()
-            await anyio.sleep(0.35)
+            settings = site.node.settings
+            # The hold ends at the first tick after it.
+            hold_s = settings.drain_hold_s + settings.tick_interval_s
+            await anyio.sleep(hold_s + LATE_S)
             await self._ask_late(site, path)
         await site.node.stop.wait()
 
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from burdockwall.connection.peers import RECONNECT_DELAY_S, PeerBus
+from burdockwall.connection.peers import RECONNECT_LIMIT_S, PeerBus
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.proxy import FakePath
 from burdockwall.process.membership.messages import Ping
@@ -12,7 +12,7 @@
 
 SILENCE_S = 1.0
 # One silence, one pause before the fresh connection, and time to connect.
-ARRIVAL_LIMIT_S = SILENCE_S + RECONNECT_DELAY_S + 2.0
+ARRIVAL_LIMIT_S = SILENCE_S + RECONNECT_LIMIT_S + 2.0
 SEND_INTERVAL_S = 0.1
 NEAR = InstanceId("near")
 FAR = InstanceId("far")
