Admit a part of each rate where its owner does not answer

Change: the rate is split by a rule that instances and owner know (limits/standing.py). An instance whose owner is silent for 0.15 s admits its part; an owner leaves their parts to instances that it has not heard of for 1.3 s. What both admit until then is within the excess that operators bear, and the share follows from that excess. A new leader starts with an empty bucket as soon as the former one's lease is over, 0.2 s: what that one granted is within its own burst. The list of endpoints goes to an instance that joins or starts anew at once (core.py, endpoints.py), no more within a second.

--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -18,9 +18,11 @@
 from burdockwall.process.endpoints import (
     EndpointPublisher,
     ListedEndpoint,
+    ListFollower,
     PublishEndpoints,
 )
 from burdockwall.process.limits.leading import LeaderLimits
+from burdockwall.process.limits.standing import PART_SILENCE_S, InstanceCount
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.storage.emptying import (
@@ -51,7 +53,9 @@
 
 LIST_INTERVAL_S = 1.0
 LIST_RETRY_S = 0.3
-LEAD_INTERVAL_S = 0.2
+LEAD_INTERVAL_S = 0.1
+# A new leader reads the list as soon as it may.
+AWAIT_LEAD_S = 0.02
 STOP_GRACE_S = 0.5
 SYSTEM = OperatorId("system")
 
@@ -87,7 +91,8 @@
         membership.add_registrar(self.control, self.control.propose, plans_shards=False)
         self.decode = decode
         self.limits = LeaderLimits(host, settings, self.member.incarnation)
-        self._limited = 0
+        self._limited = (0, 0, 0)
+        self._instances = InstanceCount(self._count_listed, host.clock)
         self.documents = Documents(self.control)
         self.publisher = EndpointPublisher()
         self.planner = StorePlanner(settings.tolerated_losses)
@@ -98,6 +103,7 @@
         )
         self._logger = logbook.Logger("core")
         self._list_lost = False
+        self._listed: list[ListedEndpoint] | None = None
         self._leading = False
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
@@ -140,6 +146,9 @@
             self.limits.follow(self.member.membership.get_led_term())
             if leading:
                 self._plan_stores()
+                self._publish()
+            else:
+                self._listed = None
 
     def _check_storage(self) -> None:
         """End the process after a failed write: a fresh start reads what is there."""
@@ -148,9 +157,17 @@
 
     def _install_limits(self) -> None:
         document = self.control.state.documents.get(DEPLOYMENT)
-        if document is not None and document.number != self._limited:
-            self._limited = document.number
-            self.limits.install(self.decode(document.data))
+        if document is None:
+            return
+        silent = self.member.membership.count_silent(PART_SILENCE_S)
+        installed = (document.number, self._instances.read(), silent)
+        if installed != self._limited:
+            self._limited = installed
+            self.limits.install(self.decode(document.data), *installed[1:])
+
+    def _count_listed(self) -> int:
+        members = self.member.membership.list_all()
+        return sum(entry.details.role.serves_callers for entry in members)
 
     def _plan_stores(self) -> None:
         emptying, view = self.get_emptying(), self.get_view()
@@ -225,7 +242,7 @@
     async def _read_endpoints(self) -> None:
         while True:
             if not self.member.membership.is_leading():
-                await anyio.sleep(LEAD_INTERVAL_S)
+                await anyio.sleep(AWAIT_LEAD_S)
                 continue
             try:
                 endpoints = await self.reader.read()
@@ -238,23 +255,24 @@
             if self._list_lost:
                 self._logger.notice("list regained")
             self._list_lost = False
-            self._publish(endpoints)
+            self._listed = sorted(endpoints, key=lambda endpoint: endpoint.name)
+            self._publish()
             await anyio.sleep(LIST_INTERVAL_S)
 
-    def _publish(self, endpoints: list[ListedEndpoint]) -> None:
+    def _publish(self) -> None:
+        """Send the latest list to those that lack it, new instances among them."""
         membership = self.member.membership
         term = membership.get_led_term()
-        if term is None:
+        if term is None or self._listed is None:
             return
         followers = [
-            entry.details.instance
+            ListFollower(entry.details.instance, entry.details.incarnation)
             for entry in membership.list_all()
             if entry.details.role.serves_callers
             and entry.state is not EndpointState.FAILED
         ]
-        ordered = sorted(endpoints, key=lambda endpoint: endpoint.name)
         self.member.host.apply(
-            self._hosted_publisher, PublishEndpoints(term, ordered, followers)
+            self._hosted_publisher, PublishEndpoints(term, self._listed, followers)
         )
 
     # Serving.
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -7,6 +7,7 @@
     Address,
     EndpointId,
     FailureDomain,
+    Incarnation,
     InstanceId,
     ServiceName,
     Term,
@@ -34,12 +35,19 @@
     endpoints: list[ListedEndpoint]
 
 
+class ListFollower(msgspec.Struct, frozen=True):
+    """Name one start of an instance, which holds no list at first."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+
+
 class PublishEndpoints(msgspec.Struct, frozen=True):
     """Tell the publisher what was read, and who follows, while it leads."""
 
     term: Term
     endpoints: list[ListedEndpoint]
-    followers: list[InstanceId]
+    followers: list[ListFollower]
 
 
 class EndpointPublisher:
@@ -48,7 +56,7 @@
     def __init__(self) -> None:
         self._latest: PublishEndpoints | None = None
         self._counter = 0
-        self._sent_at: dict[InstanceId, float] = {}
+        self._sent_at: dict[ListFollower, float] = {}
 
     def handle(
         self, event: PublishEndpoints | Tick | Receive, now: float
@@ -66,11 +74,13 @@
             self._counter += 1
         message = EndpointList(event.term, self._counter, event.endpoints)
         sends = []
+        sent_at = {}
         for follower in event.followers:
-            due = now - self._sent_at.get(follower, float("-inf")) >= REPEAT_S
-            if changed or due:
-                self._sent_at[follower] = now
-                sends.append(Send(follower, message))
+            sent_at[follower] = self._sent_at.get(follower, float("-inf"))
+            if changed or now - sent_at[follower] >= REPEAT_S:
+                sent_at[follower] = now
+                sends.append(Send(follower.instance, message))
+        self._sent_at = sent_at
         return sends
 
 
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -19,13 +19,13 @@
 )
 from burdockwall.process.endpoints import EndpointFollower, EndpointList
 from burdockwall.process.limits.client import LimitClient
-from burdockwall.process.limits.events import Limit
+from burdockwall.process.limits.excess import create_excess
+from burdockwall.process.limits.gate import RateGate
 from burdockwall.process.limits.leading import (
-    GraceBudget,
-    ToleratedExcess,
     build_leader_shards,
     list_deployment_limits,
 )
+from burdockwall.process.limits.standing import InstanceCount
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.balance import Balancer
@@ -80,16 +80,14 @@
         self.limits = LimitClient(
             host, settings, self.member.incarnation, chance, follows_shards=False
         )
-        self.grace = GraceBudget(
-            ToleratedExcess(
-                settings.limit_excess_window_s,
-                settings.limit_excess_share,
-                settings.limit_excess_requests,
-            )
+        self.gate = RateGate(
+            self._ask_owner,
+            create_excess(settings),
+            InstanceCount(self._count_listed, host.clock),
+            host.clock,
         )
         self._listed = False
         self.member.membership.hold_back()
-        self._limits_in_force: dict[CustomerId, Limit] = {}
         self._rates_owner: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
         host.add(self.endpoints, (EndpointList,))
@@ -113,7 +111,7 @@
             self._count_instances,
             lambda: self.drain.leaving,
             self._settle_later,
-            self._admit,
+            self.gate.admit,
         )
         self._add_gauges()
 
@@ -130,6 +128,10 @@
         live = [one for one in members if one.state is not EndpointState.FAILED]
         return max(1, len(live))
 
+    def _count_listed(self) -> int:
+        """Count every instance that may still admit requests, sound or not."""
+        return len(self.member.membership.list_members())
+
     # Versions.
 
     def _install(self, replica: StateReplica) -> None:
@@ -143,7 +145,8 @@
             return
         deployment = self.decode(document.data)
         self.view = DeploymentView(deployment, self.clock())
-        self._limits_in_force = list_deployment_limits(deployment)
+        self.gate.install(list_deployment_limits(deployment))
+        self._follow_leader()
         self._logger.notice(
             "configuration in force",
             extra={
@@ -217,19 +220,8 @@
             raise RequestRefused(Code.KEY_REFUSED)
         return customer
 
-    async def _admit(self, customer: HostCustomer) -> None:
-        try:
-            await self.limits.admit(customer.name, REQUEST_COST)
-        except RequestRefused as error:
-            if error.code is not Code.LIMIT_UNREACHABLE:
-                raise
-            limit = self._limits_in_force.get(customer.name)
-            instances = self._count_instances()
-            now = self.clock()
-            if limit is None or not self.grace.take(
-                customer.name, limit, instances, now
-            ):
-                raise
+    async def _ask_owner(self, customer: CustomerId, wait_s: float | None) -> None:
+        await self.limits.admit(customer, REQUEST_COST, wait_s)
 
     def _follow_leader(self) -> None:
         """Ask the leader of the control state for rates."""
--- a/burdockwall/process/limits/leading.py
+++ b/burdockwall/process/limits/leading.py
@@ -4,12 +4,12 @@
 their coming and going then moves no rate.
 """
 
-from dataclasses import dataclass, field
-
 from burdockwall.process.host import Host
 from burdockwall.process.limits.events import Limit, LimitsInstalled
+from burdockwall.process.limits.excess import create_excess
 from burdockwall.process.limits.messages import LimitDemand
 from burdockwall.process.limits.owner import LimitOwner
+from burdockwall.process.limits.standing import LimitSplit
 from burdockwall.process.limits.units import UNITS_PER_REQUEST, create_parameters
 from burdockwall.settings import Settings
 from burdockwall.types import (
@@ -29,8 +29,8 @@
     ShardView,
 )
 
-# Less than a new owner waits for the grants of a former one.
-LEAD_LEASE_S = 0.4
+# How long a leader goes on granting after it has last known that it leads.
+LEAD_LEASE_S = 0.2
 
 
 def build_leader_shards(leader: InstanceId, term: Term) -> ShardMap:
@@ -58,18 +58,23 @@
     def __init__(
         self, host: Host, settings: Settings, incarnation: Incarnation
     ) -> None:
+        self.split = LimitSplit(create_excess(settings))
         self.host = host
         self.instance = settings.instance_id
         parameters = create_parameters(settings)
-        self.owner = LimitOwner(
-            self.instance, incarnation, parameters, parameters.start_wait_s
-        )
+        # What a former leader has granted counts in its own burst, and this one begins
+        # with none: only the end of the former one's lease is waited for.
+        start_wait_s = LEAD_LEASE_S * parameters.lapse_factor
+        self.owner = LimitOwner(self.instance, incarnation, parameters, start_wait_s)
         self._led: Term | None = None
         self._hosted = host.add(self.owner, (LimitDemand,))
 
-    def install(self, deployment: Deployment) -> None:
-        """Put the limits of a configuration in force."""
-        limits = list_deployment_limits(deployment)
+    def install(self, deployment: Deployment, instances: int, silent: int) -> None:
+        """Put in force what the parts of silent instances leave of the limits."""
+        limits = {
+            customer: self.split.reduce(limit, instances, silent)
+            for customer, limit in list_deployment_limits(deployment).items()
+        }
         self.host.apply(self._hosted, LimitsInstalled(limits))
 
     def follow(self, led: Term | None) -> None:
@@ -83,51 +88,3 @@
         if led is not None:
             until = self.host.clock() + LEAD_LEASE_S
             self.host.apply(self._hosted, LeaseRenewed(until))
-
-
-@dataclass(frozen=True, slots=True)
-class ToleratedExcess:
-    """Say what the operators bear above rate and burst, over any window of time.
-
-    `share` is of what rate and burst allow in the window, `requests` on top of it.
-    """
-
-    window_s: float = 5.0
-    share: float = 0.0
-    requests: float = 0.0
-
-
-@dataclass(slots=True)
-class _Spent:
-    window_start: float
-    requests: int = 0
-
-
-@dataclass(slots=True)
-class GraceBudget:
-    """Admit a few requests while the owner of the rates does not answer.
-
-    All instances together stay within the tolerated excess: each takes an equal part
-    of half of it, so that two windows in a row stay within it too.
-    """
-
-    excess: ToleratedExcess
-    _spent: dict[CustomerId, _Spent] = field(default_factory=dict)
-
-    def take(
-        self, customer: CustomerId, limit: Limit, instances: int, now: float
-    ) -> bool:
-        """Admit one request, or tell that there is no grace left."""
-        spent = self._spent.get(customer)
-        if spent is None or now - spent.window_start >= self.excess.window_s:
-            spent = _Spent(now)
-            self._spent[customer] = spent
-        if spent.requests + 1 > self._count_part(limit, instances):
-            return False
-        spent.requests += 1
-        return True
-
-    def _count_part(self, limit: Limit, instances: int) -> float:
-        allowed = limit.rate_per_s * self.excess.window_s + limit.burst
-        excess = self.excess.share * allowed / UNITS_PER_REQUEST + self.excess.requests
-        return excess / 2 / max(1, instances)
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -186,6 +186,16 @@
             return tuple(record.entry for record in self.registrar.records.values())
         return self.members
 
+    def count_silent(self, silence_s: float) -> int:
+        """Count the instances that callers use and the leader has not heard of."""
+        if self.registrar is None or not self.is_leading():
+            return 0
+        heard_before = self.host.clock() - silence_s
+        return sum(
+            record.details.role.serves_callers and record.heard_at <= heard_before
+            for record in self.registrar.records.values()
+        )
+
     def list_members(self) -> list[Member]:
         """List the instances that callers may use, from the member list."""
         return [
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -64,7 +64,7 @@
     count_instances: Callable[[], int]
     is_leaving: Callable[[], bool]
     settle_later: Callable[[TurnStart, TurnOutcome], None]
-    admit: Callable[[HostCustomer], Awaitable[None]]
+    admit: Callable[[CustomerId], Awaitable[None]]
 
 
 class _NotRun(Exception):
@@ -162,8 +162,8 @@
 
     async def _admit(self) -> None:
         """Wait for the customer's rate, or raise RequestRefused."""
-        if self.customer is not None and self.customer.rate_per_s > 0:
-            await self.parts.admit(self.customer)
+        if self.customer is not None:
+            await self.parts.admit(self.customer.name)
         self.trace.admitted_at = self.parts.clock()
 
     # Attempts.
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -60,3 +60,15 @@
     Then the write fails
     When the disk has room again and the record is written once more
     Then both records are found after a power loss
+
+  Scenario: The list of endpoints reaches new instances at once
+    Given a publisher that has sent its list to 2 instances
+    When a third instance joins, and the second starts anew, 0.1 s later
+    Then the list is sent to just these two
+
+  Scenario: An answer is waited for by the times of those before it
+    Given answers of one route that take 20 to 100 ms
+    Then an answer is given up on after 120 to 160 ms
+    When answers take 1 s from now on, and each is given up on in vain
+    Then an answer is given up on after 1000 to 1600 ms
+    And nothing is known of another route
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,12 +7,29 @@
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.platform.codec import PlatformCodec
+from burdockwall.process.endpoints import (
+    EndpointPublisher,
+    ListedEndpoint,
+    ListFollower,
+    PublishEndpoints,
+)
 from burdockwall.process.limits.events import Limit
-from burdockwall.process.limits.leading import GraceBudget, ToleratedExcess
+from burdockwall.process.limits.excess import GraceBudget, ToleratedExcess
 from burdockwall.process.limits.units import UNITS_PER_REQUEST
 from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.patience import AnswerTimes
 from burdockwall.process.sink import LINES_LIMIT, LineSink
-from burdockwall.types import CustomerId, FailureDomain, RouteName, ServiceName
+from burdockwall.types import (
+    Address,
+    CustomerId,
+    EndpointId,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    RouteName,
+    ServiceName,
+    Term,
+)
 from burdockwall.version.deployment import (
     Deployment,
     DeploymentView,
@@ -24,6 +41,7 @@
 from features.subjects.gateway import FakeExchange, PlacedRequests
 
 CUSTOMER = CustomerId("one")
+ROUTE = RouteName("lookup")
 
 
 @given('the routes "{first}" and "{second}" of host "{host}"')
@@ -204,3 +222,59 @@
     kept = [line for line in context.sink._lines if line.startswith(b"line ")]
     refused = [line for line in kept if int(line.split()[1]) % 2]
     assert len(refused) > LINES_LIMIT // 2, len(refused)
+
+
+LISTED = [
+    ListedEndpoint(
+        EndpointId("e"), ServiceName("s"), Address("h:1"), FailureDomain("a"), 1
+    )
+]
+
+
+def publish(context, names, now):
+    followers = [
+        ListFollower(InstanceId(name), Incarnation(number)) for name, number in names
+    ]
+    event = PublishEndpoints(Term(1), LISTED, followers)
+    return [send.to for send in context.publisher.handle(event, now)]
+
+
+@given("a publisher that has sent its list to {count:d} instances")
+def step_publisher(context, count):
+    context.publisher = EndpointPublisher()
+    context.names = [(f"i{number}", 1) for number in range(count)]
+    assert len(publish(context, context.names, 1.0)) == count
+
+
+@when("a third instance joins, and the second starts anew, 0.1 s later")
+def step_join(context):
+    context.sent = publish(context, [("i0", 1), ("i1", 2), ("i2", 1)], 1.1)
+
+
+@then("the list is sent to just these two")
+def step_just_two(context):
+    assert context.sent == ["i1", "i2"], context.sent
+
+
+@given("answers of one route that take {low_ms:d} to {high_ms:d} ms")
+def step_answer_times(context, low_ms, high_ms):
+    chance = random.Random(3)
+    context.times = AnswerTimes()
+    for _ in range(200):
+        context.times.record(ROUTE, chance.uniform(low_ms, high_ms) / 1000)
+
+
+@then("an answer is given up on after {low_ms:d} to {high_ms:d} ms")
+def step_patience(context, low_ms, high_ms):
+    assert low_ms <= context.times.get_patience_s(ROUTE) * 1000 <= high_ms
+
+
+@when("answers take {seconds:d} s from now on, and each is given up on in vain")
+def step_slower(context, seconds):
+    for _ in range(20):
+        context.times.record(ROUTE, min(seconds, context.times.get_patience_s(ROUTE)))
+
+
+@then("nothing is known of another route")
+def step_other_route(context):
+    assert context.times.get_patience_s(RouteName("another")) is None
