Let requests wait longer for their rate, and less for an owner that is silent

Change: [limits] silence says when an owner counts as unreachable, and then refuses what waits for it at once; [limits] wait is for units alone.

The scenario in features/standing failed before.

--- a/burdockwall/options/limits.py
+++ b/burdockwall/options/limits.py
@@ -13,6 +13,16 @@
         0.01,
         0.6,
     ),
+    Option(
+        "limits",
+        "silence",
+        "limit_silence_s",
+        Kind.NUMBER,
+        "s",
+        "How long an owner may leave a demand unanswered and still count as reachable.",
+        0.05,
+        0.6,
+    ),
     Option(
         "limits",
         "immediate",
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -223,8 +223,8 @@
             raise RequestRefused(Code.KEY_REFUSED)
         return customer
 
-    async def _ask_owner(self, customer: CustomerId, wait_s: float | None) -> None:
-        await self.limits.admit(customer, REQUEST_COST, wait_s)
+    async def _ask_owner(self, customer: CustomerId) -> None:
+        await self.limits.admit(customer, REQUEST_COST)
 
     def _follow_leader(self) -> None:
         """Ask the leader of the control state for rates."""
--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -8,7 +8,6 @@
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import GraceBudget, ToleratedExcess
 from burdockwall.process.limits.standing import (
-    OWNER_WAIT_S,
     InstanceCount,
     LimitSplit,
     StandingParts,
@@ -18,7 +17,7 @@
 # How long a request waits at most for what comes in of this instance's own part.
 PART_WAIT_S = 0.5
 
-AskOwner = Callable[[CustomerId, float | None], Awaitable[None]]
+AskOwner = Callable[[CustomerId], Awaitable[None]]
 
 
 class RateGate:
@@ -51,7 +50,7 @@
         instances = self.instances.read()
         parted = self.split.get_part_share(limit, instances) > 0.0
         try:
-            await self.ask_owner(customer, OWNER_WAIT_S if parted else None)
+            await self.ask_owner(customer)
         except RequestRefused as error:
             if error.code is not Code.LIMIT_UNREACHABLE:
                 raise
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -384,8 +384,10 @@
                 del self._customers[customer]
         for name, owner in self._owners.items():
             awaited = owner.flight is not None
-            if awaited and now - owner.awaited_since >= self.parameters.wait_s:
+            silent = now - owner.awaited_since >= self.parameters.silence_s
+            if awaited and silent and not owner.unreachable:
                 owner.unreachable = True
+                actions += self._refuse_waiting(name)
             actions += self._flush(name, owner, now)
             if any(grant.units or grant.reports for grant in owner.closes):
                 actions += self._send_closes(name, owner, now)
@@ -395,6 +397,24 @@
         self._forget(now)
         return actions
 
+    def _refuse_waiting(self, owner: InstanceId) -> list[Action]:
+        """Refuse what waits for an owner that turns out to be unreachable."""
+        actions: list[Action] = []
+        for entry in self._customers.values():
+            if entry.owner != owner:
+                continue
+            actions += [
+                Refused(
+                    request.call,
+                    entry.customer,
+                    Reason.OWNER_UNREACHABLE,
+                    self.parameters.wait_s,
+                )
+                for request in entry.waiting
+            ]
+            entry.waiting.clear()
+        return actions
+
     def _expire_waiting(self, entry: CustomerGrants, now: float) -> list[Action]:
         actions: list[Action] = []
         while entry.waiting and entry.waiting[0].expires_at <= now:
--- a/burdockwall/process/limits/standing.py
+++ b/burdockwall/process/limits/standing.py
@@ -19,7 +19,7 @@
 PART_BURST_REQUESTS = 1.5
 # A larger part would be of no use to callers at their usual rates.
 PART_SHARE_LIMIT = 0.8
-# An owner that does not answer for this long is done without.
+# Least time until an owner that does not answer counts as unreachable.
 OWNER_WAIT_S = 0.15
 # An owner leaves the part to an instance that it has not heard of for this long.
 PART_SILENCE_S = 1.3
--- a/burdockwall/process/limits/units.py
+++ b/burdockwall/process/limits/units.py
@@ -15,6 +15,7 @@
 class LimitParameters:
     """Hold the parameters of the limiter; times are in seconds.
 
+    An owner that answers nothing for `silence_s` counts as unreachable;
     `clock_margin` bounds how far a clock's rate differs from true time, as a share.
     """
 
@@ -25,6 +26,7 @@
     idle_s: float
     repeat_s: float
     clock_margin: float
+    silence_s: float = 0.3
 
     @property
     def pending_s(self) -> float:
@@ -52,6 +54,7 @@
         idle_s=settings.limit_idle_s,
         repeat_s=settings.limit_repeat_s,
         clock_margin=settings.limit_clock_margin,
+        silence_s=settings.limit_silence_s,
     )
 
 
--- a/features/standing.feature
+++ b/features/standing.feature
@@ -46,3 +46,10 @@
       | 0     |
       | 9     |
       | 10    |
+
+  Scenario: Requests wait longer for their rate than for an owner that is silent
+    Given an instance that waits 0.6 s for its rate, and 0.15 s for a silent owner
+    When a request waits for an owner that answers nothing
+    Then it is refused within 0.3 s, since the owner is unreachable
+    When a request waits for an owner that says when units come in
+    Then it still waits after 0.5 s
