Tell callers beyond their rate when to come back, one after another

Cause: callers refused for their customer's rate were all told the same time, came back together and were refused again; each comes only a few times.

Change: each gets a time of its own, spaced as the rate allows (limits/returning.py). An instance without a configuration says when it will have one, from its start.

--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -48,7 +48,9 @@
     digest_key,
 )
 
-NOT_READY_RETRY_S = 0.3
+# How long after its start an instance has a configuration, as a rule.
+READY_EXPECTED_S = 0.8
+NOT_READY_RETRY_S = 0.15
 LOAD_INTERVAL_S = 0.1
 EXPIRE_INTERVAL_S = 1.0
 CALLER_IDLE_S = 20.0
@@ -70,6 +72,7 @@
         self.member = FleetMember(settings, self._install)
         host = self.member.host
         self.clock = host.clock
+        self._started_at = host.clock()
         self.view: DeploymentView | None = None
         self.metrics = self.member.metrics
         self.drain = Drain()
@@ -192,7 +195,9 @@
         trace.program = request.program or ""
         view = self.view
         if view is None:
-            raise RequestRefused(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
+            expected_s = self._started_at + READY_EXPECTED_S - self.clock()
+            retry_s = max(NOT_READY_RETRY_S, expected_s)
+            raise RequestRefused(Code.NOT_READY, retry_after_s=retry_s)
         trace.configuration = view.number
         route = view.find_route(request.host, request.path)
         if route is None:
--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -7,6 +7,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import GraceBudget, ToleratedExcess
+from burdockwall.process.limits.returning import ReturnTimes
 from burdockwall.process.limits.standing import (
     InstanceCount,
     LimitSplit,
@@ -36,6 +37,7 @@
         self.parts = StandingParts(self.split)
         self.instances = instances
         self.clock = clock
+        self.returns = ReturnTimes()
         self.limits: dict[CustomerId, Limit] = {}
 
     def install(self, limits: dict[CustomerId, Limit]) -> None:
@@ -53,13 +55,24 @@
             await self.ask_owner(customer)
         except RequestRefused as error:
             if error.code is not Code.LIMIT_UNREACHABLE:
-                raise
+                raise self._say_when(customer, limit, instances, error) from error
             if parted and await self._admit_part(customer, limit, instances):
                 return
             now = self.clock()
             if parted or not self.grace.take(customer, limit, instances, now):
                 raise
 
+    def _say_when(
+        self,
+        customer: CustomerId,
+        limit: Limit,
+        instances: int,
+        error: RequestRefused,
+    ) -> RequestRefused:
+        now = self.clock()
+        retry_s = self.returns.choose(customer, limit, instances, now)
+        return RequestRefused(error.code, error.detail, retry_s)
+
     async def _admit_part(
         self, customer: CustomerId, limit: Limit, instances: int
     ) -> bool:
