Add a command that says from logs what became of a request

burdockwall trace ID reads the logs of any number of instances, puts the lines of a request or program in order, with what the instance came to believe shortly before, and says what decided, whether it ran and where the time went. features/trace plays three kinds of failure over three instances, a slow program, prefixed lines, and what is no log.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -223,6 +223,10 @@
         2017, 409, Ran.NOT_RUN, Retry.NEVER, "Too few stores would be left."
     )
     STORE_UNKNOWN = CodeRow(2018, 404, Ran.NOT_RUN, Retry.NEVER, "No such store.")
+    LOGS_UNREADABLE = CodeRow(
+        2019, 400, Ran.NOT_RUN, Retry.NEVER, "Hardly a line is a log line."
+    )
+    NOT_LOGGED = CodeRow(2020, 404, Ran.NOT_RUN, Retry.NEVER, "No log line names it.")
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- /dev/null
+++ b/features/trace.feature
@@ -0,0 +1,37 @@
+Feature: What became of a request is told from logs alone
+
+  Scenario: A request refused for a silent owner names the owner's change
+    Given logs of two entry instances and a leader that changed
+    When the request refused with code 1303 is traced
+    Then the verdict says "The owner of the customer's rate does not answer"
+    And the verdict says "it has not run and never will"
+    And the verdict says "front-1 rates asked of 0.40 s earlier"
+    And the lines are in order and name "control role"
+
+  Scenario: A request with an unknown outcome names its endpoint and its time
+    Given logs of two entry instances and a leader that changed
+    When the request that ended with code 1224 is traced
+    Then the verdict says "it may have run"
+    And the verdict says "3000 ms, 2990 ms went into waiting for the endpoint's first byte"
+    And the lines say "at e-7"
+
+  Scenario: A program that lost its turn is followed over instances
+    Given logs of two entry instances and a leader that changed
+    When the program of the lost turn is traced
+    Then the verdict says "code 1214"
+    And the lines come from "front-1, front-2"
+
+  Scenario: A slow program tells where its time went
+    Given logs of two entry instances and a leader that changed
+    When the program that was slow is traced
+    Then the verdict says "All 2 requests were answered"
+    And the verdict says "400 ms went into waiting for the customer's rate"
+
+  Scenario: What is no log is refused, and an unknown id too
+    Then a file without log lines is refused with code 2019
+    And an id that no line names is refused with code 2020
+
+  Scenario: A collector's prefix names the instance, and other lines are passed over
+    Given logs whose lines begin with a time and the instance's name
+    When the request refused with code 1303 is traced
+    Then the lines come from "front-1"
