--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -12,7 +12,6 @@
 
 from burdockwall.connection.peers import PeerBus
 from burdockwall.connection.tls import create_peer_contexts
-from burdockwall.errors import InvalidFile
 from burdockwall.process.clock import read_clock
 from burdockwall.process.control.opening import list_contacts
 from burdockwall.process.exposition import Gauges, MetricsPage
@@ -21,7 +20,7 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.metrics import Metrics
-from burdockwall.process.reload import reload_settings
+from burdockwall.process.reload import put_in_force
 from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain, Incarnation, InstanceId
@@ -138,18 +137,5 @@
 
     def reload(self, path: Path | None) -> None:
         """Read the settings file again; one with faults changes nothing."""
-        if path is None:
-            return
-        try:
-            done = reload_settings(self.settings, path)
-        except InvalidFile as error:
-            self._logger.error("settings not reloaded", extra={"faults": error.detail})
-            return
-        self.membership.set_control(list_contacts(self.settings))
-        self._logger.notice(
-            "settings reloaded",
-            extra={
-                "changed": " ".join(done.changed),
-                "needs_restart": " ".join(done.waiting),
-            },
-        )
+        if path is not None and put_in_force(self.settings, path, self._logger):
+            self.membership.set_control(list_contacts(self.settings))
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -25,7 +25,7 @@
 from burdockwall.process.operations import Operations, Status
 from burdockwall.process.orders.shell import Orders
 from burdockwall.process.programs.unknowns import add_unknowns
-from burdockwall.process.reload import reload_settings
+from burdockwall.process.reload import put_in_force
 from burdockwall.process.resolver import Member
 from burdockwall.process.scheduling.explain import describe_placements
 from burdockwall.process.web import create_limits, serve_address
@@ -250,18 +250,8 @@
 
     def reload(self, path: Path | None) -> None:
         """Read the settings file again; one with faults changes nothing."""
-        if path is None:
-            return
-        try:
-            done = reload_settings(self.settings, path)
-        except InvalidFile as error:
-            self._logger.error("settings not reloaded", extra={"faults": error.detail})
-            return
-        fields = {
-            "changed": " ".join(done.changed),
-            "needs_restart": " ".join(done.waiting),
-        }
-        self._logger.notice("settings reloaded", extra=fields)
+        if path is not None:
+            put_in_force(self.settings, path, self._logger)
 
 
 async def run_node(settings: Settings, path: Path | None = None) -> None:
--- a/burdockwall/process/reload.py
+++ b/burdockwall/process/reload.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, fields
 from pathlib import Path
 
+import logbook
+
+from burdockwall.errors import InvalidFile
 from burdockwall.settings import Settings, read_settings
 
 # Attributes that are read each time they are used; the others need a restart.
@@ -26,6 +29,23 @@
     waiting: tuple[str, ...]
 
 
+def put_in_force(settings: Settings, path: Path, logger: logbook.Logger) -> bool:
+    """Read a file again and log what came of it; one with faults changes nothing."""
+    try:
+        done = reload_settings(settings, path)
+    except InvalidFile as error:
+        logger.error("settings not reloaded", extra={"faults": error.detail})
+        return False
+    logger.notice(
+        "settings reloaded",
+        extra={
+            "changed": " ".join(done.changed),
+            "needs_restart": " ".join(done.waiting),
+        },
+    )
+    return True
+
+
 def reload_settings(settings: Settings, path: Path) -> Reload:
     """Read a file into settings in use; raise InvalidFile and change nothing."""
     fresh = read_settings(path)
