--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -7,7 +7,6 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import GraceBudget, ToleratedExcess
-from burdockwall.process.limits.opening import ProgramOpening
 from burdockwall.process.limits.returning import ReturnTimes
 from burdockwall.process.limits.standing import (
     InstanceCount,
@@ -18,7 +17,6 @@
 
 # How long a request waits at most for what comes in of this instance's own part.
 PART_WAIT_S = 0.5
-RATE_TAKEN = "Programs under way take the customer's rate."
 
 AskOwner = Callable[[CustomerId], Awaitable[None]]
 
@@ -40,35 +38,23 @@
         self.instances = instances
         self.clock = clock
         self.returns = ReturnTimes()
-        self.opening = ProgramOpening()
         self.limits: dict[CustomerId, Limit] = {}
 
     def install(self, limits: dict[CustomerId, Limit]) -> None:
         """Put limits in force; a customer without one is admitted."""
         self.limits = limits
 
-    async def admit(self, customer: CustomerId, opens_program: bool = False) -> None:
-        """Wait for one request's place, or raise RequestRefused.
-
-        The first turn of a program is refused where programs under way take the rate.
-        """
+    async def admit(self, customer: CustomerId) -> None:
+        """Wait for one request's place, or raise RequestRefused."""
         limit = self.limits.get(customer)
         if limit is None:
             return
         instances = self.instances.read()
-        asked_at = self.clock()
-        if opens_program and not self.opening.may_begin(customer, asked_at):
-            taken = RequestRefused(Code.RATE_EXCEEDED, RATE_TAKEN)
-            raise self._say_when(customer, limit, instances, taken)
         parted = self.split.get_part_share(limit, instances) > 0.0
         try:
             await self.ask_owner(customer)
-            now = self.clock()
-            self.opening.note_wait(customer, now - asked_at, now)
         except RequestRefused as error:
             if error.code is not Code.LIMIT_UNREACHABLE:
-                if not opens_program:
-                    self.opening.note_refusal(customer, self.clock())
                 raise self._say_when(customer, limit, instances, error) from error
             if parted and await self._admit_part(customer, limit, instances):
                 return
--- a/burdockwall/process/storage/keeper.py
+++ b/burdockwall/process/storage/keeper.py
@@ -1,7 +1,6 @@
 """Let callers' turns wait for the stores."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import logbook
 
@@ -36,14 +35,6 @@
 RETRY_AFTER_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class BegunTurn:
-    """Hold the chain of a reserved turn, and whether it is its program's first."""
-
-    chain: list[ChainLink]
-    opens_program: bool
-
-
 class TurnKeeper:
     """Begin and end turns on behalf of callers."""
 
@@ -98,8 +89,8 @@
             detail = f"stores within reach: {shown}"
             raise RequestRefused(Code.RECORDS_UNAVAILABLE, detail, RETRY_AFTER_S)
 
-    async def begin(self, start: TurnStart) -> BegunTurn:
-        """Reserve a turn's tokens and find its chain, or raise RequestRefused."""
+    async def begin(self, start: TurnStart) -> list[ChainLink]:
+        """Reserve a turn's tokens and return its chain, or raise RequestRefused."""
         self._check_reach()
         call = self._waiters.create()
         self.host.apply(self._hosted, AskBegin(call, start))
@@ -119,8 +110,7 @@
             case Verdict.TURN_UNKNOWN:
                 raise RequestRefused(Code.TURN_UNKNOWN, f"no turn {start.previous}")
             case _:
-                chain = judged.tally.find_chain() or []
-                return BegunTurn(chain, judged.tally.is_program_new())
+                return judged.tally.find_chain() or []
 
     async def end(self, start: TurnStart, outcome: TurnOutcome) -> bool:
         """Settle a turn; tell whether a quorum of stores has synced it."""
--- a/burdockwall/process/storage/tally.py
+++ b/burdockwall/process/storage/tally.py
@@ -78,10 +78,6 @@
                     charges[charge.turn] = charge
         return sum(charge.tokens for charge in charges.values())
 
-    def is_program_new(self) -> bool:
-        """Tell whether no other turn of the program has run or may run."""
-        return self.count_charges() == 0
-
     def forget_partial(self) -> None:
         """Ask again the stores that may hold more of the chain by now."""
         found = {answer.presence for answer in self.answers.values()}
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -65,7 +65,7 @@
     count_instances: Callable[[], int]
     is_leaving: Callable[[], bool]
     settle_later: Callable[[TurnStart, TurnOutcome], None]
-    admit: Callable[[CustomerId, bool], Awaitable[None]]
+    admit: Callable[[CustomerId], Awaitable[None]]
     answer_times: AnswerTimes
 
 
@@ -150,23 +150,23 @@
         self.turn = start
         prompt = self.body
         try:
-            begun = await self.parts.keeper.begin(start)
-            links = [link.prompt + link.answer for link in begun.chain]
+            chain = await self.parts.keeper.begin(start)
+            links = [link.prompt + link.answer for link in chain]
             self.body = b"".join([*links, prompt])
             # A turn that its budget refuses runs nowhere, and counts nothing.
-            await self._admit(begun.opens_program)
+            await self._admit()
             await self._run_attempts(prompt)
         finally:
             if not self.progress.settled:
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
-    async def _admit(self, opens_program: bool = False) -> None:
+    async def _admit(self) -> None:
         """Wait for the customer's rate, or raise RequestRefused."""
         if self.trace.begun_at is None:
             self.trace.begun_at = self.parts.clock()
         if self.customer is not None:
-            await self.parts.admit(self.customer.name, opens_program)
+            await self.parts.admit(self.customer.name)
         self.trace.admitted_at = self.parts.clock()
 
     # Attempts.
--- a/features/returning.feature
+++ b/features/returning.feature
@@ -11,15 +11,3 @@
     Given a customer of 18 requests a second that 9 instances refuse
     Then refused callers are told to come back after 100, 600, 1100 and 1200 ms
     And one that is refused 5 s later is told 100 ms
-
-  Scenario: More programs end in time where those under way go before new ones
-    Given programs of 6 requests whose customer asks for 1.5 times its rate for 6 s
-    When 40 seeds are played with programs under way before new ones, and without
-    Then at least 70 in 100 programs end in time
-    And less than 65 in 100 would if all began
-
-  Scenario: New programs begin again a second after their rate was taken
-    Given a customer whose rate was taken at 10.0 s
-    Then of 16 new programs at 10.5 s 2 begin
-    And every new program of another customer begins
-    And of 5 new programs at 11.1 s 5 begin
--- a/features/subjects/returning.py
+++ b/features/subjects/returning.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from burdockwall.process.limits.opening import ProgramOpening
 from burdockwall.process.limits.returning import ReturnTimes
 from burdockwall.types import CustomerId
 from features.subjects.standing import create_limit
@@ -18,8 +17,6 @@
 # A request is admitted if its units come in within this time.
 HOLD_S = 0.36
 RUN_S = 0.35
-# A program's aim is its time without any wait, times this.
-AIM_FACTOR = 1.5
 SAME_S = (0.36, 0.54)
 ATTEMPTS, SENDINGS = 2, 3
 RESEND_S = (0.1, 0.4)
@@ -36,54 +33,36 @@
     sending: int = field(compare=False, default=1)
 
 
-@dataclass(frozen=True, slots=True)
-class PressedResult:
-    """Hold shares of all programs."""
-
-    lost: float
-    in_time: float
-
-
 class PressedCustomer:
-    """Count the programs that are lost, and those that end in time."""
+    """Count the programs that are lost."""
 
     def __init__(self, requests: int, times: float, for_s: float) -> None:
         self.requests = requests
         self.times = times
         self.for_s = for_s
 
-    def measure(
-        self, seeds: Iterable[int], own_times: bool, whole: bool = False
-    ) -> PressedResult:
-        """Play all seeds; `whole` lets programs under way go before new ones."""
-        lost = in_time = begun = 0
+    def measure(self, seeds: Iterable[int], own_times: bool) -> float:
+        """Return the share of programs that are lost, over all seeds."""
+        lost = begun = 0
         for seed in seeds:
-            play = _Play(self, random.Random(seed), own_times, whole)
+            play = _Play(self, random.Random(seed), own_times)
             play.run()
             lost += play.lost
-            in_time += play.in_time
             begun += play.begun
-        return PressedResult(lost / begun, in_time / begun)
+        return lost / begun
 
 
 class _Play:
     def __init__(
-        self,
-        pressed: PressedCustomer,
-        chance: random.Random,
-        own_times: bool,
-        whole: bool,
+        self, pressed: PressedCustomer, chance: random.Random, own_times: bool
     ) -> None:
         self.pressed = pressed
         self.chance = chance
         self.own_times = own_times
-        self.whole = whole
-        self.openings = [ProgramOpening() for _ in range(INSTANCES)]
         self.limit = create_limit(RATE, RATE)
         self.returns = [ReturnTimes() for _ in range(INSTANCES)]
         self.level, self.at = 0.3 * RATE, 0.0
-        self.lost = self.begun = self.in_time = 0
-        self._began: dict[int, float] = {}
+        self.lost = self.begun = 0
         self._due: list[Asking] = []
 
     def run(self) -> None:
@@ -98,28 +77,15 @@
             self._ask(heapq.heappop(self._due))
 
     def _ask(self, asking: Asking) -> None:
-        place = self.chance.randrange(INSTANCES)
-        opening = self.openings[place]
-        self._began.setdefault(asking.number, asking.at)
-        opens = not asking.done
-        if self.whole and opens and not opening.may_begin(CUSTOMER, asking.at):
-            self._refuse(asking, place)
-            return
         wait_s = self._admit(asking.at)
         if wait_s is None:
-            if not opens:
-                opening.note_refusal(CUSTOMER, asking.at)
-            self._refuse(asking, place)
+            self._refuse(asking)
             return
-        opening.note_wait(CUSTOMER, wait_s, asking.at)
         asking.done += 1
         asking.attempt = asking.sending = 1
-        asking.at += wait_s + RUN_S
         if asking.done < self.pressed.requests:
+            asking.at += wait_s + RUN_S
             heapq.heappush(self._due, asking)
-            return
-        took_s = asking.at - self._began[asking.number]
-        self.in_time += took_s <= AIM_FACTOR * RUN_S * self.pressed.requests
 
     def _admit(self, now: float) -> float | None:
         self.level = min(RATE, self.level + (now - self.at) * RATE)
@@ -130,8 +96,8 @@
         self.level -= 1.0
         return wait_s
 
-    def _refuse(self, asking: Asking, place: int) -> None:
-        returns = self.returns[place]
+    def _refuse(self, asking: Asking) -> None:
+        returns = self.returns[self.chance.randrange(INSTANCES)]
         told_s = self.chance.uniform(*SAME_S)
         if self.own_times:
             told_s = returns.choose(CUSTOMER, self.limit, INSTANCES, asking.at)
