Log by what a request was admitted

The line of an ended request said how long its rate was waited for, not whether the owner, this instance's part or the tolerated excess had admitted it. features/standing failed before.

--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -1,6 +1,7 @@
 """Admit requests within their customers' rates, whether or not the owner answers."""
 
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import anyio
 
@@ -18,6 +19,16 @@
 # How long a request waits at most for what comes in of this instance's own part.
 PART_WAIT_S = 0.5
 
+
+class Admission(Enum):
+    """Name by what a request was admitted."""
+
+    UNLIMITED = "no rate"
+    OWNER = "owner"
+    PART = "part of this instance"
+    EXCESS = "tolerated excess"
+
+
 AskOwner = Callable[[CustomerId], Awaitable[None]]
 
 
@@ -44,23 +55,25 @@
         """Put limits in force; a customer without one is admitted."""
         self.limits = limits
 
-    async def admit(self, customer: CustomerId) -> None:
+    async def admit(self, customer: CustomerId) -> Admission:
         """Wait for one request's place, or raise RequestRefused."""
         limit = self.limits.get(customer)
         if limit is None:
-            return
+            return Admission.UNLIMITED
         instances = self.instances.read()
         parted = self.split.get_part_share(limit, instances) > 0.0
         try:
             await self.ask_owner(customer)
+            return Admission.OWNER
         except RequestRefused as error:
             if error.code is not Code.LIMIT_UNREACHABLE:
                 raise self._say_when(customer, limit, instances, error) from error
             if parted and await self._admit_part(customer, limit, instances):
-                return
+                return Admission.PART
             now = self.clock()
             if parted or not self.grace.take(customer, limit, instances, now):
                 raise
+            return Admission.EXCESS
 
     def _say_when(
         self,
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -19,6 +19,7 @@
 from burdockwall.connection.upstreams import Upstreams
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
+from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.patience import AnswerTimes
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
@@ -65,7 +66,7 @@
     count_instances: Callable[[], int]
     is_leaving: Callable[[], bool]
     settle_later: Callable[[TurnStart, TurnOutcome], None]
-    admit: Callable[[CustomerId], Awaitable[None]]
+    admit: Callable[[CustomerId], Awaitable[Admission]]
     answer_times: AnswerTimes
 
 
@@ -166,7 +167,8 @@
         if self.trace.begun_at is None:
             self.trace.begun_at = self.parts.clock()
         if self.customer is not None:
-            await self.parts.admit(self.customer.name)
+            admission = await self.parts.admit(self.customer.name)
+            self.trace.admission = admission.value
         self.trace.admitted_at = self.parts.clock()
 
     # Attempts.
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -26,6 +26,7 @@
     failures: list[str] = field(default_factory=list)
     detail: str = ""
     admitted_at: float | None = None
+    admission: str = ""
 
     def describe(self, now: float) -> dict[str, object]:
         """Describe the request for its log line; times are milliseconds from it."""
@@ -40,6 +41,7 @@
             "status": self.status,
             "detail": self.detail,
             "failures": "; ".join(self.failures),
+            "admission": self.admission,
             "admitted_ms": self._measure_ms(self.admitted_at),
             "begun_ms": self._measure_ms(self.begun_at),
             "sent_ms": self._measure_ms(self.sent_at),
--- a/features/standing.feature
+++ b/features/standing.feature
@@ -53,3 +53,14 @@
     Then it is refused within 0.3 s, since the owner is unreachable
     When a request waits for an owner that says when units come in
     Then it still waits after 0.5 s
+
+  Scenario Outline: A request's line can say by what it was admitted
+    Given a gate whose owner <answer> for a customer of <rate> requests a second
+    Then a request is admitted by "<admission>"
+
+    Examples:
+      | answer           | rate | admission             |
+      | grants           | 40   | owner                 |
+      | does not answer  | 40   | part of this instance |
+      | does not answer  | 2    | tolerated excess      |
+      | grants           | 0    | no rate               |
