Say once what stood twice, and do once what each request repeated

Behaviour stays as it is.

Twice, now once: the digest of a key (version/keys.py), the command that keeps a document (control/documents.py), the two halves of an address (connection/address.py), the HTTP client without proxy settings (connection/client.py), following signals (process/signals.py), opening the data folder (control/opening.py), a whole answer (connection/exchange.py), the body of a failed call (platform/failure.py), the refusal of a waiting request (limits/holder.py), the fullest window and whole limits in tests.

For each request: the members that callers may use were listed anew up to three times, endpoints that leave were sorted out, the excluded ones put into a set for each endpoint; for each part of a stream the tokens of an event were looked up. Now on installation, or once. The leader decoded a configuration whenever an instance fell silent; now once a number.

Gone: fields and a parameter that nothing read (objective, resumable, header and idle bounds, places of engines and of load reports, installed_at); state that another held (whether a link was reached now, the bound of suspicion, a second contact rule). The platform's load report had the name of the engines' own; it is ToldLoad.

No figure was measured for the repeated work.

--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -19,6 +19,7 @@
 DISCARD_LIMIT_BYTES = 16_777_216
 DISCARD_LIMIT_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
+CLOSE = (b"connection", b"close")
 
 
 class Exchange:
@@ -129,18 +130,19 @@
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer."""
         length = (b"content-length", str(len(body)).encode())
-        await self.start(status, [*headers, length])
-        if body:
-            await self.write(body)
-        await self._discard_body()
-        await self.finish()
+        await self._answer_whole(status, [*headers, length], body)
 
     async def answer_json(
         self, status: int, value: object, headers: Headers | None = None
     ) -> None:
         """Send a whole answer as JSON."""
-        await self.start(status, [JSON_TYPE, *(headers or [])])
-        await self.write(msgspec.json.encode(value))
+        body = msgspec.json.encode(value)
+        await self._answer_whole(status, [JSON_TYPE, *(headers or [])], body)
+
+    async def _answer_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        await self.start(status, headers)
+        if body:
+            await self.write(body)
         await self._discard_body()
         await self.finish()
 
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -18,6 +18,7 @@
 import logbook
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from burdockwall.connection.address import split_address
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
     Acknowledgement,
@@ -39,12 +40,6 @@
 Deliver = Callable[[InstanceId, Message], None]
 
 
-def split_address(address: Address) -> tuple[str, int]:
-    """Split host:port into its parts."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class PeerLink:
     """Send messages to one instance over the current connection to it."""
 
@@ -67,7 +62,6 @@
         self._sent = 0
         self._acknowledged = 0
         self._reached: bool | None = None
-        self._reached_now = False
         self._connect_limit_s = min(silence_s, CONNECT_FIRST_S)
         self._logger = logbook.Logger("peers")
 
@@ -86,7 +80,7 @@
         delay_s = RECONNECT_FIRST_S
         while True:
             await self._wait_for_message()
-            self._reached_now = False
+            self._sent = self._acknowledged = 0
             try:
                 await self._connect_once()
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
@@ -94,7 +88,7 @@
                 self._note_lost(error)
             delay_s = min(RECONNECT_LIMIT_S, 2 * delay_s)
             self._connect_limit_s = min(self.silence_s, 2 * self._connect_limit_s)
-            if self._reached_now:
+            if self._acknowledged:
                 delay_s = RECONNECT_FIRST_S
                 self._connect_limit_s = min(self.silence_s, CONNECT_FIRST_S)
             await anyio.sleep(delay_s)
@@ -109,7 +103,7 @@
     def _note_reached(self) -> None:
         if self._reached is False:
             self._logger.notice("peer regained", extra={"peer": self.address})
-        self._reached = self._reached_now = True
+        self._reached = True
 
     async def _wait_for_message(self) -> None:
         if not self._queue:
@@ -128,8 +122,6 @@
             with anyio.fail_after(self._connect_limit_s):
                 await channel.__connect__()
             async with method.open() as stream:
-                self._sent = 0
-                self._acknowledged = 0
                 while True:
                     await self._send_batch(stream)
                     await self._wait_for_message()
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -13,6 +13,7 @@
 import anyio.abc
 import h11
 
+from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
 from burdockwall.types import Address
 
@@ -161,10 +162,10 @@
 
 async def open_upstream(address: Address, timeout_s: float) -> UpstreamConnection:
     """Connect to an endpoint, or raise ConnectFailed."""
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     try:
         with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"{address}: {error or 'no answer'}") from error
     connected: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/burdockwall/fakes/proxy.py
+++ b/burdockwall/fakes/proxy.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from burdockwall.connection.address import split_address
 from burdockwall.types import Address
 
 CHUNK_BYTES = 65_536
@@ -32,10 +33,8 @@
 
     async def run(self) -> None:
         """Forward connections until cancelled."""
-        host, _, port = self.listen.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port)
-        )
+        host, port = split_address(self.listen)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         with self._scope:
             async with listener:
                 await listener.serve(self._serve)
@@ -43,10 +42,10 @@
     async def _serve(self, near: anyio.abc.SocketStream) -> None:
         self.connections += 1
         number = self.connections
-        host, _, port = self.target.rpartition(":")
+        host, port = split_address(self.target)
         self._live.add(number)
         try:
-            async with near, await anyio.connect_tcp(host, int(port)) as far:
+            async with near, await anyio.connect_tcp(host, port) as far:
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._forward, number, near, far)
                     group.start_soon(self._forward, number, far, near)
--- a/burdockwall/fakes/site.py
+++ b/burdockwall/fakes/site.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from burdockwall.client import OperatorClient
+from burdockwall.connection.address import split_address
 from burdockwall.fakes.engine import FakeEngine, FakeService
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.proxy import FakePath
@@ -162,11 +163,11 @@
 
 async def wait_until_listening(address: Address) -> None:
     """Wait until an address takes connections."""
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     with anyio.fail_after(START_LIMIT_S):
         while True:
             try:
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await anyio.connect_tcp(host, port)
             except OSError:
                 await anyio.sleep(0.02)
                 continue
--- a/burdockwall/platform/cloud.py
+++ b/burdockwall/platform/cloud.py
@@ -3,7 +3,7 @@
 import httpx
 import msgspec
 
-from burdockwall.connection.tls import create_client_context
+from burdockwall.connection.client import create_http_client
 from burdockwall.platform.names import LIST_PATH
 from burdockwall.process.core import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
@@ -35,12 +35,7 @@
     """Read all pages of the list."""
 
     def __init__(self, address: Address) -> None:
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
-            timeout=READ_TIMEOUT_S,
-            trust_env=False,
-            verify=create_client_context(None),
-        )
+        self._client = create_http_client(READ_TIMEOUT_S, f"http://{address}")
 
     async def read(self) -> list[ListedEndpoint]:
         """Return the servers of the list, or raise EndpointListUnread."""
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -1,12 +1,11 @@
 """Read callers' requests and endpoints' answers, and spell what they are told."""
 
-import msgspec
-
-from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.connection.exchange import JSON_TYPE, Exchange, Headers
 from burdockwall.connection.upstream import AnswerHead
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
-from burdockwall.process.scheduling.balance import LoadReport
+from burdockwall.platform.failure import encode_failure
+from burdockwall.process.scheduling.balance import ToldLoad
 from burdockwall.request.passing import (
     AnswerDetails,
     PassedRequest,
@@ -93,19 +92,11 @@
         """Spell a refusal; its body names the code for whoever reads it."""
         row = error.code.value
         status = STATUSES.get(error.code, row.status)
-        headers: Headers = [(b"content-type", b"application/json")]
+        headers: Headers = [JSON_TYPE]
         if error.retry_after_s is not None:
             seconds = f"{error.retry_after_s:.3f}"
             headers.append((names.RETRY_AFTER, seconds.encode()))
-        body = msgspec.json.encode(RefusalBody(row.number, error.detail))
-        return Refusal(status, headers, body)
-
-
-class RefusalBody(msgspec.Struct, frozen=True):
-    """Describe a refusal."""
-
-    code: int
-    error: str
+        return Refusal(status, headers, encode_failure(error))
 
 
 def _get_text(found: dict[bytes, bytes], name: bytes) -> str:
@@ -159,9 +150,10 @@
     return None
 
 
-def _read_load(value: bytes | None) -> LoadReport | None:
+def _read_load(value: bytes | None) -> ToldLoad | None:
     numbers = value.split(b",") if value else []
     if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
         return None
-    running, waiting, slots = (int(item) for item in numbers)
-    return LoadReport(running, waiting, slots)
+    # The third number is that of its places, which its list entry tells as well.
+    running, waiting, _ = (int(item) for item in numbers)
+    return ToldLoad(running, waiting)
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -5,7 +5,6 @@
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.types import CustomerId, RouteName, ServiceName
 from burdockwall.version.deployment import (
-    CallerBounds,
     Deployment,
     EngineShape,
     HostCustomer,
@@ -13,8 +12,8 @@
     HostService,
     RequestKind,
     ServiceShare,
-    digest_key,
 )
+from burdockwall.version.keys import compute_digest
 
 MS_PER_S = 1000.0
 KINDS = {
@@ -65,6 +64,7 @@
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
+    # Only the bound of bodies is used; the others are checked for their types.
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3000.0
@@ -101,18 +101,12 @@
     faults = [*_check_routes(wire), *_check_tenants(wire)]
     if faults:
         raise InvalidFile(Code.CONFIGURATION_INVALID, faults)
-    limits = wire.limits
     return Deployment(
         wire.version,
         tuple(_convert_route(route) for route in wire.routes),
         {ServiceName(each.name): _convert_service(each) for each in wire.services},
         tuple(_convert_tenant(tenant) for tenant in wire.tenants),
-        CallerBounds(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms / MS_PER_S,
-            limits.idle_timeout_ms / MS_PER_S,
-        ),
+        wire.limits.max_body_bytes,
     )
 
 
@@ -174,7 +168,6 @@
         prefix=route.path_prefix,
         kind=KINDS[route.route_kind],
         timeout_s=route.timeout_ms / MS_PER_S,
-        objective_s=route.target_latency_ms / MS_PER_S,
         rank=route.priority,
         shares=tuple(
             ServiceShare(ServiceName(share.service), share.weight)
@@ -184,20 +177,19 @@
         keeps_turns=route.retained,
         retention_s=route.retention_s,
         open=route.public,
-        resumable=route.resumable,
     )
 
 
 def _convert_service(service: _Service) -> HostService:
     engine = service.engine
-    shape = EngineShape(engine.slots, engine.event_tokens) if engine else None
+    shape = EngineShape(engine.event_tokens) if engine else None
     return HostService(ServiceName(service.name), service.max_conns, shape)
 
 
 def _convert_tenant(tenant: _Tenant) -> HostCustomer:
     return HostCustomer(
         CustomerId(tenant.name),
-        tuple(digest_key(key) for key in tenant.api_keys),
+        tuple(compute_digest(key) for key in tenant.api_keys),
         tenant.priority,
         tenant.rate_per_s,
         tenant.burst,
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -3,7 +3,7 @@
 import logbook
 import msgspec
 
-from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.connection.exchange import JSON_TYPE, Exchange, Headers
 from burdockwall.errors import (
     BurdockwallError,
     Code,
@@ -13,6 +13,7 @@
 )
 from burdockwall.platform import names
 from burdockwall.platform.configuration import decode_deployment
+from burdockwall.platform.failure import encode_failure
 from burdockwall.process.control.documents import Documents
 from burdockwall.process.core import CoreNode, find_store
 from burdockwall.process.resolver import resolve_addresses
@@ -22,7 +23,7 @@
 CONFIGURATION_LIMIT_BYTES = 16_777_216
 RETRY_AFTER_S = "0.3"
 OPERATOR = OperatorId("operator")
-JSON: Headers = [(b"content-type", b"application/json")]
+JSON: Headers = [JSON_TYPE]
 REDIRECT = 307
 STATES = {False: "running", True: "completed"}
 
@@ -36,11 +37,6 @@
     state: str
 
 
-class _Failure(msgspec.Struct):
-    code: int
-    error: str
-
-
 class ControlCalls:
     """Answer the calls of operators at a control instance."""
 
@@ -120,8 +116,7 @@
         if row.status == 503:
             headers.append((names.RETRY_AFTER, RETRY_AFTER_S.encode()))
         status = 400 if isinstance(error, InvalidFile) else row.status
-        body = msgspec.json.encode(_Failure(row.number, error.detail))
-        await exchange.answer(status, headers, body)
+        await exchange.answer(status, headers, encode_failure(error))
 
 
 class DirectoryCalls:
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -51,7 +51,6 @@
     }
 )
 
-READY_PATH = "/api/readyz"
 RESOLVE_PATH = "/api/resolve"
 CONFIG_PUT_PATH = "/api/config/put"
 CONFIG_GET_PATH = "/api/config/get"
--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from pathlib import Path
+from typing import Protocol
 
 import anyio
 
@@ -16,6 +17,14 @@
 from burdockwall.types import Role
 
 
+class RoleNode(Protocol):
+    """Run what a process does in its role."""
+
+    async def run(self, path: Path | None) -> None:
+        """Run until stopped; settings are read again from the path."""
+        ...
+
+
 def find_settings_path() -> Path:
     """Return the path of the settings file that the platform names."""
     path = os.environ.get(SETTINGS_VARIABLE)
@@ -41,11 +50,13 @@
     """Run a process until it is stopped."""
     async with anyio.create_task_group() as group:
         group.start_soon(sink.run)
-        await _run(settings, path)
+        node = _create_node(settings)
+        resume_collection()
+        await node.run(path)
         group.cancel_scope.cancel()
 
 
-async def _run(settings: Settings, path: Path) -> None:
+def _create_node(settings: Settings) -> RoleNode:
     # Only what the role needs is imported, since a restart must be quick.
     match settings.role:
         case Role.ENTRY:
@@ -53,15 +64,11 @@
             from burdockwall.platform.configuration import decode_deployment
             from burdockwall.process.front import Front
 
-            front = Front(settings, PlatformCodec(), decode_deployment)
-            resume_collection()
-            await front.run(path)
+            return Front(settings, PlatformCodec(), decode_deployment)
         case Role.STORAGE:
             from burdockwall.process.storage.node import StoreNode
 
-            store = StoreNode(settings)
-            resume_collection()
-            await store.run(path)
+            return StoreNode(settings)
         case Role.CONTROL:
             from burdockwall.platform.cloud import CloudList
             from burdockwall.platform.configuration import decode_deployment
@@ -71,8 +78,7 @@
             reader = CloudList(settings.platform_address)
             node = CoreNode(settings, reader, decode_deployment)
             create_calls(node)
-            resume_collection()
-            await node.run(path)
+            return node
         case Role.BOTH:
             detail = "[instance] role must be entry, control or storage"
             raise OperatorError(Code.SETTINGS_INVALID, detail)
--- a/burdockwall/process/control/core.py
+++ b/burdockwall/process/control/core.py
@@ -130,8 +130,8 @@
 
     def is_newly_started(self) -> bool:
         """Tell whether a leader may rely on what this replica said before its start."""
-        recent = self.now - self.heard_at < self.timing.election_timeout_s
-        return recent and not self.contacted and self.leadership is None
+        heard_nobody = not self.contacted and self.leadership is None
+        return heard_nobody and self.has_quorum_contact()
 
     def reset_early(self, bounds: tuple[float, float] = EARLY_AGAIN_S) -> None:
         """Put off asking whether any voter has a leader."""
--- a/burdockwall/process/control/documents.py
+++ b/burdockwall/process/control/documents.py
@@ -23,21 +23,14 @@
         self, name: DocumentName, number: int, data: bytes, operator: OperatorId
     ) -> None:
         """Keep a document unless its number is passed, or raise OperatorError."""
-        digest = digest_data(data)
-        command = PutDocument(
-            operator=operator,
-            submission=f"{name} {number} {digest}",
-            name=name,
-            number=number,
-            data=data,
-        )
+        command = create_put(name, number, data, operator)
         outcome = await self.control.run_command(command)
         self._logger.notice(
             "document accepted",
             extra={
                 "document": name,
                 "number": number,
-                "digest": digest,
+                "digest": digest_data(data),
                 "version": outcome.version,
                 "in_force": self.control.state.documents[name].number,
             },
@@ -57,6 +50,19 @@
         return leader.operator_address
 
 
+def create_put(
+    name: DocumentName, number: int, data: bytes, operator: OperatorId
+) -> PutDocument:
+    """Create the command that keeps a document; sent again, it is one submission."""
+    return PutDocument(
+        operator=operator,
+        submission=f"{name} {number} {digest_data(data)}",
+        name=name,
+        number=number,
+        data=data,
+    )
+
+
 def digest_data(data: bytes) -> str:
     """Compute the digest that tells documents of one number apart."""
     return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
--- a/burdockwall/process/control/opening.py
+++ b/burdockwall/process/control/opening.py
@@ -60,7 +60,7 @@
     At the first start of the whole system the first of the seeds begins the
     cluster and the others join it; later, an empty disk joins under a new identity.
     """
-    files = _open_files(settings)
+    files = open_files(settings)
     try:
         if Journal(files).read_identity() is not None:
             return
@@ -77,7 +77,8 @@
     return VoterPolicy(None, len(settings.seeds), SEEDED_REPLACE_SILENCE_S)
 
 
-def _open_files(settings: Settings) -> DiskFiles:
+def open_files(settings: Settings) -> DiskFiles:
+    """Open the data folder, or raise OperatorError where none is set."""
     if settings.data_folder is None:
         raise OperatorError(Code.SETTINGS_INVALID, "[instance] data_folder is not set")
     return DiskFiles(settings.data_folder)
@@ -101,7 +102,7 @@
 
 def bootstrap_replica(settings: Settings) -> Identity:
     """Create a new cluster in the data folder, with this replica as its voter."""
-    files = _open_files(settings)
+    files = open_files(settings)
     try:
         return _create_identity(settings, files, bootstrap=True)
     finally:
@@ -110,7 +111,7 @@
 
 def join_replica(settings: Settings) -> Identity:
     """Create a replica in the data folder that asks to join a cluster."""
-    files = _open_files(settings)
+    files = open_files(settings)
     try:
         return _create_identity(settings, files, bootstrap=False)
     finally:
--- a/burdockwall/process/core.py
+++ b/burdockwall/process/core.py
@@ -9,8 +9,7 @@
 import logbook
 
 from burdockwall.errors import Code, OperatorError
-from burdockwall.process.control.commands import PutDocument
-from burdockwall.process.control.documents import Documents, digest_data
+from burdockwall.process.control.documents import Documents, create_put
 from burdockwall.process.control.events import ReplicaRole
 from burdockwall.process.control.files import StorageError
 from burdockwall.process.control.opening import prepare_replica
@@ -91,6 +90,7 @@
         membership.add_registrar(self.control, self.control.propose, plans_shards=False)
         self.decode = decode
         self.limits = LeaderLimits(host, settings, self.member.incarnation)
+        self._deployment: Deployment | None = None
         self._limited = (0, 0, 0)
         self._instances = InstanceCount(self._count_listed, host.clock)
         self.documents = Documents(self.control)
@@ -159,11 +159,14 @@
         document = self.control.state.documents.get(DEPLOYMENT)
         if document is None:
             return
+        if self._deployment is None or self._deployment.number != document.number:
+            self._deployment = self.decode(document.data)
+        instances = self._instances.read()
         silent = self.member.membership.count_silent(PART_SILENCE_S)
-        installed = (document.number, self._instances.read(), silent)
+        installed = (document.number, instances, silent)
         if installed != self._limited:
             self._limited = installed
-            self.limits.install(self.decode(document.data), *installed[1:])
+            self.limits.install(self._deployment, instances, silent)
 
     def _count_listed(self) -> int:
         members = self.member.membership.list_all()
@@ -229,15 +232,7 @@
         self._propose(STORE_VIEW, view.number, encode_view(view))
 
     def _propose(self, name: DocumentName, number: int, data: bytes) -> None:
-        self.control.propose(
-            PutDocument(
-                operator=SYSTEM,
-                submission=f"{name} {number} {digest_data(data)}",
-                name=name,
-                number=number,
-                data=data,
-            )
-        )
+        self.control.propose(create_put(name, number, data, SYSTEM))
 
     async def _read_endpoints(self) -> None:
         while True:
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -114,13 +114,13 @@
         self._stamp = stamp
         self._by_service = {}
         for endpoint in message.endpoints:
-            self._by_service.setdefault(endpoint.service, []).append(endpoint)
+            if not endpoint.leaving:
+                self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
 
     def list_serving(self, service: ServiceName) -> list[ListedEndpoint]:
         """List the endpoints of a service that take new work."""
-        listed = self._by_service.get(service, [])
-        return [endpoint for endpoint in listed if not endpoint.leaving]
+        return self._by_service.get(service, [])
 
     def list_names(self) -> set[EndpointId]:
         """List every endpoint of the list."""
--- a/burdockwall/process/front.py
+++ b/burdockwall/process/front.py
@@ -7,7 +7,7 @@
 import anyio
 import logbook
 
-from burdockwall.connection.exchange import Exchange, run_while_present
+from burdockwall.connection.exchange import CLOSE, Exchange, run_while_present
 from burdockwall.connection.upstreams import Upstreams
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import (
@@ -45,8 +45,8 @@
     DeploymentView,
     HostCustomer,
     HostRoute,
-    digest_key,
 )
+from burdockwall.version.keys import compute_digest
 
 # How long after its start an instance has a configuration, as a rule.
 READY_EXPECTED_S = 0.8
@@ -151,7 +151,7 @@
         if self.view is not None and document.number <= self.view.number:
             return
         deployment = self.decode(document.data)
-        self.view = DeploymentView(deployment, self.clock())
+        self.view = DeploymentView(deployment)
         self.gate.install(list_deployment_limits(deployment))
         self.parts.answer_times.forget({route.name for route in deployment.routes})
         self._follow_leader()
@@ -208,7 +208,7 @@
         customer = self._authenticate(view, route, request)
         if customer is not None:
             trace.customer = customer.name
-        body = await exchange.read_body(view.deployment.bounds.body_bytes)
+        body = await exchange.read_body(view.deployment.body_bytes)
         forwarding = Forwarding(
             self.parts, view, exchange, request, route, customer, trace
         )
@@ -225,7 +225,7 @@
             return None
         if request.key is None:
             raise RequestRefused(Code.KEY_MISSING)
-        customer = view.find_customer(digest_key(request.key))
+        customer = view.find_customer(compute_digest(request.key))
         if customer is None:
             raise RequestRefused(Code.KEY_REFUSED)
         return customer
@@ -253,7 +253,7 @@
         trace.status = refusal.status
         headers = list(refusal.headers)
         if self.drain.leaving:
-            headers.append((b"connection", b"close"))
+            headers.append(CLOSE)
         await exchange.answer(refusal.status, headers, refusal.body)
 
     def _record(self, trace: RequestTrace) -> None:
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -403,29 +403,22 @@
         for entry in self._customers.values():
             if entry.owner != owner:
                 continue
-            actions += [
-                Refused(
-                    request.call,
-                    entry.customer,
-                    Reason.OWNER_UNREACHABLE,
-                    self.parameters.wait_s,
-                )
-                for request in entry.waiting
-            ]
-            entry.waiting.clear()
+            while entry.waiting:
+                actions.append(self._refuse_next(entry, Reason.OWNER_UNREACHABLE))
         return actions
 
+    def _refuse_next(self, entry: CustomerGrants, reason: Reason) -> Refused:
+        request = entry.waiting.popleft()
+        wait_s = self.parameters.wait_s
+        return Refused(request.call, entry.customer, reason, wait_s)
+
     def _expire_waiting(self, entry: CustomerGrants, now: float) -> list[Action]:
         actions: list[Action] = []
         while entry.waiting and entry.waiting[0].expires_at <= now:
-            request = entry.waiting.popleft()
             owner = self._owners.get(entry.owner) if entry.owner else None
             unanswered = owner is None or owner.flight is not None
             reason = Reason.OWNER_UNREACHABLE if unanswered else entry.reason
-            refused = Refused(
-                request.call, entry.customer, reason, self.parameters.wait_s
-            )
-            actions.append(refused)
+            actions.append(self._refuse_next(entry, reason))
         return actions
 
     def _review(self, entry: CustomerGrants, now: float) -> None:
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -21,6 +21,7 @@
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.metrics import Metrics
 from burdockwall.process.reload import put_in_force
+from burdockwall.process.signals import follow_signals
 from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain, Incarnation, InstanceId
@@ -92,7 +93,7 @@
             group.start_soon(self.host.run)
             # Embedded in another program, an instance leaves its signals alone.
             if threading.current_thread() is threading.main_thread():
-                group.start_soon(self._follow_signals, path)
+                group.start_soon(follow_signals, lambda: self.reload(path), self._stop)
             group.start_soon(self._watch_file, path)
             group.start_soon(self._serve_metrics)
             for task in tasks[:-1]:
@@ -107,16 +108,9 @@
             page = MetricsPage(self.metrics, self.gauges)
             await serve_address(address, page.serve, anyio.Event(), STOP_GRACE_S)
 
-    async def _follow_signals(self, path: Path | None) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as arrived:
-            async for number in arrived:
-                if number is signal.SIGHUP:
-                    self.reload(path)
-                else:
-                    self._logger.notice("stopping", extra={"signal": number.name})
-                    self.stopping.set()
+    def _stop(self, number: signal.Signals) -> None:
+        self._logger.notice("stopping", extra={"signal": number.name})
+        self.stopping.set()
 
     async def _watch_file(self, path: Path | None) -> None:
         text = self._read_text(path) if path is not None else None
--- a/burdockwall/process/membership/detection.py
+++ b/burdockwall/process/membership/detection.py
@@ -39,7 +39,6 @@
 
     def __init__(self) -> None:
         self._examined_at = float("-inf")
-        self._suspect_s = SUSPECT_S
 
     def examine(
         self,
@@ -52,12 +51,12 @@
         if now - self._examined_at < EXAMINE_INTERVAL_S:
             return finding
         self._examined_at = now
-        self._suspect_s = choose_suspect_s(len(records))
+        suspect_s = choose_suspect_s(len(records))
         for number, record in records.items():
             if self._is_forgotten(record, platform, now):
                 finding.removed.append(number)
                 continue
-            state = self._judge(record, platform, now)
+            state = self._judge(record, platform, suspect_s, now)
             if state is not record.state:
                 entry = MemberEntry(number, record.details, state)
                 finding.changed.append(entry)
@@ -66,10 +65,13 @@
         return finding
 
     def _judge(
-        self, record: Record, platform: PlatformList | None, now: float
+        self,
+        record: Record,
+        platform: PlatformList | None,
+        suspect_s: float,
+        now: float,
     ) -> EndpointState:
-        silent_s = now - record.heard_at
-        if silent_s >= self._suspect_s:
+        if now - record.heard_at >= suspect_s:
             if record.state is EndpointState.FAILED:
                 return EndpointState.FAILED
             confirmed = record.has_lapsed(now) and self._is_confirmed(
--- a/burdockwall/process/membership/platform.py
+++ b/burdockwall/process/membership/platform.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from burdockwall.connection.tls import create_client_context
+from burdockwall.connection.client import create_http_client
 from burdockwall.types import Address, EndpointId, EndpointState, InstanceId
 
 
@@ -39,11 +39,7 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
-        async with httpx.AsyncClient(
-            timeout=POLL_TIMEOUT_S,
-            trust_env=False,
-            verify=create_client_context(None),
-        ) as client:
+        async with create_http_client(POLL_TIMEOUT_S) as client:
             while True:
                 if self.is_leading():
                     await self._read(client)
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -1,6 +1,6 @@
 """Join the membership machines of a process to its bus, views and waiters."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from burdockwall.connection.peers import PeerBus
 from burdockwall.process.control.commands import AssignShards
@@ -62,6 +62,7 @@
         self._seeds = control
         self.registrar: Registrar | None = None
         self.members: tuple[MemberEntry, ...] = ()
+        self._serving: list[Member] = []
         self.endpoints: dict[EndpointId, EndpointState] = {}
         self.on_endpoints: Callable[[frozenset[EndpointId]], None] | None = None
         self._install = install
@@ -134,6 +135,7 @@
                 self._install(replica)
             case MembersInstalled(members=members, endpoints=endpoints):
                 self.members = members
+                self._serving = _list_serving(members)
                 self.set_control(self._seeds)
                 self.endpoints = endpoints
                 for member in members:
@@ -198,17 +200,7 @@
 
     def list_members(self) -> list[Member]:
         """List the instances that callers may use, from the member list."""
-        return [
-            Member(
-                entry.details.instance,
-                entry.details.caller_address,
-                entry.details.failure_domain,
-                entry.state,
-                entry.details.region,
-            )
-            for entry in self.members
-            if entry.details.role.serves_callers
-        ]
+        return self._serving
 
     def get_stamp(self) -> Stamp:
         """Return the stamp of the member list in force."""
@@ -223,3 +215,17 @@
         rows = [describe_member(record, now) for record in registrar.records.values()]
         leader = registrar.instance
         return FleetPage(True, registrar.term, leader, rows, registrar.planner.health)
+
+
+def _list_serving(members: Iterable[MemberEntry]) -> list[Member]:
+    return [
+        Member(
+            entry.details.instance,
+            entry.details.caller_address,
+            entry.details.failure_domain,
+            entry.state,
+            entry.details.region,
+        )
+        for entry in members
+        if entry.details.role.serves_callers
+    ]
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -1,6 +1,5 @@
 """Build a process from its settings and run it until it is told to stop."""
 
-import signal
 import time
 from dataclasses import replace
 from pathlib import Path
@@ -28,6 +27,7 @@
 from burdockwall.process.reload import put_in_force
 from burdockwall.process.resolver import Member
 from burdockwall.process.scheduling.explain import describe_placements
+from burdockwall.process.signals import follow_signals
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_together
 from burdockwall.types import (
@@ -258,17 +258,10 @@
     """Run one process until a signal or a drain ends it; SIGHUP reloads the file."""
     node = Node(settings)
     async with anyio.create_task_group() as group:
-        group.start_soon(_follow_signals, node, path)
+        group.start_soon(
+            follow_signals,
+            lambda: node.reload(path),
+            lambda number: node.start_drain(),
+        )
         await node.run()
         group.cancel_scope.cancel()
-
-
-async def _follow_signals(node: Node, path: Path | None) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as arrived:
-        async for number in arrived:
-            if number is signal.SIGHUP:
-                node.reload(path)
-            else:
-                node.start_drain()
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -7,7 +7,7 @@
 import httpx
 import msgspec
 
-from burdockwall.connection.tls import create_client_context
+from burdockwall.connection.client import create_http_client
 from burdockwall.process.host import Host, Hosted
 from burdockwall.process.membership.timing import FIRST_TERM
 from burdockwall.process.orders.carrier import (
@@ -58,11 +58,7 @@
 
     async def run(self) -> None:
         """Send what the carrier asks for until cancelled."""
-        async with httpx.AsyncClient(
-            trust_env=False,
-            timeout=ORDER_TIMEOUT_S,
-            verify=create_client_context(None),
-        ) as client:
+        async with create_http_client(ORDER_TIMEOUT_S) as client:
             self._client = client
             async with anyio.create_task_group() as group:
                 self._group = group
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -6,7 +6,7 @@
 
 import hashlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass
 
 from burdockwall.process.endpoints import ListedEndpoint
@@ -26,12 +26,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Hold what an endpoint said of itself: requests running, waiting, places."""
+class ToldLoad:
+    """Hold how many requests an endpoint said that it runs and lets wait."""
 
     running: int
     waiting: int
-    slots: int
 
 
 @dataclass(slots=True)
@@ -63,10 +62,10 @@
         endpoints: Iterable[ListedEndpoint],
         affinity: str,
         now: float,
-        excluded: Iterable[EndpointId] = (),
+        excluded: Set[EndpointId] = frozenset(),
     ) -> ListedEndpoint | None:
         """Return the endpoint for a request, or None where there is none."""
-        left = [item for item in endpoints if item.name not in set(excluded)]
+        left = [item for item in endpoints if item.name not in excluded]
         sound = [item for item in left if self._get(item).avoided_until <= now]
         candidates = sound or left
         if not candidates:
@@ -106,7 +105,7 @@
         if known is not None and known.own:
             known.own -= 1
 
-    def take_report(self, endpoint: EndpointId, report: LoadReport, now: float) -> None:
+    def take_report(self, endpoint: EndpointId, report: ToldLoad, now: float) -> None:
         """Take the load that an answer told."""
         known = self._known.setdefault(endpoint, _Known())
         known.reported = report.running + report.waiting
--- /dev/null
+++ b/burdockwall/process/signals.py
@@ -0,0 +1,20 @@
+"""Follow the signals of a process."""
+
+import signal
+from collections.abc import Callable
+
+import anyio
+
+
+async def follow_signals(
+    reload: Callable[[], None], stop: Callable[[signal.Signals], None]
+) -> None:
+    """Call `reload` at each SIGHUP, and `stop` at SIGTERM and SIGINT."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as arrived:
+        async for number in arrived:
+            if number is signal.SIGHUP:
+                reload()
+            else:
+                stop(number)
--- a/burdockwall/process/storage/node.py
+++ b/burdockwall/process/storage/node.py
@@ -2,8 +2,7 @@
 
 from pathlib import Path
 
-from burdockwall.errors import Code, OperatorError
-from burdockwall.process.control.files import DiskFiles
+from burdockwall.process.control.opening import open_files
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.storage.service import StoreService
@@ -15,15 +14,13 @@
     """Hold the parts of a store's process."""
 
     def __init__(self, settings: Settings) -> None:
-        if settings.data_folder is None:
-            detail = "[instance] data_folder is not set"
-            raise OperatorError(Code.SETTINGS_INVALID, detail)
+        files = open_files(settings)
         self.member = FleetMember(settings, self._install)
         self.service = StoreService(
             self.member.host,
             settings.instance_id,
             self.member.incarnation,
-            DiskFiles(settings.data_folder),
+            files,
             settings.first_start,
             settings.store_limit_bytes,
         )
--- a/burdockwall/process/storage/tally.py
+++ b/burdockwall/process/storage/tally.py
@@ -51,9 +51,9 @@
             return Verdict.BUDGET_SPENT
         if not self.continues:
             return Verdict.ADMITTED
-        return self._judge_presence(complete)
+        return self._judge_presence()
 
-    def _judge_presence(self, complete: list[TurnBegun]) -> Verdict:
+    def _judge_presence(self) -> Verdict:
         found = {answer.presence for answer in self.answers.values()}
         if Presence.KEPT in found:
             lacks_chain = self.needs_chain and self.find_chain() is None
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from burdockwall.connection.exchange import Exchange
+from burdockwall.connection.exchange import CLOSE, Exchange, Headers
 from burdockwall.connection.upstream import (
     AnswerHead,
     ConnectFailed,
@@ -318,25 +318,26 @@
         if not details.ran:
             self.progress.runs -= 1
             raise _NotRun(f"answered {head.status}, not run")
-        headers = self.parts.codec.select_headers(head)
-        headers.append((b"content-length", str(len(body)).encode()))
         self.trace.status = head.status
         self.trace.first_byte_at = self.parts.clock()
-        await self._start(head.status, headers)
-        if body:
-            await self.exchange.write(body)
-        await self.exchange.finish()
+        await self.exchange.answer(head.status, self._build_headers(head), body)
 
-    async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    def _build_headers(self, head: AnswerHead) -> Headers:
+        headers = self.parts.codec.select_headers(head)
         if self.parts.is_leaving():
-            headers.append((b"connection", b"close"))
-        await self.exchange.start(status, headers)
+            headers.append(CLOSE)
+        return headers
+
+    async def _start_stream(self, head: AnswerHead) -> None:
+        self.trace.status = head.status
+        await self.exchange.start(head.status, self._build_headers(head))
 
     async def _relay_stream(
         self, connection: UpstreamConnection, head: AnswerHead, prompt: bytes
     ) -> None:
         cutter = EventCutter()
         answer: list[bytes] = []
+        event_tokens = self._get_event_tokens()
         while True:
             part = await connection.read_part()
             if part is None:
@@ -344,19 +345,17 @@
             whole = cutter.feed(part)
             if not whole:
                 continue
-            self.progress.tokens += whole.count(EVENT_END) * self._get_event_tokens()
+            self.progress.tokens += whole.count(EVENT_END) * event_tokens
             if self.route.keeps_turns:
                 answer.append(join_event_data(whole))
             if not self.exchange.started:
                 self.trace.first_byte_at = self.parts.clock()
-                self.trace.status = head.status
-                await self._start(head.status, self.parts.codec.select_headers(head))
+                await self._start_stream(head)
             await self.exchange.write(whole)
         if cutter.has_partial:
             raise ConnectionBroken("the stream ended within an event")
         if not self.exchange.started:
-            self.trace.status = head.status
-            await self._start(head.status, self.parts.codec.select_headers(head))
+            await self._start_stream(head)
         await self._keep_turn(prompt, b"".join(answer))
         await self.exchange.finish()
 
--- a/burdockwall/trace/lines.py
+++ b/burdockwall/trace/lines.py
@@ -1,6 +1,6 @@
 """Read the log lines of one or several instances."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from datetime import datetime
 from pathlib import Path
 from typing import TextIO
@@ -45,7 +45,7 @@
     total_ms: float = 0.0
 
 
-def read_entries(paths: Iterable[Path], standard_input: TextIO) -> list[LogEntry]:
+def read_entries(paths: Sequence[Path], standard_input: TextIO) -> list[LogEntry]:
     """Read log files, or standard input where none is named, in order of time.
 
     What stands before a line's object, as a log collector puts it there, names the
--- a/burdockwall/trace/story.py
+++ b/burdockwall/trace/story.py
@@ -35,7 +35,7 @@
 # A part of a request's time is named as its cause from this share of it on.
 SHARE_NAMED = 0.5
 SLOW_MS = 300.0
-ENDING = ("ending the request", None)
+ENDING = "ending the request"
 RAN = {
     Ran.RAN: "it ran",
     Ran.NOT_RUN: "it has not run and never will",
@@ -79,6 +79,7 @@
 
 def _list_beliefs(kept: list[LogEntry], ended: list[LogEntry]) -> list[LogEntry]:
     """List what instances came to believe around the requests that failed."""
+    beliefs = [entry for entry in kept if entry.message in BELIEFS]
     found: list[LogEntry] = []
     for entry in ended:
         fields = _get_fields(entry)
@@ -87,9 +88,8 @@
         began = entry.time - timedelta(milliseconds=fields.total_ms)
         found += [
             other
-            for other in kept
-            if other.message in BELIEFS
-            and began - BEFORE <= other.time <= entry.time + AFTER
+            for other in beliefs
+            if began - BEFORE <= other.time <= entry.time + AFTER
             and (other.instance == entry.instance or other.channel == "control")
             and other not in found
         ]
@@ -109,13 +109,14 @@
         ("waiting for the endpoint's first byte", fields.first_byte_ms),
         ("passing on the endpoint's answer", fields.answered_ms),
     ]
-    phases, since, under_way = [], 0.0, marks[0][0]
+    names = [name for name, _ in marks] + [ENDING]
+    phases, since, under_way = [], 0.0, names[0]
     for position, (name, until) in enumerate(marks):
         if until is None:
             continue
         phases.append(Phase(name, max(0.0, until - since)))
         since = until
-        under_way = [*marks, ENDING][position + 1][0]
+        under_way = names[position + 1]
     return [*phases, Phase(under_way, max(0.0, fields.total_ms - since))]
 
 
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -46,14 +46,12 @@
     prefix: str
     kind: RequestKind
     timeout_s: float
-    objective_s: float
     rank: int
     shares: tuple[ServiceShare, ...]
     attempts: int
     keeps_turns: bool
     retention_s: float
     open: bool
-    resumable: bool
 
     @property
     def repeatable(self) -> bool:
@@ -63,9 +61,8 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineShape:
-    """Describe the engines of a service: places, and tokens in each event."""
+    """Describe the engines of a service: tokens in each event of a stream."""
 
-    slots: int
     event_tokens: int
 
 
@@ -89,30 +86,15 @@
     burst: float
 
 
-@dataclass(frozen=True, slots=True)
-class CallerBounds:
-    """Bound what a caller may send, and for how long it may be idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Hold one numbered configuration."""
+    """Hold one numbered configuration; `body_bytes` bounds what a caller may send."""
 
     number: int
     routes: tuple[HostRoute, ...]
     services: dict[ServiceName, HostService]
     customers: tuple[HostCustomer, ...]
-    bounds: CallerBounds = CallerBounds()
-
-
-def digest_key(key: str) -> KeyDigest:
-    """Compute the digest by which a key is known."""
-    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+    body_bytes: int = 4_194_304
 
 
 @dataclass(slots=True)
@@ -120,7 +102,6 @@
     """Find routes and customers of one configuration."""
 
     deployment: Deployment
-    installed_at: float = 0.0
     _routes: dict[tuple[str, str], HostRoute] = field(default_factory=dict)
     _customers: dict[KeyDigest, HostCustomer] = field(default_factory=dict)
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -13,9 +13,7 @@
     ListFollower,
     PublishEndpoints,
 )
-from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import GraceBudget, ToleratedExcess
-from burdockwall.process.limits.units import UNITS_PER_REQUEST
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.patience import AnswerTimes
 from burdockwall.process.sink import LINES_LIMIT, LineSink
@@ -39,6 +37,7 @@
     choose_service,
 )
 from features.subjects.gateway import FakeExchange, PlacedRequests
+from features.subjects.standing import create_limit, find_fullest_window
 
 CUSTOMER = CustomerId("one")
 ROUTE = RouteName("lookup")
@@ -53,14 +52,12 @@
             prefix=prefix,
             kind=RequestKind.SAFE,
             timeout_s=1.0,
-            objective_s=0.1,
             rank=0,
             shares=(ServiceShare(ServiceName("s"), 1),),
             attempts=1,
             keeps_turns=False,
             retention_s=60.0,
             open=True,
-            resumable=False,
         )
         for prefix in (first, second)
     )
@@ -101,7 +98,7 @@
 
 @when("each asks for grace {rate:d} times a second for {seconds:d} s")
 def step_ask_grace(context, rate, seconds):
-    limit = Limit(10 * UNITS_PER_REQUEST, 10 * UNITS_PER_REQUEST)
+    limit = create_limit(10, 10)
     chance = random.Random(7)
     starts = [chance.uniform(0, 5) for _ in context.budgets]
     context.granted = []
@@ -120,10 +117,7 @@
 def step_windows(context, window_s, rate, burst):
     excess = context.excess
     tolerated = excess.requests + excess.share * (rate * window_s + burst)
-    worst = max(
-        sum(start <= at < start + window_s for at in context.granted)
-        for start in context.granted
-    )
+    worst = find_fullest_window(context.granted, window_s)
     assert 0 < worst <= tolerated, worst
 
 
