Hold messages for a sync in one place, and collect a turn's chain once

The store's ledger held confirmations until their sync in a copy of what consensus does; its begin of a turn collected the whole chain to judge presence, and again to send it. What a store's state is after recovery was decided in the service, and the fault runs played a copy of that decision. The messages that each part of storage takes were listed in the product and in the tests; two fault subjects had the same loop over seeds.

Change: process/held.HeldMessages serves consensus and the ledger. Ledger._begin collects the chain once. Ledger.recover decides the state, so that the fault runs play the product's own. LEDGER_MESSAGES, COPIER_MESSAGES and CALL_MESSAGES name what each part takes, as elsewhere. features/subjects/seeds.SeedRuns holds the loop; create_limit builds limits in two more tests; list_targets counts reports.

Behaviour is meant to be the same, no assertion, bound or literal is changed.

--- a/burdockwall/process/control/core.py
+++ b/burdockwall/process/control/core.py
@@ -29,6 +29,7 @@
 )
 from burdockwall.process.control.leadership import Leadership
 from burdockwall.process.control.log import ReplicatedLog
+from burdockwall.process.held import HeldMessages
 from burdockwall.types import InstanceId, Term
 
 COMPACT_ENTRIES = 1000
@@ -48,15 +49,6 @@
     join_s: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
-    """Hold a message until the writes that it depends on are synced."""
-
-    ticket: int
-    to: InstanceId
-    message: Message
-
-
 @dataclass(slots=True)
 class PendingWrite:
     """Track a write that is not synced yet, and the last entry it holds."""
@@ -101,7 +93,7 @@
         self.snapshot_due = False
         self.snapshot_index = self.log.base_index
         self._unsynced: list[PendingWrite] = []
-        self._held: list[Held] = []
+        self._held = HeldMessages()
         self._known_membership = -1
 
     @property
@@ -151,7 +143,7 @@
         if not self._unsynced:
             self.send(to, message)
             return
-        self._held.append(Held(self.ticket, to, message))
+        self._held.hold(self.ticket, to, message)
 
     def persist(self, hard: HardState, entries: tuple[Entry, ...] = ()) -> None:
         """Ask for term, vote and entries to be written."""
@@ -181,10 +173,7 @@
         self._unsynced = self._unsynced[len(done) :]
         for write in done:
             self.durable_index = max(self.durable_index, write.last_index)
-        ready = [held for held in self._held if held.ticket <= ticket]
-        self._held = self._held[len(ready) :]
-        for held in ready:
-            self.send(held.to, held.message)
+        self.actions += self._held.release(ticket)
 
     def adopt_term(self, term: Term, cluster: str | None = None) -> None:
         """Move to a later term without a vote in it."""
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -22,6 +22,7 @@
     TurnId,
 )
 
+CALL_MESSAGES: tuple[type[Message], ...] = (TurnBegun, TurnEnded, StoreFull)
 MS_PER_S = 1000
 # A message may be lost with its connection; the same one is sent again.
 REPEAT_S = 0.2
--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -15,6 +15,7 @@
 from burdockwall.process.storage.view import StoreView
 from burdockwall.types import Incarnation, InstanceId
 
+COPIER_MESSAGES: tuple[type[Message], ...] = (RecordIndex, AskCopied)
 ASK_INTERVAL_S = 0.3
 ASK_TIMEOUT_S = 1.0
 ASKED_KEYS = 400
--- a/burdockwall/process/storage/keeper.py
+++ b/burdockwall/process/storage/keeper.py
@@ -7,6 +7,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.host import Host
 from burdockwall.process.storage.calls import (
+    CALL_MESSAGES,
     AskBegin,
     AskEnd,
     BeginJudged,
@@ -19,12 +20,7 @@
     TurnStart,
     Withdraw,
 )
-from burdockwall.process.storage.messages import (
-    ChainLink,
-    StoreFull,
-    TurnBegun,
-    TurnEnded,
-)
+from burdockwall.process.storage.messages import ChainLink
 from burdockwall.process.storage.tally import Verdict
 from burdockwall.process.storage.view import StoreView
 from burdockwall.process.waiters import Waiters
@@ -51,9 +47,7 @@
         self.calls = TurnCalls(incarnation)
         self._logger = logbook.Logger("turns")
         self._waiters: Waiters[BeginJudged | EndStored] = Waiters()
-        self._hosted = host.add(
-            self.calls, (TurnBegun, TurnEnded, StoreFull), self._perform
-        )
+        self._hosted = host.add(self.calls, CALL_MESSAGES, self._perform)
 
     def install_view(self, view: StoreView) -> None:
         """Use a view of the stores, if it is later."""
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.held import HeldMessages
 from burdockwall.process.storage.messages import (
     AskIndex,
     AskRecords,
@@ -40,6 +41,13 @@
     TurnId,
 )
 
+LEDGER_MESSAGES: tuple[type[Message], ...] = (
+    BeginTurn,
+    EndTurn,
+    AskIndex,
+    AskRecords,
+    RecordsFound,
+)
 MS_PER_S = 1000
 # A program may come back within the retention of its last turn, and then goes on.
 ACCOUNT_RETENTIONS = 2.0
@@ -105,13 +113,6 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
-    ticket: int
-    to: InstanceId
-    message: Message
-
-
 class Ledger:
     """Apply, confirm and look up the facts about turns."""
 
@@ -129,18 +130,26 @@
         self._log_start = 0
         self._ticket = 0
         self._synced = 0
-        self._held: deque[_Held] = deque()
+        self._held = HeldMessages()
         self._batch: list[StoredRecord] = []
         self._expire_at = 0.0
 
-    def recover(self, records: Iterable[StoredRecord], now: float) -> None:
-        """Apply what the files held; all of it is kept for its whole time again."""
+    def recover(self, records: Iterable[StoredRecord], whole: bool, now: float) -> None:
+        """Apply what the files held; all of it is kept for its whole time again.
+
+        Files that are not whole make the store incomplete; without any record it is
+        what it was created as.
+        """
         for record in records:
             self._log.append(_Logged(record, now))
             if isinstance(record, StoreState):
                 self.state = record
             else:
                 self._apply(record, now)
+        if not self._log:
+            self.set_state(self.state, now)
+        elif not whole:
+            self.set_state(StoreState(False, self.state.since), now)
 
     def handle(
         self, event: Tick | Receive | Stored, now: float
@@ -154,7 +163,7 @@
                 actions += self._expire(now)
             case Receive(sender=sender, message=message):
                 actions += self._receive(sender, message, now)
-        return [*self._take_batch(), *actions, *self._confirm()]
+        return [*self._take_batch(), *actions, *self._held.release(self._synced)]
 
     def _take_batch(self) -> list[Store]:
         if not self._batch:
@@ -198,10 +207,9 @@
         others = [
             charge for turn, charge in account.charges.items() if turn != message.turn
         ]
-        presence = self._find_presence(message)
-        chain = None
-        if message.sends_chain and presence is Presence.KEPT and message.previous:
-            chain = self._collect_chain(message.customer, message.previous)
+        chain = self._collect_chain(message.customer, message.previous)
+        presence = self._judge_presence(message, chain)
+        sends_chain = message.sends_chain and presence is Presence.KEPT
         self._reply(
             sender,
             TurnBegun(
@@ -210,23 +218,24 @@
                 self.state.complete,
                 others,
                 presence,
-                chain,
+                chain if sends_chain else None,
             ),
         )
 
-    def _find_presence(self, message: BeginTurn) -> Presence:
+    def _judge_presence(
+        self, message: BeginTurn, chain: list[ChainLink] | None
+    ) -> Presence:
         if message.previous is None:
             return Presence.NOT_ASKED
         if TurnKey(message.customer, message.previous) not in self._turns:
             return Presence.ABSENT
-        chain = self._collect_chain(message.customer, message.previous)
         return Presence.PARTIAL if chain is None else Presence.KEPT
 
     def _collect_chain(
-        self, customer: CustomerId, turn: TurnId
+        self, customer: CustomerId, latest: TurnId | None
     ) -> list[ChainLink] | None:
         links: list[ChainLink] = []
-        following: TurnId | None = turn
+        following = latest
         while following is not None:
             kept = self._turns.get(TurnKey(customer, following))
             if kept is None:
@@ -253,14 +262,7 @@
         self._reply(sender, TurnEnded(message.call, message.incarnation))
 
     def _reply(self, to: InstanceId, message: Message) -> None:
-        self._held.append(_Held(self._ticket, to, message))
-
-    def _confirm(self) -> list[Send]:
-        sends = []
-        while self._held and self._held[0].ticket <= self._synced:
-            held = self._held.popleft()
-            sends.append(Send(held.to, held.message))
-        return sends
+        self._held.hold(self._ticket, to, message)
 
     # Records.
 
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -9,22 +9,20 @@
 from burdockwall.process.control.files import Files
 from burdockwall.process.host import Host
 from burdockwall.process.storage.copier import (
+    COPIER_MESSAGES,
     CompletenessChanged,
     Copier,
     ViewInstalled,
 )
 from burdockwall.process.storage.journal import LedgerJournal
-from burdockwall.process.storage.ledger import Ledger, Release, Store, Stored
-from burdockwall.process.storage.messages import (
-    AskCopied,
-    AskIndex,
-    AskRecords,
-    BeginTurn,
-    EndTurn,
-    RecordIndex,
-    RecordsFound,
+from burdockwall.process.storage.ledger import (
+    LEDGER_MESSAGES,
+    Ledger,
+    Release,
+    Store,
+    Stored,
 )
-from burdockwall.process.storage.records import StoredRecord, StoreState
+from burdockwall.process.storage.records import StoredRecord
 from burdockwall.process.storage.view import StoreView
 from burdockwall.types import Incarnation, InstanceId
 
@@ -52,25 +50,13 @@
         self._logger = logbook.Logger("store")
         self._queue: list[Store | Release] = []
         self._due = anyio.Event()
-        self._recover(first_start)
-        self._hosted = host.add(
-            self.ledger,
-            (BeginTurn, EndTurn, AskIndex, AskRecords, RecordsFound),
-            self._perform,
-        )
-        self._hosted_copier = host.add(
-            self.copier, (RecordIndex, AskCopied), self._tell
-        )
+        self._recover()
+        self._hosted = host.add(self.ledger, LEDGER_MESSAGES, self._perform)
+        self._hosted_copier = host.add(self.copier, COPIER_MESSAGES, self._tell)
 
-    def _recover(self, first_start: bool) -> None:
+    def _recover(self) -> None:
         recovery = self.journal.recover()
-        now = self.host.clock()
-        self.ledger.recover(recovery.records, now)
-        state = self.ledger.state
-        if not recovery.records:
-            self.ledger.set_state(StoreState(first_start), now)
-        elif not recovery.whole:
-            self.ledger.set_state(StoreState(False, state.since), now)
+        self.ledger.recover(recovery.records, recovery.whole, self.host.clock())
         self._logger.notice(
             "store opened",
             extra={
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -89,10 +89,7 @@
 
 
 def count_reports(actions):
-    return sum(
-        isinstance(action, Send) and isinstance(action.message, Report)
-        for action in actions
-    )
+    return len(list_targets(actions))
 
 
 @when("the control instance answers that it knows no leader")
--- a/features/steps/limits_faults_steps.py
+++ b/features/steps/limits_faults_steps.py
@@ -21,8 +21,7 @@
     "limits run through {faults} for {count:d} seeds from {first:d}, until one breaks"
 )
 def step_limits_unsafe(context, faults, count, first):
-    context.subject = FaultSubject(RUNS[faults])
-    context.subject.network_class = context.network_class
+    context.subject = FaultSubject(RUNS[faults], context.network_class)
     context.subject.run_seeds(first, count, stop_at_broken=True)
 
 
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -4,7 +4,7 @@
 
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.machine import Receive, Tick
-from burdockwall.process.limits.events import Limit, LimitsInstalled
+from burdockwall.process.limits.events import LimitsInstalled
 from burdockwall.process.limits.leading import build_leader_shards
 from burdockwall.process.limits.messages import LimitDemand, LimitGrants, LimitWant
 from burdockwall.process.limits.owner import LimitOwner
@@ -21,6 +21,7 @@
     TurnId,
 )
 from burdockwall.version.shards import LeaseRenewed, ShardsInstalled
+from features.subjects.standing import create_limit
 
 CUSTOMER = CustomerId("one")
 HOLDER = InstanceId("front-1")
@@ -45,7 +46,7 @@
         LEADER, Incarnation(1), parameters, parameters.start_wait_s
     )
     context.now, context.sequence = 0.0, 0
-    limit = Limit(100.0 * UNITS_PER_REQUEST, 100 * UNITS_PER_REQUEST)
+    limit = create_limit(100, 100)
     shards = build_leader_shards(LEADER, Term(1))
     for event in (
         LimitsInstalled({CUSTOMER: limit}),
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -206,8 +206,7 @@
     "breaks"
 )
 def step_unsafe_faults(context, count, first):
-    context.subject = FaultSubject()
-    context.subject.network_class = context.network_class
+    context.subject = FaultSubject(context.network_class)
     context.subject.run_seeds(first, count, stop_at_broken=True)
 
 
--- a/features/subjects/limits_faults.py
+++ b/features/subjects/limits_faults.py
@@ -7,6 +7,7 @@
 from burdockwall.process.limits.events import Limit
 from burdockwall.types import CustomerId
 from features.subjects.limits import UNIT, LimitNetwork
+from features.subjects.seeds import SeedRuns
 
 RUN_S = 8.0
 FAULTS_FROM_S = 0.5
@@ -150,25 +151,19 @@
                 self.limits.request(name, customer)
 
 
-class FaultSubject:
-    """Run many seeds and keep the first that breaks the invariant."""
+class FaultSubject(SeedRuns):
+    """Collect what broke the invariant, and count the requests that were admitted."""
 
-    network_class: type[LimitNetwork] = LimitNetwork
-
-    def __init__(self, run_class: type[FaultRun] = FaultRun) -> None:
-        self.run_class = run_class
-        self.runs = 0
+    def __init__(
+        self,
+        run_class: type[FaultRun] = FaultRun,
+        network_class: type[LimitNetwork] = LimitNetwork,
+    ) -> None:
+        super().__init__(run_class, network_class)
         self.admitted = 0
-        self.broken: list[str] = []
-
-    def run_seeds(self, first: int, count: int, stop_at_broken: bool = False) -> None:
-        for seed in range(first, first + count):
-            run = self.run_class(seed, self.network_class)
-            run.run()
-            self.runs += 1
-            self.admitted += sum(run.limits.admitted.values())
-            if run.limits.worst < 0:
-                excess = -run.limits.worst / UNIT
-                self.broken.append(f"seed {seed}: {excess:.3f} requests in excess")
-                if stop_at_broken:
-                    return
+
+    def judge(self, run: FaultRun) -> list[str]:
+        self.admitted += sum(run.limits.admitted.values())
+        if run.limits.worst >= 0:
+            return []
+        return [f"{-run.limits.worst / UNIT:.3f} requests in excess"]
--- a/features/subjects/storage.py
+++ b/features/subjects/storage.py
@@ -6,6 +6,7 @@
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.fakes.network import FakeNetwork, Weather
 from burdockwall.process.storage.calls import (
+    CALL_MESSAGES,
     AskBegin,
     AskEnd,
     BeginJudged,
@@ -16,7 +17,7 @@
     TurnStart,
     Withdraw,
 )
-from burdockwall.process.storage.copier import Copier, ViewInstalled
+from burdockwall.process.storage.copier import COPIER_MESSAGES, Copier, ViewInstalled
 from burdockwall.process.storage.emptying import (
     EmptyingPlanner,
     EmptyingStores,
@@ -24,21 +25,14 @@
     ProposeEmptying,
 )
 from burdockwall.process.storage.journal import LedgerJournal
-from burdockwall.process.storage.ledger import Ledger, Release, Store, Stored
-from burdockwall.process.storage.messages import (
-    AskCopied,
-    AskIndex,
-    AskRecords,
-    BeginTurn,
-    Copied,
-    EndTurn,
-    RecordIndex,
-    RecordsFound,
-    StoreFull,
-    TurnBegun,
-    TurnEnded,
+from burdockwall.process.storage.ledger import (
+    LEDGER_MESSAGES,
+    Ledger,
+    Release,
+    Store,
+    Stored,
 )
-from burdockwall.process.storage.records import StoreState
+from burdockwall.process.storage.messages import Copied
 from burdockwall.process.storage.tally import Verdict
 from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import (
@@ -119,21 +113,16 @@
     def start_store(self, name: InstanceId, files: FakeFiles, first: bool) -> None:
         journal = LedgerJournal(files)
         recovery = journal.recover()
-        now = self.network.now
-        whole = first or not self.doubts_lost_disks
-        ledger = Ledger(self._create_incarnation(), whole, LIMIT_BYTES)
-        ledger.recover(recovery.records, now)
-        if not recovery.records:
-            ledger.set_state(StoreState(whole), now)
-        elif not recovery.whole:
-            ledger.set_state(StoreState(False, ledger.state.since), now)
+        complete = first or not self.doubts_lost_disks
+        ledger = Ledger(self._create_incarnation(), complete, LIMIT_BYTES)
+        ledger.recover(recovery.records, recovery.whole, self.network.now)
         copier = self.copier_class(name, ledger)
         self.stores[name] = StoreParts(files, ledger, copier, journal)
         self.network.start(
             name,
             [
-                (ledger, (BeginTurn, EndTurn, AskIndex, AskRecords, RecordsFound)),
-                (copier, (RecordIndex, AskCopied)),
+                (ledger, LEDGER_MESSAGES),
+                (copier, COPIER_MESSAGES),
             ],
         )
         self.network.apply(name, copier, ViewInstalled(self.view))
@@ -141,7 +130,7 @@
     def start_caller(self, name: InstanceId) -> None:
         calls = self.calls_class(self._create_incarnation())
         self.callers[name] = calls
-        self.network.start(name, [(calls, (TurnBegun, TurnEnded, StoreFull))])
+        self.network.start(name, [(calls, CALL_MESSAGES)])
         self._install(name)
 
     def _install(self, name: InstanceId) -> None:
--- a/features/subjects/storage_faults.py
+++ b/features/subjects/storage_faults.py
@@ -10,6 +10,7 @@
 from burdockwall.process.storage.tally import BeginTally, Verdict
 from burdockwall.process.storage.view import StoreView
 from burdockwall.types import CallId, InstanceId, TurnId
+from features.subjects.seeds import SeedRuns
 from features.subjects.storage import StorageNetwork, read_chain
 
 RUN_S = 14.0
@@ -213,24 +214,16 @@
                     self.broken.append(f"{turn} is mixed: {read_chain(judged)}")
 
 
-class FaultSubject:
-    """Run many seeds and collect what broke."""
+class FaultSubject(SeedRuns):
+    """Collect what broke, and count the turns that were kept."""
 
-    def __init__(self) -> None:
-        self.network_class: type[StorageNetwork] = StorageNetwork
-        self.broken: list[str] = []
-        self.runs = 0
+    def __init__(self, network_class: type[StorageNetwork] = StorageNetwork) -> None:
+        super().__init__(FaultRun, network_class)
         self.stored = 0
 
-    def run_seeds(self, first: int, count: int, stop_at_broken: bool = False) -> None:
-        for seed in range(first, first + count):
-            run = FaultRun(seed, self.network_class)
-            run.run()
-            self.runs += 1
-            self.stored += run.stored
-            self.broken += [f"seed {seed}: {line}" for line in run.broken]
-            if self.broken and stop_at_broken:
-                return
+    def judge(self, run: FaultRun) -> list[str]:
+        self.stored += run.stored
+        return run.broken
 
 
 class SoleQuorumView(StoreView):
--- a/features/subjects/succession.py
+++ b/features/subjects/succession.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from burdockwall.machine import Receive, Tick
-from burdockwall.process.limits.events import Limit, LimitsInstalled
+from burdockwall.process.limits.events import LimitsInstalled
 from burdockwall.process.limits.leading import LEAD_LEASE_S, build_leader_shards
 from burdockwall.process.limits.messages import LimitDemand, LimitGrants, LimitWant
 from burdockwall.process.limits.owner import LimitOwner
@@ -15,6 +15,7 @@
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, Incarnation, InstanceId, Term
 from burdockwall.version.shards import LeaseRenewed, ShardsInstalled
+from features.subjects.standing import create_limit
 
 CUSTOMER = CustomerId("c")
 HOLDER = InstanceId("front")
@@ -57,8 +58,7 @@
         parameters = create_parameters(Settings())
         wait_s = LEAD_LEASE_S * parameters.lapse_factor
         owner = LimitOwner(InstanceId(name), Incarnation(epoch), parameters, wait_s)
-        units = self.burst * UNITS_PER_REQUEST
-        limit = Limit(float(self.rate * UNITS_PER_REQUEST), units)
+        limit = create_limit(self.rate, self.burst)
         owner.handle(LimitsInstalled({CUSTOMER: limit}), 0.0)
         return owner
 
