Send no new work to an endpoint whose answers say that it leaves

Cause: the list of endpoints shows a leaving endpoint late; the users' new rule lets an answer with Server-Leaving bind at once, as the list does. Change: the header is decoded in platform/, and the follower of the list leaves the endpoint out until the list shows a later start of it (born), or, without start times, until it was unlisted. A refusal for a spent rate quotes rate and burst.

--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -30,7 +30,8 @@
 
     It refuses the next `refusals_left` requests with 503, and breaks a stream after
     `cut_after_events` events. While `silent`, it answers no requests except for
-    streams. `cancelled_count` counts the requests that the caller cancelled.
+    streams. `cancelled_count` counts the requests that the caller cancelled. A value of
+    `leaving_values` is sent in a header of each answer that says whether it leaves.
     """
 
     name: str
@@ -44,6 +45,8 @@
     delay_s: float = 0.0
     extra_answer: bool = False
     silent: bool = False
+    leaving_values: tuple[str, ...] = ()
+    started_ms: int | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_count: int = 0
 
@@ -83,6 +86,7 @@
                 f"stamp-{self.name}-{len(self.received_requests)}".encode(),
             ),
             (b"x-server-load", b"1,0,8"),
+            *((b"server-leaving", value.encode()) for value in self.leaving_values),
         ]
 
     async def _answer(
@@ -124,6 +128,7 @@
                 "zone": server.zone,
                 "slots": 8,
                 "state": server.state,
+                "born": server.started_ms,
             }
             for server in self.servers
         ]
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -19,6 +19,7 @@
 MIN_DEADLINE_MS = 1
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
+NOT_LEAVING = (b"", b"0")
 # Codes for which the platform expects a status other than that in the code table.
 STATUS_OVERRIDES = {
     Code.BUDGET_SPENT: 402,
@@ -88,6 +89,7 @@
             closes,
             _read_idle_s(headers),
             _read_load(headers.get(names.SERVER_LOAD)),
+            _read_leaving(head.headers),
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
@@ -157,6 +159,15 @@
     return None
 
 
+def _read_leaving(headers: Headers) -> bool:
+    """Return whether any value says so; an unknown value counts as yes.
+
+    A request that is sent elsewhere needlessly is harmed less than one that is cut off.
+    """
+    values = [value.strip() for name, value in headers if name == names.SERVER_LEAVING]
+    return any(value not in NOT_LEAVING for value in values)
+
+
 def _read_load(value: bytes | None) -> ReportedLoad | None:
     numbers = value.split(b",") if value else []
     if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -24,6 +24,7 @@
     zone: str
     state: str
     slots: int = 1
+    born: int | None = None
 
 
 class _Page(msgspec.Struct):
@@ -78,4 +79,5 @@
         FailureDomain(entry.zone),
         max(1, entry.slots),
         entry.state == DRAINING,
+        entry.born,
     )
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -25,6 +25,9 @@
     failure_domain: FailureDomain
     slots: int
     leaving: bool = False
+    # Unix time of the start in milliseconds, or None if the list does not give it. A
+    # process may start again under the name that it had.
+    started_ms: int | None = None
 
 
 class EndpointList(Message, frozen=True):
@@ -84,6 +87,44 @@
         return sends
 
 
+class LeavingEndpoints:
+    """The endpoints whose own answers said that they leave, before any list does.
+
+    An endpoint is included until the list shows a later start of it, or, where the
+    list gives no start times, until it is no longer listed.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[EndpointId, ListedEndpoint] = {}
+
+    def record(self, endpoint: ListedEndpoint) -> bool:
+        """Add an endpoint, and return whether it was not included yet."""
+        if self.includes(endpoint):
+            return False
+        self._endpoints[endpoint.name] = endpoint
+        return True
+
+    def includes(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether this start of an endpoint is leaving."""
+        recorded = self._endpoints.get(endpoint.name)
+        return recorded is not None and not _has_restarted(recorded, endpoint)
+
+    def install_list(self, listed: list[ListedEndpoint]) -> None:
+        """Drop the endpoints that have gone or started again."""
+        by_name = {endpoint.name: endpoint for endpoint in listed}
+        self._endpoints = {
+            name: recorded
+            for name, recorded in self._endpoints.items()
+            if name in by_name and not _has_restarted(recorded, by_name[name])
+        }
+
+
+def _has_restarted(earlier: ListedEndpoint, later: ListedEndpoint) -> bool:
+    if earlier.started_ms is None or later.started_ms is None:
+        return False
+    return later.started_ms > earlier.started_ms
+
+
 class EndpointFollower:
     """Stores the latest list that a leader has sent."""
 
@@ -93,6 +134,7 @@
         self._list_version = (Term(0), 0)
         self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
         self._names: set[EndpointId] = set()
+        self._announced = LeavingEndpoints()
 
     def handle(self, event: Tick | Receive, now: float) -> list[Send]:
         """Install a received list unless it is older than the stored one."""
@@ -117,10 +159,16 @@
             if not endpoint.leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
+        self._announced.install_list(message.endpoints)
+
+    def record_leaving(self, endpoint: ListedEndpoint) -> bool:
+        """Record that an endpoint's answer said that it leaves; return whether new."""
+        return self._announced.record(endpoint)
 
     def list_accepting(self, service: ServiceName) -> list[ListedEndpoint]:
         """List the endpoints of a service that take new work."""
-        return self._by_service.get(service, [])
+        listed = self._by_service.get(service, [])
+        return [item for item in listed if not self._announced.includes(item)]
 
     def list_names(self) -> set[EndpointId]:
         """List the names of all endpoints, leaving ones included."""
--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -14,6 +14,7 @@
     LimitSplit,
 )
 from burdockwall.process.limits.retry_after import RetryAfterTimes
+from burdockwall.process.limits.units import UNITS_PER_REQUEST
 from burdockwall.types import CustomerId
 
 # Longest wait of a request for the refill of this instance's fallback share.
@@ -92,7 +93,10 @@
     ) -> RequestRefused:
         now = self.clock()
         retry_s = self.retry_after_times.choose(customer, limit, instances, now)
-        return RequestRefused(error.code, error.detail, retry_s)
+        rate = limit.rate_per_s / UNITS_PER_REQUEST
+        burst = limit.burst / UNITS_PER_REQUEST
+        detail = f"{error.detail} They are {rate:g} a second and {burst:g}."
+        return RequestRefused(error.code, detail, retry_s)
 
     async def _admit_by_fallback(
         self, customer: CustomerId, limit: Limit, instances: int
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -63,13 +63,15 @@
 
     `ran` is false if the endpoint did not run the request, and `closes` is true if it
     closes the connection after the answer. `idle_s` is how long it keeps an idle
-    connection open, or None if it does not say.
+    connection open, or None if it does not say. `leaving` is true if the endpoint takes
+    no new work because it is about to stop.
     """
 
     ran: bool
     closes: bool
     idle_s: float | None
     load: ReportedLoad | None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import logbook
 
 from burdockwall.connection.exchange import CLOSE, Exchange, Headers
 from burdockwall.connection.upstream import (
@@ -53,6 +54,7 @@
 ANSWER_LIMIT_BYTES = 16_777_216
 # The owner of turns on routes that need no key.
 ANONYMOUS_CUSTOMER = CustomerId("")
+_logger = logbook.Logger("front")
 
 
 @dataclass(slots=True)
@@ -247,6 +249,8 @@
         try:
             head = await self._send_with_timeout(connection, endpoint)
             details = parts.codec.read_answer(head)
+            if details.leaving:
+                self._record_leaving(endpoint)
             if details.load is not None:
                 parts.balancer.record_report(endpoint.name, details.load, parts.clock())
             await self._handle_answer(connection, head, details, prompt)
@@ -268,6 +272,11 @@
                     details.idle_s if details else None,
                 )
 
+    def _record_leaving(self, endpoint: ListedEndpoint) -> None:
+        if self.parts.endpoints.record_leaving(endpoint):
+            extra = {"endpoint": endpoint.name, "request": self.request.request}
+            _logger.notice("endpoint said that it leaves", extra=extra)
+
     async def _send_with_timeout(
         self, connection: UpstreamConnection, endpoint: ListedEndpoint
     ) -> AnswerHead:
