Count rate and burst over the operator's window for customers of small rates

Cause: a program sends dozens of requests within a second and then pauses. Change: [limits] count_over_window enlarges the burst as far as a change of the owner keeps within the tolerated excess, with a cap on every window; only where no instance may admit a part of the rate by itself.

--- a/burdockwall/options/limits.py
+++ b/burdockwall/options/limits.py
@@ -133,4 +133,12 @@
         0,
         1_000_000,
     ),
+    Option(
+        "limits",
+        "count_over_window",
+        "limits_counted_over_window",
+        Kind.BOOLEAN,
+        "",
+        "Whether a customer may use rate x excess_window + burst unevenly in a window.",
+    ),
 )
--- a/burdockwall/process/limits/bucket.py
+++ b/burdockwall/process/limits/bucket.py
@@ -4,16 +4,21 @@
 expires. Level and outstanding grants together never exceed the burst, so no window of
 time admits more than the burst plus the refill since then, whenever a grant is spent.
 
+A limit may also cap what is spent in any window of time. The bucket then remembers what
+was spent within the last window; outstanding grants count as spent now, since their
+holders may spend them at any time.
+
 The owner learns late that a grant was spent. Until then the spent units still count
 against the burst, and refill that exceeds the burst is lost. Lost refill is recorded
 for a while: when a holder reports when it spent a grant, the refill lost after that
 time is restored, up to the size of the grant.
 """
 
+import heapq
 from collections import deque
 from dataclasses import dataclass, field
 
-from burdockwall.process.limits.events import Limit
+from burdockwall.process.limits.events import Limit, WindowCap
 from burdockwall.process.limits.units import GRANT_LIMIT_S
 from burdockwall.types import Incarnation, InstanceId, ShardId
 
@@ -59,6 +64,28 @@
     units: float
 
 
+@dataclass(slots=True)
+class WindowSpend:
+    """Units spent within the last window, which may be spent again after it."""
+
+    units: int = 0
+    _ends: list[tuple[float, int]] = field(default_factory=list)
+
+    def record(self, units: int, ends_at: float) -> None:
+        """Record units whose window ends at a time."""
+        self.units += units
+        heapq.heappush(self._ends, (ends_at, units))
+
+    def expire(self, now: float) -> None:
+        """Drop the units whose window has ended."""
+        while self._ends and self._ends[0][0] <= now:
+            self.units -= heapq.heappop(self._ends)[1]
+
+    def count_ending(self, until: float) -> int:
+        """Count the units whose window ends by a time."""
+        return sum(units for ends_at, units in self._ends if ends_at <= until)
+
+
 @dataclass(slots=True)
 class CustomerBucket:
     """A token bucket that is filled up to the burst less the outstanding grants.
@@ -80,6 +107,32 @@
     )
     prefetched: dict[int, PrefetchGrant] = field(default_factory=dict)
     lost_refills: deque[LostRefill] = field(default_factory=deque)
+    window_spend: WindowSpend = field(default_factory=WindowSpend)
+
+    @property
+    def spendable(self) -> float:
+        """Return the units that may be granted now."""
+        window = self.limit.window
+        if window is None:
+            return self.level
+        return min(self.level, self._get_window_room(window))
+
+    def _get_window_room(self, window: WindowCap, ending: int = 0) -> int:
+        # A limit that was lowered may leave less than nothing.
+        used = self.outstanding + self.window_spend.units - ending
+        return max(0, window.units - used)
+
+    def estimate_spendable(self, after_s: float) -> float:
+        """Return the units that may be granted `after_s` seconds from the last refill.
+
+        Outstanding grants are assumed to be spent.
+        """
+        level = self.level + self.slowed_rate * after_s
+        window = self.limit.window
+        if window is None:
+            return level
+        ending = self.window_spend.count_ending(self.refilled_at + after_s)
+        return min(level, self._get_window_room(window, ending))
 
     @property
     def slowed_rate(self) -> float:
@@ -88,6 +141,7 @@
 
     def refill(self, now: float) -> None:
         """Add the units due since the last refill."""
+        self.window_spend.expire(now)
         room = max(0.0, self.limit.burst - self.outstanding - self.level)
         if now > self.refilled_at:
             incoming = (now - self.refilled_at) * self.slowed_rate
@@ -131,9 +185,15 @@
         self.level -= units
         self.outstanding += units
 
-    def close(self, units: int, unspent: int, now: float) -> None:
-        """End a grant and put its unspent units back into the bucket."""
+    def close(self, units: int, unspent: int, spent_at: float, now: float) -> None:
+        """End a grant and put its unspent units back into the bucket.
+
+        `spent_at` is the latest time at which any of the others were spent.
+        """
         self.refill(now)
+        if self.limit.window is not None and units > unspent:
+            length_s = self.limit.window.length_s * (1.0 + self.clock_margin)
+            self.window_spend.record(units - unspent, spent_at + length_s)
         self.outstanding -= units
         self.level += unspent
         self.refill(now)
--- a/burdockwall/process/limits/events.py
+++ b/burdockwall/process/limits/events.py
@@ -17,12 +17,25 @@
     OWNER_MOVED = 6
 
 
+@dataclass(frozen=True, slots=True)
+class WindowCap:
+    """The most units that may be spent in any window of `length_s` seconds."""
+
+    length_s: float
+    units: int
+
+
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """A customer's limit: a rate in units per second and a burst in units."""
+    """A customer's limit: a rate in units per second and a burst in units.
+
+    With a `window`, no window of time has more units than its cap, even where the
+    burst is larger than the cap allows.
+    """
 
     rate_per_s: float
     burst: int
+    window: WindowCap | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/process/limits/excess.py
+++ b/burdockwall/process/limits/excess.py
@@ -59,11 +59,15 @@
         if spent is None or now - spent.window_start >= self.excess.window_s:
             spent = _WindowSpend(now)
             self._spent[customer] = spent
-        if spent.requests + 1 > self._count_instance_requests(limit, instances):
+        allowed = count_instance_requests(self.excess, limit, instances)
+        if spent.requests + 1 > allowed:
             return False
         spent.requests += 1
         return True
 
-    def _count_instance_requests(self, limit: Limit, instances: int) -> float:
-        excess = self.excess.count_units(limit) / UNITS_PER_REQUEST
-        return excess / 2 / max(1, instances)
+
+def count_instance_requests(
+    excess: ToleratedExcess, limit: Limit, instances: int
+) -> float:
+    """Return how many requests one instance may admit in a window without the owner."""
+    return excess.count_units(limit) / UNITS_PER_REQUEST / 2 / max(1, instances)
--- a/burdockwall/process/limits/fallback.py
+++ b/burdockwall/process/limits/fallback.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import ToleratedExcess
@@ -57,7 +57,11 @@
         if silent <= 0 or not share:
             return limit
         remaining = 1.0 - share * min(silent, instances) / instances
-        return Limit(limit.rate_per_s * remaining, int(limit.burst * remaining))
+        return replace(
+            limit,
+            rate_per_s=limit.rate_per_s * remaining,
+            burst=int(limit.burst * remaining),
+        )
 
 
 @dataclass(slots=True)
--- a/burdockwall/process/limits/leader.py
+++ b/burdockwall/process/limits/leader.py
@@ -6,6 +6,7 @@
 """
 
 from burdockwall.process.host import Host
+from burdockwall.process.limits.allowance import WindowAllowance
 from burdockwall.process.limits.events import Limit, LimitsInstalled
 from burdockwall.process.limits.excess import create_excess
 from burdockwall.process.limits.fallback import LimitSplit
@@ -59,7 +60,11 @@
     def __init__(
         self, host: Host, settings: Settings, incarnation: Incarnation
     ) -> None:
-        self.split = LimitSplit(create_excess(settings))
+        excess = create_excess(settings)
+        self.split = LimitSplit(excess)
+        self.allowance: WindowAllowance | None = None
+        if settings.limits_counted_over_window:
+            self.allowance = WindowAllowance(excess, self.split)
         self.host = host
         self.instance = settings.instance_id
         parameters = create_parameters(settings)
@@ -74,11 +79,19 @@
     def install(self, deployment: Deployment, instances: int, silent: int) -> None:
         """Install the limits less the fallback shares of silent instances."""
         limits = {
-            customer: self.split.reduce(limit, instances, silent)
+            customer: self._build_limit(limit, instances, silent)
             for customer, limit in list_deployment_limits(deployment).items()
         }
         self.host.apply(self._hosted, LimitsInstalled(limits))
 
+    def _build_limit(self, limit: Limit, instances: int, silent: int) -> Limit:
+        if self.allowance is not None:
+            enlarged = self.allowance.enlarge(limit, instances)
+            # No instance admits anything of an enlarged limit by itself.
+            if enlarged != limit:
+                return enlarged
+        return self.split.reduce(limit, instances, silent)
+
     def follow(self, term: Term | None) -> None:
         """Own the rates while this instance leads a term; None if it does not lead."""
         if term != self._term:
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -226,9 +226,9 @@
             return
         del self._outstanding[close.grant]
         grant.bucket.prefetched.pop(close.grant, None)
-        grant.bucket.close(grant.units, close.unspent, now)
         # The age is measured by the holder's clock, which may run fast.
         age_s = close.age_ms / MS_PER_S / self.parameters.expiry_factor
+        grant.bucket.close(grant.units, close.unspent, now - age_s, now)
         grant.bucket.restore_lost_refill(grant.units - close.unspent, now - age_s)
         if self._unmet.get(grant.customer) is grant.bucket and now < self.lease_until:
             self._serve(grant.customer, grant.bucket, answers, now)
@@ -288,11 +288,11 @@
             head = min(need.head, need.units)
             # Needs are met in order. Skipping one whose first request does not fit yet
             # would starve requests with a large cost.
-            if bucket.level < head:
+            if bucket.spendable < head:
                 break
             units = head
             if len(bucket.needs) == 1:
-                units = min(need.units, int(bucket.level // head) * head)
+                units = min(need.units, int(bucket.spendable // head) * head)
             bucket.take(units)
             granted[holder] = granted.get(holder, 0) + units
             served[holder] = need
@@ -328,7 +328,8 @@
         rate = bucket.slowed_rate
         delay_s = max(0.0, bucket.refilled_at - now)
         available = (
-            bucket.level + rate * self.parameters.pending_s + bucket.count_prefetched()
+            bucket.estimate_spendable(self.parameters.pending_s)
+            + bucket.count_prefetched()
         )
         others = bucket.count_needs() - need.units
         fair_share = available / len(bucket.needs)
@@ -368,7 +369,7 @@
     def _grant_prefetch(
         self, answer: _Answer, want: LimitWant, bucket: CustomerBucket, now: float
     ) -> None:
-        spare = bucket.level - bucket.limit.burst * PREFETCH_BURST_SHARE
+        spare = bucket.spendable - bucket.limit.burst * PREFETCH_BURST_SHARE
         units = min(want.prefetch, int(spare))
         if units <= 0:
             return
@@ -424,7 +425,7 @@
             if grant is not None:
                 # The owner cannot know whether the grant was spent and assumes it was.
                 grant.bucket.prefetched.pop(number, None)
-                grant.bucket.close(grant.units, 0, expires_at)
+                grant.bucket.close(grant.units, 0, expires_at, expires_at)
 
     def _build_message(self, answer: _Answer) -> Send:
         message = LimitGrants(
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -66,6 +66,7 @@
     limit_excess_window_s: float = 5.0
     limit_excess_share: float = 0.0
     limit_excess_requests: float = 0.0
+    limits_counted_over_window: bool = False
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
     admission_limit: int = 512
--- a/features/subjects/limits_faults.py
+++ b/features/subjects/limits_faults.py
@@ -125,11 +125,15 @@
             network.cut(name, self.random.choice(limits.names))
             network.schedule(length_s, self._heal)
         elif kind == "limit":
-            customer = self.random.choice(list(limits.limits))
-            limits.change_limit(customer, draw_limit(self.random))
+            self.change_limit()
         elif kind == "conditions":
             network.conditions = draw_conditions(self.random)
 
+    def change_limit(self) -> None:
+        """Change the limit of a drawn customer to a drawn one."""
+        customer = self.random.choice(list(self.limits.limits))
+        self.limits.change_limit(customer, draw_limit(self.random))
+
     def _heal(self) -> None:
         self.network.heal()
         self.limits.unreachable.clear()
--- a/features/subjects/limits_unsafe.py
+++ b/features/subjects/limits_unsafe.py
@@ -52,7 +52,7 @@
         for expires_at, number in self._expiries:
             if expires_at <= now and number in self._outstanding:
                 grant = self._outstanding.pop(number)
-                grant.bucket.close(grant.units, grant.units, expires_at)
+                grant.bucket.close(grant.units, grant.units, expires_at, expires_at)
         super()._expire_grants(now)
 
 
