Keep a majority of voters where two losses are tolerated

Cause: a fleet with seeds had as many voters as seeds, three, and one control instance a failure domain. Where two machines may be lost at once with their disks, two of three voters could be lost, and with them configurations that were acknowledged.

--- a/burdockwall/process/control/opening.py
+++ b/burdockwall/process/control/opening.py
@@ -72,10 +72,16 @@
         files.close()
 
 
-def _create_policy(settings: Settings) -> VoterPolicy | None:
+def create_voter_policy(settings: Settings) -> VoterPolicy | None:
+    """Create the policy of a fleet with seeds, or None if voters are configured.
+
+    There are as many voters as seeds, or more where a majority would not remain after
+    the tolerated losses.
+    """
     if not settings.seeds:
         return None
-    return VoterPolicy(None, len(settings.seeds), SEEDED_REPLACE_SILENCE_S)
+    max_voters = max(len(settings.seeds), 2 * settings.tolerated_losses + 1)
+    return VoterPolicy(None, max_voters, SEEDED_REPLACE_SILENCE_S)
 
 
 def open_files(settings: Settings) -> DiskFiles:
@@ -164,5 +170,5 @@
         list_contacts(settings),
         random.Random(seed),
         Timing(settings.election_timeout_s, settings.election_timeout_s / 5),
-        policy=_create_policy(settings),
+        policy=create_voter_policy(settings),
     )
--- a/features/control_rules.feature
+++ b/features/control_rules.feature
@@ -15,3 +15,13 @@
       | no wait if every voter has just started       |
       | no vote for an outdated start id              |
       | a newly started replica does not count itself |
+
+  Scenario Outline: A majority of the voters remains after the tolerated losses
+    Given a fleet of 3 seeds that tolerates <losses> losses
+    Then it has at most <voters> voters
+
+    Examples:
+      | losses | voters |
+      | 0      | 3      |
+      | 1      | 3      |
+      | 2      | 5      |
