Hold each program at one group of stores in a large fleet

Cause: every store held every fact. Change: the first view deals the stores out to groups of 2f + 2 or more over the failure domains; a program belongs to one by the hash of its id. A turn that continues another program's is searched in the other groups, and then stored with its whole chain. Fleets that have a view keep their one group.

--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -38,6 +38,7 @@
     ObserveStores,
     ProposeView,
     StorePlanner,
+    count_remaining,
 )
 from burdockwall.process.storage.view import (
     STORE_VIEW,
@@ -198,21 +199,24 @@
         emptying = self.get_emptying()
         if instance in emptying.instances:
             return
-        remaining = [
-            entry.details.instance
-            for entry in self.member.membership.list_all_members()
-            if entry.details.role is Role.STORAGE
-            and entry.state is not EndpointState.FAILED
-            and entry.details.instance not in (*emptying.instances, instance)
-        ]
+        view = self.get_view()
+        remaining = count_remaining(
+            self.member.membership.list_all_members(),
+            view,
+            emptying.instances,
+            instance,
+        )
         min_stores = self.store_planner.min_stores
-        if len(remaining) < min_stores:
-            detail = f"{len(remaining)} stores would be left, {min_stores} are needed"
+        if remaining < min_stores:
+            detail = f"{remaining} stores would be left, {min_stores} are needed"
             raise OperatorError(Code.STORES_TOO_FEW, detail)
+        member = view.find(instance)
+        groups = {} if member is None else {instance: member.group}
         updated = EmptyingStores(
             emptying.number + 1,
             (*emptying.running, instance),
             emptying.completed,
+            emptying.groups | groups,
         )
         await self.documents.put(
             EMPTYING, updated.number, encode_emptying(updated), SYSTEM
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -1,4 +1,9 @@
-"""Calls to the stores at the beginning and end of turns, decided by a quorum."""
+"""Calls to the stores at the beginning and end of turns, decided by a quorum.
+
+A program's turns are held by one group of stores. A turn may continue a turn of another
+program, whose group is not known: if the own group does not have it, every other group
+is asked.
+"""
 
 from dataclasses import dataclass, field
 
@@ -7,6 +12,7 @@
     AskCopied,
     BeginTurn,
     EndTurn,
+    FindTurn,
     StoreFull,
     TurnBegun,
     TurnEnded,
@@ -84,10 +90,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InstallView:
-    """The view of the stores, and the nearest of them, may have changed."""
+    """The view of the stores, and the nearest of each group, may have changed."""
 
     view: StoreView
-    nearest: InstanceId | None
+    nearest: tuple[InstanceId | None, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,11 +103,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginDecided:
-    """The verdict of a quorum about the beginning of a turn."""
+    """The verdict of a quorum about the beginning of a turn.
+
+    `other_group` is whether the chain came from a group that does not hold the program.
+    """
 
     call: CallId
     verdict: Verdict
     quorum: BeginQuorum
+    other_group: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,12 +128,40 @@
     store: InstanceId
 
 
+@dataclass(slots=True)
+class _Search:
+    """What the stores of one group have answered about the beginning of a turn.
+
+    The group that holds the program also reserves the turn's tokens.
+    """
+
+    quorum: BeginQuorum
+    nearest: InstanceId | None
+    reserves: bool
+    chain_requests: set[InstanceId] = field(default_factory=set)
+
+    def list_first_sources(self) -> set[InstanceId]:
+        """Return the store to ask for the chain first, if it is needed."""
+        wanted = self.quorum.needs_chain and self.nearest is not None
+        return {self.nearest} if wanted and self.nearest else set()
+
+
 @dataclass(slots=True)
 class _Begin:
     start: TurnStart
-    quorum: BeginQuorum
+    own: _Search
+    others: list[_Search] = field(default_factory=list)
     sent_at: float = 0.0
-    chain_requests: set[InstanceId] = field(default_factory=set)
+
+    def list_searches(self) -> list[_Search]:
+        return [self.own, *self.others]
+
+    def find_search(self, store: InstanceId) -> _Search | None:
+        """Return the search of the group that a store belongs to."""
+        for search in self.list_searches():
+            if search.quorum.view.find(store) is not None:
+                return search
+        return None
 
 
 @dataclass(slots=True)
@@ -144,7 +182,8 @@
     def __init__(self, incarnation: Incarnation) -> None:
         self.incarnation = incarnation
         self.view = StoreView()
-        self.nearest: InstanceId | None = None
+        self.nearest: tuple[InstanceId | None, ...] = (None,)
+        self._group_views: tuple[StoreView, ...] = (self.view,)
         self._begins: dict[CallId, _Begin] = {}
         self._ends: dict[CallId, _End] = {}
 
@@ -170,8 +209,15 @@
                 self.nearest = nearest
                 if view.number > self.view.number:
                     self.view = view
+                    self._group_views = tuple(
+                        view.select_group(group) for group in range(view.groups)
+                    )
         return []
 
+    def find_group_view(self, customer: CustomerId, program: ProgramId) -> StoreView:
+        """Return the view of the group that holds a program."""
+        return self._group_views[self.view.find_group(customer, program)]
+
     def _receive(
         self, sender: InstanceId, message: Message, now: float
     ) -> list[Action]:
@@ -188,62 +234,103 @@
     # The beginning of turns.
 
     def _begin(self, call: CallId, start: TurnStart, now: float) -> list[Action]:
+        group = self.view.find_group(start.customer, start.program)
         quorum = BeginQuorum(
-            self.view,
+            self._group_views[group],
             start.tokens,
             start.budget,
             start.previous is not None,
             start.needs_chain,
         )
-        begin = _Begin(start, quorum, now)
+        begin = _Begin(start, _Search(quorum, self._get_nearest(group), True), [], now)
         self._begins[call] = begin
-        sources = {self.nearest} if start.needs_chain and self.nearest else set()
-        return self._ask_stores(call, begin, sources)
+        return self._ask_stores(call, begin, begin.own, begin.own.list_first_sources())
+
+    def _get_nearest(self, group: int) -> InstanceId | None:
+        return self.nearest[group] if group < len(self.nearest) else None
+
+    def _search_other_groups(self, call: CallId, begin: _Begin) -> list[Action]:
+        """Ask every other group for the turn that this one continues."""
+        actions: list[Action] = []
+        for group, view in enumerate(self._group_views):
+            if view.members == begin.own.quorum.view.members:
+                continue
+            quorum = BeginQuorum(view, 0, None, True, begin.start.needs_chain)
+            search = _Search(quorum, self._get_nearest(group), False)
+            begin.others.append(search)
+            sources = search.list_first_sources()
+            actions += self._ask_stores(call, begin, search, sources)
+        return actions
 
     def _ask_stores(
-        self, call: CallId, begin: _Begin, sources: set[InstanceId]
+        self, call: CallId, begin: _Begin, search: _Search, sources: set[InstanceId]
     ) -> list[Action]:
         """Ask the stores that have not answered, and `sources` for the chain."""
-        start = begin.start
         actions: list[Action] = []
-        for store in begin.quorum.view.instances:
-            sends_chain = store in sources and start.previous is not None
-            if store in begin.quorum.answers and not sends_chain:
+        for store in search.quorum.view.instances:
+            sends_chain = store in sources and begin.start.previous is not None
+            if store in search.quorum.answers and not sends_chain:
                 continue
-            message = BeginTurn(
-                call,
-                self.incarnation,
-                start.customer,
-                start.program,
-                start.turn,
-                start.tokens,
-                int(start.retention_s * MS_PER_S),
-                start.previous,
-                sends_chain,
-            )
+            message = self._build_question(call, begin.start, search, sends_chain)
             actions.append(Send(store, message))
-        begin.chain_requests |= sources
+        search.chain_requests |= sources
         return actions
 
+    def _build_question(
+        self, call: CallId, start: TurnStart, search: _Search, sends_chain: bool
+    ) -> BeginTurn | FindTurn:
+        if not search.reserves:
+            assert start.previous is not None
+            return FindTurn(
+                call, self.incarnation, start.customer, start.previous, sends_chain
+            )
+        return BeginTurn(
+            call,
+            self.incarnation,
+            start.customer,
+            start.program,
+            start.turn,
+            start.tokens,
+            int(start.retention_s * MS_PER_S),
+            start.previous,
+            sends_chain,
+        )
+
     def _handle_begun(
         self, sender: InstanceId, answer: TurnBegun, now: float
     ) -> list[Action]:
         begin = self._begins.get(answer.call)
-        if begin is None:
-            return []
-        begin.quorum.add(sender, answer)
-        verdict = begin.quorum.decide()
-        if verdict is Verdict.OPEN:
+        search = begin.find_search(sender) if begin is not None else None
+        if begin is None or search is None:
             return []
-        if verdict is Verdict.CHAIN_MISSING:
+        search.quorum.add(sender, answer)
+        if search.quorum.decide() is Verdict.CHAIN_MISSING:
             # The nearest store has answered without the chain, so ask another one.
-            sources = set(begin.quorum.list_stores_with_chain()) - begin.chain_requests
-            if self.nearest in begin.quorum.answers and sources:
+            sources = set(search.quorum.list_stores_with_chain())
+            sources -= search.chain_requests
+            if search.nearest in search.quorum.answers and sources:
                 begin.sent_at = now
-                return self._ask_stores(answer.call, begin, {min(sources)})
+                return self._ask_stores(answer.call, begin, search, {min(sources)})
             return []
-        del self._begins[answer.call]
-        return [BeginDecided(answer.call, verdict, begin.quorum)]
+        return self._decide(answer.call, begin)
+
+    def _decide(self, call: CallId, begin: _Begin) -> list[Action]:
+        own = begin.own.quorum
+        verdict = own.decide()
+        if verdict in (Verdict.OPEN, Verdict.CHAIN_MISSING):
+            return []
+        decided = BeginDecided(call, verdict, own)
+        if verdict is Verdict.TURN_UNKNOWN and self.view.groups > 1:
+            if not begin.others:
+                return self._search_other_groups(call, begin)
+            verdicts = [search.quorum.decide() for search in begin.others]
+            if Verdict.ADMITTED in verdicts:
+                found = begin.others[verdicts.index(Verdict.ADMITTED)].quorum
+                decided = BeginDecided(call, Verdict.ADMITTED, found, True)
+            elif set(verdicts) != {Verdict.TURN_UNKNOWN}:
+                return []
+        del self._begins[call]
+        return [decided]
 
     # The end of turns.
 
@@ -262,7 +349,7 @@
             outcome.prompt,
             outcome.answer,
         )
-        end = _End(message, self.view, now)
+        end = _End(message, self.find_group_view(start.customer, start.program), now)
         self._ends[event.call] = end
         return [Send(store, message) for store in end.view.instances]
 
@@ -283,16 +370,20 @@
         for call, begin in self._begins.items():
             if now - begin.sent_at >= REPEAT_S:
                 begin.sent_at = now
-                begin.quorum.discard_partial()
-                sources = (
-                    begin.quorum.list_stores_with_chain()
-                    if begin.start.needs_chain
-                    else []
-                )
-                actions += self._ask_stores(call, begin, set(sources))
+                for search in begin.list_searches():
+                    actions += self._repeat_search(call, begin, search)
         for end in self._ends.values():
             if now - end.sent_at >= REPEAT_S:
                 end.sent_at = now
                 waiting = set(end.view.instances) - end.synced
                 actions += [Send(store, end.message) for store in sorted(waiting)]
         return actions
+
+    def _repeat_search(
+        self, call: CallId, begin: _Begin, search: _Search
+    ) -> list[Action]:
+        search.quorum.discard_partial()
+        sources: set[InstanceId] = set()
+        if search.quorum.needs_chain:
+            sources.update(search.quorum.list_stores_with_chain())
+        return self._ask_stores(call, begin, search, sources)
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -1,6 +1,7 @@
 """The client of the stores, which begins and ends callers' turns."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import logbook
 
@@ -31,6 +32,17 @@
 RETRY_AFTER_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class TurnChain:
+    """The earlier turns that a turn continues, oldest first.
+
+    `other_group` is whether they are held by stores other than the turn's own.
+    """
+
+    links: list[ChainLink]
+    other_group: bool = False
+
+
 class TurnClient:
     """Begins and ends turns at the stores on behalf of callers."""
 
@@ -51,7 +63,9 @@
 
     def install_view(self, view: StoreView) -> None:
         """Use a view of the stores if it is later than the current one."""
-        nearest = self._find_nearest(view)
+        nearest = tuple(
+            self._find_nearest(view.select_group(group)) for group in range(view.groups)
+        )
         self.host.apply(self._hosted, InstallView(view, nearest))
 
     def refresh(self) -> None:
@@ -71,9 +85,9 @@
             case StoreRefused(store=store):
                 self._logger.error("store is full", extra={"store": store})
 
-    def _check_reachable(self) -> None:
+    def _check_reachable(self, start: TurnStart) -> None:
         """Raise RequestRefused if too few stores are connected for a quorum."""
-        view = self.calls.view
+        view = self.calls.find_group_view(start.customer, start.program)
         bus = self.host.bus
         reachable = [store for store in view.instances if not bus.is_lost(store)]
         if not view.members or len(reachable) < view.write_quorum:
@@ -83,12 +97,12 @@
             detail = f"stores within reach: {names}"
             raise RequestRefused(Code.RECORDS_UNAVAILABLE, detail, RETRY_AFTER_S)
 
-    async def begin(self, start: TurnStart) -> list[ChainLink]:
+    async def begin(self, start: TurnStart) -> TurnChain:
         """Reserve a turn's tokens and return its chain.
 
         Raise RequestRefused if the stores refuse the turn or do not answer in time.
         """
-        self._check_reachable()
+        self._check_reachable(start)
         call = self._waiters.create()
         self.host.apply(self._hosted, AskBegin(call, start))
         try:
@@ -107,7 +121,8 @@
             case Verdict.TURN_UNKNOWN:
                 raise RequestRefused(Code.TURN_UNKNOWN, f"no turn {start.previous}")
             case _:
-                return decided.quorum.find_chain() or []
+                links = decided.quorum.find_chain() or []
+                return TurnChain(links, decided.other_group)
 
     async def end(self, start: TurnStart, outcome: TurnOutcome) -> bool:
         """Settle a turn, and return whether a quorum of stores has synced it."""
--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -12,7 +12,7 @@
     RecordIndex,
 )
 from burdockwall.process.storage.records import RecordKey, StoreState
-from burdockwall.process.storage.view import StoreView
+from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import Incarnation, InstanceId
 
 COPIER_MESSAGES: tuple[type[Message], ...] = (RecordIndex, AskCopied)
@@ -59,6 +59,7 @@
         self.instance = instance
         self.ledger = ledger
         self.view = StoreView()
+        self._group = 0
         self._sources: dict[InstanceId, _Source] = {}
         self._incomplete_since = 0.0
         self._started = False
@@ -81,11 +82,8 @@
     def _install(self, view: StoreView, now: float) -> list[Send | CompletenessChanged]:
         if view.number <= self.view.number:
             return []
-        self.view = view
-        for instance in view.instances:
-            if instance != self.instance:
-                self._sources.setdefault(instance, _Source())
         member = view.find(self.instance)
+        self._follow_group(view, member)
         state = self.ledger.state
         since = member.since if member is not None else 0
         if since == state.since:
@@ -96,6 +94,21 @@
         self.ledger.set_state(StoreState(complete, since), now)
         return [CompletenessChanged(complete, ())]
 
+    def _follow_group(self, view: StoreView, member: StoreMember | None) -> None:
+        """Copy from the stores of the own group, and from those that have left it."""
+        group = member.group if member is not None else self._group
+        if group != self._group:
+            self._group = group
+            self._sources = {}
+        if member is None and view.groups > 1:
+            # The group that this store will join is not known yet.
+            self.view = StoreView(view.number)
+            return
+        self.view = view.select_group(group)
+        for instance in self.view.instances:
+            if instance != self.instance:
+                self._sources.setdefault(instance, _Source())
+
     def _receive(
         self, sender: InstanceId, message: Message, now: float
     ) -> list[Send | CompletenessChanged]:
--- a/burdockwall/process/storage/emptying.py
+++ b/burdockwall/process/storage/emptying.py
@@ -27,6 +27,8 @@
     number: int = 0
     running: tuple[InstanceId, ...] = ()
     completed: tuple[InstanceId, ...] = ()
+    # The group of each store that was in the view when its emptying began.
+    groups: dict[InstanceId, int] = msgspec.field(default_factory=dict)
 
     @property
     def instances(self) -> frozenset[InstanceId]:
@@ -98,13 +100,14 @@
             settled_s = now - self._removed_at.setdefault(instance, now) - VIEW_SETTLE_S
             if settled_s <= 0:
                 continue
-            if self._is_copied(instance, view, now):
+            group = view.select_group(emptying.groups.get(instance, 0))
+            if self._is_copied(instance, group, now):
                 actions.append(_complete(emptying, instance))
                 break
             if due:
                 self._asked_at = now
                 ask = AskCopied(instance, settled_s)
-                actions += [Send(member, ask) for member in view.instances]
+                actions += [Send(member, ask) for member in group.instances]
         return actions
 
     def _is_copied(self, instance: InstanceId, view: StoreView, now: float) -> bool:
@@ -117,6 +120,9 @@
 def _complete(emptying: EmptyingStores, instance: InstanceId) -> ProposeEmptying:
     running = tuple(other for other in emptying.running if other != instance)
     updated = EmptyingStores(
-        emptying.number + 1, running, (*emptying.completed, instance)
+        emptying.number + 1,
+        running,
+        (*emptying.completed, instance),
+        emptying.groups,
     )
     return ProposeEmptying(updated, instance)
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -19,6 +19,7 @@
     ChainLink,
     Charge,
     EndTurn,
+    FindTurn,
     Presence,
     RecordIndex,
     RecordsFound,
@@ -43,6 +44,7 @@
 
 LEDGER_MESSAGES: tuple[type[Message], ...] = (
     BeginTurn,
+    FindTurn,
     EndTurn,
     AskIndex,
     AskRecords,
@@ -178,6 +180,8 @@
                 return [Send(sender, StoreFull(message.call, message.incarnation))]
             case BeginTurn():
                 self._begin(sender, message, now)
+            case FindTurn():
+                self._answer_begin(sender, message, [])
             case EndTurn():
                 self._end(sender, message, now)
             case AskIndex():
@@ -208,6 +212,14 @@
         others = [
             charge for turn, charge in account.charges.items() if turn != message.turn
         ]
+        self._answer_begin(sender, message, others)
+
+    def _answer_begin(
+        self,
+        sender: InstanceId,
+        message: BeginTurn | FindTurn,
+        charges: list[Charge],
+    ) -> None:
         chain = self._collect_chain(message.customer, message.previous)
         presence = self._get_presence(message, chain)
         sends_chain = message.sends_chain and presence is Presence.STORED
@@ -217,14 +229,14 @@
                 message.call,
                 message.incarnation,
                 self.state.complete,
-                others,
+                charges,
                 presence,
                 chain if sends_chain else None,
             ),
         )
 
     def _get_presence(
-        self, message: BeginTurn, chain: list[ChainLink] | None
+        self, message: BeginTurn | FindTurn, chain: list[ChainLink] | None
     ) -> Presence:
         if message.previous is None:
             return Presence.NOT_ASKED
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -58,8 +58,18 @@
     sends_chain: bool = False
 
 
+class FindTurn(Message, frozen=True):
+    """Looks up a turn in a group of stores that does not hold the asking program."""
+
+    call: CallId
+    incarnation: Incarnation
+    customer: CustomerId
+    previous: TurnId
+    sends_chain: bool = False
+
+
 class TurnBegun(Message, frozen=True):
-    """Confirms a synced reservation.
+    """Confirms a synced reservation, or answers a look-up, which has no charges.
 
     `complete` is whether the store has all records that were stored before.
     """
@@ -150,6 +160,7 @@
 
 AnyStorageMessage = (
     BeginTurn
+    | FindTurn
     | TurnBegun
     | EndTurn
     | TurnEnded
--- a/burdockwall/process/storage/store_planner.py
+++ b/burdockwall/process/storage/store_planner.py
@@ -72,14 +72,35 @@
         number = view.number + 1
         wanted = [instance for instance in live if instance not in event.leaving]
         if not view.members:
-            members = tuple(StoreMember(instance, number) for instance in wanted)
-            return ProposeView(StoreView(number, members), "first stores")
+            first = self._form_groups(event, wanted, number)
+            return ProposeView(first, "first stores")
         for instance in wanted:
             if view.find(instance) is None:
-                added = (*view.members, StoreMember(instance, number))
-                return ProposeView(StoreView(number, added), f"added {instance}")
+                group = _find_smallest_group(view, live)
+                member = StoreMember(instance, number, group)
+                added = StoreView(number, (*view.members, member), view.groups)
+                return ProposeView(added, f"added {instance}")
         return self._plan_removal(event, live, now)
 
+    def _form_groups(
+        self, event: ObserveStores, wanted: list[InstanceId], number: int
+    ) -> StoreView:
+        """Deal the stores out to groups, each over as many failure domains as possible.
+
+        Each group has a store more than it needs, so that one may be emptied.
+        """
+        groups = max(1, len(wanted) // (self.min_stores + 1))
+        domains = {
+            entry.details.instance: entry.details.failure_domain
+            for entry in event.members
+        }
+        ordered = sorted(wanted, key=lambda instance: (domains[instance], instance))
+        members = tuple(
+            StoreMember(instance, number, index % groups)
+            for index, instance in enumerate(ordered)
+        )
+        return StoreView(number, members, groups)
+
     def _plan_removal(
         self, event: ObserveStores, live: list[InstanceId], now: float
     ) -> ProposeView | None:
@@ -88,15 +109,45 @@
             instance = member.instance
             silent_s = now - self._last_live_at.get(instance, now)
             others = [other for other in view.members if other != member]
-            present = [other for other in others if other.instance in live]
-            reduced = StoreView(view.number + 1, tuple(others))
+            group = [other for other in others if other.group == member.group]
+            present = [other for other in group if other.instance in live]
+            reduced = StoreView(view.number + 1, tuple(others), view.groups)
             if silent_s < REMOVE_SILENCE_S and instance not in event.leaving:
                 continue
-            if len(present) == len(others) >= self.min_stores:
+            if len(present) == len(group) >= self.min_stores:
                 return ProposeView(reduced, f"removed {instance}")
         return None
 
 
+def _find_smallest_group(view: StoreView, live: list[InstanceId]) -> int:
+    """Return the group with the fewest live stores."""
+    sizes = [0] * view.groups
+    for member in view.members:
+        sizes[member.group] += member.instance in live
+    return sizes.index(min(sizes))
+
+
+def count_remaining(
+    members: Iterable[MemberEntry],
+    view: StoreView,
+    leaving: frozenset[InstanceId],
+    instance: InstanceId,
+) -> int:
+    """Count the stores that would remain in a store's group without it."""
+    member = view.find(instance)
+    others = [
+        entry.details.instance
+        for entry in members
+        if entry.details.role is Role.STORAGE
+        and entry.state is not EndpointState.FAILED
+        and entry.details.instance not in (*leaving, instance)
+    ]
+    if member is None or view.groups == 1:
+        return len(others)
+    group = view.select_group(member.group).instances
+    return sum(other in group for other in others)
+
+
 def _list_live(members: Iterable[MemberEntry]) -> list[InstanceId]:
     live = (EndpointState.LIVE, EndpointState.LEAVING)
     return sorted(
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import logbook
@@ -163,8 +163,12 @@
         prompt = self.body
         try:
             chain = await self.parts.turn_client.begin(start)
-            links = [link.prompt + link.answer for link in chain]
+            links = [link.prompt + link.answer for link in chain.links]
             self.body = b"".join([*links, prompt])
+            if chain.other_group:
+                # The turn's own stores lack the chain, so it is stored with the turn.
+                self.turn = replace(start, previous=None)
+                prompt = self.body
             # The request is admitted only after the turn has begun, so that a turn that
             # the stores refuse, for example for its budget, uses none of the rate.
             await self._admit()
--- /dev/null
+++ b/features/steps/storage_groups_steps.py
@@ -0,0 +1,116 @@
+from behave import given, then, when
+
+from burdockwall.types import ProgramId
+from features.steps.storage_steps import step_chain
+from features.subjects.storage import CUSTOMER
+from features.subjects.storage_faults import FaultSubject, GroupedStorage
+from features.subjects.storage_groups import UNSAFE_GROUPS, PlannedFleet
+
+ORDINALS = {"third": 2}
+
+
+@then("{count:d} stores hold records of turns")
+def step_holders(context, count):
+    context.storage.run(2.0)
+    holders = [
+        name
+        for name, parts in context.storage.stores.items()
+        if parts.ledger.stored_bytes
+    ]
+    assert len(holders) == count, holders
+
+
+@then('each of {count:d} other programs gets the chain "{chain}" after "{turn}"')
+def step_each_program(context, count, chain, turn):
+    for number in range(count):
+        step_chain(context, f"next-{number}", f"other-{number}", turn, chain)
+
+
+def find_group(context, program):
+    view = context.storage.view
+    return view.select_group(view.find_group(CUSTOMER, ProgramId(program)))
+
+
+@when('the stores of the group of program "{program}" are cut off')
+def step_cut_group(context, program):
+    for name in find_group(context, program).instances:
+        context.storage.network.isolate(name)
+
+
+@then(
+    'turn "{turn}" after "{previous}" of a program of the other group gets no verdict'
+)
+def step_no_verdict(context, turn, previous):
+    own = find_group(context, "p")
+    program = next(
+        name
+        for name in map(str, range(100))
+        if find_group(context, name).instances != own.instances
+    )
+    start = context.storage.describe(turn, program, previous)
+    assert context.storage.begin(start) is None
+
+
+@when('the first store of the group of program "{program}" is emptied')
+def step_empty(context, program):
+    context.emptied = find_group(context, program).instances[0]
+    context.storage.empty(context.emptied)
+
+
+@given(
+    "{stores:d} stores in {domains:d} failure domains of a fleet that tolerates "
+    "{losses:d} losses"
+)
+def step_fleet(context, stores, domains, losses):
+    context.fleet = PlannedFleet(stores, domains, losses)
+
+
+@then(
+    "the first view has {groups:d} groups of {stores:d} stores, each in {domains:d} "
+    "failure domains"
+)
+@then(
+    "the first view has {groups:d} group of {stores:d} stores, each in {domains:d} "
+    "failure domains"
+)
+def step_first_view(context, groups, stores, domains):
+    fleet = context.fleet
+    assert fleet.view.number == 1 and fleet.view.groups == groups, fleet.view
+    for group in range(groups):
+        assert len(fleet.view.select_group(group).members) == stores
+        assert fleet.count_domains(group) == domains
+
+
+@then("the last store of a group may be emptied only if {least:d} of it remain")
+def step_remaining(context, least):
+    first = context.fleet.view.select_group(0).instances[0]
+    assert context.fleet.count_remaining(first) == least
+
+
+@when("a store of the {ordinal} group is gone and a new store comes")
+def step_replace(context, ordinal):
+    context.added = context.fleet.replace_store(ORDINALS[ordinal])
+
+
+@then("the new store is in the {ordinal} group")
+def step_new_store(context, ordinal):
+    member = context.fleet.view.find(context.added)
+    assert member is not None and member.group == ORDINALS[ordinal], member
+
+
+@then("the view changes one store at a time")
+def step_one_at_a_time(context):
+    views = context.fleet.views
+    for earlier, later in zip(views, views[1:], strict=False):
+        assert len(set(earlier.members) ^ set(later.members)) == 1
+
+
+@when("stores in groups run through drawn faults for {count:d} seeds from {first:d}")
+def step_faults(context, count, first):
+    context.subject = FaultSubject(GroupedStorage)
+    context.subject.run_seeds(first, count)
+
+
+@given("stores in groups without {protection}")
+def step_without(context, protection):
+    context.network_class = UNSAFE_GROUPS[protection]
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -14,6 +14,12 @@
 COUNTS = {"three": 3, "four": 4}
 
 
+@given("a ledger on {count:d} stores in {groups:d} groups")
+def step_groups(context, count, groups):
+    context.storage = StorageNetwork(stores=count, groups=groups)
+    context.storage.run(0.5)
+
+
 @given("a ledger on {count} stores")
 def step_stores(context, count):
     context.storage = StorageNetwork(stores=COUNTS[count])
--- /dev/null
+++ b/features/storage_groups.feature
@@ -0,0 +1,69 @@
+Feature: Stores of a large fleet form groups
+  Each program belongs to one group by the hash of its id, so that a store's work does
+  not grow with the number of stores.
+
+  Scenario: A program's records are in one group only
+    Given a ledger on 6 stores in 2 groups
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And turn "b" continues "a" of program "p", asks "3" and answers "4"
+    Then turn "c" after "b" of program "p" gets the chain "12 34"
+    And 3 stores hold records of turns
+
+  Scenario: A turn may continue one of another program, whose group is found
+    Given a ledger on 12 stores in 4 groups
+    When turn "a" starts program "p", asks "1" and answers "2"
+    Then each of 20 other programs gets the chain "12" after "a"
+
+  Scenario: A turn that no group holds is unknown, and no budget is taken elsewhere
+    Given a ledger on 12 stores in 4 groups
+    When turn "a" starts program "p", asks "1" and answers "2"
+    Then turn "b" after "x" of program "p" is refused as unknown
+    And 3 stores hold records of turns
+
+  Scenario: While another group may hold a turn, it is not called unknown
+    Given a ledger on 6 stores in 2 groups
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And the stores of the group of program "p" are cut off
+    Then turn "b" after "a" of a program of the other group gets no verdict
+
+  Scenario: A store is empty when its own group has copied it
+    Given a ledger on 8 stores in 2 groups
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And the first store of the group of program "p" is emptied
+    Then the store is empty within 5 s
+
+  Scenario: The first view deals the stores out over failure domains
+    Given 24 stores in 5 failure domains of a fleet that tolerates 2 losses
+    Then the first view has 4 groups of 6 stores, each in 5 failure domains
+    And the last store of a group may be emptied only if 5 of it remain
+
+  Scenario Outline: A small fleet has one group
+    Given <stores> stores in 3 failure domains of a fleet that tolerates <losses> losses
+    Then the first view has 1 group of <stores> stores, each in 3 failure domains
+
+    Examples:
+      | stores | losses |
+      | 3      | 1      |
+      | 4      | 1      |
+      | 10     | 2      |
+
+  Scenario: A new store joins the group with the fewest live stores
+    Given 24 stores in 5 failure domains of a fleet that tolerates 2 losses
+    When a store of the third group is gone and a new store comes
+    Then the new store is in the third group
+    And the view changes one store at a time
+
+  Scenario: Turns in groups survive drawn faults
+    When stores in groups run through drawn faults for 400 seeds from 1
+    Then no turn was lost, no chain was wrong and no budget was exceeded
+
+  Scenario Outline: In groups, without <protection> some run breaks
+    Given stores in groups without <protection>
+    When stores run through drawn faults for 300 seeds from 1, until one breaks
+    Then some turn was lost or some budget was exceeded
+
+    Examples:
+      | protection                   |
+      | the search in other groups   |
+      | the sync before the answer   |
+      | the copies between stores    |
--- a/features/subjects/storage.py
+++ b/features/subjects/storage.py
@@ -91,6 +91,7 @@
         seed: int = 1,
         stores: int = 3,
         conditions: NetworkConditions | None = None,
+        groups: int = 1,
     ) -> None:
         self.random = random.Random(f"storage-{seed}")
         self.network = FakeNetwork(seed, conditions, self._perform)
@@ -98,7 +99,11 @@
         self.stores: dict[InstanceId, StoreParts] = {}
         self.callers: dict[InstanceId, TurnCalls] = {}
         names = [name_store(number) for number in range(1, stores + 1)]
-        self.view = StoreView(1, tuple(StoreMember(name, 1) for name in names))
+        members = tuple(
+            StoreMember(name, 1, index % groups) for index, name in enumerate(names)
+        )
+        self.view = StoreView(1, members, groups)
+        self.former_group = 0
         self._calls = 0
         self._incarnations = 0
         for name in names:
@@ -137,7 +142,8 @@
         self._install(name)
 
     def _install(self, name: InstanceId) -> None:
-        nearest = self.view.instances[0] if self.view.instances else None
+        groups = map(self.view.select_group, range(self.view.groups))
+        nearest = tuple(next(iter(group.instances), None) for group in groups)
         event = InstallView(self.view, nearest)
         self.network.apply(name, self.callers[name], event)
 
@@ -272,11 +278,14 @@
         others = tuple(
             member for member in self.view.members if member.instance != name
         )
-        self.install_view(StoreView(self.view.number + 1, others))
+        member = self.view.find(name)
+        self.former_group = member.group if member is not None else 0
+        number = self.view.number + 1
+        self.install_view(StoreView(number, others, self.view.groups))
 
     def run_until_empty(self, name: InstanceId, limit_s: float) -> bool:
         until = self.network.now + limit_s
-        emptying = EmptyingStores(1, (name,))
+        emptying = EmptyingStores(1, (name,), groups={name: self.former_group})
         while not self.decisions.emptied and self.network.now < until:
             observed = ObserveEmptying(emptying, self.view)
             self.network.apply(LEADER, self.planner, observed)
--- a/features/subjects/storage_faults.py
+++ b/features/subjects/storage_faults.py
@@ -232,6 +232,13 @@
         return run.violations
 
 
+class GroupedStorage(StorageNetwork):
+    """Stores in two groups, of which each holds about half of the programs."""
+
+    def __init__(self, seed: int = 1, stores: int = 6, conditions=None) -> None:
+        super().__init__(seed, stores, conditions, groups=2)
+
+
 class SoleQuorumView(StoreView):
     """A view in which one store is a quorum."""
 
@@ -274,8 +281,8 @@
     def _begin(self, call, start, now):
         actions = super()._begin(call, start, now)
         begin = self._begins[call]
-        quorum = begin.quorum
-        begin.quorum = UnreservedQuorum(
+        quorum = begin.own.quorum
+        begin.own.quorum = UnreservedQuorum(
             quorum.view,
             quorum.tokens,
             quorum.budget,
--- /dev/null
+++ b/features/subjects/storage_groups.py
@@ -0,0 +1,130 @@
+"""Views of stores in groups, as the leader plans them."""
+
+from burdockwall.process.membership.messages import InstanceDetails, MemberEntry
+from burdockwall.process.storage.calls import TurnCalls
+from burdockwall.process.storage.store_planner import (
+    REMOVE_SILENCE_S,
+    ObserveStores,
+    StorePlanner,
+    count_remaining,
+)
+from burdockwall.process.storage.view import StoreView
+from burdockwall.types import (
+    Address,
+    EndpointState,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    MemberNumber,
+    Role,
+)
+from features.subjects.storage_faults import EarlyAnswers, GroupedStorage, IdleStores
+
+PLAN_STEP_S = 0.5
+
+
+def create_entry(number: int, domain: int, state: EndpointState) -> MemberEntry:
+    """Create the member entry of a store."""
+    name = InstanceId(f"store-{number:02}")
+    details = InstanceDetails(
+        instance=name,
+        incarnation=Incarnation(1),
+        role=Role.STORAGE,
+        region="r",
+        failure_domain=FailureDomain(f"d{domain}"),
+        peer_address=Address(name),
+        caller_address=Address(""),
+        name=name,
+    )
+    return MemberEntry(MemberNumber(number), details, state)
+
+
+class PlannedFleet:
+    """A leader's planner of views, and the views that it has put in force."""
+
+    def __init__(self, stores: int, domains: int, losses: int) -> None:
+        self.planner = StorePlanner(losses)
+        self.domains = domains
+        self.entries = [
+            create_entry(number, number % domains, EndpointState.LIVE)
+            for number in range(stores)
+        ]
+        self.views: list[StoreView] = []
+        self.now = 0.0
+        self.run(5.0)
+
+    @property
+    def view(self) -> StoreView:
+        """Return the view in force."""
+        return self.views[-1] if self.views else StoreView()
+
+    def run(self, seconds: float) -> None:
+        """Let the leader observe the stores for a while."""
+        until = self.now + seconds
+        while self.now < until:
+            observed = ObserveStores(tuple(self.entries), self.view)
+            for proposed in self.planner.handle(observed, self.now):
+                self.views.append(proposed.view)
+            self.now += PLAN_STEP_S
+
+    def replace_store(self, group: int) -> InstanceId:
+        """Let a store of a group fail for good, and add a new one; return its name."""
+        failed = self.view.select_group(group).instances[0]
+        self.entries = [
+            entry for entry in self.entries if entry.details.instance != failed
+        ]
+        added = create_entry(99, 0, EndpointState.LIVE)
+        self.entries.append(added)
+        self.run(REMOVE_SILENCE_S + 5.0)
+        assert self.view.find(failed) is None
+        return added.details.instance
+
+    def count_remaining(self, instance: InstanceId) -> int:
+        """Count the stores that remain in the group of a store without it."""
+        return count_remaining(self.entries, self.view, frozenset(), instance)
+
+    def count_domains(self, group: int) -> int:
+        """Count the failure domains of a group."""
+        instances = self.view.select_group(group).instances
+        return len(
+            {
+                entry.details.failure_domain
+                for entry in self.entries
+                if entry.details.instance in instances
+            }
+        )
+
+
+class NarrowCalls(TurnCalls):
+    """Takes the program's own group for the whole ledger."""
+
+    def _search_other_groups(self, call, begin):
+        return []
+
+    def _decide(self, call, begin):
+        groups, self.view = self.view, self.view.select_group(0)
+        try:
+            return super()._decide(call, begin)
+        finally:
+            self.view = groups
+
+
+class NarrowCallers(GroupedStorage):
+    """Callers that never search in other groups."""
+
+    calls_class = NarrowCalls
+
+
+class EarlyGroups(GroupedStorage, EarlyAnswers):
+    """Stores in groups that answer before the sync."""
+
+
+class IdleGroups(GroupedStorage, IdleStores):
+    """Stores in groups that copy nothing from each other."""
+
+
+UNSAFE_GROUPS = {
+    "the search in other groups": NarrowCallers,
+    "the sync before the answer": EarlyGroups,
+    "the copies between stores": IdleGroups,
+}
