Mend and remove what the wording work left behind

Cause: noticed while names were put right: idempotency keys had a limit that was never applied; a link waited twice its first delay before it connected again; a pool's error named a limit lower than the one applied; orders and reports had parts without a user. Change: keys over 512 characters are refused (400); the first delay is waited once; the applied limit is named; StopTerm, DropOrders, EndpointLoad, SAMPLE_ATTEMPTS and FakeServer.extra_answer are gone.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -87,12 +87,12 @@
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
                 self.replacements += 1
                 self._record_failure(error)
-            delay_s = min(RECONNECT_LIMIT_S, 2 * delay_s)
             self._connect_timeout_s = min(self.silence_s, 2 * self._connect_timeout_s)
             if self._acknowledged:
                 delay_s = RECONNECT_FIRST_S
                 self._connect_timeout_s = min(self.silence_s, CONNECT_TIMEOUT_FIRST_S)
             await anyio.sleep(delay_s)
+            delay_s = min(RECONNECT_LIMIT_S, 2 * delay_s)
 
     def _record_failure(self, error: Exception) -> None:
         if self._reachable is not False:
--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -43,7 +43,8 @@
     async def acquire(self, address: Address, limit: int) -> UpstreamConnection:
         """Return an idle connection or open one.
 
-        Raise ConnectFailed if this fails, or if `limit` connections are open already.
+        Raise ConnectFailed if this fails, or if `limit` connections are open already;
+        MIN_CONNECTIONS may be open whatever the limit.
         """
         pool = self._pools.setdefault(address, _Pool())
         while pool.idle:
@@ -52,8 +53,9 @@
                 return idle.connection
             pool.open_count -= 1
             await idle.connection.close()
-        if pool.open_count >= max(limit, MIN_CONNECTIONS):
-            raise ConnectFailed(f"{address}: all {limit} connections are in use")
+        allowed = max(limit, MIN_CONNECTIONS)
+        if pool.open_count >= allowed:
+            raise ConnectFailed(f"{address}: all {allowed} connections are in use")
         pool.open_count += 1
         try:
             connection = await open_upstream(address, CONNECT_TIMEOUT_S)
--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -43,7 +43,6 @@
     refusals_left: int = 0
     cut_after_events: int | None = None
     delay_s: float = 0.0
-    extra_answer: bool = False
     silent: bool = False
     leaving_values: tuple[str, ...] = ()
     started_ms: int | None = None
--- a/burdockwall/process/orders/sender.py
+++ b/burdockwall/process/orders/sender.py
@@ -27,11 +27,6 @@
     has_previous_leader: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class StopTerm:
-    """This instance does not lead any more."""
-
-
 @dataclass(frozen=True, slots=True)
 class QueueOrder:
     """Queue an order; `checks_orders` is set if its endpoint refuses stale numbers."""
@@ -49,13 +44,6 @@
     result: OrderResult
 
 
-@dataclass(frozen=True, slots=True)
-class DropOrders:
-    """Drop all orders to an endpoint that was removed."""
-
-    endpoint: EndpointId
-
-
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Send an order once, within ORDER_TIMEOUT_S."""
@@ -71,7 +59,7 @@
     result: OrderResult
 
 
-Event = Tick | StartTerm | StopTerm | QueueOrder | AttemptEnded | DropOrders
+Event = Tick | StartTerm | QueueOrder | AttemptEnded
 Action = SendOrder | OrderFinished
 
 
@@ -106,15 +94,10 @@
                 self._previous_leader_ends_at = (
                     now + PREVIOUS_LEADER_WAIT_S if has_previous_leader else now
                 )
-            case StopTerm():
-                self.term = None
-                self._queues = {}
             case QueueOrder(order=order, checks_orders=checks_orders):
                 self._add(order, checks_orders)
             case AttemptEnded():
                 return self._handle_result(event, now)
-            case DropOrders(endpoint=endpoint):
-                self._queues.pop(endpoint, None)
             case Tick():
                 pass
         return self._send_due(now)
--- a/burdockwall/process/scheduling/reports.py
+++ b/burdockwall/process/scheduling/reports.py
@@ -5,8 +5,6 @@
 
 import msgspec
 
-from burdockwall.types import EndpointId
-
 CacheKey = NewType("CacheKey", str)
 
 
@@ -41,10 +39,3 @@
     """Cache events in the order of their sequence numbers."""
 
     events: list[CacheEvent]
-
-
-class EndpointLoad(msgspec.Struct, frozen=True):
-    """A load report and the endpoint that sent it."""
-
-    endpoint: EndpointId
-    report: LoadReport
--- a/burdockwall/process/scheduling/router.py
+++ b/burdockwall/process/scheduling/router.py
@@ -21,7 +21,6 @@
 # key on the ring, and random ones of the own failure domain and of the whole pool.
 HOMES = 2
 RANDOM_CANDIDATES = 2
-SAMPLE_ATTEMPTS = 8
 SERVICE_TIME_GAIN = 0.1
 INITIAL_SERVICE_S = 0.02
 
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -9,7 +9,7 @@
 import httpx
 
 from burdockwall.connection.exchange import Exchange
-from burdockwall.errors import RequestRefused
+from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.programs import calls
 from burdockwall.process.programs.client import find_shard
 from burdockwall.process.programs.operations import Outcome, OutcomeKey, ServiceRequest
@@ -53,6 +53,9 @@
 
     At most one of the requests with the key runs; the others get its recorded outcome.
     """
+    if len(key) > KEY_LIMIT_CHARACTERS:
+        detail = f"the key has {len(key)} characters, over {KEY_LIMIT_CHARACTERS}"
+        raise RequestRefused(Code.BAD_REQUEST, detail)
     body = await exchange.read_body(parts.settings.max_body_bytes)
     check_key_in_body(body, caller_key)
     query = strip_query(exchange, caller_key)
--- a/features/programs_http.feature
+++ b/features/programs_http.feature
@@ -34,6 +34,7 @@
     When a caller files twice with the idempotency key "k1"
     Then both filings have one outcome and the service ran once
     And the idempotency key "k1" with another body is refused with code 1221
+    And an idempotency key of 513 characters is refused as malformed
 
   Scenario: A superseded turn is cancelled until the engine confirms it
     Given a site for programs with an engine that loses 2 cancellations
--- a/features/steps/programs_http_steps.py
+++ b/features/steps/programs_http_steps.py
@@ -206,6 +206,18 @@
     subject.run()
 
 
+@then("an idempotency key of {length:d} characters is refused as malformed")
+def step_check_long_key(context, length):
+    subject = context.subject
+
+    async def act():
+        response = await subject.file("k" * length)
+        assert response.status_code == 400, response.text
+
+    subject.add(act)
+    subject.run()
+
+
 @when('a turn of program "{program}" is superseded while it runs')
 def step_supersede(context, program):
     subject = context.subject
