Let a store with a new disk trust no index that its former start asked for

Cause: an index of another store's log was matched with no question. One that was on its way while the disk was lost set the position behind records that the new disk lacks; the store then called itself complete with nothing, and answered turns as absent. Change: questions carry the asker's incarnation, indexes repeat it. An index of an earlier build has none and is taken as before, so that builds can be mixed.

--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -22,6 +22,8 @@
 # An index received this long after a store became incomplete lists all records that
 # were stored before.
 SETTLE_S = 1.2
+# The asker in an index of a store of an earlier build, which does not repeat it.
+NO_ASKER = Incarnation(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,7 @@
         self, sender: InstanceId, index: RecordIndex, now: float
     ) -> list[Send]:
         source = self._sources.get(sender)
-        if source is None:
+        if source is None or not self._is_own_index(index):
             return []
         source.unanswered = False
         source.incarnation = index.incarnation
@@ -143,6 +145,14 @@
             return self._request(sender, source, now)
         return []
 
+    def _is_own_index(self, index: RecordIndex) -> bool:
+        """Return whether an index answers this incarnation of the store.
+
+        An index that was asked for before the disk was lost says nothing of the records
+        before its first position, which the store then had.
+        """
+        return index.asker in (NO_ASKER, self.ledger.incarnation)
+
     def _request_due(self, now: float) -> list[Send]:
         sends: list[Send] = []
         for instance, source in self._sources.items():
@@ -160,7 +170,8 @@
             sends.append(
                 Send(instance, AskRecords(source.missing[:REQUEST_KEYS_LIMIT]))
             )
-        sends.append(Send(instance, AskIndex(source.incarnation, source.position)))
+        ask = AskIndex(source.incarnation, source.position, self.ledger.incarnation)
+        sends.append(Send(instance, ask))
         return sends
 
     def _check_complete(self, now: float) -> list[CompletenessChanged]:
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -356,7 +356,12 @@
                 keys.append(entry.record.key)
             index += 1
         return RecordIndex(
-            self.incarnation, self.state.complete, self._log_start + index, ended, keys
+            self.incarnation,
+            self.state.complete,
+            self._log_start + index,
+            ended,
+            keys,
+            message.asker,
         )
 
     def _find_records(self, keys: list[RecordKey]) -> list[LedgerRecord]:
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -113,20 +113,28 @@
 
 
 class AskIndex(Message, frozen=True):
-    """Asks a store which records its log has from a position on."""
+    """Asks a store which records its log has from a position on.
+
+    `asker` is the incarnation of the asking store, or 0 from an earlier build.
+    """
 
     incarnation: Incarnation
     position: int
+    asker: Incarnation = Incarnation(0)
 
 
 class RecordIndex(Message, frozen=True):
-    """Lists the records up to `position`; `ended` is whether these are all so far."""
+    """Lists the records up to `position`; `ended` is whether these are all so far.
+
+    `asker` is that of the question, or 0 from an earlier build.
+    """
 
     incarnation: Incarnation
     complete: bool
     position: int
     ended: bool
     keys: list[RecordKey]
+    asker: Incarnation = Incarnation(0)
 
 
 class AskRecords(Message, frozen=True):
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -1,9 +1,14 @@
+import msgspec
 from behave import given, then, when
 
+from burdockwall.machine import Receive
 from burdockwall.process.storage.calls import TurnOutcome
+from burdockwall.process.storage.messages import AskIndex
 from burdockwall.process.storage.quorum import Verdict
-from burdockwall.types import CustomerId
+from burdockwall.process.storage.records import RecordKey, RecordKind
+from burdockwall.types import CustomerId, Incarnation, TurnId
 from features.subjects.storage import (
+    CUSTOMER,
     StorageNetwork,
     is_admitted,
     name_store,
@@ -163,6 +168,28 @@
     context.storage.wipe(name_store(number))
 
 
+@when(
+    "late indexes of stores {first:d} and {second:d} for its former incarnation arrive"
+)
+def step_late_indexes(context, first, second):
+    storage = context.storage
+    asker = name_store(1)
+    copier = storage.stores[asker].copier
+    former = Incarnation(copier.ledger.incarnation - 1)
+    for number in (first, second):
+        ledger = storage.stores[name_store(number)].ledger
+        ask = Receive(asker, AskIndex(ledger.incarnation, 0))
+        answers = ledger.handle(ask, storage.network.now + 1.0)
+        index = msgspec.structs.replace(answers[-1].message, keys=[], asker=former)
+        storage.network.apply(asker, copier, Receive(name_store(number), index))
+
+
+@then('store {number:d} holds turn "{turn}"')
+def step_holds(context, number, turn):
+    key = RecordKey(RecordKind.SETTLED, CUSTOMER, TurnId(turn))
+    assert context.storage.stores[name_store(number)].ledger.holds(key)
+
+
 @when("each store loses its disk, {gap_s:f} s apart")
 def step_wipe_all(context, gap_s):
     for name in list(context.storage.stores):
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -43,6 +43,14 @@
     Then store 1 is complete within 4.4 s
     And turn "c" after "a" of program "p" gets the chain "12"
 
+  Scenario: An index that was asked for before the disk was lost is not trusted
+    Given a ledger on three stores
+    When turn "a" starts program "p", asks "1" and answers "2"
+    And store 1 loses its disk and starts again
+    And late indexes of stores 2 and 3 for its former incarnation arrive
+    Then store 1 is complete within 4.4 s
+    And store 1 holds turn "a"
+
   Scenario: Stores lose their disks one after another
     Given a ledger on three stores
     When turn "a" starts program "p", asks "1" and answers "2"
