Form the first view of the stores once no more stores come

Cause: the number of groups follows from the stores of the first view and never changes; that view was formed two seconds after the first store came, so that a slow start of the others would have left a large fleet with one group. Change: the view waits until no store has come for a second, six seconds at most. The choice of writers is a module of its own. Measured: storage_groups.feature, new scenario: 24 stores 0.2 s apart make four groups.

--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -5,7 +5,6 @@
 is asked.
 """
 
-import zlib
 from dataclasses import dataclass, field
 
 from burdockwall.machine import Message, Receive, Send, Tick
@@ -20,6 +19,7 @@
 )
 from burdockwall.process.storage.quorum import BeginQuorum, Verdict
 from burdockwall.process.storage.view import StoreView
+from burdockwall.process.storage.writers import choose_writers
 from burdockwall.types import (
     CallId,
     CustomerId,
@@ -35,9 +35,6 @@
 # carries the texts of its turn: it is repeated after twice the time each time, so that
 # repetitions never fill a link that is too slow for them.
 REPEAT_S = 0.2
-# Stores beyond a quorum that are sent the end of a turn at first. The others copy it
-# from these, over links that are wider than an entry instance's.
-SPARE_WRITES = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,8 +145,9 @@
 
     def list_first_sources(self) -> set[InstanceId]:
         """Return the store to ask for the chain first, if it is needed."""
-        wanted = self.quorum.needs_chain and self.nearest is not None
-        return {self.nearest} if wanted and self.nearest else set()
+        if self.nearest is None or not self.quorum.needs_chain:
+            return set()
+        return {self.nearest}
 
 
 @dataclass(slots=True)
@@ -397,20 +395,3 @@
         if search.quorum.needs_chain:
             sources.update(search.quorum.list_stores_with_chain())
         return self._ask_stores(call, begin, search, sources)
-
-
-def choose_writers(
-    view: StoreView, turn: TurnId, nearest: InstanceId | None
-) -> list[InstanceId]:
-    """Choose the stores that are sent the end of a turn first.
-
-    Made for long prompts on instances with narrow links. Turns are spread over the
-    stores by the hash of their id; the nearest store is always among the writers, since
-    the next turn is likely to ask it for the chain.
-    """
-    count = view.write_quorum + SPARE_WRITES
-    ordered = sorted(
-        view.instances,
-        key=lambda store: (store != nearest, zlib.crc32(f"{turn}|{store}".encode())),
-    )
-    return ordered[:count]
--- a/burdockwall/process/storage/store_planner.py
+++ b/burdockwall/process/storage/store_planner.py
@@ -7,8 +7,11 @@
 from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import EndpointState, InstanceId, Role
 
-# At the first start all stores register within this time, and form the first view.
+# The first view is formed this long after the first store at the earliest, and once no
+# store has come for a while: the number of groups depends on it and never changes.
 FIRST_VIEW_S = 2.0
+FIRST_VIEW_SETTLE_S = 1.0
+FIRST_VIEW_LIMIT_S = 6.0
 REMOVE_SILENCE_S = 5.0
 CHANGE_INTERVAL_S = 1.0
 
@@ -40,6 +43,7 @@
         self.min_stores = 2 * tolerated_losses + 1
         self._observed_since: float | None = None
         self._last_live_at: dict[InstanceId, float] = {}
+        self._latest_store_at = float("-inf")
         self._changed_at = float("-inf")
 
     def reset(self) -> None:
@@ -51,6 +55,8 @@
         """Handle an observation and return the next view, if it should change."""
         live = _list_live(event.members)
         for instance in live:
+            if instance not in self._last_live_at:
+                self._latest_store_at = now
             self._last_live_at[instance] = now
         if live and self._observed_since is None:
             self._observed_since = now
@@ -59,12 +65,19 @@
             return []
         if now - self._changed_at < CHANGE_INTERVAL_S:
             return []
+        if not event.view.members and self._are_stores_coming(now):
+            return []
         proposed = self._plan(event, live, now)
         if proposed is None:
             return []
         self._changed_at = now
         return [proposed]
 
+    def _are_stores_coming(self, now: float) -> bool:
+        settled = now - self._latest_store_at >= FIRST_VIEW_SETTLE_S
+        first_at = now if self._observed_since is None else self._observed_since
+        return not settled and now - first_at < FIRST_VIEW_LIMIT_S
+
     def _plan(
         self, event: ObserveStores, live: list[InstanceId], now: float
     ) -> ProposeView | None:
--- a/features/steps/storage_groups_steps.py
+++ b/features/steps/storage_groups_steps.py
@@ -1,7 +1,8 @@
 from behave import given, then, when
 
-from burdockwall.process.storage.calls import TurnOutcome, choose_writers
+from burdockwall.process.storage.calls import TurnOutcome
 from burdockwall.process.storage.records import RecordKey, RecordKind
+from burdockwall.process.storage.writers import choose_writers
 from burdockwall.types import ProgramId, TurnId
 from features.steps.storage_steps import step_chain
 from features.subjects.storage import CUSTOMER, FRONT, is_admitted
@@ -72,6 +73,13 @@
     context.fleet = PlannedFleet(stores, domains, losses)
 
 
+@given(
+    "{stores:d} stores that come {gap_s:f} s apart to a fleet that tolerates 2 losses"
+)
+def step_coming(context, stores, gap_s):
+    context.fleet = PlannedFleet(stores, 5, 2, gap_s)
+
+
 @then(
     "the first view has {groups:d} groups of {stores:d} stores, each in {domains:d} "
     "failure domains"
--- a/features/storage_groups.feature
+++ b/features/storage_groups.feature
@@ -37,6 +37,10 @@
     Then the first view has 4 groups of 6 stores, each in 5 failure domains
     And the last store of a group may be emptied only if 5 of it remain
 
+  Scenario: The first view waits for stores that still come
+    Given 24 stores that come 0.2 s apart to a fleet that tolerates 2 losses
+    Then the first view has 4 groups of 6 stores, each in 5 failure domains
+
   Scenario Outline: A small fleet has one group
     Given <stores> stores in 3 failure domains of a fleet that tolerates <losses> losses
     Then the first view has 1 group of <stores> stores, each in 3 failure domains
--- a/features/subjects/storage_groups.py
+++ b/features/subjects/storage_groups.py
@@ -25,7 +25,7 @@
 from features.subjects.storage import StorageNetwork
 from features.subjects.storage_faults import EarlyAnswers, GroupedStorage, IdleStores
 
-PLAN_STEP_S = 0.5
+PLAN_STEP_S = 0.1
 
 
 def create_entry(number: int, domain: int, state: EndpointState) -> MemberEntry:
@@ -47,16 +47,19 @@
 class PlannedFleet:
     """A leader's planner of views, and the views that it has put in force."""
 
-    def __init__(self, stores: int, domains: int, losses: int) -> None:
+    def __init__(
+        self, stores: int, domains: int, losses: int, gap_s: float = 0.0
+    ) -> None:
         self.planner = StorePlanner(losses)
         self.domains = domains
-        self.entries = [
-            create_entry(number, number % domains, EndpointState.LIVE)
-            for number in range(stores)
-        ]
+        self.entries: list[MemberEntry] = []
         self.views: list[StoreView] = []
         self.now = 0.0
-        self.run(5.0)
+        for number in range(stores):
+            entry = create_entry(number, number % domains, EndpointState.LIVE)
+            self.entries.append(entry)
+            self.run(gap_s)
+        self.run(8.0)
 
     @property
     def view(self) -> StoreView:
