--- a/features/storage_groups.feature
+++ b/features/storage_groups.feature
@@ -57,21 +57,6 @@
     Then the new store is in the third group
     And the view changes one store at a time
 
-  Scenario: Turns in groups survive drawn faults
-    When stores in groups run through drawn faults for 400 seeds from 1
-    Then no turn was lost, no chain was wrong and no budget was exceeded
-
-  Scenario Outline: In groups, without <protection> some run breaks
-    Given stores in groups without <protection>
-    When stores run through drawn faults for 300 seeds from 1, until one breaks
-    Then some turn was lost or some budget was exceeded
-
-    Examples:
-      | protection                   |
-      | the search in other groups   |
-      | the sync before the answer   |
-      | the copies between stores    |
-
   Scenario Outline: The end of a turn goes to a quorum and one store more at first
     Given a ledger on <stores> stores in 1 groups
     When turn "a" starts program "p" and its end of 17000 bytes is sent
@@ -95,7 +80,3 @@
     Given a ledger on 9 stores in 1 groups
     When 2 stores that are sent the end of turn "a" first are cut off
     Then turn "a" of program "p" is stored within 0.5 s
-
-  Scenario: Turns survive drawn faults where not every store is sent their end
-    When five stores run through drawn faults for 250 seeds from 1
-    Then no turn was lost, no chain was wrong and no budget was exceeded
