--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -9,6 +9,7 @@
 from burdockwall.connection.exchange import Exchange
 from burdockwall.fakes.engine_reports import EngineReports
 from burdockwall.request.completion import CompletionRequest, parse_completion
+from burdockwall.request.events import LAST_EVENT_ID
 
 WORDS = ("hood", "duct", "filter", "flue", "grease", "access", "panel", "fan")
 ENGINE_BODY_BYTES = 67_108_864
@@ -80,7 +81,7 @@
         completion = parse_completion(body)
         request = exchange.get_header(b"request-id") or ""
         self.request_counts[request] += 1
-        offset = int(exchange.get_header(b"last-event-id") or 0)
+        offset = int(exchange.get_header(LAST_EVENT_ID) or 0)
         if self.ignores_offset:
             offset = 0
         await exchange.start(200, EVENT_HEADERS)
--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -37,6 +37,7 @@
     name: str
     service: str
     zone: str = "a"
+    software: str = "v1"
     address: Address = field(default_factory=find_address)
     event_count: int = 3
     state: str = "ready"
@@ -125,6 +126,7 @@
                 "service": server.service,
                 "address": server.address,
                 "zone": server.zone,
+                "version": server.software,
                 "slots": 8,
                 "state": server.state,
                 "born": server.started_ms,
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -11,8 +11,10 @@
     AttemptDetails,
     ForwardedRequest,
     Refusal,
+    Resumption,
     TurnDetails,
 )
+from burdockwall.request.events import LAST_EVENT_ID
 from burdockwall.types import ProgramId, RequestId, TurnId
 
 MS_PER_S = 1000.0
@@ -20,6 +22,8 @@
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 NOT_LEAVING = (b"", b"0")
+# The id of the last event before the caller has received one.
+NO_EVENT_IDS = ("", "0")
 # Codes for which the platform expects a status other than that in the code table.
 STATUS_OVERRIDES = {
     Code.BUDGET_SPENT: 402,
@@ -56,6 +60,7 @@
             program=ProgramId(program) if program else None,
             finish_s=_get_seconds(headers, names.FINISH_MS),
             turn=_read_turn(headers, program),
+            resumption=_read_resumption(headers),
         )
 
     def build_headers(
@@ -145,6 +150,14 @@
     )
 
 
+def _read_resumption(headers: dict[bytes, bytes]) -> Resumption | None:
+    last_event = _get_text(headers, LAST_EVENT_ID)
+    if last_event in NO_EVENT_IDS:
+        return None
+    begun_by = _get_text(headers, names.RESUMES)
+    return Resumption(RequestId(begun_by) if begun_by else None, last_event)
+
+
 def _list_connection_headers(headers: dict[bytes, bytes]) -> frozenset[bytes]:
     """List the headers that the Connection header declares to be hop-by-hop."""
     value = headers.get(names.CONNECTION, b"")
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -16,6 +16,8 @@
 # Two numbers: the prompt's tokens, and the most tokens that the answer may have.
 TOKEN_USAGE = b"x-token-usage"
 PREVIOUS_TURN = b"x-previous-turn"
+# The id of the request whose answer began the stream that a request takes up.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -7,7 +7,13 @@
 from burdockwall.platform.names import LIST_PATH
 from burdockwall.process.control_node import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
-from burdockwall.types import Address, EndpointId, FailureDomain, ServiceName
+from burdockwall.types import (
+    Address,
+    EndpointId,
+    FailureDomain,
+    ServiceName,
+    SoftwareVersion,
+)
 
 READ_TIMEOUT_S = 1.5
 MAX_PAGES = 100
@@ -23,6 +29,7 @@
     address: str
     zone: str
     state: str
+    version: str = ""
     slots: int = 1
     born: int | None = None
 
@@ -80,4 +87,5 @@
         max(1, entry.slots),
         entry.state == DRAINING,
         entry.born,
+        SoftwareVersion(entry.version),
     )
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -10,6 +10,7 @@
     Incarnation,
     InstanceId,
     ServiceName,
+    SoftwareVersion,
     Term,
 )
 
@@ -28,6 +29,8 @@
     # Unix time of the start in milliseconds, or None if the list does not give it. A
     # process may start again under the name that it had.
     started_ms: int | None = None
+    # Empty if the list gives no versions.
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 class EndpointList(Message, frozen=True):
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -202,6 +202,9 @@
         request = self.codec.read_request(exchange)
         trace.request = request.request
         trace.program = request.program or ""
+        if request.resumption is not None:
+            trace.resumed_from = request.resumption.begun_by or ""
+            trace.last_event = request.resumption.last_event
         view = self.view
         if view is None:
             expected_s = self._started_at + EXPECTED_STARTUP_S - self.clock()
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -24,6 +24,18 @@
     previous: TurnId | None
 
 
+@dataclass(frozen=True, slots=True)
+class Resumption:
+    """The stream that a request takes up after its last event received.
+
+    `begun_by` is the request whose answer began the stream, or None if the caller does
+    not name it.
+    """
+
+    begun_by: RequestId | None
+    last_event: str
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
     """A caller's request without its body.
@@ -44,6 +56,7 @@
     program: ProgramId | None = None
     finish_s: float | None = None
     turn: TurnDetails | None = None
+    resumption: Resumption | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -7,6 +7,8 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
+# The caller's or endpoint's header that names the last event received.
+LAST_EVENT_ID = b"last-event-id"
 DONE_LINE = b"data: " + DONE_DATA + EVENT_END
 
 
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -250,6 +250,7 @@
         is_reusable, details = False, None
         parts.balancer.record_start(endpoint.name)
         self.trace.endpoint = endpoint.name
+        self.trace.software = endpoint.software
         try:
             head = await self._send_with_timeout(connection, endpoint)
             details = parts.codec.read_answer(head)
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -18,7 +18,12 @@
     CompletionRequest,
     join_answer,
 )
-from burdockwall.request.events import EventBuffer, EventSplitter, find_event_id
+from burdockwall.request.events import (
+    LAST_EVENT_ID,
+    EventBuffer,
+    EventSplitter,
+    find_event_id,
+)
 from burdockwall.types import EndpointId, RequestId
 from burdockwall.version.configuration import Endpoint
 
@@ -99,7 +104,7 @@
         headers = [*request.headers, *dispatch_headers, request_id]
         if self.buffer.event_count:
             offset = str(self.buffer.event_count).encode()
-            headers.append((b"last-event-id", offset))
+            headers.append((LAST_EVENT_ID, offset))
         body = msgspec.json.encode(self._build_completion(endpoint))
         splitter = EventSplitter()
         resumed = bool(self.buffer.event_count)
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -13,7 +13,9 @@
     `begun_at` is when the stores had reserved the turn, if the request has one, and the
     wait for the customer's rate began. `admitted_at` is when the rate admitted the
     request, `sent_at` when it was last sent to an endpoint, and `answered_at` when the
-    answer was complete and its turn was to be stored.
+    answer was complete and its turn was to be stored. `software` is the version of the
+    endpoint's software. A request that takes up a stream has `resumed_from`, the
+    request that began it, and `last_event`, the last event that the caller received.
     """
 
     request: str
@@ -33,6 +35,9 @@
     detail: str = ""
     admitted_at: float | None = None
     admission: str = ""
+    software: str = ""
+    resumed_from: str = ""
+    last_event: str = ""
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of the request's log line.
@@ -45,6 +50,9 @@
             "program": self.program,
             "route": self.route,
             "endpoint": self.endpoint,
+            "software": self.software,
+            "resumed_from": self.resumed_from,
+            "last_event": self.last_event,
             "configuration": self.configuration,
             "code": self.code,
             "status": self.status,
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -32,6 +32,7 @@
     join_answer,
     parse_completion,
 )
+from burdockwall.request.events import LAST_EVENT_ID
 from burdockwall.request.parts import Parts
 from burdockwall.request.program import read_program_headers
 from burdockwall.request.relay import EndpointLost, EngineRequest, Relay
@@ -113,7 +114,7 @@
         number=headers.number,
         budget=headers.budget,
         supersedes=headers.supersedes,
-        offset=read_number(exchange, b"last-event-id") or 0,
+        offset=read_number(exchange, LAST_EVENT_ID) or 0,
         completion=completion,
         body_digest=hashlib.sha256(body).hexdigest(),
         deadline=read_deadline(exchange, parts.clock()),
--- a/burdockwall/trace/explanation.py
+++ b/burdockwall/trace/explanation.py
@@ -141,12 +141,21 @@
         outcome += f", code {fields.code} ({fields.detail})"
     tried = f"; endpoints tried: {fields.failures}" if fields.failures else ""
     endpoint = f" at {fields.endpoint}" if fields.endpoint else ""
+    endpoint += f" of version {fields.software}" if fields.software else ""
     return (
-        f"request {fields.request} on {fields.route or 'no route'}{endpoint}: "
+        f"request {fields.request} on {fields.route or 'no route'}{endpoint}"
+        f"{_describe_resumption(fields)}: "
         f"{outcome} after {fields.total_ms:.0f} ms ({phases}){tried}"
     )
 
 
+def _describe_resumption(fields: RequestFields) -> str:
+    if not fields.last_event:
+        return ""
+    begun_by = fields.resumed_from or "an unnamed request"
+    return f", which took up the stream of {begun_by} after event {fields.last_event}"
+
+
 def _summarise(ended: list[LogEntry], context: list[LogEntry]) -> str:
     failed = [entry for entry in ended if _get_fields(entry).code]
     if not ended:
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -25,6 +25,7 @@
 ProgramTag = NewType("ProgramTag", str)
 MemberNumber = NewType("MemberNumber", int)
 ServiceName = NewType("ServiceName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 TurnId = NewType("TurnId", str)
 DocumentName = NewType("DocumentName", str)
 
--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -40,6 +40,12 @@
     assert message in {entry.message for entry in entries}
 
 
+@then('a line says "{text}"')
+def step_line(context, text):
+    lines = [event.text for event in context.explanation.events]
+    assert any(text in line for line in lines), lines
+
+
 @then('the lines come from "{names}"')
 def step_instances(context, names):
     instances = {
--- a/features/subjects/trace.py
+++ b/features/subjects/trace.py
@@ -10,6 +10,7 @@
     "the request that ended with code 1224": "r-unknown",
     "the program of the lost turn": "p-lost",
     "the program that was slow": "p-slow",
+    "the request that began the stream": "r-began",
 }
 
 
@@ -75,6 +76,16 @@
             total_ms=6.0,
         ),
         build_ended(31.0, "r-quick", program="p-slow", total_ms=50.0),
+        build_ended(40.0, "r-began", endpoint="e-1", software="v1", total_ms=90.0),
+        build_ended(
+            41.0,
+            "r-resumed",
+            endpoint="e-2",
+            software="v2",
+            resumed_from="r-began",
+            last_event="3",
+            total_ms=80.0,
+        ),
     ]
     leader = [build_line(9.5, "control", "control role", role="leader", term=4)]
     return {"front-1": first, "front-2": second, "core-2": leader}
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -28,6 +28,12 @@
     Then the verdict says "All 2 requests were answered"
     And the verdict says "400 ms went into waiting for the customer's rate"
 
+  Scenario: A stream that was taken up shows the version of each endpoint
+    Given logs of two entry instances and a leader that changed
+    When the request that began the stream is traced
+    Then a line says "r-began on chat at e-1 of version v1"
+    And a line says "r-resumed on chat at e-2 of version v2, which took up the stream of r-began after event 3"
+
   Scenario: A file that is no log and an unknown id are refused
     Then a file without log lines is refused with code 2019
     And an id that no line names is refused with code 2020
