--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -11,6 +11,7 @@
 from burdockwall.process.web import serve_address
 from burdockwall.types import Address
 
+UNLIMITED = 1_000_000_000
 STREAM_TYPE = (b"content-type", b"text/event-stream")
 
 
@@ -28,8 +29,9 @@
 class FakeServer:
     """A server of the platform that can fail on demand.
 
-    It refuses the next `refusals_left` requests with 503, and breaks a stream after
-    `cut_after_events` events. While `silent`, it answers no requests except for
+    It refuses the next `refusals_left` requests with 503, and breaks a stream from its
+    start after `cut_after_events` events. With `refuses_after_cut` it refuses every
+    request after that. While `silent`, it answers no requests except for
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
     `leaving_values` is sent in a header of each answer that says whether it leaves.
     """
@@ -43,6 +45,7 @@
     state: str = "ready"
     refusals_left: int = 0
     cut_after_events: int | None = None
+    refuses_after_cut: bool = False
     delay_s: float = 0.0
     silent: bool = False
     leaving_values: tuple[str, ...] = ()
@@ -99,13 +102,19 @@
             await exchange.answer(200, answer, b"done")
             return
         await exchange.start(200, [*answer, STREAM_TYPE])
-        for number in range(1, self.event_count + 1):
-            if self.cut_after_events is not None and number > self.cut_after_events:
-                raise ConnectionError("cut on purpose")
+        last_event = int(headers.get("last-event-id") or 0)
+        for number in range(last_event + 1, self.event_count + 1):
+            if not last_event and number - 1 == self.cut_after_events:
+                self._cut()
             await anyio.sleep(self.delay_s)
             await exchange.write(f"id: {number}\ndata: w{number}\n\n".encode())
         await exchange.finish()
 
+    def _cut(self) -> None:
+        if self.refuses_after_cut:
+            self.refusals_left = UNLIMITED
+        raise ConnectionError("cut on purpose")
+
     async def run(self, stop: anyio.Event) -> None:
         """Serve until stopped."""
         await serve_address(self.address, self.serve, stop, 0.1)
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -2,7 +2,7 @@
 
 import tempfile
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import anyio
@@ -26,6 +26,7 @@
 READY_LIMIT_S = 30.0
 CALL_TIMEOUT_S = 10.0
 EVENT_TOKENS = 9
+ENGINE_SERVICES = ("engines", "trial-engines")
 
 
 def build_routes() -> list[dict]:
@@ -41,6 +42,13 @@
         | {"name": "chat", "path-prefix": "/chat/", "route-kind": "streaming"}
         | {"service": "engines", "max-attempts": 1, "retained": True}
         | {"retention-s": 60.0, "resumable": False},
+        base
+        | {"name": "trace", "path-prefix": "/trace/", "route-kind": "streaming"}
+        | {"service": "engines", "max-attempts": 1, "resumable": True},
+        base
+        | {"name": "split", "path-prefix": "/split/", "route-kind": "streaming"}
+        | {"backends": [{"service": name, "weight": 50} for name in ENGINE_SERVICES]}
+        | {"max-attempts": 1, "resumable": True},
     ]
 
 
@@ -50,12 +58,15 @@
         "routes": build_routes() if routes is None else routes,
         "services": [
             {"name": "tools", "health-path": "/healthz", "max-conns": 96},
-            {
-                "name": "engines",
-                "health-path": "/healthz",
-                "max-conns": 96,
-                "engine": {"slots": 8, "event-tokens": EVENT_TOKENS},
-            },
+            *(
+                {
+                    "name": name,
+                    "health-path": "/healthz",
+                    "max-conns": 96,
+                    "engine": {"slots": 8, "event-tokens": EVENT_TOKENS},
+                }
+                for name in ENGINE_SERVICES
+            ),
         ],
         "tenants": [
             {"name": "one", "api-keys": ["key-one"], "rate-per-s": 100, "burst": 100},
@@ -67,11 +78,12 @@
 class PlatformSite:
     """The instances of a site and the fakes, on an event loop in a thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, engines: Sequence[FakeServer] = ()) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self.tools = [FakeServer("tool-1", "tools"), FakeServer("tool-2", "tools")]
-        self.engine = FakeServer("engine-1", "engines")
-        self.server_list = FakeServerList([*self.tools, self.engine])
+        self.engines = list(engines) or [FakeServer("engine-1", "engines")]
+        self.engine = self.engines[0]
+        self.server_list = FakeServerList([*self.tools, *self.engines])
         # All instances use the same peer port on hosts of their own.
         port = find_address().rpartition(":")[2]
         self.port = port
@@ -137,7 +149,7 @@
         ):
             self._portal = portal
             self._group = group
-            for fake in (*self.tools, self.engine, self.server_list):
+            for fake in (*self.tools, *self.engines, self.server_list):
                 group.start_soon(fake.run, self._stop)
             for number in (1, 2, 3):
                 self._start_control_node(number)
