Bind a resumed stream to the service and version that began it

What callers saw: a stream that broke off went on at a server of another software version, or, on a split route, at the other service (ORDER).

Cause: a request that takes up a stream was placed like a new one.

Change: the reservation of a turn (BeginTurn) also says from which service and version its stream will come, before the request is sent, and again if another version is chosen later; the answer to the reservation of a request that takes up a stream says where that began. It goes on at endpoints of that version alone, else it is refused with 1406, not run. If no store knows the place, the version counts as certain only where the service has had a single one for twice the route's timeout. No message is added where a reservation is sent anyway; fields at the end of messages, so that builds mix.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -151,6 +151,9 @@
     ENDPOINT_REFUSED = CodeRow(
         1405, 422, Ran.NOT_RUN, Retry.NEVER, "The endpoint refused the request."
     )
+    RESUME_UNAVAILABLE = CodeRow(
+        1406, 503, Ran.NOT_RUN, Retry.SAFE, "No endpoint may go on with the stream."
+    )
     # The instance itself.
     NOT_READY = CodeRow(
         1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -177,6 +177,7 @@
         retains_turns=route.retained,
         retention_s=route.retention_s,
         open=route.public,
+        resumable=route.resumable,
     )
 
 
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -1,5 +1,7 @@
 """Distribution of the list of all services' endpoints by the leader."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
@@ -15,6 +17,7 @@
 )
 
 RESEND_INTERVAL_S = 1.0
+LIST_VALID_S = 3 * RESEND_INTERVAL_S
 
 
 class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
@@ -128,6 +131,14 @@
     return later.started_ms > earlier.started_ms
 
 
+@dataclass(frozen=True, slots=True)
+class _SoleVersion:
+    """The version of all listed endpoints of a service, and since when it is."""
+
+    software: SoftwareVersion
+    since: float
+
+
 class EndpointFollower:
     """Stores the latest list that a leader has sent."""
 
@@ -138,6 +149,7 @@
         self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
         self._names: set[EndpointId] = set()
         self._announced = LeavingEndpoints()
+        self._sole_versions: dict[ServiceName, _SoleVersion] = {}
 
     def handle(self, event: Tick | Receive, now: float) -> list[Send]:
         """Install a received list unless it is older than the stored one."""
@@ -163,6 +175,33 @@
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
         self._announced.install_list(message.endpoints)
+        self._track_versions(message.endpoints, now)
+
+    def _track_versions(self, endpoints: list[ListedEndpoint], now: float) -> None:
+        versions: dict[ServiceName, set[SoftwareVersion]] = {}
+        for endpoint in endpoints:
+            versions.setdefault(endpoint.service, set()).add(endpoint.software)
+        earlier, self._sole_versions = self._sole_versions, {}
+        for service, present in versions.items():
+            if len(present) > 1:
+                continue
+            sole = _SoleVersion(next(iter(present)), now)
+            known = earlier.get(service)
+            if known is not None and known.software == sole.software:
+                sole = known
+            self._sole_versions[service] = sole
+
+    def find_sole_version(
+        self, service: ServiceName, since: float, now: float
+    ) -> SoftwareVersion | None:
+        """Return the only version that a service has had since a time, or None.
+
+        Leaving endpoints count. A list that is no longer repeated proves nothing.
+        """
+        sole = self._sole_versions.get(service)
+        if sole is None or sole.since > since:
+            return None
+        return sole.software if now - self.received_at <= LIST_VALID_S else None
 
     def record_leaving(self, endpoint: ListedEndpoint) -> bool:
         """Record that an endpoint's answer said that it leaves; return whether new."""
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -14,6 +14,7 @@
     EndTurn,
     FindTurn,
     StoreFull,
+    StreamPlace,
     TurnBegun,
     TurnEnded,
 )
@@ -41,7 +42,9 @@
 class TurnStart:
     """A turn that is about to run.
 
-    `needs_chain` asks the stores for the chain of earlier turns.
+    `needs_chain` asks the stores for the chain of earlier turns. `place` is where the
+    turn's stream will come from, if callers may take it up, and `resumes` is the turn
+    whose stream this one takes up.
     """
 
     customer: CustomerId
@@ -52,6 +55,8 @@
     budget: int | None
     retention_s: float
     needs_chain: bool
+    place: StreamPlace | None = None
+    resumes: TurnId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,12 +114,14 @@
     """The verdict of a quorum about the beginning of a turn.
 
     `other_group` is whether the chain came from a group that does not hold the program.
+    `place` is that of the stream which the turn takes up.
     """
 
     call: CallId
     verdict: Verdict
     quorum: BeginQuorum
     other_group: bool = False
+    place: StreamPlace | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +306,8 @@
             int(start.retention_s * MS_PER_S),
             start.previous,
             sends_chain,
+            start.place,
+            start.resumes,
         )
 
     def _handle_begun(
@@ -324,14 +333,16 @@
         verdict = own.decide()
         if verdict in (Verdict.OPEN, Verdict.CHAIN_MISSING):
             return []
-        decided = BeginDecided(call, verdict, own)
+        decided = BeginDecided(call, verdict, own, place=own.find_place())
         if verdict is Verdict.TURN_UNKNOWN and self.view.groups > 1:
             if not begin.others:
                 return self._search_other_groups(call, begin)
             verdicts = [search.quorum.decide() for search in begin.others]
             if Verdict.ADMITTED in verdicts:
                 found = begin.others[verdicts.index(Verdict.ADMITTED)].quorum
-                decided = BeginDecided(call, Verdict.ADMITTED, found, True)
+                decided = BeginDecided(
+                    call, Verdict.ADMITTED, found, True, own.find_place()
+                )
             elif set(verdicts) != {Verdict.TURN_UNKNOWN}:
                 return []
         del self._begins[call]
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -1,7 +1,7 @@
 """The client of the stores, which begins and ends callers' turns."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import logbook
 
@@ -21,7 +21,7 @@
     TurnStart,
     Withdraw,
 )
-from burdockwall.process.storage.messages import ChainLink
+from burdockwall.process.storage.messages import ChainLink, StreamPlace
 from burdockwall.process.storage.quorum import Verdict
 from burdockwall.process.storage.view import StoreView
 from burdockwall.process.waiters import Waiters
@@ -36,11 +36,13 @@
 class TurnChain:
     """The earlier turns that a turn continues, oldest first.
 
-    `other_group` is whether they are held by stores other than the turn's own.
+    `other_group` is whether they are held by stores other than the turn's own. `place`
+    is that of the stream which the turn takes up, or None if no store knows it.
     """
 
     links: list[ChainLink]
     other_group: bool = False
+    place: StreamPlace | None = None
 
 
 class TurnClient:
@@ -122,7 +124,18 @@
                 raise RequestRefused(Code.TURN_UNKNOWN, f"no turn {start.previous}")
             case _:
                 links = decided.quorum.find_chain() or []
-                return TurnChain(links, decided.other_group)
+                return TurnChain(links, decided.other_group, decided.place)
+
+    async def record_place(self, start: TurnStart, place: StreamPlace) -> None:
+        """Record at a quorum of stores where the stream of a begun turn comes from.
+
+        Raise RequestRefused if they do not answer in time.
+        """
+        # The reservation exists already, and its budget has been checked.
+        again = replace(
+            start, previous=None, budget=None, needs_chain=False, place=place
+        )
+        await self.begin(again)
 
     async def end(self, start: TurnStart, outcome: TurnOutcome) -> bool:
         """Settle a turn, and return whether a quorum of stores has synced it."""
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -24,6 +24,7 @@
     RecordIndex,
     RecordsFound,
     StoreFull,
+    StreamPlace,
     TurnBegun,
     TurnEnded,
 )
@@ -33,7 +34,9 @@
     RecordKind,
     StoredRecord,
     StoreState,
+    TurnKey,
 )
+from burdockwall.process.storage.stream_places import StreamPlaces
 from burdockwall.types import (
     CustomerId,
     Incarnation,
@@ -84,13 +87,6 @@
     records: int
 
 
-class TurnKey(NamedTuple):
-    """The key of a turn; callers choose the ids, which are unique per customer."""
-
-    customer: CustomerId
-    turn: TurnId
-
-
 class ProgramKey(NamedTuple):
     """The key of a program among the programs of all customers."""
 
@@ -135,6 +131,7 @@
         self._synced = 0
         self._deferred = DeferredMessages()
         self._batch: list[StoredRecord] = []
+        self.stream_places = StreamPlaces()
         self._next_expiry_at = 0.0
 
     def recover(self, records: Iterable[StoredRecord], whole: bool, now: float) -> None:
@@ -206,6 +203,9 @@
             message.retention_ms,
         )
         self.add(record, now)
+        if message.place is not None:
+            key = TurnKey(message.customer, message.turn)
+            self.stream_places.record(key, message.place, now)
         # If a repeated turn names another program, it counts against the first one.
         program = ProgramKey(message.customer, message.program)
         account = self._accounts.get(program, _Account())
@@ -232,9 +232,15 @@
                 charges,
                 presence,
                 chain if sends_chain else None,
+                self._find_place(message),
             ),
         )
 
+    def _find_place(self, message: BeginTurn | FindTurn) -> StreamPlace | None:
+        if isinstance(message, FindTurn) or message.resumes is None:
+            return None
+        return self.stream_places.find(TurnKey(message.customer, message.resumes))
+
     def _get_presence(
         self, message: BeginTurn | FindTurn, chain: list[ChainLink] | None
     ) -> Presence:
@@ -405,6 +411,7 @@
             released += 1
             self._log_start += 1
         self._expire_accounts(now)
+        self.stream_places.expire(now)
         return [ReleaseRecords(released)] if released else []
 
     def _get_rewrite_s(self, record: LedgerRecord) -> float:
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -12,6 +12,8 @@
     Incarnation,
     InstanceId,
     ProgramId,
+    ServiceName,
+    SoftwareVersion,
     TurnId,
 )
 
@@ -34,6 +36,17 @@
     answer: bytes
 
 
+class StreamPlace(msgspec.Struct, frozen=True, array_like=True):
+    """The service and software version from which an answer's stream comes.
+
+    `attempt` counts the places of one request's answer, of which the latest is valid.
+    """
+
+    service: ServiceName
+    software: SoftwareVersion
+    attempt: int = 0
+
+
 class Presence(Enum):
     """Whether a store has the previous turn that a caller names."""
 
@@ -45,7 +58,11 @@
 
 
 class BeginTurn(Message, frozen=True):
-    """Reserves tokens for a turn, and looks up the turn that it continues."""
+    """Reserves tokens for a turn, and looks up the turn that it continues.
+
+    `place` is where the turn's stream will come from, if callers may take it up.
+    `resumes` is the turn whose stream this one takes up.
+    """
 
     call: CallId
     incarnation: Incarnation
@@ -56,6 +73,8 @@
     retention_ms: int
     previous: TurnId | None = None
     sends_chain: bool = False
+    place: StreamPlace | None = None
+    resumes: TurnId | None = None
 
 
 class FindTurn(Message, frozen=True):
@@ -71,7 +90,8 @@
 class TurnBegun(Message, frozen=True):
     """Confirms a synced reservation, or answers a look-up, which has no charges.
 
-    `complete` is whether the store has all records that were stored before.
+    `complete` is whether the store has all records that were stored before, and `place`
+    is that of the stream which the turn takes up.
     """
 
     call: CallId
@@ -80,6 +100,7 @@
     charges: list[Charge]
     presence: Presence
     chain: list[ChainLink] | None = None
+    place: StreamPlace | None = None
 
 
 class EndTurn(Message, frozen=True):
--- a/burdockwall/process/storage/quorum.py
+++ b/burdockwall/process/storage/quorum.py
@@ -7,6 +7,7 @@
     ChainLink,
     Charge,
     Presence,
+    StreamPlace,
     TurnBegun,
 )
 from burdockwall.process.storage.view import StoreView
@@ -97,6 +98,11 @@
                 return answer.chain
         return None
 
+    def find_place(self) -> StreamPlace | None:
+        """Return the latest place of the stream that the turn takes up, or None."""
+        places = [answer.place for answer in self.answers.values() if answer.place]
+        return max(places, key=lambda place: place.attempt, default=None)
+
     def list_stores_with_chain(self) -> list[InstanceId]:
         """List the stores that can send the chain."""
         return [
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -3,6 +3,7 @@
 import struct
 import zlib
 from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -20,6 +21,13 @@
     SETTLED = 1
 
 
+class TurnKey(NamedTuple):
+    """The key of a turn; callers choose the ids, which are unique per customer."""
+
+    customer: CustomerId
+    turn: TurnId
+
+
 class RecordKey(msgspec.Struct, frozen=True, array_like=True):
     """The key of a record, the same in all stores."""
 
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -31,17 +31,18 @@
     AttemptDetails,
     ForwardedRequest,
     RequestCodec,
+    TurnDetails,
 )
 from burdockwall.request.events import EVENT_END, EventSplitter, join_event_data
+from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import CustomerId, EndpointId, TurnId
+from burdockwall.types import CustomerId, EndpointId, ProgramId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
     HostCustomer,
     HostRoute,
     HostService,
     RequestKind,
-    choose_service,
 )
 
 # A request times out this long before the route's timeout, so that its refusal reaches
@@ -49,7 +50,6 @@
 TIMEOUT_MARGIN_S = 0.03
 # After this many endpoints that did not run a request, its caller is refused.
 MAX_ENDPOINT_REFUSALS = 3
-RETRY_AFTER_S = 0.1
 STATUS_OK = range(200, 300)
 ANSWER_LIMIT_BYTES = 16_777_216
 # The owner of turns on routes that need no key.
@@ -119,6 +119,7 @@
         self.customer = customer
         self.trace = trace
         self.progress = _Progress()
+        self.binding = StreamBinding(parts.endpoints, request, route)
         self.body = b""
         self.turn: TurnStart | None = None
         limit_s = route.timeout_s - TIMEOUT_MARGIN_S
@@ -144,25 +145,17 @@
         raise RequestRefused(Code.DEADLINE_UNMET, retry_after_s=RETRY_AFTER_S)
 
     async def _run_request(self) -> None:
-        details = self.request.turn
-        if details is None or self.route.kind is not RequestKind.STREAM:
+        start = self._describe_turn()
+        if start is None:
             await self._admit()
             await self._run_attempts()
             return
-        start = TurnStart(
-            self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
-            details.program,
-            TurnId(self.request.request),
-            details.previous if self.route.retains_turns else None,
-            details.tokens,
-            details.budget,
-            self.route.retention_s,
-            self.route.retains_turns,
-        )
         self.turn = start
         prompt = self.body
         try:
             chain = await self.parts.turn_client.begin(start)
+            if self.binding.resumption is not None:
+                self.binding.resume(chain.place, self.parts.clock())
             links = [link.prompt + link.answer for link in chain.links]
             self.body = b"".join([*links, prompt])
             if chain.other_group:
@@ -178,6 +171,34 @@
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
+    def _describe_turn(self) -> TurnStart | None:
+        """Describe the request as a turn, or return None if the stores need not know.
+
+        A stream without a program that callers may take up is the only turn of one.
+        """
+        if self.route.kind is not RequestKind.STREAM:
+            return None
+        details = self.request.turn
+        resumption = self.binding.resumption
+        begun_by = resumption.begun_by if resumption is not None else None
+        if details is None and self.route.resumable:
+            stream = ProgramId(begun_by or self.request.request)
+            details = TurnDetails(stream, None, 0, None)
+        if details is None:
+            return None
+        return TurnStart(
+            self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
+            details.program,
+            TurnId(self.request.request),
+            details.previous if self.route.retains_turns else None,
+            details.tokens,
+            details.budget,
+            self.route.retention_s,
+            self.route.retains_turns,
+            self.binding.predict(self._find_endpoint()),
+            TurnId(begun_by) if begun_by is not None else None,
+        )
+
     async def _admit(self) -> None:
         """Wait until the customer's rate admits it, or raise RequestRefused."""
         if self.trace.begun_at is None:
@@ -190,11 +211,11 @@
     # Choosing endpoints and sending.
 
     async def _run_attempts(self, prompt: bytes = b"") -> None:
-        service = self.view.get_service(
-            choose_service(self.route.shares, self.request.request)
-        )
+        service = self.view.get_service(self.binding.service)
         while True:
-            endpoint = self._choose(service)
+            endpoint = self._choose()
+            if self.turn is not None:
+                await self.binding.record(self.parts.turn_client, self.turn, endpoint)
             try:
                 await self._attempt(endpoint, service, prompt)
                 return
@@ -202,40 +223,44 @@
                 self._record_failure(endpoint, error)
                 self.progress.refusals += 1
                 if self.progress.refusals >= MAX_ENDPOINT_REFUSALS:
-                    self._refuse(Code.NO_ENDPOINT)
+                    raise self._build_refusal(Code.NO_ENDPOINT) from error
             except _AnswerLost as error:
                 self._record_failure(endpoint, error)
                 may_retry = self.progress.runs < self.route.max_attempts
                 if self.exchange.started or not self.route.repeatable or not may_retry:
-                    self._refuse(Code.ENDPOINT_FAILED)
+                    raise self._build_refusal(Code.ENDPOINT_FAILED) from error
 
     def _record_failure(self, endpoint: ListedEndpoint, error: Exception) -> None:
         self.progress.excluded.add(endpoint.name)
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
-    def _refuse(self, code: Code) -> None:
-        detail = self.progress.last_failure
-        if self.progress.runs and code is Code.NO_ENDPOINT:
+    def _build_refusal(self, code: Code) -> RequestRefused:
+        """Build a refusal, whose code never denies that the request may have run."""
+        if self.progress.runs and code.value.ran is Ran.NOT_RUN:
             code = Code.ENDPOINT_FAILED
-        raise RequestRefused(code, detail, RETRY_AFTER_S)
+        return RequestRefused(code, self.progress.last_failure, RETRY_AFTER_S)
 
-    def _choose(self, service: HostService) -> ListedEndpoint:
-        endpoints = self.parts.endpoints.list_accepting(service.name)
+    def _find_endpoint(self) -> ListedEndpoint | None:
+        service = self.view.get_service(self.binding.service)
         affinity = self.request.program or ""
-        endpoint = self.parts.balancer.choose(
-            endpoints,
+        return self.parts.balancer.choose(
+            self.binding.list_endpoints(),
             affinity if service.engine is not None else "",
             self.parts.clock(),
             self.progress.excluded,
         )
-        if endpoint is None:
-            self.progress.last_failure = (
-                self.progress.last_failure or f"no endpoint of {service.name}"
-            )
-            self._refuse(Code.NO_ENDPOINT)
-        assert endpoint is not None
-        return endpoint
+
+    def _choose(self) -> ListedEndpoint:
+        endpoint = self._find_endpoint()
+        if endpoint is not None:
+            return endpoint
+        if not self.progress.last_failure:
+            self.progress.last_failure = f"no {self.binding.describe_endpoints()}"
+        bound = self.binding.software is not None
+        raise self._build_refusal(
+            Code.RESUME_UNAVAILABLE if bound else Code.NO_ENDPOINT
+        )
 
     async def _attempt(
         self, endpoint: ListedEndpoint, service: HostService, prompt: bytes
@@ -398,7 +423,9 @@
         if self.turn is None:
             return
         texts = (prompt, answer) if self.route.retains_turns else (b"", b"")
-        outcome = TurnOutcome(self.progress.tokens, True, *texts)
+        # The rest of a stream that was taken up is not the whole text of its turn.
+        is_whole = self.binding.resumption is None or not self.route.retains_turns
+        outcome = TurnOutcome(self.progress.tokens, is_whole, *texts)
         self.trace.answered_at = self.parts.clock()
         if not await self.parts.turn_client.end(self.turn, outcome):
             raise RequestRefused(Code.TURN_NOT_STORED)
--- /dev/null
+++ b/burdockwall/request/stream_binding.py
@@ -0,0 +1,120 @@
+"""Bind the stream of a request to the service and software version that begin it.
+
+A stream may break off, and its caller may take it up at another instance. Before a
+request of a resumable route is sent, the stores are told where its stream will come
+from; a request that takes the stream up learns it from them.
+"""
+
+import logbook
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
+from burdockwall.process.scheduling.resumption import decide_resume_place
+from burdockwall.process.storage.calls import TurnStart
+from burdockwall.process.storage.client import TurnClient
+from burdockwall.process.storage.messages import StreamPlace
+from burdockwall.request.codec import ForwardedRequest, Resumption
+from burdockwall.types import SoftwareVersion
+from burdockwall.version.deployment import HostRoute, choose_service
+
+RETRY_AFTER_S = 0.1
+# A caller may take up a stream until it has waited this many times for the route's
+# timeout.
+STREAM_TIMEOUTS = 2
+# Instances receive a new list of endpoints at times that differ by at most this.
+LIST_SKEW_S = 2.0
+_logger = logbook.Logger("front")
+
+
+class StreamBinding:
+    """The place from which the stream of one request may come.
+
+    `service` is the service that answers the request. `software` is the only version
+    that may answer it, or None if every version may.
+    """
+
+    def __init__(
+        self, endpoints: EndpointFollower, request: ForwardedRequest, route: HostRoute
+    ) -> None:
+        self.endpoints = endpoints
+        self.request = request
+        self.route = route
+        self.resumption: Resumption | None = None
+        if route.resumable:
+            self.resumption = request.resumption
+        # The shares of a route give each stream one service, whoever takes it up.
+        stream = request.request
+        if self.resumption is not None and self.resumption.begun_by is not None:
+            stream = self.resumption.begun_by
+        self.service = choose_service(route.shares, stream)
+        self.software: SoftwareVersion | None = None
+        self.recorded: StreamPlace | None = None
+
+    @property
+    def is_recorded(self) -> bool:
+        """Return whether the stores must know where the request's stream begins."""
+        return self.route.resumable and self.resumption is None
+
+    def predict(self, endpoint: ListedEndpoint | None) -> StreamPlace | None:
+        """Return the place to record while the turn begins, if one is needed."""
+        if endpoint is not None and self.is_recorded:
+            self.recorded = StreamPlace(self.service, endpoint.software)
+        return self.recorded
+
+    async def record(
+        self, client: TurnClient, turn: TurnStart, endpoint: ListedEndpoint
+    ) -> None:
+        """Record the place of an endpoint before it is asked, if it is another one.
+
+        Raise RequestRefused if the stores do not confirm it.
+        """
+        recorded = self.recorded
+        if not self.is_recorded:
+            return
+        if recorded is not None and recorded.software == endpoint.software:
+            return
+        attempt = recorded.attempt + 1 if recorded is not None else 0
+        place = StreamPlace(self.service, endpoint.software, attempt)
+        await client.record_place(turn, place)
+        self.recorded = place
+
+    def resume(self, recorded: StreamPlace | None, now: float) -> None:
+        """Bind the request to the place that began the stream which it takes up.
+
+        Raise RequestRefused if that place is not certain.
+        """
+        assert self.resumption is not None
+        lasting_s = STREAM_TIMEOUTS * self.route.timeout_s + LIST_SKEW_S
+        place = decide_resume_place(
+            recorded,
+            frozenset(share.service for share in self.route.shares if share.weight),
+            self.service,
+            self.endpoints.find_sole_version(self.service, now - lasting_s, now),
+        )
+        begun_by = self.resumption.begun_by or "an unnamed request"
+        if place is None:
+            detail = f"it is not known where the stream of {begun_by} began"
+            raise RequestRefused(Code.RESUME_UNAVAILABLE, detail, RETRY_AFTER_S)
+        self.service = place.service
+        self.software = place.software
+        extra = {
+            "request": self.request.request,
+            "resumed_from": begun_by,
+            "service": place.service,
+            "software": place.software,
+            "basis": place.basis.value,
+        }
+        _logger.info("stream taken up", extra=extra)
+
+    def list_endpoints(self) -> list[ListedEndpoint]:
+        """List the endpoints that accept the request."""
+        accepting = self.endpoints.list_accepting(self.service)
+        if self.software is None:
+            return accepting
+        return [item for item in accepting if item.software == self.software]
+
+    def describe_endpoints(self) -> str:
+        """Describe the endpoints that could accept the request."""
+        if self.software is None:
+            return f"endpoint of {self.service}"
+        return f"endpoint of {self.service} with version {self.software!r}"
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -38,7 +38,8 @@
     """A route of a host; rank 0 is the most urgent, and times are in seconds.
 
     `max_attempts` bounds the endpoints on which one request may run. With
-    `retains_turns`, a turn is stored for `retention_s` and later turns continue it.
+    `retains_turns`, a turn is stored for `retention_s` and later turns continue it. A
+    caller may take up a broken stream of a `resumable` route after its last event.
     """
 
     name: RouteName
@@ -52,6 +53,7 @@
     retains_turns: bool
     retention_s: float
     open: bool
+    resumable: bool = False
 
     @property
     def repeatable(self) -> bool:
