Finish an answer only at engines of the version that began it

An engine that was killed midway had its answer finished by another one, and an engine that started again went on after Last-Event-ID, whatever its software version: events of two versions in one answer. Change: the fingerprint of the first event, which chat completions carry as system_fingerprint, binds the answer; the first event of another attempt is compared before it is passed on, and an engine of another version is left out. Engines that name no fingerprint are treated as before.

--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -30,9 +30,12 @@
     return msgspec.structs.replace(completion, messages=completion.messages[:-1])
 
 
-def format_event(number: int, token: str) -> bytes:
-    """Format one token as a server-sent event."""
-    data = msgspec.json.encode({"choices": [{"delta": {"content": token}}]})
+def format_event(number: int, token: str, fingerprint: str = "") -> bytes:
+    """Format one token as a server-sent event, with the engine's fingerprint if set."""
+    event: dict[str, object] = {"choices": [{"delta": {"content": token}}]}
+    if fingerprint:
+        event["system_fingerprint"] = fingerprint
+    data = msgspec.json.encode(event)
     return b"id: %d\ndata: %s\n\n" % (number, data)
 
 
@@ -48,13 +51,15 @@
 
     It waits `token_s` before each token. If `cut_after_tokens` is not 0, it breaks a
     stream that starts at the first token after that many tokens. With `ignores_offset`
-    it starts a resumed stream at the first token.
+    it starts a resumed stream at the first token. `fingerprint` names its software and
+    is part of each event, unless it is empty.
     """
 
     def __init__(self, token_s: float = 0.001, cut_after_tokens: int = 0) -> None:
         self.token_s = token_s
         self.cut_after_tokens = cut_after_tokens
         self.ignores_offset = False
+        self.fingerprint = ""
         self.received_requests: list[bytes] = []
         self.request_counts: Counter[str] = Counter()
         self.reports = EngineReports()
@@ -92,7 +97,7 @@
             if self.cut_after_tokens and number > self.cut_after_tokens and offset == 0:
                 raise ConnectionAbortedError("the stream is cut on purpose")
             await anyio.sleep(self.token_s)
-            await exchange.write(format_event(number, token))
+            await exchange.write(format_event(number, token, self.fingerprint))
         self.reports.store(exchange, len(body) // 4 + len(tokens))
         await exchange.write(b"id: %d\ndata: [DONE]\n\n" % (len(tokens) + 1))
         await exchange.finish()
--- a/burdockwall/request/completion.py
+++ b/burdockwall/request/completion.py
@@ -36,10 +36,14 @@
     message: Delta = Delta()
 
 
-class CompletionEvent(msgspec.Struct, frozen=True):
-    """One event of a streamed completion."""
+class CompletionEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event of a streamed completion.
+
+    `system_fingerprint` names the version of the engine's software, if it says so.
+    """
 
     choices: list[Choice] = []
+    system_fingerprint: str | None = None
 
 
 class CompletionAnswer(msgspec.Struct, frozen=True):
@@ -76,6 +80,21 @@
     return "".join(parts)
 
 
+def find_fingerprint(events: bytes) -> str | None:
+    """Return the fingerprint in the first of some events, or None."""
+    for line in events.splitlines():
+        if not line.startswith(b"data:"):
+            continue
+        data = line[5:].strip()
+        if data == DONE_DATA:
+            return None
+        try:
+            return _event_decoder.decode(data).system_fingerprint
+        except msgspec.DecodeError:
+            return None
+    return None
+
+
 def format_events(answer: str) -> bytes:
     """Format a whole answer as the events of a stream."""
     event = CompletionEvent([Choice(Delta(answer))])
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -1,13 +1,16 @@
 """Relay an engine's event stream, and resume it at its offset after an interruption.
 
 The same engine resumes after `Last-Event-ID`. Another engine gets the text so far as
-the last message and continues it, so that two answers are never mixed.
+the last message and continues it, so that two answers are never mixed. Neither goes on
+if its fingerprint shows another software version than that of the first event: what two
+versions write does not fit together.
 """
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import httpx
+import logbook
 import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients
@@ -16,9 +19,12 @@
 from burdockwall.request.completion import (
     ChatMessage,
     CompletionRequest,
+    find_fingerprint,
     join_answer,
 )
 from burdockwall.request.events import (
+    DONE_LINE,
+    EVENT_END,
     LAST_EVENT_ID,
     EventBuffer,
     EventSplitter,
@@ -29,6 +35,7 @@
 
 Append = Callable[[bytes], Awaitable[None]]
 AllowRetry = Callable[[int], Awaitable[bool]]
+_logger = logbook.Logger("relay")
 RESUMABLE_STATUSES = (httpx.codes.BAD_GATEWAY, httpx.codes.SERVICE_UNAVAILABLE)
 
 
@@ -50,6 +57,10 @@
         self.sent = sent
 
 
+class _VersionChanged(Exception):
+    """The endpoint runs another software version than the one that began the answer."""
+
+
 class Relay:
     """The relay of one answer, from one endpoint or from several in turn."""
 
@@ -67,6 +78,7 @@
         self.buffer = buffer
         self.append = append
         self._first_endpoint: EndpointId | None = None
+        self._fingerprint: str | None = None
 
     async def run(
         self, endpoint: Endpoint, attempts: int, dispatch_headers: Headers
@@ -83,6 +95,8 @@
                 await self._relay_once(endpoint, dispatch_headers)
             except (httpx.ConnectError, httpx.ConnectTimeout):
                 raise EndpointLost(sent or bool(self.buffer.event_count)) from None
+            except _VersionChanged:
+                raise EndpointLost(sent=True) from None
             except httpx.TransportError:
                 # The network path may be broken for all connections of the pool, so
                 # the next attempt uses new ones.
@@ -107,7 +121,7 @@
             headers.append((LAST_EVENT_ID, offset))
         body = msgspec.json.encode(self._build_completion(endpoint))
         splitter = EventSplitter()
-        resumed = bool(self.buffer.event_count)
+        is_first = True
         async with self.clients.open_stream(
             endpoint, "POST", request.path, headers, body
         ) as response:
@@ -116,11 +130,31 @@
                 events = splitter.feed(chunk)
                 if not events:
                     continue
-                if resumed:
-                    self._check_offset(endpoint, events)
-                    resumed = False
+                if is_first:
+                    self._check_first(endpoint, events)
+                    is_first = False
                 await self.append(events)
 
+    def _check_first(self, endpoint: Endpoint, events: bytes) -> None:
+        """Check that the first events of an attempt go on with those so far."""
+        fingerprint = find_fingerprint(events)
+        if not self.buffer.event_count:
+            self._fingerprint = fingerprint
+            return
+        known = self._fingerprint is not None
+        # The event that ends a stream has no text, and so no fingerprint.
+        ends_only = events.endswith(DONE_LINE) and events.count(EVENT_END) == 1
+        if known and fingerprint != self._fingerprint and not ends_only:
+            extra = {
+                "request": self.request.request,
+                "endpoint": endpoint.name,
+                "began": self._fingerprint,
+                "found": fingerprint,
+            }
+            _logger.notice("endpoint has another software version", extra=extra)
+            raise _VersionChanged
+        self._check_offset(endpoint, events)
+
     def _check_offset(self, endpoint: Endpoint, events: bytes) -> None:
         # An engine that starts from the beginning would duplicate tokens, and the
         # answer might never end.
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -10,6 +10,22 @@
     When an engine that starts from the beginning is interrupted in the middle of an answer
     Then the entry answer ends with code 1402 and no token is duplicated
 
+  Scenario: An engine of another software version does not finish an answer
+    Given an entry site with engines of the versions "a b"
+    When an engine is killed in the middle of each of 4 answers
+    Then interrupted answers end with code 1402 and hold events of one version
+
+  Scenario: An engine that started again with another version does not finish an answer
+    Given an entry site with engines of the versions "a"
+    When the engine starts again as version "b" in the middle of an answer
+    Then interrupted answers end with code 1402 and hold events of one version
+
+  Scenario: An engine of the same version finishes an answer beside another version
+    Given an entry site with engines of the versions "a b a"
+    When an engine is killed in the middle of each of 4 answers
+    Then every entry answer is complete, with no token lost or duplicated
+    And every answer holds events of one version
+
   Scenario: Open connections to an engine go silent permanently
     Given an entry site with 1 engines
     When the open connections go silent in the middle of an answer
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -1,3 +1,5 @@
+import re
+
 from behave import given, then, when
 
 from burdockwall.request.completion import join_answer
@@ -6,6 +8,7 @@
     SILENCE_S,
     EntryFailureSubject,
     create_failure_plan,
+    create_version_plan,
 )
 
 # The answer waits SILENCE_S once, until the silence is noticed, and itself takes a
@@ -18,6 +21,11 @@
     context.subject = EntryFailureSubject(create_failure_plan(count))
 
 
+@given('an entry site with engines of the versions "{versions}"')
+def step_version_site(context, versions):
+    context.subject = EntryFailureSubject(create_version_plan(versions.split()))
+
+
 @given(
     "an entry site with {count:d} engines of which engine {serving:d} serves the model"
 )
@@ -73,6 +81,35 @@
     assert result.compute_expected().startswith(join_answer(events)), result
 
 
+@when('the engine starts again as version "{version}" in the middle of an answer')
+def step_replace(context, version):
+    run(context, context.subject.replace_engine, version)
+
+
+def list_fingerprints(received):
+    return set(re.findall(rb'"system_fingerprint":"(.*?)"', received))
+
+
+@then("every answer holds events of one version")
+def step_one_version(context):
+    for result in context.subject.results:
+        assert len(list_fingerprints(result.received)) == 1, result
+
+
+@then("interrupted answers end with code {code:d} and hold events of one version")
+def step_interrupted(context, code):
+    step_one_version(context)
+    interrupted = [
+        result
+        for result in context.subject.results
+        if not result.received.endswith(b"data: [DONE]\n\n")
+    ]
+    assert interrupted
+    for result in interrupted:
+        _, _, error = result.received.partition(b"event: error\n")
+        assert f'"code":{code}'.encode() in error, result
+
+
 @when("the open connections go silent in the middle of an answer")
 def step_silence(context):
     run(context, context.subject.silence_streams)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -57,6 +57,14 @@
     return SitePlan(fakes, settings, rate_per_s=1000.0, burst=1000)
 
 
+def create_version_plan(versions: list[str]) -> SitePlan:
+    """Create a plan with an engine for each version."""
+    plan = create_failure_plan(len(versions))
+    for engine, version in zip(plan.engines, versions, strict=True):
+        engine.fingerprint = version
+    return plan
+
+
 @dataclass(slots=True)
 class EntryFailureSubject:
     """Asks questions while something fails, and stores the results."""
@@ -118,6 +126,13 @@
             await anyio.sleep(4 * TOKEN_S)
             site.proxies[0].silence_open_connections()
 
+    async def replace_engine(self, site, client, path, version: str) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.ask_whole, client, path, 1)
+            await anyio.sleep(4 * TOKEN_S)
+            site.engines[0].fingerprint = version
+            site.proxies[0].silence_open_connections()
+
     async def silence_streams(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self.ask_whole, client, path, 1)
