--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -1,12 +1,20 @@
+from dataclasses import replace
+
 import msgspec
 from behave import given, then, when
 
 from burdockwall.machine import Receive
 from burdockwall.process.storage.calls import TurnOutcome
-from burdockwall.process.storage.messages import AskIndex
+from burdockwall.process.storage.messages import AskIndex, StreamPlace
 from burdockwall.process.storage.quorum import Verdict
 from burdockwall.process.storage.records import RecordKey, RecordKind
-from burdockwall.types import CustomerId, Incarnation, TurnId
+from burdockwall.types import (
+    CustomerId,
+    Incarnation,
+    ServiceName,
+    SoftwareVersion,
+    TurnId,
+)
 from features.subjects.storage import (
     CUSTOMER,
     StorageNetwork,
@@ -255,3 +263,52 @@
 def step_broken(context):
     print(f"violations: {context.subject.violations}")
     assert context.subject.violations, f"none in {context.subject.runs} runs"
+
+
+# The places of streams.
+
+
+def begin_stream(context, turn, version, attempt):
+    start = context.storage.describe(turn, "p")
+    place = StreamPlace(ServiceName("s"), SoftwareVersion(version), attempt)
+    assert is_admitted(context.storage.begin(replace(start, place=place)))
+
+
+@when('turn "{turn}" begins with its stream at "{version}"')
+def step_begin_stream(context, turn, version):
+    begin_stream(context, turn, version, 0)
+
+
+@when('turn "{turn}" moves its stream to "{version}"')
+def step_move_stream(context, turn, version):
+    begin_stream(context, turn, version, 1)
+
+
+def find_place(context, turn, begun_by, customer=CUSTOMER):
+    start = context.storage.describe(turn, "p", customer=customer)
+    decided = context.storage.begin(replace(start, resumes=TurnId(begun_by)))
+    assert is_admitted(decided), decided
+    return decided.place
+
+
+@then('turn "{turn}" that takes up the stream of "{begun_by}" finds it at "{version}"')
+def step_find_place(context, turn, begun_by, version):
+    place = find_place(context, turn, begun_by)
+    assert place is not None and place.software == version, place
+
+
+@then('turn "{turn}" of another customer finds no stream of "{begun_by}"')
+def step_find_foreign(context, turn, begun_by):
+    assert find_place(context, turn, begun_by, CustomerId("another")) is None
+
+
+@then('turn "{turn}" finds no stream of "{begun_by}" after {seconds:d} s')
+def step_find_expired(context, turn, begun_by, seconds):
+    context.storage.run(seconds)
+    assert find_place(context, turn, begun_by) is None
+
+
+@then("no store holds a place")
+def step_no_places(context):
+    for parts in context.storage.stores.values():
+        assert len(parts.ledger.stream_places) == 0
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -1,13 +1,28 @@
+import anyio
+import msgspec
 from behave import given, then, when
 
+from burdockwall.process.endpoints import EndpointFollower
+from burdockwall.process.scheduling.resumption import decide_resume_place
+from burdockwall.process.storage.messages import StreamPlace
+from burdockwall.types import ServiceName, SoftwareVersion
 from features.subjects.platform import PlatformSite
-from features.subjects.stream_versions import create_engines, take_up_streams
+from features.subjects.stream_versions import (
+    RecordingClient,
+    StreamCaller,
+    create_binding,
+    create_endpoint,
+    create_engines,
+    send_list,
+    take_up_streams,
+)
 
 
 def start_site(context, engines):
     context.site = PlatformSite(engines)
     context.add_cleanup(context.site.close)
     context.site.start()
+    context.caller = StreamCaller(context.site)
 
 
 @given('a site whose engines are of versions "{versions}"')
@@ -26,12 +41,12 @@
     "elsewhere"
 )
 def step_break(context, count, version):
-    context.taken_up = take_up_streams(context.site, count, version)
+    context.taken_up = take_up_streams(context.caller, count, version)
 
 
 @when("{count:d} streams of the split route break off and are taken up elsewhere")
 def step_break_split(context, count):
-    context.taken_up = take_up_streams(context.site, count, None, "/split/1")
+    context.taken_up = take_up_streams(context.caller, count, None, "/split/1")
 
 
 @then("every stream that went on did so at the version that began it")
@@ -59,3 +74,133 @@
     for each in context.taken_up:
         assert each.resumed.status == 200, each
         assert each.resumed.events == [2, 3], each
+
+
+@given("callers whose requests belong to no program")
+def step_no_program(context):
+    context.caller = StreamCaller(context.site, has_program=False)
+
+
+@when(
+    'a stream breaks off at version "{version}", and instance 1 is killed before it is '
+    "taken up"
+)
+def step_kill_instance(context, version):
+    def kill():
+        context.site.kill_entry(1)
+
+    context.taken_up = take_up_streams(context.caller, 1, version, prepare=kill)
+
+
+@when(
+    'a stream breaks off at version "{version}", and every store starts again before '
+    "it is taken up"
+)
+def step_restart_stores(context, version):
+    context.taken_up = take_up_streams(
+        context.caller, 1, version, prepare=context.site.restart_stores_and_wait
+    )
+
+
+@when("a stream is taken up without naming the request that began it")
+def step_unnamed(context):
+    context.taken_up = take_up_streams(context.caller, 1, None, names_beginning=False)
+
+
+@then("every taker is refused with {status:d}, code {code:d} and a time to come back")
+def step_refused(context, status, code):
+    for each in context.taken_up:
+        assert each.resumed.status == status, each
+        assert msgspec.json.decode(each.resumed.body)["code"] == code, each
+        assert float(each.resumed.retry_after) > 0, each
+
+
+@then('no engine of version "{version}" was sent a taker\'s request')
+def step_not_sent(context, version):
+    for engine in context.site.engines:
+        if engine.software != version:
+            continue
+        for request in engine.received_requests:
+            assert "resumes" not in request.headers, request
+
+
+# The decision.
+
+
+def parse_version(text):
+    return SoftwareVersion("" if text == "empty" else text)
+
+
+@given('a route to the services "{services}" whose shares give a stream to "{likely}"')
+def step_shares_of_stream(context, services, likely):
+    context.allowed = frozenset(ServiceName(name) for name in services.split())
+    context.likely = ServiceName(likely)
+
+
+@when('the stores know the place "{recorded}" and "a" has long had "{sole}"')
+def step_decide(context, recorded, sole):
+    place = None
+    if recorded != "nothing":
+        service, version = recorded.split()
+        place = StreamPlace(ServiceName(service), parse_version(version))
+    sole_version = None if sole == "several" else parse_version(sole)
+    context.place = decide_resume_place(
+        place, context.allowed, context.likely, sole_version
+    )
+
+
+@then('the stream goes on at "{expected}"')
+def step_place(context, expected):
+    place = context.place
+    if place is None:
+        assert expected == "nowhere"
+        return
+    assert f"{place.service} {place.software or 'empty'}" == expected, place
+
+
+@given(
+    'a follower whose list shows "{first}" from {start_s:d} s and "{second}" from '
+    "{since_s:d} s"
+)
+def step_follower_versions(context, first, start_s, second, since_s):
+    context.follower = EndpointFollower()
+    for counter, now in enumerate(range(start_s, 21), 1):
+        versions = first if now < since_s else second
+        send_list(context.follower, counter, versions, float(now))
+
+
+@then('at {now_s:d} s the only version since {since_s:d} s is "{version}"')
+def step_sole(context, now_s, since_s, version):
+    found = context.follower.find_sole_version(ServiceName("a"), since_s, now_s)
+    assert found == version, found
+
+
+@then("at {now_s:d} s there is no only version since {since_s:d} s")
+def step_no_sole(context, now_s, since_s):
+    found = context.follower.find_sole_version(ServiceName("a"), since_s, now_s)
+    assert found is None, found
+
+
+@given('a request of a resumable route for which version "{version}" was predicted')
+def step_predicted(context, version):
+    context.binding = create_binding()
+    place = context.binding.predict(create_endpoint(version))
+    assert place == StreamPlace(ServiceName("a"), SoftwareVersion(version))
+
+
+@when('its binding records the versions "{versions}" before each attempt')
+def step_record(context, versions):
+    context.client = RecordingClient()
+
+    async def record():
+        for version in versions.split():
+            endpoint = create_endpoint(version)
+            await context.binding.record(context.client, None, endpoint)
+
+    anyio.run(record)
+
+
+@then('the stores were told "{first}" and then "{second}"')
+def step_told(context, first, second):
+    told = [f"{place.software} {place.attempt}" for place in context.client.places]
+    assert told == [first, second], told
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -78,3 +78,32 @@
       | the distrust of a new disk   |
       | the copies between stores    |
       | the reservation of tokens    |
+
+  Scenario: The place of a stream is found after the loss of a store
+    Given a ledger on three stores
+    When turn "a" begins with its stream at "v1"
+    And store 1 loses its disk and starts again
+    Then turn "b" that takes up the stream of "a" finds it at "v1"
+
+  Scenario: The latest place of a stream is found although a store missed it
+    Given a ledger on three stores
+    When turn "a" begins with its stream at "v1"
+    And store 1 is cut off
+    And turn "a" moves its stream to "v2"
+    And store 1 is back
+    And store 2 is cut off
+    Then turn "b" that takes up the stream of "a" finds it at "v2"
+
+  Scenario: A late repetition does not bring an earlier place back
+    Given a ledger on three stores
+    When turn "a" begins with its stream at "v1"
+    And turn "a" moves its stream to "v2"
+    And turn "a" begins with its stream at "v1"
+    Then turn "b" that takes up the stream of "a" finds it at "v2"
+
+  Scenario: The place of a stream is not another customer's to find, and ends after 60 s
+    Given a ledger on three stores
+    When turn "a" begins with its stream at "v1"
+    Then turn "b" of another customer finds no stream of "a"
+    And turn "c" finds no stream of "a" after 62 s
+    And no store holds a place
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -14,3 +14,60 @@
     When 12 streams of the split route break off and are taken up elsewhere
     Then every stream that went on did so at the service that began it
     And every stream went on with its next event
+
+  Scenario: A stream without a server of its version is refused as not run
+    Given a site whose engines are of versions "v1 v2 v2"
+    When 3 streams break off at an engine of version "v1" and are taken up elsewhere
+    Then every taker is refused with 503, code 1406 and a time to come back
+    And no engine of version "v2" was sent a taker's request
+
+  Scenario: A stream is taken up after the instance that began it has gone
+    Given a site whose engines are of versions "v1 v1 v2 v2"
+    When a stream breaks off at version "v1", and instance 1 is killed before it is taken up
+    Then every stream that went on did so at the version that began it
+    And every stream went on with its next event
+
+  Scenario: A stream without a program is taken up at the version that began it
+    Given a site whose engines are of versions "v1 v1 v2 v2"
+    And callers whose requests belong to no program
+    When 6 streams break off at an engine of version "v1" and are taken up elsewhere
+    Then every stream that went on did so at the version that began it
+    And every stream went on with its next event
+
+  Scenario: A stream whose beginning no store knows is not continued at a guess
+    Given a site whose engines are of versions "v1 v2"
+    When a stream breaks off at version "v1", and every store starts again before it is taken up
+    Then every taker is refused with 503, code 1406 and a time to come back
+
+  Scenario: A stream that names no request is not continued at a guess
+    Given a site whose engines are of versions "v1 v2"
+    When a stream is taken up without naming the request that began it
+    Then every taker is refused with 503, code 1406 and a time to come back
+
+  Scenario Outline: The place where a stream may go on
+    Given a route to the services "a b" whose shares give a stream to "a"
+    When the stores know the place "<recorded>" and "a" has long had "<sole>"
+    Then the stream goes on at "<place>"
+
+    Examples:
+      | recorded | sole    | place       |
+      | a v1     | several | a v1        |
+      | a v1     | v2      | a v1        |
+      | b v1     | v2      | b v1        |
+      | c v1     | v1      | nowhere     |
+      | nothing  | v2      | a v2        |
+      | nothing  | several | nowhere     |
+      | a empty  | v2      | a v2        |
+      | b empty  | v2      | nowhere     |
+      | nothing  | empty   | a empty     |
+
+  Scenario: A service has one version only from the time when the last other one has gone
+    Given a follower whose list shows "v1 v2" from 0 s and "v1" from 10 s
+    Then at 15 s the only version since 10 s is "v1"
+    And at 15 s there is no only version since 9 s
+    And at 30 s there is no only version since 10 s
+
+  Scenario: A request that is sent to another version than predicted records it first
+    Given a request of a resumable route for which version "v1" was predicted
+    When its binding records the versions "v1 v2 v2 v1" before each attempt
+    Then the stores were told "v2 1" and then "v1 2"
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import threading
+import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 import httpx
 import msgspec
 
+from burdockwall.errors import Code
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.servers import FakeServer, FakeServerList
 from burdockwall.platform.codec import PlatformCodec
@@ -224,6 +226,27 @@
         for number in (1, 2, 3):
             self.call_in_loop(self.start_store, number, False)
 
+    def restart_stores_and_wait(self) -> None:
+        """Restart every store, and wait until turns can begin again."""
+        self.restart_stores()
+        assert self.wait_for(self._can_begin_turns, READY_LIMIT_S)
+
+    def _can_begin_turns(self) -> bool:
+        headers = build_turn_headers(f"probe-{time.monotonic()}", None, 10_000)
+        for instance in (1, 2):
+            try:
+                answer = self.send_request("POST", "/chat/1", headers, b"", instance)
+            except httpx.RemoteProtocolError:
+                # An engine has broken the answer off, so the turn had begun.
+                continue
+            if answer.status_code != 200 and not _is_code(answer, Code.NO_ENDPOINT):
+                return False
+        return True
+
+    def kill_entry(self, number: int) -> None:
+        """End an entry instance without a drain."""
+        self.call_in_loop(self._scopes[f"entry-{number}"].cancel)
+
     def stop_entry(self, number: int) -> None:
         self.call_in_loop(self.entries[number - 1].member.stopping.set)
 
@@ -310,6 +333,10 @@
         )
 
 
+def _is_code(answer: httpx.Response, code: Code) -> bool:
+    return answer.json()["code"] == code.value.number
+
+
 def build_turn_headers(turn: str, previous: str | None, budget: int) -> dict[str, str]:
     headers = {
         "x-request-id": turn,
--- a/features/subjects/stream_versions.py
+++ b/features/subjects/stream_versions.py
@@ -1,10 +1,33 @@
 """Streams that break off at engines of several versions, and callers that go on."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httpx
 
+from burdockwall.connection.exchange import Headers
 from burdockwall.fakes.servers import FakeServer
+from burdockwall.machine import Receive
+from burdockwall.process.endpoints import (
+    EndpointFollower,
+    EndpointList,
+    ListedEndpoint,
+)
+from burdockwall.process.storage.messages import StreamPlace
+from burdockwall.request.codec import ForwardedRequest
+from burdockwall.request.stream_binding import StreamBinding
+from burdockwall.types import (
+    Address,
+    EndpointId,
+    FailureDomain,
+    InstanceId,
+    RequestId,
+    RouteName,
+    ServiceName,
+    SoftwareVersion,
+    Term,
+)
+from burdockwall.version.deployment import HostRoute, RequestKind, ServiceShare
 from features.subjects.platform import (
     CALL_TIMEOUT_S,
     HOST,
@@ -32,13 +55,22 @@
     engine: FakeServer | None
     events: list[int]
     retry_after: str | None = None
+    body: str = ""
 
 
 class StreamCaller:
     """A caller that takes up its streams when they break off."""
 
-    def __init__(self, site: PlatformSite) -> None:
+    def __init__(self, site: PlatformSite, has_program: bool = True) -> None:
         self.site = site
+        self.has_program = has_program
+
+    def _build_headers(self, request: str, program: str) -> dict[str, str]:
+        headers = build_turn_headers(request, None, BUDGET_TOKENS)
+        headers["x-program-id"] = program
+        if not self.has_program:
+            del headers["x-program-id"]
+        return headers
 
     def _find_engine(self, headers: httpx.Headers) -> FakeServer | None:
         stamp = headers.get(STAMP, "")
@@ -65,6 +97,7 @@
             )
             try:
                 for line in response.iter_lines():
+                    received.body += line
                     if line.startswith("id: "):
                         received.events.append(int(line[4:]))
             except httpx.RemoteProtocolError:
@@ -73,8 +106,7 @@
 
     def begin(self, request: str, instance: int, path: str = "/trace/1") -> Received:
         """Begin a stream and receive it until it ends or breaks off."""
-        headers = build_turn_headers(request, None, BUDGET_TOKENS)
-        headers["x-program-id"] = f"program-{request}"
+        headers = self._build_headers(request, f"program-{request}")
         return self._read(path, headers, instance)
 
     def resume(
@@ -86,8 +118,7 @@
         path: str = "/trace/1",
     ) -> Received:
         """Take up a stream after the last event received."""
-        headers = build_turn_headers(request, None, BUDGET_TOKENS)
-        headers["x-program-id"] = f"program-{begun_by}"
+        headers = self._build_headers(request, f"program-{begun_by}")
         headers["last-event-id"] = str(last_event)
         if begun_by is not None:
             headers["resumes"] = begun_by
@@ -103,13 +134,19 @@
 
 
 def take_up_streams(
-    site: PlatformSite, count: int, version: str | None, path: str = "/trace/1"
+    caller: StreamCaller,
+    count: int,
+    version: str | None,
+    path: str = "/trace/1",
+    prepare: Callable[[], None] = lambda: None,
+    names_beginning: bool = True,
 ) -> list[TakenUp]:
     """Break streams off at engines of a version, and take each up elsewhere.
 
     Each engine refuses all work after it has broken a stream off, until the next one.
+    `prepare` is called before a stream is taken up.
     """
-    caller = StreamCaller(site)
+    site = caller.site
     taken_up = []
     for number in range(1, 40 * count):
         for engine in site.engines:
@@ -121,8 +158,63 @@
         assert begun.status == 200 and begun.engine is not None, begun
         if version is not None and begun.engine.software != version:
             continue
-        resumed = caller.resume(f"resume-{number}", request, begun.events[-1], 2, path)
+        prepare()
+        begun_by = request if names_beginning else None
+        resumed = caller.resume(f"resume-{number}", begun_by, begun.events[-1], 2, path)
         taken_up.append(TakenUp(begun, resumed))
         if len(taken_up) == count:
             return taken_up
     raise AssertionError(f"only {len(taken_up)} streams began at {version}")
+
+
+def create_endpoint(version: str) -> ListedEndpoint:
+    """Create a listed endpoint of a version."""
+    return ListedEndpoint(
+        EndpointId(f"e-{version}"),
+        ServiceName("a"),
+        Address("h:1"),
+        FailureDomain("d"),
+        8,
+        software=SoftwareVersion(version),
+    )
+
+
+def send_list(follower: EndpointFollower, counter: int, versions: str, now: float):
+    """Send a follower a list with an endpoint of each version."""
+    endpoints = [create_endpoint(version) for version in versions.split()]
+    message = EndpointList(Term(1), counter, endpoints)
+    follower.handle(Receive(InstanceId("leader"), message), now)
+
+
+class RecordingClient:
+    """A client of the stores that remembers the places it was told."""
+
+    def __init__(self) -> None:
+        self.places: list[StreamPlace] = []
+
+    async def record_place(self, start: object, place: StreamPlace) -> None:
+        """Remember a place."""
+        self.places.append(place)
+
+
+def create_binding() -> StreamBinding:
+    """Create the binding of a request of a resumable route."""
+    headers: Headers = []
+    request = ForwardedRequest(
+        RequestId("r"), "POST", "/t/1", "h", "/t/1", headers, None, None
+    )
+    route = HostRoute(
+        name=RouteName("t"),
+        host="h",
+        prefix="/t/",
+        kind=RequestKind.STREAM,
+        timeout_s=3.0,
+        rank=0,
+        shares=(ServiceShare(ServiceName("a"), 1),),
+        max_attempts=1,
+        retains_turns=False,
+        retention_s=60.0,
+        open=True,
+        resumable=True,
+    )
+    return StreamBinding(EndpointFollower(), request, route)
