Let callers that name no beginning resume where one version serves

Change: for such a caller the present version decides, if it is the only one; beside others the stream is still refused. Evidence: a new scenario failed before (1406 in the first seconds of a site), passes now.

--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -84,12 +84,11 @@
         Raise RequestRefused if that place is not certain.
         """
         assert self.resumption is not None
-        lasting_s = STREAM_TIMEOUTS * self.route.timeout_s + LIST_SKEW_S
         place = decide_resume_place(
             recorded,
             frozenset(share.service for share in self.route.shares if share.weight),
             self.service,
-            self.endpoints.find_sole_version(self.service, now - lasting_s, now),
+            self._find_sole_version(now),
         )
         begun_by = self.resumption.begun_by or "an unnamed request"
         if place is None:
@@ -106,6 +105,18 @@
         }
         _logger.info("stream taken up", extra=extra)
 
+    def _find_sole_version(self, now: float) -> SoftwareVersion | None:
+        """Return the only version that can have begun the stream, or None.
+
+        Callers that do not name a stream's beginning expect one version at a time, so
+        for them the present one decides.
+        """
+        assert self.resumption is not None
+        lasting_s = 0.0
+        if self.resumption.begun_by is not None:
+            lasting_s = STREAM_TIMEOUTS * self.route.timeout_s + LIST_SKEW_S
+        return self.endpoints.find_sole_version(self.service, now - lasting_s, now)
+
     def list_endpoints(self) -> list[ListedEndpoint]:
         """List the endpoints that accept the request."""
         accepting = self.endpoints.list_accepting(self.service)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -44,6 +44,11 @@
     When a stream is taken up without naming the request that began it
     Then every taker is refused with 503, code 1406 and a time to come back
 
+  Scenario: A stream that names no request goes on where one version serves
+    Given a site whose engines are of versions "v1 v1"
+    When a stream is taken up without naming the request that began it
+    Then every stream went on with its next event
+
   Scenario Outline: The place where a stream may go on
     Given a route to the services "a b" whose shares give a stream to "a"
     When the stores know the place "<recorded>" and "a" has long had "<sole>"
