Take up answers anew that stall while single bytes still arrive

What callers would see: an answer that never ends. An engine that stalls but sends a byte or a comment now and then kept the read timeout of 10 s from ever running out, and its comments counted as events, so that a later attempt would have resumed after the wrong event. Change: the next event of an answer must come within [endpoints] stall, 60 s at first, longer than the timeout for bytes so that slow but sound answers stay; blocks of comments are dropped.

--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -12,6 +12,8 @@
 from burdockwall.request.events import LAST_EVENT_ID
 
 WORDS = ("hood", "duct", "filter", "flue", "grease", "access", "panel", "fan")
+STALL_INTERVAL_S = 0.2
+COMMENT = b": still here\n\n"
 ENGINE_BODY_BYTES = 67_108_864
 EVENT_HEADERS = [(b"content-type", b"text/event-stream")]
 
@@ -52,7 +54,9 @@
     It waits `token_s` before each token. If `cut_after_tokens` is not 0, it breaks a
     stream that starts at the first token after that many tokens. With `ignores_offset`
     it starts a resumed stream at the first token. `fingerprint` names its software and
-    is part of each event, unless it is empty.
+    is part of each event, unless it is empty. With `comments` it sends a comment before
+    each token. After `stalls_after_tokens`, if not 0, a stream that starts at the first
+    token sends only `stall_bytes` now and then.
     """
 
     def __init__(self, token_s: float = 0.001, cut_after_tokens: int = 0) -> None:
@@ -60,6 +64,9 @@
         self.cut_after_tokens = cut_after_tokens
         self.ignores_offset = False
         self.fingerprint = ""
+        self.comments = False
+        self.stalls_after_tokens = 0
+        self.stall_bytes = b":"
         self.received_requests: list[bytes] = []
         self.request_counts: Counter[str] = Counter()
         self.reports = EngineReports()
@@ -96,12 +103,21 @@
                 continue
             if self.cut_after_tokens and number > self.cut_after_tokens and offset == 0:
                 raise ConnectionAbortedError("the stream is cut on purpose")
+            if self.stalls_after_tokens and number > self.stalls_after_tokens > offset:
+                await self._stall(exchange)
+            if self.comments:
+                await exchange.write(COMMENT)
             await anyio.sleep(self.token_s)
             await exchange.write(format_event(number, token, self.fingerprint))
         self.reports.store(exchange, len(body) // 4 + len(tokens))
         await exchange.write(b"id: %d\ndata: [DONE]\n\n" % (len(tokens) + 1))
         await exchange.finish()
 
+    async def _stall(self, exchange: Exchange) -> None:
+        while True:
+            await anyio.sleep(STALL_INTERVAL_S)
+            await exchange.write(self.stall_bytes)
+
 
 class FakeService:
     """A plain service that counts the runs per idempotency key.
--- a/burdockwall/options/callers.py
+++ b/burdockwall/options/callers.py
@@ -93,6 +93,16 @@
         0.1,
         3600,
     ),
+    Option(
+        "endpoints",
+        "stall",
+        "endpoint_stall_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait for the next event of an answer whose bytes still arrive.",
+        0.1,
+        3600,
+    ),
     Option(
         "endpoints",
         "attempts",
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
 DATA_FIELD = b"data:"
 # The caller's or endpoint's header that names the last event received.
 LAST_EVENT_ID = b"last-event-id"
@@ -34,6 +35,18 @@
         return bool(self._tail)
 
 
+def drop_comments(events: bytes) -> bytes:
+    """Remove blocks of comments, which show only that the engine is alive."""
+    if not events.startswith(COMMENT) and EVENT_END + COMMENT not in events:
+        return events
+    blocks = events.split(EVENT_END)[:-1]
+    return b"".join(
+        block + EVENT_END
+        for block in blocks
+        if not all(line.startswith(COMMENT) for line in block.split(b"\n"))
+    )
+
+
 @dataclass(slots=True)
 class EventBuffer:
     """Whole events and their number; `done` is set once the last event is added."""
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import anyio
 import httpx
 import logbook
 import msgspec
@@ -28,6 +29,7 @@
     LAST_EVENT_ID,
     EventBuffer,
     EventSplitter,
+    drop_comments,
     find_event_id,
 )
 from burdockwall.types import EndpointId, RequestId
@@ -62,7 +64,10 @@
 
 
 class Relay:
-    """The relay of one answer, from one endpoint or from several in turn."""
+    """The relay of one answer, from one endpoint or from several in turn.
+
+    An attempt whose next event takes longer than `stall_s` is given up.
+    """
 
     def __init__(
         self,
@@ -71,7 +76,9 @@
         buffer: EventBuffer,
         append: Append,
         allow_retry: AllowRetry,
+        stall_s: float,
     ) -> None:
+        self.stall_s = stall_s
         self.allow_retry = allow_retry
         self.clients = clients
         self.request = request
@@ -120,20 +127,28 @@
             offset = str(self.buffer.event_count).encode()
             headers.append((LAST_EVENT_ID, offset))
         body = msgspec.json.encode(self._build_completion(endpoint))
-        splitter = EventSplitter()
-        is_first = True
         async with self.clients.open_stream(
             endpoint, "POST", request.path, headers, body
         ) as response:
             await _check_status(endpoint, response)
+            await self._relay_events(endpoint, response)
+
+    async def _relay_events(self, endpoint: Endpoint, response: httpx.Response) -> None:
+        """Relay the events of one attempt; raise ReadTimeout if they stop coming."""
+        splitter = EventSplitter()
+        is_first = True
+        with anyio.move_on_after(self.stall_s) as scope:
             async for chunk in response.aiter_raw():
-                events = splitter.feed(chunk)
+                events = drop_comments(splitter.feed(chunk))
                 if not events:
                     continue
+                scope.deadline = anyio.current_time() + self.stall_s
                 if is_first:
                     self._check_first(endpoint, events)
                     is_first = False
                 await self.append(events)
+        if scope.cancelled_caught:
+            raise httpx.ReadTimeout(f"no event for {self.stall_s} s")
 
     def _check_first(self, endpoint: Endpoint, events: bytes) -> None:
         """Check that the first events of an attempt go on with those so far."""
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -49,6 +49,7 @@
     peer_silence_s: float = 2.0
     endpoint_connect_s: float = 1.0
     endpoint_silence_s: float = 10.0
+    endpoint_stall_s: float = 60.0
     endpoint_attempts: int = 3
     retry_share: float = 0.2
     retry_reserve: float = 20.0
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -32,6 +32,23 @@
     Then every entry answer is complete, with no token lost or duplicated
     And the answer came within the silence bound
 
+  Scenario Outline: An engine stalls, but sends <bytes> now and then
+    Given an entry site with 1 engines
+    When the engine stalls in the middle of an answer, but sends <bytes> now and then
+    Then every entry answer is complete, with no token lost or duplicated
+    And the answer came within the stall bound
+
+    Examples:
+      | bytes           |
+      | a byte          |
+      | a comment block |
+
+  Scenario: A slow but sound answer with comments between its tokens is not cut
+    Given an entry site with 1 engines
+    When the engine sends each token after 1.2 s, and comments meanwhile
+    Then every entry answer is complete, with no token lost or duplicated
+    And the engine has run the turn once
+
   Scenario: Pooled idle connections go silent permanently
     Given an entry site with 1 engines
     When the idle connections go silent before an answer
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -6,6 +6,7 @@
 from features.subjects.entry_failures import (
     GRACE_S,
     SILENCE_S,
+    STALL_S,
     EntryFailureSubject,
     create_failure_plan,
     create_version_plan,
@@ -14,6 +15,8 @@
 # The answer waits SILENCE_S once, until the silence is noticed, and itself takes a
 # fraction of that time.
 ANSWER_LIMIT_S = 2 * SILENCE_S
+# The answer waits STALL_S once.
+STALL_LIMIT_S = 2 * STALL_S
 
 
 @given("an entry site with {count:d} engines")
@@ -115,6 +118,24 @@
     run(context, context.subject.silence_streams)
 
 
+STALLS = {"a byte": b":", "a comment block": b": still here\n\n"}
+
+
+@when("the engine stalls in the middle of an answer, but sends {what} now and then")
+def step_stall(context, what):
+    run(context, context.subject.stall_engine, STALLS[what])
+
+
+@then("the answer came within the stall bound")
+def step_stall_bound(context):
+    assert STALL_S < context.subject.seconds < STALL_LIMIT_S, context.subject.seconds
+
+
+@when("the engine sends each token after {token_s:f} s, and comments meanwhile")
+def step_slow(context, token_s):
+    run(context, context.subject.slow_engine, token_s)
+
+
 @when("the idle connections go silent before an answer")
 def step_silence_idle(context):
     run(context, context.subject.silence_idle)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -23,6 +23,7 @@
 LATE_S = 0.05
 SLOW_TOKEN_S = 0.3
 SILENCE_S = 1.5
+STALL_S = 2.0
 IDLE_CONNECTIONS = 6
 GRACE_S = 0.5
 ANSWER_LIMIT_S = 20.0
@@ -51,6 +52,7 @@
         drain_hold_s=0.3,
         drain_limit_s=20.0,
         endpoint_silence_s=SILENCE_S,
+        endpoint_stall_s=STALL_S,
         abandon_grace_s=GRACE_S,
     )
     fakes = [FakeEngine(TOKEN_S) for _ in range(engines)]
@@ -133,6 +135,19 @@
             site.engines[0].fingerprint = version
             site.proxies[0].silence_open_connections()
 
+    async def stall_engine(self, site, client, path, stall_bytes: bytes) -> None:
+        engine = site.engines[0]
+        engine.stalls_after_tokens = 2
+        engine.stall_bytes = stall_bytes
+        await self.ask_whole(client, path, 1)
+
+    async def slow_engine(self, site, client, path, token_s: float) -> None:
+        engine = site.engines[0]
+        engine.token_s = token_s
+        engine.comments = True
+        await self.ask_whole(client, path, 1)
+        self.engine_runs = sum(engine.request_counts.values())
+
     async def silence_streams(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self.ask_whole, client, path, 1)
