Pass on no answer that names another request

What callers would see: another caller's answer. A late second copy of an answer that arrives after the connection carries the next request was taken for that request's answer; on the platform answers are matched by id, in our own interface they were not. Found by looking for what operators of similar systems reported. Change: every request to an endpoint has a Request-Id; an answer that names another one breaks the attempt, and its connection is not used again. Endpoints that do not echo the id are as before (docs/ENDPOINTS.md).

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -2,6 +2,7 @@
 
 import socket
 import ssl
+import uuid
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -32,6 +33,18 @@
 )
 
 
+REQUEST_ID = "request-id"
+
+
+def _number_request(headers: Headers) -> tuple[str, Headers]:
+    """Return the id of a request and its headers, with a new id if they have none."""
+    for name, value in headers:
+        if name == REQUEST_ID.encode():
+            return value.decode("latin-1"), headers
+    request = uuid.uuid4().hex
+    return request, [*headers, (REQUEST_ID.encode(), request.encode())]
+
+
 @dataclass(slots=True, eq=False)
 class PooledClient:
     """A client, its number of open streams, and whether its pool has removed it."""
@@ -136,12 +149,21 @@
         headers: Headers,
         content: bytes | AsyncIterator[bytes] | None,
     ) -> AsyncIterator[httpx.Response]:
-        """Send a request and yield its answer before the body is read."""
+        """Send a request and yield its answer before the body is read.
+
+        Raise httpx.RemoteProtocolError if the answer names another request, as a late
+        copy on a connection that is in use again does.
+        """
+        request, headers = _number_request(headers)
         pooled = self._acquire_client(endpoint)
         try:
             async with pooled.client.stream(
                 method, path, headers=headers, content=content
             ) as response:
+                answered = response.headers.get(REQUEST_ID, request)
+                if answered != request:
+                    detail = f"endpoint {endpoint.name} answered request {answered}"
+                    raise httpx.RemoteProtocolError(detail)
                 yield response
         finally:
             await self._release_client(endpoint, pooled)
--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -69,6 +69,7 @@
         self.stall_bytes = b":"
         self.received_requests: list[bytes] = []
         self.request_counts: Counter[str] = Counter()
+        self.events_sent = 0
         self.reports = EngineReports()
 
     async def serve(self, exchange: Exchange) -> None:
@@ -96,7 +97,8 @@
         offset = int(exchange.get_header(LAST_EVENT_ID) or 0)
         if self.ignores_offset:
             offset = 0
-        await exchange.start(200, EVENT_HEADERS)
+        echo = (b"request-id", request.encode())
+        await exchange.start(200, [*EVENT_HEADERS, echo])
         tokens = generate_tokens(_drop_partial_answer(completion))
         for number, token in enumerate(tokens, 1):
             if number <= offset:
@@ -109,6 +111,7 @@
                 await exchange.write(COMMENT)
             await anyio.sleep(self.token_s)
             await exchange.write(format_event(number, token, self.fingerprint))
+            self.events_sent += 1
         self.reports.store(exchange, len(body) // 4 + len(tokens))
         await exchange.write(b"id: %d\ndata: [DONE]\n\n" % (len(tokens) + 1))
         await exchange.finish()
--- a/burdockwall/fakes/proxy.py
+++ b/burdockwall/fakes/proxy.py
@@ -16,12 +16,16 @@
 class FaultyProxy:
     """A TCP proxy between an address and a target.
 
-    A silenced connection stays open, but its bytes are dropped.
+    A silenced connection stays open, but its bytes are dropped. With `repeats_answers`
+    the next request on a connection is answered with a copy of the answer before.
     """
 
     address: Address
     target: Address
     connection_count: int = 0
+    repeats_answers: bool = False
+    _answers: dict[int, bytes] = field(default_factory=dict)
+    _writing: anyio.Lock = field(default_factory=anyio.Lock)
     _silenced: set[int] = field(default_factory=set)
     _open: set[int] = field(default_factory=set)
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -50,23 +54,43 @@
         try:
             async with client, await anyio.connect_tcp(host, port) as server:
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._forward, number, client, server)
-                    group.start_soon(self._forward, number, server, client)
+                    group.start_soon(self._forward_requests, number, client, server)
+                    group.start_soon(self._forward_answers, number, server, client)
         except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
             self._open.discard(number)
 
-    async def _forward(
+    async def _forward_requests(
         self,
         number: int,
-        source: anyio.abc.SocketStream,
-        target: anyio.abc.SocketStream,
+        client: anyio.abc.SocketStream,
+        server: anyio.abc.SocketStream,
     ) -> None:
         with suppress(anyio.EndOfStream):
             while True:
-                chunk = await source.receive(CHUNK_BYTES)
+                chunk = await client.receive(CHUNK_BYTES)
+                earlier = self._answers.pop(number, b"")
+                if earlier and self.repeats_answers:
+                    async with self._writing:
+                        await client.send(earlier)
                 if number not in self._silenced:
-                    await target.send(chunk)
+                    await server.send(chunk)
         if number not in self._silenced:
-            await target.send_eof()
+            await server.send_eof()
+
+    async def _forward_answers(
+        self,
+        number: int,
+        server: anyio.abc.SocketStream,
+        client: anyio.abc.SocketStream,
+    ) -> None:
+        with suppress(anyio.EndOfStream):
+            while True:
+                chunk = await server.receive(CHUNK_BYTES)
+                self._answers[number] = self._answers.get(number, b"") + chunk
+                if number not in self._silenced:
+                    async with self._writing:
+                        await client.send(chunk)
+        if number not in self._silenced:
+            await client.send_eof()
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -49,6 +49,11 @@
     Then every entry answer is complete, with no token lost or duplicated
     And the engine has run the turn once
 
+  Scenario: A copy of an earlier answer arrives late, on a connection in use again
+    Given an entry site with 1 engines
+    When 3 callers ask one after the other, and a copy of each answer arrives late
+    Then every entry answer is complete, with no token lost or duplicated
+
   Scenario: Pooled idle connections go silent permanently
     Given an entry site with 1 engines
     When the idle connections go silent before an answer
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -136,6 +136,13 @@
     run(context, context.subject.slow_engine, token_s)
 
 
+@when(
+    "{count:d} callers ask one after the other, and a copy of each answer arrives late"
+)
+def step_repeat(context, count):
+    run(context, context.subject.repeat_answers, count)
+
+
 @when("the idle connections go silent before an answer")
 def step_silence_idle(context):
     run(context, context.subject.silence_idle)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -24,6 +24,8 @@
 SLOW_TOKEN_S = 0.3
 SILENCE_S = 1.5
 STALL_S = 2.0
+# Fewer than any answer has, so that some answer is under way.
+KILL_AFTER_EVENTS = 3
 IDLE_CONNECTIONS = 6
 GRACE_S = 0.5
 ANSWER_LIMIT_S = 20.0
@@ -118,7 +120,8 @@
         async with anyio.create_task_group() as group:
             for number in range(count):
                 group.start_soon(self.ask_whole, client, path, number)
-            await anyio.sleep(4 * TOKEN_S)
+            while site.engines[0].events_sent < KILL_AFTER_EVENTS:
+                await anyio.sleep(TOKEN_S / 3)
             site.proxies[0].kill()
 
     async def start_over(self, site, client, path) -> None:
@@ -148,6 +151,11 @@
         await self.ask_whole(client, path, 1)
         self.engine_runs = sum(engine.request_counts.values())
 
+    async def repeat_answers(self, site, client, path, count: int) -> None:
+        site.proxies[0].repeats_answers = True
+        for number in range(count):
+            await self.ask_whole(client, path, number)
+
     async def silence_streams(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self.ask_whole, client, path, 1)
