Show that a stream's place takes no message of its own, in any fleet

storage_groups: 3 messages for a reservation with a place and a stream to take up, with 3, 24 and 96 stores.

--- a/features/steps/storage_groups_steps.py
+++ b/features/steps/storage_groups_steps.py
@@ -1,9 +1,18 @@
+from dataclasses import replace
+
 from behave import given, then, when
 
-from burdockwall.process.storage.calls import TurnOutcome
+from burdockwall.process.storage.calls import AskBegin, TurnOutcome
+from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.process.storage.records import RecordKey, RecordKind
 from burdockwall.process.storage.writers import choose_writers
-from burdockwall.types import ProgramId, TurnId
+from burdockwall.types import (
+    CallId,
+    ProgramId,
+    ServiceName,
+    SoftwareVersion,
+    TurnId,
+)
 from features.steps.storage_steps import step_chain
 from features.subjects.storage import CUSTOMER, FRONT, is_admitted
 from features.subjects.storage_faults import FaultSubject, GroupedStorage
@@ -34,6 +43,15 @@
         step_chain(context, f"next-{number}", f"other-{number}", turn, chain)
 
 
+@then("to begin a turn with a place and a stream to take up takes {count:d} messages")
+def step_place_messages(context, count):
+    storage = context.storage
+    place = StreamPlace(ServiceName("s"), SoftwareVersion("v1"))
+    start = replace(storage.describe("z", "p"), place=place, resumes=TurnId("a"))
+    actions = storage.callers[FRONT].handle(AskBegin(CallId(0), start), 0.0)
+    assert len(actions) == count, actions
+
+
 def find_group(context, program):
     view = context.storage.view
     return view.select_group(view.find_group(CUSTOMER, ProgramId(program)))
--- a/features/storage_groups.feature
+++ b/features/storage_groups.feature
@@ -26,6 +26,18 @@
     And the stores of the group of program "p" are cut off
     Then turn "b" after "a" of a program of the other group gets no verdict
 
+  Scenario Outline: Where a stream comes from is told in the reservation alone
+    Given a ledger on <stores> stores in <groups> groups
+    When turn "a" begins with its stream at "v1"
+    Then turn "b" that takes up the stream of "a" finds it at "v1"
+    And to begin a turn with a place and a stream to take up takes 3 messages
+
+    Examples:
+      | stores | groups |
+      | 3      | 1      |
+      | 24     | 8      |
+      | 96     | 32     |
+
   Scenario: A store is empty when its own group has copied it
     Given a ledger on 8 stores in 2 groups
     When turn "a" starts program "p", asks "1" and answers "2"
