Ask an endpoint again soon that was slow to report once

What callers would see: turns placed without regard to load and cache for a minute. One report that took longer than two poll intervals counted like an unsupported path: neither loads nor cache events of that endpoint were asked for during 60 s. Change: after a timeout the pause is four poll intervals; after another status than 200 it stays 60 s.

--- a/burdockwall/process/scheduling/poller.py
+++ b/burdockwall/process/scheduling/poller.py
@@ -19,6 +19,7 @@
 ANSWER_LIMIT_BYTES = 1_048_576
 ACTIVE_WINDOW_S = 10.0
 UNSUPPORTED_PAUSE_S = 60.0
+TIMEOUT_PAUSE_INTERVALS = 4
 CONCURRENT_POLLS = 16
 
 
@@ -117,14 +118,15 @@
     ) -> bytes | None:
         """Return an endpoint's answer, or None.
 
-        After a time-out or another status than 200, as for an unsupported path, the
-        path is not requested from this endpoint for UNSUPPORTED_PAUSE_S.
+        After another status than 200, as for an unsupported path, the path is not
+        requested from this endpoint for UNSUPPORTED_PAUSE_S; after a timeout, for
+        TIMEOUT_PAUSE_INTERVALS.
         """
         resource = f"{endpoint.name} {path.partition('?')[0]}"
         if self._paused_until.get(resource, 0.0) > self.clock():
             return None
         try:
-            with anyio.move_on_after(self.interval_s * 2):
+            with anyio.move_on_after(self.interval_s * 2) as scope:
                 async with self.clients.open_stream(
                     endpoint, method, path, [], content
                 ) as response:
@@ -132,7 +134,10 @@
                         return await _read_answer(response)
         except httpx.HTTPError:
             return None
-        self._paused_until[resource] = self.clock() + UNSUPPORTED_PAUSE_S
+        pause_s = UNSUPPORTED_PAUSE_S
+        if scope.cancelled_caught:
+            pause_s = TIMEOUT_PAUSE_INTERVALS * self.interval_s
+        self._paused_until[resource] = self.clock() + pause_s
         return None
 
 
