Check that a planned stop under load cuts off no request that was passed on

One of what operators of similar systems reported: 12 callers keep using their open connections until the instance is gone; each request that an endpoint received must be answered.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -107,3 +107,9 @@
   Scenario: A draining server receives no new requests
     When the first tool server is draining
     Then it receives no request 2 s later
+
+  Scenario: A planned stop under load cuts off no request that an endpoint has received
+    Given every tool server takes 0.4 s for an answer
+    When 12 callers keep asking over open connections until instance 1 has stopped
+    Then every request that a tool server received was answered
+    And at least 12 answers came after the stop began
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.subjects.platform import (
+    PersistentCallers,
     PlatformSite,
     build_configuration,
     build_routes,
@@ -348,3 +349,27 @@
 def step_refused_soon(context, limit_ms):
     assert context.answer.elapsed.total_seconds() * 1000 < limit_ms
     assert float(context.answer.headers["retry-after"]) > 0
+
+
+@given("every tool server takes {delay_s:f} s for an answer")
+def step_slow_tools(context, delay_s):
+    for tool in context.site.tools:
+        tool.delay_s = delay_s
+
+
+@when(
+    "{count:d} callers keep asking over open connections until instance 1 has stopped"
+)
+def step_persistent(context, count):
+    context.callers = PersistentCallers(context.site)
+    context.callers.run(count, before_s=0.5)
+
+
+@then("every request that a tool server received was answered")
+def step_answered_all(context):
+    assert context.callers.list_unanswered() == []
+
+
+@then("at least {count:d} answers came after the stop began")
+def step_after_stop(context, count):
+    assert context.callers.after_stop >= count, context.callers.after_stop
