--- a/benchmarks/_scheduling_runs.py
+++ b/benchmarks/_scheduling_runs.py
@@ -81,12 +81,6 @@
         ]
 
 
-def compute_quantile(values: list[float], quantile: float) -> float:
-    """Return the value at a quantile from 0 to 1."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
-
-
 def run_case(
     case: Case, slow_endpoint: bool = False, stop_instance: bool = False
 ) -> RunResult:
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -14,6 +14,7 @@
     build_key,
     build_submission,
 )
+from benchmarks._quantiles import compute_quantile
 from benchmarks.result import Result, create_result
 from burdockwall.machine import Tick
 from burdockwall.process.control.commands import SubmitConfiguration
@@ -46,12 +47,6 @@
 TARGET_SERVERS = 2200
 
 
-def compute_percentile(values: list[float], share: float) -> float:
-    """Return the value below which a share from 0 to 1 of the values lies."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 def create_temporary_folder() -> "tempfile.TemporaryDirectory[str]":
     """Create a folder in the current directory, since /tmp may be in memory."""
     return tempfile.TemporaryDirectory(dir=Path.cwd(), prefix=".benchmark-")
@@ -142,7 +137,7 @@
         create_result(f"{name}/changes", count / load.elapsed_s, "1/s", SEED),
         create_result(
             f"{name}/acknowledged_p99",
-            compute_percentile(load.acknowledged_after_s, 0.99),
+            compute_quantile(load.acknowledged_after_s, 0.99),
             "s",
             SEED,
             bound=IN_FORCE_BOUND_S,
@@ -164,7 +159,7 @@
     idle.network.run_until(idle.network.now + IDLE_S)
     processor_s = time.process_time() - processor_before_s
     sent_per_s = (idle.network.sent_bytes - bytes_before) / IDLE_S
-    single_s = compute_percentile(sequential.acknowledged_after_s, 0.5)
+    single_s = compute_quantile(sequential.acknowledged_after_s, 0.5)
     return [
         create_result(f"{name}/alone_acknowledged_p50", single_s, "s", SEED),
         *list_load_results(voters, concurrent),
@@ -235,12 +230,12 @@
     """Run all measurements, with the time of a sync on this disk."""
     syncs = time_syncs()
     hops = anyio.run(time_thread_hops)
-    sync_s = compute_percentile(syncs, 0.5)
+    sync_s = compute_quantile(syncs, 0.5)
     results = [
         create_result("control/sync_p50", sync_s, "s"),
-        create_result("control/sync_p99", compute_percentile(syncs, 0.99), "s"),
-        create_result("control/thread_hop_p50", compute_percentile(hops, 0.5), "s"),
-        create_result("control/thread_hop_p99", compute_percentile(hops, 0.99), "s"),
+        create_result("control/sync_p99", compute_quantile(syncs, 0.99), "s"),
+        create_result("control/thread_hop_p50", compute_quantile(hops, 0.5), "s"),
+        create_result("control/thread_hop_p99", compute_quantile(hops, 0.99), "s"),
     ]
     for voters in (3, 5):
         results += measure_cluster(voters, sync_s)
--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 
+from benchmarks._quantiles import compute_quantile
 from benchmarks._scheduling_runs import (
     BASELINES,
     BURDOCKWALL,
     FLOODING_CUSTOMER_INDEX,
     Case,
     RunResult,
-    compute_quantile,
     run_case,
 )
 from benchmarks.result import Result, create_result
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,8 +6,8 @@
 import msgspec
 from behave import given, then, when
 
+from features.subjects.planned_stop import PersistentCallers
 from features.subjects.platform import (
-    PersistentCallers,
     PlatformSite,
     build_configuration,
     build_routes,
