--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -3,14 +3,16 @@
 import msgspec
 from behave import given, then, when
 
-from burdockwall.machine import Receive
+from burdockwall.machine import Message, Receive
 from burdockwall.process.storage.calls import TurnOutcome
-from burdockwall.process.storage.messages import AskIndex, StreamPlace
+from burdockwall.process.storage.messages import AskIndex, BeginTurn, StreamPlace
 from burdockwall.process.storage.quorum import Verdict
 from burdockwall.process.storage.records import RecordKey, RecordKind
 from burdockwall.types import (
+    CallId,
     CustomerId,
     Incarnation,
+    ProgramId,
     ServiceName,
     SoftwareVersion,
     TurnId,
@@ -312,3 +314,52 @@
 def step_no_places(context):
     for parts in context.storage.stores.values():
         assert len(parts.ledger.stream_places) == 0
+
+
+# Mixed builds.
+
+
+class EarlierBeginTurn(Message, frozen=True, tag="BeginTurn"):
+    """The reservation as builds without places define it."""
+
+    call: CallId
+    incarnation: Incarnation
+    customer: CustomerId
+    program: ProgramId
+    turn: TurnId
+    tokens: int
+    retention_ms: int
+    previous: TurnId | None = None
+    sends_chain: bool = False
+
+
+@given("a reservation with a place and a stream to take up")
+def step_reservation(context):
+    context.reservation = BeginTurn(
+        CallId(1),
+        Incarnation(2),
+        CUSTOMER,
+        ProgramId("p"),
+        TurnId("b"),
+        10,
+        60_000,
+        place=StreamPlace(ServiceName("s"), SoftwareVersion("v1")),
+        resumes=TurnId("a"),
+    )
+
+
+@then("an earlier build reads it without them")
+def step_read_earlier(context):
+    data = msgspec.msgpack.encode(context.reservation)
+    read = msgspec.msgpack.decode(data, type=EarlierBeginTurn)
+    assert (read.turn, read.sends_chain) == (TurnId("b"), False), read
+
+
+@then("a reservation of an earlier build is read as one without them")
+def step_read_later(context):
+    values = msgspec.structs.asdict(context.reservation)
+    del values["place"], values["resumes"]
+    data = msgspec.msgpack.encode(EarlierBeginTurn(**values))
+    read = msgspec.msgpack.decode(data, type=BeginTurn)
+    expected = msgspec.structs.replace(context.reservation, place=None, resumes=None)
+    assert read == expected, read
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -107,3 +107,8 @@
     Then turn "b" of another customer finds no stream of "a"
     And turn "c" finds no stream of "a" after 62 s
     And no store holds a place
+
+  Scenario: Builds with and without places of streams understand each other
+    Given a reservation with a place and a stream to take up
+    Then an earlier build reads it without them
+    And a reservation of an earlier build is read as one without them
