--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -163,7 +163,12 @@
 @then('the engine was sent "{body}"')
 def step_sent(context, body):
     received = context.site.engine.received_requests[-1].body.decode()
-    assert received == body.replace("\\n", "\n"), received
+    answer = context.answer
+    assert received == body.replace("\\n", "\n"), (
+        received,
+        answer.status_code if answer is not None else "cut off",
+        answer.text if answer is not None else "",
+    )
 
 
 @then("the engine was sent nothing")
