--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -186,6 +186,9 @@
             details = TurnDetails(stream, None, 0, None)
         if details is None:
             return None
+        place = None
+        if self.binding.is_recorded:
+            place = self.binding.predict(self._find_endpoint())
         return TurnStart(
             self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
             details.program,
@@ -195,7 +198,7 @@
             details.budget,
             self.route.retention_s,
             self.route.retains_turns,
-            self.binding.predict(self._find_endpoint()),
+            place,
             TurnId(begun_by) if begun_by is not None else None,
             self.binding.stream_s,
         )
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -61,8 +61,8 @@
         return self.route.resumable and self.resumption is None
 
     def predict(self, endpoint: ListedEndpoint | None) -> StreamPlace | None:
-        """Return the place to record while the turn begins, if one is needed."""
-        if endpoint is not None and self.is_recorded:
+        """Return the place to record while the turn begins, or None if there is none."""
+        if endpoint is not None:
             self.recorded = StreamPlace(self.service, endpoint.software)
         return self.recorded
 
@@ -73,9 +73,9 @@
 
         Raise RequestRefused if the stores do not confirm it.
         """
-        recorded = self.recorded
         if not self.is_recorded:
             return
+        recorded = self.recorded
         if recorded is not None and recorded.software == endpoint.software:
             return
         attempt = recorded.attempt + 1 if recorded is not None else 0
