--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -61,7 +61,7 @@
         return self.route.resumable and self.resumption is None
 
     def predict(self, endpoint: ListedEndpoint | None) -> StreamPlace | None:
-        """Return the place to record while the turn begins, or None if there is none."""
+        """Return the place to record while the turn begins, or None."""
         if endpoint is not None:
             self.recorded = StreamPlace(self.service, endpoint.software)
         return self.recorded
