Trust no place of a stream on the word of a store that has joined since

What callers could see: a stream that goes on at another version, if it had moved before its first event, a store had missed that, and a store that was told had been replaced by one that had run for long. Cause: the time for which a store had known places counted from its start, not from its joining the view. Change: it counts from the later of the two. Evidence: the new scenario of storage failed before (found at v1), passes now.

--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -93,6 +93,8 @@
         # A store that was removed from the view lacks the records stored since then.
         complete = state.complete and state.since == 0 and member is not None
         self._incomplete_since = now
+        # A store that was no member was told no places of streams.
+        self.ledger.stream_places.since = now
         self.ledger.set_state(StoreState(complete, since), now)
         return [CompletenessChanged(complete, ())]
 
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -91,8 +91,8 @@
     """Confirms a synced reservation, or answers a look-up, which has no charges.
 
     `complete` is whether the store has all records that were stored before. `place` is
-    that of the stream which the turn takes up, if the store was told within the last
-    `places_s` seconds, for which it has been running.
+    that of the stream which the turn takes up, if the store knows it. The store has
+    been told of places for `places_s` seconds.
     """
 
     call: CallId
--- a/burdockwall/process/storage/quorum.py
+++ b/burdockwall/process/storage/quorum.py
@@ -110,8 +110,8 @@
     def _is_place_certain(self) -> bool:
         """Return whether the answers overlap with every quorum that was told a place.
 
-        A store without the place that started within the stream's life may have been
-        told, and does not count.
+        A store without the place that started or joined within the stream's life does
+        not count: it may have forgotten the place, or was never told.
         """
         certain = [
             answer
--- a/burdockwall/process/storage/stream_places.py
+++ b/burdockwall/process/storage/stream_places.py
@@ -16,7 +16,7 @@
     """Retains the latest place of each request's stream for PLACE_RETENTION_S."""
 
     def __init__(self) -> None:
-        # When the store started; it has forgotten all that it was told before.
+        # When the store started or joined the view; it knows no places from before.
         self.since = 0.0
         self._places: dict[TurnKey, StreamPlace] = {}
         self._expiries: deque[tuple[float, TurnKey]] = deque()
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -3,11 +3,13 @@
 import msgspec
 from behave import given, then, when
 
+from burdockwall.fakes.files import FakeFiles
 from burdockwall.machine import Message, Receive
 from burdockwall.process.storage.calls import TurnOutcome
 from burdockwall.process.storage.messages import AskIndex, BeginTurn, StreamPlace
 from burdockwall.process.storage.quorum import Verdict
 from burdockwall.process.storage.records import RecordKey, RecordKind
+from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import (
     CallId,
     CustomerId,
@@ -303,6 +305,30 @@
     assert place is not None and place.software == version, place
 
 
+@given("a fourth store that is no member yet")
+def step_fourth_store(context):
+    storage = context.storage
+    storage.start_store(name_store(4), FakeFiles(storage.random), first=False)
+
+
+@when("{seconds:d} s have passed")
+def step_pass(context, seconds):
+    context.storage.run(seconds)
+
+
+@when("store {new:d} takes the place of store {old:d}")
+def step_replace_store(context, new, old):
+    storage = context.storage
+    number = storage.view.number + 1
+    members = tuple(
+        member for member in storage.view.members if member.instance != name_store(old)
+    )
+    joined = StoreMember(name_store(new), number)
+    storage.install_view(StoreView(number, (*members, joined)))
+    # Until the new store has copied what the others hold.
+    storage.run(2.0)
+
+
 @then('turn "{turn}" of another customer finds no stream of "{begun_by}"')
 def step_find_foreign(context, turn, begun_by):
     assert find_place(context, turn, begun_by, CustomerId("another")) is None
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -94,6 +94,18 @@
     And store 2 is cut off
     Then turn "b" that takes up the stream of "a" finds it at "v2"
 
+  Scenario: A store that has joined since does not stand for one that was told
+    Given a ledger on three stores
+    And a fourth store that is no member yet
+    When 20 s have passed
+    And turn "a" begins with its stream at "v1"
+    And store 3 is cut off
+    And turn "a" moves its stream to "v2"
+    And store 3 is back
+    And store 4 takes the place of store 1
+    And store 2 is cut off
+    Then turn "b" finds no stream of "a" after 0 s
+
   Scenario: A late repetition does not bring an earlier place back
     Given a ledger on three stores
     When turn "a" begins with its stream at "v1"
