Show streams taken up under refusals, in a release, and at an instance cut off

Cause: the tests did not show how often streams are taken up beside how often new ones begin, nor a release, nor a cut between instances and stores. Change: three scenarios, and a stand-in that refuses each so many-th request; the faulty proxy remembers answers only where it repeats them. Result: with two engines of v1 and three of v2 that refuse each third request, streams go on at least 0.9 times as often as new ones begin, none at another version; in a release of three engines they go on until the last has left the list, then 503; cut off from two of three stores an instance answers 503.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -18,6 +18,8 @@
 # grows with the square of its size. Several small pools avoid that.
 STREAMS_PER_CLIENT = 8
 IDLE_CLIENTS_PER_ENDPOINT = 4
+# The header that names a request, and that an endpoint may repeat in its answer.
+REQUEST_ID = "request-id"
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -33,9 +35,6 @@
 )
 
 
-REQUEST_ID = "request-id"
-
-
 def _number_request(headers: Headers) -> tuple[str, Headers]:
     """Return the id of a request and its headers, with a new id if they have none."""
     for name, value in headers:
--- a/burdockwall/fakes/proxy.py
+++ b/burdockwall/fakes/proxy.py
@@ -71,7 +71,7 @@
             while True:
                 chunk = await client.receive(CHUNK_BYTES)
                 earlier = self._answers.pop(number, b"")
-                if earlier and self.repeats_answers:
+                if earlier:
                     async with self._writing:
                         await client.send(earlier)
                 if number not in self._silenced:
@@ -88,7 +88,8 @@
         with suppress(anyio.EndOfStream):
             while True:
                 chunk = await server.receive(CHUNK_BYTES)
-                self._answers[number] = self._answers.get(number, b"") + chunk
+                if self.repeats_answers:
+                    self._answers[number] = self._answers.get(number, b"") + chunk
                 if number not in self._silenced:
                     async with self._writing:
                         await client.send(chunk)
--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -31,7 +31,8 @@
 
     It refuses the next `refusals_left` requests with 503, and breaks a stream from its
     start after `cut_after_events` events. With `refuses_after_cut` it refuses every
-    request after that. While `silent`, it answers no requests except for
+    request after that. If `refuses_each` is not 0, it refuses each so many-th request.
+    While `silent`, it answers no requests except for
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
     `leaving_values` is sent in a header of each answer that says whether it leaves.
     """
@@ -46,6 +47,7 @@
     refusals_left: int = 0
     cut_after_events: int | None = None
     refuses_after_cut: bool = False
+    refuses_each: int = 0
     delay_s: float = 0.0
     silent: bool = False
     leaving_values: tuple[str, ...] = ()
@@ -64,8 +66,7 @@
             ReceivedRequest(exchange.method, target, headers, body)
         )
         answer = self._build_headers(headers)
-        if self.refusals_left:
-            self.refusals_left -= 1
+        if self._refuses():
             refused = [*answer, (b"x-not-executed", b"1")]
             await exchange.answer(503, refused, b"full")
             return
@@ -81,6 +82,13 @@
             self.cancelled_count += 1
             raise
 
+    def _refuses(self) -> bool:
+        if self.refusals_left:
+            self.refusals_left -= 1
+            return True
+        count = len(self.received_requests)
+        return bool(self.refuses_each) and count % self.refuses_each == 0
+
     def _build_headers(self, headers: dict[str, str]) -> Headers:
         return [
             (b"x-request-id", headers.get("x-request-id", "").encode()),
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -14,7 +14,9 @@
     create_endpoint,
     create_engines,
     send_list,
+    take_up_during_release,
     take_up_streams,
+    take_up_under_refusals,
 )
 
 
@@ -204,3 +206,53 @@
 def step_told(context, first, second):
     told = [f"{place.software} {place.attempt}" for place in context.client.places]
     assert told == [first, second], told
+
+
+# Streams that are taken up under trouble.
+
+
+@when("{count:d} streams break off, of engines that refuse each third request")
+def step_under_refusals(context, count):
+    context.shares, context.taken_up = take_up_under_refusals(context.caller, count)
+
+
+@then(
+    "the share of streams taken up is at least {part:f} of the share of new ones that "
+    "begin"
+)
+def step_shares(context, part):
+    shares = context.shares
+    assert shares.broken >= 12, shares
+    assert shares.resumed_share >= part * shares.new_share, shares
+
+
+@when('a stream breaks off before each step of a release to "{version}"')
+def step_release(context, version):
+    context.taken_up = take_up_during_release(context.caller, version)
+
+
+@then('streams went on until the last engine of "{version}" had gone, and none after')
+def step_until_gone(context, version):
+    *before, last = context.taken_up
+    assert len(before) >= 2
+    assert all(each.resumed.status == 200 for each in before), before
+    assert all(each.begun.engine.software == version for each in context.taken_up)
+    assert last.resumed.status == 503, last
+
+
+@when(
+    'a stream breaks off at version "{version}", and instance 2 is cut off from two '
+    "stores"
+)
+def step_cut(context, version):
+    def cut():
+        context.site.cut_off_entry(2, (1, 2))
+
+    context.taken_up = take_up_streams(context.caller, 1, version, prepare=cut)
+
+
+@then("every taker is refused with {status:d} and a time to come back")
+def step_refused_any(context, status):
+    for each in context.taken_up:
+        assert each.resumed.status == status, each
+        assert float(each.resumed.retry_after) > 0, each
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -27,6 +27,24 @@
     Then every stream that went on did so at the version that began it
     And every stream went on with its next event
 
+  Scenario: While two engines of the version serve, streams are taken up as often as new ones begin
+    Given a site whose engines are of versions "v1 v1 v2 v2 v2"
+    When 24 streams break off, of engines that refuse each third request
+    Then the share of streams taken up is at least 0.9 of the share of new ones that begin
+    And every stream that went on did so at the version that began it
+
+  Scenario: Streams are taken up while a release replaces the version that began them
+    Given a site whose engines are of versions "v1 v1 v1 v2"
+    When a stream breaks off before each step of a release to "v2"
+    Then every stream that went on did so at the version that began it
+    And streams went on until the last engine of "v1" had gone, and none after
+
+  Scenario: An instance that is cut off from the stores takes up no stream
+    Given a site whose engines are of versions "v1 v1 v2 v2"
+    When a stream breaks off at version "v1", and instance 2 is cut off from two stores
+    Then every taker is refused with 503 and a time to come back
+    And no engine of version "v2" was sent a taker's request
+
   Scenario: A stream without a program is taken up at the version that began it
     Given a site whose engines are of versions "v1 v1 v2 v2"
     And callers whose requests belong to no program
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -14,6 +14,7 @@
 from burdockwall.errors import Code
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.servers import FakeServer, FakeServerList
+from burdockwall.machine import Message
 from burdockwall.platform.codec import PlatformCodec
 from burdockwall.platform.configuration import decode_deployment
 from burdockwall.platform.control import install_handlers
@@ -243,6 +244,18 @@
                 return False
         return True
 
+    def cut_off_entry(self, number: int, stores: tuple[int, ...]) -> None:
+        """Drop all messages of an entry instance to some stores from now on."""
+        bus = self.entries[number - 1].member.host.bus
+        cut = {InstanceId(f"127.0.2.{store}:{self.port}") for store in stores}
+        send = bus.send
+
+        def send_unless_cut(to: InstanceId, message: Message) -> None:
+            if to not in cut:
+                send(to, message)
+
+        bus.send = send_unless_cut  # type: ignore[method-assign]
+
     def kill_entry(self, number: int) -> None:
         """End an entry instance without a drain."""
         self.call_in_loop(self._scopes[f"entry-{number}"].cancel)
--- a/features/subjects/stream_versions.py
+++ b/features/subjects/stream_versions.py
@@ -1,5 +1,6 @@
 """Streams that break off at engines of several versions, and callers that go on."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -37,6 +38,9 @@
 
 BUDGET_TOKENS = 10_000
 STAMP = "x-server-stamp"
+# Time after which every instance has the list as it is now.
+LIST_LIMIT_S = 2.0
+MOST_BEGINNINGS = 40
 
 
 def create_engines(versions: str, service: str = "engines") -> list[FakeServer]:
@@ -167,6 +171,70 @@
     raise AssertionError(f"only {len(taken_up)} streams began at {version}")
 
 
+@dataclass(slots=True)
+class Shares:
+    """The streams of which some began, and the broken ones of which some went on."""
+
+    asked: int = 0
+    begun: int = 0
+    broken: int = 0
+    went_on: int = 0
+
+    @property
+    def new_share(self) -> float:
+        """Return the share of new streams that began."""
+        return self.begun / self.asked
+
+    @property
+    def resumed_share(self) -> float:
+        """Return the share of broken streams that went on."""
+        return self.went_on / self.broken
+
+
+def take_up_under_refusals(
+    caller: StreamCaller, count: int
+) -> tuple[Shares, list[TakenUp]]:
+    """Take up streams once each, while every engine serves and refuses some work."""
+    shares = Shares()
+    taken_up = []
+    for engine in caller.site.engines:
+        engine.cut_after_events = 1
+        engine.refuses_each = 3
+    for number in range(count):
+        request = f"begin-{number}"
+        begun = caller.begin(request, 1)
+        shares.asked += 1
+        if begun.status != 200:
+            continue
+        shares.begun += 1
+        resumed = caller.resume(f"resume-{number}", request, begun.events[-1], 2)
+        shares.broken += 1
+        shares.went_on += resumed.status == 200
+        taken_up.append(TakenUp(begun, resumed))
+    return shares, taken_up
+
+
+def take_up_during_release(caller: StreamCaller, version: str) -> list[TakenUp]:
+    """Take up streams of engines that have left, until the old version has gone."""
+    site = caller.site
+    taken_up = []
+    for step in range(sum(engine.software != version for engine in site.engines)):
+        begun = None
+        for number in range(MOST_BEGINNINGS):
+            for engine in site.engines:
+                engine.cut_after_events = 1
+            request = f"begin-{step}-{number}"
+            begun = caller.begin(request, 1)
+            if begun.engine is not None and begun.engine.software != version:
+                break
+        assert begun is not None and begun.engine is not None
+        site.server_list.servers.remove(begun.engine)
+        time.sleep(LIST_LIMIT_S)
+        resumed = caller.resume(f"resume-{step}", request, begun.events[-1], 2)
+        taken_up.append(TakenUp(begun, resumed))
+    return taken_up
+
+
 def create_endpoint(version: str) -> ListedEndpoint:
     """Create a listed endpoint of a version."""
     return ListedEndpoint(
