Send a turn again that is refused while the stores come back, as callers do

Change: the scenario sends a turn again that is refused with 503, at the time that the refusal names, for 12 s at most, which is when turns must be served again after a loss of power; what the engine is sent is checked as before, and that refusals name a time.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -37,7 +37,7 @@
     Then the turn is answered with 3 events
     And the engine was sent "one w1\nw2\nw3\ntwo "
     When every store loses power and starts again
-    And turn "t3" continues "t2" and asks "three " at instance 1
+    And turn "t3" continues "t2" and asks "three " at instance 1 until it is not refused
     Then the engine was sent "one w1\nw2\nw3\ntwo w1\nw2\nw3\nthree "
 
   Scenario: A turn after an unknown turn or beyond its budget is refused before it runs
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,6 +15,8 @@
 )
 
 BUDGET_TOKENS = 10_000
+# Until when turns must be served again after all stores have lost power.
+RECOVERY_S = 12.0
 
 
 @given("a site with three control instances, three stores and two entry instances")
@@ -146,6 +148,20 @@
     run_turn(context, turn, previous, prompt, instance)
 
 
+@when(
+    'turn "{turn}" continues "{previous}" and asks "{prompt}" at instance '
+    "{instance:d} until it is not refused"
+)
+def step_next_turn_after_restart(context, turn, previous, prompt, instance):
+    until = time.monotonic() + RECOVERY_S
+    while True:
+        run_turn(context, turn, previous, prompt, instance)
+        assert context.answer is not None
+        if context.answer.status_code != 503 or time.monotonic() > until:
+            return
+        time.sleep(float(context.answer.headers["retry-after"]))
+
+
 @when(
     'turn "{turn}" with a budget of {budget:d} tokens asks "{prompt}" at instance '
     "{instance:d}"
