Give the binding what it knows of a stream, and the connection the reading of a body

Change: the binding describes them and names the request that began the stream; a connection reads its own body. No behaviour changes.

--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -117,6 +117,17 @@
             return None
         return b"".join(parts)
 
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Read the rest of the body; raise ConnectionBroken beyond the limit."""
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > limit_bytes:
+                raise ConnectionBroken(f"the answer exceeds {limit_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
     def _parse_event(self) -> object:
         try:
             return self._machine.next_event()
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -31,12 +31,11 @@
     AttemptDetails,
     ForwardedRequest,
     RequestCodec,
-    TurnDetails,
 )
 from burdockwall.request.events import EVENT_END, EventSplitter, join_event_data
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import CustomerId, EndpointId, ProgramId, Ran, TurnId
+from burdockwall.types import CustomerId, EndpointId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
     HostCustomer,
@@ -172,35 +171,27 @@
                 self.parts.settle_later(start, outcome)
 
     def _describe_turn(self) -> TurnStart | None:
-        """Describe the request as a turn, or return None if the stores need not know.
-
-        A stream without a program that callers may take up is the only turn of one.
-        """
+        """Describe the request as a turn, or return None if no store need know it."""
         if self.route.kind is not RequestKind.STREAM:
             return None
-        details = self.request.turn
-        resumption = self.binding.resumption
-        begun_by = resumption.begun_by if resumption is not None else None
-        if details is None and self.route.resumable:
-            stream = ProgramId(begun_by or self.request.request)
-            details = TurnDetails(stream, None, 0, None)
+        details = self.request.turn or self.binding.describe_stream()
         if details is None:
             return None
         place = None
         if self.binding.is_recorded:
             place = self.binding.predict(self._find_endpoint())
         return TurnStart(
-            self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
-            details.program,
-            TurnId(self.request.request),
-            details.previous if self.route.retains_turns else None,
-            details.tokens,
-            details.budget,
-            self.route.retention_s,
-            self.route.retains_turns,
-            place,
-            TurnId(begun_by) if begun_by is not None else None,
-            self.binding.stream_s,
+            customer=self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
+            program=details.program,
+            turn=TurnId(self.request.request),
+            previous=details.previous if self.route.retains_turns else None,
+            tokens=details.tokens,
+            budget=details.budget,
+            retention_s=self.route.retention_s,
+            needs_chain=self.route.retains_turns,
+            place=place,
+            resumes=self.binding.begun_by,
+            stream_s=self.binding.stream_s,
         )
 
     async def _admit(self) -> None:
@@ -371,7 +362,7 @@
         if details.ran and is_stream and head.status in STATUS_OK:
             await self._relay_stream(connection, head, prompt)
             return
-        body = await _read_body(connection)
+        body = await connection.read_body(ANSWER_LIMIT_BYTES)
         if not details.ran:
             self.progress.runs -= 1
             raise _NotRun(f"answered {head.status}, not run")
@@ -434,14 +425,3 @@
         if not await self.parts.turn_client.end(self.turn, outcome):
             raise RequestRefused(Code.TURN_NOT_STORED)
         self.progress.settled = True
-
-
-async def _read_body(connection: UpstreamConnection) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while (part := await connection.read_part()) is not None:
-        size += len(part)
-        if size > ANSWER_LIMIT_BYTES:
-            raise ConnectionBroken(f"the answer exceeds {ANSWER_LIMIT_BYTES} bytes")
-        parts.append(part)
-    return b"".join(parts)
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -13,8 +13,8 @@
 from burdockwall.process.storage.calls import TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.messages import StreamPlace
-from burdockwall.request.codec import ForwardedRequest, Resumption
-from burdockwall.types import SoftwareVersion
+from burdockwall.request.codec import ForwardedRequest, Resumption, TurnDetails
+from burdockwall.types import ProgramId, SoftwareVersion, TurnId
 from burdockwall.version.deployment import HostRoute, choose_service
 
 RETRY_AFTER_S = 0.1
@@ -43,13 +43,17 @@
         if route.resumable:
             self.resumption = request.resumption
         # The shares of a route give each stream one service, whoever takes it up.
-        stream = request.request
-        if self.resumption is not None and self.resumption.begun_by is not None:
-            stream = self.resumption.begun_by
-        self.service = choose_service(route.shares, stream)
+        self.service = choose_service(route.shares, self.begun_by or request.request)
         self.software: SoftwareVersion | None = None
         self.recorded: StreamPlace | None = None
 
+    @property
+    def begun_by(self) -> TurnId | None:
+        """Return the request that began the stream which this one takes up, or None."""
+        if self.resumption is None or self.resumption.begun_by is None:
+            return None
+        return TurnId(self.resumption.begun_by)
+
     @property
     def stream_s(self) -> float:
         """Return how long a stream may have lasted when it is taken up, in seconds."""
@@ -60,6 +64,16 @@
         """Return whether the stores must know where the request's stream begins."""
         return self.route.resumable and self.resumption is None
 
+    def describe_stream(self) -> TurnDetails | None:
+        """Describe a stream without a program, or return None if none may take it up.
+
+        It counts as the only turn of a program that is named after its first request.
+        """
+        if not self.route.resumable:
+            return None
+        program = ProgramId(self.begun_by or self.request.request)
+        return TurnDetails(program, budget=None, tokens=0, previous=None)
+
     def predict(self, endpoint: ListedEndpoint | None) -> StreamPlace | None:
         """Return the place to record while the turn begins, or None."""
         if endpoint is not None:
@@ -88,14 +102,13 @@
 
         Raise RequestRefused if that place is not certain.
         """
-        assert self.resumption is not None
         place = decide_resume_place(
             recorded,
             frozenset(share.service for share in self.route.shares if share.weight),
             self.service,
             self._find_sole_version(now),
         )
-        begun_by = self.resumption.begun_by or "an unnamed request"
+        begun_by = self.begun_by or "an unnamed request"
         if place is None:
             detail = f"it is not known where the stream of {begun_by} began"
             raise RequestRefused(Code.RESUME_UNAVAILABLE, detail, RETRY_AFTER_S)
@@ -116,9 +129,8 @@
         Callers that do not name a stream's beginning expect one version at a time, so
         for them the present one decides.
         """
-        assert self.resumption is not None
         lasting_s = 0.0
-        if self.resumption.begun_by is not None:
+        if self.begun_by is not None:
             lasting_s = self.stream_s + LIST_SKEW_S
         return self.endpoints.find_sole_version(self.service, now - lasting_s, now)
 
