--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -125,12 +125,14 @@
 class FakeService:
     """A plain service that counts the runs per idempotency key.
 
-    Calls without a key are counted by their body. Each call takes `delay_s`.
+    Calls without a key are counted by their body. Each call takes `delay_s`. With
+    `cuts_answers` the connection breaks halfway through each answer.
     """
 
     def __init__(self) -> None:
         self.run_counts: Counter[str] = Counter()
         self.delay_s = 0.0
+        self.cuts_answers = False
         self.received_requests: list[bytes] = []
 
     async def serve(self, exchange: Exchange) -> None:
@@ -140,4 +142,8 @@
         key = exchange.get_header(b"idempotency-key") or body.decode()
         self.run_counts[key] += 1
         await anyio.sleep(self.delay_s)
+        if self.cuts_answers:
+            await exchange.start(200, [])
+            await exchange.write(b'{"filed":')
+            raise ConnectionAbortedError("the answer is cut on purpose")
         await exchange.answer_json(200, {"filed": key, "run": self.run_counts[key]})
--- a/features/entry_failures.feature
+++ b/features/entry_failures.feature
@@ -54,6 +54,11 @@
     When 3 callers ask one after the other, and a copy of each answer arrives late
     Then every entry answer is complete, with no token lost or duplicated
 
+  Scenario: An answer of a plain service that breaks off halfway never looks complete
+    Given an entry site with 1 engines
+    When a plain service breaks its answer off halfway
+    Then the caller of the service has no whole answer
+
   Scenario: Pooled idle connections go silent permanently
     Given an entry site with 1 engines
     When the idle connections go silent before an answer
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -143,6 +143,16 @@
     run(context, context.subject.repeat_answers, count)
 
 
+@when("a plain service breaks its answer off halfway")
+def step_cut_service(context):
+    run(context, context.subject.cut_service)
+
+
+@then("the caller of the service has no whole answer")
+def step_no_whole_answer(context):
+    assert context.subject.outcomes == ["broken off"], context.subject.outcomes
+
+
 @when("the idle connections go silent before an answer")
 def step_silence_idle(context):
     run(context, context.subject.silence_idle)
--- a/features/subjects/entry_failures.py
+++ b/features/subjects/entry_failures.py
@@ -156,6 +156,14 @@
         for number in range(count):
             await self.ask_whole(client, path, number)
 
+    async def cut_service(self, site, client, path) -> None:
+        site.service.cuts_answers = True
+        try:
+            answer = await client.get("/stock/1", headers=path.build_headers(1))
+            self.outcomes.append(str(answer.status_code))
+        except httpx.RemoteProtocolError:
+            self.outcomes.append("broken off")
+
     async def silence_streams(self, site, client, path) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self.ask_whole, client, path, 1)
