Log the request rate that an endpoint names in its answer

Change: the codec reads it, and `request ended` has it as `rate_limit_per_s`. Nothing decides by it yet.

--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -1,5 +1,7 @@
 """Conversion of requests, answers and refusals from and to the platform's format."""
 
+import re
+
 from burdockwall.connection.exchange import JSON_TYPE, Exchange, Headers
 from burdockwall.connection.upstream import AnswerHead
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
@@ -22,6 +24,7 @@
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 NOT_LEAVING = (b"", b"0")
+RATE_PATTERN = re.compile(rb"\d+(\.\d*)?|\.\d+")
 # The id of the last event before the caller has received one.
 NO_EVENT_IDS = ("", "0")
 # Codes for which the platform expects a status other than that in the code table.
@@ -87,7 +90,8 @@
     def read_answer(self, head: AnswerHead) -> AnswerDetails:
         """Read the details of an answer from its status and headers."""
         headers = dict(head.headers)
-        ran = names.NOT_EXECUTED not in headers and head.status != MISDIRECTED_STATUS
+        misdirected = head.status == MISDIRECTED_STATUS
+        ran = names.NOT_EXECUTED not in headers and not misdirected
         closes = b"close" in headers.get(names.CONNECTION, b"").lower()
         return AnswerDetails(
             ran,
@@ -95,6 +99,8 @@
             _read_idle_s(headers),
             _read_load(headers.get(names.SERVER_LOAD)),
             _read_leaving(head.headers),
+            misdirected,
+            _read_rate_limit(head.headers),
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
@@ -181,6 +187,16 @@
     return any(value not in NOT_LEAVING for value in values)
 
 
+def _read_rate_limit(headers: Headers) -> float | None:
+    """Return the lowest rate that a value names, or None if no value is a rate."""
+    rates = [
+        float(value)
+        for name, value in headers
+        if name == names.SERVER_LIMIT and RATE_PATTERN.fullmatch(value.strip())
+    ]
+    return min(rates, default=None)
+
+
 def _read_load(value: bytes | None) -> ReportedLoad | None:
     numbers = value.split(b",") if value else []
     if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -77,7 +77,9 @@
     `ran` is false if the endpoint did not run the request, and `closes` is true if it
     closes the connection after the answer. `idle_s` is how long it keeps an idle
     connection open, or None if it does not say. `leaving` is true if the endpoint takes
-    no new work because it is about to stop.
+    no new work because it is about to stop. `misdirected` is true if another endpoint
+    answered. `rate_limit_per_s` is the request rate that the endpoint takes from all
+    instances together, or None if it names none.
     """
 
     ran: bool
@@ -85,6 +87,8 @@
     idle_s: float | None
     load: ReportedLoad | None
     leaving: bool = False
+    misdirected: bool = False
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -274,6 +274,7 @@
         try:
             head = await self._send_with_timeout(connection, endpoint)
             details = parts.codec.read_answer(head)
+            self.trace.rate_limit_per_s = details.rate_limit_per_s
             if details.leaving:
                 self._record_leaving(endpoint)
             if details.load is not None:
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -16,6 +16,7 @@
     answer was complete and its turn was to be stored. `software` is the version of the
     endpoint's software. A request that takes up a stream has `resumed_from`, the
     request that began it, and `last_event`, the last event that the caller received.
+    `rate_limit_per_s` is the request rate that the answer of the endpoint named.
     """
 
     request: str
@@ -38,6 +39,7 @@
     software: str = ""
     resumed_from: str = ""
     last_event: str = ""
+    rate_limit_per_s: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of the request's log line.
@@ -51,6 +53,7 @@
             "route": self.route,
             "endpoint": self.endpoint,
             "software": self.software,
+            "rate_limit_per_s": self.rate_limit_per_s,
             "resumed_from": self.resumed_from,
             "last_event": self.last_event,
             "configuration": self.configuration,
