--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -1,5 +1,6 @@
 """Fakes of the servers of the users' platform, and of its server list."""
 
+import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -23,6 +24,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    received_at: float
 
 
 @dataclass(slots=True)
@@ -34,7 +36,8 @@
     request after that. If `refuses_each` is not 0, it refuses each so many-th request.
     While `silent`, it answers no requests except for
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
-    `leaving_values` is sent in a header of each answer that says whether it leaves.
+    `leaving_values` is sent in a header of each answer that says whether it leaves, and
+    `rate_limit`, unless it is empty, in one that names the rate it takes.
     """
 
     name: str
@@ -51,6 +54,7 @@
     delay_s: float = 0.0
     silent: bool = False
     leaving_values: tuple[str, ...] = ()
+    rate_limit: str = ""
     started_ms: int | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_count: int = 0
@@ -63,7 +67,7 @@
         }
         target = exchange.raw_path
         self.received_requests.append(
-            ReceivedRequest(exchange.method, target, headers, body)
+            ReceivedRequest(exchange.method, target, headers, body, time.monotonic())
         )
         answer = self._build_headers(headers)
         if self._refuses():
@@ -90,7 +94,9 @@
         return bool(self.refuses_each) and count % self.refuses_each == 0
 
     def _build_headers(self, headers: dict[str, str]) -> Headers:
+        limits = [self.rate_limit] if self.rate_limit else []
         return [
+            *((b"server-limit", value.encode()) for value in limits),
             (b"x-request-id", headers.get("x-request-id", "").encode()),
             (
                 b"x-server-stamp",
