Keep the request rates that endpoints name over all instances together

What callers would see: an endpoint in need breaks down under what it is sent, since nothing read the limit that it names. Class: a bound over all instances that no instance can keep by itself. Change: a request to a limited endpoint needs a permit of the leader of the control state, asked for on demand, one message under way an instance. The leader keeps a token bucket an endpoint, fenced by its term; the list of endpoints shows who is limited, so that other instances ask before their first request. What gets no permit goes to another endpoint, or is refused at once (new code 1407).

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -6,6 +6,7 @@
 from grpclib.encoding.base import CodecBase
 
 from burdockwall.process.control import copier, messages as control
+from burdockwall.process.endpoint_limits import messages as endpoint_limits
 from burdockwall.process.endpoints import EndpointList
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
@@ -46,6 +47,8 @@
     | AnyRecordMessage
     | AnyStorageMessage
     | EndpointList
+    | endpoint_limits.AskPermits
+    | endpoint_limits.GrantPermits
 )
 
 
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -154,6 +154,9 @@
     RESUME_UNAVAILABLE = CodeRow(
         1406, 503, Ran.NOT_RUN, Retry.SAFE, "No endpoint may go on with the stream."
     )
+    ENDPOINTS_LIMITED = CodeRow(
+        1407, 503, Ran.NOT_RUN, Retry.SAFE, "The endpoints take no more requests now."
+    )
     # The instance itself.
     NOT_READY = CodeRow(
         1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -14,11 +14,14 @@
 from burdockwall.process.control.files import StorageError
 from burdockwall.process.control.opening import prepare_replica
 from burdockwall.process.control.service import ControlService
+from burdockwall.process.endpoint_limits.messages import AskPermits
+from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.endpoints import (
     EndpointPublisher,
     ListedEndpoint,
     ListFollower,
     PublishEndpoints,
+    mark_limited,
 )
 from burdockwall.process.limits.fallback import FALLBACK_SILENCE_S, InstanceCount
 from burdockwall.process.limits.leader import LeaderLimits
@@ -100,6 +103,8 @@
         self.store_planner = StorePlanner(settings.tolerated_losses)
         self.emptying_planner = EmptyingPlanner()
         self._hosted_publisher = host.add(self.publisher)
+        self.permit_owner = PermitOwner(membership.get_led_term)
+        host.add(self.permit_owner, (AskPermits,))
         self._hosted_emptying_planner = host.add(
             self.emptying_planner, (Copied,), self._propose_emptying
         )
@@ -263,7 +268,10 @@
             if self._list_unreadable:
                 self._logger.notice("endpoint list available again")
             self._list_unreadable = False
-            self._endpoint_list = sorted(endpoints, key=lambda endpoint: endpoint.name)
+            self._endpoint_list = mark_limited(
+                sorted(endpoints, key=lambda endpoint: endpoint.name),
+                self.permit_owner.limits.list_limited(),
+            )
             self._publish()
             await anyio.sleep(LIST_INTERVAL_S)
 
--- /dev/null
+++ b/burdockwall/process/endpoint_limits/__init__.py
@@ -0,0 +1,1 @@
+"""The request rates that endpoints name for themselves, kept over all instances."""
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -34,6 +34,8 @@
     started_ms: int | None = None
     # Empty if the list gives no versions.
     software: SoftwareVersion = SoftwareVersion("")
+    # True if an answer of the endpoint named a limit of its request rate.
+    limited: bool = False
 
 
 class EndpointList(Message, frozen=True):
@@ -59,6 +61,18 @@
     followers: list[ListFollower]
 
 
+def mark_limited(
+    endpoints: list[ListedEndpoint], limited: frozenset[EndpointId]
+) -> list[ListedEndpoint]:
+    """Mark the endpoints that are known to be limited."""
+    if not limited:
+        return endpoints
+    return [
+        msgspec.structs.replace(endpoint, limited=endpoint.name in limited)
+        for endpoint in endpoints
+    ]
+
+
 class EndpointPublisher:
     """Sends the list to each follower when it changes, and again at intervals."""
 
@@ -148,6 +162,7 @@
         self._list_version = (Term(0), 0)
         self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
         self._names: set[EndpointId] = set()
+        self.limited: frozenset[EndpointId] = frozenset()
         self._announced = LeavingEndpoints()
         self._sole_versions: dict[ServiceName, _SoleVersion] = {}
 
@@ -174,6 +189,9 @@
             if not endpoint.leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
+        self.limited = frozenset(
+            endpoint.name for endpoint in message.endpoints if endpoint.limited
+        )
         self._announced.install_list(message.endpoints)
         self._track_versions(message.endpoints, now)
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -17,6 +17,7 @@
     StartDrain,
     StopServing,
 )
+from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoints import EndpointFollower, EndpointList
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.excess import create_excess
@@ -106,6 +107,7 @@
         self.balancer = Balancer(
             settings.failure_domain, generator, self.upstreams.has_idle
         )
+        self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
         self.ended = anyio.Event()
         self.parts = ForwardingParts(
             codec,
@@ -119,6 +121,7 @@
             self._settle_later,
             self.gate.admit,
             HedgeDelay(),
+            self.endpoint_limits,
         )
         self._add_gauges()
 
@@ -130,6 +133,10 @@
         gauges.add(
             "upstream_connections_opened", lambda: float(self.upstreams.opened_count)
         )
+        gauges.add(
+            "endpoint_permits_refused",
+            lambda: float(self.endpoint_limits.refused_count),
+        )
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _count_live_members(self) -> int:
@@ -256,6 +263,14 @@
             "rate owner changed", extra={"leader": leader, "term": agent.term}
         )
 
+    def _update_endpoint_limits(self) -> None:
+        """Use the current leader and the list's limited endpoints."""
+        agent = self.member.membership.agent
+        self.endpoint_limits.install_owner(
+            agent.path.leader, agent.term, self._count_live_members()
+        )
+        self.endpoint_limits.install_listed(self.endpoints.limited)
+
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
     ) -> None:
@@ -340,6 +355,7 @@
             await anyio.sleep(PERIODIC_INTERVAL_S)
             now = self.clock()
             self._update_limits_leader()
+            self._update_endpoint_limits()
             self._join_directory()
             self.metrics.record_lag(max(0.0, now - due_at))
             if self.drain.state is not DrainState.SERVING:
@@ -352,6 +368,7 @@
                 await self.upstreams.expire()
                 self.turn_client.refresh()
                 self.balancer.drop_unlisted(self.endpoints.list_names())
+                self.endpoint_limits.retain(self.endpoints.list_names())
 
     async def run(self, path: Path | None) -> None:
         """Serve until stopped; requests in flight end first."""
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -20,6 +20,7 @@
 )
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
 from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
@@ -49,6 +50,8 @@
 TIMEOUT_MARGIN_S = 0.03
 # After this many endpoints that did not run a request, its caller is refused.
 MAX_ENDPOINT_REFUSALS = 3
+# One request asks for permits of at most this many endpoints.
+MAX_PERMIT_ASKS = 3
 STATUS_OK = range(200, 300)
 ANSWER_LIMIT_BYTES = 16_777_216
 # The owner of turns on routes that need no key.
@@ -71,6 +74,7 @@
     settle_later: Callable[[TurnStart, TurnOutcome], None]
     admit: Callable[[CustomerId], Awaitable[Admission]]
     hedge_delay: HedgeDelay
+    endpoint_limits: EndpointLimits
 
 
 class _NotRun(Exception):
@@ -86,13 +90,15 @@
     """The state of a request across its attempts.
 
     `runs` counts the attempts that may have run, and `refusals` those that provably did
-    not. `settled` is true once the outcome of the turn is stored.
+    not. `unpermitted` are limited endpoints without a permit for the request. `settled`
+    is true once the outcome of the turn is stored.
     """
 
     runs: int = 0
     refusals: int = 0
     tokens: int = 0
     excluded: set[EndpointId] = field(default_factory=set)
+    unpermitted: set[EndpointId] = field(default_factory=set)
     settled: bool = False
     last_failure: str = ""
 
@@ -144,6 +150,8 @@
         raise RequestRefused(Code.DEADLINE_UNMET, retry_after_s=RETRY_AFTER_S)
 
     async def _run_request(self) -> None:
+        if self.binding.resumption is None:
+            self._check_permits()
         start = self._describe_turn()
         if start is None:
             await self._admit()
@@ -208,7 +216,7 @@
     async def _run_attempts(self, prompt: bytes = b"") -> None:
         service = self.view.get_service(self.binding.service)
         while True:
-            endpoint = self._choose()
+            endpoint = await self._choose()
             if self.turn is not None:
                 await self.binding.record(self.parts.turn_client, self.turn, endpoint)
             try:
@@ -230,30 +238,67 @@
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
-    def _build_refusal(self, code: Code) -> RequestRefused:
+    def _build_refusal(
+        self, code: Code, retry_after_s: float = RETRY_AFTER_S
+    ) -> RequestRefused:
         """Build a refusal, whose code never denies that the request may have run."""
         if self.progress.runs and code.value.ran is Ran.NOT_RUN:
             code = Code.ENDPOINT_FAILED
-        return RequestRefused(code, self.progress.last_failure, RETRY_AFTER_S)
+        return RequestRefused(code, self.progress.last_failure, retry_after_s)
 
     def _find_endpoint(self) -> ListedEndpoint | None:
         service = self.view.get_service(self.binding.service)
         affinity = self.request.program or ""
         return self.parts.balancer.choose(
-            self.binding.list_endpoints(),
+            self._list_permitted(),
             affinity if service.engine is not None else "",
             self.parts.clock(),
-            self.progress.excluded,
+            self.progress.excluded | self.progress.unpermitted,
         )
 
-    def _choose(self) -> ListedEndpoint:
-        endpoint = self._find_endpoint()
-        if endpoint is not None:
-            return endpoint
+    def _list_permitted(self) -> list[ListedEndpoint]:
+        """List the endpoints whose own rate limits may still allow a request."""
+        is_exhausted = self.parts.endpoint_limits.is_exhausted
+        return [
+            item
+            for item in self.binding.list_endpoints()
+            if not is_exhausted(item.name)
+        ]
+
+    async def _choose(self) -> ListedEndpoint:
+        """Choose an endpoint, with a permit if it is limited, or raise RequestRefused.
+
+        After MAX_PERMIT_ASKS limited endpoints without a permit, only others are used.
+        """
+        limits = self.parts.endpoint_limits
+        asks = 0
+        while (endpoint := self._find_endpoint()) is not None:
+            if asks < MAX_PERMIT_ASKS or not limits.needs_permit(endpoint.name):
+                if await limits.acquire(endpoint.name):
+                    return endpoint
+                asks += 1
+            self.progress.unpermitted.add(endpoint.name)
+        raise self._build_placement_refusal()
+
+    def _check_permits(self) -> None:
+        """Raise RequestRefused if no endpoint's rate limit allows a request now."""
+        if self.binding.list_endpoints() and not self._list_permitted():
+            raise self._build_placement_refusal()
+
+    def _build_placement_refusal(self) -> RequestRefused:
+        limited = [
+            item.name
+            for item in self.binding.list_endpoints()
+            if item.name not in self.progress.excluded
+        ]
+        if limited:
+            self.progress.last_failure = "the rate limits of all endpoints are reached"
+            retry_s = self.parts.endpoint_limits.get_wait_s(limited)
+            return self._build_refusal(Code.ENDPOINTS_LIMITED, retry_s)
         if not self.progress.last_failure:
             self.progress.last_failure = f"no {self.binding.describe_endpoints()}"
         bound = self.binding.software is not None
-        raise self._build_refusal(
+        return self._build_refusal(
             Code.RESUME_UNAVAILABLE if bound else Code.NO_ENDPOINT
         )
 
@@ -277,6 +322,9 @@
             self.trace.rate_limit_per_s = details.rate_limit_per_s
             if details.leaving:
                 self._record_leaving(endpoint)
+            if not details.misdirected:
+                rate_per_s = details.rate_limit_per_s
+                parts.endpoint_limits.observe(endpoint.name, rate_per_s)
             if details.load is not None:
                 parts.balancer.record_report(endpoint.name, details.load, parts.clock())
             await self._handle_answer(connection, head, details, prompt)
--- a/features/subjects/endpoint_limits.py
+++ b/features/subjects/endpoint_limits.py
@@ -8,19 +8,45 @@
 import anyio
 import httpx
 
+from burdockwall.connection.upstream import AnswerHead
 from burdockwall.fakes.servers import FakeServer
+from burdockwall.machine import Receive
+from burdockwall.platform.codec import PlatformCodec
+from burdockwall.process.endpoint_limits.holder import (
+    Ask,
+    Decided,
+    ObserveAnswer,
+    OwnerInstalled,
+    PermitHolder,
+)
+from burdockwall.process.endpoint_limits.messages import (
+    GrantPermits,
+    PermitDecision,
+    RateObservation,
+)
+from burdockwall.types import CallId, EndpointId, Incarnation, InstanceId, Term
 from features.subjects.platform import CALL_TIMEOUT_S, HOST, PlatformSite
 
 WINDOW_S = 4.0
 INSTANCES = 2
 
 
+@dataclass(frozen=True, slots=True)
+class LoadAnswer:
+    """An answer to a request of a load, and when it came."""
+
+    at: float
+    status: int
+    code: int | None
+    retry_after: str | None
+
+
 @dataclass(slots=True)
 class Load:
-    """A load: when it began, and the status of each answer."""
+    """A load: when it began, and its answers."""
 
     started_at: float
-    statuses: list[int] = field(default_factory=list)
+    answers: list[LoadAnswer] = field(default_factory=list)
 
 
 def run_load(
@@ -46,7 +72,15 @@
                 "x-request-id": f"load-{load.started_at}-{number}",
             },
         )
-        load.statuses.append(answer.status_code)
+        refused = answer.status_code != 200
+        load.answers.append(
+            LoadAnswer(
+                time.monotonic(),
+                answer.status_code,
+                answer.json()["code"] if refused else None,
+                answer.headers.get("retry-after"),
+            )
+        )
 
     async def run() -> None:
         async with (
@@ -78,3 +112,23 @@
         ),
         default=0,
     )
+
+
+def read_rate(values: list[str]) -> float | None:
+    """Return the rate that an answer with these headers names."""
+    headers = [(b"server-limit", value.encode()) for value in values]
+    return PlatformCodec().read_answer(AnswerHead(200, headers)).rate_limit_per_s
+
+
+def handle_late_grant(after_s: float) -> list[Decided]:
+    """Return what a holder decides on a grant that it handles after a pause."""
+    endpoint, owner = EndpointId("endpoint"), InstanceId("control")
+    holder = PermitHolder(Incarnation(1))
+    holder.handle(OwnerInstalled(owner, Term(1), 6), 0.0)
+    holder.handle(ObserveAnswer(endpoint, 2.0), 0.0)
+    asked_at = 1.0
+    holder.handle(Ask(CallId(1), endpoint), asked_at)
+    latest = RateObservation(endpoint, 2.0, 0.0)
+    grant = GrantPermits(Term(1), Incarnation(1), 2, [PermitDecision(latest, 1, 0.0)])
+    actions = holder.handle(Receive(owner, grant), asked_at + after_s)
+    return [item for item in actions if isinstance(item, Decided)]
