Keep the rates that endpoints of the own interface name

What callers would see: as on the platform. Change: the answer to a call may have `Request-Limit`. The dispatcher asks for a permit once a place is found, and looks for another endpoint without one; a relay needs a permit for each further attempt. Where all are at their limits, code 1407 at once.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -1,9 +1,10 @@
 """Pooled httpx clients for endpoints, with one pool for each endpoint."""
 
+import re
 import socket
 import ssl
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -14,12 +15,17 @@
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
+ObserveLimit = Callable[[EndpointId, float | None], None]
+
 # httpx checks every connection of its pool for each request, so the cost of a pool
 # grows with the square of its size. Several small pools avoid that.
 STREAMS_PER_CLIENT = 8
 IDLE_CLIENTS_PER_ENDPOINT = 4
 # The header that names a request, and that an endpoint may repeat in its answer.
 REQUEST_ID = "request-id"
+# The header in which an endpoint names the requests a second that it takes.
+RATE_LIMIT = "request-limit"
+RATE_PATTERN = re.compile(r"\d+(\.\d*)?|\.\d+")
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -35,6 +41,17 @@
 )
 
 
+def read_rate_limit(headers: httpx.Headers) -> float | None:
+    """Return the lowest request rate that an answer names, or None."""
+    values = headers.get_list(RATE_LIMIT, split_commas=True)
+    return min((float(item) for item in values if is_rate(item)), default=None)
+
+
+def is_rate(text: str) -> bool:
+    """Return whether a text is a decimal number of requests per second."""
+    return RATE_PATTERN.fullmatch(text) is not None
+
+
 def _number_request(headers: Headers) -> tuple[str, Headers]:
     """Return the id of a request and its headers, with a new id if they have none."""
     for name, value in headers:
@@ -76,10 +93,17 @@
     """The pooled clients of all endpoints, by endpoint and address.
 
     A stream fails if connecting takes longer than `connect_s`, or if nothing arrives
-    for `silence_s`.
+    for `silence_s`. `observe_limit` is told what each answer to a call says about the
+    rate that its endpoint takes.
     """
 
-    def __init__(self, connect_s: float, silence_s: float) -> None:
+    def __init__(
+        self,
+        connect_s: float,
+        silence_s: float,
+        observe_limit: ObserveLimit = lambda endpoint, rate_per_s: None,
+    ) -> None:
+        self.observe_limit = observe_limit
         self.connect_s = connect_s
         self.silence_s = silence_s
         self.replacements = 0
@@ -147,9 +171,12 @@
         path: str,
         headers: Headers,
         content: bytes | AsyncIterator[bytes] | None,
+        is_call: bool = False,
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and yield its answer before the body is read.
 
+        A call counts against the rate that the endpoint takes; other requests do not.
+
         Raise httpx.RemoteProtocolError if the answer names another request, as a late
         copy on a connection that is in use again does.
         """
@@ -163,6 +190,9 @@
                 if answered != request:
                     detail = f"endpoint {endpoint.name} answered request {answered}"
                     raise httpx.RemoteProtocolError(detail)
+                if is_call:
+                    rate_per_s = read_rate_limit(response.headers)
+                    self.observe_limit(endpoint.name, rate_per_s)
                 yield response
         finally:
             await self._release_client(endpoint, pooled)
--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -15,6 +15,7 @@
 STALL_INTERVAL_S = 0.2
 COMMENT = b": still here\n\n"
 ENGINE_BODY_BYTES = 67_108_864
+RATE_LIMIT = b"request-limit"
 EVENT_HEADERS = [(b"content-type", b"text/event-stream")]
 
 
@@ -56,7 +57,8 @@
     it starts a resumed stream at the first token. `fingerprint` names its software and
     is part of each event, unless it is empty. With `comments` it sends a comment before
     each token. After `stalls_after_tokens`, if not 0, a stream that starts at the first
-    token sends only `stall_bytes` now and then.
+    token sends only `stall_bytes` now and then. `rate_limit`, unless it is empty, names
+    in each answer the rate of requests that it takes.
     """
 
     def __init__(self, token_s: float = 0.001, cut_after_tokens: int = 0) -> None:
@@ -64,6 +66,8 @@
         self.cut_after_tokens = cut_after_tokens
         self.ignores_offset = False
         self.fingerprint = ""
+        self.rate_limit = ""
+        self.request_times: list[float] = []
         self.comments = False
         self.stalls_after_tokens = 0
         self.stall_bytes = b":"
@@ -91,6 +95,7 @@
     async def _serve_completion(self, exchange: Exchange) -> None:
         body = await exchange.read_body(ENGINE_BODY_BYTES)
         self.received_requests.append(format_request(exchange, body))
+        self.request_times.append(anyio.current_time())
         completion = parse_completion(body)
         request = exchange.get_header(b"request-id") or ""
         self.request_counts[request] += 1
@@ -98,7 +103,8 @@
         if self.ignores_offset:
             offset = 0
         echo = (b"request-id", request.encode())
-        await exchange.start(200, [*EVENT_HEADERS, echo])
+        limit = [(RATE_LIMIT, self.rate_limit.encode())] if self.rate_limit else []
+        await exchange.start(200, [*EVENT_HEADERS, echo, *limit])
         tokens = generate_tokens(_drop_partial_answer(completion))
         for number, token in enumerate(tokens, 1):
             if number <= offset:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -15,6 +15,8 @@
 from burdockwall.process.control.console import Console
 from burdockwall.process.control.service import ControlService
 from burdockwall.process.drain import RequestsInFlight, StartDrain, StopServing
+from burdockwall.process.endpoint_limits.messages import AskPermits
+from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.entry import Entry
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
@@ -72,6 +74,8 @@
             self.orders = Orders(
                 self.host, self._find_endpoint_address, self.membership.get_led_term
             )
+            permit_owner = PermitOwner(self.membership.get_led_term)
+            self.host.add(permit_owner, (AskPermits,))
         if settings.role is not Role.CONTROL:
             self.entry = self._create_entry()
             self.membership.on_endpoints = self.entry.set_leaving_endpoints
@@ -220,10 +224,19 @@
         while entry is not None:
             due_at = read_clock() + PERIODIC_INTERVAL_S
             await anyio.sleep(PERIODIC_INTERVAL_S)
+            self._update_endpoint_limits(entry)
             entry.metrics.record_lag(max(0.0, read_clock() - due_at))
             in_flight = RequestsInFlight(entry.count_in_flight())
             self.host.apply(self.hosted_drain, in_flight)
 
+    def _update_endpoint_limits(self, entry: Entry) -> None:
+        """Ask the current leader for the permits of limited endpoints."""
+        agent = self.membership.agent
+        limits = entry.parts.endpoint_limits
+        instances = len(self.membership.list_members())
+        limits.install_owner(agent.path.leader, agent.term, instances)
+        limits.retain(entry.parts.dispatcher.endpoints)
+
     async def _serve_until_stopped(self) -> None:
         ended = anyio.Event()
         address = self.settings.operator_address
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -4,13 +4,14 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import msgspec
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.machine import Tick
+from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.scheduling.jobs import (
     Asset,
     Cancel,
@@ -48,6 +49,8 @@
 REFUSED_RETRY_S = 1.0
 EXPLANATIONS_LIMIT = 100
 RELEASES_LIMIT = 1024
+# One call asks for permits of at most this many endpoints.
+MAX_PERMIT_ASKS = 3
 BYTES_PER_TOKEN = 4
 
 
@@ -116,7 +119,9 @@
         queue_limit_s: float,
         clock: Callable[[], float],
         generator: random.Random,
+        endpoint_limits: EndpointLimits,
     ) -> None:
+        self.endpoint_limits = endpoint_limits
         self.scheduler = Scheduler(policy, own_domain, generator)
         self.queue_limit_s = queue_limit_s
         self.clock = clock
@@ -162,7 +167,46 @@
                     self.releases.append(action)
 
     async def acquire(self, request: DispatchRequest) -> Dispatch:
-        """Wait for an endpoint; raise RequestRefused if there is none in time."""
+        """Wait for an endpoint whose rate limit allows the call.
+
+        Raise RequestRefused if there is none in time, or at once if the rate limits of
+        all endpoints are reached.
+        """
+        limits = self.endpoint_limits
+        unpermitted: frozenset[EndpointId] = frozenset()
+        while len(unpermitted) < MAX_PERMIT_ASKS:
+            exhausted = {
+                item.name
+                for item in request.endpoints
+                if limits.is_exhausted(item.name)
+            }
+            excluded = request.excluded | unpermitted | exhausted
+            try:
+                dispatch = await self._acquire_place(
+                    replace(request, excluded=excluded)
+                )
+            except RequestRefused as error:
+                if error.code is Code.NO_ENDPOINT and excluded != request.excluded:
+                    break
+                raise
+            if await self._acquire_permit(dispatch):
+                self._explain(request, dispatch.placement)
+                return dispatch
+            unpermitted |= {dispatch.endpoint.name}
+        retry_s = limits.get_wait_s(excluded - request.excluded)
+        raise RequestRefused(Code.ENDPOINTS_LIMITED, retry_after_s=retry_s)
+
+    async def _acquire_permit(self, dispatch: Dispatch) -> bool:
+        """Return whether a placed call may be sent; withdraw it if not."""
+        permitted = False
+        try:
+            permitted = await self.endpoint_limits.acquire(dispatch.endpoint.name)
+        finally:
+            if not permitted:
+                self._withdraw(dispatch.call)
+        return permitted
+
+    async def _acquire_place(self, request: DispatchRequest) -> Dispatch:
         call = self._waiters.create()
         job = _create_job(call, request)
         acquired = False
@@ -179,7 +223,6 @@
             if not acquired:
                 self._withdraw(call)
         assert placement is not None
-        self._explain(request, placement)
         return Dispatch(call, endpoint, job.key, placement, self.clock())
 
     def _find_endpoint(self, placement: Placement | None) -> Endpoint:
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -100,6 +100,7 @@
             path,
             strip_headers(exchange, caller_key),
             guard_body(body, caller_key),
+            is_call=True,
         ) as response:
             content_type = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
             headers = [(b"content-type", content_type.encode())]
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -135,6 +135,7 @@
             service_request.path,
             service_request.headers,
             service_request.body,
+            is_call=True,
         ) as response:
             body = await response.aread()
             content_type = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -7,6 +7,7 @@
 from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.process.admission.gate import AdmissionGate
 from burdockwall.process.admission.queue import AdmissionQueue
+from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.host import Host
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
@@ -35,6 +36,7 @@
     clients: EndpointClients
     streams: StreamTable
     retries: RetryGate
+    endpoint_limits: EndpointLimits
 
 
 def create_limits(settings: Settings) -> Limits:
@@ -61,7 +63,12 @@
     generator = random.Random()
     queue = AdmissionQueue(settings.admission_limit, settings.admission_reserve)
     client = RecordClient(host, host.bus.incarnation, create_limits(settings))
-    clients = EndpointClients(settings.endpoint_connect_s, settings.endpoint_silence_s)
+    endpoint_limits = EndpointLimits(host, host.bus.incarnation)
+    clients = EndpointClients(
+        settings.endpoint_connect_s,
+        settings.endpoint_silence_s,
+        endpoint_limits.observe,
+    )
     reclaimer = Reclaimer(settings, client, clients, clock)
     dispatcher = Dispatcher(
         create_policy(settings),
@@ -69,6 +76,7 @@
         settings.schedule_queue_limit_s,
         clock,
         generator,
+        endpoint_limits,
     )
 
     def end_history(ended: ProgramEnded) -> None:
@@ -87,4 +95,5 @@
         clients=clients,
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, generator),
+        endpoint_limits=endpoint_limits,
     )
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -37,6 +37,7 @@
 
 Append = Callable[[bytes], Awaitable[None]]
 AllowRetry = Callable[[int], Awaitable[bool]]
+Permit = Callable[[EndpointId], Awaitable[bool]]
 _logger = logbook.Logger("relay")
 RESUMABLE_STATUSES = (httpx.codes.BAD_GATEWAY, httpx.codes.SERVICE_UNAVAILABLE)
 
@@ -76,8 +77,10 @@
         buffer: EventBuffer,
         append: Append,
         allow_retry: AllowRetry,
+        permit: Permit,
         stall_s: float,
     ) -> None:
+        self.permit = permit
         self.stall_s = stall_s
         self.allow_retry = allow_retry
         self.clients = clients
@@ -97,6 +100,9 @@
         attempts_left = attempts
         sent = False
         while attempts_left:
+            # The permit of the first attempt came with the choice of the endpoint.
+            if sent and not await self.permit(endpoint.name):
+                break
             before = self.buffer.event_count
             try:
                 await self._relay_once(endpoint, dispatch_headers)
@@ -128,7 +134,7 @@
             headers.append((LAST_EVENT_ID, offset))
         body = msgspec.json.encode(self._build_completion(endpoint))
         async with self.clients.open_stream(
-            endpoint, "POST", request.path, headers, body
+            endpoint, "POST", request.path, headers, body, is_call=True
         ) as response:
             await _check_status(endpoint, response)
             await self._relay_events(endpoint, response)
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -230,6 +230,7 @@
         stream.buffer,
         stream.append,
         allow_retry,
+        parts.endpoint_limits.acquire,
         parts.settings.endpoint_stall_s,
     )
     parts.retries.record_request(pool, turn.customer)
--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -102,3 +102,15 @@
   Scenario: The limit holds through drawn messages, rolls, leaders and cuts
     When the limits run through 60 drawn seeds from 1
     Then no run had more requests at an endpoint than its limit allows
+
+  Scenario: On the own interface, a limited engine gets no more than its limit
+    When 120 questions come at 20 a second to two engines, of which one takes 2 a second
+    Then after 3 s the limited engine gets at most 17 requests in 4 s
+    And the limited engine was asked at least 6 times
+    And every question is answered
+
+  Scenario: On the own interface, what is over the limits of all engines is refused at once
+    When 100 questions come at 20 a second to two engines, of which both take 1 a second
+    Then after 3 s the limited engine gets at most 11 requests in 4 s
+    And each question is answered, or refused with code 1407 within 1 s
+    And at least 6 questions are answered
--- a/features/steps/endpoint_limits_steps.py
+++ b/features/steps/endpoint_limits_steps.py
@@ -7,6 +7,7 @@
     read_rate,
     run_load,
 )
+from features.subjects.own_endpoint_limits import LimitedEngines
 from features.subjects.permit_network import CONTACT_S, PermitNetwork, run_faults
 
 # On the platform.
@@ -200,3 +201,48 @@
 def step_no_excess(context):
     broken = [item for item in context.outcomes if item.excess > 0]
     assert not broken, broken
+
+
+# On the own interface.
+
+
+@when("{count:d} questions come at {rate:d} a second to {engines}, {limits}")
+def step_questions(context, count, rate, engines, limits):
+    rates = {
+        "of which one takes 2 a second": ("2", ""),
+        "of which both take 1 a second": ("1", "1"),
+    }[limits]
+    assert engines == "two engines"
+    context.subject = LimitedEngines(rates)
+    context.subject.ask(count, rate)
+
+
+@then("after {start:d} s the limited engine gets at most {most:d} requests in 4 s")
+def step_engine_window(context, start, most):
+    fullest = context.subject.count_fullest_window(start)
+    assert fullest <= most, fullest
+
+
+@then("the limited engine was asked at least {least:d} times")
+def step_engine_least(context, least):
+    assert len(context.subject.times) >= least, context.subject.times
+
+
+@then("every question is answered")
+def step_all_answered(context):
+    others = [item for item in context.subject.answers if item.status != 200]
+    assert not others, others
+
+
+@then("each question is answered, or refused with code {code:d} within 1 s")
+def step_refused_at_once(context, code):
+    for answer in context.subject.answers:
+        if answer.status != 200:
+            assert (answer.status, answer.code) == (503, code), answer
+            assert answer.seconds < 1, answer
+
+
+@then("at least {least:d} questions are answered")
+def step_some_answered(context, least):
+    answered = sum(item.status == 200 for item in context.subject.answers)
+    assert answered >= least, answered
