Show that callers of an instance that reaches no endpoint are not served

What callers see: 0 of 30 first attempts at the instance are served while its connections to all endpoints hang or are reset; where new ones are refused and open ones live on, the directory still gives it out.

--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -52,7 +52,7 @@
     """A connection to an endpoint that sends requests and reads their answers."""
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
-        self.stream = stream
+        self.stream: anyio.abc.ByteStream = stream
         self._body_ended = False
         self._socket: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._machine = h11.Connection(
--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -37,6 +37,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
+        self.open_connection = open_upstream
         self.opened_count = 0
         self._pools: dict[Address, _Pool] = {}
 
@@ -58,7 +59,7 @@
             raise ConnectFailed(f"{address}: all {allowed} connections are in use")
         pool.open_count += 1
         try:
-            connection = await open_upstream(address, CONNECT_TIMEOUT_S)
+            connection = await self.open_connection(address, CONNECT_TIMEOUT_S)
         except BaseException:
             pool.open_count -= 1
             raise
--- /dev/null
+++ b/features/subjects/cut_off.py
@@ -0,0 +1,135 @@
+"""Callers of instances that are cut off from all endpoints."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+import anyio
+import httpx
+
+from burdockwall.fakes.partition import Cut, EndpointLink
+from features.subjects.platform import HOST, PlatformSite, build_turn_headers
+
+CALLS_PER_S = 10
+CALL_LIMIT_S = 3.0
+# Each attempt uses a connection of its own, so that none is led elsewhere by a close.
+NEW_CONNECTIONS = httpx.Limits(max_keepalive_connections=0)
+KINDS = (("GET", "/tool/1"), ("POST", "/order/1"), ("POST", "/chat/1"))
+
+
+@dataclass(frozen=True, slots=True)
+class FirstAttempt:
+    """The first attempt of a caller at an instance; status 0 is a broken channel."""
+
+    instance: int
+    kind: str
+    status: int
+    seconds: float
+    body: bytes
+
+
+class CutOffSubject:
+    """Calls at both instances of a site while their links to endpoints are cut."""
+
+    def __init__(self, site: PlatformSite) -> None:
+        self.site = site
+        self.attempts: list[FirstAttempt] = []
+        self.links = [EndpointLink() for _ in site.entries]
+        self._number = 0
+        for entry, link in zip(site.entries, self.links, strict=True):
+            entry.upstreams.open_connection = link.open
+
+    def cut(self, number: int, cut: Cut) -> None:
+        """Cut an instance off from all endpoints."""
+        self.site.call_in_loop(self.links[number - 1].start_cut, cut)
+
+    def heal(self, number: int) -> None:
+        """End the cut of an instance."""
+        self.site.call_in_loop(self.links[number - 1].heal)
+
+    def call_both(self, seconds: float, instances: tuple[int, ...] = (1, 2)) -> None:
+        """Make first attempts of all kinds at instances, and keep their results."""
+        self.attempts = []
+
+        async def run() -> None:
+            began_at = time.monotonic()
+            async with (
+                httpx.AsyncClient(
+                    trust_env=False, timeout=CALL_LIMIT_S, limits=NEW_CONNECTIONS
+                ) as client,
+                anyio.create_task_group() as group,
+            ):
+                for step in range(int(seconds * CALLS_PER_S)):
+                    for instance in instances:
+                        kind = KINDS[step % len(KINDS)]
+                        group.start_soon(self._attempt, client, instance, *kind)
+                    due_at = began_at + (step + 1) / CALLS_PER_S
+                    await anyio.sleep(max(0.0, due_at - time.monotonic()))
+
+        anyio.run(run)
+
+    async def _attempt(
+        self, client: httpx.AsyncClient, instance: int, method: str, path: str
+    ) -> None:
+        self._number += 1
+        request = f"cut-{self._number}"
+        headers = {"x-request-id": request, "x-api-key": "key-one"}
+        if path.startswith("/chat/"):
+            headers = build_turn_headers(request, None, 10_000)
+            headers["x-program-id"] = f"program-{request}"
+        address = self.site.entries[instance - 1].settings.caller_address
+        started_at = time.monotonic()
+        status, body = 0, b""
+        try:
+            answer = await client.request(
+                method,
+                f"http://{address}{path}",
+                headers={"host": HOST, "x-deadline-ms": "2500", **headers},
+                content=b"ask" if method == "POST" else None,
+            )
+            status, body = answer.status_code, answer.content
+        except httpx.TransportError:
+            pass
+        seconds = time.monotonic() - started_at
+        self.attempts.append(FirstAttempt(instance, path, status, seconds, body))
+
+    def _select(self, instance: int) -> list[FirstAttempt]:
+        return [item for item in self.attempts if item.instance == instance]
+
+    def compute_served_share(self, instance: int) -> float:
+        """Return the share of the latest first attempts that were served."""
+        attempts = self._select(instance)
+        return sum(item.status == 200 for item in attempts) / len(attempts)
+
+    def count_failures(self, instance: int) -> Counter[tuple[str, int]]:
+        """Count the latest first attempts that were not served, by kind and status."""
+        return Counter(
+            (item.kind, item.status)
+            for item in self._select(instance)
+            if item.status != 200
+        )
+
+    def list_repeated_orders(self) -> list[str]:
+        """List the orders that ran at more than one server, or twice at one."""
+        runs = Counter(
+            received.headers["x-request-id"]
+            for tool in self.site.tools
+            for received in tool.received_requests
+            if received.target.startswith("/order/")
+        )
+        return [request for request, count in runs.items() if count > 1]
+
+    def list_given_out(self) -> list[int]:
+        """List the numbers of the instances that the directory gives out."""
+        given_out = self.site.resolve()
+        return [
+            number
+            for number, entry in enumerate(self.site.entries, 1)
+            if entry.settings.caller_address in given_out
+        ]
+
+    def is_ready(self, number: int) -> bool:
+        """Return whether an instance says that it is ready."""
+        address = self.site.entries[number - 1].settings.ready_address
+        answer = httpx.get(f"http://{address}/api/readyz", trust_env=False)
+        return answer.status_code == 200
