Serve callers through a peer while an instance reaches no endpoint

What callers saw: at an instance that was partitioned from all endpoints, 7 of 210 first attempts were served (593 of 593 elsewhere); each waited 1.2 s for three connections. Class: a belief about others that is formed from one place only. Change: where a connection fails, or nothing is heard for 0.5 s while answers are awaited, connections to three other endpoints are tried; if all fail, the instance is cut off. It leaves the directory, is not ready, and passes requests on to a peer, the nearest first: one hop (the peer relays nothing that is marked), at most once, within the time left, 64 at a time. Two connections in turn end the state, and all failures of endpoints are forgotten. What was sent before stays with its endpoint. Evidence: the three cases of cut_off failed before (0 of 30 served twice, given out in the third) and pass now.

--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -33,11 +33,19 @@
 
 
 class UpstreamPools:
-    """The connections to endpoints, by address."""
+    """The connections to endpoints, by address.
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    `report_connect` is told whether each new connection could be opened.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        report_connect: Callable[[Address, bool], None] = lambda address, opened: None,
+    ) -> None:
         self.clock = clock
         self.open_connection = open_upstream
+        self.report_connect = report_connect
         self.opened_count = 0
         self._pools: dict[Address, _Pool] = {}
 
@@ -57,15 +65,40 @@
         allowed = max(limit, MIN_CONNECTIONS)
         if pool.open_count >= allowed:
             raise ConnectFailed(f"{address}: all {allowed} connections are in use")
+        return await self._open(address, pool)
+
+    async def _open(self, address: Address, pool: _Pool) -> UpstreamConnection:
         pool.open_count += 1
         try:
             connection = await self.open_connection(address, CONNECT_TIMEOUT_S)
+        except ConnectFailed:
+            pool.open_count -= 1
+            self.report_connect(address, False)
+            raise
         except BaseException:
             pool.open_count -= 1
             raise
         self.opened_count += 1
+        self.report_connect(address, True)
         return connection
 
+    async def check(self, address: Address) -> None:
+        """Open a connection, and keep it for a later request if that succeeds."""
+        pool = self._pools.setdefault(address, _Pool())
+        try:
+            connection = await self._open(address, pool)
+        except ConnectFailed:
+            return
+        pool.idle.append(_Idle(connection, self.clock() + IDLE_LIMIT_S))
+
+    async def close_idle(self) -> None:
+        """Close every idle connection."""
+        for pool in list(self._pools.values()):
+            idle, pool.idle = pool.idle, []
+            for item in idle:
+                pool.open_count -= 1
+                await item.connection.close()
+
     async def release(
         self,
         address: Address,
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -167,6 +167,9 @@
     LEASE_LAPSED = CodeRow(
         1503, 503, Ran.NOT_RUN, Retry.SAFE, "The instance is cut off from the leader."
     )
+    CUT_OFF = CodeRow(
+        1504, 503, Ran.NOT_RUN, Retry.SAFE, "The instance reaches no endpoint now."
+    )
     INTERNAL = CodeRow(
         1599, 500, Ran.UNKNOWN, Retry.SAME_KEY, "An internal fault; see the log."
     )
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -64,23 +64,33 @@
             finish_s=_get_seconds(headers, names.FINISH_MS),
             turn=_read_turn(headers, program),
             resumption=_read_resumption(headers),
+            relayed=names.RELAYED in headers,
         )
 
     def build_headers(
         self, request: ForwardedRequest, attempt: AttemptDetails
     ) -> Headers:
         """Build the headers for an endpoint."""
-        remaining_ms = max(MIN_DEADLINE_MS, int(attempt.remaining_s * MS_PER_S))
-        headers = list(request.headers)
-        headers.append((names.DEADLINE_MS, str(remaining_ms).encode()))
+        headers = [*request.headers, _build_deadline(attempt.remaining_s)]
         headers.append((names.EXPECT_INSTANCE, attempt.endpoint.name.encode()))
         if attempt.customer is not None:
             headers.append((names.TENANT, attempt.customer.encode()))
         priority = min(LOWEST_PRIORITY, max(0, attempt.rank))
         headers.append((names.REQUEST_PRIORITY, str(priority).encode()))
-        if attempt.body_bytes or request.method not in ("GET", "HEAD", "DELETE"):
-            headers.append((b"content-length", str(attempt.body_bytes).encode()))
-        return headers
+        return headers + _describe_body(request, attempt.body_bytes)
+
+    def build_relay_headers(
+        self, request: ForwardedRequest, remaining_s: float, body_bytes: int
+    ) -> Headers:
+        """Build the headers for another entry instance that serves the request."""
+        headers = [
+            *request.headers,
+            (names.RELAYED, b"1"),
+            _build_deadline(remaining_s),
+        ]
+        if request.key is not None:
+            headers.append((names.API_KEY, request.key.encode("latin-1")))
+        return headers + _describe_body(request, body_bytes)
 
     def is_answer_to(self, request: ForwardedRequest, headers: Headers) -> bool:
         """Return whether an answer belongs to a request."""
@@ -139,6 +149,17 @@
     return None if value is None else value / MS_PER_S
 
 
+def _build_deadline(remaining_s: float) -> tuple[bytes, bytes]:
+    remaining_ms = max(MIN_DEADLINE_MS, int(remaining_s * MS_PER_S))
+    return names.DEADLINE_MS, str(remaining_ms).encode()
+
+
+def _describe_body(request: ForwardedRequest, body_bytes: int) -> Headers:
+    if body_bytes or request.method not in ("GET", "HEAD", "DELETE"):
+        return [(b"content-length", str(body_bytes).encode())]
+    return []
+
+
 def _read_turn(headers: dict[bytes, bytes], program: str) -> TurnDetails | None:
     if not program or names.TOKEN_USAGE not in headers:
         return None
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -23,6 +23,8 @@
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
 HOST = b"host"
+# Set by an entry instance that passes a request on to another one.
+RELAYED = b"burdockwall-relayed"
 
 # Headers that concern one connection only, and are not forwarded.
 HOP_HEADERS = frozenset(
@@ -48,6 +50,7 @@
         EXPECT_INSTANCE,
         DEADLINE_MS,
         REQUEST_PRIORITY,
+        RELAYED,
         b"x-kv-hold",
         b"x-pin-ms",
         b"x-kv-backup",
--- /dev/null
+++ b/burdockwall/process/endpoint_reach.py
@@ -0,0 +1,86 @@
+"""Carry out the checks of whether this instance reaches endpoints."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import logbook
+
+from burdockwall.connection.upstream_pools import UpstreamPools
+from burdockwall.process.host import Host
+from burdockwall.process.scheduling.reachability import (
+    AddressesListed,
+    ConnectEnded,
+    Ended,
+    Heard,
+    OpenConnections,
+    Reachability,
+    ReachChanged,
+    Sent,
+)
+from burdockwall.types import Address
+
+HEARD = Heard()
+_logger = logbook.Logger("reach")
+
+
+class EndpointReach:
+    """The belief of this instance about its own path to the endpoints.
+
+    `on_changed` is called with whether the instance is cut off when that changes.
+    """
+
+    def __init__(
+        self, host: Host, upstreams: UpstreamPools, on_changed: Callable[[bool], None]
+    ) -> None:
+        self.host = host
+        self.upstreams = upstreams
+        self.on_changed = on_changed
+        self.machine = Reachability()
+        self._hosted = host.add(self.machine, (), self._perform)
+        self._group: anyio.abc.TaskGroup | None = None
+        self._addresses: tuple[Address, ...] = ()
+        upstreams.report_connect = self._report_connect
+
+    @property
+    def cut_off(self) -> bool:
+        """Return whether this instance reaches no endpoint."""
+        return self.machine.cut_off
+
+    def install(self, addresses: tuple[Address, ...]) -> None:
+        """Use the addresses of the endpoints of all services."""
+        if addresses != self._addresses:
+            self._addresses = addresses
+            self.host.apply(self._hosted, AddressesListed(addresses))
+
+    def record_sent(self) -> None:
+        """Record that a request was sent and its answer is awaited."""
+        self.host.apply(self._hosted, Sent())
+
+    def record_heard(self) -> None:
+        """Record that bytes came from an endpoint."""
+        self.host.apply(self._hosted, HEARD)
+
+    def record_ended(self) -> None:
+        """Record that an answer is no longer awaited."""
+        self.host.apply(self._hosted, Ended())
+
+    def _report_connect(self, address: Address, opened: bool) -> None:
+        self.host.apply(self._hosted, ConnectEnded(address, opened))
+
+    def _perform(self, action: OpenConnections | ReachChanged) -> None:
+        match action:
+            case OpenConnections(addresses=addresses):
+                for address in addresses:
+                    if self._group is not None:
+                        self._group.start_soon(self.upstreams.check, address)
+            case ReachChanged(cut_off=cut_off):
+                message = "reaches no endpoint" if cut_off else "reaches endpoints"
+                _logger.notice(message, extra={"endpoints": len(self._addresses)})
+                self.on_changed(cut_off)
+
+    async def run(self) -> None:
+        """Carry out checks until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -18,6 +18,7 @@
     StopServing,
 )
 from burdockwall.process.endpoint_limits.client import EndpointLimits
+from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import EndpointFollower, EndpointList
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.excess import create_excess
@@ -31,12 +32,14 @@
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
 from burdockwall.request.forwarding import Forwarding, ForwardingParts
+from burdockwall.request.peer_relay import PeerRelay
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, EndpointState, InstanceId, Term
@@ -54,6 +57,7 @@
 NOT_READY_RETRY_S = 0.15
 PERIODIC_INTERVAL_S = 0.1
 EXPIRE_INTERVAL_S = 1.0
+CUT_OFF_RETRY_S = 0.1
 CALLER_IDLE_S = 20.0
 STOP_GRACE_S = 0.5
 REQUEST_COST = 1.0
@@ -108,6 +112,14 @@
             settings.failure_domain, generator, self.upstreams.has_idle
         )
         self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
+        self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
+        self.peer_relay = PeerRelay(
+            codec,
+            UpstreamPools(host.clock),
+            PeerChoice(settings.instance_id, settings.failure_domain, generator),
+            self.member.membership.list_members,
+            host.clock,
+        )
         self.ended = anyio.Event()
         self.parts = ForwardingParts(
             codec,
@@ -122,6 +134,7 @@
             self.gate.admit,
             HedgeDelay(),
             self.endpoint_limits,
+            self.reach,
         )
         self._add_gauges()
 
@@ -137,6 +150,7 @@
             "endpoint_permits_refused",
             lambda: float(self.endpoint_limits.refused_count),
         )
+        gauges.add("cut_off", lambda: float(self.reach.cut_off))
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _count_live_members(self) -> int:
@@ -231,10 +245,37 @@
         )
 
         async def run() -> None:
-            await forwarding.run(body)
+            await self._forward_or_relay(forwarding, body)
 
         await run_while_connected(exchange, run)
 
+    async def _forward_or_relay(self, forwarding: Forwarding, body: bytes) -> None:
+        """Serve a request here or, while this instance is cut off, through a peer."""
+        if not self.reach.cut_off:
+            try:
+                await forwarding.run(body)
+                return
+            except RequestRefused as error:
+                if not self._may_relay(forwarding, error):
+                    raise
+        if forwarding.request.relayed:
+            raise RequestRefused(Code.CUT_OFF, retry_after_s=CUT_OFF_RETRY_S)
+        await self.peer_relay.serve(
+            forwarding.exchange,
+            forwarding.request,
+            body,
+            forwarding.expires_at,
+            forwarding.trace,
+        )
+
+    def _may_relay(self, forwarding: Forwarding, error: RequestRefused) -> bool:
+        """Return whether a request that was refused here may go to a peer.
+
+        A turn may not: the stores have a reservation of it, which a peer would share.
+        """
+        has_not_run = error.code is Code.NO_ENDPOINT
+        return self.reach.cut_off and has_not_run and forwarding.turn is None
+
     def _authenticate(
         self, view: DeploymentView, route: HostRoute, request: ForwardedRequest
     ) -> HostCustomer | None:
@@ -277,7 +318,7 @@
         refusal = self.codec.build_refusal(error)
         trace.status = refusal.status
         headers = list(refusal.headers)
-        if self.drain.leaving:
+        if self.drain.leaving or self.reach.cut_off:
             headers.append(CLOSE)
         await exchange.answer(refusal.status, headers, refusal.body)
 
@@ -323,7 +364,7 @@
             and self._limits_leader is not None
             and bool(self.turn_client.calls.view.members)
         )
-        return prepared and not self.drain.leaving
+        return prepared and not self.drain.leaving and not self.reach.cut_off
 
     def _join_directory(self) -> None:
         """Let the directory give out this instance once it can serve callers."""
@@ -333,6 +374,17 @@
         self.member.membership.start_serving()
         self._logger.notice("ready for callers")
 
+    def _follow_reach(self, cut_off: bool) -> None:
+        """Take this instance out of the directory while it reaches no endpoint."""
+        if not cut_off:
+            self.balancer.forget_failures()
+        if self.drain.leaving or not self._directory_joined:
+            return
+        if cut_off:
+            self.member.membership.start_leaving()
+        else:
+            self.member.membership.start_serving()
+
     async def serve_ready(self, exchange: Exchange) -> None:
         """Answer 200 if callers should connect here, else 503."""
         await exchange.answer(200 if self.is_ready() else 503, [], b"")
@@ -356,6 +408,7 @@
             now = self.clock()
             self._update_limits_leader()
             self._update_endpoint_limits()
+            self.reach.install(self.endpoints.addresses)
             self._join_directory()
             self.metrics.record_lag(max(0.0, now - due_at))
             if self.drain.state is not DrainState.SERVING:
@@ -366,6 +419,7 @@
             if now >= expire_at:
                 expire_at = now + EXPIRE_INTERVAL_S
                 await self.upstreams.expire()
+                await self.peer_relay.upstreams.expire()
                 self.turn_client.refresh()
                 self.balancer.drop_unlisted(self.endpoints.list_names())
                 self.endpoint_limits.retain(self.endpoints.list_names())
@@ -374,6 +428,7 @@
         """Serve until stopped; requests in flight end first."""
         tasks = [
             self._run_settlements,
+            self.reach.run,
             self._drain_on_stop,
             self._run_periodic_work,
             self._serve_readiness,
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -143,6 +143,12 @@
         state.avoided_until = now + min(AVOID_LIMIT_S, doubled)
         return True
 
+    def forget_failures(self) -> None:
+        """Avoid no endpoint any more, since this instance itself was cut off."""
+        for state in self._states.values():
+            state.failures = 0
+            state.avoided_until = float("-inf")
+
     def drop_unlisted(self, listed: set[EndpointId]) -> None:
         """Drop the state of unlisted endpoints with no request of this instance."""
         self._states = {
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -42,7 +42,8 @@
 
     `headers` are those that may be forwarded, and `key` is the caller's key.
     `deadline_s` is how long after its start the request may take, or None if the caller
-    sets no limit. `finish_s` is not used.
+    sets no limit. `finish_s` is not used. `relayed` is true if another entry instance
+    passes the request on for its caller.
     """
 
     request: RequestId
@@ -57,6 +58,7 @@
     finish_s: float | None = None
     turn: TurnDetails | None = None
     resumption: Resumption | None = None
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +115,12 @@
         """Build the headers for an endpoint."""
         ...
 
+    def build_relay_headers(
+        self, request: ForwardedRequest, remaining_s: float, body_bytes: int
+    ) -> Headers:
+        """Build the headers for another entry instance that serves the request."""
+        ...
+
     def is_answer_to(self, request: ForwardedRequest, headers: Headers) -> bool:
         """Return whether an answer belongs to a request."""
         ...
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -21,6 +21,7 @@
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoint_limits.client import EndpointLimits
+from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
 from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
@@ -75,6 +76,17 @@
     admit: Callable[[CustomerId], Awaitable[Admission]]
     hedge_delay: HedgeDelay
     endpoint_limits: EndpointLimits
+    reach: EndpointReach
+
+
+def compute_expiry(
+    route: HostRoute, request: ForwardedRequest, started_at: float
+) -> float:
+    """Return the time at which a request must have its answer."""
+    limit_s = route.timeout_s - TIMEOUT_MARGIN_S
+    if request.deadline_s is not None:
+        limit_s = min(limit_s, request.deadline_s)
+    return started_at + limit_s
 
 
 class _NotRun(Exception):
@@ -127,10 +139,7 @@
         self.binding = StreamBinding(parts.endpoints, request, route)
         self.body = b""
         self.turn: TurnStart | None = None
-        limit_s = route.timeout_s - TIMEOUT_MARGIN_S
-        if request.deadline_s is not None:
-            limit_s = min(limit_s, request.deadline_s)
-        self.expires_at = trace.started_at + limit_s
+        self.expires_at = compute_expiry(route, request, trace.started_at)
 
     def _get_remaining_s(self) -> float:
         return self.expires_at - self.parts.clock()
@@ -225,7 +234,8 @@
             except _NotRun as error:
                 self._record_failure(endpoint, error)
                 self.progress.refusals += 1
-                if self.progress.refusals >= MAX_ENDPOINT_REFUSALS:
+                refused = self.progress.refusals >= MAX_ENDPOINT_REFUSALS
+                if refused or self.parts.reach.cut_off:
                     raise self._build_refusal(Code.NO_ENDPOINT) from error
             except _AnswerLost as error:
                 self._record_failure(endpoint, error)
@@ -314,10 +324,12 @@
             raise _NotRun(str(error)) from error
         is_reusable, details = False, None
         parts.balancer.record_start(endpoint.name)
+        parts.reach.record_sent()
         self.trace.endpoint = endpoint.name
         self.trace.software = endpoint.software
         try:
             head = await self._send_with_timeout(connection, endpoint)
+            parts.reach.record_heard()
             details = parts.codec.read_answer(head)
             self.trace.rate_limit_per_s = details.rate_limit_per_s
             if details.leaving:
@@ -338,6 +350,7 @@
             raise
         finally:
             parts.balancer.record_end(endpoint.name)
+            parts.reach.record_ended()
             with anyio.CancelScope(shield=True):
                 await parts.upstreams.release(
                     endpoint.address,
@@ -439,6 +452,7 @@
             part = await connection.read_part()
             if part is None:
                 break
+            self.parts.reach.record_heard()
             events = splitter.feed(part)
             if not events:
                 continue
