--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -2,6 +2,7 @@
 
 from burdockwall.fakes.partition import Cut
 from features.subjects.cut_off import CutOffSubject
+from features.subjects.reachability import PeerSubject, run_case
 
 
 @given("{seconds:d} s of callers at both instances")
@@ -53,3 +54,102 @@
 def step_sends(context):
     assert context.cut_off.site.entries[0].peer_relay.choice.is_idle()
     assert context.cut_off.compute_served_share(1) >= 0.95
+
+
+@when("every tool server takes {seconds:g} s for an answer")
+def step_delay(context, seconds):
+    for tool in context.site.tools:
+        tool.delay_s = seconds
+
+
+@then(
+    "each of them was refused within {limit:g} s as not run, with a time to come back"
+)
+def step_refused(context, limit):
+    for attempt in context.cut_off.attempts:
+        assert attempt.status == 503, attempt
+        assert attempt.seconds < limit, attempt
+        assert float(attempt.retry_after) > 0, attempt
+
+
+@then("a request that says it was relayed is refused by instance 1 with code {code:d}")
+def step_second_hop(context, code):
+    answer = context.cut_off.send_relayed(1)
+    assert (answer.status_code, answer.json()["code"]) == (503, code)
+
+
+@when(
+    "an order is sent to instance 1, whose connections to peers break {after:g} s later"
+)
+def step_break_peers(context, after):
+    context.order = context.cut_off.send_order(2.5, after)
+
+
+@when("an order with {seconds:g} s is sent to instance 1")
+def step_short_order(context, seconds):
+    context.order = context.cut_off.send_order(seconds)
+
+
+@then("the order is answered with {status:d}")
+def step_order_status(context, status):
+    assert context.order.status == status, context.order
+
+
+@then("the order is answered with {status:d} within {limit:g} s")
+def step_order_in_time(context, status, limit):
+    assert context.order.status == status, context.order
+    assert context.order.seconds < limit, context.order
+
+
+@then("the order's endpoint was told of less than {seconds:g} s")
+def step_order_deadline(context, seconds):
+    told = context.cut_off.find_order_deadline_ms()
+    assert 0 < told < seconds * 1000, told
+
+
+@given("an instance that lists {count:d} endpoints")
+def step_instance(context, count):
+    context.endpoints = count
+
+
+@when("to it {what}")
+def step_case(context, what):
+    context.reach = run_case(what, context.endpoints)
+
+
+@then("it is {reach} by its own belief")
+def step_reach(context, reach):
+    assert context.reach.value == reach, context.reach
+
+
+@given('peers "p1" and "p2" in the own failure domain and "p3" in another')
+def step_peers(context):
+    context.peers = PeerSubject()
+
+
+@then('of 64 requests "p1" and "p2" get 32 each, and no other peer takes one')
+def step_spread(context):
+    assert context.peers.choose(64) == {"p1": 32, "p2": 32}
+    assert context.peers.choose(1) == {}
+    context.peers.end_all()
+
+
+@then("a peer that took no connection gets none for 2 s")
+def step_avoided(context):
+    context.peers.fail("p1")
+    assert context.peers.choose(4) == {"p2": 4}
+    context.peers.now += 2.0
+    assert context.peers.choose(4)["p1"] == 4
+    context.peers.end_all()
+
+
+@then('with no peer in the own failure domain "p3" gets them')
+def step_far(context):
+    assert context.peers.choose(3, without=("p1", "p2")) == {"p3": 3}
+    context.peers.end_all()
+
+
+@then("a peer that is itself cut off gets no requests")
+def step_cut_off_peer(context):
+    context.peers.leave("p1")
+    assert context.peers.choose(3) == {"p2": 3}
--- a/features/subjects/cut_off.py
+++ b/features/subjects/cut_off.py
@@ -1,5 +1,6 @@
 """Callers of instances that are cut off from all endpoints."""
 
+import threading
 import time
 from collections import Counter
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 CALL_LIMIT_S = 3.0
 # Each attempt uses a connection of its own, so that none is led elsewhere by a close.
 NEW_CONNECTIONS = httpx.Limits(max_keepalive_connections=0)
+ORDER = "order-1"
 KINDS = (("GET", "/tool/1"), ("POST", "/order/1"), ("POST", "/chat/1"))
 
 
@@ -25,7 +27,7 @@
     kind: str
     status: int
     seconds: float
-    body: bytes
+    retry_after: str | None
 
 
 class CutOffSubject:
@@ -79,7 +81,7 @@
             headers["x-program-id"] = f"program-{request}"
         address = self.site.entries[instance - 1].settings.caller_address
         started_at = time.monotonic()
-        status, body = 0, b""
+        status, retry_after = 0, None
         try:
             answer = await client.request(
                 method,
@@ -87,11 +89,13 @@
                 headers={"host": HOST, "x-deadline-ms": "2500", **headers},
                 content=b"ask" if method == "POST" else None,
             )
-            status, body = answer.status_code, answer.content
+            status = answer.status_code
+            retry_after = answer.headers.get("retry-after")
         except httpx.TransportError:
             pass
         seconds = time.monotonic() - started_at
-        self.attempts.append(FirstAttempt(instance, path, status, seconds, body))
+        attempt = FirstAttempt(instance, path, status, seconds, retry_after)
+        self.attempts.append(attempt)
 
     def _select(self, instance: int) -> list[FirstAttempt]:
         return [item for item in self.attempts if item.instance == instance]
@@ -109,6 +113,52 @@
             if item.status != 200
         )
 
+    def send_relayed(self, instance: int) -> httpx.Response:
+        """Send a request that says that another instance passes it on."""
+        headers = {
+            "x-request-id": "relayed-1",
+            "x-api-key": "key-one",
+            "burdockwall-relayed": "1",
+        }
+        return self.site.send_request("GET", "/tool/1", headers, b"", instance)
+
+    def send_order(
+        self, limit_s: float, break_peers_after_s: float | None = None
+    ) -> FirstAttempt:
+        """Send an order to instance 1; break its connections to peers if asked."""
+        headers = {
+            "x-request-id": ORDER,
+            "x-api-key": "key-one",
+            "x-deadline-ms": str(int(limit_s * 1000)),
+        }
+        timers = []
+        if break_peers_after_s is not None:
+            link = EndpointLink()
+            upstreams = self.site.entries[0].peer_relay.upstreams
+            self.site.call_in_loop(upstreams.close_idle)
+            upstreams.open_connection = link.open
+
+            def break_peers() -> None:
+                self.site.call_in_loop(link.start_cut, Cut.RESET)
+
+            timers.append(threading.Timer(break_peers_after_s, break_peers))
+        for timer in timers:
+            timer.start()
+        started_at = time.monotonic()
+        answer = self.site.send_request("POST", "/order/1", headers, b"ask", 1)
+        seconds = time.monotonic() - started_at
+        for timer in timers:
+            timer.join()
+        return FirstAttempt(1, "/order/1", answer.status_code, seconds, None)
+
+    def find_order_deadline_ms(self) -> int:
+        """Return the time that the endpoint of the order was told of."""
+        for tool in self.site.tools:
+            for received in tool.received_requests:
+                if received.headers["x-request-id"] == ORDER:
+                    return int(received.headers["x-deadline-ms"])
+        raise AssertionError("no endpoint was sent the order")
+
     def list_repeated_orders(self) -> list[str]:
         """List the orders that ran at more than one server, or twice at one."""
         runs = Counter(
