--- a/burdockwall/request/peer_relay.py
+++ b/burdockwall/request/peer_relay.py
@@ -85,7 +85,7 @@
             await self._pass_on(exchange, connection, head, trace)
             reusable = not self.codec.read_answer(head).closes
         except ConnectionBroken as error:
-            raise RequestRefused(Code.OUTCOME_UNKNOWN, str(error)) from error
+            raise RequestRefused(Code.ENDPOINT_FAILED, str(error)) from error
         finally:
             self.choice.record_end(peer.instance)
             with anyio.CancelScope(shield=True):
