Let a connection to an endpoint outlive a silence of three seconds

What callers would see: an answer that is awaited for over 2 s is cut off where its sound endpoint falls silent for little more than a second: TCP_USER_TIMEOUT also decides when keep-alive probes give up, and 3 s came before the third probe (2 s + 3 x 1 s). Cause: two limits in one socket, chosen apart, and the same options in two modules with different values (3 s and 5 s). Change: one module derives the timeout from the probes. Checked: the libraries between instances and towards callers set no such timeout. Evidence: the test failed before (3.0 s, probes take 5 s).

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -1,7 +1,6 @@
 """Pooled httpx clients for endpoints, with one pool for each endpoint."""
 
 import re
-import socket
 import ssl
 import uuid
 from collections.abc import AsyncIterator, Callable
@@ -12,6 +11,7 @@
 import httpx
 
 from burdockwall.connection.exchange import Headers
+from burdockwall.connection.keepalive import SOCKET_OPTIONS
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
@@ -26,19 +26,6 @@
 # The header in which an endpoint names the requests a second that it takes.
 RATE_LIMIT = "request-limit"
 RATE_PATTERN = re.compile(r"\d+(\.\d*)?|\.\d+")
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_LIMIT_MS = 5000
-
-# Unanswered keepalive probes show that the network path no longer has a connection.
-SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
-)
 
 
 def read_rate_limit(headers: httpx.Headers) -> float | None:
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -15,15 +15,12 @@
 
 from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
+from burdockwall.connection.keepalive import SOCKET_OPTIONS
 from burdockwall.types import Address
 
 READ_BYTES = 65_536
 # A longer head of an answer is treated as an error of the endpoint.
 HEAD_LIMIT_BYTES = 65_536
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_LIMIT_MS = 3000
 # After this many answers to other requests, the connection counts as broken.
 MAX_SKIPPED_ANSWERS = 4
 
@@ -180,12 +177,6 @@
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"{address}: {error or 'no answer'}") from error
     connected: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    for level, name, value in (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
-    ):
+    for level, name, value in SOCKET_OPTIONS:
         connected.setsockopt(level, name, value)
     return UpstreamConnection(stream)
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -27,3 +27,10 @@
 @then("the connection is not used again")
 def step_not_used(context):
     assert not context.subject.recycled
+
+
+@then("the connection's user timeout is no shorter than its keep-alive probes take")
+def step_user_timeout(context):
+    subject = context.subject
+    assert subject.probes_s > 1
+    assert subject.user_timeout_s >= subject.probes_s, subject.user_timeout_s
--- a/features/subjects/upstream.py
+++ b/features/subjects/upstream.py
@@ -45,6 +45,8 @@
         self.body: bytes | None = None
         self.broken = False
         self.recycled = False
+        self.probes_s = 0.0
+        self.user_timeout_s = 0.0
 
     def run(self, limit_s: float) -> None:
         anyio.run(self._run, limit_s)
@@ -71,8 +73,19 @@
             return
         await anyio.sleep(2)
 
+    def _read_timeouts(self, stream: anyio.abc.ByteStream) -> None:
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+        def read(name: int) -> int:
+            return raw.getsockopt(socket.IPPROTO_TCP, name)
+
+        probes_s = read(socket.TCP_KEEPCNT) * read(socket.TCP_KEEPINTVL)
+        self.probes_s = read(socket.TCP_KEEPIDLE) + probes_s
+        self.user_timeout_s = read(socket.TCP_USER_TIMEOUT) / 1000
+
     async def _ask(self, address: Address) -> None:
         connection = await open_upstream(address, 1.0)
+        self._read_timeouts(connection.stream)
         headers = [(b"host", b"h.example"), (b"x-request-id", b"own")]
         try:
             await connection.send("GET", "/x", headers, b"")
--- a/features/upstream.feature
+++ b/features/upstream.feature
@@ -30,3 +30,8 @@
     When a request is sent to it
     Then the answer's body is "whole" within 1 s
     And the connection is not used again
+
+  Scenario: A connection outlives a silence that is shorter than all keep-alive probes take
+    Given an endpoint that answers with a length
+    When a request is sent to it
+    Then the connection's user timeout is no shorter than its keep-alive probes take
