Serve callers of the own interface through a peer while an entry reaches no endpoint

Change: the pooled clients report what requests show about the path to endpoints, with the same rule as on the platform; while the entry is cut off, requests are passed on as they came. It stays in the directory, since leaving would also move its programs; after the cut the ejections of endpoints are forgotten. Not where callers use TLS (1504).

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -6,15 +6,38 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
 import httpx
 
+from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.keepalive import SOCKET_OPTIONS
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
+
+class ReachObserver(Protocol):
+    """Is told what requests show about the path to the endpoints."""
+
+    def record_connect(self, address: Address, opened: bool) -> None:
+        """Record whether a connection to an address could be opened."""
+        ...
+
+    def record_sent(self) -> None:
+        """Record that a request is sent and its answer is awaited."""
+        ...
+
+    def record_heard(self) -> None:
+        """Record that an answer began."""
+        ...
+
+    def record_ended(self) -> None:
+        """Record that an answer is no longer awaited."""
+        ...
+
+
 ObserveLimit = Callable[[EndpointId, float | None], None]
 
 # httpx checks every connection of its pool for each request, so the cost of a pool
@@ -104,6 +127,8 @@
         observe_limit: ObserveLimit = lambda endpoint, rate_per_s: None,
     ) -> None:
         self.observe_limit = observe_limit
+        self.observer: ReachObserver | None = None
+        self.open_socket = anyio.connect_tcp
         self.connect_s = connect_s
         self.silence_s = silence_s
         self.replacements = 0
@@ -133,17 +158,21 @@
             with anyio.CancelScope(shield=True):
                 await pooled.client.aclose()
 
-    def _create_client(self, endpoint: Endpoint) -> httpx.AsyncClient:
-        limits = httpx.Limits(
-            max_connections=STREAMS_PER_CLIENT,
-            max_keepalive_connections=STREAMS_PER_CLIENT,
-        )
-        transport = httpx.AsyncHTTPTransport(
+    def create_transport(self, limits: httpx.Limits) -> httpx.AsyncBaseTransport:
+        """Create what opens the connections of a client."""
+        return httpx.AsyncHTTPTransport(
             verify=self._tls,
             limits=limits,
             trust_env=False,
             socket_options=SOCKET_OPTIONS,
         )
+
+    def _create_client(self, endpoint: Endpoint) -> httpx.AsyncClient:
+        limits = httpx.Limits(
+            max_connections=STREAMS_PER_CLIENT,
+            max_keepalive_connections=STREAMS_PER_CLIENT,
+        )
+        transport = self.create_transport(limits)
         scheme = "https" if endpoint.tls else "http"
         return httpx.AsyncClient(
             base_url=f"{scheme}://{endpoint.address}",
@@ -182,10 +211,15 @@
         """
         request, headers = _number_request(headers)
         pooled = self._acquire_client(endpoint)
+        observer = self.observer
+        if observer is not None:
+            observer.record_sent()
         try:
             async with pooled.client.stream(
                 method, path, headers=headers, content=content
             ) as response:
+                if observer is not None:
+                    observer.record_heard()
                 answered = response.headers.get(REQUEST_ID, request)
                 if answered != request:
                     detail = f"endpoint {endpoint.name} answered request {answered}"
@@ -194,9 +228,29 @@
                     rate_per_s = read_rate_limit(response.headers)
                     self.observe_limit(endpoint.name, rate_per_s)
                 yield response
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            if observer is not None:
+                observer.record_connect(endpoint.address, False)
+            raise
         finally:
+            if observer is not None:
+                observer.record_ended()
             await self._release_client(endpoint, pooled)
 
+    async def check(self, address: Address) -> None:
+        """Open a connection to an address, and report whether it could be opened."""
+        host, port = split_address(address)
+        opened = False
+        try:
+            with anyio.fail_after(self.connect_s):
+                stream = await self.open_socket(host, port)
+            opened = True
+            await stream.aclose()
+        except (OSError, TimeoutError):
+            pass
+        if self.observer is not None:
+            self.observer.record_connect(address, opened)
+
     async def close(self) -> None:
         """Close every connection."""
         pools = list(self._pools.values())
--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -20,6 +20,24 @@
 DISCARD_LIMIT_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
 CLOSE = (b"connection", b"close")
+# Headers that concern one connection only, and are not forwarded.
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Set by an entry instance that passes a request on to another one.
+RELAYED = b"burdockwall-relayed"
 
 
 class Exchange:
--- a/burdockwall/fakes/partition.py
+++ b/burdockwall/fakes/partition.py
@@ -1,4 +1,4 @@
-"""A link between one entry instance and all endpoints that can be cut."""
+"""Links between one entry instance and all endpoints that can be cut."""
 
 from collections.abc import Mapping
 from enum import Enum
@@ -6,7 +6,9 @@
 
 import anyio
 import anyio.abc
+import httpx
 
+from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.connection.upstream import (
     ConnectFailed,
     UpstreamConnection,
@@ -96,3 +98,42 @@
     def heal(self) -> None:
         """End the cut."""
         self.cut = None
+
+
+class ClientsLink:
+    """Lets the pooled clients of one instance open no connection while it is cut."""
+
+    def __init__(self, clients: EndpointClients) -> None:
+        self.cut = False
+        self._create_transport = clients.create_transport
+        self._open_socket = clients.open_socket
+        clients.create_transport = self.create_transport  # type: ignore[method-assign]
+        clients.open_socket = self.open_socket  # type: ignore[assignment]
+
+    def create_transport(self, limits: httpx.Limits) -> httpx.AsyncBaseTransport:
+        """Create a transport that the link can cut."""
+        return _LinkTransport(self._create_transport(limits), self)
+
+    async def open_socket(self, host: str, port: int) -> anyio.abc.SocketStream:
+        """Connect, or raise ConnectionRefusedError."""
+        if self.cut:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        return await self._open_socket(host, port)
+
+
+class _LinkTransport(httpx.AsyncBaseTransport):
+    """A transport whose requests fail to connect while its link is cut."""
+
+    def __init__(self, transport: httpx.AsyncBaseTransport, link: ClientsLink) -> None:
+        self.transport = transport
+        self.link = link
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send a request, or raise ConnectError."""
+        if self.link.cut:
+            raise httpx.ConnectError("refused", request=request)
+        return await self.transport.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close the transport."""
+        await self.transport.aclose()
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -2,7 +2,13 @@
 
 import re
 
-from burdockwall.connection.exchange import JSON_TYPE, Exchange, Headers
+from burdockwall.connection.exchange import (
+    HOP_HEADERS,
+    JSON_TYPE,
+    RELAYED,
+    Exchange,
+    Headers,
+)
 from burdockwall.connection.upstream import AnswerHead
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
@@ -48,9 +54,7 @@
         target = exchange.raw_path
         if exchange.query:
             target = f"{target}?{exchange.query.decode('latin-1')}"
-        dropped = (
-            names.HOP_HEADERS | names.SYSTEM_HEADERS | _list_connection_headers(headers)
-        )
+        dropped = HOP_HEADERS | names.SYSTEM_HEADERS | _list_connection_headers(headers)
         return ForwardedRequest(
             request=RequestId(request),
             method=exchange.method,
@@ -64,7 +68,7 @@
             finish_s=_get_seconds(headers, names.FINISH_MS),
             turn=_read_turn(headers, program),
             resumption=_read_resumption(headers),
-            relayed=names.RELAYED in headers,
+            relayed=RELAYED in headers,
         )
 
     def build_headers(
@@ -85,7 +89,7 @@
         """Build the headers for another entry instance that serves the request."""
         headers = [
             *request.headers,
-            (names.RELAYED, b"1"),
+            (RELAYED, b"1"),
             _build_deadline(remaining_s),
         ]
         if request.key is not None:
@@ -115,7 +119,7 @@
 
     def select_headers(self, head: AnswerHead) -> Headers:
         """Select the headers of an answer that are forwarded to the caller."""
-        dropped = names.HOP_HEADERS | _list_connection_headers(dict(head.headers))
+        dropped = HOP_HEADERS | _list_connection_headers(dict(head.headers))
         return [item for item in head.headers if item[0] not in dropped]
 
     def build_refusal(self, error: BurdockwallError) -> Refusal:
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -1,5 +1,7 @@
 """Names of the platform's headers, paths and environment variables."""
 
+from burdockwall.connection.exchange import RELAYED
+
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
 API_KEY = b"x-api-key"
@@ -23,25 +25,7 @@
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
 HOST = b"host"
-# Set by an entry instance that passes a request on to another one.
-RELAYED = b"burdockwall-relayed"
 
-# Headers that concern one connection only, and are not forwarded.
-HOP_HEADERS = frozenset(
-    {
-        CONNECTION,
-        KEEP_ALIVE,
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
 # Headers that only the system sets; they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
     {
--- a/burdockwall/process/endpoint_reach.py
+++ b/burdockwall/process/endpoint_reach.py
@@ -1,12 +1,12 @@
 """Carry out the checks of whether this instance reaches endpoints."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 import anyio.abc
 import logbook
 
-from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.process.host import Host
 from burdockwall.process.scheduling.reachability import (
     AddressesListed,
@@ -24,6 +24,14 @@
 _logger = logbook.Logger("reach")
 
 
+class Connector(Protocol):
+    """Opens connections to endpoints, and records how that ends."""
+
+    async def check(self, address: Address) -> None:
+        """Open a connection to an address."""
+        ...
+
+
 class EndpointReach:
     """The belief of this instance about its own path to the endpoints.
 
@@ -31,16 +39,15 @@
     """
 
     def __init__(
-        self, host: Host, upstreams: UpstreamPools, on_changed: Callable[[bool], None]
+        self, host: Host, connector: Connector, on_changed: Callable[[bool], None]
     ) -> None:
         self.host = host
-        self.upstreams = upstreams
+        self.connector = connector
         self.on_changed = on_changed
         self.machine = Reachability()
         self._hosted = host.add(self.machine, (), self._perform)
         self._group: anyio.abc.TaskGroup | None = None
         self._addresses: tuple[Address, ...] = ()
-        upstreams.report_connect = self._report_connect
 
     @property
     def cut_off(self) -> bool:
@@ -65,7 +72,8 @@
         """Record that an answer is no longer awaited."""
         self.host.apply(self._hosted, Ended())
 
-    def _report_connect(self, address: Address, opened: bool) -> None:
+    def record_connect(self, address: Address, opened: bool) -> None:
+        """Record whether a connection to an address could be opened."""
         self.host.apply(self._hosted, ConnectEnded(address, opened))
 
     def _perform(self, action: OpenConnections | ReachChanged) -> None:
@@ -73,7 +81,7 @@
             case OpenConnections(addresses=addresses):
                 for address in addresses:
                     if self._group is not None:
-                        self._group.start_soon(self.upstreams.check, address)
+                        self._group.start_soon(self.connector.check, address)
             case ReachChanged(cut_off=cut_off):
                 message = "reaches no endpoint" if cut_off else "reaches endpoints"
                 _logger.notice(message, extra={"endpoints": len(self._addresses)})
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -1,32 +1,45 @@
 """An entry instance: serves callers' requests and address look-ups."""
 
+import random
 import uuid
 from collections.abc import Callable
 
 import anyio
 import logbook
 
-from burdockwall.connection.exchange import Exchange
+from burdockwall.connection.exchange import Exchange, run_while_connected
 from burdockwall.connection.memory import ByteBudget
+from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import Drain
+from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
 from burdockwall.process.resolver import EntryInstance, resolve_addresses
 from burdockwall.process.scheduling.jobs import InstancesCounted
+from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.scheduling.poller import EndpointPoller
+from burdockwall.request.caller_relay import CallerRelayCodec, read_relayed_request
 from burdockwall.request.handler import serve_request
 from burdockwall.request.once import AcceptedSender
 from burdockwall.request.parts import create_parts
+from burdockwall.request.peer_relay import PeerRelay
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
-from burdockwall.types import EndpointId, EndpointState, FailureDomain, RouteKind
+from burdockwall.types import (
+    EndpointId,
+    EndpointState,
+    FailureDomain,
+    RequestId,
+    RouteKind,
+)
 from burdockwall.version.view import ViewBuilder, build_empty_view
 
 COUNT_INTERVAL_S = 1.0
 RESOLVE_PATH = "/v1/resolve"
 REFUSED_RETRY_S = 1.0
+RELAY_LIMIT_S = 3600.0
 
 
 class Entry:
@@ -52,6 +65,15 @@
             host.clock,
             settings.schedule_poll_s,
         )
+        self.reach = EndpointReach(host, self.parts.clients, self._follow_reach)
+        self.parts.clients.observer = self.reach
+        self.peer_relay = PeerRelay(
+            CallerRelayCodec(),
+            UpstreamPools(host.clock),
+            PeerChoice(settings.instance_id, settings.failure_domain, random.Random()),
+            list_members,
+            host.clock,
+        )
         self.accepted = AcceptedSender(self.parts, lambda: self.view)
         self.drain = Drain()
         self.metrics = Metrics()
@@ -68,6 +90,7 @@
                 group.start_soon(self.parts.dispatcher.run, tick_s)
                 group.start_soon(self.parts.admission.run, tick_s)
                 group.start_soon(self.poller.run)
+                group.start_soon(self.reach.run)
                 group.start_soon(self.parts.reclaimer.run)
                 group.start_soon(self.accepted.run)
                 group.start_soon(self._update_instance_count)
@@ -88,6 +111,8 @@
         self.view = self.builder.build(replica.version, replica.sections, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
+        endpoints = self.view.configuration.endpoints
+        self.reach.install(tuple(endpoint.address for endpoint in endpoints))
         self.parts.reclaimer.engines = {
             endpoint.name: endpoint
             for pool in self.view.configuration.pools
@@ -115,7 +140,10 @@
     async def _serve_traced(self, exchange: Exchange, trace: RequestTrace) -> None:
         try:
             self._check_serving()
-            await serve_request(self.parts, self.view, exchange, trace)
+            if self.reach.cut_off:
+                await self._relay(exchange, trace)
+            else:
+                await serve_request(self.parts, self.view, exchange, trace)
         except BurdockwallError as error:
             trace.code = error.code.value.number
             raise
@@ -124,6 +152,28 @@
             self._logger.exception("request failed", extra={"request": trace.request})
             raise RequestRefused(Code.INTERNAL, type(error).__name__) from error
 
+    def _follow_reach(self, cut_off: bool) -> None:
+        """Forget the failures of endpoints once this instance reaches them again."""
+        if not cut_off:
+            for pool in self.parts.dispatcher.scheduler.router.pools.values():
+                pool.ejector.forget_failures()
+
+    async def _relay(self, exchange: Exchange, trace: RequestTrace) -> None:
+        """Serve a request through a peer while this instance reaches no endpoint."""
+        now = self.clock()
+        request = read_relayed_request(exchange, RequestId(trace.request), now)
+        # The connections to peers are plain, so they can't carry callers' TLS.
+        if request.relayed or self.settings.caller_certificate is not None:
+            raise RequestRefused(Code.CUT_OFF, retry_after_s=REFUSED_RETRY_S)
+        body = await exchange.read_body(self.settings.max_body_bytes)
+        limit_s = RELAY_LIMIT_S if request.deadline_s is None else request.deadline_s
+
+        async def relay() -> None:
+            expires_at = now + limit_s
+            await self.peer_relay.serve(exchange, request, body, expires_at, trace)
+
+        await run_while_connected(exchange, relay)
+
     def _check_serving(self) -> None:
         if self.drain.refusing:
             raise RequestRefused(Code.LEAVING, retry_after_s=REFUSED_RETRY_S)
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -113,6 +113,7 @@
         )
         self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
         self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
+        self.upstreams.report_connect = self.reach.record_connect
         self.peer_relay = PeerRelay(
             codec,
             UpstreamPools(host.clock),
--- a/burdockwall/process/scheduling/health.py
+++ b/burdockwall/process/scheduling/health.py
@@ -126,6 +126,11 @@
         elif record.health is Health.HEALTHY and self._is_slow(record):
             self._eject(record, now)
 
+    def forget_failures(self) -> None:
+        """Eject no endpoint any more, since this instance itself was cut off."""
+        self.records = {name: EndpointHealth() for name in self.records}
+        self.ejected_count = 0
+
     def _record_failure(
         self, endpoint: EndpointId, record: EndpointHealth, now: float
     ) -> None:
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -102,18 +102,8 @@
     body: bytes
 
 
-class RequestCodec(Protocol):
-    """Reads requests and answers, and builds the headers and refusals to send."""
-
-    def read_request(self, exchange: Exchange) -> ForwardedRequest:
-        """Read a caller's request, or raise RequestRefused."""
-        ...
-
-    def build_headers(
-        self, request: ForwardedRequest, attempt: AttemptDetails
-    ) -> Headers:
-        """Build the headers for an endpoint."""
-        ...
+class RelayCodec(Protocol):
+    """Builds headers for a peer that serves a request, and reads its answer."""
 
     def build_relay_headers(
         self, request: ForwardedRequest, remaining_s: float, body_bytes: int
@@ -133,6 +123,20 @@
         """Return the headers of an answer that are forwarded to the caller."""
         ...
 
+
+class RequestCodec(RelayCodec, Protocol):
+    """Reads requests and answers, and builds the headers and refusals to send."""
+
+    def read_request(self, exchange: Exchange) -> ForwardedRequest:
+        """Read a caller's request, or raise RequestRefused."""
+        ...
+
+    def build_headers(
+        self, request: ForwardedRequest, attempt: AttemptDetails
+    ) -> Headers:
+        """Build the headers for an endpoint."""
+        ...
+
     def build_refusal(self, error: BurdockwallError) -> Refusal:
         """Encode a refusal."""
         ...
--- a/burdockwall/request/peer_relay.py
+++ b/burdockwall/request/peer_relay.py
@@ -22,7 +22,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.resolver import EntryInstance
 from burdockwall.process.scheduling.peer_choice import PeerChoice
-from burdockwall.request.codec import ForwardedRequest, RequestCodec
+from burdockwall.request.codec import ForwardedRequest, RelayCodec
 from burdockwall.request.trace import RequestTrace
 from burdockwall.types import InstanceId
 
@@ -38,7 +38,7 @@
 class PeerRelay:
     """Passes requests on to peers, and their answers back."""
 
-    codec: RequestCodec
+    codec: RelayCodec
     upstreams: UpstreamPools
     choice: PeerChoice
     list_members: Callable[[], list[EntryInstance]]
--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -106,3 +106,10 @@
     And a peer that took no connection gets none for 2 s
     And with no peer in the own failure domain "p3" gets them
     And a peer that is itself cut off gets no requests
+
+  Scenario: On the own interface, callers of an entry that reaches no engine are served by another
+    Given a fleet site of one control instance and two entries
+    When 10 questions come to "entry-1" while it reaches no endpoint, and 10 after
+    Then the fleet site answered 20 of them
+    And "entry-1" sent its own requests again after the cut
+    And a question that was relayed to it before is refused with 1504
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -2,6 +2,7 @@
 
 from burdockwall.fakes.partition import Cut
 from features.subjects.cut_off import CutOffSubject
+from features.subjects.own_cut_off import OwnCutOff
 from features.subjects.reachability import PeerSubject, run_case
 
 
@@ -153,3 +154,30 @@
 def step_cut_off_peer(context):
     context.peers.leave("p1")
     assert context.peers.choose(3) == {"p2": 3}
+
+
+# On the own interface.
+
+
+@when(
+    '{count:d} questions come to "entry-1" while it reaches no endpoint, and 10 after'
+)
+def step_own_questions(context, count):
+    context.own_cut = OwnCutOff(context.subject)
+    context.subject.run(lambda: context.own_cut.ask_while_cut_off(count))
+
+
+@then("the fleet site answered {count:d} of them")
+def step_own_answered(context, count):
+    assert context.own_cut.statuses == [200] * count, context.own_cut.statuses
+
+
+@then('"entry-1" sent its own requests again after the cut')
+def step_own_sends(context):
+    assert context.own_cut.relayed_before > 0
+    assert context.own_cut.relayed_after == 0
+
+
+@then("a question that was relayed to it before is refused with {code:d}")
+def step_own_second_hop(context, code):
+    assert context.own_cut.second_hop_code == code
