--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -1,7 +1,5 @@
 """Names of the platform's headers, paths and environment variables."""
 
-from burdockwall.connection.exchange import RELAYED
-
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
 API_KEY = b"x-api-key"
@@ -34,7 +32,6 @@
         EXPECT_INSTANCE,
         DEADLINE_MS,
         REQUEST_PRIORITY,
-        RELAYED,
         b"x-kv-hold",
         b"x-pin-ms",
         b"x-kv-backup",
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 import anyio
 import logbook
@@ -34,6 +34,7 @@
     ForwardedRequest,
     RequestCodec,
 )
+from burdockwall.request.endpoint_choice import EndpointChoice, NoEndpoint
 from burdockwall.request.events import (
     EVENT_END,
     EventSplitter,
@@ -42,7 +43,7 @@
 )
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import CustomerId, EndpointId, Ran, TurnId
+from burdockwall.types import CustomerId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
     HostCustomer,
@@ -56,8 +57,6 @@
 TIMEOUT_MARGIN_S = 0.03
 # After this many endpoints that did not run a request, its caller is refused.
 MAX_ENDPOINT_REFUSALS = 3
-# One request asks for permits of at most this many endpoints.
-MAX_PERMIT_ASKS = 3
 STATUS_OK = range(200, 300)
 ANSWER_LIMIT_BYTES = 16_777_216
 # The owner of turns on routes that need no key.
@@ -107,15 +106,12 @@
     """The state of a request across its attempts.
 
     `runs` counts the attempts that may have run, and `refusals` those that provably did
-    not. `unpermitted` are limited endpoints without a permit for the request. `settled`
-    is true once the outcome of the turn is stored.
+    not. `settled` is true once the outcome of the turn is stored.
     """
 
     runs: int = 0
     refusals: int = 0
     tokens: int = 0
-    excluded: set[EndpointId] = field(default_factory=set)
-    unpermitted: set[EndpointId] = field(default_factory=set)
     settled: bool = False
     last_failure: str = ""
 
@@ -142,6 +138,14 @@
         self.trace = trace
         self.progress = _Progress()
         self.binding = StreamBinding(parts.endpoints, request, route)
+        is_engine = view.get_service(self.binding.service).engine is not None
+        self.choice = EndpointChoice(
+            self.binding,
+            parts.balancer,
+            parts.endpoint_limits,
+            parts.clock,
+            (request.program or "") if is_engine else "",
+        )
         self.body = b""
         self.turn: TurnStart | None = None
         self.expires_at = compute_expiry(route, request, trace.started_at)
@@ -165,7 +169,7 @@
 
     async def _run_request(self) -> None:
         if self.binding.resumption is None:
-            self._check_permits()
+            self._check_limits()
         start = self._describe_turn()
         if start is None:
             await self._admit()
@@ -192,6 +196,13 @@
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
+    def _check_limits(self) -> None:
+        """Refuse a request at once that no endpoint's own limit allows now."""
+        try:
+            self.choice.check()
+        except NoEndpoint as error:
+            raise self._refuse_unplaced(error) from error
+
     def _describe_turn(self) -> TurnStart | None:
         """Describe the request as a turn, or return None if no store need know it."""
         if self.route.kind is not RequestKind.STREAM:
@@ -201,7 +212,7 @@
             return None
         place = None
         if self.binding.is_recorded:
-            place = self.binding.predict(self._find_endpoint())
+            place = self.binding.predict(self.choice.find())
         return TurnStart(
             customer=self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
             program=details.program,
@@ -249,7 +260,7 @@
                     raise self._build_refusal(Code.ENDPOINT_FAILED) from error
 
     def _record_failure(self, endpoint: ListedEndpoint, error: Exception) -> None:
-        self.progress.excluded.add(endpoint.name)
+        self.choice.excluded.add(endpoint.name)
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
@@ -261,61 +272,15 @@
             code = Code.ENDPOINT_FAILED
         return RequestRefused(code, self.progress.last_failure, retry_after_s)
 
-    def _find_endpoint(self) -> ListedEndpoint | None:
-        service = self.view.get_service(self.binding.service)
-        affinity = self.request.program or ""
-        return self.parts.balancer.choose(
-            self._list_permitted(),
-            affinity if service.engine is not None else "",
-            self.parts.clock(),
-            self.progress.excluded | self.progress.unpermitted,
-        )
-
-    def _list_permitted(self) -> list[ListedEndpoint]:
-        """List the endpoints whose own rate limits may still allow a request."""
-        is_exhausted = self.parts.endpoint_limits.is_exhausted
-        return [
-            item
-            for item in self.binding.list_endpoints()
-            if not is_exhausted(item.name)
-        ]
-
     async def _choose(self) -> ListedEndpoint:
-        """Choose an endpoint, with a permit if it is limited, or raise RequestRefused.
+        try:
+            return await self.choice.choose()
+        except NoEndpoint as error:
+            raise self._refuse_unplaced(error) from error
 
-        After MAX_PERMIT_ASKS limited endpoints without a permit, only others are used.
-        """
-        limits = self.parts.endpoint_limits
-        asks = 0
-        while (endpoint := self._find_endpoint()) is not None:
-            if asks < MAX_PERMIT_ASKS or not limits.needs_permit(endpoint.name):
-                if await limits.acquire(endpoint.name):
-                    return endpoint
-                asks += 1
-            self.progress.unpermitted.add(endpoint.name)
-        raise self._build_placement_refusal()
-
-    def _check_permits(self) -> None:
-        """Raise RequestRefused if no endpoint's rate limit allows a request now."""
-        if self.binding.list_endpoints() and not self._list_permitted():
-            raise self._build_placement_refusal()
-
-    def _build_placement_refusal(self) -> RequestRefused:
-        limited = [
-            item.name
-            for item in self.binding.list_endpoints()
-            if item.name not in self.progress.excluded
-        ]
-        if limited:
-            self.progress.last_failure = "the rate limits of all endpoints are reached"
-            retry_s = self.parts.endpoint_limits.get_wait_s(limited)
-            return self._build_refusal(Code.ENDPOINTS_LIMITED, retry_s)
-        if not self.progress.last_failure:
-            self.progress.last_failure = f"no {self.binding.describe_endpoints()}"
-        bound = self.binding.software is not None
-        return self._build_refusal(
-            Code.RESUME_UNAVAILABLE if bound else Code.NO_ENDPOINT
-        )
+    def _refuse_unplaced(self, error: NoEndpoint) -> RequestRefused:
+        self.progress.last_failure = str(error) or self.progress.last_failure
+        return self._build_refusal(error.code, error.retry_after_s)
 
     async def _attempt(
         self, endpoint: ListedEndpoint, service: HostService, prompt: bytes
