--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -30,6 +30,8 @@
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 NOT_LEAVING = (b"", b"0")
+# Headers of callers' requests that endpoints are not sent as they came.
+DROPPED_HEADERS = HOP_HEADERS | names.SYSTEM_HEADERS | {RELAYED}
 RATE_PATTERN = re.compile(rb"\d+(\.\d*)?|\.\d+")
 # The id of the last event before the caller has received one.
 NO_EVENT_IDS = ("", "0")
@@ -54,7 +56,7 @@
         target = exchange.raw_path
         if exchange.query:
             target = f"{target}?{exchange.query.decode('latin-1')}"
-        dropped = HOP_HEADERS | names.SYSTEM_HEADERS | _list_connection_headers(headers)
+        dropped = DROPPED_HEADERS | _list_connection_headers(headers)
         return ForwardedRequest(
             request=RequestId(request),
             method=exchange.method,
--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -53,6 +53,7 @@
     When the connections of instance 1 to all endpoints hang
     And 3 s pass with callers at both instances
     Then a request that says it was relayed is refused by instance 1 with code 1504
+    And instance 2 serves one, and no endpoint was sent the mark
 
   Scenario: A peer that breaks off after it was sent an order leaves its outcome unknown
     Given a site with three control instances, three stores and two entry instances
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -79,6 +79,12 @@
     assert (answer.status_code, answer.json()["code"]) == (503, code)
 
 
+@then("instance 2 serves one, and no endpoint was sent the mark")
+def step_mark(context):
+    assert context.cut_off.send_relayed(2).status_code == 200
+    assert not context.cut_off.list_marked_requests()
+
+
 @when(
     "an order is sent to instance 1, whose connections to peers break {after:g} s later"
 )
--- a/features/subjects/cut_off.py
+++ b/features/subjects/cut_off.py
@@ -122,6 +122,15 @@
         }
         return self.site.send_request("GET", "/tool/1", headers, b"", instance)
 
+    def list_marked_requests(self) -> list[str]:
+        """List the requests that endpoints were sent with the mark of a relay."""
+        return [
+            received.headers["x-request-id"]
+            for server in (*self.site.tools, *self.site.engines)
+            for received in server.received_requests
+            if "burdockwall-relayed" in received.headers
+        ]
+
     def send_order(
         self, limit_s: float, break_peers_after_s: float | None = None
     ) -> FirstAttempt:
