Check endpoints of several services before an instance counts as cut off

Cause: the three endpoints of a check were taken in the order of the list; where all servers of one service are down, they could all be of that service, and an instance that reaches the others would have left the directory. Found by reading; the new case failed before. Change: a check goes through the services in turn.

--- a/burdockwall/process/endpoint_reach.py
+++ b/burdockwall/process/endpoint_reach.py
@@ -47,18 +47,18 @@
         self.machine = Reachability()
         self._hosted = host.add(self.machine, (), self._perform)
         self._group: anyio.abc.TaskGroup | None = None
-        self._addresses: tuple[Address, ...] = ()
+        self._services: tuple[tuple[Address, ...], ...] = ()
 
     @property
     def cut_off(self) -> bool:
         """Return whether this instance reaches no endpoint."""
         return self.machine.cut_off
 
-    def install(self, addresses: tuple[Address, ...]) -> None:
-        """Use the addresses of the endpoints of all services."""
-        if addresses != self._addresses:
-            self._addresses = addresses
-            self.host.apply(self._hosted, AddressesListed(addresses))
+    def install(self, services: tuple[tuple[Address, ...], ...]) -> None:
+        """Use these addresses of endpoints, those of each service in a tuple."""
+        if services != self._services:
+            self._services = services
+            self.host.apply(self._hosted, AddressesListed(services))
 
     def record_sent(self) -> None:
         """Record that a request was sent and its answer is awaited."""
@@ -84,7 +84,7 @@
                         self._group.start_soon(self.connector.check, address)
             case ReachChanged(cut_off=cut_off):
                 message = "reaches no endpoint" if cut_off else "reaches endpoints"
-                _logger.notice(message, extra={"endpoints": len(self._addresses)})
+                _logger.notice(message, extra={"services": len(self._services)})
                 self.on_changed(cut_off)
 
     async def run(self) -> None:
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -163,8 +163,8 @@
         self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
         self._names: set[EndpointId] = set()
         self.limited: frozenset[EndpointId] = frozenset()
-        # The addresses of the endpoints of all services that are not leaving.
-        self.addresses: tuple[Address, ...] = ()
+        # The addresses of endpoints that are not leaving, by service.
+        self.addresses: tuple[tuple[Address, ...], ...] = ()
         self._announced = LeavingEndpoints()
         self._sole_versions: dict[ServiceName, _SoleVersion] = {}
 
@@ -192,7 +192,8 @@
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
         self.addresses = tuple(
-            endpoint.address for endpoint in message.endpoints if not endpoint.leaving
+            tuple(endpoint.address for endpoint in listed)
+            for listed in self._by_service.values()
         )
         self.limited = frozenset(
             endpoint.name for endpoint in message.endpoints if endpoint.limited
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -111,8 +111,12 @@
         self.view = self.builder.build(replica.version, replica.sections, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
-        endpoints = self.view.configuration.endpoints
-        self.reach.install(tuple(endpoint.address for endpoint in endpoints))
+        self.reach.install(
+            tuple(
+                tuple(endpoint.address for endpoint in listed)
+                for listed in self.view.pools.values()
+            )
+        )
         self.parts.reclaimer.engines = {
             endpoint.name: endpoint
             for pool in self.view.configuration.pools
--- a/burdockwall/process/scheduling/reachability.py
+++ b/burdockwall/process/scheduling/reachability.py
@@ -14,7 +14,7 @@
 # After this time without a byte from any endpoint, though answers are awaited, one
 # connection is opened to see whether any can be.
 QUIET_S = 0.5
-# Connections that a check opens; all must fail.
+# Connections that a check opens, at several services; all must fail.
 CHECKED_ENDPOINTS = 3
 # Time between two checks, and after which an unfinished one counts for nothing.
 CHECK_INTERVAL_S = 0.5
@@ -56,9 +56,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AddressesListed:
-    """The addresses of the endpoints of all services."""
+    """The addresses of endpoints, those of each service in a tuple of their own."""
 
-    addresses: tuple[Address, ...]
+    services: tuple[tuple[Address, ...], ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +84,7 @@
 
     def __init__(self) -> None:
         self.reach = Reach.REACHED
-        self._addresses: tuple[Address, ...] = ()
+        self._services: tuple[tuple[Address, ...], ...] = ()
         self._awaited = 0
         self._quiet_since = 0.0
         self._failed: set[Address] = set()
@@ -102,8 +102,8 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event; return connections to open and a changed belief."""
         match event:
-            case AddressesListed(addresses=addresses):
-                self._addresses = addresses
+            case AddressesListed(services=services):
+                self._services = services
             case Sent():
                 if not self._awaited:
                     self._quiet_since = now
@@ -128,11 +128,14 @@
         if self.reach is Reach.REACHED:
             return []
         self._successes += 1
-        if self._successes < min(SUCCESSES_TO_RETURN, len(self._addresses)):
+        if self._successes < min(SUCCESSES_TO_RETURN, self._count_addresses()):
             return []
         self.reach = Reach.REACHED
         return [ReachChanged(False)]
 
+    def _count_addresses(self) -> int:
+        return sum(len(listed) for listed in self._services)
+
     def _record_failed(self, address: Address, now: float) -> list[Action]:
         self._failed.add(address)
         self._successes = 0
@@ -157,9 +160,9 @@
         return []
 
     def _start_check(self, now: float) -> list[Action]:
-        """Check endpoints that have not failed, of all services."""
+        """Check endpoints that have not failed, of several services."""
         # One endpoint that fails can't be told from a cut.
-        if len(self._addresses) < 2:
+        if self._count_addresses() < 2:
             return []
         selected = self._select(CHECKED_ENDPOINTS)
         actions = self._open(selected, now)
@@ -171,13 +174,21 @@
         return actions
 
     def _select(self, count: int) -> tuple[Address, ...]:
-        """Select endpoints in turn, those that have not failed first."""
-        listed = self._addresses
-        start = self._position % len(listed) if listed else 0
-        rotated = [*listed[start:], *listed[:start]]
-        self._position += count
-        rotated.sort(key=lambda address: address in self._failed)
-        return tuple(rotated[:count])
+        """Select endpoints of the services in turn, those that have not failed first.
+
+        All endpoints of one service may be down at once.
+        """
+        selected: list[Address] = []
+        for _ in range(count if self._services else 0):
+            listed = self._services[self._position % len(self._services)]
+            turn = self._position // len(self._services)
+            self._position += 1
+            unused = [address for address in listed if address not in selected]
+            sound = [address for address in unused if address not in self._failed]
+            choices = sound or unused
+            if choices:
+                selected.append(choices[turn % len(choices)])
+        return tuple(selected)
 
     def _open(self, selected: tuple[Address, ...], now: float) -> list[Action]:
         if now < self._next_check_at or not selected:
--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -100,6 +100,7 @@
       | it was cut off, and two connections succeed           | reached |
       | it was cut off, and connections succeed in part       | cut off |
       | a check has no outcome for 3 s                        | reached |
+      | no endpoint of one service opens, those of another do | reached |
 
   Scenario: The load on peers is bounded and stays in the failure domain
     Given peers "p1" and "p2" in the own failure domain and "p3" in another
--- a/features/subjects/reachability.py
+++ b/features/subjects/reachability.py
@@ -18,6 +18,8 @@
 from burdockwall.types import Address, EndpointState, FailureDomain, InstanceId
 
 TICK_S = 0.05
+# Endpoints of the smaller of two services.
+SMALL = 2
 Opens = Callable[[Address], bool | None]
 
 
@@ -29,7 +31,7 @@
         self.addresses = tuple(Address(f"10.0.0.{n}:80") for n in range(endpoints))
         self.machine = Reachability()
         self.opens: Opens = lambda address: True
-        self.handle(AddressesListed(self.addresses))
+        self.handle(AddressesListed((self.addresses[:-SMALL], self.addresses[-SMALL:])))
 
     def handle(self, event) -> None:
         for action in self.machine.handle(event, self.now):
@@ -90,6 +92,13 @@
             subject.cut_off()
             subject.opens = lambda address: next(outcomes)
             subject.pass_time(5)
+        case "no endpoint of one service opens, those of another do":
+            subject = ReachSubject(8)
+            subject.opens = lambda address: address in subject.addresses[-SMALL:]
+            for _ in range(20):
+                subject.fail(0, 1, 2, 3, 4, 5)
+                subject.pass_time(0.6)
+                assert not subject.machine.cut_off
         case "a check has no outcome for 3 s":
             subject.opens = lambda address: None
             subject.fail(0)
