Kill the process of fleet_kill once a filing runs, not after half a second

The kill came 0.5 s after 13 requests were posted, whatever they had reached. Nothing that is asserted has changed.

--- a/features/subjects/fleet_kill.py
+++ b/features/subjects/fleet_kill.py
@@ -228,7 +228,8 @@
         ]
         for thread in threads:
             thread.start()
-        time.sleep(SERVICE_DELAY_S / 2)
+        # A filing runs for SERVICE_DELAY_S, so it is still in flight.
+        self.wait(lambda: sum(self.service.run_counts.values()) > 0)
         self.members[0].process.send_signal(signal.SIGKILL)
         self.members[0].process.wait()
         for thread in threads:
