Show that interim answers without end hold a call of the own interface

Cause: the check of answers without end covered the platform's connections only; the library of the own interface reads 1xx answers on, and its time limit is for one read. Measured: heads and bodies are given up (0.1 s), interim answers hold the call for 5 s.

--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -1,6 +1,10 @@
 from behave import given, then, when
 
-from features.subjects.upstream import UpstreamSubject, feed_endless_event
+from features.subjects.upstream import (
+    UpstreamSubject,
+    feed_endless_event,
+    read_endless_answer,
+)
 
 
 @given("an endpoint that answers with {answer}")
@@ -44,3 +48,19 @@
 @then("the event is given up after at most {count:d} MB")
 def step_given_up(context, count):
     assert context.fed_bytes <= count * 1_000_000, context.fed_bytes
+
+
+@given("an endpoint of the own interface that answers with {answer} without end")
+def step_endless(context, answer):
+    context.answer = answer
+
+
+@when("a pooled client reads at most {count:d} MB of its answer")
+def step_read_endless(context, count):
+    context.endless = read_endless_answer(context.answer, count * 1_000_000)
+
+
+@then("the read has failed within {limit_s:g} s")
+def step_read_failed(context, limit_s):
+    assert context.endless.failed
+    assert context.endless.seconds < limit_s, context.endless
--- a/features/subjects/upstream.py
+++ b/features/subjects/upstream.py
@@ -1,13 +1,18 @@
 """An endpoint that answers one connection with given bytes."""
 
 import socket
+import time
+from dataclasses import dataclass
 
 import anyio
 import anyio.abc
+import httpx
 
+from burdockwall.connection.endpoints import EndpointClients, read_limited
 from burdockwall.connection.upstream import ConnectionBroken, open_upstream
 from burdockwall.request.events import EventSplitter, EventTooLong
-from burdockwall.types import Address
+from burdockwall.types import Address, EndpointId, PoolName
+from burdockwall.version.configuration import Endpoint
 
 OWN = b"X-Request-Id: own\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n" + OWN
@@ -140,3 +145,60 @@
     except EventTooLong:
         pass
     return fed
+
+
+OWN_ENDLESS = {
+    "a head": (b"HTTP/1.1 200 OK\r\nX-More: ", b"more" * 4096),
+    "a body": (b"HTTP/1.1 200 OK\r\n\r\n", b"more" * 4096),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 64),
+}
+READ_LIMIT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class EndlessRead:
+    """Whether reading an answer without end failed, and after how long."""
+
+    failed: bool
+    seconds: float
+
+
+def read_endless_answer(answer: str, limit_bytes: int) -> EndlessRead:
+    """Read an answer without end through the pooled clients of the own interface."""
+    start, piece = OWN_ENDLESS[answer]
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        try:
+            await stream.receive(65536)
+            await stream.send(start or piece)
+            while True:
+                await stream.send(piece)
+        except (anyio.BrokenResourceError, anyio.EndOfStream):
+            await stream.aclose()
+
+    async def run() -> bool:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        address = Address(f"127.0.0.1:{port}")
+        endpoint = Endpoint(EndpointId("e1"), PoolName("p"), address)
+        clients = EndpointClients(1.0, 30.0)
+        failed = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            try:
+                with anyio.fail_after(READ_LIMIT_S):
+                    async with clients.open_stream(
+                        endpoint, "GET", "/x", [], None
+                    ) as response:
+                        await read_limited(response, limit_bytes)
+            except httpx.TransportError:
+                failed = True
+            except TimeoutError:
+                pass
+            await clients.close()
+            group.cancel_scope.cancel()
+        return failed
+
+    started_at = time.monotonic()
+    failed = anyio.run(run)
+    return EndlessRead(failed, time.monotonic() - started_at)
--- a/features/upstream.feature
+++ b/features/upstream.feature
@@ -50,3 +50,14 @@
   Scenario: An event without end is not kept in memory
     When 64 MB of an event without end come from an endpoint
     Then the event is given up after at most 2 MB
+
+  Scenario Outline: On the own interface, <answer> without end is given up
+    Given an endpoint of the own interface that answers with <answer> without end
+    When a pooled client reads at most 1 MB of its answer
+    Then the read has failed within 3 s
+
+    Examples:
+      | answer          |
+      | a head          |
+      | a body          |
+      | interim answers |
