Log which failed requests are equal, and why a connection was refused

Change: "request ended" has the fingerprint of a request whose answer broke off, a digest of customer, method, target and the caller's body; no body is kept. A failed connection quotes its cause. No decision depends on either yet.

--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -33,7 +33,14 @@
 
 
 class ConnectFailed(UpstreamError):
-    """No connection was made, so nothing was sent."""
+    """No connection was made, so nothing was sent.
+
+    `refused` is true if the endpoint's machine answered that no process listens.
+    """
+
+    def __init__(self, detail: str, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
 
 
 class ConnectionBroken(UpstreamError):
@@ -177,8 +184,12 @@
     try:
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(host, port)
-    except (OSError, TimeoutError) as error:
-        raise ConnectFailed(f"{address}: {error or 'no answer'}") from error
+    except TimeoutError as error:
+        raise ConnectFailed(f"{address}: no answer") from error
+    except OSError as error:
+        cause = error.__cause__ or error
+        refused = isinstance(cause, ConnectionRefusedError)
+        raise ConnectFailed(f"{address}: {cause}", refused) from error
     connected: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     for level, name, value in SOCKET_OPTIONS:
         connected.setsockopt(level, name, value)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -41,9 +41,10 @@
     EventTooLong,
     join_event_data,
 )
+from burdockwall.request.fingerprint import compute_fingerprint
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import CustomerId, Ran, TurnId
+from burdockwall.types import CustomerId, Fingerprint, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
     HostCustomer,
@@ -147,6 +148,7 @@
             (request.program or "") if is_engine else "",
         )
         self.body = b""
+        self.caller_body = b""
         self.turn: TurnStart | None = None
         self.expires_at = compute_expiry(route, request, trace.started_at)
 
@@ -158,7 +160,7 @@
 
         The code tells whether the request provably did not run or may have run.
         """
-        self.body = body
+        self.body = self.caller_body = body
         with anyio.move_on_after(max(0.0, self._get_remaining_s())) as scope:
             await self._run_request()
         if not scope.cancelled_caught:
@@ -255,6 +257,7 @@
                     raise self._build_refusal(Code.NO_ENDPOINT) from error
             except _AnswerLost as error:
                 self._record_failure(endpoint, error)
+                self.trace.fingerprint = self._compute_fingerprint().hex()
                 may_retry = self.progress.runs < self.route.max_attempts
                 if self.exchange.started or not self.route.repeatable or not may_retry:
                     raise self._build_refusal(Code.ENDPOINT_FAILED) from error
@@ -264,6 +267,13 @@
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
+    def _compute_fingerprint(self) -> Fingerprint:
+        customer = self.customer.name if self.customer else ANONYMOUS_CUSTOMER
+        request = self.request
+        return compute_fingerprint(
+            customer, request.method, request.target, self.caller_body
+        )
+
     def _build_refusal(
         self, code: Code, retry_after_s: float = RETRY_AFTER_S
     ) -> RequestRefused:
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -17,6 +17,7 @@
     endpoint's software. A request that takes up a stream has `resumed_from`, the
     request that began it, and `last_event`, the last event that the caller received.
     `rate_limit_per_s` is the request rate that the answer of the endpoint named.
+    `fingerprint` is set if an endpoint broke the answer off, as hexadecimal digits.
     """
 
     request: str
@@ -40,6 +41,7 @@
     resumed_from: str = ""
     last_event: str = ""
     rate_limit_per_s: float | None = None
+    fingerprint: str = ""
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of the request's log line.
@@ -61,6 +63,7 @@
             "status": self.status,
             "detail": self.detail,
             "failures": "; ".join(self.failures),
+            "fingerprint": self.fingerprint,
             "admission": self.admission,
             "admitted_ms": self._measure_ms(self.admitted_at),
             "begun_ms": self._measure_ms(self.begun_at),
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -28,6 +28,8 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 TurnId = NewType("TurnId", str)
 DocumentName = NewType("DocumentName", str)
+# A digest of what makes two requests equal.
+Fingerprint = NewType("Fingerprint", bytes)
 
 
 class Role(Enum):
