--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -12,6 +12,7 @@
 from burdockwall.process.web import serve_address
 from burdockwall.types import Address
 
+STOP_GRACE_S = 0.1
 UNLIMITED = 1_000_000_000
 STREAM_TYPE = (b"content-type", b"text/event-stream")
 
@@ -38,6 +39,10 @@
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
     `leaving_values` is sent in a header of each answer that says whether it leaves, and
     `rate_limit`, unless it is empty, in one that names the rate it takes.
+
+    A request whose body contains a text of `crashes_on` crashes the server when it
+    begins to run it; the server is back after `down_s`, as a later start of itself.
+    `crash_times` are those of all crashes.
     """
 
     name: str
@@ -58,6 +63,10 @@
     started_ms: int | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_count: int = 0
+    crashes_on: tuple[bytes, ...] = ()
+    down_s: float = 0.3
+    crash_times: list[float] = field(default_factory=list)
+    _crashed: anyio.Event = field(default_factory=anyio.Event)
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -77,6 +86,8 @@
         if headers.get("x-expect-instance") not in (None, self.name):
             await exchange.answer(421, answer, b"")
             return
+        if any(text in body for text in self.crashes_on):
+            await self._crash()
         try:
             await run_while_connected(
                 exchange, lambda: self._answer(exchange, answer, headers)
@@ -124,14 +135,36 @@
             await exchange.write(f"id: {number}\ndata: w{number}\n\n".encode())
         await exchange.finish()
 
+    async def crash(self) -> None:
+        """Break every connection and listen no more until the server is back."""
+        self.crash_times.append(time.monotonic())
+        self._crashed.set()
+
+    async def _crash(self) -> None:
+        await self.crash()
+        # Cancelled with all other requests when the server goes down.
+        await anyio.sleep_forever()
+
     def _cut(self) -> None:
         if self.refuses_after_cut:
             self.refusals_left = UNLIMITED
         raise ConnectionError("cut on purpose")
 
     async def run(self, stop: anyio.Event) -> None:
-        """Serve until stopped."""
-        await serve_address(self.address, self.serve, stop, 0.1)
+        """Serve until stopped, and come back after each crash."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._run_starts)
+            await stop.wait()
+            await anyio.sleep(STOP_GRACE_S)
+            group.cancel_scope.cancel()
+
+    async def _run_starts(self) -> None:
+        while True:
+            self._crashed = anyio.Event()
+            await serve_address(self.address, self.serve, self._crashed, 0.0)
+            await anyio.sleep(self.down_s)
+            if self.started_ms is not None:
+                self.started_ms += 1
 
 
 @dataclass(slots=True)
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -81,9 +81,14 @@
 class PlatformSite:
     """The instances of a site and the fakes, on an event loop in a thread."""
 
-    def __init__(self, engines: Sequence[FakeServer] = ()) -> None:
+    def __init__(
+        self, engines: Sequence[FakeServer] = (), tools: Sequence[FakeServer] = ()
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory()
-        self.tools = [FakeServer("tool-1", "tools"), FakeServer("tool-2", "tools")]
+        self.tools = list(tools) or [
+            FakeServer("tool-1", "tools"),
+            FakeServer("tool-2", "tools"),
+        ]
         self.engines = list(engines) or [FakeServer("engine-1", "engines")]
         self.engine = self.engines[0]
         self.server_list = FakeServerList([*self.tools, *self.engines])
