Keep a request that crashes endpoints from them at all instances

Callers saw: one request of one customer crashed endpoint after endpoint for 20 s; all that ran aboard broke off, and at times no endpoint was left (1401). Cause: nothing compared a request with earlier ones; each new id began anew at any instance. The class of fault: a bound over all instances on something that no id names. Change: a run whose endpoint closed the connection and then refuses connections, while other endpoints are reached, counts as aboard a crash. Entry instances tell each other who was aboard (log2(n) neighbours, no owner); a request that ran at three crashes in turn without an equal one that ended well is refused at once with code 1408 for 60 s, twice as long each time it crashes another. Fingerprints are computed only while there is a suspect. Instances of earlier builds are not sent the new message (a protocol version in acknowledgements), and unknown messages are left out of a batch. The own interface does the same. One case stays red and is listed: two such requests at once.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -14,6 +14,7 @@
 from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.keepalive import SOCKET_OPTIONS
+from burdockwall.connection.upstream import Probe, is_refusal
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
@@ -237,19 +238,25 @@
                 observer.record_ended()
             await self._release_client(endpoint, pooled)
 
-    async def check(self, address: Address) -> None:
+    async def check(self, address: Address) -> Probe:
         """Open a connection to an address, and report whether it could be opened."""
         host, port = split_address(address)
-        opened = False
+        probe = Probe.UNKNOWN
         try:
             with anyio.fail_after(self.connect_s):
                 stream = await self.open_socket(host, port)
-            opened = True
+            probe = Probe.OPENED
             await stream.aclose()
-        except (OSError, TimeoutError):
-            pass
+        except OSError as error:
+            if is_refusal(error):
+                probe = Probe.REFUSED
         if self.observer is not None:
-            self.observer.record_connect(address, opened)
+            self.observer.record_connect(address, probe is Probe.OPENED)
+        return probe
+
+    async def probe(self, address: Address) -> Probe:
+        """Return whether an endpoint listens."""
+        return await self.check(address)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -21,6 +21,7 @@
 from burdockwall.connection.address import split_address
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
+    PROTOCOL,
     Acknowledgement,
     AnyMessage,
     Envelope,
@@ -62,6 +63,8 @@
         self._wake = anyio.Event()
         self._sent = 0
         self._acknowledged = 0
+        # The version that the peer speaks, or None until it has acknowledged a batch.
+        self._protocol: int | None = None
         self._reachable: bool | None = None
         self._connect_timeout_s = min(silence_s, CONNECT_TIMEOUT_FIRST_S)
         self._logger = logbook.Logger("peers")
@@ -82,6 +85,7 @@
         while True:
             await self._wait_for_message()
             self._sent = self._acknowledged = 0
+            self._protocol = None
             try:
                 await self._connect_once()
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
@@ -130,9 +134,8 @@
     async def _send_batch(
         self, stream: "grpclib.client.Stream[Envelope, Acknowledgement]"
     ) -> None:
-        size = min(len(self._queue), MAX_BATCH_MESSAGES)
-        messages = [self._queue.popleft() for _ in range(size)]
-        self._sent += size
+        messages = self._take_batch()
+        self._sent += len(messages)
         envelope = Envelope(self.sender, self.incarnation, self._sent, messages)
         # The next batch waits for the acknowledgement. Messages queued meanwhile are
         # sent together, and a silent connection is noticed by its first batch.
@@ -142,8 +145,25 @@
         if reply is None:
             raise StreamTerminatedError("the peer closed the stream")
         self._acknowledged = reply.count
+        self._protocol = reply.protocol
         self._record_success()
 
+    def _take_batch(self) -> list[AnyMessage]:
+        """Take the next messages, without those that the peer does not know.
+
+        While its protocol is not known, they wait for the acknowledgement of a batch,
+        which may be empty.
+        """
+        messages: list[AnyMessage] = []
+        while self._queue and len(messages) < MAX_BATCH_MESSAGES:
+            required = self._queue[0].protocol
+            if self._protocol is None and required:
+                break
+            message = self._queue.popleft()
+            if not required or required <= (self._protocol or 0):
+                messages.append(message)
+        return messages
+
 
 class PeerBus:
     """Sends messages to instances by id, and delivers messages from them.
@@ -219,7 +239,7 @@
             envelope = await stream.recv_message()
             if envelope is None:
                 return
-            await stream.send_message(Acknowledgement(envelope.count))
+            await stream.send_message(Acknowledgement(envelope.count, PROTOCOL))
             self._deliver_batch(envelope.sender, envelope.messages)
 
     def _deliver_batch(self, sender: InstanceId, messages: list[AnyMessage]) -> None:
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import anyio.abc
@@ -28,6 +29,20 @@
 MAX_INTERIM_ANSWERS = 16
 
 
+class Probe(Enum):
+    """How an attempt to connect to an endpoint ended."""
+
+    OPENED = "opened"
+    # The endpoint's machine answered that no process listens.
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+def is_refusal(error: OSError) -> bool:
+    """Return whether a machine answered that no process listens."""
+    return isinstance(error.__cause__ or error, ConnectionRefusedError)
+
+
 class UpstreamError(Exception):
     """A connection to an endpoint failed."""
 
@@ -44,7 +59,14 @@
 
 
 class ConnectionBroken(UpstreamError):
-    """A connection broke after a request was sent on it, at least in part."""
+    """A connection broke after a request was sent on it, at least in part.
+
+    `closed` is true if the other side closed or reset it.
+    """
+
+    def __init__(self, detail: str, closed: bool = False) -> None:
+        super().__init__(detail)
+        self.closed = closed
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +83,7 @@
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self.stream: anyio.abc.ByteStream = stream
         self._body_ended = False
+        self._closed = False
         self._socket: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._machine = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
@@ -106,7 +129,7 @@
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
-                raise ConnectionBroken("the answer has no head")
+                raise ConnectionBroken("the answer has no head", self._closed)
         raise ConnectionBroken("interim answers come without end")
 
     async def read_part(self) -> bytes | None:
@@ -119,7 +142,8 @@
         if isinstance(event, h11.EndOfMessage):
             self._body_ended = True
         elif event is not None and event is not h11.NEED_DATA:
-            raise ConnectionBroken("the connection ended within the answer")
+            detail = "the connection ended within the answer"
+            raise ConnectionBroken(detail, self._closed)
         if not parts and self._body_ended:
             return None
         return b"".join(parts)
@@ -139,7 +163,8 @@
         try:
             return self._machine.next_event()
         except h11.RemoteProtocolError as error:
-            raise ConnectionBroken(f"the answer is not HTTP: {error}") from error
+            detail = f"the answer is not HTTP: {error}"
+            raise ConnectionBroken(detail, self._closed) from error
 
     async def _next_event(self) -> object:
         while True:
@@ -150,8 +175,9 @@
                 data = await self.stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 data = b""
+                self._closed = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-                raise ConnectionBroken("the connection was reset") from error
+                raise ConnectionBroken("the connection was reset", True) from error
             self._machine.receive_data(data)
 
     def _start_next(self) -> None:
@@ -188,8 +214,7 @@
         raise ConnectFailed(f"{address}: no answer") from error
     except OSError as error:
         cause = error.__cause__ or error
-        refused = isinstance(cause, ConnectionRefusedError)
-        raise ConnectFailed(f"{address}: {cause}", refused) from error
+        raise ConnectFailed(f"{address}: {cause}", is_refusal(error)) from error
     connected: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     for level, name, value in SOCKET_OPTIONS:
         connected.setsockopt(level, name, value)
--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -5,6 +5,7 @@
 
 from burdockwall.connection.upstream import (
     ConnectFailed,
+    Probe,
     UpstreamConnection,
     open_upstream,
 )
@@ -82,14 +83,22 @@
         self.report_connect(address, True)
         return connection
 
-    async def check(self, address: Address) -> None:
+    async def check(self, address: Address) -> Probe:
         """Open a connection, and keep it for a later request if that succeeds."""
         pool = self._pools.setdefault(address, _Pool())
         try:
             connection = await self._open(address, pool)
-        except ConnectFailed:
-            return
+        except ConnectFailed as error:
+            return Probe.REFUSED if error.refused else Probe.UNKNOWN
         pool.idle.append(_Idle(connection, self.clock() + IDLE_LIMIT_S))
+        return Probe.OPENED
+
+    async def probe(self, address: Address) -> Probe:
+        """Return whether an endpoint listens, and connect only if none is idle."""
+        pool = self._pools.get(address, _Pool())
+        if any(idle.connection.is_usable() for idle in pool.idle):
+            return Probe.OPENED
+        return await self.check(address)
 
     async def close_idle(self) -> None:
         """Close every idle connection."""
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+import logbook
 import msgspec
 from grpclib.encoding.base import CodecBase
 
 from burdockwall.process.control import copier, messages as control
+from burdockwall.process.crashes.messages import ShareSuspects
 from burdockwall.process.endpoint_limits import messages as endpoint_limits
 from burdockwall.process.endpoints import EndpointList
 from burdockwall.process.limits import messages as limits
@@ -14,6 +16,8 @@
 from burdockwall.process.storage.messages import AnyStorageMessage
 from burdockwall.types import Incarnation, InstanceId
 
+_logger = logbook.Logger("peers")
+
 AnyMessage = (
     control.AskPreVote
     | control.AnswerPreVote
@@ -49,8 +53,12 @@
     | EndpointList
     | endpoint_limits.AskPermits
     | endpoint_limits.GrantPermits
+    | ShareSuspects
 )
 
+# The version of the protocol between instances that this build speaks.
+PROTOCOL = 1
+
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """A batch of messages from one incarnation of an instance.
@@ -66,9 +74,20 @@
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
-    """The number of messages that have arrived on the connection."""
+    """The number of messages that have arrived on the connection.
 
+    `protocol` is the version that the receiver speaks; builds of version 0 omit it.
+    """
+
+    count: int
+    protocol: int = 0
+
+
+class _RawEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    sender: InstanceId
+    incarnation: Incarnation
     count: int
+    messages: list[msgspec.Raw]
 
 
 class MessagePackCodec(CodecBase):
@@ -81,11 +100,36 @@
         self._decoders = {
             kind: msgspec.msgpack.Decoder(kind) for kind in (Envelope, Acknowledgement)
         }
+        self._raw_decoder = msgspec.msgpack.Decoder(_RawEnvelope)
+        self._message_decoder: msgspec.msgpack.Decoder[AnyMessage] = (
+            msgspec.msgpack.Decoder(AnyMessage)
+        )
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Encode a struct of the given type."""
         return self._encoder.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Decode a struct of the given type."""
-        return self._decoders[message_type].decode(data)
+        """Decode a struct of the given type.
+
+        Messages of an envelope that this build does not know are left out.
+        """
+        try:
+            return self._decoders[message_type].decode(data)
+        except msgspec.ValidationError:
+            if message_type is not Envelope:
+                raise
+            return self._decode_known(data)
+
+    def _decode_known(self, data: bytes) -> Envelope:
+        raw = self._raw_decoder.decode(data)
+        known = []
+        unknown = 0
+        for item in raw.messages:
+            try:
+                known.append(self._message_decoder.decode(item))
+            except msgspec.ValidationError:
+                unknown += 1
+        extra = {"sender": raw.sender, "count": unknown}
+        _logger.warning("messages of another build left out", extra=extra)
+        return Envelope(raw.sender, raw.incarnation, raw.count, known)
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -157,6 +157,9 @@
     ENDPOINTS_LIMITED = CodeRow(
         1407, 503, Ran.NOT_RUN, Retry.SAFE, "The endpoints take no more requests now."
     )
+    CRASHES_ENDPOINTS = CodeRow(
+        1408, 422, Ran.UNKNOWN, Retry.NEVER, "The request crashed each endpoint."
+    )
     # The instance itself.
     NOT_READY = CodeRow(
         1501, 503, Ran.NOT_RUN, Retry.SAFE, "The instance has no valid configuration."
--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -9,6 +9,7 @@
 from burdockwall.connection.exchange import Exchange, Headers, run_while_connected
 from burdockwall.errors import RequestRefused
 from burdockwall.fakes.ports import find_address
+from burdockwall.fakes.proxy import FaultyProxy
 from burdockwall.process.web import serve_address
 from burdockwall.types import Address
 
@@ -66,7 +67,7 @@
     crashes_on: tuple[bytes, ...] = ()
     down_s: float = 0.3
     crash_times: list[float] = field(default_factory=list)
-    _crashed: anyio.Event = field(default_factory=anyio.Event)
+    _listener: FaultyProxy | None = None
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -87,7 +88,8 @@
             await exchange.answer(421, answer, b"")
             return
         if any(text in body for text in self.crashes_on):
-            await self._crash()
+            self.crash()
+            return
         try:
             await run_while_connected(
                 exchange, lambda: self._answer(exchange, answer, headers)
@@ -135,15 +137,11 @@
             await exchange.write(f"id: {number}\ndata: w{number}\n\n".encode())
         await exchange.finish()
 
-    async def crash(self) -> None:
-        """Break every connection and listen no more until the server is back."""
-        self.crash_times.append(time.monotonic())
-        self._crashed.set()
-
-    async def _crash(self) -> None:
-        await self.crash()
-        # Cancelled with all other requests when the server goes down.
-        await anyio.sleep_forever()
+    def crash(self) -> None:
+        """Break every connection, and refuse new ones until the server is back."""
+        if self._listener is not None:
+            self.crash_times.append(time.monotonic())
+            self._listener.kill()
 
     def _cut(self) -> None:
         if self.refuses_after_cut:
@@ -151,17 +149,21 @@
         raise ConnectionError("cut on purpose")
 
     async def run(self, stop: anyio.Event) -> None:
-        """Serve until stopped, and come back after each crash."""
+        """Serve until stopped."""
+        if not self.crashes_on:
+            await serve_address(self.address, self.serve, stop, STOP_GRACE_S)
+            return
         async with anyio.create_task_group() as group:
-            group.start_soon(self._run_starts)
-            await stop.wait()
-            await anyio.sleep(STOP_GRACE_S)
+            inner = find_address()
+            group.start_soon(self._run_starts, inner)
+            await serve_address(inner, self.serve, stop, STOP_GRACE_S)
             group.cancel_scope.cancel()
 
-    async def _run_starts(self) -> None:
+    async def _run_starts(self, inner: Address) -> None:
+        """Listen in front of the server, and come back after each crash."""
         while True:
-            self._crashed = anyio.Event()
-            await serve_address(self.address, self.serve, self._crashed, 0.0)
+            self._listener = FaultyProxy(self.address, inner)
+            await self._listener.run()
             await anyio.sleep(self.down_s)
             if self.started_ms is not None:
                 self.started_ms += 1
--- a/burdockwall/machine.py
+++ b/burdockwall/machine.py
@@ -7,7 +7,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, ClassVar, Protocol
 
 import msgspec
 
@@ -15,7 +15,13 @@
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Typed data sent from one instance to another; the base of every message."""
+    """Typed data sent from one instance to another; the base of every message.
+
+    `protocol` is the first version of the protocol between instances that has the
+    message. Instances of earlier builds, which know version 0 only, are not sent it.
+    """
+
+    protocol: ClassVar[int] = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -40,6 +40,8 @@
     Code.BUDGET_SPENT: 402,
     Code.TURN_NOT_STORED: 502,
     Code.BODY_CUT: 400,
+    # The platform counts 4xx answers to proper requests as denials.
+    Code.CRASHES_ENDPOINTS: 500,
 }
 
 
--- /dev/null
+++ b/burdockwall/process/crashes/client.py
@@ -0,0 +1,122 @@
+"""Keep requests that crash endpoints from them, on behalf of one instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import logbook
+
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.crashes.evidence import CrashEvidence
+from burdockwall.process.crashes.messages import ShareSuspects
+from burdockwall.process.crashes.watch import (
+    CrashWatch,
+    InstancesChanged,
+    RefusalChanged,
+    RunCrashed,
+    RunEnded,
+)
+from burdockwall.process.host import Host
+from burdockwall.types import Address, EndpointId, Fingerprint, InstanceId
+
+_logger = logbook.Logger("crashes")
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run whose answer an endpoint broke off, in seconds of this process's clock."""
+
+    fingerprint: Fingerprint
+    endpoint: EndpointId
+    address: Address
+    started_ms: int | None
+    began_at: float
+    broke_at: float
+
+
+class CrashSuspects:
+    """The requests that may crash endpoints, as this instance knows them."""
+
+    def __init__(self, host: Host, evidence: CrashEvidence, own: InstanceId) -> None:
+        self.host = host
+        self.evidence = evidence
+        self.watch = CrashWatch(own)
+        self.refused_count = 0
+        self._hosted = host.add(self.watch, (ShareSuspects,), self._perform)
+        self._instances: tuple[InstanceId, ...] = ()
+        self._checking: dict[tuple[EndpointId, Address], list[BrokenRun]] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    @property
+    def active(self) -> bool:
+        """Return whether there is any suspect."""
+        return len(self.watch.table) > 0
+
+    def install_instances(self, instances: tuple[InstanceId, ...]) -> None:
+        """Share suspects with these entry instances."""
+        if instances != self._instances:
+            self._instances = instances
+            self.host.apply(self._hosted, InstancesChanged(instances))
+
+    def check(self, identify: Callable[[], Fingerprint]) -> None:
+        """Raise RequestRefused if a request is kept from endpoints."""
+        if not self.active:
+            return
+        if self.watch.is_refused(identify(), self.host.clock()):
+            self.refused_count += 1
+            raise RequestRefused(Code.CRASHES_ENDPOINTS)
+
+    def record_answered(self, identify: Callable[[], Fingerprint]) -> None:
+        """Record that an endpoint ran a request and is alive."""
+        if not self.active:
+            return
+        fingerprint = identify()
+        if self.watch.is_known(fingerprint):
+            self.host.apply(self._hosted, RunEnded(fingerprint))
+
+    def record_broken(self, run: BrokenRun) -> None:
+        """Find out, without waiting, whether the endpoint of a run has crashed."""
+        key = (run.endpoint, run.address)
+        runs = self._checking.get(key)
+        if runs is not None:
+            runs.append(run)
+            return
+        if self._group is not None:
+            self._checking[key] = [run]
+            self._group.start_soon(self._check_endpoint, key, run)
+
+    async def _check_endpoint(
+        self, key: tuple[EndpointId, Address], first: BrokenRun
+    ) -> None:
+        crashed = False
+        try:
+            crashed = await self.evidence.is_crashed(first.address, first.broke_at)
+        finally:
+            runs = self._checking.pop(key)
+        extra = {"endpoint": first.endpoint, "crashed": crashed, "aboard": len(runs)}
+        _logger.notice("endpoint broke answers off", extra=extra)
+        for run in runs if crashed else ():
+            event = RunCrashed(
+                run.fingerprint,
+                run.endpoint,
+                run.started_ms,
+                run.began_at,
+                run.broke_at,
+            )
+            self.host.apply(self._hosted, event)
+
+    def _perform(self, action: RefusalChanged) -> None:
+        message = "request refused from now on" if action.refused else "request allowed"
+        extra = {
+            "fingerprint": action.fingerprint.hex(),
+            "crashed": " ".join(action.endpoints),
+            "refusal_s": action.refusal_s,
+        }
+        _logger.notice(message, extra=extra)
+
+    async def run(self) -> None:
+        """Carry out checks until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
--- a/burdockwall/process/endpoint_reach.py
+++ b/burdockwall/process/endpoint_reach.py
@@ -7,6 +7,7 @@
 import anyio.abc
 import logbook
 
+from burdockwall.connection.upstream import Probe
 from burdockwall.process.host import Host
 from burdockwall.process.scheduling.reachability import (
     AddressesListed,
@@ -27,7 +28,7 @@
 class Connector(Protocol):
     """Opens connections to endpoints, and records how that ends."""
 
-    async def check(self, address: Address) -> None:
+    async def check(self, address: Address) -> Probe:
         """Open a connection to an address."""
         ...
 
@@ -48,6 +49,8 @@
         self._hosted = host.add(self.machine, (), self._perform)
         self._group: anyio.abc.TaskGroup | None = None
         self._services: tuple[tuple[Address, ...], ...] = ()
+        # When bytes last came from an endpoint, or a connection to one was opened.
+        self.contact_at = float("-inf")
 
     @property
     def cut_off(self) -> bool:
@@ -60,12 +63,18 @@
             self._services = services
             self.host.apply(self._hosted, AddressesListed(services))
 
+    def list_others(self, address: Address) -> list[Address]:
+        """List the addresses of other endpoints, those of other services first."""
+        services = sorted(self._services, key=lambda listed: address in listed)
+        return [item for listed in services for item in listed if item != address]
+
     def record_sent(self) -> None:
         """Record that a request was sent and its answer is awaited."""
         self.host.apply(self._hosted, Sent())
 
     def record_heard(self) -> None:
         """Record that bytes came from an endpoint."""
+        self.contact_at = self.host.clock()
         self.host.apply(self._hosted, HEARD)
 
     def record_ended(self) -> None:
@@ -74,6 +83,8 @@
 
     def record_connect(self, address: Address, opened: bool) -> None:
         """Record whether a connection to an address could be opened."""
+        if opened:
+            self.contact_at = self.host.clock()
         self.host.apply(self._hosted, ConnectEnded(address, opened))
 
     def _perform(self, action: OpenConnections | ReachChanged) -> None:
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -12,7 +12,6 @@
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import Drain
-from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
@@ -65,8 +64,8 @@
             host.clock,
             settings.schedule_poll_s,
         )
-        self.reach = EndpointReach(host, self.parts.clients, self._follow_reach)
-        self.parts.clients.observer = self.reach
+        self.reach = self.parts.reach
+        self.reach.on_changed = self._follow_reach
         self.peer_relay = PeerRelay(
             CallerRelayCodec(),
             UpstreamPools(host.clock),
@@ -91,6 +90,7 @@
                 group.start_soon(self.parts.admission.run, tick_s)
                 group.start_soon(self.poller.run)
                 group.start_soon(self.reach.run)
+                group.start_soon(self.parts.crashes.run)
                 group.start_soon(self.parts.reclaimer.run)
                 group.start_soon(self.accepted.run)
                 group.start_soon(self._update_instance_count)
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -10,6 +10,8 @@
 from burdockwall.connection.exchange import CLOSE, Exchange, run_while_connected
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.process.crashes.client import CrashSuspects
+from burdockwall.process.crashes.evidence import CrashEvidence
 from burdockwall.process.drain import (
     Drain,
     DrainState,
@@ -114,6 +116,8 @@
         self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
         self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
         self.upstreams.report_connect = self.reach.record_connect
+        evidence = CrashEvidence(self.upstreams, self.reach)
+        self.crashes = CrashSuspects(host, evidence, settings.instance_id)
         self.peer_relay = PeerRelay(
             codec,
             UpstreamPools(host.clock),
@@ -136,6 +140,7 @@
             HedgeDelay(),
             self.endpoint_limits,
             self.reach,
+            self.crashes,
         )
         self._add_gauges()
 
@@ -151,13 +156,19 @@
             "endpoint_permits_refused",
             lambda: float(self.endpoint_limits.refused_count),
         )
+        gauges.add("crash_suspects", lambda: float(len(self.crashes.watch.table)))
+        gauges.add("crash_refusals", lambda: float(self.crashes.refused_count))
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
-    def _count_live_members(self) -> int:
+    def _list_live_instances(self) -> tuple[InstanceId, ...]:
         members = self.member.membership.list_members()
-        live = [item for item in members if item.state is not EndpointState.FAILED]
-        return max(1, len(live))
+        return tuple(
+            item.instance for item in members if item.state is not EndpointState.FAILED
+        )
+
+    def _count_live_members(self) -> int:
+        return max(1, len(self._list_live_instances()))
 
     def _count_members(self) -> int:
         """Return the number of instances that may still admit requests.
@@ -242,7 +253,7 @@
             trace.customer = customer.name
         body = await exchange.read_body(view.deployment.max_body_bytes)
         forwarding = Forwarding(
-            self.parts, view, exchange, request, route, customer, trace
+            self.parts, view, exchange, request, route, customer, body, trace
         )
 
         async def run() -> None:
@@ -254,7 +265,7 @@
         """Serve a request here or, while this instance is cut off, through a peer."""
         if not self.reach.cut_off:
             try:
-                await forwarding.run(body)
+                await forwarding.run()
                 return
             except RequestRefused as error:
                 if not self._may_relay(forwarding, error):
@@ -410,6 +421,7 @@
             self._update_limits_leader()
             self._update_endpoint_limits()
             self.reach.install(self.endpoints.addresses)
+            self.crashes.install_instances(self._list_live_instances())
             self._join_directory()
             self.metrics.record_lag(max(0.0, now - due_at))
             if self.drain.state is not DrainState.SERVING:
@@ -430,6 +442,7 @@
         tasks = [
             self._run_settlements,
             self.reach.run,
+            self.crashes.run,
             self._drain_on_stop,
             self._run_periodic_work,
             self._serve_readiness,
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -225,6 +225,13 @@
             due_at = read_clock() + PERIODIC_INTERVAL_S
             await anyio.sleep(PERIODIC_INTERVAL_S)
             self._update_endpoint_limits(entry)
+            entry.parts.crashes.install_instances(
+                tuple(
+                    member.instance
+                    for member in self.membership.list_members()
+                    if member.state is not EndpointState.FAILED
+                )
+            )
             entry.metrics.record_lag(max(0.0, read_clock() - due_at))
             in_flight = RequestsInFlight(entry.count_in_flight())
             self.host.apply(self.hosted_drain, in_flight)
--- a/burdockwall/process/programs/unrepeatable.py
+++ b/burdockwall/process/programs/unrepeatable.py
@@ -16,7 +16,13 @@
 
 
 class NotSentError(Exception):
-    """The request was provably never sent."""
+    """The request was provably never sent; `refusal` is the answer to its caller."""
+
+    def __init__(self, refusal: RequestRefused | None = None) -> None:
+        super().__init__()
+        self.refusal = refusal or RequestRefused(
+            Code.ENDPOINT_UNREACHABLE, retry_after_s=1.0
+        )
 
 
 class LostError(Exception):
@@ -118,9 +124,7 @@
     except NotSentError as error:
         answer = await callbacks.ask(key, calls.RecordNotSent(key, request))
         if isinstance(answer, calls.Accepted):
-            raise RequestRefused(
-                Code.ENDPOINT_UNREACHABLE, retry_after_s=1.0
-            ) from error
+            raise error.refusal from error
         raise RequestRefused(Code.OUTCOME_UNKNOWN) from error
     except LostError as error:
         # The record's state becomes unknown, as this call is no longer renewed.
--- a/burdockwall/request/calls.py
+++ b/burdockwall/request/calls.py
@@ -1,6 +1,7 @@
 """Serve calls of plain services: any method, with both bodies streamed."""
 
 import uuid
+from collections.abc import AsyncIterator
 
 import httpx
 
@@ -14,6 +15,7 @@
 from burdockwall.request.caller import (
     CallerKey,
     check_customer,
+    check_key_in_body,
     check_key_placement,
     choose_priority,
     find_key,
@@ -22,6 +24,8 @@
     strip_headers,
     strip_query,
 )
+from burdockwall.request.crash_guard import CrashGuard, is_closed
+from burdockwall.request.fingerprint import FingerprintBuilder
 from burdockwall.request.once import serve_once
 from burdockwall.request.parts import Parts
 from burdockwall.request.program import charge_tool
@@ -64,6 +68,8 @@
     if key is not None and not route.repeatable:
         await serve_once(parts, view, exchange, caller_key, customer, route, key)
         return
+    body = _CallBody(parts, exchange, caller_key, customer)
+    await body.check()
     program = ProgramId(exchange.get_header(b"program-id") or uuid.uuid4().hex)
     request = DispatchRequest(
         customer.name,
@@ -77,7 +83,7 @@
     trace.program, trace.endpoint = program, dispatch.endpoint.name
     result = Result.CANCELLED
     try:
-        await _forward(parts, exchange, dispatch, caller_key)
+        await _forward(parts, exchange, dispatch, caller_key, body)
         result = Result.SUCCEEDED
     except RequestRefused as error:
         if error.code in ENDPOINT_FAULTS:
@@ -87,19 +93,59 @@
         parts.dispatcher.release(dispatch, result)
 
 
+class _CallBody:
+    """The body of a call, which is streamed unless there is a suspect to compare."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        exchange: Exchange,
+        caller_key: CallerKey,
+        customer: Customer,
+    ) -> None:
+        self.exchange = exchange
+        self.caller_key = caller_key
+        self.limit_bytes = parts.settings.max_body_bytes
+        self.suspects = parts.crashes
+        query = strip_query(exchange, caller_key)
+        self.path = f"{exchange.raw_path}?{query}" if query else exchange.raw_path
+        self.builder = FingerprintBuilder(customer.name, exchange.method, self.path)
+        self.guard = CrashGuard(parts.crashes, self.builder.build)
+        self._content: bytes | None = None
+
+    async def check(self) -> None:
+        """Raise RequestRefused if the call is kept from endpoints."""
+        if not self.suspects.active:
+            return
+        self._content = await self.exchange.read_body(self.limit_bytes)
+        check_key_in_body(self._content, self.caller_key)
+        self.builder.update(self._content)
+        self.guard.check()
+
+    def open(self) -> bytes | AsyncIterator[bytes]:
+        """Return the body to send."""
+        if self._content is not None:
+            return self._content
+        chunks = self.exchange.stream_body(self.limit_bytes)
+        return self.builder.follow(guard_body(chunks, self.caller_key))
+
+
 async def _forward(
-    parts: Parts, exchange: Exchange, dispatch: Dispatch, caller_key: CallerKey
+    parts: Parts,
+    exchange: Exchange,
+    dispatch: Dispatch,
+    caller_key: CallerKey,
+    body: _CallBody,
 ) -> None:
-    query = strip_query(exchange, caller_key)
-    path = f"{exchange.raw_path}?{query}" if query else exchange.raw_path
-    body = exchange.stream_body(parts.settings.max_body_bytes)
+    endpoint = dispatch.endpoint
+    began_at = body.guard.read_clock()
     try:
         async with parts.clients.open_stream(
-            dispatch.endpoint,
+            endpoint,
             exchange.method,
-            path,
+            body.path,
             strip_headers(exchange, caller_key),
-            guard_body(body, caller_key),
+            body.open(),
             is_call=True,
         ) as response:
             content_type = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
@@ -111,6 +157,9 @@
         code = Code.ENDPOINT_UNREACHABLE
         raise RequestRefused(code, retry_after_s=1.0) from error
     except httpx.TransportError as error:
-        await parts.clients.replace(dispatch.endpoint)
+        if is_closed(error):
+            body.guard.record_broken(endpoint.name, endpoint.address, None, began_at)
+        await parts.clients.replace(endpoint)
         raise RequestRefused(Code.ENDPOINT_FAILED) from error
+    body.guard.record_answered()
     await exchange.finish()
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -20,6 +20,7 @@
 )
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.crashes.client import CrashSuspects
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
@@ -34,6 +35,7 @@
     ForwardedRequest,
     RequestCodec,
 )
+from burdockwall.request.crash_guard import CrashGuard
 from burdockwall.request.endpoint_choice import EndpointChoice, NoEndpoint
 from burdockwall.request.events import (
     EVENT_END,
@@ -44,7 +46,7 @@
 from burdockwall.request.fingerprint import compute_fingerprint
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import CustomerId, Fingerprint, Ran, TurnId
+from burdockwall.types import CustomerId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
     HostCustomer,
@@ -82,6 +84,7 @@
     hedge_delay: HedgeDelay
     endpoint_limits: EndpointLimits
     reach: EndpointReach
+    crashes: CrashSuspects
 
 
 def compute_expiry(
@@ -99,7 +102,14 @@
 
 
 class _AnswerLost(Exception):
-    """The request may have run, but its answer did not arrive completely."""
+    """The request may have run, but its answer did not arrive completely.
+
+    `closed` is true if the endpoint closed the connection.
+    """
+
+    def __init__(self, detail: str, closed: bool) -> None:
+        super().__init__(detail)
+        self.closed = closed
 
 
 @dataclass(slots=True)
@@ -128,6 +138,7 @@
         request: ForwardedRequest,
         route: HostRoute,
         customer: HostCustomer | None,
+        body: bytes,
         trace: RequestTrace,
     ) -> None:
         self.parts = parts
@@ -147,20 +158,25 @@
             parts.clock,
             (request.program or "") if is_engine else "",
         )
-        self.body = b""
-        self.caller_body = b""
+        self.body = body
+        self.owner = customer.name if customer else ANONYMOUS_CUSTOMER
+        self.guard = CrashGuard(
+            parts.crashes,
+            lambda: compute_fingerprint(
+                self.owner, request.method, request.target, body
+            ),
+        )
         self.turn: TurnStart | None = None
         self.expires_at = compute_expiry(route, request, trace.started_at)
 
     def _get_remaining_s(self) -> float:
         return self.expires_at - self.parts.clock()
 
-    async def run(self, body: bytes) -> None:
+    async def run(self) -> None:
         """Answer the caller, or raise RequestRefused.
 
         The code tells whether the request provably did not run or may have run.
         """
-        self.body = self.caller_body = body
         with anyio.move_on_after(max(0.0, self._get_remaining_s())) as scope:
             await self._run_request()
         if not scope.cancelled_caught:
@@ -170,6 +186,7 @@
         raise RequestRefused(Code.DEADLINE_UNMET, retry_after_s=RETRY_AFTER_S)
 
     async def _run_request(self) -> None:
+        self.guard.check()
         if self.binding.resumption is None:
             self._check_limits()
         start = self._describe_turn()
@@ -216,7 +233,7 @@
         if self.binding.is_recorded:
             place = self.binding.predict(self.choice.find())
         return TurnStart(
-            customer=self.customer.name if self.customer else ANONYMOUS_CUSTOMER,
+            customer=self.owner,
             program=details.program,
             turn=TurnId(self.request.request),
             previous=details.previous if self.route.retains_turns else None,
@@ -244,6 +261,7 @@
         service = self.view.get_service(self.binding.service)
         while True:
             endpoint = await self._choose()
+            self.guard.check()
             if self.turn is not None:
                 await self.binding.record(self.parts.turn_client, self.turn, endpoint)
             try:
@@ -257,7 +275,7 @@
                     raise self._build_refusal(Code.NO_ENDPOINT) from error
             except _AnswerLost as error:
                 self._record_failure(endpoint, error)
-                self.trace.fingerprint = self._compute_fingerprint().hex()
+                self._record_broken(endpoint, error)
                 may_retry = self.progress.runs < self.route.max_attempts
                 if self.exchange.started or not self.route.repeatable or not may_retry:
                     raise self._build_refusal(Code.ENDPOINT_FAILED) from error
@@ -267,12 +285,15 @@
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
-    def _compute_fingerprint(self) -> Fingerprint:
-        customer = self.customer.name if self.customer else ANONYMOUS_CUSTOMER
-        request = self.request
-        return compute_fingerprint(
-            customer, request.method, request.target, self.caller_body
-        )
+    def _record_broken(self, endpoint: ListedEndpoint, error: _AnswerLost) -> None:
+        self.trace.fingerprint = self.guard.identify().hex()
+        if error.closed and self.trace.sent_at is not None:
+            self.guard.record_broken(
+                endpoint.name,
+                endpoint.address,
+                endpoint.started_ms,
+                self.trace.sent_at,
+            )
 
     def _build_refusal(
         self, code: Code, retry_after_s: float = RETRY_AFTER_S
@@ -321,10 +342,11 @@
                 parts.balancer.record_report(endpoint.name, details.load, parts.clock())
             await self._handle_answer(connection, head, details, prompt)
             parts.balancer.record_success(endpoint.name)
+            self.guard.record_answered()
             is_reusable = not details.closes
         except ConnectionBroken as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
-            raise _AnswerLost(str(error)) from error
+            raise _AnswerLost(str(error), error.closed) from error
         except _NotRun:
             is_reusable = details is not None and not details.closes
             raise
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -30,6 +30,8 @@
     strip_headers,
     strip_query,
 )
+from burdockwall.request.crash_guard import CrashGuard, is_closed
+from burdockwall.request.fingerprint import compute_fingerprint
 from burdockwall.request.parts import Parts
 from burdockwall.types import CustomerId, IdempotencyKey, ProgramId, RequestId
 from burdockwall.version.configuration import Customer, Route
@@ -125,11 +127,25 @@
 async def _transmit(
     parts: Parts, request: DispatchRequest, service_request: ServiceRequest
 ) -> Outcome:
+    guard = CrashGuard(
+        parts.crashes,
+        lambda: compute_fingerprint(
+            request.customer,
+            service_request.method,
+            service_request.path,
+            service_request.body,
+        ),
+    )
+    try:
+        guard.check()
+    except RequestRefused as error:
+        raise NotSentError(error) from error
     try:
         dispatch = await parts.admission.acquire(request, None)
     except RequestRefused as error:
         raise NotSentError from error
     result = Result.FAILED
+    began_at = guard.read_clock()
     try:
         async with parts.clients.open_stream(
             dispatch.endpoint,
@@ -142,10 +158,14 @@
             body = await read_limited(response, ANSWER_LIMIT_BYTES)
             content_type = response.headers.get("content-type", DEFAULT_CONTENT_TYPE)
             result = Result.SUCCEEDED
+            guard.record_answered()
             return Outcome(response.status_code, content_type, body)
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
         raise NotSentError from error
     except httpx.TransportError as error:
+        if is_closed(error):
+            endpoint = dispatch.endpoint
+            guard.record_broken(endpoint.name, endpoint.address, None, began_at)
         await parts.clients.replace(dispatch.endpoint)
         raise LostError from error
     finally:
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -7,7 +7,10 @@
 from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.process.admission.gate import AdmissionGate
 from burdockwall.process.admission.queue import AdmissionQueue
+from burdockwall.process.crashes.client import CrashSuspects
+from burdockwall.process.crashes.evidence import CrashEvidence
 from burdockwall.process.endpoint_limits.client import EndpointLimits
+from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.host import Host
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.retries import RetryGate, create_retry_policy
@@ -37,6 +40,8 @@
     streams: StreamTable
     retries: RetryGate
     endpoint_limits: EndpointLimits
+    reach: EndpointReach
+    crashes: CrashSuspects
 
 
 def create_limits(settings: Settings) -> Limits:
@@ -69,6 +74,9 @@
         settings.endpoint_silence_s,
         endpoint_limits.observe,
     )
+    reach = EndpointReach(host, clients, lambda cut_off: None)
+    clients.observer = reach
+    evidence = CrashEvidence(clients, reach)
     reclaimer = Reclaimer(settings, client, clients, clock)
     dispatcher = Dispatcher(
         create_policy(settings),
@@ -96,4 +104,6 @@
         streams=StreamTable(settings.abandon_grace_s, settings.stream_keep_s, clock),
         retries=RetryGate(create_retry_policy(settings), clock, generator),
         endpoint_limits=endpoint_limits,
+        reach=reach,
+        crashes=CrashSuspects(host, evidence, settings.instance_id),
     )
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -23,6 +23,7 @@
     find_fingerprint,
     join_answer,
 )
+from burdockwall.request.crash_guard import CrashGuard, is_closed
 from burdockwall.request.events import (
     DONE_LINE,
     EVENT_END,
@@ -61,6 +62,10 @@
         self.sent = sent
 
 
+class _Unavailable(httpx.ReadError):
+    """The endpoint answered that it is not available now."""
+
+
 class _VersionChanged(Exception):
     """The endpoint runs another software version than the one that began the answer."""
 
@@ -80,7 +85,9 @@
         allow_retry: AllowRetry,
         permit: Permit,
         stall_s: float,
+        guard: CrashGuard,
     ) -> None:
+        self.guard = guard
         self.permit = permit
         self.stall_s = stall_s
         self.allow_retry = allow_retry
@@ -104,19 +111,26 @@
             # The permit of the first attempt came with the choice of the endpoint.
             if sent and not await self.permit(endpoint.name):
                 break
+            self.guard.check()
             before = self.buffer.event_count
+            began_at = self.guard.read_clock()
             try:
                 await self._relay_once(endpoint, dispatch_headers)
             except (httpx.ConnectError, httpx.ConnectTimeout):
                 raise EndpointLost(sent or bool(self.buffer.event_count)) from None
             except _VersionChanged:
                 raise EndpointLost(sent=True) from None
-            except httpx.TransportError:
+            except httpx.TransportError as error:
+                if is_closed(error) and not isinstance(error, _Unavailable):
+                    self.guard.record_broken(
+                        endpoint.name, endpoint.address, None, began_at
+                    )
                 # The network path may be broken for all connections of the pool, so
                 # the next attempt uses new ones.
                 await self.clients.replace(endpoint)
             sent = True
             if self.buffer.done:
+                self.guard.record_answered()
                 return
             if self.buffer.event_count > before:
                 attempts_left = attempts
@@ -212,7 +226,7 @@
     if status == httpx.codes.OK:
         return
     if status in RESUMABLE_STATUSES:
-        raise httpx.ReadError(f"endpoint {endpoint.name} answered {status}")
+        raise _Unavailable(f"endpoint {endpoint.name} answered {status}")
     detail = f"endpoint {endpoint.name} answered {status}"
     if status < httpx.codes.INTERNAL_SERVER_ERROR:
         raise RequestRefused(Code.ENDPOINT_REFUSED, detail)
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -32,13 +32,15 @@
     join_answer,
     parse_completion,
 )
+from burdockwall.request.crash_guard import CrashGuard
 from burdockwall.request.events import LAST_EVENT_ID
+from burdockwall.request.fingerprint import compute_fingerprint
 from burdockwall.request.parts import Parts
 from burdockwall.request.program import read_program_headers
 from burdockwall.request.relay import EndpointLost, EngineRequest, Relay
 from burdockwall.request.streams import LiveStream, StreamKey
 from burdockwall.request.trace import RequestTrace
-from burdockwall.types import EndpointId, ProgramId
+from burdockwall.types import EndpointId, Fingerprint, ProgramId
 from burdockwall.version.configuration import Customer, Endpoint, Route
 from burdockwall.version.view import View
 
@@ -79,6 +81,7 @@
     trace.program = request.program or ""
     stream = _join_stream(parts, request)
     if stream is None:
+        _create_guard(parts, request).check()
         stream = await _start_stream(parts, request)
 
     async def write() -> None:
@@ -232,6 +235,7 @@
         allow_retry,
         parts.endpoint_limits.acquire,
         parts.settings.endpoint_stall_s,
+        _create_guard(parts, request),
     )
     parts.retries.record_request(pool, turn.customer)
     excluded: frozenset[EndpointId] = frozenset()
@@ -249,6 +253,15 @@
                 raise RequestRefused(code, retry_after_s=1.0) from None
 
 
+def _create_guard(parts: Parts, request: TurnRequest) -> CrashGuard:
+    def compute() -> Fingerprint:
+        path = request.route.path
+        body = request.body_digest.encode()
+        return compute_fingerprint(request.customer.name, "POST", path, body)
+
+    return CrashGuard(parts.crashes, compute)
+
+
 async def _acquire_endpoint(
     parts: Parts,
     request: TurnRequest,
--- a/features/subjects/crashing_requests.py
+++ b/features/subjects/crashing_requests.py
@@ -7,11 +7,18 @@
 import httpx
 
 from burdockwall.fakes.servers import FakeServer
-from features.subjects.platform import CALL_TIMEOUT_S, HOST, PlatformSite
+from features.subjects.platform import (
+    CALL_TIMEOUT_S,
+    HOST,
+    PlatformSite,
+    build_turn_headers,
+)
 
 SERVERS = 5
 INSTANCES = 2
 CRASHES_ALLOWED = 3
+# A refusal comes within this time, also on a busy machine.
+AT_ONCE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +40,7 @@
     method: str = "POST"
     path: str = "/tool/1"
     key: str = "key-one"
+    is_turn: bool = False
     sent: list[Sent] = field(default_factory=list)
 
     async def send(
@@ -46,6 +54,9 @@
             "x-deadline-ms": "3000",
             "x-request-id": f"{self.key}-{id(self)}-{number}",
         }
+        if self.is_turn:
+            turn = build_turn_headers(headers["x-request-id"], None, 10_000)
+            headers |= turn | {"x-program-id": f"program-{number}"}
         started_at = time.monotonic()
         status, code, retry_after = 0, None, None
         try:
@@ -56,7 +67,7 @@
                 content=body,
             )
             status, retry_after = answer.status_code, answer.headers.get("retry-after")
-            if answer.headers.get("content-type") == "application/json":
+            if answer.headers.get("content-type", "").startswith("application/json"):
                 code = answer.json()["code"]
         except httpx.TransportError:
             pass
