Give up interim answers without end on the own interface

Callers saw: interim (1xx) answers without end held a call for as long as they came. Cause: the HTTP library reads on past each of them, and its time limit is for one read. Change: the connections of the pooled clients bound the reads and bytes between a request and the head of its answer; more ends the call as a broken answer.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -12,8 +12,8 @@
 import httpx
 
 from burdockwall.connection.address import split_address
+from burdockwall.connection.bounded_transport import BoundedTransport, record_head
 from burdockwall.connection.exchange import Headers
-from burdockwall.connection.keepalive import SOCKET_OPTIONS
 from burdockwall.connection.upstream import Probe, is_refusal
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
@@ -161,12 +161,7 @@
 
     def create_transport(self, limits: httpx.Limits) -> httpx.AsyncBaseTransport:
         """Create what opens the connections of a client."""
-        return httpx.AsyncHTTPTransport(
-            verify=self._tls,
-            limits=limits,
-            trust_env=False,
-            socket_options=SOCKET_OPTIONS,
-        )
+        return BoundedTransport(self._tls, limits)
 
     def _create_client(self, endpoint: Endpoint) -> httpx.AsyncClient:
         limits = httpx.Limits(
@@ -219,6 +214,7 @@
             async with pooled.client.stream(
                 method, path, headers=headers, content=content
             ) as response:
+                record_head(response)
                 if observer is not None:
                     observer.record_heard()
                 answered = response.headers.get(REQUEST_ID, request)
