--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -38,6 +38,8 @@
 # A machine that is off does not answer an attempt to connect. It may be back soon, so
 # the first attempts time out early.
 CONNECT_TIMEOUT_FIRST_S = 0.15
+# Another build may have started at a peer's address since its last acknowledgement.
+PROTOCOL_VALID_S = 2.0
 
 Deliver = Callable[[InstanceId, Message], None]
 
@@ -63,8 +65,9 @@
         self._wake = anyio.Event()
         self._sent = 0
         self._acknowledged = 0
-        # The version that the peer speaks, or None until it has acknowledged a batch.
-        self._protocol: int | None = None
+        # The version that the peer speaks, as of its last acknowledgement.
+        self._protocol = 0
+        self._protocol_until = float("-inf")
         self._reachable: bool | None = None
         self._connect_timeout_s = min(silence_s, CONNECT_TIMEOUT_FIRST_S)
         self._logger = logbook.Logger("peers")
@@ -74,6 +77,12 @@
         """Return whether the last connection failed and none has succeeded since."""
         return self._reachable is False
 
+    @property
+    def protocol(self) -> int | None:
+        """Return the version that the peer speaks, or None if it is not known."""
+        known = anyio.current_time() < self._protocol_until
+        return self._protocol if known else None
+
     def enqueue(self, message: AnyMessage) -> None:
         """Add a message to the queue; a full queue drops its oldest one."""
         self._queue.append(message)
@@ -85,7 +94,7 @@
         while True:
             await self._wait_for_message()
             self._sent = self._acknowledged = 0
-            self._protocol = None
+            self._protocol_until = float("-inf")
             try:
                 await self._connect_once()
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
@@ -146,6 +155,7 @@
             raise StreamTerminatedError("the peer closed the stream")
         self._acknowledged = reply.count
         self._protocol = reply.protocol
+        self._protocol_until = anyio.current_time() + PROTOCOL_VALID_S
         self._record_success()
 
     def _take_batch(self) -> list[AnyMessage]:
@@ -155,12 +165,13 @@
         which may be empty.
         """
         messages: list[AnyMessage] = []
+        spoken = self.protocol
         while self._queue and len(messages) < MAX_BATCH_MESSAGES:
             required = self._queue[0].protocol
-            if self._protocol is None and required:
+            if spoken is None and required:
                 break
             message = self._queue.popleft()
-            if not required or required <= (self._protocol or 0):
+            if not required or required <= (spoken or 0):
                 messages.append(message)
         return messages
 
@@ -220,6 +231,12 @@
         link = self.links.get(peer)
         return link is not None and link.lost
 
+    def speaks(self, peer: InstanceId, protocol: int) -> bool:
+        """Return whether an instance may know messages of a protocol version."""
+        link = self.links.get(peer)
+        spoken = link.protocol if link is not None else None
+        return spoken is None or spoken >= protocol
+
     def add_peer(self, peer: InstanceId, address: Address) -> None:
         """Add an instance, or set its new address for the next connection to it."""
         if peer == self.instance:
--- a/burdockwall/fakes/engine.py
+++ b/burdockwall/fakes/engine.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections import Counter
+from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -58,7 +59,8 @@
     is part of each event, unless it is empty. With `comments` it sends a comment before
     each token. After `stalls_after_tokens`, if not 0, a stream that starts at the first
     token sends only `stall_bytes` now and then. `rate_limit`, unless it is empty, names
-    in each answer the rate of requests that it takes.
+    in each answer the rate of requests that it takes. A request whose body contains
+    `crashes_on`, unless that is empty, calls `crash` as it begins to run.
     """
 
     def __init__(self, token_s: float = 0.001, cut_after_tokens: int = 0) -> None:
@@ -67,6 +69,8 @@
         self.ignores_offset = False
         self.fingerprint = ""
         self.rate_limit = ""
+        self.crashes_on = b""
+        self.crash: Callable[[], None] = lambda: None
         self.request_times: list[float] = []
         self.comments = False
         self.stalls_after_tokens = 0
@@ -96,6 +100,9 @@
         body = await exchange.read_body(ENGINE_BODY_BYTES)
         self.received_requests.append(format_request(exchange, body))
         self.request_times.append(anyio.current_time())
+        if self.crashes_on and self.crashes_on in body:
+            self.crash()
+            await anyio.sleep_forever()
         completion = parse_completion(body)
         request = exchange.get_header(b"request-id") or ""
         self.request_counts[request] += 1
@@ -132,10 +139,13 @@
     """A plain service that counts the runs per idempotency key.
 
     Calls without a key are counted by their body. Each call takes `delay_s`. With
-    `cuts_answers` the connection breaks halfway through each answer.
+    `cuts_answers` the connection breaks halfway through each answer. A call whose body
+    contains `crashes_on`, unless that is empty, calls `crash` as it begins to run.
     """
 
     def __init__(self) -> None:
+        self.crashes_on = b""
+        self.crash: Callable[[], None] = lambda: None
         self.run_counts: Counter[str] = Counter()
         self.delay_s = 0.0
         self.cuts_answers = False
@@ -145,6 +155,9 @@
         """Serve one call."""
         body = await exchange.read_body(ENGINE_BODY_BYTES)
         self.received_requests.append(format_request(exchange, body))
+        if self.crashes_on and self.crashes_on in body:
+            self.crash()
+            await anyio.sleep_forever()
         key = exchange.get_header(b"idempotency-key") or body.decode()
         self.run_counts[key] += 1
         await anyio.sleep(self.delay_s)
--- a/burdockwall/process/crashes/client.py
+++ b/burdockwall/process/crashes/client.py
@@ -54,7 +54,11 @@
         return len(self.watch.table) > 0
 
     def install_instances(self, instances: tuple[InstanceId, ...]) -> None:
-        """Share suspects with these entry instances."""
+        """Share suspects with those of the entry instances that know the messages."""
+        required = ShareSuspects.protocol
+        instances = tuple(
+            item for item in instances if self.host.bus.speaks(item, required)
+        )
         if instances != self._instances:
             self._instances = instances
             self.host.apply(self._hosted, InstancesChanged(instances))
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -95,3 +95,10 @@
 
   Scenario: A message of a later build does not break the connection
     Then a batch with a message that this build does not know still brings its other messages
+
+  Scenario: On the own interface, a question that crashes engines is refused
+    Given six engines that crash on a question
+    When the question is asked 12 times, and then 5 others are
+    Then at most 6 engines crashed
+    And the last 6 of the deadly answers are 422 with code 1408 and no time to come back
+    And the others are answered
