--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -35,13 +35,29 @@
     assert subject.seconds < ARRIVAL_LIMIT_S, subject.seconds
 
 
+def reserve_neighbours(count, reserved):
+    """Reserve the first of some neighbouring ports, or return None if one is taken."""
+    first = int(find_address().rpartition(":")[2])
+    neighbours = range(first + 1, first + 1 + count)
+    others = [socket.socket(socket.AF_UNIX) for _ in neighbours]
+    try:
+        for other, port in zip(others, neighbours, strict=True):
+            other.bind(f"\0burdockwall-port-{port}")
+    except OSError:
+        for other in others:
+            other.close()
+        return None
+    for other in others[reserved:]:
+        other.close()
+    return neighbours, others[:reserved]
+
+
 @given("{count:d} ports of which another process has reserved {reserved:d}")
 def step_ports(context, count, reserved):
-    first = int(find_address().rpartition(":")[2])
-    context.ports = range(first + 1, first + 1 + count)
-    context.others = [socket.socket(socket.AF_UNIX) for _ in range(reserved)]
-    for other, port in zip(context.others, context.ports, strict=False):
-        other.bind(f"\0burdockwall-port-{port}")
+    found = None
+    while found is None:
+        found = reserve_neighbours(count, reserved)
+    context.ports, context.others = found
 
 
 @then("the chosen address has the fourth port")
