Refuse variants of a request that crashes endpoints sooner, and spread the news at once

Cause: news waited for the next tick of each instance (up to 0.23 s until all knew). Change: gathered news goes out after 20 ms. A request whose source (customer, method, target) has a culprit is refused after two crashes. An instance that starts asks its neighbours what they know.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -7,7 +7,7 @@
 from grpclib.encoding.base import CodecBase
 
 from burdockwall.process.control import copier, messages as control
-from burdockwall.process.crashes.messages import ShareSuspects
+from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.endpoint_limits import messages as endpoint_limits
 from burdockwall.process.endpoints import EndpointList
 from burdockwall.process.limits import messages as limits
@@ -53,6 +53,7 @@
     | EndpointList
     | endpoint_limits.AskPermits
     | endpoint_limits.GrantPermits
+    | AskSuspects
     | ShareSuspects
 )
 
--- a/burdockwall/process/crashes/client.py
+++ b/burdockwall/process/crashes/client.py
@@ -8,11 +8,14 @@
 import logbook
 
 from burdockwall.errors import Code, RequestRefused
+from burdockwall.machine import Tick
 from burdockwall.process.crashes.evidence import CrashEvidence
-from burdockwall.process.crashes.messages import ShareSuspects
+from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.crashes.watch import (
+    GATHER_S,
     CrashWatch,
     InstancesChanged,
+    NewsGathered,
     RefusalChanged,
     RunCrashed,
     RunEnded,
@@ -43,7 +46,7 @@
         self.evidence = evidence
         self.watch = CrashWatch(own)
         self.refused_count = 0
-        self._hosted = host.add(self.watch, (ShareSuspects,), self._perform)
+        self._hosted = host.add(self.watch, (AskSuspects, ShareSuspects), self._perform)
         self._instances: tuple[InstanceId, ...] = ()
         self._checking: dict[tuple[EndpointId, Address], list[BrokenRun]] = {}
         self._group: anyio.abc.TaskGroup | None = None
@@ -110,17 +113,31 @@
             )
             self.host.apply(self._hosted, event)
 
-    def _perform(self, action: RefusalChanged) -> None:
-        message = "request refused from now on" if action.refused else "request allowed"
-        extra = {
-            "fingerprint": action.fingerprint.hex(),
-            "crashed": " ".join(action.endpoints),
-            "refusal_s": action.refusal_s,
-        }
-        _logger.notice(message, extra=extra)
+    def _perform(self, action: RefusalChanged | NewsGathered) -> None:
+        match action:
+            case NewsGathered():
+                if self._group is not None:
+                    self._group.start_soon(self._tick_soon)
+            case RefusalChanged():
+                _log_refusal(action)
+
+    async def _tick_soon(self) -> None:
+        """Let news go out sooner than with the next tick of the process."""
+        await anyio.sleep(GATHER_S)
+        self.host.apply(self._hosted, Tick())
 
     async def run(self) -> None:
         """Carry out checks until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             await anyio.sleep_forever()
+
+
+def _log_refusal(changed: RefusalChanged) -> None:
+    message = "request refused from now on" if changed.refused else "request allowed"
+    extra = {
+        "fingerprint": changed.fingerprint.hex(),
+        "crashed": " ".join(changed.endpoints),
+        "refusal_s": changed.refusal_s,
+    }
+    _logger.notice(message, extra=extra)
--- a/burdockwall/process/crashes/messages.py
+++ b/burdockwall/process/crashes/messages.py
@@ -38,3 +38,9 @@
     protocol: ClassVar[int] = 1
 
     suspects: list[SuspectReport]
+
+
+class AskSuspects(Message, frozen=True):
+    """Asks a neighbour for what it knows; sent by an instance that has just started."""
+
+    protocol: ClassVar[int] = 1
--- a/burdockwall/process/crashes/watch.py
+++ b/burdockwall/process/crashes/watch.py
@@ -11,6 +11,7 @@
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.crashes.judgement import compute_refusal_s, find_culprits
 from burdockwall.process.crashes.messages import (
+    AskSuspects,
     CrashReport,
     ShareSuspects,
     SuspectReport,
@@ -29,6 +30,8 @@
 MAX_SUSPECTS_PER_MESSAGE = 64
 # News waits this long for more, so that the requests of one crash go together.
 GATHER_S = 0.02
+# An instance asks again after this time, since its first question may be lost.
+ASK_AGAIN_S = 0.5
 # News is repeated after these times, since a message may be lost.
 REPEATS_S = (0.5, 1.5)
 # Suspects are judged anew at most this often.
@@ -74,8 +77,13 @@
     refusal_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class NewsGathered:
+    """Asks the shell for a tick after GATHER_S."""
+
+
 Event = RunCrashed | RunEnded | InstancesChanged | Tick | Receive
-Action = Send | RefusalChanged
+Action = Send | RefusalChanged | NewsGathered
 
 
 class CrashWatch:
@@ -92,6 +100,8 @@
         self._news_at = NEVER
         self._repeats: dict[Fingerprint, list[float]] = {}
         self._repeat_refused_at = NEVER
+        # When to ask neighbours, or None if that is done.
+        self._ask_at: float | None = NEVER
 
     def is_known(self, fingerprint: Fingerprint) -> bool:
         """Return whether equal requests have been aboard a crash."""
@@ -113,19 +123,24 @@
                     event.endpoint, event.started_ms, event.began_at, event.crashed_at
                 )
                 if self.table.get(event.fingerprint).add(crash):
-                    self._add_news([event.fingerprint], now)
+                    return self._add_news([event.fingerprint], now)
             case RunEnded(fingerprint=fingerprint):
                 suspect = self.table.find(fingerprint)
                 if suspect is not None and suspect.crashes:
                     suspect.clear(now)
-                    self._add_news([fingerprint], now)
+                    return self._add_news([fingerprint], now)
             case InstancesChanged(instances=instances):
                 self.neighbours = choose_neighbours(self.own, instances)
+                return self._ask(now)
             case Receive(message=ShareSuspects(suspects=suspects)):
                 news = [item.fingerprint for item in suspects if self._merge(item, now)]
-                self._add_news(news, now)
+                return self._add_news(news, now)
+            case Receive(sender=sender, message=AskSuspects()):
+                return self._share(
+                    sorted(name for name, _ in self.table), [sender], now
+                )
             case Tick():
-                return self._tick(now) if len(self.table) or self._announced else []
+                return self._tick(now)
             case _:
                 pass
         return []
@@ -145,17 +160,27 @@
                 news = True
         return news
 
-    def _add_news(self, news: list[Fingerprint], now: float) -> None:
+    def _ask(self, now: float) -> list[Action]:
+        """Ask the neighbours what they know, twice after the start."""
+        if self._ask_at is None or not self.neighbours or now < self._ask_at:
+            return []
+        self._ask_at = now + ASK_AGAIN_S if self._ask_at == NEVER else None
+        return [Send(to, AskSuspects()) for to in self.neighbours]
+
+    def _add_news(self, news: list[Fingerprint], now: float) -> list[Action]:
         """Judge all suspects anew later, and pass the news on."""
         if not news:
-            return
+            return []
+        actions: list[Action] = []
         if not self._news:
             self._news_at = now + GATHER_S
+            actions.append(NewsGathered())
         if self._judge_at is None:
             self._judge_at = max(now, self._judged_at + JUDGE_INTERVAL_S)
         self._news.update(news)
         for fingerprint in news:
             self._repeats[fingerprint] = [now + after for after in REPEATS_S]
+        return actions
 
     def _judge(self, now: float) -> None:
         if self._judge_at is None or now < self._judge_at:
@@ -175,13 +200,14 @@
     # Time.
 
     def _tick(self, now: float) -> list[Action]:
+        actions = self._ask(now)
+        if not len(self.table) and not self._announced:
+            return actions
         self._judge(now)
         self._expire(now)
-        actions = self._announce()
+        actions += self._announce()
         due = self._take_due(now)
-        if due:
-            actions += self._share(due, now)
-        return actions
+        return actions + self._share(due, self.neighbours, now)
 
     def _expire(self, now: float) -> None:
         wanted = set()
@@ -209,13 +235,15 @@
             due.update(name for name, item in self.table if item.refused)
         return sorted(name for name in due if self.is_known(name))
 
-    def _share(self, due: list[Fingerprint], now: float) -> list[Action]:
+    def _share(
+        self, due: list[Fingerprint], receivers: Iterable[InstanceId], now: float
+    ) -> list[Action]:
         reports = [self._report(name, self.table.get(name), now) for name in due]
         messages = [
             ShareSuspects(reports[start : start + MAX_SUSPECTS_PER_MESSAGE])
             for start in range(0, len(reports), MAX_SUSPECTS_PER_MESSAGE)
         ]
-        return [Send(to, item) for to in self.neighbours for item in messages]
+        return [Send(to, item) for to in receivers for item in messages]
 
     @staticmethod
     def _report(
--- a/burdockwall/request/fingerprint.py
+++ b/burdockwall/request/fingerprint.py
@@ -3,19 +3,24 @@
 import hashlib
 from collections.abc import AsyncIterator
 
-from burdockwall.types import CustomerId, Fingerprint
+from burdockwall.types import SOURCE_BYTES, CustomerId, Fingerprint
 
-FINGERPRINT_BYTES = 16
+CONTENT_BYTES = 16
 
 
 class FingerprintBuilder:
-    """The digest that requests of one caller with the same content share."""
+    """The digests that requests of one caller with the same content share.
+
+    The first is of caller, method and target, and the second is of the body too.
+    """
 
     def __init__(self, customer: CustomerId, method: str, target: str) -> None:
-        self._digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        source = hashlib.blake2b(digest_size=SOURCE_BYTES)
         for part in (customer, method, target):
             encoded = part.encode("latin-1", "replace")
-            self._digest.update(len(encoded).to_bytes(4, "big") + encoded)
+            source.update(len(encoded).to_bytes(4, "big") + encoded)
+        self._source = source.digest()
+        self._digest = hashlib.blake2b(self._source, digest_size=CONTENT_BYTES)
 
     def update(self, body: bytes) -> None:
         """Add bytes of the body."""
@@ -29,7 +34,7 @@
 
     def build(self) -> Fingerprint:
         """Return the fingerprint of what has been added so far."""
-        return Fingerprint(self._digest.digest())
+        return Fingerprint(self._source + self._digest.digest())
 
 
 def compute_fingerprint(
--- a/burdockwall/types.py
+++ b/burdockwall/types.py
@@ -28,8 +28,10 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 TurnId = NewType("TurnId", str)
 DocumentName = NewType("DocumentName", str)
-# A digest of what makes two requests equal.
+# A digest of what makes two requests equal. Its first bytes are one of their source:
+# caller, method and target.
 Fingerprint = NewType("Fingerprint", bytes)
+SOURCE_BYTES = 8
 
 
 class Role(Enum):
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -102,3 +102,9 @@
     Then at most 6 engines crashed
     And the last 6 of the deadly answers are 422 with code 1408 and no time to come back
     And the others are answered
+
+  Scenario: A variant of a request that crashes endpoints is refused after two crashes
+    Given an instance that refuses a request after three crashes
+    When another request of the same source crashes 2 endpoints
+    And another request of another source crashes 2 endpoints
+    Then only the one of the same source is refused
--- a/features/subjects/crash_network.py
+++ b/features/subjects/crash_network.py
@@ -4,10 +4,13 @@
 from dataclasses import dataclass, field
 
 from burdockwall.fakes.network import FakeNetwork, NetworkConditions
-from burdockwall.process.crashes.messages import ShareSuspects
+from burdockwall.machine import Tick
+from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.crashes.watch import (
+    GATHER_S,
     CrashWatch,
     InstancesChanged,
+    NewsGathered,
     RefusalChanged,
     RunCrashed,
     RunEnded,
@@ -24,6 +27,8 @@
 MAX_FAILURES = 6
 CONTACT_S = 3.0
 CRASHES_ALLOWED = 3
+# Callers with a method and target; deadly requests are all of the first.
+SOURCES = tuple(b"source-%d" % number for number in range(4))
 
 
 @dataclass(slots=True)
@@ -76,7 +81,7 @@
         """Start an instance, or start it again with nothing known."""
         watch = CrashWatch(instance)
         self.watches[instance] = watch
-        self.network.start(instance, [(watch, (ShareSuspects,))], TICK_S)
+        self.network.start(instance, [(watch, (AskSuspects, ShareSuspects))], TICK_S)
         self.network.apply(instance, watch, InstancesChanged(tuple(self.entries)))
 
     def roll(self, first_s: float, gap_s: float) -> None:
@@ -87,14 +92,23 @@
             later = at + gap_s / 2
             self.network.schedule(later, lambda item=instance: self.start(item))
 
-    def _note(self, instance: InstanceId, action: RefusalChanged, now: float) -> None:
-        self.announced.append((instance, action))
+    def _note(
+        self, instance: InstanceId, action: RefusalChanged | NewsGathered, now: float
+    ) -> None:
+        match action:
+            case RefusalChanged():
+                self.announced.append((instance, action))
+            case NewsGathered():
+                watch = self.watches[instance]
+                self.network.schedule(
+                    GATHER_S, lambda: self.network.apply(instance, watch, Tick())
+                )
 
     # Requests.
 
     def add_deadly(self, name: str) -> Fingerprint:
         """Add a request that crashes each endpoint that runs it."""
-        fingerprint = Fingerprint(name.encode())
+        fingerprint = Fingerprint(SOURCES[0] + name.encode())
         self.deadly[fingerprint] = []
         self.crashes[fingerprint] = []
         return fingerprint
@@ -186,7 +200,8 @@
         """Schedule requests that crash nothing, each its own or of some kinds."""
         for number in range(int(rate_per_s * seconds)):
             name = f"common-{number % kinds}" if kinds else f"own-{number}"
-            fingerprint = Fingerprint(name.encode())
+            source = SOURCES[number % len(SOURCES)]
+            fingerprint = Fingerprint(source + name.encode())
             self.network.schedule(
                 number / rate_per_s, lambda item=fingerprint: self.send(item)
             )
--- a/features/subjects/crash_suspicion.py
+++ b/features/subjects/crash_suspicion.py
@@ -1,8 +1,8 @@
 """One instance's suspicion of a request, from its crashes to its end."""
 
 from burdockwall.fakes.network import FakeNetwork
-from burdockwall.machine import Receive, Tick
-from burdockwall.process.crashes.messages import ShareSuspects
+from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.crashes.watch import (
     CrashWatch,
     InstancesChanged,
@@ -12,7 +12,9 @@
 from burdockwall.types import EndpointId, Fingerprint, InstanceId
 
 OWN, OTHER = InstanceId("entry-1"), InstanceId("entry-2")
-REQUEST = Fingerprint(b"request")
+REQUEST = Fingerprint(b"source-1" + b"request")
+VARIANT = Fingerprint(b"source-1" + b"variant")
+OTHER_SOURCE = Fingerprint(b"source-2" + b"variant")
 RUN_S = 0.1
 TICK_S = 0.1
 
@@ -26,7 +28,7 @@
         self.sizes: list[int] = []
         self.shared: list[ShareSuspects] = []
         for name, watch in self.watches.items():
-            self.network.start(name, [(watch, (ShareSuspects,))], TICK_S)
+            self.network.start(name, [(watch, (AskSuspects, ShareSuspects))], TICK_S)
             self.network.apply(name, watch, InstancesChanged((OWN, OTHER)))
         self._crashes = 0
         self.last_crash_at = 0.0
@@ -60,7 +62,11 @@
             self.network.apply(OWN, watch, event)
             self.sizes.append(len(watch.table))
             if number % 100 == 0:
-                self.shared += [item.message for item in watch.handle(Tick(), now + 1)]
+                self.shared += [
+                    item.message
+                    for item in watch.handle(Tick(), now + 1)
+                    if isinstance(item, Send)
+                ]
                 self.wait(0.2)
 
     def end_well(self) -> None:
@@ -86,9 +92,11 @@
         """Let time pass until some seconds after the last crash."""
         self.network.run_until(self.last_crash_at + seconds)
 
-    def is_refused(self, name: InstanceId = OWN) -> bool:
-        """Return whether an instance refuses the request now."""
-        return self.watches[name].is_refused(REQUEST, self.network.now)
+    def is_refused(
+        self, name: InstanceId = OWN, fingerprint: Fingerprint = REQUEST
+    ) -> bool:
+        """Return whether an instance refuses a request now."""
+        return self.watches[name].is_refused(fingerprint, self.network.now)
 
     def is_refused_anywhere(self) -> bool:
         """Return whether an instance refuses the request now."""
