--- a/features/subjects/mixed_builds.py
+++ b/features/subjects/mixed_builds.py
@@ -23,6 +23,7 @@
 STOP_LIMIT_S = 12.0
 READY_LIMIT_S = 40.0
 CALL_INTERVAL_S = 0.1
+CONTACT_S = 3.0
 DEADLY = b"deadly"
 SETTINGS = """[instance]
 id = {host}:{port}
@@ -72,6 +73,7 @@
     starts: int = 0
     build: str = ""
     process: subprocess.Popen | None = None
+    started_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -107,6 +109,8 @@
         ]
         self.calls, self.turns, self.deadly = Tally(), Tally(), Tally()
         self.wrong_chains = 0
+        # The ids of deadly requests sent while their instance and the core were calm.
+        self.calm_deadly: set[str] = set()
         self.done = False
         self._sent = 0
 
@@ -165,6 +169,7 @@
                 stderr=subprocess.STDOUT,
             )
         instance.starts += 1
+        instance.started_at = time.monotonic()
         instance.build = build
 
     async def replace(self, instance: Instance, build: str) -> None:
@@ -297,24 +302,35 @@
                 expected += b"w1\nw2\nw3\n"
                 previous = turn
 
+    def _is_calm(self, entry: Instance) -> bool:
+        """Return whether an instance and the core have run for the contact time."""
+        latest = max(item.started_at for item in (*self.controls, *self.stores, entry))
+        return time.monotonic() > latest + CONTACT_S
+
     async def run_deadly(self, client: httpx.AsyncClient, build: str) -> None:
         """Send the request that crashes servers at the instances of one build."""
         while not self.done:
             for entry in [item for item in self.entries if item.build == build]:
                 headers = {"x-request-id": self._number()}
+                if self._is_calm(entry):
+                    self.calm_deadly.add(headers["x-request-id"])
                 self.deadly.add(
                     await self._ask(client, entry, "/tool/1", headers, DEADLY)
                 )
                 await anyio.sleep(CALL_INTERVAL_S)
             await anyio.sleep(CALL_INTERVAL_S)
 
-    def count_late_deadly(self, after_s: float = 3.0) -> int:
-        """Count deadly requests that reached servers too late after the third crash."""
+    def count_late_deadly(self) -> int:
+        """Count deadly requests that reached servers too late after the third crash.
+
+        Those count that calm instances sent.
+        """
         crashes = sorted(at for tool in self.tools for at in tool.crash_times)
         if len(crashes) < 3:
             return 0
         return sum(
-            item.received_at > crashes[2] + after_s
+            item.received_at > crashes[2] + CONTACT_S
+            and item.headers.get("x-request-id") in self.calm_deadly
             for tool in self.tools
             for item in tool.received_requests
             if item.body == DEADLY
