Tell two requests that crash endpoints from one that ran at crashes of both

Cause: suspects with the same third crash were ordered by the length of their runs alone. Change: first by how many crashes they and the best other suspect leave unexplained. Test: "Two such requests at once are told from one that ran at crashes of both".

--- a/burdockwall/process/crashes/judgement.py
+++ b/burdockwall/process/crashes/judgement.py
@@ -17,7 +17,7 @@
     includes,
     list_in_turn,
 )
-from burdockwall.types import SOURCE_BYTES, EndpointId, Fingerprint
+from burdockwall.types import SOURCE_BYTES, Fingerprint
 
 # So many crashes in turn are enough if no culprit explains them.
 CRASHES_TO_REFUSE = 3
@@ -41,26 +41,62 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class _Candidate:
-    """A suspect with enough crashes, ordered by how soon and how closely they came.
+    """A suspect with enough crashes, ordered by how well it explains them.
 
     `reached_at` is when the last of the first crashes that are enough was noticed
-    first, and `run_s` how long the runs up to these took together.
+    first. `unexplained` counts the crashes until then at which neither the suspect nor
+    the best other one ran, since two such requests may come together. `run_s` is how
+    long the runs up to the crashes took together.
     """
 
     reached_at: float
+    unexplained: int
     run_s: float
     fingerprint: Fingerprint
     suspect: Suspect = field(compare=False)
 
 
+class _CrashIndex:
+    """The distinct crashes of all suspects, by number, and when each was noticed."""
+
+    def __init__(self, table: SuspectTable) -> None:
+        self._crashes: list[Crash] = []
+        self.noticed_at: list[float] = []
+        self.by_suspect = {
+            name: frozenset(self._number(item) for item in suspect.crashes)
+            for name, suspect in table
+        }
+
+    def _number(self, crash: Crash) -> int:
+        for number, known in enumerate(self._crashes):
+            if known.is_same(crash):
+                earlier = min(self.noticed_at[number], crash.crashed_at)
+                self.noticed_at[number] = earlier
+                return number
+        self._crashes.append(crash)
+        self.noticed_at.append(crash.crashed_at)
+        return len(self._crashes) - 1
+
+    def find(self, crash: Crash) -> int:
+        """Return the number of a crash."""
+        return self._number(crash)
+
+    def count_unexplained(self, name: Fingerprint, until: float) -> int:
+        """Count the crashes up to a time that a suspect and the best other leave."""
+        crashes = {n for n, at in enumerate(self.noticed_at) if at <= until}
+        left = crashes - self.by_suspect[name]
+        return min((len(left - other) for other in self.by_suspect.values()), default=0)
+
+
 def find_culprits(table: SuspectTable) -> set[Fingerprint]:
     """Return the suspects that are to be refused.
 
     They are judged in order, and each culprit explains its crashes.
     """
     culprits: set[Fingerprint] = set()
+    index = _CrashIndex(table)
     for required in (CRASHES_TO_REFUSE, CRASHES_OF_VARIANT):
-        for candidate in sorted(_list_candidates(table, required)):
+        for candidate in sorted(_list_candidates(table, required, index)):
             name = candidate.fingerprint
             if name in culprits or not _is_judged(name, required, culprits):
                 continue
@@ -84,32 +120,19 @@
     return any(other[:SOURCE_BYTES] == source for other in culprits)
 
 
-def _list_candidates(table: SuspectTable, required: int) -> Iterator[_Candidate]:
-    noticed = _find_noticed(table)
+def _list_candidates(
+    table: SuspectTable, required: int, index: _CrashIndex
+) -> Iterator[_Candidate]:
     for name, suspect in table:
         if len(suspect.crashes) < required:
             continue
         first = list_in_turn(suspect.crashes)[:required]
         if len(first) < required:
             continue
-        last = first[-1]
-        key = (last.endpoint, last.started_ms)
-        reached_at = min(last.crashed_at, noticed.get(key, last.crashed_at))
+        reached_at = index.noticed_at[index.find(first[-1])]
+        unexplained = index.count_unexplained(name, reached_at)
         run_s = sum(item.crashed_at - item.began_at for item in first)
-        yield _Candidate(reached_at, run_s, name, suspect)
-
-
-def _find_noticed(
-    table: SuspectTable,
-) -> dict[tuple[EndpointId, int | None], float]:
-    """Return when each crash was noticed first, where starts are known."""
-    noticed: dict[tuple[EndpointId, int | None], float] = {}
-    for _, suspect in table:
-        for crash in suspect.crashes:
-            if crash.started_ms is not None:
-                key = (crash.endpoint, crash.started_ms)
-                noticed[key] = min(crash.crashed_at, noticed.get(key, crash.crashed_at))
-    return noticed
+        yield _Candidate(reached_at, unexplained, run_s, name, suspect)
 
 
 def _is_cause(
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -108,3 +108,6 @@
     When another request of the same source crashes 2 endpoints
     And another request of another source crashes 2 endpoints
     Then only the one of the same source is refused
+
+  Scenario: Two such requests at once are told from one that ran at crashes of both
+    Then two such requests are told from one that ran at crashes of both
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -9,7 +9,12 @@
     play_with_fault,
 )
 from features.subjects.crash_network import CrashNetwork
-from features.subjects.crash_suspicion import OTHER_SOURCE, VARIANT, Suspicion
+from features.subjects.crash_suspicion import (
+    OTHER_SOURCE,
+    VARIANT,
+    Suspicion,
+    judge_two_at_once,
+)
 from features.subjects.crashing_requests import (
     AT_ONCE_S,
     Callers,
@@ -281,6 +286,11 @@
     assert not context.suspicion.is_refused(fingerprint=OTHER_SOURCE)
 
 
+@then("two such requests are told from one that ran at crashes of both")
+def step_two_at_once(context):
+    assert judge_two_at_once() == {b"source-1first", b"source-1second"}
+
+
 # Between builds.
 
 
--- a/features/subjects/crash_suspicion.py
+++ b/features/subjects/crash_suspicion.py
@@ -2,7 +2,9 @@
 
 from burdockwall.fakes.network import FakeNetwork
 from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.crashes.judgement import find_culprits
 from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
+from burdockwall.process.crashes.suspects import Crash, SuspectTable
 from burdockwall.process.crashes.watch import (
     CrashWatch,
     InstancesChanged,
@@ -101,3 +103,20 @@
     def is_refused_anywhere(self) -> bool:
         """Return whether an instance refuses the request now."""
         return any(self.is_refused(name) for name in self.watches)
+
+
+def judge_two_at_once() -> set[bytes]:
+    """Judge two requests whose third crash is the same, and one aboard some of each."""
+    table = SuspectTable()
+    # The crashes of each, and how long its runs lasted until them.
+    runs = {
+        b"source-1first": ((1, 2, 5), 0.1),
+        b"source-1second": ((3, 4, 5), 0.1),
+        b"source-1aboard": ((2, 4, 5), 0.05),
+    }
+    for name, (crashes, run_s) in runs.items():
+        suspect = table.get(Fingerprint(name))
+        for number in crashes:
+            at = float(number)
+            suspect.add(Crash(EndpointId(f"e-{number}"), 1, at - run_s, at))
+    return {bytes(name) for name in find_culprits(table)}
