Judge suspects by numbers of crashes, and less often where there are many

Cause: a judgement compared crashes one by one for each pair of suspects: 312 ms with 512 suspects and 40 crashes, at most each 20 ms, on the loop of the process. Change: crashes are numbered once a judgement, and sets of numbers are compared; the interval grows with the suspects, to 256 ms with 512.

--- a/burdockwall/process/crashes/judgement.py
+++ b/burdockwall/process/crashes/judgement.py
@@ -7,17 +7,17 @@
 request causes, a request may meet several, but most of the crashes happen without it.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from burdockwall.process.crashes.suspects import (
+    NEVER,
     Crash,
     Suspect,
     SuspectTable,
-    includes,
     list_in_turn,
 )
-from burdockwall.types import SOURCE_BYTES, Fingerprint
+from burdockwall.types import SOURCE_BYTES, EndpointId, Fingerprint
 
 # So many crashes in turn are enough if no culprit explains them.
 CRASHES_TO_REFUSE = 3
@@ -53,39 +53,57 @@
     unexplained: int
     run_s: float
     fingerprint: Fingerprint
-    suspect: Suspect = field(compare=False)
+    crashes: dict[int, Crash] = field(compare=False)
 
 
 class _CrashIndex:
     """The distinct crashes of all suspects, by number, and when each was noticed."""
 
     def __init__(self, table: SuspectTable) -> None:
-        self._crashes: list[Crash] = []
         self.noticed_at: list[float] = []
-        self.by_suspect = {
-            name: frozenset(self._number(item) for item in suspect.crashes)
+        self._by_endpoint: dict[tuple[EndpointId, int | None], list[_Numbered]] = {}
+        self.by_suspect: dict[Fingerprint, dict[int, Crash]] = {
+            name: {self._number(item): item for item in suspect.crashes}
             for name, suspect in table
         }
+        # Two suspects explain more together only if each ran at several crashes.
+        self._repeated = [
+            frozenset(crashes)
+            for crashes in self.by_suspect.values()
+            if len(crashes) > 1
+        ]
 
     def _number(self, crash: Crash) -> int:
-        for number, known in enumerate(self._crashes):
-            if known.is_same(crash):
-                earlier = min(self.noticed_at[number], crash.crashed_at)
-                self.noticed_at[number] = earlier
-                return number
-        self._crashes.append(crash)
+        known = self._by_endpoint.setdefault((crash.endpoint, crash.started_ms), [])
+        for item in known:
+            if item.crash.is_same(crash):
+                earlier = min(self.noticed_at[item.number], crash.crashed_at)
+                self.noticed_at[item.number] = earlier
+                return item.number
+        number = len(self.noticed_at)
+        known.append(_Numbered(number, crash))
         self.noticed_at.append(crash.crashed_at)
-        return len(self._crashes) - 1
+        return number
+
+    def list_between(self, first_at: float, last_at: float) -> set[int]:
+        """List the crashes that were noticed in a time."""
+        return {
+            number
+            for number, at in enumerate(self.noticed_at)
+            if first_at <= at <= last_at
+        }
+
+    def count_unexplained(self, crashes: Iterable[int], until: float) -> int:
+        """Count the crashes up to a time beside some and those of the best suspect."""
+        left = self.list_between(NEVER, until).difference(crashes)
+        best = max((len(left & other) for other in self._repeated), default=0)
+        return len(left) - best
 
-    def find(self, crash: Crash) -> int:
-        """Return the number of a crash."""
-        return self._number(crash)
 
-    def count_unexplained(self, name: Fingerprint, until: float) -> int:
-        """Count the crashes up to a time that a suspect and the best other leave."""
-        crashes = {n for n, at in enumerate(self.noticed_at) if at <= until}
-        left = crashes - self.by_suspect[name]
-        return min((len(left - other) for other in self.by_suspect.values()), default=0)
+@dataclass(frozen=True, slots=True)
+class _Numbered:
+    number: int
+    crash: Crash
 
 
 def find_culprits(table: SuspectTable) -> set[Fingerprint]:
@@ -93,72 +111,59 @@
 
     They are judged in order, and each culprit explains its crashes.
     """
-    culprits: set[Fingerprint] = set()
     index = _CrashIndex(table)
+    culprits: set[Fingerprint] = set()
+    explained: set[int] = set()
     for required in (CRASHES_TO_REFUSE, CRASHES_OF_VARIANT):
-        for candidate in sorted(_list_candidates(table, required, index)):
+        sources = None
+        if required == CRASHES_OF_VARIANT:
+            sources = {name[:SOURCE_BYTES] for name in culprits}
+        for candidate in _list_candidates(index, required, sources):
             name = candidate.fingerprint
-            if name in culprits or not _is_judged(name, required, culprits):
-                continue
-            others = [item for other, item in table if other not in {name, *culprits}]
-            explained = [
-                crash
-                for other, item in table
-                if other in culprits
-                for crash in item.crashes
-            ]
-            if _is_cause(candidate.suspect, required, others, explained):
+            if name not in culprits and _is_cause(
+                candidate, required, index, explained
+            ):
                 culprits.add(name)
+                explained |= set(candidate.crashes)
     return culprits
 
 
-def _is_judged(name: Fingerprint, required: int, culprits: set[Fingerprint]) -> bool:
-    """Return whether a number of crashes is enough for a suspect's source."""
-    if required == CRASHES_TO_REFUSE:
-        return True
-    source = name[:SOURCE_BYTES]
-    return any(other[:SOURCE_BYTES] == source for other in culprits)
-
-
 def _list_candidates(
-    table: SuspectTable, required: int, index: _CrashIndex
-) -> Iterator[_Candidate]:
-    for name, suspect in table:
-        if len(suspect.crashes) < required:
+    index: _CrashIndex, required: int, sources: set[bytes] | None
+) -> list[_Candidate]:
+    """List the suspects of some sources with enough crashes in the order to judge."""
+    candidates = []
+    for name, crashes in index.by_suspect.items():
+        if len(crashes) < required:
+            continue
+        if sources is not None and name[:SOURCE_BYTES] not in sources:
             continue
-        first = list_in_turn(suspect.crashes)[:required]
+        first = list_in_turn(crashes.values())[:required]
         if len(first) < required:
             continue
-        reached_at = index.noticed_at[index.find(first[-1])]
-        unexplained = index.count_unexplained(name, reached_at)
+        last = first[-1]
+        reached_at = min(
+            index.noticed_at[number] for number, item in crashes.items() if item is last
+        )
         run_s = sum(item.crashed_at - item.began_at for item in first)
-        yield _Candidate(reached_at, unexplained, run_s, name, suspect)
+        unexplained = index.count_unexplained(crashes, reached_at)
+        candidates.append(_Candidate(reached_at, unexplained, run_s, name, crashes))
+    return sorted(candidates)
 
 
 def _is_cause(
-    suspect: Suspect, required: int, others: list[Suspect], explained: list[Crash]
+    candidate: _Candidate, required: int, index: _CrashIndex, explained: set[int]
 ) -> bool:
-    own = [item for item in suspect.crashes if not includes(explained, item)]
-    unexplained = len(list_in_turn(own))
-    total = len(list_in_turn(suspect.crashes))
+    crashes = candidate.crashes
+    own = {number: item for number, item in crashes.items() if number not in explained}
+    unexplained = len(list_in_turn(own.values()))
+    total = len(list_in_turn(crashes.values()))
     in_doubt = unexplained and total >= CRASHES_TO_DOUBT
     if unexplained < required and not in_doubt:
         return False
     if total >= CRASHES_CERTAIN:
         return True
-    return _count_crashes_without(own, others, explained) < len(own)
-
-
-def _count_crashes_without(
-    own: list[Crash], others: list[Suspect], explained: list[Crash]
-) -> int:
-    """Count the unexplained crashes between a suspect's first and last one."""
-    first_at = min(item.crashed_at for item in own)
-    last_at = max(item.crashed_at for item in own)
-    without: list[Crash] = []
-    for other in others:
-        for crash in other.crashes:
-            known = includes([*own, *explained, *without], crash)
-            if first_at <= crash.crashed_at <= last_at and not known:
-                without.append(crash)
-    return len(without)
+    times = [item.crashed_at for item in own.values()]
+    meanwhile = index.list_between(min(times), max(times))
+    without = meanwhile.difference(crashes, explained)
+    return len(without) < len(own)
--- a/burdockwall/process/crashes/watch.py
+++ b/burdockwall/process/crashes/watch.py
@@ -34,8 +34,9 @@
 ASK_AGAIN_S = 0.5
 # News is repeated after these times, since a message may be lost.
 REPEATS_S = (0.5, 1.5)
-# Suspects are judged anew at most this often.
+# Suspects are judged anew at most this often, and less often if there are many.
 JUDGE_INTERVAL_S = 0.02
+JUDGE_INTERVAL_PER_SUSPECT_S = 0.0005
 # What is refused is repeated at this interval, for instances that have just started.
 REFUSED_REPEAT_S = 1.0
 # A suspect stays known this long after its refusal, so that its next crash counts.
@@ -176,7 +177,10 @@
             self._news_at = now + GATHER_S
             actions.append(NewsGathered())
         if self._judge_at is None:
-            self._judge_at = max(now, self._judged_at + JUDGE_INTERVAL_S)
+            interval_s = max(
+                JUDGE_INTERVAL_S, len(self.table) * JUDGE_INTERVAL_PER_SUSPECT_S
+            )
+            self._judge_at = max(now, self._judged_at + interval_s)
         self._news.update(news)
         for fingerprint in news:
             self._repeats[fingerprint] = [now + after for after in REPEATS_S]
