Move what forwarding shares and how attempts fail into modules of their own

Change: request/forwarding_parts.py and request/progress.py; no logic changes. Causes in place of culprits; the log line of broken answers counts `runs`.

--- a/burdockwall/process/crashes/client.py
+++ b/burdockwall/process/crashes/client.py
@@ -101,7 +101,7 @@
             crashed = await self.evidence.is_crashed(first.address, first.broke_at)
         finally:
             runs = self._checking.pop(key)
-        extra = {"endpoint": first.endpoint, "crashed": crashed, "aboard": len(runs)}
+        extra = {"endpoint": first.endpoint, "crashed": crashed, "runs": len(runs)}
         _logger.notice("endpoint broke answers off", extra=extra)
         for run in runs if crashed else ():
             event = RunCrashed(
--- a/burdockwall/process/crashes/judgement.py
+++ b/burdockwall/process/crashes/judgement.py
@@ -19,12 +19,12 @@
 )
 from burdockwall.types import SOURCE_BYTES, EndpointId, Fingerprint
 
-# So many crashes in turn are enough if no culprit explains them.
+# So many crashes in turn are enough if no other cause explains them.
 CRASHES_TO_REFUSE = 3
-# So many are enough if another request of the same source is a culprit, since callers
+# So many are enough if another request of the same source is a cause, since callers
 # also send variants of what crashes endpoints.
 CRASHES_OF_VARIANT = 2
-# So many are enough if culprits explain all but one.
+# So many are enough if causes explain all but one.
 CRASHES_TO_DOUBT = 4
 # So many are enough however many endpoints crash without the request.
 CRASHES_CERTAIN = 5
@@ -106,26 +106,24 @@
     crash: Crash
 
 
-def find_culprits(table: SuspectTable) -> set[Fingerprint]:
+def find_causes(table: SuspectTable) -> set[Fingerprint]:
     """Return the suspects that are to be refused.
 
-    They are judged in order, and each culprit explains its crashes.
+    They are judged in order, and each cause explains its crashes.
     """
     index = _CrashIndex(table)
-    culprits: set[Fingerprint] = set()
+    causes: set[Fingerprint] = set()
     explained: set[int] = set()
     for required in (CRASHES_TO_REFUSE, CRASHES_OF_VARIANT):
         sources = None
         if required == CRASHES_OF_VARIANT:
-            sources = {name[:SOURCE_BYTES] for name in culprits}
+            sources = {name[:SOURCE_BYTES] for name in causes}
         for candidate in _list_candidates(index, required, sources):
             name = candidate.fingerprint
-            if name not in culprits and _is_cause(
-                candidate, required, index, explained
-            ):
-                culprits.add(name)
+            if name not in causes and _is_cause(candidate, required, index, explained):
+                causes.add(name)
                 explained |= set(candidate.crashes)
-    return culprits
+    return causes
 
 
 def _list_candidates(
--- a/burdockwall/process/crashes/watch.py
+++ b/burdockwall/process/crashes/watch.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from burdockwall.machine import Receive, Send, Tick
-from burdockwall.process.crashes.judgement import compute_refusal_s, find_culprits
+from burdockwall.process.crashes.judgement import compute_refusal_s, find_causes
 from burdockwall.process.crashes.messages import (
     AskSuspects,
     CrashReport,
@@ -105,7 +105,7 @@
         self._ask_at: float | None = NEVER
 
     def is_known(self, fingerprint: Fingerprint) -> bool:
-        """Return whether equal requests have been aboard a crash."""
+        """Return whether an equal request was running when an endpoint crashed."""
         return self.table.find(fingerprint) is not None
 
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
@@ -190,9 +190,9 @@
         if self._judge_at is None or now < self._judge_at:
             return
         self._judge_at, self._judged_at = None, now
-        culprits = find_culprits(self.table)
+        causes = find_causes(self.table)
         for fingerprint, suspect in self.table:
-            suspect.refused = fingerprint in culprits
+            suspect.refused = fingerprint in causes
 
     def _announce(self) -> list[Action]:
         """Announce which refusals have changed since the last time."""
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -40,7 +40,8 @@
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
-from burdockwall.request.forwarding import Forwarding, ForwardingParts
+from burdockwall.request.forwarding import Forwarding
+from burdockwall.request.forwarding_parts import ForwardingParts
 from burdockwall.request.peer_relay import PeerRelay
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -5,8 +5,7 @@
 before the end of its answer is sent.
 """
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import anyio
 import logbook
@@ -18,22 +17,13 @@
     ConnectionBroken,
     UpstreamConnection,
 )
-from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import Code, RequestRefused
-from burdockwall.process.crashes.client import CrashSuspects
-from burdockwall.process.endpoint_limits.client import EndpointLimits
-from burdockwall.process.endpoint_reach import EndpointReach
-from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
-from burdockwall.process.limits.gate import Admission
-from burdockwall.process.scheduling.balance import Balancer
-from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
-from burdockwall.process.storage.client import TurnClient
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
     ForwardedRequest,
-    RequestCodec,
 )
 from burdockwall.request.crash_guard import CrashGuard
 from burdockwall.request.endpoint_choice import EndpointChoice, NoEndpoint
@@ -44,6 +34,8 @@
     join_event_data,
 )
 from burdockwall.request.fingerprint import compute_fingerprint
+from burdockwall.request.forwarding_parts import ForwardingParts
+from burdockwall.request.progress import AnswerLost, NotRun, Progress
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
 from burdockwall.types import CustomerId, Ran, TurnId
@@ -67,26 +59,6 @@
 _logger = logbook.Logger("front")
 
 
-@dataclass(slots=True)
-class ForwardingParts:
-    """The components of a process that all forwarded requests share."""
-
-    codec: RequestCodec
-    upstreams: UpstreamPools
-    endpoints: EndpointFollower
-    balancer: Balancer
-    turn_client: TurnClient
-    clock: Callable[[], float]
-    count_instances: Callable[[], int]
-    is_leaving: Callable[[], bool]
-    settle_later: Callable[[TurnStart, TurnOutcome], None]
-    admit: Callable[[CustomerId], Awaitable[Admission]]
-    hedge_delay: HedgeDelay
-    endpoint_limits: EndpointLimits
-    reach: EndpointReach
-    crashes: CrashSuspects
-
-
 def compute_expiry(
     route: HostRoute, request: ForwardedRequest, started_at: float
 ) -> float:
@@ -97,36 +69,6 @@
     return started_at + limit_s
 
 
-class _NotRun(Exception):
-    """The endpoint provably did not run the request."""
-
-
-class _AnswerLost(Exception):
-    """The request may have run, but its answer did not arrive completely.
-
-    `closed` is true if the endpoint closed the connection.
-    """
-
-    def __init__(self, detail: str, closed: bool) -> None:
-        super().__init__(detail)
-        self.closed = closed
-
-
-@dataclass(slots=True)
-class _Progress:
-    """The state of a request across its attempts.
-
-    `runs` counts the attempts that may have run, and `refusals` those that provably did
-    not. `settled` is true once the outcome of the turn is stored.
-    """
-
-    runs: int = 0
-    refusals: int = 0
-    tokens: int = 0
-    settled: bool = False
-    last_failure: str = ""
-
-
 class Forwarding:
     """The forwarding of one request, in one or several attempts."""
 
@@ -148,7 +90,7 @@
         self.route = route
         self.customer = customer
         self.trace = trace
-        self.progress = _Progress()
+        self.progress = Progress()
         self.binding = StreamBinding(parts.endpoints, request, route)
         is_engine = view.get_service(self.binding.service).engine is not None
         self.choice = EndpointChoice(
@@ -267,13 +209,13 @@
             try:
                 await self._attempt(endpoint, service, prompt)
                 return
-            except _NotRun as error:
+            except NotRun as error:
                 self._record_failure(endpoint, error)
                 self.progress.refusals += 1
                 refused = self.progress.refusals >= MAX_ENDPOINT_REFUSALS
                 if refused or self.parts.reach.cut_off:
                     raise self._build_refusal(Code.NO_ENDPOINT) from error
-            except _AnswerLost as error:
+            except AnswerLost as error:
                 self._record_failure(endpoint, error)
                 self._record_broken(endpoint, error)
                 may_retry = self.progress.runs < self.route.max_attempts
@@ -285,7 +227,7 @@
         self.progress.last_failure = str(error)
         self.trace.failures.append(f"{endpoint.name}: {error}")
 
-    def _record_broken(self, endpoint: ListedEndpoint, error: _AnswerLost) -> None:
+    def _record_broken(self, endpoint: ListedEndpoint, error: AnswerLost) -> None:
         self.trace.fingerprint = self.guard.identify().hex()
         if error.closed and self.trace.sent_at is not None:
             self.guard.record_broken(
@@ -322,7 +264,7 @@
             connection = await parts.upstreams.acquire(endpoint.address, limit)
         except ConnectFailed as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
-            raise _NotRun(str(error)) from error
+            raise NotRun(str(error)) from error
         is_reusable, details = False, None
         parts.balancer.record_start(endpoint.name)
         parts.reach.record_sent()
@@ -346,8 +288,8 @@
             is_reusable = not details.closes
         except ConnectionBroken as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
-            raise _AnswerLost(str(error), error.closed) from error
-        except _NotRun:
+            raise AnswerLost(str(error), error.closed) from error
+        except NotRun:
             is_reusable = details is not None and not details.closes
             raise
         finally:
@@ -429,7 +371,7 @@
         body = await connection.read_body(ANSWER_LIMIT_BYTES)
         if not details.ran:
             self.progress.runs -= 1
-            raise _NotRun(f"answered {head.status}, not run")
+            raise NotRun(f"answered {head.status}, not run")
         self.trace.status = head.status
         self.trace.first_byte_at = self.parts.clock()
         await self.exchange.answer(head.status, self._build_headers(head), body)
--- /dev/null
+++ b/burdockwall/request/forwarding_parts.py
@@ -0,0 +1,37 @@
+"""The components that the forwarding of all requests of a process shares."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from burdockwall.connection.upstream_pools import UpstreamPools
+from burdockwall.process.crashes.client import CrashSuspects
+from burdockwall.process.endpoint_limits.client import EndpointLimits
+from burdockwall.process.endpoint_reach import EndpointReach
+from burdockwall.process.endpoints import EndpointFollower
+from burdockwall.process.limits.gate import Admission
+from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.storage.calls import TurnOutcome, TurnStart
+from burdockwall.process.storage.client import TurnClient
+from burdockwall.request.codec import RequestCodec
+from burdockwall.types import CustomerId
+
+
+@dataclass(slots=True)
+class ForwardingParts:
+    """The components of a process that all forwarded requests share."""
+
+    codec: RequestCodec
+    upstreams: UpstreamPools
+    endpoints: EndpointFollower
+    balancer: Balancer
+    turn_client: TurnClient
+    clock: Callable[[], float]
+    count_instances: Callable[[], int]
+    is_leaving: Callable[[], bool]
+    settle_later: Callable[[TurnStart, TurnOutcome], None]
+    admit: Callable[[CustomerId], Awaitable[Admission]]
+    hedge_delay: HedgeDelay
+    endpoint_limits: EndpointLimits
+    reach: EndpointReach
+    crashes: CrashSuspects
--- a/features/subjects/crash_suspicion.py
+++ b/features/subjects/crash_suspicion.py
@@ -2,7 +2,7 @@
 
 from burdockwall.fakes.network import FakeNetwork
 from burdockwall.machine import Receive, Send, Tick
-from burdockwall.process.crashes.judgement import find_culprits
+from burdockwall.process.crashes.judgement import find_causes
 from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.crashes.suspects import Crash, SuspectTable
 from burdockwall.process.crashes.watch import (
@@ -119,4 +119,4 @@
         for number in crashes:
             at = float(number)
             suspect.add(Crash(EndpointId(f"e-{number}"), 1, at - run_s, at))
-    return {bytes(name) for name in find_culprits(table)}
+    return {bytes(name) for name in find_causes(table)}
