--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -111,3 +111,14 @@
 
   Scenario: Two such requests at once are told from one that ran at crashes of both
     Then two such requests are told from one that ran at crashes of both
+
+  Scenario Outline: On the own interface, a call that crashes its service is refused: <kind>
+    Given a service that crashes on a call
+    When the call comes 4 times, each <kind>, and then another one comes
+    Then the service crashed 3 times
+    And the last deadly call is refused with code 1408, and the other is answered
+
+    Examples:
+      | kind                  |
+      | without a key         |
+      | with a key of its own |
--- a/features/steps/own_crashing_requests_steps.py
+++ b/features/steps/own_crashing_requests_steps.py
@@ -35,3 +35,26 @@
     others = context.crashing.answers[context.deadly :]
     assert len(others) == context.others
     assert all(item.status == 200 for item in others), others
+
+
+@given("a service that crashes on a call")
+def step_service(context):
+    context.crashing = CrashingEngines()
+
+
+@when("the call comes {count:d} times, each {kind}, and then another one comes")
+def step_call(context, count, kind):
+    context.crashing.call(count, unrepeatable=kind == "with a key of its own")
+
+
+@then("the service crashed {count:d} times")
+def step_service_crashes(context, count):
+    assert context.crashing.crashes == count, context.crashing.answers
+
+
+@then("the last deadly call is refused with code {code:d}, and the other is answered")
+def step_last_call(context, code):
+    *_, deadly, other = context.crashing.answers
+    assert (deadly.status, deadly.code) == (422, code), context.crashing.answers
+    assert deadly.retry_after is None, deadly
+    assert other.status == 200, context.crashing.answers
--- a/features/subjects/own_crashing_requests.py
+++ b/features/subjects/own_crashing_requests.py
@@ -5,7 +5,7 @@
 import anyio
 import httpx
 
-from burdockwall.fakes.engine import FakeEngine
+from burdockwall.fakes.engine import FakeEngine, FakeService
 from burdockwall.fakes.proxy import FaultyProxy
 from burdockwall.fakes.site import Site, SitePlan
 from burdockwall.settings import Settings
@@ -13,6 +13,8 @@
 
 ENGINES = 6
 DOWN_S = 0.5
+# The only service crashes each time, so its crashes must lie apart to count.
+BETWEEN_CALLS_S = 2.5
 DEADLY = "deadly question"
 HARMLESS = "harmless question"
 
@@ -38,8 +40,13 @@
         self.crashes = 0
         self.answers: list[OwnAnswer] = []
 
-    def _arm(self, group: anyio.abc.TaskGroup, engine: FakeEngine, proxy) -> None:
-        """Let an engine's listener go down when the engine crashes."""
+    def _arm(
+        self,
+        group: anyio.abc.TaskGroup,
+        endpoint: FakeEngine | FakeService,
+        proxy: FaultyProxy,
+    ) -> None:
+        """Let an endpoint's listener go down when the endpoint crashes."""
         current = proxy
 
         def crash() -> None:
@@ -53,7 +60,38 @@
             current = FaultyProxy(current.address, current.target)
             await current.run()
 
-        engine.crash = crash
+        endpoint.crash = crash
+
+    async def _call(
+        self, client: httpx.AsyncClient, body: str, key: str = ""
+    ) -> OwnAnswer:
+        """Call the service, on the unrepeatable route if a key is given."""
+        headers = {"authorization": f"Bearer {self.path.key}"}
+        if key:
+            headers["idempotency-key"] = key
+        path = "/filings" if key else "/stock"
+        answer = await client.post(path, headers=headers, content=body, timeout=20)
+        code = None
+        if answer.status_code != 200:
+            code = answer.json()["error"]["code"]
+        return OwnAnswer(answer.status_code, code, answer.headers.get("retry-after"))
+
+    def call(self, deadly: int, unrepeatable: bool) -> None:
+        """Call the service with a deadly body some times, and then with another."""
+
+        async def act(site: Site, client: httpx.AsyncClient) -> None:
+            site.service.crashes_on = DEADLY.encode()
+            async with anyio.create_task_group() as group:
+                self._arm(group, site.service, site.proxies[-1])
+                for number in range(deadly):
+                    key = f"key-{number}" if unrepeatable else ""
+                    self.answers.append(await self._call(client, DEADLY, key))
+                    await anyio.sleep(BETWEEN_CALLS_S)
+                key = "key-harmless" if unrepeatable else ""
+                self.answers.append(await self._call(client, HARMLESS, key))
+                group.cancel_scope.cancel()
+
+        self.path.run(act)
 
     async def _ask(self, client: httpx.AsyncClient, question: str) -> OwnAnswer:
         """Ask a question in a program of its own."""
