Keep a leader down for an election in upgrades run by hand

A trial with the control logs: a leader that is back within 0.7 s is elected again, so restarts never moved the lead; a new control instance leads beside two old ones as soon as it is the one that comes back. Change: it stays down for 3 s.

--- a/features/subjects/mixed_builds.py
+++ b/features/subjects/mixed_builds.py
@@ -24,6 +24,7 @@
 READY_LIMIT_S = 40.0
 CALL_INTERVAL_S = 0.1
 CONTACT_S = 3.0
+ELECTION_S = 3.0
 DEADLY = b"deadly"
 SETTINGS = """[instance]
 id = {host}:{port}
@@ -172,8 +173,10 @@
         instance.started_at = time.monotonic()
         instance.build = build
 
-    async def replace(self, instance: Instance, build: str) -> None:
-        """Stop an instance as planned, and start it with a build."""
+    async def replace(
+        self, instance: Instance, build: str, down_s: float = 0.0
+    ) -> None:
+        """Stop an instance as planned, and start it with a build after a while."""
         process = instance.process
         assert process is not None
         process.terminate()
@@ -183,6 +186,7 @@
         if process.poll() is None:
             process.kill()
             process.wait()
+        await anyio.sleep(down_s)
         self.start(instance, build)
 
     def close(self) -> None:
@@ -211,8 +215,9 @@
             if leader is not None and leader.build == build:
                 return True
             if leader is not None:
-                await self.replace(leader, leader.build)
-            await anyio.sleep(3.0)
+                # One that is back sooner is elected again.
+                await self.replace(leader, leader.build, ELECTION_S)
+            await anyio.sleep(ELECTION_S)
         return False
 
     # Load.
