Give callers every instance of their failure domain

Change: the directory's answer lists all live instances of the caller's failure domain, at most 64, and others only where the domain has fewer than three. Deployments of up to three entry instances a domain are served as before.

--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -16,7 +16,7 @@
 from burdockwall.platform.failure import encode_failure
 from burdockwall.process.control.documents import Documents
 from burdockwall.process.control_node import ControlNode, find_store
-from burdockwall.process.resolver import resolve_addresses
+from burdockwall.process.resolver import resolve_domain
 from burdockwall.types import FailureDomain, OperatorId
 from burdockwall.version.deployment import DEPLOYMENT
 
@@ -131,7 +131,7 @@
         query = dict(exchange.list_query())
         failure_domain = FailureDomain(query.get("zone", ""))
         members = self.node.member.membership.list_members()
-        resolution = resolve_addresses(members, failure_domain, "", self.ttl_s)
+        resolution = resolve_domain(members, failure_domain, self.ttl_s)
         addresses = [item.address for item in resolution.addresses]
         if exchange.path != names.RESOLVE_PATH or not addresses:
             await exchange.answer(404 if addresses else 503, JSON_HEADERS, b"{}")
--- a/burdockwall/process/resolver.py
+++ b/burdockwall/process/resolver.py
@@ -1,6 +1,7 @@
 """The addresses that callers should use, those in the nearest failure domain first."""
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -8,6 +9,10 @@
 from burdockwall.types import Address, EndpointState, FailureDomain, InstanceId
 
 ADDRESSES_LIMIT = 3
+# A directory answer has at least this many addresses, so that a caller whose failure
+# domain has few instances has others to try.
+DIRECTORY_MIN_ADDRESSES = 3
+DIRECTORY_MAX_ADDRESSES = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,27 @@
     Those in the preferred failure domain come first, then others of its region. Leaving
     instances are not given out; suspected ones only if none is live.
     """
+    order = _sort_by_distance(members, preferred_domain, caller)
+    return _build_resolution(order[:ADDRESSES_LIMIT], ttl_s)
+
+
+def resolve_domain(
+    members: list[EntryInstance], preferred_domain: FailureDomain, ttl_s: float
+) -> Resolution:
+    """List every instance of a failure domain, for callers that choose at random.
+
+    Made for dozens of instances in a failure domain: given only some of them, all
+    callers of the domain would share these and leave the others idle.
+    """
+    order = _sort_by_distance(members, preferred_domain, "")
+    near = [item for item in order if item.failure_domain == preferred_domain]
+    count = max(DIRECTORY_MIN_ADDRESSES, len(near))
+    return _build_resolution(order[: min(count, DIRECTORY_MAX_ADDRESSES)], ttl_s)
+
+
+def _sort_by_distance(
+    members: list[EntryInstance], preferred_domain: FailureDomain, caller: str
+) -> list[EntryInstance]:
     live = [item for item in members if item.state is EndpointState.LIVE]
     if not live:
         suspected = EndpointState.SUSPECTED
@@ -57,7 +83,7 @@
     regions = {
         item.region for item in members if item.failure_domain == preferred_domain
     }
-    order = sorted(
+    return sorted(
         live,
         key=lambda item: (
             item.failure_domain != preferred_domain,
@@ -65,8 +91,8 @@
             _hash_for_caller(caller, item),
         ),
     )
-    addresses = [
-        ResolvedAddress(item.address, item.failure_domain)
-        for item in order[:ADDRESSES_LIMIT]
-    ]
+
+
+def _build_resolution(members: Iterable[EntryInstance], ttl_s: float) -> Resolution:
+    addresses = [ResolvedAddress(item.address, item.failure_domain) for item in members]
     return Resolution(addresses, ttl_s)
