Let stores beyond what a group needs stand by

Change: a group has 2f + 2 members, chosen evenly over failure domains; the others stand by and replace a member that is silent for 2 s or is to be emptied. The check that ten stores form one group of ten is replaced: six of them do, the loss of a failure domain leaves a quorum, and a standby replaces a store that stays away and none that only restarts.

--- a/burdockwall/process/storage/store_planner.py
+++ b/burdockwall/process/storage/store_planner.py
@@ -1,11 +1,17 @@
-"""The planner of store views, which changes one store at a time."""
+"""The planner of store views, which changes one store at a time.
 
+Made for many turns, each of which costs a message to every store of its group: a group
+has one store more than it needs, and the others stand by. A standby holds no records
+until it replaces a member.
+"""
+
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from burdockwall.process.membership.messages import MemberEntry
 from burdockwall.process.storage.view import StoreMember, StoreView
-from burdockwall.types import EndpointState, InstanceId, Role
+from burdockwall.types import EndpointState, FailureDomain, InstanceId, Role
 
 # The first view is formed this long after the first store at the earliest, and once no
 # store has come for a while: the number of groups depends on it and never changes.
@@ -13,6 +19,9 @@
 FIRST_VIEW_SETTLE_S = 1.0
 FIRST_VIEW_LIMIT_S = 6.0
 REMOVE_SILENCE_S = 5.0
+# A standby replaces a member that is silent for longer than a restart takes, and before
+# the member is removed, so that the group has copies to spare again soon.
+STANDBY_SILENCE_S = 2.0
 CHANGE_INTERVAL_S = 1.0
 
 
@@ -41,6 +50,8 @@
 
     def __init__(self, tolerated_losses: int) -> None:
         self.min_stores = 2 * tolerated_losses + 1
+        # With a store to spare, a group can have one emptied.
+        self.group_size = self.min_stores + 1
         self._observed_since: float | None = None
         self._last_live_at: dict[InstanceId, float] = {}
         self._latest_store_at = float("-inf")
@@ -87,14 +98,46 @@
         if not view.members:
             first = self._form_groups(event, wanted, number)
             return ProposeView(first, "first stores")
-        for instance in wanted:
-            if view.find(instance) is None:
-                group = _find_smallest_group(view, live)
-                member = StoreMember(instance, number, group)
-                added = StoreView(number, (*view.members, member), view.groups)
-                return ProposeView(added, f"added {instance}")
+        group = self._find_smallest_group(event, now)
+        lacks_store = self._count_present(event, now)[group] < self.group_size
+        standby = self._choose_standby(event, wanted, group)
+        if lacks_store and standby is not None:
+            member = StoreMember(standby, number, group)
+            added = StoreView(number, (*view.members, member), view.groups)
+            return ProposeView(added, f"added {standby}")
         return self._plan_removal(event, live, now)
 
+    def _find_smallest_group(self, event: ObserveStores, now: float) -> int:
+        """Return the group with the fewest present stores."""
+        present = self._count_present(event, now)
+        return present.index(min(present))
+
+    def _count_present(self, event: ObserveStores, now: float) -> list[int]:
+        """Count the stores of each group that are neither silent nor being emptied."""
+        present = [0] * event.view.groups
+        for member in event.view.members:
+            last_live_at = self._last_live_at.get(member.instance, now)
+            silent = now - last_live_at >= STANDBY_SILENCE_S
+            leaves = member.instance in event.leaving
+            present[member.group] += not silent and not leaves
+        return present
+
+    def _choose_standby(
+        self, event: ObserveStores, wanted: list[InstanceId], group: int
+    ) -> InstanceId | None:
+        """Return the store to add to a group that lacks one, or None.
+
+        One from a failure domain of which the group has few stores comes first.
+        """
+        view = event.view
+        standbys = [instance for instance in wanted if view.find(instance) is None]
+        members = view.select_group(group).instances
+        if not standbys:
+            return None
+        domains = _map_domains(event.members)
+        counts = Counter(domains[item] for item in members if item in domains)
+        return min(standbys, key=lambda item: (counts[domains[item]], item))
+
     def _form_groups(
         self, event: ObserveStores, wanted: list[InstanceId], number: int
     ) -> StoreView:
@@ -102,12 +145,10 @@
 
         Each group has a store more than it needs, so that one may be emptied.
         """
-        groups = max(1, len(wanted) // (self.min_stores + 1))
-        domains = {
-            entry.details.instance: entry.details.failure_domain
-            for entry in event.members
-        }
-        ordered = sorted(wanted, key=lambda instance: (domains[instance], instance))
+        groups = max(1, len(wanted) // self.group_size)
+        domains = _map_domains(event.members)
+        chosen = _choose_spread(wanted, domains, groups * self.group_size)
+        ordered = sorted(chosen, key=lambda instance: (domains[instance], instance))
         members = tuple(
             StoreMember(instance, number, index % groups)
             for index, instance in enumerate(ordered)
@@ -132,12 +173,21 @@
         return None
 
 
-def _find_smallest_group(view: StoreView, live: list[InstanceId]) -> int:
-    """Return the group with the fewest live stores."""
-    sizes = [0] * view.groups
-    for member in view.members:
-        sizes[member.group] += member.instance in live
-    return sizes.index(min(sizes))
+def _map_domains(members: Iterable[MemberEntry]) -> dict[InstanceId, FailureDomain]:
+    return {entry.details.instance: entry.details.failure_domain for entry in members}
+
+
+def _choose_spread(
+    instances: list[InstanceId], domains: dict[InstanceId, FailureDomain], count: int
+) -> list[InstanceId]:
+    """Choose up to a number of stores, as evenly over failure domains as possible."""
+    taken: Counter[FailureDomain] = Counter()
+    ranked = []
+    for instance in sorted(instances):
+        domain = domains[instance]
+        ranked.append((taken[domain], domain, instance))
+        taken[domain] += 1
+    return [instance for _, _, instance in sorted(ranked)[:count]]
 
 
 def count_remaining(
--- a/features/steps/storage_groups_steps.py
+++ b/features/steps/storage_groups_steps.py
@@ -23,7 +23,7 @@
     PlannedFleet,
 )
 
-ORDINALS = {"third": 2}
+ORDINALS = {"first": 0, "third": 2}
 
 
 @then("{count:d} stores hold records of turns")
@@ -120,6 +120,38 @@
     assert context.fleet.count_remaining(first) == least
 
 
+@then("without any one failure domain a quorum of each group is left")
+def step_domain_lost(context):
+    fleet = context.fleet
+    for group in range(fleet.view.groups):
+        view = fleet.view.select_group(group)
+        for domain in range(fleet.domains):
+            left = fleet.count_outside(view, domain)
+            assert left >= max(view.write_quorum, view.read_quorum), (domain, view)
+
+
+@when("a store of the {ordinal} group is away for {seconds:g} s")
+def step_away(context, ordinal, seconds):
+    context.fleet.interrupt_store(ORDINALS[ordinal], seconds)
+
+
+@when("a store of the {ordinal} group is to be emptied")
+def step_empty_member(context, ordinal):
+    context.emptied = context.fleet.empty_store(ORDINALS[ordinal])
+
+
+@then("the {ordinal} group has {count:d} stores")
+def step_group_size(context, ordinal, count):
+    members = context.fleet.view.select_group(ORDINALS[ordinal]).members
+    assert len(members) == count, members
+
+
+@then("it is no longer in the view, and the {ordinal} group has {count:d} stores")
+def step_emptied(context, ordinal, count):
+    assert context.fleet.view.find(context.emptied) is None
+    step_group_size(context, ordinal, count)
+
+
 @when("a store of the {ordinal} group is gone and a new store comes")
 def step_replace(context, ordinal):
     context.added = context.fleet.replace_store(ORDINALS[ordinal])
--- a/features/storage_groups.feature
+++ b/features/storage_groups.feature
@@ -53,15 +53,39 @@
     Given 24 stores that come 0.2 s apart to a fleet that tolerates 2 losses
     Then the first view has 4 groups of 6 stores, each in 5 failure domains
 
-  Scenario Outline: A small fleet has one group
+  Scenario Outline: A small fleet has one group, and the stores beyond its need stand by
     Given <stores> stores in 3 failure domains of a fleet that tolerates <losses> losses
-    Then the first view has 1 group of <stores> stores, each in 3 failure domains
+    Then the first view has 1 group of <members> stores, each in 3 failure domains
 
     Examples:
-      | stores | losses |
-      | 3      | 1      |
-      | 4      | 1      |
-      | 10     | 2      |
+      | stores | losses | members |
+      | 3      | 1      | 3       |
+      | 4      | 1      | 4       |
+      | 5      | 2      | 5       |
+      | 9      | 2      | 6       |
+      | 10     | 2      | 6       |
+
+  Scenario Outline: The loss of a failure domain leaves a quorum of the chosen stores
+    Given <stores> stores in 3 failure domains of a fleet that tolerates 2 losses
+    Then without any one failure domain a quorum of each group is left
+
+    Examples:
+      | stores |
+      | 9      |
+      | 10     |
+
+  Scenario: A standby replaces a store that stays away, and none that only restarts
+    Given 9 stores in 3 failure domains of a fleet that tolerates 2 losses
+    When a store of the first group is away for 1 s
+    Then the first group has 6 stores
+    When a store of the first group is away for 4 s
+    Then the first group has 7 stores
+    And the view changes one store at a time
+
+  Scenario: A standby takes the place of a store that is to be emptied
+    Given 9 stores in 3 failure domains of a fleet that tolerates 2 losses
+    When a store of the first group is to be emptied
+    Then it is no longer in the view, and the first group has 6 stores
 
   Scenario: A new store joins the group with the fewest live stores
     Given 24 stores in 5 failure domains of a fleet that tolerates 2 losses
--- a/features/subjects/storage_groups.py
+++ b/features/subjects/storage_groups.py
@@ -53,6 +53,7 @@
         self.planner = StorePlanner(losses)
         self.domains = domains
         self.entries: list[MemberEntry] = []
+        self.leaving: frozenset[InstanceId] = frozenset()
         self.views: list[StoreView] = []
         self.now = 0.0
         for number in range(stores):
@@ -70,7 +71,7 @@
         """Let the leader observe the stores for a while."""
         until = self.now + seconds
         while self.now < until:
-            observed = ObserveStores(tuple(self.entries), self.view)
+            observed = ObserveStores(tuple(self.entries), self.view, self.leaving)
             for proposed in self.planner.handle(observed, self.now):
                 self.views.append(proposed.view)
             self.now += PLAN_STEP_S
@@ -87,6 +88,31 @@
         assert self.view.find(failed) is None
         return added.details.instance
 
+    def interrupt_store(self, group: int, seconds: float) -> None:
+        """Let a store of a group be away for a while, and run until views settle."""
+        name = self.view.select_group(group).instances[0]
+        away = [entry for entry in self.entries if entry.details.instance == name]
+        self.entries.remove(away[0])
+        self.run(seconds)
+        self.entries += away
+        self.run(5.0)
+
+    def empty_store(self, group: int) -> InstanceId:
+        """Let a store of a group be emptied, and return its name."""
+        name = self.view.select_group(group).instances[0]
+        self.leaving = frozenset({name})
+        self.run(5.0)
+        return name
+
+    def count_outside(self, view: StoreView, domain: int) -> int:
+        """Count the stores of a view that are not in a failure domain."""
+        lost = FailureDomain(f"d{domain}")
+        return sum(
+            entry.details.failure_domain != lost
+            for entry in self.entries
+            if entry.details.instance in view.instances
+        )
+
     def count_remaining(self, instance: InstanceId) -> int:
         """Count the stores that remain in the group of a store without it."""
         return count_remaining(self.entries, self.view, frozenset(), instance)
