Read the regions of all failure domains from the settings

Cause: an order to evacuate a domain must be checked against the domains that exist, and routes may be restricted to regions. The settings named only the instance's own. Change: [instance] regions, a list of domain=region (Settings.regions), is empty by default.

--- a/burdockwall/options/option.py
+++ b/burdockwall/options/option.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from burdockwall.types import Address, InstanceId, Role
+from burdockwall.types import Address, FailureDomain, InstanceId, Role
 
 
 class Kind(Enum):
@@ -22,6 +22,7 @@
     NAMES = "names"
     PEERS = "name=host:port list"
     ADDRESSES = "host:port list"
+    REGIONS = "domain=region list"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +78,16 @@
     return peers
 
 
+def _convert_regions(text: str) -> dict[FailureDomain, str]:
+    regions = {}
+    for item in text.split():
+        domain, separator, region = item.partition("=")
+        if not separator or not domain or not region:
+            raise ValueError(f"has {item!r}, which is not domain=region")
+        regions[FailureDomain(domain)] = region
+    return regions
+
+
 def _convert_choice(option: Option, text: str) -> Any:
     if text not in option.choices:
         raise ValueError(f"is not one of {', '.join(option.choices)}")
@@ -101,6 +112,7 @@
         Kind.ADDRESS: _convert_address,
         Kind.NAMES: lambda value: [InstanceId(name) for name in value.split()],
         Kind.PEERS: _convert_peers,
+        Kind.REGIONS: _convert_regions,
         Kind.ADDRESSES: lambda value: [
             _convert_address(item) for item in value.split()
         ],
--- a/burdockwall/options/process.py
+++ b/burdockwall/options/process.py
@@ -58,6 +58,14 @@
         "Failure domain in which this instance runs.",
     ),
     Option("instance", "region", "region", Kind.TEXT, "", "Region of this instance."),
+    Option(
+        "instance",
+        "regions",
+        "regions",
+        Kind.REGIONS,
+        "",
+        "Every failure domain of the deployment, with its region.",
+    ),
     Option(
         "instance",
         "data_folder",
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -20,6 +20,7 @@
     role: Role = Role.BOTH
     failure_domain: FailureDomain = FailureDomain("a")
     region: str = "region-1"
+    regions: dict[FailureDomain, str] = field(default_factory=dict)
     data_folder: Path | None = None
     store_limit_bytes: int = 134_217_728
     caller_address: Address = Address("127.0.0.1:8080")
