Lose neither of two orders at once that empty stores

Cause: ControlNode.start_emptying read the document, changed it and put it under the next number without checking that its own data was stored. Of two orders at once, both were acknowledged and one was dropped, since a put whose number is taken changes nothing. Change: Documents.revise compares what the version of the outcome stored with what was sent, and starts again from the later document if another change came first.

--- a/burdockwall/process/control/documents.py
+++ b/burdockwall/process/control/documents.py
@@ -1,15 +1,21 @@
 """Store and read numbered documents in the control state."""
 
 import hashlib
+from collections.abc import Callable
 
 import logbook
 
+from burdockwall.errors import Code, OperatorError, find_code
 from burdockwall.process.control.changes import Document
-from burdockwall.process.control.commands import PutDocument
+from burdockwall.process.control.commands import Outcome, PutDocument
 from burdockwall.process.control.service import ControlService
-from burdockwall.types import Address, DocumentName, OperatorId
+from burdockwall.process.control.state import NO_CREDENTIAL
+from burdockwall.types import Address, DocumentName, KeyDigest, OperatorId, Version
 
 DIGEST_BYTES = 8
+# Up to eight operators' orders come at once and each wins once; the leader's own
+# proposals take some numbers too.
+MAX_REVISIONS = 16
 
 
 class Documents:
@@ -39,6 +45,51 @@
             },
         )
 
+    async def revise(
+        self,
+        name: DocumentName,
+        revise: Callable[[Document | None], bytes | None],
+        operator: OperatorId,
+        credential: KeyDigest = NO_CREDENTIAL,
+    ) -> bool:
+        """Replace a document by what `revise` makes of it; return whether it did.
+
+        If another change of the document comes first, `revise` is called again with
+        the result of that. None means that nothing need be changed. Raise
+        OperatorError if the change was refused or its outcome is unknown.
+        """
+        for _ in range(MAX_REVISIONS):
+            document = await self.read(name)
+            data = revise(document)
+            if data is None:
+                return False
+            number = 1 + (document.number if document is not None else 0)
+            command = create_put(name, number, data, operator)
+            outcome = await self.control.run_command(command, credential)
+            if outcome.code:
+                raise OperatorError(find_code(outcome.code), outcome.detail)
+            if self._has_stored(command, outcome):
+                return True
+            extra = {"document": name, "number": number}
+            self._logger.info("document changed by another", extra=extra)
+        detail = f"{MAX_REVISIONS} other changes of {name} came first"
+        raise OperatorError(Code.CHANGE_UNKNOWN, detail)
+
+    def _has_stored(self, command: PutDocument, outcome: Outcome) -> bool:
+        """Return whether the version of an outcome stored the document.
+
+        The outcome of a put whose number is taken has the version of a later change.
+        """
+        changes = self.control.state.changes_since(Version(outcome.version - 1))
+        if not changes:
+            return False
+        document = Document(command.number, command.data)
+        return changes[0].documents.get(command.name) == document
+
+    def find(self, name: DocumentName) -> Document | None:
+        """Return the document that is applied on this instance, or None."""
+        return self.control.state.documents.get(name)
+
     async def read(self, name: DocumentName) -> Document | None:
         """Return the latest document, or raise OperatorError if it is not confirmed."""
         await self.control.confirm_read()
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -9,6 +9,7 @@
 import logbook
 
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.changes import Document
 from burdockwall.process.control.documents import Documents, create_put
 from burdockwall.process.control.events import ReplicaRole
 from burdockwall.process.control.files import StorageError
@@ -51,7 +52,13 @@
 )
 from burdockwall.process.web import Serve, serve_address
 from burdockwall.settings import Settings
-from burdockwall.types import DocumentName, EndpointState, InstanceId, OperatorId, Role
+from burdockwall.types import (
+    DocumentName,
+    EndpointState,
+    InstanceId,
+    OperatorId,
+    Role,
+)
 from burdockwall.version.deployment import DEPLOYMENT, Deployment
 
 LIST_INTERVAL_S = 1.0
@@ -200,10 +207,18 @@
 
     async def start_emptying(self, instance: InstanceId) -> None:
         """Start to empty a store; raise OperatorError if too few would remain."""
-        await self.control.confirm_read()
-        emptying = self.get_emptying()
-        if instance in emptying.instances:
-            return
+
+        def revise(document: Document | None) -> bytes | None:
+            emptying = self.get_emptying()
+            if instance in emptying.instances:
+                return None
+            return encode_emptying(self._add_emptying(emptying, instance))
+
+        await self.documents.revise(EMPTYING, revise, SYSTEM)
+
+    def _add_emptying(
+        self, emptying: EmptyingStores, instance: InstanceId
+    ) -> EmptyingStores:
         view = self.get_view()
         remaining = count_remaining(
             self.member.membership.list_all_members(),
@@ -217,15 +232,12 @@
             raise OperatorError(Code.STORES_TOO_FEW, detail)
         member = view.find(instance)
         groups = {} if member is None else {instance: member.group}
-        updated = EmptyingStores(
+        return EmptyingStores(
             emptying.number + 1,
             (*emptying.running, instance),
             emptying.completed,
             emptying.groups | groups,
         )
-        await self.documents.put(
-            EMPTYING, updated.number, encode_emptying(updated), SYSTEM
-        )
 
     async def is_emptied(self, instance: InstanceId) -> bool | None:
         """Return whether a store is empty; None if emptying it was not requested."""
