Evacuate a failure domain by an operator's order on the platform

Cause: operators could not keep requests from the endpoints of a failure domain. Change: POST /api/evacuate/ZONE/start and .../end revise the document `evacuations`, which holds per domain since when and by whom it is evacuated, and when the last evacuation ended. Entry instances leave out the endpoints of evacuated domains for every attempt, check again just before a request is sent, and refuse with 1401 and a retry time of 1 s if none is left. Code 2021 refuses an order for an unknown domain. Gauge evacuated_domains, log lines "evacuation started", "evacuation ended", "domain evacuated" and "domain in use again".

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -239,6 +239,9 @@
         2019, 400, Ran.NOT_RUN, Retry.NEVER, "Hardly a line is a log line."
     )
     NOT_LOGGED = CodeRow(2020, 404, Ran.NOT_RUN, Retry.NEVER, "No log line names it.")
+    DOMAIN_UNKNOWN = CodeRow(
+        2021, 404, Ran.NOT_RUN, Retry.NEVER, "No such failure domain."
+    )
     # Files under the data folder.
     JOURNAL_DAMAGED = CodeRow(
         2101, 500, Ran.NOT_RUN, Retry.NEVER, "The journal fails its checksum."
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -70,6 +70,8 @@
             await self._get_configuration(exchange)
         elif exchange.path.startswith(names.RETIRE_PREFIX):
             await self._serve_retire(exchange)
+        elif exchange.path.startswith(names.EVACUATE_PREFIX):
+            await self._serve_evacuate(exchange)
         else:
             raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {exchange.path}")
 
@@ -105,6 +107,20 @@
             case _:
                 raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {action}")
 
+    async def _serve_evacuate(self, exchange: Exchange) -> None:
+        path = exchange.path.removeprefix(names.EVACUATE_PREFIX)
+        zone, _, action = path.rpartition("/")
+        await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
+        orders = self.node.evacuation_orders
+        match (exchange.method, action):
+            case ("POST", "start"):
+                await orders.start(FailureDomain(zone), OPERATOR)
+            case ("POST", "end"):
+                await orders.end(FailureDomain(zone), OPERATOR)
+            case _:
+                raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {action}")
+        await exchange.answer(200, JSON_HEADERS, b"{}")
+
     async def _refuse(self, exchange: Exchange, error: BurdockwallError) -> None:
         leader = self.documents.find_leader_address()
         if error.code is Code.NOT_LEADER and leader is not None:
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -44,6 +44,7 @@
 CONFIG_PUT_PATH = "/api/config/put"
 CONFIG_GET_PATH = "/api/config/get"
 RETIRE_PREFIX = "/api/retire/"
+EVACUATE_PREFIX = "/api/evacuate/"
 LIST_PATH = "/instances"
 
 SETTINGS_VARIABLE = "BURDOCKWALL_CONFIG"
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -24,6 +24,7 @@
     PublishEndpoints,
     mark_limited,
 )
+from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.limits.fallback import FALLBACK_SILENCE_S, InstanceCount
 from burdockwall.process.limits.leader import LeaderLimits
 from burdockwall.process.member import FleetMember
@@ -55,6 +56,7 @@
 from burdockwall.types import (
     DocumentName,
     EndpointState,
+    FailureDomain,
     InstanceId,
     OperatorId,
     Role,
@@ -106,6 +108,9 @@
         self._installed_limits = (0, 0, 0)
         self._instances = InstanceCount(self._count_entry_members, host.clock)
         self.documents = Documents(self.control)
+        self.evacuation_orders = EvacuationOrders(
+            self.documents, self._find_domain, time.time
+        )
         self.publisher = EndpointPublisher()
         self.store_planner = StorePlanner(settings.tolerated_losses)
         self.emptying_planner = EmptyingPlanner()
@@ -124,6 +129,10 @@
 
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
+        self.member.gauges.add(
+            "evacuated_domains",
+            lambda: float(len(self.evacuation_orders.get_evacuations().domains)),
+        )
 
     def _install(self, replica: StateReplica) -> None:
         """Do nothing, since a control instance reads its own replica."""
@@ -247,6 +256,19 @@
             return None
         return instance in emptying.completed
 
+    def _find_domain(self, domain: FailureDomain) -> bool | None:
+        membership = self.member.membership
+        endpoints = self._endpoint_list
+        known = [
+            *self.settings.regions,
+            *(
+                entry.details.failure_domain
+                for entry in (*membership.members, *membership.list_all_members())
+            ),
+            *(endpoint.failure_domain for endpoint in endpoints or ()),
+        ]
+        return find_in(domain, known, complete=endpoints is not None)
+
     def _propose_view(self, proposed: ProposeView) -> None:
         view = proposed.view
         self._logger.notice(
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.evacuation.follower import EvacuationFollower
 from burdockwall.types import (
     Address,
     EndpointId,
@@ -166,6 +167,7 @@
         # The addresses of endpoints that are not leaving, by service.
         self.addresses: tuple[tuple[Address, ...], ...] = ()
         self._announced = LeavingEndpoints()
+        self.evacuation = EvacuationFollower()
         self._sole_versions: dict[ServiceName, _SoleVersion] = {}
 
     def handle(self, event: Tick | Receive, now: float) -> list[Send]:
@@ -233,9 +235,26 @@
 
     def list_accepting(self, service: ServiceName) -> list[ListedEndpoint]:
         """List the endpoints of a service that take new work."""
+        listed = self._list_not_leaving(service)
+        if not self.evacuation.evacuations.domains:
+            return listed
+        return [item for item in listed if not self.is_evacuated(item)]
+
+    def _list_not_leaving(self, service: ServiceName) -> list[ListedEndpoint]:
         listed = self._by_service.get(service, [])
         return [item for item in listed if not self._announced.includes(item)]
 
+    def is_evacuated(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether an operator has ordered to send nothing to an endpoint."""
+        return self.evacuation.includes(endpoint.failure_domain)
+
+    def list_evacuated(self, service: ServiceName) -> list[ListedEndpoint]:
+        """List the endpoints of a service that only an evacuation keeps from work."""
+        if not self.evacuation.evacuations.domains:
+            return []
+        listed = self._list_not_leaving(service)
+        return [item for item in listed if self.is_evacuated(item)]
+
     def list_names(self) -> set[EndpointId]:
         """List the names of all endpoints, leaving ones included."""
         return self._names
--- /dev/null
+++ b/burdockwall/process/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of failure domains by operators."""
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -160,6 +160,7 @@
         gauges.add("crash_suspects", lambda: float(len(self.crashes.watch.table)))
         gauges.add("crash_refusals", lambda: float(self.crashes.refused_count))
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
+        gauges.add("evacuated_domains", self.endpoints.evacuation.count)
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _list_live_instances(self) -> tuple[InstanceId, ...]:
@@ -181,6 +182,7 @@
     # Configurations.
 
     def _install(self, replica: StateReplica) -> None:
+        self.endpoints.evacuation.install(replica.documents)
         stores = replica.documents.get(STORE_VIEW)
         if stores is not None:
             self.turn_client.install_view(decode_view(stores.data))
--- a/burdockwall/request/endpoint_choice.py
+++ b/burdockwall/request/endpoint_choice.py
@@ -11,6 +11,8 @@
 
 # One request asks for permits of at most this many endpoints.
 MAX_PERMIT_ASKS = 3
+# An endpoint in another failure domain can be listed after one interval of the list.
+EVACUATED_RETRY_S = 1.0
 
 
 class NoEndpoint(Exception):
@@ -81,10 +83,16 @@
         raise self._explain()
 
     def check(self) -> None:
-        """Raise NoEndpoint if the limits of all endpoints are known to be reached."""
+        """Raise NoEndpoint if all endpoints are evacuated or their limits reached."""
+        self.check_evacuated()
         if self.binding.list_endpoints() and not self._list_permitted():
             raise self._explain()
 
+    def check_evacuated(self) -> None:
+        """Raise NoEndpoint if evacuations leave no endpoint."""
+        if self.binding.is_evacuated():
+            raise self._explain()
+
     def _explain(self) -> NoEndpoint:
         limited = [
             item.name
@@ -97,5 +105,8 @@
             return NoEndpoint(Code.ENDPOINTS_LIMITED, detail, retry_s)
         bound = self.binding.software is not None
         code = Code.RESUME_UNAVAILABLE if bound else Code.NO_ENDPOINT
+        if self.binding.is_evacuated():
+            detail = f"every {self.binding.describe_endpoints()} is evacuated"
+            return NoEndpoint(code, detail, EVACUATED_RETRY_S)
         detail = "" if self.excluded else f"no {self.binding.describe_endpoints()}"
         return NoEndpoint(code, detail)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -5,6 +5,7 @@
 before the end of its answer is sent.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
@@ -130,7 +131,7 @@
     async def _run_request(self) -> None:
         self.guard.check()
         if self.binding.resumption is None:
-            self._check_limits()
+            self._check_limits(self.choice.check)
         start = self._describe_turn()
         if start is None:
             await self._admit()
@@ -142,6 +143,7 @@
             chain = await self.parts.turn_client.begin(start)
             if self.binding.resumption is not None:
                 self.binding.resume(chain.place, self.parts.clock())
+                self._check_limits(self.choice.check_evacuated)
             links = [link.prompt + link.answer for link in chain.links]
             self.body = b"".join([*links, prompt])
             if chain.other_group:
@@ -157,10 +159,10 @@
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
-    def _check_limits(self) -> None:
-        """Refuse a request at once that no endpoint's own limit allows now."""
+    def _check_limits(self, check: Callable[[], None]) -> None:
+        """Refuse a request at once that no endpoint may be sent now."""
         try:
-            self.choice.check()
+            check()
         except NoEndpoint as error:
             raise self._refuse_unplaced(error) from error
 
@@ -271,6 +273,7 @@
         self.trace.endpoint = endpoint.name
         self.trace.software = endpoint.software
         try:
+            self._check_evacuated(endpoint)
             head = await self._send_with_timeout(connection, endpoint)
             parts.reach.record_heard()
             details = parts.codec.read_answer(head)
@@ -303,6 +306,14 @@
                     details.idle_s if details else None,
                 )
 
+    def _check_evacuated(self, endpoint: ListedEndpoint) -> None:
+        """Raise NotRun if the order came after the endpoint was chosen.
+
+        Permits, the record of a stream and connecting take time in between.
+        """
+        if self.parts.endpoints.is_evacuated(endpoint):
+            raise NotRun(f"{endpoint.failure_domain} was evacuated")
+
     def _record_leaving(self, endpoint: ListedEndpoint) -> None:
         if self.parts.endpoints.record_leaving(endpoint):
             extra = {"endpoint": endpoint.name, "request": self.request.request}
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -136,10 +136,17 @@
 
     def list_endpoints(self) -> list[ListedEndpoint]:
         """List the endpoints that accept the request."""
-        accepting = self.endpoints.list_accepting(self.service)
+        return self._select(self.endpoints.list_accepting(self.service))
+
+    def _select(self, endpoints: list[ListedEndpoint]) -> list[ListedEndpoint]:
         if self.software is None:
-            return accepting
-        return [item for item in accepting if item.software == self.software]
+            return endpoints
+        return [item for item in endpoints if item.software == self.software]
+
+    def is_evacuated(self) -> bool:
+        """Return whether evacuations leave the request no endpoint."""
+        evacuated = self._select(self.endpoints.list_evacuated(self.service))
+        return bool(evacuated) and not self.list_endpoints()
 
     def describe_endpoints(self) -> str:
         """Describe the endpoints that could accept the request."""
