Await a slow answer where no other endpoint is left

Cause: an attempt that took longer than its route's hedge delay was given up for another endpoint, also where there was none. After an evacuation had left one server, whose answers became slower, every request was refused with 1402 after 0.15 s. Change: the hedge delay applies only while another endpoint may still be tried. Measured: the new scenario failed before with 12 of 12 refused, and passes.

--- a/burdockwall/request/endpoint_choice.py
+++ b/burdockwall/request/endpoint_choice.py
@@ -68,6 +68,14 @@
             if not self.limits.is_exhausted(item.name)
         ]
 
+    def has_other(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether another endpoint than this one may still be tried."""
+        tried = self.excluded | self._unpermitted | {endpoint.name}
+        return any(
+            item.name not in tried and not self.limits.is_exhausted(item.name)
+            for item in self.binding.list_endpoints()
+        )
+
     async def choose(self) -> ListedEndpoint:
         """Choose an endpoint, with a permit if it is limited, or raise NoEndpoint.
 
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -324,14 +324,15 @@
     ) -> AnswerHead:
         """Send the request and read the head of its answer.
 
-        If another attempt is allowed and the answer takes longer than the hedge delay
-        of the route, raise ConnectionBroken, so that another endpoint is tried.
+        If another attempt and endpoint are left and the answer takes longer than the
+        hedge delay of the route, raise ConnectionBroken, so that the other is tried.
         """
         route, hedge_delay = self.route, self.parts.hedge_delay
         timeout_s = None
         may_retry = self.progress.runs + 1 < route.max_attempts
-        if route.repeatable and route.kind is not RequestKind.STREAM:
-            timeout_s = hedge_delay.compute_delay_s(route.name) if may_retry else None
+        repeatable = route.repeatable and route.kind is not RequestKind.STREAM
+        if repeatable and may_retry and self.choice.has_other(endpoint):
+            timeout_s = hedge_delay.compute_delay_s(route.name)
         started_at = self.parts.clock()
         with anyio.move_on_after(timeout_s) as scope:
             head = await self._send(connection, endpoint)
--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -35,6 +35,11 @@
     And the order "b/start" is sent, and again as if its response was lost
     Then a request is refused within 0.2 s as not run, with a time to come back
 
+  Scenario: A slow answer is awaited where an evacuation leaves no other endpoint
+    When the order "b/start" is sent, and again as if its response was lost
+    And the servers have become slower, from 0.05 s to 1 s for an answer
+    Then no request reaches the domain b, and every caller is answered 200
+
   Scenario: A request that waits for its connection when the order comes goes elsewhere
     When the order "b/start" comes while requests wait for connections to b
     Then no request reaches the domain b, and every caller is answered 200
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -108,6 +108,19 @@
     assert site.count_received() == 0
 
 
+@when(
+    "the servers have become slower, from {before_s:g} s to {after_s:g} s for an answer"
+)
+def step_slower(context, before_s, after_s):
+    for instance in (1, 2):
+        context.site.measure_obeyed_s(instance)
+    for _ in range(4):
+        context.site.serve_calls()
+    for tool in context.site.tools:
+        assert tool.delay_s == before_s
+        tool.delay_s = after_s
+
+
 @when("the leader accepts an order for b and dies at once")
 def step_leader_dies(context):
     context.site.order_and_kill("b")
