--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -9,6 +9,7 @@
 import logbook
 
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.control.changes import Document
 from burdockwall.process.control.documents import Documents, create_put
 from burdockwall.process.control.events import ReplicaRole
 from burdockwall.process.control.files import StorageError
@@ -23,6 +24,7 @@
     PublishEndpoints,
     mark_limited,
 )
+from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.limits.fallback import FALLBACK_SILENCE_S, InstanceCount
 from burdockwall.process.limits.leader import LeaderLimits
 from burdockwall.process.member import FleetMember
@@ -51,7 +53,14 @@
 )
 from burdockwall.process.web import Serve, serve_address
 from burdockwall.settings import Settings
-from burdockwall.types import DocumentName, EndpointState, InstanceId, OperatorId, Role
+from burdockwall.types import (
+    DocumentName,
+    EndpointState,
+    FailureDomain,
+    InstanceId,
+    OperatorId,
+    Role,
+)
 from burdockwall.version.deployment import DEPLOYMENT, Deployment
 
 LIST_INTERVAL_S = 1.0
@@ -99,6 +108,9 @@
         self._installed_limits = (0, 0, 0)
         self._instances = InstanceCount(self._count_entry_members, host.clock)
         self.documents = Documents(self.control)
+        self.evacuation_orders = EvacuationOrders(
+            self.documents, self._find_domain, time.time
+        )
         self.publisher = EndpointPublisher()
         self.store_planner = StorePlanner(settings.tolerated_losses)
         self.emptying_planner = EmptyingPlanner()
@@ -117,6 +129,10 @@
 
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
+        self.member.gauges.add(
+            "evacuated_domains",
+            lambda: float(len(self.evacuation_orders.get_evacuations().domains)),
+        )
 
     def _install(self, replica: StateReplica) -> None:
         """Do nothing, since a control instance reads its own replica."""
@@ -200,10 +216,18 @@
 
     async def start_emptying(self, instance: InstanceId) -> None:
         """Start to empty a store; raise OperatorError if too few would remain."""
-        await self.control.confirm_read()
-        emptying = self.get_emptying()
-        if instance in emptying.instances:
-            return
+
+        def revise(document: Document | None) -> bytes | None:
+            emptying = self.get_emptying()
+            if instance in emptying.instances:
+                return None
+            return encode_emptying(self._add_emptying(emptying, instance))
+
+        await self.documents.revise(EMPTYING, revise, SYSTEM)
+
+    def _add_emptying(
+        self, emptying: EmptyingStores, instance: InstanceId
+    ) -> EmptyingStores:
         view = self.get_view()
         remaining = count_remaining(
             self.member.membership.list_all_members(),
@@ -217,15 +241,12 @@
             raise OperatorError(Code.STORES_TOO_FEW, detail)
         member = view.find(instance)
         groups = {} if member is None else {instance: member.group}
-        updated = EmptyingStores(
+        return EmptyingStores(
             emptying.number + 1,
             (*emptying.running, instance),
             emptying.completed,
             emptying.groups | groups,
         )
-        await self.documents.put(
-            EMPTYING, updated.number, encode_emptying(updated), SYSTEM
-        )
 
     async def is_emptied(self, instance: InstanceId) -> bool | None:
         """Return whether a store is empty; None if emptying it was not requested."""
@@ -235,6 +256,19 @@
             return None
         return instance in emptying.completed
 
+    def _find_domain(self, domain: FailureDomain) -> bool | None:
+        membership = self.member.membership
+        endpoints = self._endpoint_list
+        known = [
+            *self.settings.regions,
+            *(
+                entry.details.failure_domain
+                for entry in (*membership.members, *membership.list_all_members())
+            ),
+            *(endpoint.failure_domain for endpoint in endpoints or ()),
+        ]
+        return find_in(domain, known, complete=endpoints is not None)
+
     def _propose_view(self, proposed: ProposeView) -> None:
         view = proposed.view
         self._logger.notice(
