Send cold endpoints no more requests than they take

Cause: an endpoint that has just started takes few requests a second and crashes above that.

Change: services have cold-start-s and cold-per-s. The control leader judges from the list, starts, refused or reset connections and health responses which endpoints are cold, marks them in the list, and grants their permits. A permit is used within 0.3 s. Routes and customers have allowed-regions, and sticky routes send requests with the same X-Affinity-Key to one endpoint.

--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -36,7 +36,8 @@
 class UpstreamPools:
     """The connections to endpoints, by address.
 
-    `report_connect` is told whether each new connection could be opened.
+    `report_connect` is told whether each new connection could be opened, and
+    `report_closed` which address closed an idle connection before it expired.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.clock = clock
         self.open_connection = open_upstream
         self.report_connect = report_connect
+        self.report_closed: Callable[[Address], None] = lambda address: None
         self.opened_count = 0
         self._pools: dict[Address, _Pool] = {}
 
@@ -59,8 +61,10 @@
         pool = self._pools.setdefault(address, _Pool())
         while pool.idle:
             idle = pool.idle.pop()
-            if idle.expires_at > self.clock() and idle.connection.is_usable():
-                return idle.connection
+            if idle.expires_at > self.clock():
+                if idle.connection.is_usable():
+                    return idle.connection
+                self.report_closed(address)
             pool.open_count -= 1
             await idle.connection.close()
         allowed = max(limit, MIN_CONNECTIONS)
--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -14,6 +14,7 @@
 from burdockwall.types import Address
 
 STOP_GRACE_S = 0.1
+HEALTH_PATH = "/healthz"
 UNLIMITED = 1_000_000_000
 STREAM_TYPE = (b"content-type", b"text/event-stream")
 
@@ -43,7 +44,9 @@
 
     A request whose body contains a text of `crashes_on` crashes the server when it
     begins to run it; the server is back after `down_s`, as a later start of itself.
-    `crash_times` are those of all crashes.
+    `crash_times` are those of all crashes. With `cold_s` it is cold for this time after
+    it is back, which its health responses and the list say; `cold_text` replaces what
+    the list says.
     """
 
     name: str
@@ -67,6 +70,10 @@
     crashes_on: tuple[bytes, ...] = ()
     down_s: float = 0.3
     crash_times: list[float] = field(default_factory=list)
+    cold_s: float = 0.0
+    cold_until: float = 0.0
+    cold_text: object = None
+    health_times: list[float] = field(default_factory=list)
     _listener: FaultyProxy | None = None
 
     async def serve(self, exchange: Exchange) -> None:
@@ -76,6 +83,10 @@
             key.decode(): value.decode("latin-1") for key, value in exchange.headers
         }
         target = exchange.raw_path
+        if target == HEALTH_PATH:
+            self.health_times.append(time.monotonic())
+            await exchange.answer(200, self._describe_cold(), b"")
+            return
         self.received_requests.append(
             ReceivedRequest(exchange.method, target, headers, body, time.monotonic())
         )
@@ -99,6 +110,13 @@
             self.cancelled_count += 1
             raise
 
+    def get_cold_ms(self) -> int:
+        """Return how long the server stays cold, in milliseconds."""
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
+    def _describe_cold(self) -> Headers:
+        return [(b"x-cold-ms", str(self.get_cold_ms()).encode())] if self.cold_s else []
+
     def _refuses(self) -> bool:
         if self.refusals_left:
             self.refusals_left -= 1
@@ -150,7 +168,7 @@
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until stopped."""
-        if not self.crashes_on:
+        if not self.crashes_on and not self.cold_s:
             await serve_address(self.address, self.serve, stop, STOP_GRACE_S)
             return
         async with anyio.create_task_group() as group:
@@ -165,8 +183,10 @@
             self._listener = FaultyProxy(self.address, inner)
             await self._listener.run()
             await anyio.sleep(self.down_s)
+            self.cold_until = time.monotonic() + self.cold_s
             if self.started_ms is not None:
-                self.started_ms += 1
+                later_ms = int(time.time() * 1000) if self.cold_s else 0
+                self.started_ms = max(self.started_ms + 1, later_ms)
 
 
 @dataclass(slots=True)
@@ -188,6 +208,7 @@
                 "slots": 8,
                 "state": server.state,
                 "born": server.started_ms,
+                **({"cold-left-ms": server.cold_text} if server.cold_text else {}),
             }
             for server in self.servers
         ]
--- a/burdockwall/options/process.py
+++ b/burdockwall/options/process.py
@@ -172,6 +172,16 @@
         "",
         "Where the platform publishes its list of instances; unset: no list.",
     ),
+    Option(
+        "platform",
+        "list_lag",
+        "list_lag_s",
+        Kind.NUMBER,
+        "s",
+        "Age of the state that the platform's list shows when it is read.",
+        0,
+        10,
+    ),
     Option(
         "control",
         "election_timeout",
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -12,7 +12,9 @@
 from burdockwall.connection.upstream import AnswerHead
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
+from burdockwall.platform.cold import convert_cold_ms
 from burdockwall.platform.failure import encode_failure
+from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import ReportedLoad
 from burdockwall.request.codec import (
     AnswerDetails,
@@ -73,6 +75,7 @@
             turn=_read_turn(headers, program),
             resumption=_read_resumption(headers),
             relayed=RELAYED in headers,
+            affinity=_get_text(headers, names.AFFINITY_KEY),
         )
 
     def build_headers(
@@ -87,6 +90,13 @@
         headers.append((names.REQUEST_PRIORITY, str(priority).encode()))
         return headers + _describe_body(request, attempt.body_bytes)
 
+    def build_health_headers(self, endpoint: ListedEndpoint) -> Headers:
+        """Build the headers of a request for the health of an endpoint."""
+        return [
+            (names.HOST, endpoint.address.encode()),
+            (names.EXPECT_INSTANCE, endpoint.name.encode()),
+        ]
+
     def build_relay_headers(
         self, request: ForwardedRequest, remaining_s: float, body_bytes: int
     ) -> Headers:
@@ -119,6 +129,7 @@
             _read_leaving(head.headers),
             misdirected,
             _read_rate_limit(head.headers),
+            convert_cold_ms(headers.get(names.COLD_MS)),
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -5,6 +5,7 @@
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.types import CustomerId, RouteName, ServiceName
 from burdockwall.version.deployment import (
+    ColdRule,
     Deployment,
     EngineParameters,
     HostCustomer,
@@ -48,6 +49,8 @@
     # Open to callers without a key.
     public: bool = False
     resumable: bool = False
+    sticky: bool = False
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
@@ -61,6 +64,9 @@
     # The most connections to one endpoint from all instances together.
     max_conns: int = 64
     engine: _Engine | None = None
+    health_path: str = ""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -77,6 +83,7 @@
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
@@ -98,7 +105,7 @@
     except msgspec.MsgspecError as error:
         fault = _build_fault("configuration", str(error))
         raise InvalidFile(Code.CONFIGURATION_INVALID, [fault]) from error
-    faults = [*_check_routes(wire), *_check_tenants(wire)]
+    faults = [*_check_routes(wire), *_check_services(wire), *_check_tenants(wire)]
     if faults:
         raise InvalidFile(Code.CONFIGURATION_INVALID, faults)
     return Deployment(
@@ -149,6 +156,17 @@
     return faults
 
 
+def _check_services(wire: _Configuration) -> list[Fault]:
+    faults = []
+    for service in wire.services:
+        for field in ("cold_start_s", "cold_per_s"):
+            value = getattr(service, field)
+            if value < 0:
+                problem = f"{field.replace('_', '-')} is {value}"
+                faults.append(_build_fault(f"service {service.name}", problem))
+    return faults
+
+
 def _check_tenants(wire: _Configuration) -> list[Fault]:
     faults = []
     tenants_by_key: dict[str, str] = {}
@@ -178,13 +196,27 @@
         retention_s=route.retention_s,
         open=route.public,
         resumable=route.resumable,
+        sticky=route.sticky,
+        allowed_regions=_convert_regions(route.allowed_regions),
     )
 
 
+def _convert_regions(names: list[str] | None) -> frozenset[str] | None:
+    return None if names is None else frozenset(names)
+
+
 def _convert_service(service: _Service) -> HostService:
     engine = service.engine
-    parameters = EngineParameters(engine.event_tokens) if engine else None
-    return HostService(ServiceName(service.name), service.max_conns, parameters)
+    cold = None
+    if service.cold_per_s:
+        cold = ColdRule(service.cold_start_s, service.cold_per_s)
+    return HostService(
+        ServiceName(service.name),
+        service.max_conns,
+        EngineParameters(engine.event_tokens) if engine else None,
+        cold,
+        service.health_path,
+    )
 
 
 def _convert_tenant(tenant: _Tenant) -> HostCustomer:
@@ -194,4 +226,5 @@
         tenant.priority,
         tenant.rate_per_s,
         tenant.burst,
+        _convert_regions(tenant.allowed_regions),
     )
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -1,5 +1,7 @@
 """Handlers of operators' calls, and of callers' requests for entry addresses."""
 
+from functools import partial
+
 import logbook
 import msgspec
 
@@ -12,8 +14,10 @@
     RequestRefused,
 )
 from burdockwall.platform import names
+from burdockwall.platform.codec import PlatformCodec
 from burdockwall.platform.configuration import decode_deployment
 from burdockwall.platform.failure import encode_failure
+from burdockwall.process.cold_endpoints.health import ask_health
 from burdockwall.process.control.documents import Documents
 from burdockwall.process.control_node import ControlNode, find_store
 from burdockwall.process.resolver import resolve_addresses
@@ -143,4 +147,5 @@
 def install_handlers(node: ControlNode) -> None:
     """Set the handlers of operators' and callers' requests at a control instance."""
     directory = DirectoryHandler(node, node.settings.resolve_ttl_s)
+    node.cold.ask_health = partial(ask_health, PlatformCodec())
     node.set_servers(OperatorHandler(node).serve, directory.serve)
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -19,6 +19,10 @@
 PREVIOUS_TURN = b"x-previous-turn"
 # The id of the request whose answer began the stream that a request takes up.
 RESUMES = b"resumes"
+# Names the object that a request works on.
+AFFINITY_KEY = b"x-affinity-key"
+# How long the endpoint that answers stays cold, in milliseconds.
+COLD_MS = b"x-cold-ms"
 RETRY_AFTER = b"retry-after"
 KEEP_ALIVE = b"keep-alive"
 CONNECTION = b"connection"
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from burdockwall.connection.client import create_http_client
+from burdockwall.platform.cold import convert_cold_ms
 from burdockwall.platform.names import LIST_PATH
 from burdockwall.process.control_node import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
@@ -32,6 +33,10 @@
     version: str = ""
     slots: int = 1
     born: int | None = None
+    # Read later, so that a value that is no number costs only itself.
+    cold_left_ms: msgspec.Raw = msgspec.field(
+        name="cold-left-ms", default=msgspec.Raw()
+    )
 
 
 class _Page(msgspec.Struct):
@@ -88,4 +93,5 @@
         entry.state == DRAINING,
         entry.born,
         SoftwareVersion(entry.version),
+        cold_left_s=convert_cold_ms(bytes(entry.cold_left_ms)),
     )
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -9,6 +9,8 @@
 import logbook
 
 from burdockwall.errors import Code, OperatorError
+from burdockwall.process.cold_endpoints.bounds import ColdBounds
+from burdockwall.process.cold_endpoints.leader import LeaderColdEndpoints
 from burdockwall.process.control.documents import Documents, create_put
 from burdockwall.process.control.events import ReplicaRole
 from burdockwall.process.control.files import StorageError
@@ -103,7 +105,14 @@
         self.store_planner = StorePlanner(settings.tolerated_losses)
         self.emptying_planner = EmptyingPlanner()
         self._hosted_publisher = host.add(self.publisher)
-        self.permit_owner = PermitOwner(membership.get_led_term)
+        self.cold = LeaderColdEndpoints(
+            host.clock, membership.get_led_term, settings.list_lag_s
+        )
+        self.permit_owner = PermitOwner(
+            membership.get_led_term,
+            self.cold,
+            ColdBounds(settings.limit_cold_overrun, settings.limit_cold_slack),
+        )
         host.add(self.permit_owner, (AskPermits,))
         self._hosted_emptying_planner = host.add(
             self.emptying_planner, (Copied,), self._propose_emptying
@@ -117,6 +126,10 @@
 
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
+        self.member.gauges.add("endpoints_cold", lambda: float(self.cold.count_cold()))
+        self.member.gauges.add(
+            "cold_health_requests", lambda: float(self.cold.checks_count)
+        )
 
     def _install(self, replica: StateReplica) -> None:
         """Do nothing, since a control instance reads its own replica."""
@@ -168,6 +181,7 @@
             return
         if self._deployment is None or self._deployment.number != document.number:
             self._deployment = self.decode(document.data)
+            self.cold.install(self._deployment)
         instances = self._instances.read()
         silent = self.member.membership.count_silent_entries(FALLBACK_SILENCE_S)
         installed = (document.number, instances, silent)
@@ -255,6 +269,7 @@
             if not self.member.membership.is_leading():
                 await anyio.sleep(LEADERSHIP_POLL_S)
                 continue
+            began_at = self.member.host.clock()
             try:
                 endpoints = await self.reader.read()
             except EndpointListUnread as error:
@@ -269,7 +284,9 @@
                 self._logger.notice("endpoint list available again")
             self._list_unreadable = False
             self._endpoint_list = mark_limited(
-                sorted(endpoints, key=lambda endpoint: endpoint.name),
+                self.cold.record_list(
+                    sorted(endpoints, key=lambda endpoint: endpoint.name), began_at
+                ),
                 self.permit_owner.limits.list_limited(),
             )
             self._publish()
@@ -289,7 +306,12 @@
         ]
         self.member.host.apply(
             self._hosted_publisher,
-            PublishEndpoints(term, self._endpoint_list, followers),
+            PublishEndpoints(
+                term,
+                self.cold.mark(self._endpoint_list),
+                followers,
+                self.cold.judge.ended,
+            ),
         )
 
     # HTTP servers.
@@ -318,6 +340,7 @@
             self.control.run,
             self._run_leader_duties,
             self._read_endpoints,
+            self.cold.run,
             self._serve_callers,
             self._serve_operators,
         ]
--- a/burdockwall/process/endpoint_limits/client.py
+++ b/burdockwall/process/endpoint_limits/client.py
@@ -1,9 +1,12 @@
 """Ask for permits of limited endpoints on behalf of requests."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Awaitable, Callable, Iterable
 
 import logbook
 
+from burdockwall.process.cold_endpoints.bounds import ColdBounds
+from burdockwall.process.cold_endpoints.view import ColdView
 from burdockwall.process.endpoint_limits.holder import (
     ANSWER_LIMIT_S,
     Ask,
@@ -12,11 +15,13 @@
     ObserveAnswer,
     OwnerInstalled,
     PermitHolder,
+    Suspect,
 )
 from burdockwall.process.endpoint_limits.messages import GrantPermits
+from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.host import Host
 from burdockwall.process.waiters import Waiters
-from burdockwall.types import EndpointId, Incarnation, InstanceId, Term
+from burdockwall.types import Address, EndpointId, Incarnation, InstanceId, Term
 
 ANSWER_MARGIN_S = 0.2
 _logger = logbook.Logger("limits")
@@ -25,9 +30,22 @@
 class EndpointLimits:
     """The permits of this instance for endpoints that name a rate limit."""
 
-    def __init__(self, host: Host, incarnation: Incarnation) -> None:
+    def __init__(
+        self,
+        host: Host,
+        incarnation: Incarnation,
+        cold: ColdView | None = None,
+        bounds: ColdBounds | None = None,
+    ) -> None:
         self.host = host
-        self.holder = PermitHolder(incarnation)
+        self.cold = cold
+        self.holder = PermitHolder(incarnation, cold, bounds)
+        # Asks an endpoint how long it stays cold; unset: no health requests.
+        self.ask_health: Callable[[ListedEndpoint], Awaitable[float | None]] | None = (
+            None
+        )
+        self.checks_count = 0
+        self.asked_count = 0
         self.refused_count = 0
         self._waiters: Waiters[bool] = Waiters()
         self._hosted = host.add(self.holder, (GrantPermits,), self._perform)
@@ -35,10 +53,14 @@
         self._listed: frozenset[EndpointId] = frozenset()
 
     def install_owner(
-        self, owner: InstanceId | None, term: Term, instances: int
+        self,
+        owner: InstanceId | None,
+        term: Term,
+        instances: int,
+        possible: int = 0,
     ) -> None:
         """Ask this owner from now on."""
-        installed = OwnerInstalled(owner, term, instances)
+        installed = OwnerInstalled(owner, term, instances, possible)
         if installed != self._owner:
             self._owner = installed
             self.host.apply(self._hosted, installed)
@@ -66,6 +88,33 @@
             )
         self.host.apply(self._hosted, ObserveAnswer(endpoint, rate_per_s))
 
+    def observe_cold(self, endpoint: EndpointId, left_s: float | None) -> None:
+        """Record what an answer of an endpoint says about how long it stays cold."""
+        now = self.host.clock()
+        if self.cold is None or not left_s or self.may_be_cold(endpoint):
+            return
+        if not math.isnan(left_s):
+            self.cold.record_health(endpoint, left_s, now, now)
+        self.suspect(endpoint)
+
+    def may_be_cold(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint needs permits because it may be cold."""
+        cold = self.cold
+        return (
+            cold is not None and cold.find_rate(endpoint, self.host.clock()) is not None
+        )
+
+    def suspect_address(self, address: Address) -> None:
+        """Record that an endpoint closed an idle connection sooner than announced."""
+        if self.cold is not None and self.cold.rules:
+            for endpoint in self.cold.follower.listed:
+                if endpoint.address == address:
+                    self.suspect(endpoint.name)
+
+    def suspect(self, endpoint: EndpointId) -> None:
+        """Record that a connection of an endpoint was refused or reset."""
+        self.host.apply(self._hosted, Suspect(endpoint))
+
     def needs_permit(self, endpoint: EndpointId) -> bool:
         """Return whether requests to an endpoint need permits."""
         return self.holder.needs_permit(endpoint, self.host.clock())
@@ -82,6 +131,9 @@
         """Return whether one request may be sent to an endpoint now."""
         if not self.needs_permit(endpoint):
             return True
+        if await self._is_warm_without_owner(endpoint):
+            return True
+        self.asked_count += 1
         call = self._waiters.create()
         self.host.apply(self._hosted, Ask(call, endpoint))
         try:
@@ -92,5 +144,20 @@
             self.refused_count += 1
         return permitted
 
+    async def _is_warm_without_owner(self, endpoint: EndpointId) -> bool:
+        """Ask an endpoint itself whether it is cold, while the owner is silent."""
+        cold, now = self.cold, self.host.clock()
+        if cold is None or self.ask_health is None:
+            return False
+        if not self.holder.is_owner_silent(now):
+            return False
+        listed = cold.start_check(endpoint, now)
+        if listed is None:
+            return False
+        self.checks_count += 1
+        left_s = await self.ask_health(listed)
+        cold.record_health(endpoint, left_s, now, self.host.clock())
+        return not self.needs_permit(endpoint)
+
     def _perform(self, action: Decided) -> None:
         self._waiters.complete(action.call, action.permitted)
--- a/burdockwall/process/endpoint_limits/holder.py
+++ b/burdockwall/process/endpoint_limits/holder.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 
 from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.cold_endpoints.bounds import ALONE_INTERVAL_S, ColdBounds
+from burdockwall.process.cold_endpoints.view import ColdView
 from burdockwall.process.endpoint_limits.bucket import TokenBucket
 from burdockwall.process.endpoint_limits.messages import (
     AskPermits,
@@ -51,13 +53,24 @@
     rate_per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """An endpoint's connection was refused or reset, so that it may be cold."""
+
+    endpoint: EndpointId
+
+
 @dataclass(frozen=True, slots=True)
 class OwnerInstalled:
-    """The owner of the permits, its term, and the number of entry instances."""
+    """The owner of the permits, its term, and the number of entry instances.
+
+    `possible` also counts those that have failed as far as is known here.
+    """
 
     owner: InstanceId | None
     term: Term
     instances: int
+    possible: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,19 +95,27 @@
     asks: list[Ask] = field(default_factory=list)
 
 
-Event = Ask | ObserveAnswer | OwnerInstalled | LimitedListed | Tick | Receive
+Event = Ask | ObserveAnswer | Suspect | OwnerInstalled | LimitedListed | Tick | Receive
 Action = Send | Decided
 
 
 class PermitHolder:
     """Permits of one incarnation of an instance."""
 
-    def __init__(self, incarnation: Incarnation) -> None:
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        cold: ColdView | None = None,
+        bounds: ColdBounds | None = None,
+    ) -> None:
         self.incarnation = incarnation
+        self.cold = cold
+        self.bounds = bounds or ColdBounds()
         self.limits = RateLimits()
         self.owner: InstanceId | None = None
         self.term = Term(0)
         self.instances = 1
+        self.possible = 1
         # Until when an endpoint counts as limited because the list showed it so.
         self._listed_until: dict[EndpointId, float] = {}
         self._exhausted_until: dict[EndpointId, float] = {}
@@ -105,14 +126,25 @@
         self._sent: _Sent | None = None
         self._sequence = 0
         self._next_send_at = float("-inf")
+        # When a request was last sent to a cold endpoint without the owner.
+        self._sent_alone_at: dict[EndpointId, float] = {}
 
     def needs_permit(self, endpoint: EndpointId, now: float) -> bool:
-        """Return whether an endpoint is known to be limited."""
+        """Return whether an endpoint is known to be limited, or may be cold."""
+        if self._find_cold_rate(endpoint, now) is not None:
+            return True
         limit = self.limits.find(endpoint)
         if limit is None:
             return self._listed_until.get(endpoint, now) > now
         return limit.rate_per_s is not None
 
+    def _find_cold_rate(self, endpoint: EndpointId, now: float) -> float | None:
+        return None if self.cold is None else self.cold.find_rate(endpoint, now)
+
+    def is_owner_silent(self, now: float) -> bool:
+        """Return whether the owner is unknown, or has not answered a short time ago."""
+        return self.owner is None or now < self._silent_until
+
     def is_exhausted(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint's permits were refused a short time ago."""
         return self._exhausted_until.get(endpoint, now) > now
@@ -124,8 +156,10 @@
                 return self._ask(event, now)
             case ObserveAnswer(endpoint=endpoint, rate_per_s=rate_per_s):
                 return self._observe(RateObservation(endpoint, rate_per_s, 0.0), now)
+            case Suspect(endpoint=endpoint):
+                return self._suspect(endpoint, now)
             case OwnerInstalled():
-                self._install_owner(event)
+                return self._install_owner(event, now)
             case LimitedListed(endpoints=endpoints):
                 self._install_listed(endpoints, now)
             case Receive(message=GrantPermits() as message):
@@ -136,12 +170,30 @@
                 pass
         return []
 
-    def _install_owner(self, event: OwnerInstalled) -> None:
-        if (event.owner, event.term) != (self.owner, self.term):
+    def _install_owner(self, event: OwnerInstalled, now: float) -> list[Action]:
+        changed = (event.owner, event.term) != (self.owner, self.term)
+        if changed:
             self._silent_until = float("-inf")
         self.owner = event.owner
         self.term = max(self.term, event.term)
         self.instances = max(1, event.instances)
+        self.possible = max(self.instances, event.possible)
+        # A new owner does not know what its predecessor was told.
+        return self._report_suspicions(now) if changed else []
+
+    def _suspect(self, endpoint: EndpointId, now: float) -> list[Action]:
+        if self.cold is None or not self.cold.record_suspicion(endpoint, now):
+            return []
+        return self._report_suspicions(now)
+
+    def _report_suspicions(self, now: float) -> list[Action]:
+        """Tell the owner at once what may be cold; later messages repeat it."""
+        suspected = {} if self.cold is None else self.cold.list_suspicions(now)
+        if self.owner is None or not suspected:
+            return []
+        # No answer is awaited, so the message has no sequence number of its own.
+        message = AskPermits(self.incarnation, 0, [], {}, suspected)
+        return [Send(self.owner, message)]
 
     def _install_listed(self, endpoints: frozenset[EndpointId], now: float) -> None:
         # The list of a new leader lacks what it has not learned yet.
@@ -158,7 +210,7 @@
             return [Decided(ask.call, True)]
         if self.is_exhausted(ask.endpoint, now):
             return [Decided(ask.call, False)]
-        if self.owner is None or now < self._silent_until:
+        if self.is_owner_silent(now):
             return [self._decide_alone(ask, now)]
         self._waiting.append(ask)
         return self._send_waiting(now)
@@ -184,7 +236,19 @@
         asks, self._waiting = [*sent.asks, *self._waiting], []
         return [self._decide_alone(ask, now) for ask in asks]
 
+    def _decide_cold_alone(self, ask: Ask, rate_per_s: float, now: float) -> Decided:
+        sent_at = self._sent_alone_at.get(ask.endpoint, float("-inf"))
+        if now - sent_at < ALONE_INTERVAL_S:
+            return Decided(ask.call, False)
+        if not self.bounds.allows_alone(rate_per_s, self.possible):
+            return Decided(ask.call, False)
+        self._sent_alone_at[ask.endpoint] = now
+        return Decided(ask.call, True)
+
     def _decide_alone(self, ask: Ask, now: float) -> Decided:
+        cold_rate = self._find_cold_rate(ask.endpoint, now)
+        if cold_rate is not None:
+            return self._decide_cold_alone(ask, cold_rate, now)
         limit = self.limits.find(ask.endpoint)
         if limit is None or limit.rate_per_s is None:
             return Decided(ask.call, not self.needs_permit(ask.endpoint, now))
@@ -213,8 +277,9 @@
         self._next_send_at = now + self.instances / OWNER_MESSAGES_PER_S
         if asks:
             self._sent = _Sent(self._sequence, now, asks)
+        suspected = {} if self.cold is None else self.cold.list_suspicions(now)
         message = AskPermits(
-            self.incarnation, self._sequence, observations, dict(wanted)
+            self.incarnation, self._sequence, observations, dict(wanted), suspected
         )
         return [Send(self.owner, message)]
 
@@ -263,3 +328,6 @@
             for name, until in self._exhausted_until.items()
             if name in endpoints
         }
+        self._sent_alone_at = {
+            name: at for name, at in self._sent_alone_at.items() if name in endpoints
+        }
--- a/burdockwall/process/endpoint_limits/messages.py
+++ b/burdockwall/process/endpoint_limits/messages.py
@@ -24,6 +24,8 @@
     sequence: int
     observations: list[RateObservation]
     wanted: dict[EndpointId, int]
+    # How long ago endpoints may have become cold, in seconds.
+    suspected: dict[EndpointId, float] = {}
 
 
 class PermitDecision(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -36,6 +36,11 @@
     software: SoftwareVersion = SoftwareVersion("")
     # True if an answer of the endpoint named a limit of its request rate.
     limited: bool = False
+    # How long the endpoint stays cold, as the list that was read says; None if it does
+    # not say, NaN if that is unreadable. Published lists have None.
+    cold_left_s: float | None = None
+    # True if requests to the endpoint need permits because it is or may be cold.
+    cold: bool = False
 
 
 class EndpointList(Message, frozen=True):
@@ -44,6 +49,8 @@
     term: Term
     counter: int
     endpoints: list[ListedEndpoint]
+    # The ends of evacuations, as Unix times, that the marks of cold endpoints include.
+    ended: dict[FailureDomain, float] = {}
 
 
 class ListFollower(msgspec.Struct, frozen=True):
@@ -59,6 +66,7 @@
     term: Term
     endpoints: list[ListedEndpoint]
     followers: list[ListFollower]
+    ended: dict[FailureDomain, float] = {}
 
 
 def mark_limited(
@@ -88,14 +96,14 @@
         if not isinstance(event, PublishEndpoints):
             return []
         latest = self._latest
-        changed = latest is None or (latest.term, latest.endpoints) != (
-            event.term,
-            event.endpoints,
+        changed = latest is None or (
+            (latest.term, latest.endpoints, latest.ended)
+            != (event.term, event.endpoints, event.ended)
         )
         self._latest = event
         if changed:
             self._counter += 1
-        message = EndpointList(event.term, self._counter, event.endpoints)
+        message = EndpointList(event.term, self._counter, event.endpoints, event.ended)
         sends = []
         sent_at = {}
         for follower in event.followers:
@@ -163,6 +171,9 @@
         self._by_service: dict[ServiceName, list[ListedEndpoint]] = {}
         self._names: set[EndpointId] = set()
         self.limited: frozenset[EndpointId] = frozenset()
+        # All listed endpoints, and the ends of evacuations that their marks include.
+        self.listed: list[ListedEndpoint] = []
+        self.ended: dict[FailureDomain, float] = {}
         # The addresses of endpoints that are not leaving, by service.
         self.addresses: tuple[tuple[Address, ...], ...] = ()
         self._announced = LeavingEndpoints()
@@ -191,6 +202,8 @@
             if not endpoint.leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         self._names = {endpoint.name for endpoint in message.endpoints}
+        self.listed = message.endpoints
+        self.ended = message.ended
         self.addresses = tuple(
             tuple(endpoint.address for endpoint in listed)
             for listed in self._by_service.values()
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -10,6 +10,9 @@
 from burdockwall.connection.exchange import CLOSE, Exchange, run_while_connected
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
+from burdockwall.process.cold_endpoints.bounds import ColdBounds
+from burdockwall.process.cold_endpoints.health import ask_health
+from burdockwall.process.cold_endpoints.view import ColdView
 from burdockwall.process.crashes.client import CrashSuspects
 from burdockwall.process.crashes.evidence import CrashEvidence
 from burdockwall.process.drain import (
@@ -21,7 +24,11 @@
 )
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoint_reach import EndpointReach
-from burdockwall.process.endpoints import EndpointFollower, EndpointList
+from burdockwall.process.endpoints import (
+    EndpointFollower,
+    EndpointList,
+    ListedEndpoint,
+)
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.excess import create_excess
 from burdockwall.process.limits.fallback import InstanceCount
@@ -43,6 +50,7 @@
 from burdockwall.request.forwarding import Forwarding
 from burdockwall.request.forwarding_parts import ForwardingParts
 from burdockwall.request.peer_relay import PeerRelay
+from burdockwall.request.regions import Regions
 from burdockwall.request.trace import RequestTrace
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, EndpointState, InstanceId, Term
@@ -114,7 +122,16 @@
         self.balancer = Balancer(
             settings.failure_domain, generator, self.upstreams.has_idle
         )
-        self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
+        # Replaced where evacuations are followed: returns when one of a domain ended.
+        self.cold = ColdView(self.endpoints, lambda domain: None)
+        self.endpoint_limits = EndpointLimits(
+            host,
+            self.member.incarnation,
+            self.cold,
+            ColdBounds(settings.limit_cold_overrun, settings.limit_cold_slack),
+        )
+        self.endpoint_limits.ask_health = self._ask_health
+        self.upstreams.report_closed = self.endpoint_limits.suspect_address
         self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
         self.upstreams.report_connect = self.reach.record_connect
         evidence = CrashEvidence(self.upstreams, self.reach)
@@ -142,6 +159,7 @@
             self.endpoint_limits,
             self.reach,
             self.crashes,
+            Regions(settings.regions, settings.failure_domain, settings.region),
         )
         self._add_gauges()
 
@@ -157,6 +175,9 @@
             "endpoint_permits_refused",
             lambda: float(self.endpoint_limits.refused_count),
         )
+        gauges.add(
+            "cold_health_requests", lambda: float(self.endpoint_limits.checks_count)
+        )
         gauges.add("crash_suspects", lambda: float(len(self.crashes.watch.table)))
         gauges.add("crash_refusals", lambda: float(self.crashes.refused_count))
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
@@ -191,6 +212,7 @@
             return
         deployment = self.decode(document.data)
         self.view = DeploymentView(deployment)
+        self.cold.install_rules(self.view.list_cold_rules())
         self.gate.install(list_deployment_limits(deployment))
         self.parts.hedge_delay.drop_unconfigured(
             {route.name for route in deployment.routes}
@@ -321,10 +343,19 @@
         """Use the current leader and the list's limited endpoints."""
         agent = self.member.membership.agent
         self.endpoint_limits.install_owner(
-            agent.path.leader, agent.term, self._count_live_members()
+            agent.path.leader,
+            agent.term,
+            self._count_live_members(),
+            self._count_members(),
         )
         self.endpoint_limits.install_listed(self.endpoints.limited)
 
+    async def _ask_health(self, endpoint: ListedEndpoint) -> float | None:
+        if self.view is None:
+            return None
+        path = self.view.get_service(endpoint.service).health_path
+        return await ask_health(self.codec, endpoint, path)
+
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
     ) -> None:
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -59,6 +59,8 @@
     turn: TurnDetails | None = None
     resumption: Resumption | None = None
     relayed: bool = False
+    # Names the object that the request works on; empty if the caller names none.
+    affinity: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,8 @@
     leaving: bool = False
     misdirected: bool = False
     rate_limit_per_s: float | None = None
+    # How long the endpoint stays cold; None if it does not say, NaN if unreadable.
+    cold_left_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +141,10 @@
         """Build the headers for an endpoint."""
         ...
 
+    def build_health_headers(self, endpoint: ListedEndpoint) -> Headers:
+        """Build the headers of a request for the health of an endpoint."""
+        ...
+
     def build_refusal(self, error: BurdockwallError) -> Refusal:
         """Encode a refusal."""
         ...
--- a/burdockwall/request/endpoint_choice.py
+++ b/burdockwall/request/endpoint_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from burdockwall.errors import Code
+from burdockwall.process.cold_endpoints.bounds import PERMIT_USE_S
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import Balancer
@@ -27,6 +28,10 @@
         self.retry_after_s = retry_after_s
 
 
+class PermitMissing(Exception):
+    """An endpoint was chosen, but a request may not be sent to it any more."""
+
+
 class EndpointChoice:
     """The endpoints that one request may still be sent to.
 
@@ -49,6 +54,8 @@
         self.affinity = affinity
         self.excluded: set[EndpointId] = set()
         self._unpermitted: set[EndpointId] = set()
+        # When the permits that were granted had been asked for.
+        self._asked_at: dict[EndpointId, float] = {}
 
     def find(self) -> ListedEndpoint | None:
         """Return the best endpoint that may still have a permit, or None."""
@@ -74,12 +81,27 @@
         asks = 0
         while (endpoint := self.find()) is not None:
             if asks < MAX_PERMIT_ASKS or not self.limits.needs_permit(endpoint.name):
+                asked_at, needed = self.clock(), self.limits.needs_permit(endpoint.name)
                 if await self.limits.acquire(endpoint.name):
+                    if needed:
+                        self._asked_at[endpoint.name] = asked_at
                     return endpoint
                 asks += 1
             self._unpermitted.add(endpoint.name)
         raise self._explain()
 
+    def check_permit(self, endpoint: EndpointId) -> None:
+        """Raise PermitMissing if a chosen endpoint may be cold and has no permit now.
+
+        It may have become cold since it was chosen, or its permit may be too old.
+        """
+        if not self.limits.may_be_cold(endpoint):
+            return
+        asked_at = self._asked_at.get(endpoint, float("-inf"))
+        if self.clock() - asked_at > PERMIT_USE_S:
+            self._unpermitted.add(endpoint)
+            raise PermitMissing
+
     def check(self) -> None:
         """Raise NoEndpoint if the limits of all endpoints are known to be reached."""
         if self.binding.list_endpoints() and not self._list_permitted():
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -26,7 +26,11 @@
     ForwardedRequest,
 )
 from burdockwall.request.crash_guard import CrashGuard
-from burdockwall.request.endpoint_choice import EndpointChoice, NoEndpoint
+from burdockwall.request.endpoint_choice import (
+    EndpointChoice,
+    NoEndpoint,
+    PermitMissing,
+)
 from burdockwall.request.events import (
     EVENT_END,
     EventSplitter,
@@ -69,6 +73,16 @@
     return started_at + limit_s
 
 
+def find_affinity(request: ForwardedRequest, route: HostRoute, is_engine: bool) -> str:
+    """Return what requests share that go to one endpoint, or an empty text.
+
+    It is the object on a sticky route, else the program at engines.
+    """
+    if route.sticky and request.affinity:
+        return request.affinity
+    return (request.program or "") if is_engine else ""
+
+
 class Forwarding:
     """The forwarding of one request, in one or several attempts."""
 
@@ -92,13 +106,14 @@
         self.trace = trace
         self.progress = Progress()
         self.binding = StreamBinding(parts.endpoints, request, route)
+        self.binding.regions = parts.regions.find_allowed(route, customer)
         is_engine = view.get_service(self.binding.service).engine is not None
         self.choice = EndpointChoice(
             self.binding,
             parts.balancer,
             parts.endpoint_limits,
             parts.clock,
-            (request.program or "") if is_engine else "",
+            find_affinity(request, route, is_engine),
         )
         self.body = body
         self.owner = customer.name if customer else ANONYMOUS_CUSTOMER
@@ -209,6 +224,8 @@
             try:
                 await self._attempt(endpoint, service, prompt)
                 return
+            except PermitMissing:
+                continue
             except NotRun as error:
                 self._record_failure(endpoint, error)
                 self.progress.refusals += 1
@@ -264,7 +281,14 @@
             connection = await parts.upstreams.acquire(endpoint.address, limit)
         except ConnectFailed as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
+            if error.refused:
+                parts.endpoint_limits.suspect(endpoint.name)
             raise NotRun(str(error)) from error
+        try:
+            self.choice.check_permit(endpoint.name)
+        except PermitMissing:
+            await parts.upstreams.release(endpoint.address, connection, True, None)
+            raise
         is_reusable, details = False, None
         parts.balancer.record_start(endpoint.name)
         parts.reach.record_sent()
@@ -280,6 +304,7 @@
             if not details.misdirected:
                 rate_per_s = details.rate_limit_per_s
                 parts.endpoint_limits.observe(endpoint.name, rate_per_s)
+                parts.endpoint_limits.observe_cold(endpoint.name, details.cold_left_s)
             if details.load is not None:
                 parts.balancer.record_report(endpoint.name, details.load, parts.clock())
             await self._handle_answer(connection, head, details, prompt)
@@ -288,6 +313,8 @@
             is_reusable = not details.closes
         except ConnectionBroken as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
+            if error.closed:
+                parts.endpoint_limits.suspect(endpoint.name)
             raise AnswerLost(str(error), error.closed) from error
         except NotRun:
             is_reusable = details is not None and not details.closes
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -14,6 +14,7 @@
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.request.codec import RequestCodec
+from burdockwall.request.regions import Regions
 from burdockwall.types import CustomerId
 
 
@@ -35,3 +36,4 @@
     endpoint_limits: EndpointLimits
     reach: EndpointReach
     crashes: CrashSuspects
+    regions: Regions
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -14,6 +14,7 @@
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.request.codec import ForwardedRequest, Resumption, TurnDetails
+from burdockwall.request.regions import AllowedRegions
 from burdockwall.types import ProgramId, SoftwareVersion, TurnId
 from burdockwall.version.deployment import HostRoute, choose_service
 
@@ -46,6 +47,8 @@
         self.service = choose_service(route.shares, self.begun_by or request.request)
         self.software: SoftwareVersion | None = None
         self.recorded: StreamPlace | None = None
+        # The regions whose endpoints may answer the request, or None if all may.
+        self.regions: AllowedRegions | None = None
 
     @property
     def begun_by(self) -> TurnId | None:
@@ -137,12 +140,18 @@
     def list_endpoints(self) -> list[ListedEndpoint]:
         """List the endpoints that accept the request."""
         accepting = self.endpoints.list_accepting(self.service)
+        regions = self.regions
+        if regions is not None:
+            accepting = [
+                item for item in accepting if regions.includes(item.failure_domain)
+            ]
         if self.software is None:
             return accepting
         return [item for item in accepting if item.software == self.software]
 
     def describe_endpoints(self) -> str:
         """Describe the endpoints that could accept the request."""
+        place = "" if self.regions is None else f" in {self.regions.describe()}"
         if self.software is None:
-            return f"endpoint of {self.service}"
-        return f"endpoint of {self.service} with version {self.software!r}"
+            return f"endpoint of {self.service}{place}"
+        return f"endpoint of {self.service}{place} with version {self.software!r}"
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -36,6 +36,7 @@
     first_start: bool = False
     tolerated_losses: int = 1
     platform_address: Address = Address("")
+    list_lag_s: float = 0.8
     election_timeout_s: float = 1.5
     first_operator: str = ""
     first_operator_digest: str = ""
@@ -68,6 +69,8 @@
     limit_excess_window_s: float = 5.0
     limit_excess_share: float = 0.0
     limit_excess_requests: float = 0.0
+    limit_cold_overrun: float = 1.5
+    limit_cold_slack: float = 5.0
     limits_counted_over_window: bool = False
     open_rate_per_s: float = 1000.0
     open_burst: int = 1000
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -54,6 +54,10 @@
     retention_s: float
     open: bool
     resumable: bool = False
+    # Requests on the same object go to one endpoint.
+    sticky: bool = False
+    # Names of regions; None if every region is allowed.
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -68,13 +72,26 @@
     event_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ColdRule:
+    """How long a new endpoint stays cold, and what it takes from all instances."""
+
+    start_s: float
+    per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class HostService:
-    """A service; all instances share `max_connections` to one endpoint."""
+    """A service; all instances share `max_connections` to one endpoint.
+
+    Without a `cold` rule its endpoints count as warm from their start.
+    """
 
     name: ServiceName
     max_connections: int
     engine: EngineParameters | None = None
+    cold: ColdRule | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +103,8 @@
     rank: int | None
     rate_per_s: float
     burst: float
+    # Names of regions; None if every region is allowed.
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +156,19 @@
         """Return a service that a route names."""
         return self.deployment.services[name]
 
+    def list_cold_rules(self) -> dict[ServiceName, ColdRule]:
+        """List the rules of the services whose endpoints may be cold."""
+        return list_cold_rules(self.deployment)
+
+
+def list_cold_rules(deployment: Deployment) -> dict[ServiceName, ColdRule]:
+    """List the rules of the services whose endpoints may be cold."""
+    return {
+        name: service.cold
+        for name, service in deployment.services.items()
+        if service.cold is not None
+    }
+
 
 def choose_service(shares: Iterable[ServiceShare], request_id: str) -> ServiceName:
     """Choose a service by weight; the same request id always gets the same one."""
