Continue streams without a known beginning only at a version that lasted

Cause: a resume without `Resumes` took the only version of the list at that moment, so once the old version had left, also after all entry instances were killed, texts of two versions were joined with 200. On a route of several services it took any of them. Instances that had just started refused what only the lasting version can tell. Change: the version must have been the only one for longer than a stream lasts; the leader sends with the list for how long it knows this of its term. An instance that may have missed a list drops what it knew of the time before. The scenario "names no request goes on where one version serves" now waits until it has served for longer than a stream lasts.

--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -27,6 +27,7 @@
 from burdockwall.process.limits.leader import LeaderLimits
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.sole_versions import LedVersions
 from burdockwall.process.storage.emptying import (
     EMPTYING,
     EmptyingPlanner,
@@ -111,6 +112,7 @@
         self._logger = logbook.Logger("core")
         self._list_unreadable = False
         self._endpoint_list: list[ListedEndpoint] | None = None
+        self._led_versions = LedVersions()
         self._leading = False
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
@@ -272,6 +274,11 @@
                 sorted(endpoints, key=lambda endpoint: endpoint.name),
                 self.permit_owner.limits.list_limited(),
             )
+            self._led_versions.install(
+                self.member.membership.get_led_term(),
+                ((item.service, item.software) for item in endpoints),
+                self.member.host.clock(),
+            )
             self._publish()
             await anyio.sleep(LIST_INTERVAL_S)
 
@@ -289,7 +296,12 @@
         ]
         self.member.host.apply(
             self._hosted_publisher,
-            PublishEndpoints(term, self._endpoint_list, followers),
+            PublishEndpoints(
+                term,
+                self._endpoint_list,
+                followers,
+                self._led_versions.list_since(term),
+            ),
         )
 
     # HTTP servers.
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -1,10 +1,9 @@
 """Distribution of the list of all services' endpoints by the leader."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
+from burdockwall.process.sole_versions import SoleVersions
 from burdockwall.types import (
     Address,
     EndpointId,
@@ -39,11 +38,16 @@
 
 
 class EndpointList(Message, frozen=True):
-    """The whole list; `counter` orders the lists of one term."""
+    """The whole list; `counter` orders the lists of one term.
+
+    `sole_s` is for how many seconds the leader has known each service that has a single
+    software version to have no other; earlier builds do not send it.
+    """
 
     term: Term
     counter: int
     endpoints: list[ListedEndpoint]
+    sole_s: dict[ServiceName, float] = {}
 
 
 class ListFollower(msgspec.Struct, frozen=True):
@@ -54,11 +58,15 @@
 
 
 class PublishEndpoints(msgspec.Struct, frozen=True):
-    """Gives the leader's publisher the list that was read and its followers."""
+    """Gives the leader's publisher the list that was read and its followers.
+
+    `sole_since` is since when each service with a single version has had it.
+    """
 
     term: Term
     endpoints: list[ListedEndpoint]
     followers: list[ListFollower]
+    sole_since: dict[ServiceName, float] = {}
 
 
 def mark_limited(
@@ -95,7 +103,8 @@
         self._latest = event
         if changed:
             self._counter += 1
-        message = EndpointList(event.term, self._counter, event.endpoints)
+        sole_s = {name: now - since for name, since in event.sole_since.items()}
+        message = EndpointList(event.term, self._counter, event.endpoints, sole_s)
         sends = []
         sent_at = {}
         for follower in event.followers:
@@ -145,14 +154,6 @@
     return later.started_ms > earlier.started_ms
 
 
-@dataclass(frozen=True, slots=True)
-class _SoleVersion:
-    """The version of all listed endpoints of a service, and since when it is."""
-
-    software: SoftwareVersion
-    since: float
-
-
 class EndpointFollower:
     """Stores the latest list that a leader has sent."""
 
@@ -166,7 +167,7 @@
         # The addresses of endpoints that are not leaving, by service.
         self.addresses: tuple[tuple[Address, ...], ...] = ()
         self._announced = LeavingEndpoints()
-        self._sole_versions: dict[ServiceName, _SoleVersion] = {}
+        self._sole_versions = SoleVersions()
 
     def handle(self, event: Tick | Receive, now: float) -> list[Send]:
         """Install a received list unless it is older than the stored one."""
@@ -181,11 +182,23 @@
         version = (message.term, message.counter)
         if version < self._list_version:
             return
+        if version != self._list_version:
+            self._install_changed(message, now)
+        self._sole_versions.extend(message.sole_s, now)
         self.list_received = True
         self.received_at = now
-        if version == self._list_version:
-            return
-        self._list_version = version
+
+    def _may_have_missed(self, message: EndpointList, now: float) -> bool:
+        """Return whether other lists may have been sent since the latest one."""
+        term, counter = self._list_version
+        if message.term == term:
+            return message.counter > counter + 1
+        return now - self.received_at > LIST_VALID_S
+
+    def _install_changed(self, message: EndpointList, now: float) -> None:
+        if self._may_have_missed(message, now):
+            self._sole_versions.clear()
+        self._list_version = (message.term, message.counter)
         self._by_service = {}
         for endpoint in message.endpoints:
             if not endpoint.leaving:
@@ -199,21 +212,9 @@
             endpoint.name for endpoint in message.endpoints if endpoint.limited
         )
         self._announced.install_list(message.endpoints)
-        self._track_versions(message.endpoints, now)
-
-    def _track_versions(self, endpoints: list[ListedEndpoint], now: float) -> None:
-        versions: dict[ServiceName, set[SoftwareVersion]] = {}
-        for endpoint in endpoints:
-            versions.setdefault(endpoint.service, set()).add(endpoint.software)
-        earlier, self._sole_versions = self._sole_versions, {}
-        for service, present in versions.items():
-            if len(present) > 1:
-                continue
-            sole = _SoleVersion(next(iter(present)), now)
-            known = earlier.get(service)
-            if known is not None and known.software == sole.software:
-                sole = known
-            self._sole_versions[service] = sole
+        self._sole_versions.install(
+            ((item.service, item.software) for item in message.endpoints), now
+        )
 
     def find_sole_version(
         self, service: ServiceName, since: float, now: float
@@ -222,10 +223,9 @@
 
         Leaving endpoints count. A list that is no longer repeated proves nothing.
         """
-        sole = self._sole_versions.get(service)
-        if sole is None or sole.since > since:
+        if now - self.received_at > LIST_VALID_S:
             return None
-        return sole.software if now - self.received_at <= LIST_VALID_S else None
+        return self._sole_versions.find(service, since)
 
     def record_leaving(self, endpoint: ListedEndpoint) -> bool:
         """Record that an endpoint's answer said that it leaves; return whether new."""
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -14,7 +14,7 @@
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.request.codec import ForwardedRequest, Resumption, TurnDetails
-from burdockwall.types import ProgramId, SoftwareVersion, TurnId
+from burdockwall.types import ProgramId, ServiceName, SoftwareVersion, TurnId
 from burdockwall.version.deployment import HostRoute, choose_service
 
 RETRY_AFTER_S = 0.1
@@ -104,7 +104,7 @@
         """
         place = decide_resume_place(
             recorded,
-            frozenset(share.service for share in self.route.shares if share.weight),
+            self._list_services(),
             self.service,
             self._find_sole_version(now),
         )
@@ -126,13 +126,16 @@
     def _find_sole_version(self, now: float) -> SoftwareVersion | None:
         """Return the only version that can have begun the stream, or None.
 
-        Callers that do not name a stream's beginning expect one version at a time, so
-        for them the present one decides.
+        Where a request names no beginning, the shares of the route do not tell which of
+        several services began the stream.
         """
-        lasting_s = 0.0
-        if self.begun_by is not None:
-            lasting_s = self.stream_s + LIST_SKEW_S
-        return self.endpoints.find_sole_version(self.service, now - lasting_s, now)
+        if self.begun_by is None and len(self._list_services()) > 1:
+            return None
+        since = now - self.stream_s - LIST_SKEW_S
+        return self.endpoints.find_sole_version(self.service, since, now)
+
+    def _list_services(self) -> frozenset[ServiceName]:
+        return frozenset(share.service for share in self.route.shares if share.weight)
 
     def list_endpoints(self) -> list[ListedEndpoint]:
         """List the endpoints that accept the request."""
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -13,10 +13,13 @@
     create_binding,
     create_endpoint,
     create_engines,
+    remove_version,
     send_list,
+    start_follower,
     take_up_during_release,
     take_up_streams,
     take_up_under_refusals,
+    wait_out_streams,
 )
 
 
@@ -126,6 +129,76 @@
             assert "resumes" not in request.headers, request
 
 
+# All entry instances start anew.
+
+
+@given("each service has had its versions for longer than a stream lasts")
+def step_long_lasting(context):
+    wait_out_streams(context.site)
+
+
+def take_up_after(context, version, prepare, names_beginning):
+    context.taken_up = take_up_streams(
+        context.caller, 1, version, prepare=prepare, names_beginning=names_beginning
+    )
+
+
+@when(
+    'a stream breaks off at version "{version}", which leaves, and is taken up '
+    "without naming the request that began it"
+)
+def step_version_gone(context, version):
+    def remove():
+        remove_version(context.site, version)
+
+    take_up_after(context, version, remove, False)
+
+
+@when(
+    'a stream breaks off at version "{version}", which leaves, all entry instances '
+    "are killed, and it is taken up without naming the request that began it"
+)
+def step_gone_and_killed(context, version):
+    def fail():
+        remove_version(context.site, version)
+        context.site.restart_entries()
+
+    take_up_after(context, version, fail, False)
+
+
+@when(
+    'a stream breaks off at version "{version}", and all entry instances are killed '
+    "before it is taken up"
+)
+def step_all_killed(context, version):
+    take_up_after(context, version, context.site.restart_entries, True)
+
+
+@when(
+    'a stream breaks off at version "{version}", and all stores and entry instances '
+    "are killed before it is taken up"
+)
+def step_stores_and_entries(context, version):
+    def fail():
+        # The probes of the stores must not break off, or no engine would be left.
+        for engine in context.site.engines:
+            engine.cut_after_events = None
+        context.site.restart_stores_and_wait()
+        context.site.restart_entries()
+
+    take_up_after(context, version, fail, True)
+
+
+@when(
+    "a stream of the split route breaks off and is taken up without naming the request "
+    "that began it"
+)
+def step_split_unnamed(context):
+    context.taken_up = take_up_streams(
+        context.caller, 1, None, "/split/1", names_beginning=False
+    )
+
+
 # The decision.
 
 
@@ -171,6 +244,30 @@
         send_list(context.follower, counter, versions, float(now))
 
 
+@given(
+    'a leader of term {term:d} whose list shows "{first}" from 0 s and "{second}" from '
+    "{since_s:d} s"
+)
+def step_leader_versions(context, term, first, second, since_s):
+    context.versions = {0: first, since_s: second}
+    context.terms = {0: term}
+
+
+@when("another instance leads term {term:d} from {since_s:d} s")
+def step_other_leader(context, term, since_s):
+    context.terms[since_s] = term
+
+
+@when("an instance starts at {start_s:d} s")
+def step_starts(context, start_s):
+    context.follower = start_follower(context.versions, start_s, context.terms)
+
+
+@when("the follower gets list {counter:d} with {versions} at {now_s:d} s")
+def step_gets_list(context, counter, versions, now_s):
+    send_list(context.follower, counter, versions, float(now_s))
+
+
 @then('at {now_s:d} s the only version since {since_s:d} s is "{version}"')
 def step_sole(context, now_s, since_s, version):
     found = context.follower.find_sole_version(ServiceName("a"), since_s, now_s)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -64,9 +64,39 @@
 
   Scenario: A stream that names no request goes on where one version serves
     Given a site whose engines are of versions "v1 v1"
+    And each service has had its versions for longer than a stream lasts
     When a stream is taken up without naming the request that began it
     Then every stream went on with its next event
 
+  Scenario: A stream that names no request is not continued at the version that is left
+    Given a site whose engines are of versions "v1 v2 v2"
+    And each service has had its versions for longer than a stream lasts
+    When a stream breaks off at version "v1", which leaves, and is taken up without naming the request that began it
+    Then every taker is refused with 503, code 1406 and a time to come back
+
+  Scenario: Instances that start after a version has left do not continue its streams
+    Given a site whose engines are of versions "v1 v2 v2"
+    When a stream breaks off at version "v1", which leaves, all entry instances are killed, and it is taken up without naming the request that began it
+    Then every taker is refused with 503, code 1406 and a time to come back
+
+  Scenario: Streams of two versions are taken up after all entry instances were killed
+    Given a site whose engines are of versions "v1 v1 v2 v2"
+    When a stream breaks off at version "v1", and all entry instances are killed before it is taken up
+    Then every stream that went on did so at the version that began it
+    And every stream went on with its next event
+
+  Scenario: Instances that just started go on at once where one version has long served
+    Given a site whose engines are of versions "v1 v1"
+    And each service has had its versions for longer than a stream lasts
+    When a stream breaks off at version "v1", and all stores and entry instances are killed before it is taken up
+    Then every stream went on with its next event
+
+  Scenario: A stream of a split route that names no request is not continued at a guess
+    Given a site with two engines of "engines" and two of "trial-engines"
+    And each service has had its versions for longer than a stream lasts
+    When a stream of the split route breaks off and is taken up without naming the request that began it
+    Then every taker is refused with 503, code 1406 and a time to come back
+
   Scenario Outline: The place where a stream may go on
     Given a route to the services "a b" whose shares give a stream to "a"
     When the stores know the place "<recorded>" and "a" has long had "<sole>"
@@ -90,6 +120,25 @@
     And at 15 s there is no only version since 9 s
     And at 30 s there is no only version since 10 s
 
+  Scenario: An instance that just started learns from the leader since when a version is the only one
+    Given a leader of term 1 whose list shows "v1 v2" from 0 s and "v2" from 10 s
+    When an instance starts at 30 s
+    Then at 30 s the only version since 10 s is "v2"
+    And at 30 s there is no only version since 9 s
+
+  Scenario: A new leader does not vouch for the time before its term
+    Given a leader of term 1 whose list shows "v2" from 0 s and "v2" from 10 s
+    When another instance leads term 2 from 20 s
+    And an instance starts at 30 s
+    Then at 30 s the only version since 20 s is "v2"
+    And at 30 s there is no only version since 19 s
+
+  Scenario: An instance that missed a list does not rely on the time before it
+    Given a follower whose list shows "v1" from 0 s and "v1" from 10 s
+    When the follower gets list 23 with v1 at 22 s
+    Then at 22 s the only version since 22 s is "v1"
+    And at 22 s there is no only version since 21 s
+
   Scenario: A request that is sent to another version than predicted records it first
     Given a request of a resumable route for which version "v1" was predicted
     When its binding records the versions "v1 v2 v2 v1" before each attempt
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -265,6 +265,16 @@
         """End an entry instance without a drain."""
         self.call_in_loop(self._scopes[f"entry-{number}"].cancel)
 
+    def restart_entries(self) -> None:
+        """End all entry instances at once without a drain, and start them anew."""
+        entries, self.entries = self.entries, []
+        for number in range(1, len(entries) + 1):
+            self.kill_entry(number)
+        anyio.run(anyio.sleep, 0.3)
+        for number in range(1, len(entries) + 1):
+            self.call_in_loop(self._start_entry, number)
+        assert self.wait_for(self._is_ready, READY_LIMIT_S)
+
     def stop_entry(self, number: int) -> None:
         self.call_in_loop(self.entries[number - 1].member.stopping.set)
 
--- a/features/subjects/stream_versions.py
+++ b/features/subjects/stream_versions.py
@@ -12,15 +12,24 @@
 from burdockwall.process.endpoints import (
     EndpointFollower,
     EndpointList,
+    EndpointPublisher,
     ListedEndpoint,
+    ListFollower,
+    PublishEndpoints,
 )
+from burdockwall.process.sole_versions import LedVersions
 from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.request.codec import ForwardedRequest
-from burdockwall.request.stream_binding import StreamBinding
+from burdockwall.request.stream_binding import (
+    LIST_SKEW_S,
+    STREAM_TIMEOUTS,
+    StreamBinding,
+)
 from burdockwall.types import (
     Address,
     EndpointId,
     FailureDomain,
+    Incarnation,
     InstanceId,
     RequestId,
     RouteName,
@@ -33,6 +42,7 @@
     CALL_TIMEOUT_S,
     HOST,
     PlatformSite,
+    build_configuration,
     build_turn_headers,
 )
 
@@ -41,6 +51,8 @@
 # Time after which every instance has the list as it is now.
 LIST_LIMIT_S = 2.0
 MOST_BEGINNINGS = 40
+SHORT_STREAMS_VERSION = 4
+SHORT_TIMEOUT_MS = 2000
 
 
 def create_engines(versions: str, service: str = "engines") -> list[FakeServer]:
@@ -214,6 +226,23 @@
     return shares, taken_up
 
 
+def remove_version(site: PlatformSite, version: str) -> None:
+    """Take all engines of a version off the list, and wait until instances know."""
+    for engine in site.engines:
+        if engine.software == version:
+            site.server_list.servers.remove(engine)
+    time.sleep(LIST_LIMIT_S)
+
+
+def wait_out_streams(site: PlatformSite) -> None:
+    """Wait until every stream that began before has lasted longer than it may."""
+    configuration = build_configuration(SHORT_STREAMS_VERSION)
+    for route in configuration["routes"]:
+        route["timeout-ms"] = SHORT_TIMEOUT_MS
+    assert site.put_configuration(configuration).status_code == 200
+    time.sleep(STREAM_TIMEOUTS * SHORT_TIMEOUT_MS / 1000 + LIST_SKEW_S + LIST_LIMIT_S)
+
+
 def take_up_during_release(caller: StreamCaller, version: str) -> list[TakenUp]:
     """Take up streams of engines that have left, until the old version has gone."""
     site = caller.site
@@ -254,6 +283,34 @@
     follower.handle(Receive(InstanceId("leader"), message), now)
 
 
+def start_follower(
+    versions: dict[int, str], start_s: int, terms: dict[int, int]
+) -> EndpointFollower:
+    """Give a follower that starts at `start_s` what a leader publishes each second.
+
+    `versions` are those in the list, and `terms` the leader's, from each second on.
+    """
+    publisher, led = EndpointPublisher(), LedVersions()
+    follower, instance = EndpointFollower(), InstanceId("follower")
+    for second in range(start_s + 1):
+        present = versions[max(each for each in versions if each <= second)]
+        term = Term(terms[max(each for each in terms if each <= second)])
+        listed = [create_endpoint(version) for version in present.split()]
+        led.install(
+            term, [(item.service, item.software) for item in listed], float(second)
+        )
+        event = PublishEndpoints(
+            term,
+            listed,
+            [ListFollower(instance, Incarnation(1))],
+            led.list_since(term),
+        )
+        for send in publisher.handle(event, float(second)):
+            if second == start_s:
+                follower.handle(Receive(instance, send.message), float(second))
+    return follower
+
+
 class RecordingClient:
     """A client of the stores that remembers the places it was told."""
 
