Eject endpoints that serve badly, of what all instances have seen

Cause: an endpoint that fails a part of its requests, hangs, alternates or is slow while its health is good kept its full share: each answer reset the count of failures, and an instance alone sees too few requests. Requests that ran out of time at a silent endpoint were not counted at all. Change: instances report answers, failures and relative times to the leader each second; it compares each endpoint with the others of its service and answers with the ejected ones, at most a third of a service. They return by a ramp. A failure counts only once its instance has heard from some endpoint since. An answer takes one failure off the balancer's own count instead of all.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -13,6 +13,10 @@
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.process.programs.messages import AnyRecordMessage
+from burdockwall.process.scheduling.health_reports import (
+    MarkEndpoints,
+    ReportHealth,
+)
 from burdockwall.process.storage.messages import AnyStorageMessage
 from burdockwall.types import Incarnation, InstanceId
 
@@ -55,10 +59,12 @@
     | endpoint_limits.GrantPermits
     | AskSuspects
     | ShareSuspects
+    | ReportHealth
+    | MarkEndpoints
 )
 
 # The version of the protocol between instances that this build speaks.
-PROTOCOL = 1
+PROTOCOL = 2
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -27,6 +27,8 @@
 from burdockwall.process.limits.leader import LeaderLimits
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.scheduling.health_reports import ReportHealth
+from burdockwall.process.scheduling.outliers import OutlierDetector
 from burdockwall.process.sole_versions import LedVersions
 from burdockwall.process.storage.emptying import (
     EMPTYING,
@@ -106,6 +108,8 @@
         self._hosted_publisher = host.add(self.publisher)
         self.permit_owner = PermitOwner(membership.get_led_term)
         host.add(self.permit_owner, (AskPermits,))
+        self.outliers = OutlierDetector(membership.get_led_term)
+        host.add(self.outliers, (ReportHealth,))
         self._hosted_emptying_planner = host.add(
             self.emptying_planner, (Copied,), self._propose_emptying
         )
@@ -117,6 +121,10 @@
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
 
+        self.member.gauges.add(
+            "endpoints_ejected",
+            lambda: float(self.outliers.count_ejected(host.clock())),
+        )
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
 
@@ -279,6 +287,7 @@
                 ((item.service, item.software) for item in endpoints),
                 self.member.host.clock(),
             )
+            self.outliers.install(endpoints, self.member.host.clock())
             self._publish()
             await anyio.sleep(LIST_INTERVAL_S)
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -33,6 +33,8 @@
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.endpoint_health import EndpointHealth
+from burdockwall.process.scheduling.health_reports import MarkEndpoints
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
@@ -111,8 +113,14 @@
             self.member.find_failure_domain,
         )
         self.upstreams = UpstreamPools(host.clock)
+        self.health = EndpointHealth(
+            self.member.incarnation,
+            lambda: self.reach.contact_at,
+            lambda leader: host.bus.speaks(leader, MarkEndpoints.protocol),
+        )
+        host.add(self.health, (MarkEndpoints,))
         self.balancer = Balancer(
-            settings.failure_domain, generator, self.upstreams.has_idle
+            settings.failure_domain, generator, self.upstreams.has_idle, self.health
         )
         self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
         self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
@@ -142,6 +150,7 @@
             self.endpoint_limits,
             self.reach,
             self.crashes,
+            self.health,
         )
         self._add_gauges()
 
@@ -159,6 +168,9 @@
         )
         gauges.add("crash_suspects", lambda: float(len(self.crashes.watch.table)))
         gauges.add("crash_refusals", lambda: float(self.crashes.refused_count))
+        gauges.add(
+            "endpoints_ejected", lambda: float(self.health.count_ejected(self.clock()))
+        )
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
@@ -192,9 +204,9 @@
         deployment = self.decode(document.data)
         self.view = DeploymentView(deployment)
         self.gate.install(list_deployment_limits(deployment))
-        self.parts.hedge_delay.drop_unconfigured(
-            {route.name for route in deployment.routes}
-        )
+        routes = {route.name for route in deployment.routes}
+        self.parts.hedge_delay.drop_unconfigured(routes)
+        self.health.drop_unconfigured(routes)
         self._update_limits_leader()
         self._logger.notice(
             "configuration in force",
@@ -324,6 +336,7 @@
             agent.path.leader, agent.term, self._count_live_members()
         )
         self.endpoint_limits.install_listed(self.endpoints.limited)
+        self.health.install_leader(agent.path.leader)
 
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
@@ -389,6 +402,7 @@
 
     def _follow_reach(self, cut_off: bool) -> None:
         """Take this instance out of the directory while it reaches no endpoint."""
+        self.health.forget_failures()
         if not cut_off:
             self.balancer.forget_failures()
         if self.drain.leaving or not self._directory_joined:
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.types import Address, EndpointId, FailureDomain
 
 # The weight of an endpoint's load report falls linearly from 1 to 0 at this age.
@@ -25,6 +26,8 @@
 FAILURES_TO_AVOID = 2
 FIRST_AVOID_S = 1.5
 AVOID_LIMIT_S = 6.0
+# Further failures don't lengthen the avoidance, and so count no more.
+MAX_FAILURES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +59,12 @@
         own_domain: FailureDomain,
         generator: random.Random,
         is_connected: Callable[[Address], bool] = lambda address: False,
+        health: EndpointHealth | None = None,
     ) -> None:
         self.own_domain = own_domain
         self.generator = generator
         self.is_connected = is_connected
+        self.health = health
         self._states: dict[EndpointId, _EndpointState] = {}
 
     def choose(
@@ -71,10 +76,7 @@
     ) -> ListedEndpoint | None:
         """Return the endpoint for a request, or None if there is none."""
         allowed = [item for item in endpoints if item.name not in excluded]
-        healthy = [
-            item for item in allowed if self._get_state(item).avoided_until <= now
-        ]
-        candidates = healthy or allowed
+        candidates = self._list_healthy(allowed, now)
         if not candidates:
             return None
         loads = {item.name: self._estimate_load(item, now) for item in candidates}
@@ -92,6 +94,27 @@
             return preferred
         return least
 
+    def _list_healthy(
+        self, allowed: list[ListedEndpoint], now: float
+    ) -> list[ListedEndpoint]:
+        """List the endpoints that serve well, or all if none does.
+
+        One that returns after its failures is listed in a growing share of the calls.
+        """
+        if self.health is None:
+            weights = [1.0] * len(allowed)
+        else:
+            weights = [self.health.get_weight(item.name, now) for item in allowed]
+        accepted = [
+            item
+            for item, weight in zip(allowed, weights, strict=True)
+            if weight >= 1.0 or self.generator.random() < weight
+        ]
+        healthy = [
+            item for item in accepted if self._get_state(item).avoided_until <= now
+        ]
+        return healthy or accepted or allowed
+
     def _get_state(self, endpoint: ListedEndpoint) -> _EndpointState:
         return self._states.setdefault(endpoint.name, _EndpointState())
 
@@ -128,15 +151,18 @@
         state.reported_at = now
 
     def record_success(self, endpoint: EndpointId) -> None:
-        """Reset the failures of an endpoint that answered."""
+        """Count a failure less of an endpoint that answered.
+
+        Were they all reset, one that fails each second request would never be avoided.
+        """
         state = self._states.get(endpoint)
-        if state is not None:
-            state.failures = 0
+        if state is not None and state.failures:
+            state.failures -= 1
 
     def record_failure(self, endpoint: EndpointId, now: float) -> bool:
         """Count a failure; return whether the endpoint is avoided from now on."""
         state = self._states.setdefault(endpoint, _EndpointState())
-        state.failures += 1
+        state.failures = min(MAX_FAILURES, state.failures + 1)
         if state.failures < FAILURES_TO_AVOID:
             return False
         doubled = FIRST_AVOID_S * 2 ** (state.failures - FAILURES_TO_AVOID)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -20,6 +20,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
+from burdockwall.request.attempt_health import AttemptHealth
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
@@ -264,8 +265,10 @@
             connection = await parts.upstreams.acquire(endpoint.address, limit)
         except ConnectFailed as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
+            parts.health.record_failed(endpoint.name, parts.clock())
             raise NotRun(str(error)) from error
         is_reusable, details = False, None
+        seen = AttemptHealth(parts.health, parts.clock, endpoint.name, self.route.name)
         parts.balancer.record_start(endpoint.name)
         parts.reach.record_sent()
         self.trace.endpoint = endpoint.name
@@ -273,6 +276,7 @@
         try:
             head = await self._send_with_timeout(connection, endpoint)
             parts.reach.record_heard()
+            seen.record_head()
             details = parts.codec.read_answer(head)
             self.trace.rate_limit_per_s = details.rate_limit_per_s
             if details.leaving:
@@ -282,17 +286,22 @@
                 parts.endpoint_limits.observe(endpoint.name, rate_per_s)
             if details.load is not None:
                 parts.balancer.record_report(endpoint.name, details.load, parts.clock())
-            await self._handle_answer(connection, head, details, prompt)
+            await self._handle_answer(connection, head, details, prompt, seen)
             parts.balancer.record_success(endpoint.name)
+            seen.record_answered(head.status)
             self.guard.record_answered()
             is_reusable = not details.closes
         except ConnectionBroken as error:
             parts.balancer.record_failure(endpoint.name, parts.clock())
+            seen.stop_wait()
+            seen.record_failed()
             raise AnswerLost(str(error), error.closed) from error
         except NotRun:
+            seen.record_refused(details, endpoint.slots)
             is_reusable = details is not None and not details.closes
             raise
         finally:
+            seen.record_end(self._get_remaining_s() <= 0.0)
             parts.balancer.record_end(endpoint.name)
             parts.reach.record_ended()
             with anyio.CancelScope(shield=True):
@@ -363,12 +372,15 @@
         head: AnswerHead,
         details: AnswerDetails,
         prompt: bytes,
+        seen: AttemptHealth,
     ) -> None:
         is_stream = self.route.kind is RequestKind.STREAM
         if details.ran and is_stream and head.status in STATUS_OK:
-            await self._relay_stream(connection, head, prompt)
+            await self._relay_stream(connection, head, prompt, seen)
             return
+        seen.start_wait()
         body = await connection.read_body(ANSWER_LIMIT_BYTES)
+        seen.stop_wait()
         if not details.ran:
             self.progress.runs -= 1
             raise NotRun(f"answered {head.status}, not run")
@@ -387,13 +399,19 @@
         await self.exchange.start(head.status, self._build_headers(head))
 
     async def _relay_stream(
-        self, connection: UpstreamConnection, head: AnswerHead, prompt: bytes
+        self,
+        connection: UpstreamConnection,
+        head: AnswerHead,
+        prompt: bytes,
+        seen: AttemptHealth,
     ) -> None:
         splitter = EventSplitter()
         answer: list[bytes] = []
         event_tokens = self._get_event_tokens()
         while True:
+            seen.start_wait()
             part = await connection.read_part()
+            seen.stop_wait()
             if part is None:
                 break
             self.parts.reach.record_heard()
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -10,6 +10,7 @@
 from burdockwall.process.endpoints import EndpointFollower
 from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
@@ -35,3 +36,4 @@
     endpoint_limits: EndpointLimits
     reach: EndpointReach
     crashes: CrashSuspects
+    health: EndpointHealth
