--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -31,6 +31,9 @@
 from burdockwall.process.limits.leader import LeaderLimits
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
+from burdockwall.process.scheduling.health_reports import ReportHealth
+from burdockwall.process.scheduling.outliers import OutlierDetector
+from burdockwall.process.sole_versions import LedVersions
 from burdockwall.process.storage.emptying import (
     EMPTYING,
     EmptyingPlanner,
@@ -120,22 +123,30 @@
         self.cold = LeaderColdEndpoints(
             host.clock, membership.get_led_term, settings.list_lag_s
         )
+        self.cold.find_evacuation_end = self._find_evacuation_end
         self.permit_owner = PermitOwner(
             membership.get_led_term,
             self.cold,
             ColdBounds(settings.limit_cold_overrun, settings.limit_cold_slack),
         )
         host.add(self.permit_owner, (AskPermits,))
+        self.outliers = OutlierDetector(membership.get_led_term)
+        host.add(self.outliers, (ReportHealth,))
         self._hosted_emptying_planner = host.add(
             self.emptying_planner, (Copied,), self._propose_emptying
         )
         self._logger = logbook.Logger("core")
         self._list_unreadable = False
         self._endpoint_list: list[ListedEndpoint] | None = None
+        self._led_versions = LedVersions()
         self._leading = False
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
 
+        self.member.gauges.add(
+            "endpoints_ejected",
+            lambda: float(self.outliers.count_ejected(host.clock())),
+        )
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
         self.member.gauges.add(
@@ -298,6 +309,9 @@
     def _propose(self, name: DocumentName, number: int, data: bytes) -> None:
         self.control.propose(create_put(name, number, data, SYSTEM))
 
+    def _find_evacuation_end(self, domain: FailureDomain) -> float | None:
+        return self.evacuation_orders.get_evacuations().ended.get(domain)
+
     async def _read_endpoints(self) -> None:
         while True:
             if not self.member.membership.is_leading():
@@ -323,6 +337,12 @@
                 ),
                 self.permit_owner.limits.list_limited(),
             )
+            self._led_versions.install(
+                self.member.membership.get_led_term(),
+                ((item.service, item.software) for item in endpoints),
+                self.member.host.clock(),
+            )
+            self.outliers.install(endpoints, self.member.host.clock())
             self._publish()
             await anyio.sleep(LIST_INTERVAL_S)
 
@@ -345,6 +365,7 @@
                 self.cold.mark(self._endpoint_list),
                 followers,
                 self.cold.judge.ended,
+                self._led_versions.list_since(term),
             ),
         )
 
--- a/burdockwall/process/evacuation/follower.py
+++ b/burdockwall/process/evacuation/follower.py
@@ -36,6 +36,10 @@
         """Return whether no request may be sent to the endpoints of a domain."""
         return domain in self.evacuations.domains
 
+    def find_end(self, domain: FailureDomain) -> float | None:
+        """Return when the last evacuation of a domain ended (Unix time), or None."""
+        return self.evacuations.ended.get(domain)
+
     def count(self) -> float:
         """Return the number of evacuated domains."""
         return float(len(self.evacuations.domains))
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -10,6 +10,7 @@
 from burdockwall.process.endpoints import EndpointFollower
 from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
@@ -37,3 +38,4 @@
     reach: EndpointReach
     crashes: CrashSuspects
     regions: Regions
+    health: EndpointHealth
