Read four figures of a load header, and report unreadable ones

Cause: a header with a fourth figure, the present pace of the endpoint, was discarded without a trace, so the endpoint's load was unknown; a huge figure was accepted. A load header in an answer to a misdirected request was credited to the wrong endpoint.

Change: a module of the platform's folder reads three or four figures. What can't be read is counted in a gauge and logged once an endpoint; the request goes on, and the last report that could be read stays in use.

--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -13,7 +13,7 @@
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
 from burdockwall.platform.failure import encode_failure
-from burdockwall.process.scheduling.balance import ReportedLoad
+from burdockwall.platform.load_header import read_load
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
@@ -110,15 +110,17 @@
         headers = dict(head.headers)
         misdirected = head.status == MISDIRECTED_STATUS
         ran = names.NOT_EXECUTED not in headers and not misdirected
+        load, unreadable_load = read_load(head.headers)
         closes = b"close" in headers.get(names.CONNECTION, b"").lower()
         return AnswerDetails(
             ran,
             closes,
             _read_idle_s(headers),
-            _read_load(headers.get(names.SERVER_LOAD)),
+            load,
             _read_leaving(head.headers),
             misdirected,
             _read_rate_limit(head.headers),
+            unreadable_load,
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
@@ -224,12 +226,3 @@
         if name == names.SERVER_LIMIT and RATE_PATTERN.fullmatch(value.strip())
     ]
     return min(rates, default=None)
-
-
-def _read_load(value: bytes | None) -> ReportedLoad | None:
-    numbers = value.split(b",") if value else []
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
-        return None
-    # The third number is the count of slots, which the list entry contains as well.
-    running, waiting, _ = (int(item) for item in numbers)
-    return ReportedLoad(running, waiting)
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -35,6 +35,7 @@
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.scheduling.peer_choice import PeerChoice
+from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
@@ -142,6 +143,7 @@
             self.endpoint_limits,
             self.reach,
             self.crashes,
+            UnreadableLoads(),
         )
         self._add_gauges()
 
@@ -160,6 +162,10 @@
         gauges.add("crash_suspects", lambda: float(len(self.crashes.watch.table)))
         gauges.add("crash_refusals", lambda: float(self.crashes.refused_count))
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
+        gauges.add(
+            "load_reports_unreadable",
+            lambda: float(self.parts.unreadable_loads.count),
+        )
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _list_live_instances(self) -> tuple[InstanceId, ...]:
@@ -436,6 +442,7 @@
                 await self.peer_relay.upstreams.expire()
                 self.turn_client.refresh()
                 self.balancer.drop_unlisted(self.endpoints.list_names())
+                self.parts.unreadable_loads.retain(self.endpoints.list_names())
                 self.endpoint_limits.retain(self.endpoints.list_names())
 
     async def run(self, path: Path | None) -> None:
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -29,10 +29,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The numbers of running and waiting requests that an endpoint reported."""
+    """The numbers of running and waiting requests that an endpoint reported.
+
+    `slots` is 0 if the endpoint names none. `pace` is how long work takes there at this
+    moment, as a multiple of the usual time.
+    """
 
     running: int
     waiting: int
+    slots: int = 0
+    pace: float = 1.0
 
 
 @dataclass(slots=True)
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -81,7 +81,8 @@
     connection open, or None if it does not say. `leaving` is true if the endpoint takes
     no new work because it is about to stop. `misdirected` is true if another endpoint
     answered. `rate_limit_per_s` is the request rate that the endpoint takes from all
-    instances together, or None if it names none.
+    instances together, or None if it names none. `unreadable_load` is a load
+    report that can't be read, or None.
     """
 
     ran: bool
@@ -91,6 +92,7 @@
     leaving: bool = False
     misdirected: bool = False
     rate_limit_per_s: float | None = None
+    unreadable_load: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -280,8 +280,7 @@
             if not details.misdirected:
                 rate_per_s = details.rate_limit_per_s
                 parts.endpoint_limits.observe(endpoint.name, rate_per_s)
-            if details.load is not None:
-                parts.balancer.record_report(endpoint.name, details.load, parts.clock())
+                self._record_load(endpoint, details)
             await self._handle_answer(connection, head, details, prompt)
             parts.balancer.record_success(endpoint.name)
             self.guard.record_answered()
@@ -303,6 +302,13 @@
                     details.idle_s if details else None,
                 )
 
+    def _record_load(self, endpoint: ListedEndpoint, details: AnswerDetails) -> None:
+        parts = self.parts
+        if details.load is not None:
+            parts.balancer.record_report(endpoint.name, details.load, parts.clock())
+        if details.unreadable_load is not None:
+            parts.unreadable_loads.record(endpoint, details.unreadable_load)
+
     def _record_leaving(self, endpoint: ListedEndpoint) -> None:
         if self.parts.endpoints.record_leaving(endpoint):
             extra = {"endpoint": endpoint.name, "request": self.request.request}
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -11,6 +11,7 @@
 from burdockwall.process.limits.gate import Admission
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.request.codec import RequestCodec
@@ -35,3 +36,4 @@
     endpoint_limits: EndpointLimits
     reach: EndpointReach
     crashes: CrashSuspects
+    unreadable_loads: UnreadableLoads
