Place forwarded requests by expected time instead of by counts

Cause: nearly all that one of 50 instances knows of an endpoint are old reports. After a second they counted as no load, so the endpoint heard of longest ago looked free, to all instances alike; and all requests counted alike, whatever they cost.

Change: [scheduling] placement = work chooses among the program's endpoint, endpoints that hold the prefix or of which an own request freed a slot, and two random ones, by the time that the request is expected to take: its cost, learned as a distribution by route, size, customer and program, the wait for the work left there, the pace and the slowdown by a full batch. An old report fades to the mean of all endpoints, not to none.

--- a/burdockwall/options/scheduling.py
+++ b/burdockwall/options/scheduling.py
@@ -12,6 +12,15 @@
         "How an endpoint is chosen.",
         choices=("affinity", "least_outstanding", "round_robin"),
     ),
+    Option(
+        "scheduling",
+        "placement",
+        "schedule_placement",
+        Kind.CHOICE,
+        "",
+        "Whether forwarded requests are placed by work left or by counts of requests.",
+        choices=("work", "counts"),
+    ),
     Option(
         "scheduling",
         "order",
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -14,6 +14,7 @@
 from burdockwall.platform import names
 from burdockwall.platform.failure import encode_failure
 from burdockwall.platform.load_header import read_load
+from burdockwall.platform.size_headers import read_size
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
@@ -73,6 +74,7 @@
             turn=_read_turn(headers, program),
             resumption=_read_resumption(headers),
             relayed=RELAYED in headers,
+            size=read_size(headers),
         )
 
     def build_headers(
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -54,6 +54,8 @@
     slots: int = 1
     # The tokens that each event of a stream counts as.
     event_tokens: int = 1
+    # The memory of an engine, in tokens.
+    kv_capacity: int = 0
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -183,7 +185,10 @@
 
 def _convert_service(service: _Service) -> HostService:
     engine = service.engine
-    parameters = EngineParameters(engine.event_tokens) if engine else None
+    parameters = None
+    if engine is not None:
+        memory_tokens = max(0, engine.kv_capacity)
+        parameters = EngineParameters(engine.event_tokens, memory_tokens)
     return HostService(ServiceName(service.name), service.max_conns, parameters)
 
 
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -16,6 +16,10 @@
 TOKEN_BUDGET = b"x-token-budget"
 # Two numbers: the prompt's tokens, and the most tokens that the answer may have.
 TOKEN_USAGE = b"x-token-usage"
+# Parts of the prompt that other prompts begin with as well: "ID:TOKENS,ID:TOKENS".
+PROMPT_PREFIX = b"x-prompt-prefix"
+# The caller's guess of the answer's length.
+LENGTH_HINT = b"x-length-hint"
 PREVIOUS_TURN = b"x-previous-turn"
 # The id of the request whose answer began the stream that a request takes up.
 RESUMES = b"resumes"
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -32,10 +32,10 @@
 )
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
-from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
+from burdockwall.process.scheduling.work_balance import create_balancer
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
@@ -112,9 +112,7 @@
             self.member.find_failure_domain,
         )
         self.upstreams = UpstreamPools(host.clock)
-        self.balancer = Balancer(
-            settings.failure_domain, generator, self.upstreams.has_idle
-        )
+        self.balancer = create_balancer(settings, generator, self.upstreams.has_idle)
         self.endpoint_limits = EndpointLimits(host, self.member.incarnation)
         self.reach = EndpointReach(host, self.upstreams, self._follow_reach)
         self.upstreams.report_connect = self.reach.record_connect
@@ -166,6 +164,8 @@
             "load_reports_unreadable",
             lambda: float(self.parts.unreadable_loads.count),
         )
+        for name, read in self.balancer.list_gauges():
+            gauges.add(name, read)
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _list_live_instances(self) -> tuple[InstanceId, ...]:
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.scheduling.request_work import RequestWork
 from burdockwall.types import Address, EndpointId, FailureDomain
 
 # The weight of an endpoint's load report falls linearly from 1 to 0 at this age.
@@ -68,18 +69,25 @@
         self.is_connected = is_connected
         self._states: dict[EndpointId, _EndpointState] = {}
 
+    def weigh(self, endpoint: ListedEndpoint, now: float) -> float:
+        """Return the part of its usual load that an endpoint may get, from 0 to 1."""
+        state = self._states.get(endpoint.name)
+        return 0.0 if state is not None and state.avoided_until > now else 1.0
+
     def choose(
         self,
         endpoints: Iterable[ListedEndpoint],
         affinity: str,
         now: float,
         excluded: Set[EndpointId] = frozenset(),
+        work: RequestWork | None = None,
     ) -> ListedEndpoint | None:
-        """Return the endpoint for a request, or None if there is none."""
+        """Return the endpoint for a request, or None if there is none.
+
+        The request's `work` is not used here.
+        """
         allowed = [item for item in endpoints if item.name not in excluded]
-        healthy = [
-            item for item in allowed if self._get_state(item).avoided_until <= now
-        ]
+        healthy = [item for item in allowed if self.weigh(item, now) > 0]
         candidates = healthy or allowed
         if not candidates:
             return None
@@ -118,6 +126,18 @@
         """Count a request that was sent."""
         self._states.setdefault(endpoint, _EndpointState()).own += 1
 
+    def record_work_start(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that was sent, of which `work` is known."""
+        self.record_start(endpoint)
+
+    def record_work_end(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that has ended, of which `work` is known."""
+        self.record_end(endpoint)
+
     def record_end(self, endpoint: EndpointId) -> None:
         """Count a request that has ended."""
         state = self._states.get(endpoint)
@@ -155,6 +175,10 @@
             state.failures = 0
             state.avoided_until = float("-inf")
 
+    def list_gauges(self) -> list[tuple[str, Callable[[], float]]]:
+        """List the gauges of the choice of endpoints."""
+        return []
+
     def drop_unlisted(self, listed: set[EndpointId]) -> None:
         """Drop the state of unlisted endpoints with no request of this instance."""
         self._states = {
--- /dev/null
+++ b/burdockwall/process/scheduling/work_balance.py
@@ -0,0 +1,310 @@
+"""Choose the endpoint of a request by the time that it is expected to take there.
+
+Made for 50 and more instances whose reports are old on arrival, for requests that cost
+1 to 30 times as much as each other, and for 2,200 endpoints: a choice compares only a
+few candidates, and what isn't known of an endpoint is assumed to be as at the others.
+"""
+
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterable, Set
+
+from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.scheduling.affinity import PrefixTable
+from burdockwall.process.scheduling.balance import Balancer, ReportedLoad
+from burdockwall.process.scheduling.cost_estimate import CostEstimator
+from burdockwall.process.scheduling.freed_slots import FreedSlots
+from burdockwall.process.scheduling.home import HomeFinder
+from burdockwall.process.scheduling.policy import Policy, create_policy
+from burdockwall.process.scheduling.reports import CacheKey
+from burdockwall.process.scheduling.request_size import RequestSize
+from burdockwall.process.scheduling.request_work import ExpectedTime, RequestWork
+from burdockwall.process.scheduling.slowdown import Slowdown
+from burdockwall.process.scheduling.work_left import (
+    SentWork,
+    WorkLeft,
+    compute_wait_s,
+)
+from burdockwall.settings import Settings
+from burdockwall.types import Address, EndpointId, FailureDomain
+
+# The value of the setting that places requests by work left.
+BY_WORK = "work"
+# Random candidates of a choice, from all endpoints and from the own domain. More of
+# them did not shorten waits where reports are old (docs/design/placement.md).
+RANDOM_CANDIDATES = 1
+NEAR_CANDIDATES = 1
+# Draws for each of them, since some find endpoints that may not be used.
+DRAWS = 4
+# An endpoint in another failure domain must be better by this share of the cost and by
+# `far_s`, since bytes between domains are expensive.
+FAR_SHARE = 0.05
+# Time in which a connection is opened within a region.
+CONNECT_S = 0.002
+# The part of an earlier turn's prompt that is expected to be cached at the endpoint of
+# its program, where nothing is known for certain.
+HOME_CACHED_SHARE = 0.7
+# What a plain service's answer is expected to gain where its object was handled before,
+# as a share of its cost.
+HOME_GAIN = 0.35
+# The least part of an answer's time that counts as its cost, however long the wait that
+# was expected.
+LEAST_COST_SHARE = 0.2
+LEAST_WEIGHT = 0.01
+ERROR_GAIN = 0.02
+
+
+class WorkBalancer(Balancer):
+    """Chooses the endpoint with the least expected time among a few candidates."""
+
+    def __init__(
+        self,
+        own_domain: FailureDomain,
+        generator: random.Random,
+        is_connected: Callable[[Address], bool],
+        policy: Policy,
+    ) -> None:
+        super().__init__(own_domain, generator, is_connected)
+        self.policy = policy
+        self.costs = CostEstimator(policy)
+        self.work_left = WorkLeft()
+        self.prefixes = PrefixTable(policy)
+        self.homes = HomeFinder()
+        self.freed = FreedSlots()
+        # Of the logarithms of costs, for the metrics.
+        self.mean_error = 0.0
+        # By whether the request runs on an engine.
+        self._slowdowns = {True: Slowdown(), False: Slowdown()}
+        self._tickets = itertools.count(1)
+
+    def choose(
+        self,
+        endpoints: Iterable[ListedEndpoint],
+        affinity: str,
+        now: float,
+        excluded: Set[EndpointId] = frozenset(),
+        work: RequestWork | None = None,
+    ) -> ListedEndpoint | None:
+        """Return the endpoint for a request, or None if there is none."""
+        if work is None:
+            return super().choose(endpoints, affinity, now, excluded)
+
+        def is_usable(endpoint: ListedEndpoint) -> bool:
+            return endpoint.name not in excluded and self.weigh(endpoint, now) > 0
+
+        listed = list(endpoints)
+        home = self.homes.find(listed, affinity, is_usable) if affinity else None
+        copies = self._count_cached(work.size, now)
+        freed = self.freed.list_endpoints(now)
+        candidates = self._list_candidates(listed, home, copies, freed, is_usable)
+        if not candidates:
+            usable = [item for item in listed if item.name not in excluded]
+            healthy = [item for item in usable if is_usable(item)]
+            candidates = [(item, "few are left") for item in healthy or usable]
+        best, least_s = None, math.inf
+        for endpoint, reason in candidates:
+            expected = self._expect(work, endpoint, home, copies, reason, now)
+            total_s = self._compute_total_s(work.size, endpoint, home, expected, now)
+            if total_s < least_s:
+                best, least_s, work.expected = endpoint, total_s, expected
+        return best
+
+    def _list_candidates(
+        self,
+        listed: list[ListedEndpoint],
+        home: ListedEndpoint | None,
+        copies: dict[EndpointId, float],
+        freed: set[EndpointId],
+        is_usable: Callable[[ListedEndpoint], bool],
+    ) -> list[tuple[ListedEndpoint, str]]:
+        found: dict[EndpointId, tuple[ListedEndpoint, str]] = {}
+        if home is not None:
+            found[home.name] = (home, "endpoint of the program")
+        if copies or freed:
+            for item in listed:
+                if item.name in copies and is_usable(item):
+                    found.setdefault(item.name, (item, "holds the prefix"))
+                elif item.name in freed and is_usable(item):
+                    found.setdefault(item.name, (item, "freed a slot"))
+        for near, count in ((False, RANDOM_CANDIDATES), (True, NEAR_CANDIDATES)):
+            for endpoint in self._draw(listed, count, near, is_usable):
+                found.setdefault(endpoint.name, (endpoint, "less loaded"))
+        return list(found.values())
+
+    def _draw(
+        self,
+        listed: list[ListedEndpoint],
+        count: int,
+        near: bool,
+        is_usable: Callable[[ListedEndpoint], bool],
+    ) -> list[ListedEndpoint]:
+        """Draw up to `count` random endpoints, `near` ones of the own domain only."""
+        drawn: list[ListedEndpoint] = []
+        for _ in range(count * DRAWS if listed else 0):
+            endpoint = listed[int(self.generator.random() * len(listed))]
+            if near and endpoint.failure_domain != self.own_domain:
+                continue
+            if endpoint not in drawn and is_usable(endpoint):
+                drawn.append(endpoint)
+                if len(drawn) == count:
+                    break
+        return drawn
+
+    def _count_cached(self, size: RequestSize, now: float) -> dict[EndpointId, float]:
+        """Return the tokens of the prompt that endpoints are known to have cached."""
+        cached: dict[EndpointId, float] = {}
+        for part in size.parts:
+            for endpoint, tokens in self.prefixes.list_copies(part.key, now):
+                known = cached.get(endpoint, 0.0) + min(tokens, part.tokens)
+                cached[endpoint] = min(size.prompt_tokens, known)
+        key = _get_program_key(size)
+        if key is not None and size.continues:
+            for endpoint, tokens in self.prefixes.list_copies(key, now):
+                known = min(size.prompt_tokens, float(tokens))
+                cached[endpoint] = max(cached.get(endpoint, 0.0), known)
+        return cached
+
+    def _expect(
+        self,
+        work: RequestWork,
+        endpoint: ListedEndpoint,
+        home: ListedEndpoint | None,
+        copies: dict[EndpointId, float],
+        reason: str,
+        now: float,
+    ) -> ExpectedTime:
+        size = work.size
+        cached = copies.get(endpoint.name, 0.0)
+        if endpoint is home and size.continues:
+            # Other instances have probably sent the earlier turns there.
+            cached = max(cached, HOME_CACHED_SHARE * size.count_earlier_tokens())
+        freed = endpoint.name in self.freed.list_endpoints(now)
+        load = self.work_left.estimate(endpoint.name, endpoint.slots, now, freed)
+        return ExpectedTime(
+            endpoint.name,
+            reason,
+            self.costs.estimate(size, now, cached).mean_s,
+            compute_wait_s(load, endpoint.slots, size.tokens, work.memory_tokens),
+            load.pace,
+            load.requests / max(1, endpoint.slots),
+            cached,
+        )
+
+    def _compute_total_s(
+        self,
+        size: RequestSize,
+        endpoint: ListedEndpoint,
+        home: ListedEndpoint | None,
+        expected: ExpectedTime,
+        now: float,
+    ) -> float:
+        """Return the expected time in seconds, and what speaks against an endpoint."""
+        slowed = self._slowdowns[size.on_engine].compute(expected.occupancy)
+        total_s = (expected.cost_s * slowed + expected.wait_s) * expected.pace
+        total_s /= max(LEAST_WEIGHT, self.weigh(endpoint, now))
+        if endpoint.failure_domain != self.own_domain:
+            total_s += self.policy.far_s + FAR_SHARE * expected.cost_s
+        if not self.is_connected(endpoint.address):
+            total_s += CONNECT_S
+        if endpoint is home:
+            total_s -= self._compute_home_gain_s(size, expected)
+        return total_s
+
+    def _compute_home_gain_s(self, size: RequestSize, expected: ExpectedTime) -> float:
+        """Return the time that later requests gain where this one goes to its home."""
+        if not size.on_engine:
+            return HOME_GAIN * expected.cost_s
+        read = max(0.0, size.prompt_tokens - expected.cached_tokens)
+        return HOME_CACHED_SHARE * read * self.policy.prefill_token_s
+
+    # What is observed.
+
+    def record_work_start(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that was sent, and its expected cost."""
+        super().record_work_start(endpoint, work, now)
+        self.freed.use(endpoint)
+        if work.expected is None or work.expected.endpoint != endpoint:
+            return
+        work.ticket = next(self._tickets)
+        work.started_at = now
+        work.completed = False
+        sent = SentWork(
+            work.expected.cost_s, now, work.size.tokens, work.expected.wait_s
+        )
+        self.work_left.record_start(endpoint, work.ticket, sent)
+
+    def record_work_end(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that has ended, and learn from it if it was completed."""
+        super().record_work_end(endpoint, work, now)
+        if not work.ticket:
+            return
+        self.work_left.record_end(endpoint, work.ticket)
+        if work.completed and not self.work_left.has_waiting(endpoint):
+            self.freed.add(endpoint, now)
+        work.ticket = 0
+        if work.completed and work.expected is not None:
+            self._learn(endpoint, work.size, work.expected, now - work.started_at, now)
+
+    def _learn(
+        self,
+        endpoint: EndpointId,
+        size: RequestSize,
+        expected: ExpectedTime,
+        elapsed_s: float,
+        now: float,
+    ) -> None:
+        pace = (expected.pace + self.work_left.get_pace(endpoint, now)) / 2
+        usual_s = elapsed_s / pace
+        run_s = max(usual_s - expected.wait_s, LEAST_COST_SHARE * usual_s)
+        slowdown = self._slowdowns[size.on_engine]
+        cost_s = run_s / slowdown.compute(expected.occupancy)
+        error = self.costs.record(size, cost_s, expected.cached_tokens, now)
+        slowdown.learn(expected.occupancy, error)
+        self.mean_error += (abs(error) - self.mean_error) * ERROR_GAIN
+        self.work_left.record_cost(cost_s, size.tokens)
+        for part in size.parts:
+            self.prefixes.record(part.key, endpoint, part.tokens, now)
+        key = _get_program_key(size)
+        if key is not None:
+            self.prefixes.record(key, endpoint, int(size.tokens), now)
+
+    def record_report(
+        self, endpoint: EndpointId, report: ReportedLoad, now: float
+    ) -> None:
+        """Record the load that an endpoint reported with its answer."""
+        super().record_report(endpoint, report, now)
+        self.work_left.record_report(endpoint, report, now)
+
+    def list_gauges(self) -> list[tuple[str, Callable[[], float]]]:
+        """List the gauges of the choice of endpoints."""
+        return [("cost_estimate_error", lambda: self.mean_error)]
+
+    def drop_unlisted(self, listed: set[EndpointId]) -> None:
+        """Drop the state of unlisted endpoints with no request of this instance."""
+        super().drop_unlisted(listed)
+        self.work_left.retain(listed)
+        self.homes.retain(listed)
+
+
+def _get_program_key(size: RequestSize) -> CacheKey | None:
+    if not size.on_engine or not size.program:
+        return None
+    return CacheKey(f"program {size.program}")
+
+
+def create_balancer(
+    settings: Settings,
+    generator: random.Random,
+    is_connected: Callable[[Address], bool],
+) -> Balancer:
+    """Create the balancer that the settings ask for."""
+    domain = settings.failure_domain
+    if settings.schedule_placement == BY_WORK:
+        policy = create_policy(settings)
+        return WorkBalancer(domain, generator, is_connected, policy)
+    return Balancer(domain, generator, is_connected)
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -11,6 +11,7 @@
 from burdockwall.errors import BurdockwallError
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import ReportedLoad
+from burdockwall.process.scheduling.request_size import DeclaredSize
 from burdockwall.types import CustomerId, ProgramId, RequestId, TurnId
 
 
@@ -43,7 +44,7 @@
     `headers` are those that may be forwarded, and `key` is the caller's key.
     `deadline_s` is how long after its start the request may take, or None if the caller
     sets no limit. `finish_s` is not used. `relayed` is true if another entry instance
-    passes the request on for its caller.
+    passes the request on for its caller. `size` is what the caller declares of it.
     """
 
     request: RequestId
@@ -59,6 +60,7 @@
     turn: TurnDetails | None = None
     resumption: Resumption | None = None
     relayed: bool = False
+    size: DeclaredSize = DeclaredSize()
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/endpoint_choice.py
+++ b/burdockwall/request/endpoint_choice.py
@@ -6,11 +6,14 @@
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import Balancer
+from burdockwall.process.scheduling.request_work import RequestWork
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.types import EndpointId
 
 # One request asks for permits of at most this many endpoints.
 MAX_PERMIT_ASKS = 3
+# A predicted endpoint is used if the rate admits the request within this time.
+PREDICTION_LIFE_S = 0.25
 
 
 class NoEndpoint(Exception):
@@ -31,7 +34,7 @@
     """The endpoints that one request may still be sent to.
 
     `affinity` names what its requests share, so that they go to one endpoint. Those in
-    `excluded` have been tried.
+    `excluded` have been tried. `work` says how much the request asks of them.
     """
 
     def __init__(
@@ -41,14 +44,18 @@
         limits: EndpointLimits,
         clock: Callable[[], float],
         affinity: str,
+        work: RequestWork,
     ) -> None:
         self.binding = binding
         self.balancer = balancer
         self.limits = limits
         self.clock = clock
         self.affinity = affinity
+        self.work = work
         self.excluded: set[EndpointId] = set()
         self._unpermitted: set[EndpointId] = set()
+        self._predicted: ListedEndpoint | None = None
+        self._predicted_at = 0.0
 
     def find(self) -> ListedEndpoint | None:
         """Return the best endpoint that may still have a permit, or None."""
@@ -57,8 +64,29 @@
             self.affinity,
             self.clock(),
             self.excluded | self._unpermitted,
+            self.work,
         )
 
+    def predict(self) -> ListedEndpoint | None:
+        """Return the endpoint that `choose` probably chooses soon, or None."""
+        self._predicted = self.find()
+        self._predicted_at = self.clock()
+        return self._predicted
+
+    def _take_predicted(self) -> ListedEndpoint | None:
+        """Return the predicted endpoint once, if it may still be used.
+
+        Another choice might differ by chance, and would then be recorded at the stores.
+        """
+        predicted, self._predicted = self._predicted, None
+        if self.work.expected is None or predicted is None:
+            return None
+        if self.clock() - self._predicted_at > PREDICTION_LIFE_S:
+            return None
+        if predicted.name in self.excluded:
+            return None
+        return predicted if predicted in self._list_permitted() else None
+
     def _list_permitted(self) -> list[ListedEndpoint]:
         return [
             item
@@ -72,7 +100,7 @@
         After MAX_PERMIT_ASKS limited endpoints without a permit, only others are used.
         """
         asks = 0
-        while (endpoint := self.find()) is not None:
+        while (endpoint := self._take_predicted() or self.find()) is not None:
             if asks < MAX_PERMIT_ASKS or not self.limits.needs_permit(endpoint.name):
                 if await self.limits.acquire(endpoint.name):
                     return endpoint
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -37,7 +37,8 @@
 from burdockwall.request.forwarding_parts import ForwardingParts
 from burdockwall.request.progress import AnswerLost, NotRun, Progress
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
-from burdockwall.request.trace import RequestTrace
+from burdockwall.request.trace import MS_PER_S, RequestTrace
+from burdockwall.request.work import describe_work
 from burdockwall.types import CustomerId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
@@ -92,13 +93,15 @@
         self.trace = trace
         self.progress = Progress()
         self.binding = StreamBinding(parts.endpoints, request, route)
-        is_engine = view.get_service(self.binding.service).engine is not None
+        engine = view.get_service(self.binding.service).engine
+        is_engine = engine is not None
         self.choice = EndpointChoice(
             self.binding,
             parts.balancer,
             parts.endpoint_limits,
             parts.clock,
             (request.program or "") if is_engine else "",
+            describe_work(request, route, customer, len(body), engine),
         )
         self.body = body
         self.owner = customer.name if customer else ANONYMOUS_CUSTOMER
@@ -173,7 +176,7 @@
             return None
         place = None
         if self.binding.is_recorded:
-            place = self.binding.predict(self.choice.find())
+            place = self.binding.predict(self.choice.predict())
         return TurnStart(
             customer=self.owner,
             program=details.program,
@@ -266,9 +269,10 @@
             parts.balancer.record_failure(endpoint.name, parts.clock())
             raise NotRun(str(error)) from error
         is_reusable, details = False, None
-        parts.balancer.record_start(endpoint.name)
+        parts.balancer.record_work_start(endpoint.name, self.choice.work, parts.clock())
         parts.reach.record_sent()
         self.trace.endpoint = endpoint.name
+        self._describe_placement()
         self.trace.software = endpoint.software
         try:
             head = await self._send_with_timeout(connection, endpoint)
@@ -283,6 +287,8 @@
                 self._record_load(endpoint, details)
             await self._handle_answer(connection, head, details, prompt)
             parts.balancer.record_success(endpoint.name)
+            if head.status in STATUS_OK:
+                self.choice.work.completed = True
             self.guard.record_answered()
             is_reusable = not details.closes
         except ConnectionBroken as error:
@@ -292,7 +298,9 @@
             is_reusable = details is not None and not details.closes
             raise
         finally:
-            parts.balancer.record_end(endpoint.name)
+            parts.balancer.record_work_end(
+                endpoint.name, self.choice.work, parts.clock()
+            )
             parts.reach.record_ended()
             with anyio.CancelScope(shield=True):
                 await parts.upstreams.release(
@@ -302,6 +310,12 @@
                     details.idle_s if details else None,
                 )
 
+    def _describe_placement(self) -> None:
+        expected = self.choice.work.expected
+        if expected is not None:
+            self.trace.placement = expected.reason
+            self.trace.expected_ms = round(expected.total_s * MS_PER_S, 1)
+
     def _record_load(self, endpoint: ListedEndpoint, details: AnswerDetails) -> None:
         parts = self.parts
         if details.load is not None:
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -18,6 +18,8 @@
     request that began it, and `last_event`, the last event that the caller received.
     `rate_limit_per_s` is the request rate that the answer of the endpoint named.
     `fingerprint` is set if an endpoint broke the answer off, as hexadecimal digits.
+    `placement` is why the endpoint was chosen, and `expected_ms` the time that the
+    request was expected to take there; both are empty where counts decide.
     """
 
     request: str
@@ -42,6 +44,8 @@
     last_event: str = ""
     rate_limit_per_s: float | None = None
     fingerprint: str = ""
+    placement: str = ""
+    expected_ms: float | None = None
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of the request's log line.
@@ -64,6 +68,8 @@
             "detail": self.detail,
             "failures": "; ".join(self.failures),
             "fingerprint": self.fingerprint,
+            "placement": self.placement,
+            "expected_ms": self.expected_ms,
             "admission": self.admission,
             "admitted_ms": self._measure_ms(self.admitted_at),
             "begun_ms": self._measure_ms(self.begun_at),
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -103,6 +103,7 @@
     sweep_interval_s: float = 10.0
     cancel_limit_s: float = 30.0
     schedule_routing: str = "affinity"
+    schedule_placement: str = "counts"
     schedule_order: str = "attained_service"
     schedule_window: str = "shared"
     schedule_endpoint_calls: int = 24
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -63,9 +63,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineParameters:
-    """The engines of a service; a stream's event counts as `event_tokens` tokens."""
+    """The engines of a service; a stream's event counts as `event_tokens` tokens.
+
+    The requests that run on one engine share a memory of `memory_tokens`, or 0 if the
+    configuration does not give it.
+    """
 
     event_tokens: int
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
