--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -14,8 +14,9 @@
 from burdockwall.platform import names
 from burdockwall.platform.cold import convert_cold_ms
 from burdockwall.platform.failure import encode_failure
+from burdockwall.platform.load_header import read_load
+from burdockwall.platform.size_headers import read_size
 from burdockwall.process.endpoints import ListedEndpoint
-from burdockwall.process.scheduling.balance import ReportedLoad
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
@@ -76,6 +77,7 @@
             resumption=_read_resumption(headers),
             relayed=RELAYED in headers,
             affinity=_get_text(headers, names.AFFINITY_KEY),
+            size=read_size(headers),
         )
 
     def build_headers(
@@ -120,16 +122,18 @@
         headers = dict(head.headers)
         misdirected = head.status == MISDIRECTED_STATUS
         ran = names.NOT_EXECUTED not in headers and not misdirected
+        load, unreadable_load = read_load(head.headers)
         closes = b"close" in headers.get(names.CONNECTION, b"").lower()
         return AnswerDetails(
             ran,
             closes,
             _read_idle_s(headers),
-            _read_load(headers.get(names.SERVER_LOAD)),
+            load,
             _read_leaving(head.headers),
             misdirected,
             _read_rate_limit(head.headers),
             convert_cold_ms(headers.get(names.COLD_MS)),
+            unreadable_load,
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
@@ -235,12 +239,3 @@
         if name == names.SERVER_LIMIT and RATE_PATTERN.fullmatch(value.strip())
     ]
     return min(rates, default=None)
-
-
-def _read_load(value: bytes | None) -> ReportedLoad | None:
-    numbers = value.split(b",") if value else []
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
-        return None
-    # The third number is the count of slots, which the list entry contains as well.
-    running, waiting, _ = (int(item) for item in numbers)
-    return ReportedLoad(running, waiting)
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -39,11 +39,12 @@
 )
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
-from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.process.scheduling.health_reports import MarkEndpoints
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.scheduling.peer_choice import PeerChoice
+from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
+from burdockwall.process.scheduling.work_balance import create_balancer
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
@@ -127,8 +128,8 @@
             lambda leader: host.bus.speaks(leader, MarkEndpoints.protocol),
         )
         host.add(self.health, (MarkEndpoints,))
-        self.balancer = Balancer(
-            settings.failure_domain, generator, self.upstreams.has_idle, self.health
+        self.balancer = create_balancer(
+            settings, generator, self.upstreams.has_idle, self.health
         )
         self.cold = ColdView(self.endpoints, self.endpoints.evacuation.find_end)
         self.endpoint_limits = EndpointLimits(
@@ -168,6 +169,7 @@
             self.crashes,
             Regions(settings.regions, settings.failure_domain, settings.region),
             self.health,
+            UnreadableLoads(),
         )
         self._add_gauges()
 
@@ -193,6 +195,12 @@
         )
         gauges.add("cut_off", lambda: float(self.reach.cut_off))
         gauges.add("evacuated_domains", self.endpoints.evacuation.count)
+        gauges.add(
+            "load_reports_unreadable",
+            lambda: float(self.parts.unreadable_loads.count),
+        )
+        for name, read in self.balancer.list_gauges():
+            gauges.add(name, read)
         gauges.add("store_view", lambda: float(self.turn_client.calls.view.number))
 
     def _list_live_instances(self) -> tuple[InstanceId, ...]:
@@ -482,6 +490,7 @@
                 await self.peer_relay.upstreams.expire()
                 self.turn_client.refresh()
                 self.balancer.drop_unlisted(self.endpoints.list_names())
+                self.parts.unreadable_loads.retain(self.endpoints.list_names())
                 self.endpoint_limits.retain(self.endpoints.list_names())
 
     async def run(self, path: Path | None) -> None:
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -12,6 +12,7 @@
 
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
+from burdockwall.process.scheduling.request_work import RequestWork
 from burdockwall.types import Address, EndpointId, FailureDomain
 
 # The weight of an endpoint's load report falls linearly from 1 to 0 at this age.
@@ -32,10 +33,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The numbers of running and waiting requests that an endpoint reported."""
+    """The numbers of running and waiting requests that an endpoint reported.
+
+    `slots` is 0 if the endpoint names none. `pace` is how long work takes there at this
+    moment, as a multiple of the usual time.
+    """
 
     running: int
     waiting: int
+    slots: int = 0
+    pace: float = 1.0
 
 
 @dataclass(slots=True)
@@ -67,14 +74,27 @@
         self.health = health
         self._states: dict[EndpointId, _EndpointState] = {}
 
+    def weigh(self, endpoint: ListedEndpoint, now: float) -> float:
+        """Return the part of its usual load that an endpoint may get, from 0 to 1."""
+        state = self._states.get(endpoint.name)
+        if state is not None and state.avoided_until > now:
+            return 0.0
+        return (
+            1.0 if self.health is None else self.health.get_weight(endpoint.name, now)
+        )
+
     def choose(
         self,
         endpoints: Iterable[ListedEndpoint],
         affinity: str,
         now: float,
         excluded: Set[EndpointId] = frozenset(),
+        work: RequestWork | None = None,
     ) -> ListedEndpoint | None:
-        """Return the endpoint for a request, or None if there is none."""
+        """Return the endpoint for a request, or None if there is none.
+
+        The request's `work` is not used here.
+        """
         allowed = [item for item in endpoints if item.name not in excluded]
         candidates = self._list_healthy(allowed, now)
         if not candidates:
@@ -101,19 +121,13 @@
 
         One that returns after its failures is listed in a growing share of the calls.
         """
-        if self.health is None:
-            weights = [1.0] * len(allowed)
-        else:
-            weights = [self.health.get_weight(item.name, now) for item in allowed]
+        weights = [self.weigh(item, now) for item in allowed]
         accepted = [
             item
             for item, weight in zip(allowed, weights, strict=True)
             if weight >= 1.0 or self.generator.random() < weight
         ]
-        healthy = [
-            item for item in accepted if self._get_state(item).avoided_until <= now
-        ]
-        return healthy or accepted or allowed
+        return accepted or allowed
 
     def _get_state(self, endpoint: ListedEndpoint) -> _EndpointState:
         return self._states.setdefault(endpoint.name, _EndpointState())
@@ -135,6 +149,18 @@
         """Count a request that was sent."""
         self._states.setdefault(endpoint, _EndpointState()).own += 1
 
+    def record_work_start(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that was sent, of which `work` is known."""
+        self.record_start(endpoint)
+
+    def record_work_end(
+        self, endpoint: EndpointId, work: RequestWork, now: float
+    ) -> None:
+        """Count a request that has ended, of which `work` is known."""
+        self.record_end(endpoint)
+
     def record_end(self, endpoint: EndpointId) -> None:
         """Count a request that has ended."""
         state = self._states.get(endpoint)
@@ -175,6 +201,10 @@
             state.failures = 0
             state.avoided_until = float("-inf")
 
+    def list_gauges(self) -> list[tuple[str, Callable[[], float]]]:
+        """List the gauges of the choice of endpoints."""
+        return []
+
     def drop_unlisted(self, listed: set[EndpointId]) -> None:
         """Drop the state of unlisted endpoints with no request of this instance."""
         self._states = {
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -11,6 +11,7 @@
 from burdockwall.errors import BurdockwallError
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import ReportedLoad
+from burdockwall.process.scheduling.request_size import DeclaredSize
 from burdockwall.types import CustomerId, ProgramId, RequestId, TurnId
 
 
@@ -43,7 +44,7 @@
     `headers` are those that may be forwarded, and `key` is the caller's key.
     `deadline_s` is how long after its start the request may take, or None if the caller
     sets no limit. `finish_s` is not used. `relayed` is true if another entry instance
-    passes the request on for its caller.
+    passes the request on for its caller. `size` is what the caller declares of it.
     """
 
     request: RequestId
@@ -61,6 +62,7 @@
     relayed: bool = False
     # Names the object that the request works on; empty if the caller names none.
     affinity: str = ""
+    size: DeclaredSize = DeclaredSize()
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +85,8 @@
     connection open, or None if it does not say. `leaving` is true if the endpoint takes
     no new work because it is about to stop. `misdirected` is true if another endpoint
     answered. `rate_limit_per_s` is the request rate that the endpoint takes from all
-    instances together, or None if it names none.
+    instances together, or None if it names none. `unreadable_load` is a load
+    report that can't be read, or None.
     """
 
     ran: bool
@@ -95,6 +98,7 @@
     rate_limit_per_s: float | None = None
     # How long the endpoint stays cold; None if it does not say, NaN if unreadable.
     cold_left_s: float | None = None
+    unreadable_load: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -43,7 +43,8 @@
 from burdockwall.request.forwarding_parts import ForwardingParts
 from burdockwall.request.progress import AnswerLost, NotRun, Progress
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
-from burdockwall.request.trace import RequestTrace
+from burdockwall.request.trace import MS_PER_S, RequestTrace
+from burdockwall.request.work import describe_work
 from burdockwall.types import CustomerId, Ran, TurnId
 from burdockwall.version.deployment import (
     DeploymentView,
@@ -109,13 +110,15 @@
         self.progress = Progress()
         self.binding = StreamBinding(parts.endpoints, request, route)
         self.binding.regions = parts.regions.find_allowed(route, customer)
-        is_engine = view.get_service(self.binding.service).engine is not None
+        engine = view.get_service(self.binding.service).engine
+        is_engine = engine is not None
         self.choice = EndpointChoice(
             self.binding,
             parts.balancer,
             parts.endpoint_limits,
             parts.clock,
             find_affinity(request, route, is_engine),
+            describe_work(request, route, customer, len(body), engine),
         )
         self.body = body
         self.owner = customer.name if customer else ANONYMOUS_CUSTOMER
@@ -191,7 +194,7 @@
             return None
         place = None
         if self.binding.is_recorded:
-            place = self.binding.predict(self.choice.find())
+            place = self.binding.predict(self.choice.predict())
         return TurnStart(
             customer=self.owner,
             program=details.program,
@@ -295,9 +298,10 @@
             raise
         is_reusable, details = False, None
         seen = AttemptHealth(parts.health, parts.clock, endpoint.name, self.route.name)
-        parts.balancer.record_start(endpoint.name)
+        parts.balancer.record_work_start(endpoint.name, self.choice.work, parts.clock())
         parts.reach.record_sent()
         self.trace.endpoint = endpoint.name
+        self._describe_placement()
         self.trace.software = endpoint.software
         try:
             self._check_evacuated(endpoint)
@@ -312,11 +316,12 @@
                 rate_per_s = details.rate_limit_per_s
                 parts.endpoint_limits.observe(endpoint.name, rate_per_s)
                 parts.endpoint_limits.observe_cold(endpoint.name, details.cold_left_s)
-            if details.load is not None:
-                parts.balancer.record_report(endpoint.name, details.load, parts.clock())
+                self._record_load(endpoint, details)
             await self._handle_answer(connection, head, details, prompt, seen)
             parts.balancer.record_success(endpoint.name)
             seen.record_answered(head.status)
+            if head.status in STATUS_OK:
+                self.choice.work.completed = True
             self.guard.record_answered()
             is_reusable = not details.closes
         except ConnectionBroken as error:
@@ -332,7 +337,9 @@
             raise
         finally:
             seen.record_end(self._get_remaining_s() <= 0.0)
-            parts.balancer.record_end(endpoint.name)
+            parts.balancer.record_work_end(
+                endpoint.name, self.choice.work, parts.clock()
+            )
             parts.reach.record_ended()
             with anyio.CancelScope(shield=True):
                 await parts.upstreams.release(
@@ -350,6 +357,19 @@
         if self.parts.endpoints.is_evacuated(endpoint):
             raise NotRun(f"{endpoint.failure_domain} was evacuated")
 
+    def _describe_placement(self) -> None:
+        expected = self.choice.work.expected
+        if expected is not None:
+            self.trace.placement = expected.reason
+            self.trace.expected_ms = round(expected.total_s * MS_PER_S, 1)
+
+    def _record_load(self, endpoint: ListedEndpoint, details: AnswerDetails) -> None:
+        parts = self.parts
+        if details.load is not None:
+            parts.balancer.record_report(endpoint.name, details.load, parts.clock())
+        if details.unreadable_load is not None:
+            parts.unreadable_loads.record(endpoint, details.unreadable_load)
+
     def _record_leaving(self, endpoint: ListedEndpoint) -> None:
         if self.parts.endpoints.record_leaving(endpoint):
             extra = {"endpoint": endpoint.name, "request": self.request.request}
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -12,6 +12,7 @@
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.request.codec import RequestCodec
@@ -39,3 +40,4 @@
     crashes: CrashSuspects
     regions: Regions
     health: EndpointHealth
+    unreadable_loads: UnreadableLoads
