Admit programs whole against a customer's rate

Cause: an owner met needs in order of arrival, and a request that was not met within 0.36 s was refused, whether it began a program or was its last turn. A customer with more programs than its rate carries lost a request of each.

Change: stores say whether a program has a turn that was answered completely. Requests of programs under way are served first and wait up to [limits] program_wait; the owner admits a start only if the rate carries what the programs under way are still expected to request, and else refuses it at once (new code 1306). Requests and pace of programs are learned per customer.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -135,6 +135,13 @@
     COST_ABOVE_BURST = CodeRow(
         1304, 403, Ran.NOT_RUN, Retry.NEVER, "The route costs more than the burst."
     )
+    PROGRAMS_EXCEED_RATE = CodeRow(
+        1306,
+        429,
+        Ran.NOT_RUN,
+        Retry.SAFE,
+        "The customer's rate does not carry another program now.",
+    )
     # Endpoints.
     NO_ENDPOINT = CodeRow(
         1401, 503, Ran.NOT_RUN, Retry.SAFE, "No endpoint can take the request."
--- a/burdockwall/options/limits.py
+++ b/burdockwall/options/limits.py
@@ -23,6 +23,18 @@
         0.05,
         0.6,
     ),
+    Option(
+        "limits",
+        "program_wait",
+        "limit_program_wait_s",
+        Kind.NUMBER,
+        "s",
+        "Longest wait of a request of a program under way for its customer's rate; new "
+        "programs are then admitted only as far as the rate carries them. 0 turns both "
+        "off.",
+        0.0,
+        30.0,
+    ),
     Option(
         "limits",
         "immediate",
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -178,6 +178,7 @@
         retention_s=route.retention_s,
         open=route.public,
         resumable=route.resumable,
+        objective_s=max(0.0, route.target_latency_ms) / MS_PER_S,
     )
 
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -26,6 +26,7 @@
 from burdockwall.process.limits.excess import create_excess
 from burdockwall.process.limits.fallback import InstanceCount
 from burdockwall.process.limits.gate import RateGate
+from burdockwall.process.limits.kinds import RateRequest
 from burdockwall.process.limits.leader import (
     build_leader_shards,
     list_deployment_limits,
@@ -142,6 +143,7 @@
             self.endpoint_limits,
             self.reach,
             self.crashes,
+            settings.limit_program_wait_s,
         )
         self._add_gauges()
 
@@ -301,8 +303,8 @@
             raise RequestRefused(Code.KEY_REFUSED)
         return customer
 
-    async def _admit_at_owner(self, customer: CustomerId) -> None:
-        await self.limits.admit(customer, REQUEST_COST)
+    async def _admit_at_owner(self, customer: CustomerId, request: RateRequest) -> None:
+        await self.limits.admit(customer, REQUEST_COST, request=request)
 
     def _update_limits_leader(self) -> None:
         """Use the current leader of the control state as the owner of all rates."""
--- a/burdockwall/process/limits/bucket.py
+++ b/burdockwall/process/limits/bucket.py
@@ -27,7 +27,8 @@
 class Need:
     """The units that the waiting requests of one holder lack.
 
-    `units` is the sum, `head` what the first request lacks.
+    `units` is the sum, `head` what the first request lacks, and `in_flight` the part
+    for requests of programs under way.
     """
 
     incarnation: Incarnation
@@ -35,6 +36,12 @@
     received_at: float
     units: int
     head: int
+    in_flight: int = 0
+
+    @property
+    def others(self) -> int:
+        """Return the units for other requests."""
+        return self.units - self.in_flight
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +109,7 @@
     outstanding: int = 0
     recalled_at: float = float("-inf")
     needs: dict[InstanceId, Need] = field(default_factory=dict)
+    urgent_run: int = 0
     unacknowledged: dict[InstanceId, list[UnacknowledgedGrant]] = field(
         default_factory=dict
     )
@@ -202,6 +210,10 @@
         """Count the units that the holders lack in total."""
         return sum(need.units for need in self.needs.values())
 
+    def count_in_flight(self) -> int:
+        """Count the units that requests of programs under way lack in total."""
+        return sum(need.in_flight for need in self.needs.values())
+
     def count_prefetched(self) -> int:
         """Count the units in outstanding grants for expected requests."""
         return sum(grant.units for grant in self.prefetched.values())
--- a/burdockwall/process/limits/client.py
+++ b/burdockwall/process/limits/client.py
@@ -17,6 +17,7 @@
     Withdraw,
 )
 from burdockwall.process.limits.holder import LimitHolder
+from burdockwall.process.limits.kinds import ALONE, Kind, RateRequest
 from burdockwall.process.limits.messages import LimitDemand, LimitGrants, LimitRecall
 from burdockwall.process.limits.owner import LimitOwner
 from burdockwall.process.limits.units import (
@@ -43,6 +44,7 @@
     Reason.CUSTOMER_UNKNOWN: Code.LIMIT_UNREACHABLE,
     Reason.COST_ABOVE_BURST: Code.COST_ABOVE_BURST,
     Reason.OWNER_MOVED: Code.LIMIT_UNREACHABLE,
+    Reason.PROGRAMS: Code.PROGRAMS_EXCEED_RATE,
 }
 _DETAILS = {
     Reason.RATE: "The customer's rate and burst are spent.",
@@ -51,6 +53,7 @@
     Reason.CUSTOMER_UNKNOWN: "The owner does not have this customer's limit yet.",
     Reason.COST_ABOVE_BURST: "The route costs more than the customer's burst.",
     Reason.OWNER_MOVED: "The customer's rate is moving to another instance.",
+    Reason.PROGRAMS: "The customer's rate does not carry another program now.",
 }
 
 
@@ -149,16 +152,26 @@
         await self.admit(name, route.cost)
 
     async def admit(
-        self, customer: CustomerId, cost: float, wait_s: float | None = None
+        self,
+        customer: CustomerId,
+        cost: float,
+        wait_s: float | None = None,
+        request: RateRequest = ALONE,
     ) -> None:
         """Wait until a request's cost is granted.
 
+        One of a program under way may wait longer than others, as `request` says.
+
         Raise RequestRefused with the time to retry after if it is refused.
         """
         longest_s = self.settings.limit_wait_s + GRANT_LIMIT_S
         wait_s = longest_s if wait_s is None else min(wait_s, longest_s)
+        if request.kind is not Kind.ALONE:
+            wait_s = request.wait_s
         call = self._waiters.create()
-        admit = Admit(call, customer, convert_cost(cost), wait_s)
+        admit = Admit(
+            call, customer, convert_cost(cost), wait_s, request.kind, request.program
+        )
         self.host.apply(self._holder, admit)
         try:
             verdict = await self._waiters.wait(call, wait_s + ANSWER_MARGIN_S)
--- a/burdockwall/process/limits/events.py
+++ b/burdockwall/process/limits/events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from burdockwall.process.limits.kinds import NO_PROGRAM, Kind, ProgramMark
 from burdockwall.types import CallId, CustomerId
 
 
@@ -15,6 +16,7 @@
     CUSTOMER_UNKNOWN = 4
     COST_ABOVE_BURST = 5
     OWNER_MOVED = 6
+    PROGRAMS = 7
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +49,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """A request to be admitted; it waits at most `wait_s` for its units."""
+    """A request to be admitted; it waits at most `wait_s` for its units.
+
+    A request that begins a program waits as long once the owner has admitted the start.
+    """
 
     call: CallId
     customer: CustomerId
     units: int
     wait_s: float
+    kind: Kind = Kind.ALONE
+    program: ProgramMark = NO_PROGRAM
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/process/limits/excess.py
+++ b/burdockwall/process/limits/excess.py
@@ -52,14 +52,24 @@
     _spent: dict[CustomerId, _WindowSpend] = field(default_factory=dict)
 
     def take(
-        self, customer: CustomerId, limit: Limit, instances: int, now: float
+        self,
+        customer: CustomerId,
+        limit: Limit,
+        instances: int,
+        now: float,
+        starts_program: bool = False,
     ) -> bool:
-        """Admit one request, or return False if the budget is spent."""
+        """Admit one request, or return False if the budget is spent.
+
+        Starts of programs leave half of it to programs under way.
+        """
         spent = self._spent.get(customer)
         if spent is None or now - spent.window_start >= self.excess.window_s:
             spent = _WindowSpend(now)
             self._spent[customer] = spent
         allowed = count_instance_requests(self.excess, limit, instances)
+        if starts_program:
+            allowed /= 2
         if spent.requests + 1 > allowed:
             return False
         spent.requests += 1
--- a/burdockwall/process/limits/grants.py
+++ b/burdockwall/process/limits/grants.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from burdockwall.process.limits.events import Reason
+from burdockwall.process.limits.kinds import NO_PROGRAM, URGENT_RUN, Kind, ProgramMark
+from burdockwall.process.limits.progress import ProgressReports
 from burdockwall.types import CallId, CustomerId, Incarnation, InstanceId
 
 
@@ -25,7 +27,9 @@
     """A request that waits for units.
 
     `demand` is the sequence number of the first demand that included the request, or
-    0. `waits_for_start` lets it wait longer for an owner that is about to start.
+    0. `waits_for_start` lets it wait longer for an owner that is about to start. A
+    request that begins a program has the kind START until its owner has admitted that,
+    and then waits until `latest_at`.
     """
 
     call: CallId
@@ -33,6 +37,10 @@
     expires_at: float
     demand: int = 0
     waits_for_start: bool = True
+    kind: Kind = Kind.ALONE
+    program: ProgramMark = NO_PROGRAM
+    arrived_at: float = 0.0
+    latest_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -65,7 +73,7 @@
 
 @dataclass(slots=True)
 class CustomerGrants:
-    """Spends a customer's grants on its requests in order of arrival.
+    """Spends a customer's grants on its requests by kind and in order of arrival.
 
     `reported_need` is the need that the owner has recorded, from the latest demand or
     verdict and less the units granted since. `reported_at` is the time of the latest
@@ -84,6 +92,52 @@
     prefetch_at: float = float("-inf")
     blocked_until: float = float("-inf")
     reason: Reason = Reason.RATE
+    reports: ProgressReports = field(default_factory=ProgressReports)
+    urgent_run: int = 0
+
+    def enqueue(self, request: WaitingRequest) -> None:
+        """Let a request wait behind those that are as urgent."""
+        index = len(self.waiting)
+        while index and self.waiting[index - 1].kind > request.kind:
+            index -= 1
+        self.waiting.insert(index, request)
+
+    def is_ahead(self, kind: Kind) -> bool:
+        """Return whether a request of a kind need not wait behind another one."""
+        return all(request.kind > kind for request in self.waiting)
+
+    def find_next(self) -> WaitingRequest | None:
+        """Return the request to serve next; no start that the owner has not admitted.
+
+        After a run of requests of programs under way, one without a program is served.
+        """
+        ready = [item for item in self.waiting if item.kind is not Kind.START]
+        if ready and self.urgent_run >= URGENT_RUN and ready[-1].kind is Kind.ALONE:
+            return next(item for item in ready if item.kind is Kind.ALONE)
+        return ready[0] if ready else None
+
+    def count_in_flight(self) -> int:
+        """Count the units that waiting requests of programs under way lack."""
+        waiting = [item for item in self.waiting if item.kind is Kind.IN_FLIGHT]
+        return max(0, sum(item.units for item in waiting) - self.count_units())
+
+    def list_starts(self) -> list[WaitingRequest]:
+        """List the requests that begin a program and aren't admitted yet."""
+        return [item for item in self.waiting if item.kind is Kind.START]
+
+    def admit_start(self, request: WaitingRequest) -> None:
+        """Let a request that begins a program wait like those of programs under way."""
+        self.waiting.remove(request)
+        request.kind = Kind.IN_FLIGHT
+        request.expires_at = max(request.expires_at, request.latest_at)
+        self.enqueue(request)
+
+    def record_admitted(
+        self, kind: Kind, program: ProgramMark, waited_s: float, now: float
+    ) -> None:
+        """Count an admitted request for the report to the owner."""
+        self.urgent_run = self.urgent_run + 1 if kind is Kind.IN_FLIGHT else 0
+        self.reports.record(program, waited_s, now)
 
     def count_units(self) -> int:
         """Count the units that can be spent now."""
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -16,14 +16,18 @@
     ReceivedGrant,
     WaitingRequest,
 )
+from burdockwall.process.limits.kinds import Kind
 from burdockwall.process.limits.messages import (
     LimitClose,
     LimitDemand,
     LimitGrants,
+    LimitProgress,
     LimitRecall,
+    LimitStart,
     LimitVerdict,
     LimitWant,
 )
+from burdockwall.process.limits.start_verdicts import apply_start_verdicts
 from burdockwall.process.limits.units import (
     GRANT_LIMIT_S,
     MS_PER_S,
@@ -110,7 +114,13 @@
         entry.used_at = now
         entry.estimate.record(event.units, now)
         entry.expire(now)
-        if not entry.waiting and entry.spend(event.units, now):
+        is_start = event.kind is Kind.START
+        if (
+            not is_start
+            and entry.is_ahead(event.kind)
+            and entry.spend(event.units, now)
+        ):
+            entry.record_admitted(event.kind, event.program, 0.0, now)
             admitted = Admitted(event.call, event.customer, event.units)
             return [admitted, *self._request_prefetch(entry, now)]
         refused = self._refuse_at_once(entry, event, now)
@@ -119,12 +129,20 @@
         wait_s = self.parameters.wait_s
         # Before the first shards are assigned, every owner is about to start.
         start_s = 0.0 if self._shards.views else GRANT_LIMIT_S
-        entry.waiting.append(
+        longest_s = wait_s + start_s
+        if event.kind is Kind.IN_FLIGHT:
+            longest_s = max(longest_s, event.wait_s)
+        entry.enqueue(
             WaitingRequest(
                 event.call,
                 event.units,
-                now + min(event.wait_s, wait_s + start_s),
-                waits_for_start=event.wait_s >= wait_s,
+                now + min(event.wait_s, longest_s),
+                0,
+                event.wait_s >= wait_s,
+                event.kind,
+                event.program,
+                now,
+                now + event.wait_s,
             )
         )
         return self._request_grants(entry, now)
@@ -147,6 +165,9 @@
         owner = self._owners.get(entry.owner) if entry.owner else None
         if owner is not None and owner.unreachable:
             reason, wait_s = Reason.OWNER_UNREACHABLE, self.parameters.wait_s
+        elif event.kind is not Kind.ALONE and entry.reason is Reason.RATE:
+            # The owner decides about starts, and programs under way wait for the rate.
+            return None
         elif now < entry.blocked_until:
             reason, wait_s = entry.reason, entry.blocked_until - now
         else:
@@ -165,9 +186,13 @@
     def _admit_waiting(self, entry: CustomerGrants, now: float) -> list[Action]:
         actions: list[Action] = []
         entry.expire(now)
-        while entry.waiting and entry.spend(entry.waiting[0].units, now):
-            request = entry.waiting.popleft()
+        request = entry.find_next()
+        while request is not None and entry.spend(request.units, now):
+            entry.waiting.remove(request)
+            waited_s = now - request.arrived_at
+            entry.record_admitted(request.kind, request.program, waited_s, now)
             actions.append(Admitted(request.call, entry.customer, request.units))
+            request = entry.find_next()
         return actions
 
     # Demands.
@@ -217,7 +242,7 @@
             owner.unanswered_since = now
         owner.in_flight = sequence
         owner.sent_at = now
-        return [Send(name, self._build_demand(owner, sequence, wants, now))]
+        return [Send(name, self._build_demand(name, owner, sequence, wants, now))]
 
     def _build_want(
         self, entry: CustomerGrants, sequence: int, now: float
@@ -232,10 +257,25 @@
         entry.wants_prefetch = False
         entry.reported_need = need
         entry.reported_at = now
-        return LimitWant(entry.customer, need, head, prefetch)
+        starts = [LimitStart(item.program, item.units) for item in entry.list_starts()]
+        in_flight = entry.count_in_flight()
+        return LimitWant(entry.customer, need, head, prefetch, in_flight, starts)
+
+    def _take_progress(self, name: InstanceId, now: float) -> list[LimitProgress]:
+        return [
+            progress
+            for entry in self._customers.values()
+            if entry.owner == name and entry.reports.unreported_since is not None
+            for progress in entry.reports.take(entry.customer, now)
+        ]
 
     def _build_demand(
-        self, owner: _Owner, sequence: int, wants: list[LimitWant], now: float
+        self,
+        name: InstanceId,
+        owner: _Owner,
+        sequence: int,
+        wants: list[LimitWant],
+        now: float,
     ) -> LimitDemand:
         closes = [
             LimitClose(
@@ -245,7 +285,13 @@
         ]
         owner.closes = []
         return LimitDemand(
-            self.incarnation, sequence, owner.epoch, owner.last_grant, wants, closes
+            self.incarnation,
+            sequence,
+            owner.epoch,
+            owner.last_grant,
+            wants,
+            closes,
+            self._take_progress(name, now),
         )
 
     # Answers.
@@ -262,10 +308,14 @@
             owner.epoch = message.epoch
             owner.last_grant = 0
             owner.closes = []
+            self._resend_progress(sender, now)
         if owner.in_flight is not None and message.sequence >= owner.in_flight:
             owner.in_flight = None
         touched = self._add_grants(sender, owner, message, sent_at, now)
         actions: list[Action] = []
+        for customer, refused in apply_start_verdicts(message, self._customers):
+            actions += refused
+            touched[customer] = self._customers[customer]
         for entry in touched.values():
             actions += self._admit_waiting(entry, now)
         for verdict in message.verdicts:
@@ -341,6 +391,11 @@
                 expires_at = starts_at + self.parameters.wait_s
                 request.expires_at = max(request.expires_at, expires_at)
 
+    def _resend_progress(self, owner: InstanceId, now: float) -> None:
+        for entry in self._customers.values():
+            if entry.owner == owner:
+                entry.reports.resend(now)
+
     def _handle_recall(
         self, sender: InstanceId, message: LimitRecall, now: float
     ) -> list[Action]:
@@ -366,10 +421,16 @@
                 owner.closes.append(grant)
 
     def _send_closes(self, name: InstanceId, owner: _Owner, now: float) -> list[Action]:
-        if not owner.closes:
+        if not owner.closes and not self._is_progress_due(name, now):
             return []
         self._sequence += 1
-        return [Send(name, self._build_demand(owner, self._sequence, [], now))]
+        return [Send(name, self._build_demand(name, owner, self._sequence, [], now))]
+
+    def _is_progress_due(self, name: InstanceId, now: float) -> bool:
+        return any(
+            entry.owner == name and entry.reports.is_due(now)
+            for entry in self._customers.values()
+        )
 
     # Time.
 
@@ -389,7 +450,8 @@
                 owner.unreachable = True
                 actions += self._refuse_waiting(name)
             actions += self._send_wants(name, owner, now)
-            if any(grant.units or grant.report_spend for grant in owner.closes):
+            has_news = any(item.units or item.report_spend for item in owner.closes)
+            if has_news or self._is_progress_due(name, now):
                 actions += self._send_closes(name, owner, now)
             elif now - owner.sent_at >= GRANT_LIMIT_S:
                 # These grants have expired, so the owner counts them as spent.
@@ -403,22 +465,25 @@
         for entry in self._customers.values():
             if entry.owner != owner:
                 continue
-            while entry.waiting:
-                actions.append(self._refuse_next(entry, Reason.OWNER_UNREACHABLE))
+            for request in list(entry.waiting):
+                reason = Reason.OWNER_UNREACHABLE
+                actions.append(self._refuse_waiting_request(entry, request, reason))
         return actions
 
-    def _refuse_next(self, entry: CustomerGrants, reason: Reason) -> Refused:
-        request = entry.waiting.popleft()
+    def _refuse_waiting_request(
+        self, entry: CustomerGrants, request: WaitingRequest, reason: Reason
+    ) -> Refused:
+        entry.waiting.remove(request)
         wait_s = self.parameters.wait_s
         return Refused(request.call, entry.customer, reason, wait_s)
 
     def _expire_waiting(self, entry: CustomerGrants, now: float) -> list[Action]:
         actions: list[Action] = []
-        while entry.waiting and entry.waiting[0].expires_at <= now:
+        for request in [item for item in entry.waiting if item.expires_at <= now]:
             owner = self._owners.get(entry.owner) if entry.owner else None
             unanswered = owner is None or owner.in_flight is not None
             reason = Reason.OWNER_UNREACHABLE if unanswered else entry.reason
-            actions.append(self._refuse_next(entry, reason))
+            actions.append(self._refuse_waiting_request(entry, request, reason))
         return actions
 
     def _review_entry(self, entry: CustomerGrants, now: float) -> None:
@@ -455,6 +520,7 @@
                 continue
             entry.owner = owner
             entry.blocked_until = float("-inf")
+            entry.reports.resend(now)
             if entry.waiting:
                 actions += self._request_grants(entry, now)
         return actions
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -22,7 +22,14 @@
     LimitRecall,
     LimitVerdict,
     LimitWant,
+    StartVerdict,
 )
+from burdockwall.process.limits.need_order import (
+    choose_need,
+    limit_others,
+    reduce_in_flight,
+)
+from burdockwall.process.limits.start_admission import StartAdmission
 from burdockwall.process.limits.units import (
     GRANT_LIMIT_S,
     MS_PER_S,
@@ -81,6 +88,7 @@
     sequence: int
     grants: list[LimitGrant] = field(default_factory=list)
     verdicts: list[LimitVerdict] = field(default_factory=list)
+    starts: list[StartVerdict] = field(default_factory=list)
 
 
 class LimitOwner:
@@ -109,6 +117,7 @@
         self._expiries: list[tuple[float, int]] = []
         self._unmet: dict[CustomerId, CustomerBucket] = {}
         self._last_grant = 0
+        self.starts = StartAdmission(parameters.program_wait_s)
 
     def handle(self, event: Event, now: float) -> list[Send]:
         """Handle an event and return the messages to holders."""
@@ -158,6 +167,7 @@
         ]:
             del self.buckets[customer]
             self._unmet.pop(customer, None)
+        self.starts.retain(self.buckets)
 
     def _create_buckets(self, now: float) -> None:
         for customer, limit in self._limits.items():
@@ -186,6 +196,8 @@
         self, sender: InstanceId, demand: LimitDemand, now: float
     ) -> list[Send]:
         answers: list[_Answer] = []
+        owned = [item for item in demand.progress if item.customer in self.buckets]
+        self.starts.record(owned, now)
         if demand.epoch == self.epoch:
             for close in demand.closes:
                 self._close_grant(sender, close, answers, now)
@@ -258,9 +270,12 @@
         unacknowledged = bucket.count_unacknowledged(
             holder, demand.incarnation, acknowledged, now
         )
-        units = want.need - unacknowledged
+        decision = self.starts.decide(holder, want, bucket, now)
+        answer.starts += decision.verdicts
+        units = want.need - unacknowledged - decision.refused_units
         if units > 0:
             need = Need(demand.incarnation, demand.sequence, now, units, want.head)
+            need.in_flight = min(units, want.in_flight + decision.admitted_units)
             bucket.needs[holder] = need
             self._unmet[want.customer] = bucket
         else:
@@ -281,7 +296,7 @@
         granted: dict[InstanceId, int] = {}
         served: dict[InstanceId, Need] = {}
         while bucket.needs:
-            holder, need = next(iter(bucket.needs.items()))
+            holder, need, is_urgent = choose_need(bucket)
             if now - need.received_at > self.parameters.pending_s:
                 del bucket.needs[holder]
                 continue
@@ -297,6 +312,10 @@
             granted[holder] = granted.get(holder, 0) + units
             served[holder] = need
             need.units -= units
+            bucket.urgent_run = bucket.urgent_run + 1 if is_urgent else 0
+            if is_urgent:
+                need.in_flight = max(0, need.in_flight - units)
+            need.in_flight = min(need.in_flight, need.units)
             del bucket.needs[holder]
             if need.units > 0:
                 bucket.needs[holder] = need
@@ -327,14 +346,20 @@
         need = bucket.needs[answer.holder]
         rate = bucket.slowed_rate
         delay_s = max(0.0, bucket.refilled_at - now)
-        available = (
-            bucket.estimate_spendable(self.parameters.pending_s)
-            + bucket.count_prefetched()
+        prefetched = bucket.count_prefetched()
+        longest_s = max(self.parameters.pending_s, self.parameters.program_wait_s)
+        promised = reduce_in_flight(
+            bucket, need, bucket.estimate_spendable(longest_s) + prefetched
+        )
+        available = limit_others(
+            bucket,
+            bucket.estimate_spendable(self.parameters.pending_s) + prefetched,
         )
-        others = bucket.count_needs() - need.units
+        others = bucket.count_needs() - bucket.count_in_flight() - need.others
         fair_share = available / len(bucket.needs)
         head = min(need.head, need.units)
-        pending = int(max(available - others, fair_share) // head) * head
+        rest = int(max(available - others, fair_share) // head) * head
+        pending = promised + min(need.others, rest)
         if (
             not pending
             and head <= available
@@ -351,6 +376,7 @@
         reason = Reason.OWNER_STARTING if delay_s else Reason.RATE
         self._refuse(answer, customer, pending, retry_s, reason)
         need.units = pending
+        need.in_flight = promised
         if pending == 0:
             del bucket.needs[answer.holder]
             if not bucket.needs:
@@ -434,6 +460,8 @@
             self.epoch,
             answer.grants,
             answer.verdicts,
+            answer.starts,
+            True,
         )
         return Send(answer.holder, message)
 
--- a/burdockwall/process/limits/units.py
+++ b/burdockwall/process/limits/units.py
@@ -23,8 +23,9 @@
     `immediate_s`, one for the requests expected within `horizon_s` for `prefetch_s`.
     Grants of a customer without requests for `idle_s` are returned. An unanswered
     demand is repeated after `repeat_s`, and an owner that does not answer for
-    `silence_s` counts as unreachable. `clock_margin` is the maximum deviation of a
-    clock's speed from true time, as a share.
+    `silence_s` counts as unreachable. A request of a program under way waits at most
+    `program_wait_s`, or like all others if that is 0. `clock_margin` is the maximum
+    deviation of a clock's speed from true time, as a share.
     """
 
     wait_s: float
@@ -35,6 +36,7 @@
     repeat_s: float
     clock_margin: float
     silence_s: float = 0.3
+    program_wait_s: float = 0.0
 
     @property
     def pending_s(self) -> float:
@@ -63,6 +65,7 @@
         repeat_s=settings.limit_repeat_s,
         clock_margin=settings.limit_clock_margin,
         silence_s=settings.limit_silence_s,
+        program_wait_s=settings.limit_program_wait_s,
     )
 
 
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -115,7 +115,8 @@
     """The verdict of a quorum about the beginning of a turn.
 
     `other_group` is whether the chain came from a group that does not hold the program.
-    `place` is that of the stream which the turn takes up.
+    `place` is that of the stream which the turn takes up. `answered` is whether a turn
+    of the program was answered completely, or None if no store tells.
     """
 
     call: CallId
@@ -123,6 +124,7 @@
     quorum: BeginQuorum
     other_group: bool = False
     place: StreamPlace | None = None
+    answered: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,7 +337,8 @@
         verdict = own.decide()
         if verdict in (Verdict.OPEN, Verdict.CHAIN_MISSING):
             return []
-        decided = BeginDecided(call, verdict, own, place=own.find_place())
+        place, answered = own.find_place(), own.find_answered()
+        decided = BeginDecided(call, verdict, own, False, place, answered)
         if verdict is Verdict.TURN_UNKNOWN and self.view.groups > 1:
             if not begin.others:
                 return self._search_other_groups(call, begin)
@@ -343,7 +346,7 @@
             if Verdict.ADMITTED in verdicts:
                 found = begin.others[verdicts.index(Verdict.ADMITTED)].quorum
                 decided = BeginDecided(
-                    call, Verdict.ADMITTED, found, True, own.find_place()
+                    call, Verdict.ADMITTED, found, True, place, answered
                 )
             elif set(verdicts) != {Verdict.TURN_UNKNOWN}:
                 return []
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -38,11 +38,14 @@
 
     `other_group` is whether they are held by stores other than the turn's own. `place`
     is that of the stream which the turn takes up, or None if no store knows it.
+    `answered` is whether a turn of the program was answered completely, or None if no
+    store tells.
     """
 
     links: list[ChainLink]
     other_group: bool = False
     place: StreamPlace | None = None
+    answered: bool | None = None
 
 
 class TurnClient:
@@ -124,7 +127,9 @@
                 raise RequestRefused(Code.TURN_UNKNOWN, f"no turn {start.previous}")
             case _:
                 links = decided.quorum.find_chain() or []
-                return TurnChain(links, decided.other_group, decided.place)
+                return TurnChain(
+                    links, decided.other_group, decided.place, decided.answered
+                )
 
     async def record_place(self, start: TurnStart, place: StreamPlace) -> None:
         """Record at a quorum of stores where the stream of a begun turn comes from.
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -98,6 +98,8 @@
 class _Account:
     charges: dict[TurnId, Charge] = field(default_factory=dict)
     expires_at: float = 0.0
+    # Whether a turn of the program was answered completely.
+    answered: bool = False
 
 
 @dataclass(slots=True)
@@ -213,7 +215,7 @@
         others = [
             charge for turn, charge in account.charges.items() if turn != message.turn
         ]
-        self._answer_begin(sender, message, others, now)
+        self._answer_begin(sender, message, others, now, account.answered)
 
     def _answer_begin(
         self,
@@ -221,6 +223,7 @@
         message: BeginTurn | FindTurn,
         charges: list[Charge],
         now: float,
+        answered: bool | None = None,
     ) -> None:
         chain = self._collect_chain(message.customer, message.previous)
         presence = self._get_presence(message, chain)
@@ -236,6 +239,7 @@
                 chain if sends_chain else None,
                 self._find_place(message),
                 now - self.stream_places.since,
+                answered,
             ),
         )
 
@@ -332,6 +336,7 @@
         if charge is None or not charge.settled:
             account.charges[record.turn] = Charge(record.turn, record.tokens, settled)
         if settled and record.whole:
+            account.answered = True
             key = TurnKey(record.customer, record.turn)
             self._turns[key] = _StoredTurn(record, now + retention_s)
             self._extend_chain(record, now + retention_s)
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -92,7 +92,8 @@
 
     `complete` is whether the store has all records that were stored before. `place` is
     that of the stream which the turn takes up, if the store knows it. The store has
-    been told of places for `places_s` seconds.
+    been told of places for `places_s` seconds. `answered` is whether the store knows a
+    turn of the program that was answered completely, or None from an earlier build.
     """
 
     call: CallId
@@ -103,6 +104,7 @@
     chain: list[ChainLink] | None = None
     place: StreamPlace | None = None
     places_s: float = 0.0
+    answered: bool | None = None
 
 
 class EndTurn(Message, frozen=True):
--- a/burdockwall/process/storage/quorum.py
+++ b/burdockwall/process/storage/quorum.py
@@ -102,6 +102,15 @@
                 return answer.chain
         return None
 
+    def find_answered(self) -> bool | None:
+        """Return whether a turn of the program was answered completely.
+
+        A complete answer is stored at a write quorum, so one of the stores of every
+        read quorum knows it. Return None if no store tells.
+        """
+        told = {answer.answered for answer in self.answers.values()} - {None}
+        return True in told if told else None
+
     def _awaits_place(self) -> bool:
         if not self.stream_s or self.place_overdue or self._is_place_certain():
             return False
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -20,6 +20,7 @@
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
+from burdockwall.process.storage.client import TurnChain
 from burdockwall.request.codec import (
     AnswerDetails,
     AttemptDetails,
@@ -35,6 +36,7 @@
 )
 from burdockwall.request.fingerprint import compute_fingerprint
 from burdockwall.request.forwarding_parts import ForwardingParts
+from burdockwall.request.program_kind import describe_rate_request
 from burdockwall.request.progress import AnswerLost, NotRun, Progress
 from burdockwall.request.stream_binding import RETRY_AFTER_S, StreamBinding
 from burdockwall.request.trace import RequestTrace
@@ -133,7 +135,7 @@
             self._check_limits()
         start = self._describe_turn()
         if start is None:
-            await self._admit()
+            await self._admit(None)
             await self._run_attempts()
             return
         self.turn = start
@@ -150,7 +152,7 @@
                 prompt = self.body
             # The request is admitted only after the turn has begun, so that a turn that
             # the stores refuse, for example for its budget, uses none of the rate.
-            await self._admit()
+            await self._admit(chain)
             await self._run_attempts(prompt)
         finally:
             if not self.progress.settled:
@@ -188,12 +190,20 @@
             stream_s=self.binding.stream_s,
         )
 
-    async def _admit(self) -> None:
+    async def _admit(self, chain: TurnChain | None) -> None:
         """Wait until the customer's rate admits it, or raise RequestRefused."""
         if self.trace.begun_at is None:
             self.trace.begun_at = self.parts.clock()
         if self.customer is not None:
-            admission = await self.parts.admit(self.customer.name)
+            request = describe_rate_request(
+                self.request,
+                self.route,
+                chain,
+                self._get_remaining_s(),
+                self.parts.program_wait_s,
+            )
+            self.trace.rate_kind = request.kind.name.lower()
+            admission = await self.parts.admit(self.customer.name, request)
             self.trace.admission = admission.value
         self.trace.admitted_at = self.parts.clock()
 
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -9,6 +9,7 @@
 from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import EndpointFollower
 from burdockwall.process.limits.gate import Admission
+from burdockwall.process.limits.kinds import RateRequest
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
@@ -30,8 +31,9 @@
     count_instances: Callable[[], int]
     is_leaving: Callable[[], bool]
     settle_later: Callable[[TurnStart, TurnOutcome], None]
-    admit: Callable[[CustomerId], Awaitable[Admission]]
+    admit: Callable[[CustomerId, RateRequest], Awaitable[Admission]]
     hedge_delay: HedgeDelay
     endpoint_limits: EndpointLimits
     reach: EndpointReach
     crashes: CrashSuspects
+    program_wait_s: float = 0.0
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -11,10 +11,10 @@
     """The details and times of one request; times are seconds of the process's clock.
 
     `begun_at` is when the stores had reserved the turn, if the request has one, and the
-    wait for the customer's rate began. `admitted_at` is when the rate admitted the
-    request, `sent_at` when it was last sent to an endpoint, and `answered_at` when the
-    answer was complete and its turn was to be stored. `software` is the version of the
-    endpoint's software. A request that takes up a stream has `resumed_from`, the
+    wait for the customer's rate began, for a request of the kind `rate_kind`.
+    `admitted_at` is when the rate admitted the request, `sent_at` when it was last sent
+    to an endpoint, and `answered_at` when the answer was complete and its turn was to
+    be stored. `software` is the version of the endpoint's software. A request that takes up a stream has `resumed_from`, the
     request that began it, and `last_event`, the last event that the caller received.
     `rate_limit_per_s` is the request rate that the answer of the endpoint named.
     `fingerprint` is set if an endpoint broke the answer off, as hexadecimal digits.
@@ -37,6 +37,7 @@
     detail: str = ""
     admitted_at: float | None = None
     admission: str = ""
+    rate_kind: str = ""
     software: str = ""
     resumed_from: str = ""
     last_event: str = ""
@@ -65,6 +66,7 @@
             "failures": "; ".join(self.failures),
             "fingerprint": self.fingerprint,
             "admission": self.admission,
+            "rate_kind": self.rate_kind,
             "admitted_ms": self._measure_ms(self.admitted_at),
             "begun_ms": self._measure_ms(self.begun_at),
             "sent_ms": self._measure_ms(self.sent_at),
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -63,6 +63,7 @@
     limit_idle_s: float = 0.2
     limit_repeat_s: float = 0.1
     limit_silence_s: float = 0.3
+    limit_program_wait_s: float = 0.0
     limit_clock_margin: float = 0.0005
     limit_excess_window_s: float = 5.0
     limit_excess_share: float = 0.0
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -40,6 +40,7 @@
     `max_attempts` bounds the endpoints on which one request may run. With
     `retains_turns`, a turn is stored for `retention_s` and later turns continue it. A
     caller may take up a broken stream of a `resumable` route after its last event.
+    `objective_s` is the time within which an answer should begin, or 0.
     """
 
     name: RouteName
@@ -54,6 +55,7 @@
     retention_s: float
     open: bool
     resumable: bool = False
+    objective_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -11,7 +11,7 @@
 
 @given("a gate whose owner {answer} for a customer of {rate:d} requests a second")
 def step_gate(context, answer, rate):
-    async def ask_owner(customer):
+    async def ask_owner(customer, request):
         if answer == "does not answer":
             raise RequestRefused(Code.LIMIT_UNREACHABLE)
 
