--- a/burdockwall/process/limits/program_load.py
+++ b/burdockwall/process/limits/program_load.py
@@ -19,8 +19,10 @@
 # Weight that a learned sample keeps when another one arrives.
 REQUESTS_DECAY = 0.98
 GAP_DECAY = 0.995
-# A program counts as ended after this many gaps without a request, within the bounds.
+# A program counts as ended after this many gaps without a request, within the bounds,
+# and this many usual waits for the rate.
 SILENT_GAPS = 5.0
+SILENT_WAITS = 3.0
 SILENCE_MIN_S, SILENCE_MAX_S = 2.0, 30.0
 # A program that has made more requests than usual is expected to make this share of the
 # usual number again.
@@ -80,6 +82,7 @@
     capacity: int
     requests: Mean = field(default_factory=lambda: Mean(PRIOR_REQUESTS, REQUESTS_DECAY))
     gap_s: Mean = field(default_factory=lambda: Mean(PRIOR_GAP_S, GAP_DECAY))
+    waited_s: Mean = field(default_factory=lambda: Mean(0.0, GAP_DECAY))
     programs: dict[ProgramMark, TrackedProgram] = field(default_factory=dict)
     refused_count: int = 0
     _sample_bits: int = 0
@@ -115,6 +118,7 @@
             # The wait for the rate is no part of a program's own pace.
             gap_s = (now - program.seen_at - waited_s) / requests
             self.gap_s.add(min(SILENCE_MAX_S, max(0.0, gap_s)))
+            self.waited_s.add(waited_s / requests)
         program.requests += requests
         program.seen_at = now
 
@@ -128,16 +132,17 @@
         self._expire(now)
         if mark in self.programs:
             return None
-        if self.programs and self._is_loaded(supply, now):
+        missing = self._count_missing(supply, now)
+        if self.programs and missing > 0.0:
             self.refused_count += 1
-            return self._choose_retry(supply, now)
+            return self._choose_retry(supply, missing, now)
         self._track(mark, TrackedProgram(0, now, True))
         return None
 
     # Demand.
 
-    def _is_loaded(self, supply: Supply, now: float) -> bool:
-        """Return whether the rate does not carry another program.
+    def _count_missing(self, supply: Supply, now: float) -> float:
+        """Return how many requests too many another program would be, if above 0.
 
         What the programs will request within the horizon is compared with what the rate
         gives until then and within the time that their requests may wait.
@@ -146,7 +151,7 @@
         available = supply.level + self._get_rate(supply, now) * (
             horizon_s + supply.wait_s
         )
-        return self._count_demand(horizon_s) > available
+        return self._count_demand(horizon_s) - available
 
     def _count_demand(self, horizon_s: float) -> float:
         """Count the requests within the horizon, with those of one more program."""
@@ -176,14 +181,14 @@
         passed = min(ALONE_PERIOD_S, now - self._alone_at)
         return self._alone * (1.0 - passed / ALONE_PERIOD_S)
 
-    def _choose_retry(self, supply: Supply, now: float) -> float:
+    def _choose_retry(self, supply: Supply, missing: float, now: float) -> float:
         """Return a time of its own for each refused program, at the rate's pace."""
         rate = max(self._get_rate(supply, now), 0.001)
-        interval_s = self.requests.value / rate
-        retry_at = max(now + RETRY_MIN_S, self._retry_at + interval_s)
+        first_s = min(RETRY_MAX_S / 2, RETRY_MIN_S + missing / rate)
+        retry_at = max(now + first_s, self._retry_at + self.requests.value / rate)
         if retry_at > now + RETRY_MAX_S:
             # The line is longer than callers wait, so the times start anew.
-            retry_at = now + RETRY_MIN_S
+            retry_at = now + first_s
         self._retry_at = retry_at
         return retry_at - now
 
@@ -209,6 +214,8 @@
         self._expire_at = now + EXPIRE_INTERVAL_S
         silence_s = SILENT_GAPS * self._get_gap_s()
         silence_s = min(SILENCE_MAX_S, max(SILENCE_MIN_S, silence_s))
+        # A program whose request waits for the rate has not ended.
+        silence_s += SILENT_WAITS * self.waited_s.value
         for mark, program in list(self.programs.items()):
             if now - program.seen_at > silence_s:
                 del self.programs[mark]
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -14,10 +14,11 @@
     wait for the customer's rate began, for a request of the kind `rate_kind`.
     `admitted_at` is when the rate admitted the request, `sent_at` when it was last sent
     to an endpoint, and `answered_at` when the answer was complete and its turn was to
-    be stored. `software` is the version of the endpoint's software. A request that takes up a stream has `resumed_from`, the
-    request that began it, and `last_event`, the last event that the caller received.
-    `rate_limit_per_s` is the request rate that the answer of the endpoint named.
-    `fingerprint` is set if an endpoint broke the answer off, as hexadecimal digits.
+    be stored. `software` is the version of the endpoint's software. A request that
+    takes up a stream has `resumed_from`, the request that began it, and `last_event`,
+    the last event that the caller received. `rate_limit_per_s` is the request rate that
+    the answer of the endpoint named. `fingerprint` is set if an endpoint broke the
+    answer off, as hexadecimal digits.
     """
 
     request: str
