Test the stores' answer and the gate for whole programs; count refused starts

Cause: the stores' answer and the fallback while the owner is silent had no test, and no metric showed refused starts.

--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -117,6 +117,9 @@
 
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
+        starts = self.limits.owner.starts
+        self.member.gauges.add("programs_under_way", starts.count_programs)
+        self.member.gauges.add("program_starts_refused", starts.count_refused)
 
     def _install(self, replica: StateReplica) -> None:
         """Do nothing, since a control instance reads its own replica."""
--- a/burdockwall/process/limits/program_load.py
+++ b/burdockwall/process/limits/program_load.py
@@ -139,6 +139,10 @@
         self._track(mark, TrackedProgram(0, now, True))
         return None
 
+    def count_programs(self) -> int:
+        """Estimate the number of programs under way."""
+        return len(self.programs) << self._sample_bits
+
     # Demand.
 
     def _count_missing(self, supply: Supply, now: float) -> float:
--- a/burdockwall/process/limits/start_admission.py
+++ b/burdockwall/process/limits/start_admission.py
@@ -79,6 +79,14 @@
                 decision.refused_units += start.units
         return decision
 
+    def count_programs(self) -> float:
+        """Estimate the programs under way."""
+        return float(sum(load.count_programs() for load in self.loads.values()))
+
+    def count_refused(self) -> float:
+        """Count the refused starts of the customers that are owned."""
+        return float(sum(load.refused_count for load in self.loads.values()))
+
     def _get_load(self, customer: CustomerId) -> ProgramLoad:
         load = self.loads.get(customer)
         if load is None:
--- a/features/fallback_shares.feature
+++ b/features/fallback_shares.feature
@@ -64,3 +64,7 @@
       | does not answer  | 40   | part of this instance |
       | does not answer  | 2    | tolerated excess      |
       | grants           | 0    | no rate               |
+
+  Scenario: While the owner is silent, programs under way wait and none begins
+    Given a gate whose owner is silent 3 times for a customer of a small rate
+    Then a request of a program under way waits for it, and a start is refused
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -408,3 +408,16 @@
     found = sum(each.found for each in counts)
     every = found + sum(each.unknown + each.unanswered for each in counts)
     assert found >= share * every, (found, every)
+
+
+@then('the stores know {known} answered turn of program "{program}"')
+def step_answered(context, known, program):
+    decided = context.storage.begin(context.storage.describe("asks", program))
+    assert is_admitted(decided) and decided.answered is (known == "an")
+
+
+@when('turn "{turn}" of program "{program}" breaks off after {tokens:d} tokens')
+def step_break_off(context, turn, program, tokens):
+    start = context.storage.describe(turn, program)
+    assert is_admitted(context.storage.begin(start))
+    assert context.storage.end(start, TurnOutcome(tokens, False))
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -128,3 +128,13 @@
   Scenario: Under drawn faults the place of a stream is the latest one or unknown
     When 150 seeds begin streams, and stores fail before they are taken up
     Then no place is wrong, and at least 0.9 of the places are found
+
+  Scenario: Stores know whether a program has a turn that was answered completely
+    Given a ledger on three stores
+    Then the stores know no answered turn of program "p"
+    When turn "t1" of program "p" breaks off after 5 tokens
+    Then the stores know no answered turn of program "p"
+    When only stores 1 and 2 store turn "t2" of program "p", which asks "a" and answers "b"
+    And store 1 is cut off
+    Then the stores know an answered turn of program "p"
+    And the stores know no answered turn of program "q"
