--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -200,6 +200,7 @@
         resumable=route.resumable,
         sticky=route.sticky,
         allowed_regions=_convert_regions(route.allowed_regions),
+        objective_s=max(0.0, route.target_latency_ms) / MS_PER_S,
     )
 
 
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -157,6 +157,9 @@
         self.member.gauges.add(
             "cold_health_requests", lambda: float(self.cold.checks_count)
         )
+        starts = self.limits.owner.starts
+        self.member.gauges.add("programs_under_way", starts.count_programs)
+        self.member.gauges.add("program_starts_refused", starts.count_refused)
 
     def _install(self, replica: StateReplica) -> None:
         """Do nothing, since a control instance reads its own replica."""
