Evacuate failure domains on the own interface too

Cause: the own interface had no order to keep requests from a failure domain. Change: burdockwall evacuate [--end] DOMAIN (POST /evacuation/start and /evacuation/end, permission configuration); the dispatcher removes the targets of evacuated domains and checks again after a permit, load polls and release hints leave them out; status shows each evacuated domain with since when and by whom, the metrics page its count. The stand-in dispatcher of poller.feature has the new method, which poller.feature needed.

--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -35,15 +35,21 @@
 )
 from burdockwall.process.control.service import ReplicaStatus
 from burdockwall.process.control.withdrawals import is_digest
+from burdockwall.process.evacuation.evacuations import Evacuations
 from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.metrics import MetricsPage
-from burdockwall.process.operations import Status
+from burdockwall.process.operations import (
+    EVACUATION_END_PATH,
+    EVACUATION_START_PATH,
+    Status,
+)
 from burdockwall.process.programs.unknowns import SettleBody, UnknownsPage
 from burdockwall.process.resolver import Resolution
 from burdockwall.process.scheduling.explain import PlacementPage
 from burdockwall.types import (
     Address,
     CustomerId,
+    FailureDomain,
     IdempotencyKey,
     KeyDigest,
     OperatorId,
@@ -219,6 +225,12 @@
         path = f"/audit?{urllib.parse.urlencode(fields)}"
         return self._call_leader("GET", path, AuditPage)
 
+    def evacuate(self, domain: FailureDomain, end: bool = False) -> Evacuations:
+        """Evacuate a failure domain, or end that; return what is evacuated then."""
+        path = EVACUATION_END_PATH if end else EVACUATION_START_PATH
+        query = urllib.parse.urlencode({"domain": domain})
+        return self._call_leader("POST", f"{path}?{query}", Evacuations)
+
     def wait_in_force(self, version: Version) -> InForcePage:
         """Wait until no instance acts under an earlier version, or raise."""
         query = urllib.parse.urlencode({"version": version})
--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -23,6 +23,7 @@
 from burdockwall.process.control.commands import Outcome, Permission
 from burdockwall.process.control.opening import bootstrap_replica, join_replica
 from burdockwall.process.control.sections import compare_sections, split_sections
+from burdockwall.process.evacuation.operations import describe_evacuations
 from burdockwall.process.logs import create_log_handler
 from burdockwall.process.membership.page import FleetPage
 from burdockwall.process.scheduling.explain import PlacementPage
@@ -32,6 +33,7 @@
 from burdockwall.types import (
     Address,
     CustomerId,
+    FailureDomain,
     IdempotencyKey,
     OperatorId,
     RouteName,
@@ -564,6 +566,18 @@
     click.echo("settled")
 
 
+@cli.command()
+@address_option
+@operator_option
+@click.option("--end", is_flag=True, help="Use the domain again.")
+@click.argument("domain")
+def evacuate(address: str, operator: str, token: str, end: bool, domain: str) -> None:
+    """Send nothing more to the endpoints of a failure domain."""
+    client = _create_client(address, operator)
+    evacuations = client.evacuate(FailureDomain(domain), end)
+    click.echo("\n".join(describe_evacuations(evacuations)) or "nothing is evacuated")
+
+
 @cli.command()
 @address_option
 @operator_option
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -12,6 +12,7 @@
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import Drain
+from burdockwall.process.evacuation.follower import EvacuationFollower
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.metrics import Metrics, MetricsPage, summarise
@@ -73,6 +74,7 @@
             list_members,
             host.clock,
         )
+        self.evacuation = EvacuationFollower()
         self.accepted = AcceptedSender(self.parts, lambda: self.view)
         self.drain = Drain()
         self.metrics = Metrics()
@@ -108,6 +110,9 @@
 
     def install(self, replica: StateReplica) -> None:
         """Install a version of the control state."""
+        if self.evacuation.install(replica.documents):
+            domains = frozenset(self.evacuation.evacuations.domains)
+            self.parts.dispatcher.set_evacuated(domains)
         self.view = self.builder.build(replica.version, replica.sections, replica.keys)
         self.parts.dispatcher.install(self.view.configuration)
         self.parts.limits.install(self.view)
@@ -215,6 +220,7 @@
             loop_lag=summarise(metrics.loop_lag),
             endpoint_replacements=self.parts.clients.replacements,
             body_bytes_held=self.budget.reserved_bytes,
+            evacuated_domains=int(self.evacuation.count()),
         )
 
     def count_in_flight(self) -> int:
--- a/burdockwall/process/metrics.py
+++ b/burdockwall/process/metrics.py
@@ -40,6 +40,7 @@
     loop_lag: Latency
     endpoint_replacements: int
     body_bytes_held: int
+    evacuated_domains: int = 0
 
 
 def create_histogram(digits: int = ROUTE_DIGITS) -> HdrHistogram:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -13,11 +13,18 @@
 from burdockwall.errors import Code, InvalidFile, OperatorError
 from burdockwall.process.clock import read_clock
 from burdockwall.process.control.console import Console
+from burdockwall.process.control.documents import Documents
 from burdockwall.process.control.service import ControlService
 from burdockwall.process.drain import RequestsInFlight, StartDrain, StopServing
 from burdockwall.process.endpoint_limits.messages import AskPermits
 from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.entry import Entry
+from burdockwall.process.evacuation.evacuations import Evacuations
+from burdockwall.process.evacuation.operations import (
+    EvacuationOperations,
+    describe_evacuations,
+)
+from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.host import Host
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.platform import PlatformReader
@@ -36,6 +43,7 @@
     Address,
     EndpointId,
     EndpointState,
+    FailureDomain,
     Incarnation,
     Role,
     Version,
@@ -88,6 +96,12 @@
         if self.control is not None:
             console = Console(self.control, self.membership.wait_in_force)
             console.register(self.operations)
+            self.evacuation_orders = EvacuationOrders(
+                Documents(self.control), self._find_domain, time.time
+            )
+            EvacuationOperations(self.control, self.evacuation_orders).register(
+                self.operations
+            )
 
     def _create_entry(self) -> Entry:
         entry = Entry(
@@ -163,8 +177,25 @@
             state=self.membership.get_state().value,
             lease_s=self.membership.get_lease_s(),
             leader=self.membership.agent.path.leader or "",
+            evacuated=describe_evacuations(self._get_evacuations()),
         )
 
+    def _get_evacuations(self) -> Evacuations:
+        if self.entry is not None:
+            return self.entry.evacuation.evacuations
+        return self.evacuation_orders.get_evacuations()
+
+    def _find_domain(self, domain: FailureDomain) -> bool | None:
+        state = self.control.state if self.control is not None else None
+        endpoints = parse_configuration(state.text).endpoints if state else ()
+        known = [
+            self.settings.failure_domain,
+            *self.settings.regions,
+            *(item.details.failure_domain for item in self.membership.members),
+            *(endpoint.failure_domain for endpoint in endpoints),
+        ]
+        return find_in(domain, known, complete=True)
+
     def start_drain(self) -> None:
         """Start the shutdown: the address is no longer given out."""
         if self.entry is None:
--- a/burdockwall/process/operations.py
+++ b/burdockwall/process/operations.py
@@ -15,6 +15,8 @@
 Serve = Callable[[Exchange], Awaitable[None]]
 # Changes outside the control state, for which this instance checks the token.
 LOCAL_CHANGES = (("POST", "/drain"), ("POST", "/unknowns/settle"))
+EVACUATION_START_PATH = "/evacuation/start"
+EVACUATION_END_PATH = "/evacuation/end"
 CONTROL_PATHS = (
     "/control",
     "/configuration",
@@ -22,6 +24,8 @@
     "/state",
     "/commands",
     "/in-force",
+    EVACUATION_START_PATH,
+    EVACUATION_END_PATH,
 )
 
 
@@ -40,6 +44,8 @@
     state: str = EndpointState.LIVE.value
     lease_s: float = 0.0
     leader: str = ""
+    # The evacuated failure domains, each with since when and by whom.
+    evacuated: list[str] = []
 
 
 class Operations:
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -130,6 +130,7 @@
         self.releases: deque[ReleaseCache] = deque(maxlen=RELEASES_LIMIT)
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self._leaving: frozenset[EndpointId] = frozenset()
+        self._evacuated: frozenset[FailureDomain] = frozenset()
         self.pool_kinds: dict[PoolName, RouteKind] = {}
         self._waiters: Waiters[Placement | None] = Waiters()
 
@@ -148,11 +149,20 @@
             self._leaving = leaving
             self._install_targets()
 
+    def set_evacuated(self, domains: frozenset[FailureDomain]) -> None:
+        """Send nothing to the endpoints of evacuated failure domains."""
+        self._evacuated = domains
+        self._install_targets()
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's failure domain is evacuated."""
+        return endpoint.failure_domain in self._evacuated
+
     def _install_targets(self) -> None:
         targets = tuple(
             _create_target(item)
             for item in self.endpoints.values()
-            if item.name not in self._leaving
+            if item.name not in self._leaving and not self.is_evacuated(item)
         )
         self.apply(TargetsInstalled(targets))
 
@@ -203,6 +213,8 @@
         permitted = False
         try:
             permitted = await self.endpoint_limits.acquire(dispatch.endpoint.name)
+            # The order may have come while the call waited for its permit.
+            permitted = permitted and not self.is_evacuated(dispatch.endpoint)
         finally:
             if not permitted:
                 self._withdraw(dispatch.call)
--- a/burdockwall/process/scheduling/poller.py
+++ b/burdockwall/process/scheduling/poller.py
@@ -68,7 +68,11 @@
             if active_at >= recent
         }
         endpoints = self.dispatcher.endpoints
-        return [endpoints[name] for name in self._active_at if name in endpoints]
+        return [
+            endpoints[name]
+            for name in self._active_at
+            if name in endpoints and not self.dispatcher.is_evacuated(endpoints[name])
+        ]
 
     async def _poll(self, endpoint: Endpoint, limit: anyio.CapacityLimiter) -> None:
         async with limit:
@@ -107,7 +111,7 @@
         self, release: ReleaseCache, limit: anyio.CapacityLimiter
     ) -> None:
         endpoint = self.dispatcher.endpoints.get(release.endpoint)
-        if endpoint is not None:
+        if endpoint is not None and not self.dispatcher.is_evacuated(endpoint):
             async with limit:
                 await self._request(
                     endpoint, "POST", RELEASE_PATH, release.key.encode()
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -6,10 +6,9 @@
 from burdockwall.process.control_node import find_store
 from burdockwall.process.evacuation.evacuations import Evacuations
 from features.steps.platform_steps import send_request
-from features.subjects.evacuation import EvacuationSite
+from features.subjects.evacuation import OBEYED_LIMIT_S, EvacuationSite, OwnEvacuation
 
 EIGHT = tuple("cdefghij")
-OBEYED_LIMIT_S = 5.0
 ROUNDS = 3
 
 
@@ -184,3 +183,21 @@
 def step_both(context):
     emptying = context.site.find_leader().get_emptying()
     assert set(context.stores) <= emptying.instances, emptying
+
+
+@when("an unknown domain and the engine's are evacuated, and then used again")
+def step_own(context):
+    context.own = OwnEvacuation(context.subject)
+    context.subject.run(context.own.run)
+
+
+@then("the orders led to the codes 2021, 1401 and 200")
+def step_own_codes(context):
+    assert context.own.codes == [2021, 1401, 200], context.own.codes
+    assert set(context.own.ended.ended) == {"a"}
+
+
+@then("the status of an entry named the domain and the operator meanwhile")
+def step_own_status(context):
+    (line,) = context.own.status
+    assert line.startswith("a since 20") and line.endswith(" by operator"), line
--- a/features/subjects/evacuation.py
+++ b/features/subjects/evacuation.py
@@ -6,16 +6,20 @@
 import anyio
 import httpx
 
+from burdockwall.client import OperatorClient
+from burdockwall.errors import OperatorError
 from burdockwall.fakes.servers import FakeServer
 from burdockwall.machine import Message
 from burdockwall.process.control_node import ControlNode
 from burdockwall.process.evacuation.evacuations import Evacuations
 from burdockwall.process.forwarding_entry import ForwardingEntry
 from burdockwall.settings import Settings
-from burdockwall.types import Address, FailureDomain, InstanceId, Role
+from burdockwall.types import Address, FailureDomain, InstanceId, OperatorId, Role
+from features.subjects.fleet_site import ENTRIES, FleetSite
 from features.subjects.platform import PlatformSite
 
 LEADER_LIMIT_S = 5.0
+OBEYED_LIMIT_S = 5.0
 REQUESTS = 6
 
 
@@ -165,3 +169,38 @@
         follower = self.entries[instance - 1].endpoints.evacuation
         assert self.wait_for(lambda: follower.includes("b"), 10)
         return time.monotonic() - started
+
+
+class OwnEvacuation:
+    """Evacuates the engine's failure domain at a fleet of the own interface."""
+
+    def __init__(self, site: FleetSite) -> None:
+        self.site = site
+        self.codes: list[int] = []
+        self.status: list[str] = []
+        self.ended = Evacuations()
+
+    async def run(self) -> None:
+        operator = self.site.operator
+        key = await self.site.issue_key()
+        try:
+            await anyio.to_thread.run_sync(operator.evacuate, "elsewhere")
+        except OperatorError as error:
+            self.codes.append(error.code.value.number)
+        await anyio.to_thread.run_sync(operator.evacuate, "a")
+        await self._wait_until(key, 1401)
+        entry = self.site.settings[ENTRIES[0]].operator_address
+        client = OperatorClient(entry, OperatorId("operator"))
+        self.status = (await anyio.to_thread.run_sync(client.read_status)).evacuated
+        self.ended = await anyio.to_thread.run_sync(operator.evacuate, "a", True)
+        await self._wait_until(key, 200)
+
+    async def _wait_until(self, key: str, code: int) -> None:
+        with anyio.fail_after(OBEYED_LIMIT_S):
+            while True:
+                answer = await self.site.post_turn(ENTRIES[0], key)
+                found = int(answer.headers.get("burdockwall-code", answer.status_code))
+                if found == code:
+                    break
+                await anyio.sleep(0.1)
+        self.codes.append(code)
--- a/features/subjects/poller.py
+++ b/features/subjects/poller.py
@@ -43,6 +43,7 @@
             pool_kinds={pool: RouteKind.SERVICE},
             releases=deque(),
             apply=self.reports.append,
+            is_evacuated=lambda endpoint: False,
         )
 
     @asynccontextmanager
