Check that an order to evacuate survives a stop of every instance

Cause: the order must hold after all control, storage and entry instances stop at once. Change: a scenario that stops all, starts them on their disks and finds the order obeyed when the entry instances are ready.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -54,6 +54,12 @@
     Then every instance obeys the order within 5 s
     And no request reaches the domain b, and every caller is answered 200
 
+  Scenario: An acknowledged order survives a stop of every instance at once
+    Given a site whose tool servers are in the domains a and b
+    When the order "b/start" is sent, and again as if its response was lost
+    And every instance stops at once and starts again
+    Then no request reaches the domain b, and every caller is answered 200
+
   Scenario: An instance that was cut off when the order came obeys it once connected
     Given a site whose tool servers are in the domains a and b
     When instance 1 is cut off, and the order "b/start" is acknowledged
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -120,6 +120,12 @@
         tool.delay_s = after_s
 
 
+@when("every instance stops at once and starts again")
+def step_restart(context):
+    context.site.restart_all()
+    assert all(e.endpoints.evacuation.includes("b") for e in context.site.entries)
+
+
 @when("the leader accepts an order for b and dies at once")
 def step_leader_dies(context):
     context.site.order_and_kill("b")
--- a/features/subjects/evacuation.py
+++ b/features/subjects/evacuation.py
@@ -77,6 +77,27 @@
 
         self.call_in_loop(run)
 
+    def restart_all(self) -> None:
+        """Stop every instance at once, and start all again on their disks."""
+        self.call_in_loop(self._stop_all)
+        time.sleep(0.5)
+        files = [node.control.replica.storage.files for node in self.control_nodes]
+        files += [node.service.journal.files for node in self.stores]
+        for each in files:
+            self.call_in_loop(each.close)
+        for nodes in (self.control_nodes, self.stores, self.entries):
+            nodes.clear()
+        for number in (1, 2, 3):
+            self.call_in_loop(self._start_control_node, number)
+            self.call_in_loop(self.start_store, number, False)
+        for number in (1, 2):
+            self.call_in_loop(self._start_entry, number)
+        assert self.wait_for(self._is_ready, 30)
+
+    def _stop_all(self) -> None:
+        for scope in self._scopes.values():
+            scope.cancel()
+
     def race(self, calls: list) -> list[BaseException | None]:
         """Run calls at the same time, and return the error of each, or None."""
         errors: list[BaseException | None] = [None] * len(calls)
