--- a/features/subjects/evacuation.py
+++ b/features/subjects/evacuation.py
@@ -6,16 +6,20 @@
 import anyio
 import httpx
 
+from burdockwall.client import OperatorClient
+from burdockwall.errors import OperatorError
 from burdockwall.fakes.servers import FakeServer
 from burdockwall.machine import Message
 from burdockwall.process.control_node import ControlNode
 from burdockwall.process.evacuation.evacuations import Evacuations
 from burdockwall.process.forwarding_entry import ForwardingEntry
 from burdockwall.settings import Settings
-from burdockwall.types import Address, FailureDomain, InstanceId, Role
+from burdockwall.types import Address, FailureDomain, InstanceId, OperatorId, Role
+from features.subjects.fleet_site import ENTRIES, FleetSite
 from features.subjects.platform import PlatformSite
 
 LEADER_LIMIT_S = 5.0
+OBEYED_LIMIT_S = 5.0
 REQUESTS = 6
 
 
@@ -73,6 +77,27 @@
 
         self.call_in_loop(run)
 
+    def restart_all(self) -> None:
+        """Stop every instance at once, and start all again on their disks."""
+        self.call_in_loop(self._stop_all)
+        time.sleep(0.5)
+        files = [node.control.replica.storage.files for node in self.control_nodes]
+        files += [node.service.journal.files for node in self.stores]
+        for each in files:
+            self.call_in_loop(each.close)
+        for nodes in (self.control_nodes, self.stores, self.entries):
+            nodes.clear()
+        for number in (1, 2, 3):
+            self.call_in_loop(self._start_control_node, number)
+            self.call_in_loop(self.start_store, number, False)
+        for number in (1, 2):
+            self.call_in_loop(self._start_entry, number)
+        assert self.wait_for(self._is_ready, 30)
+
+    def _stop_all(self) -> None:
+        for scope in self._scopes.values():
+            scope.cancel()
+
     def race(self, calls: list) -> list[BaseException | None]:
         """Run calls at the same time, and return the error of each, or None."""
         errors: list[BaseException | None] = [None] * len(calls)
@@ -165,3 +190,38 @@
         follower = self.entries[instance - 1].endpoints.evacuation
         assert self.wait_for(lambda: follower.includes("b"), 10)
         return time.monotonic() - started
+
+
+class OwnEvacuation:
+    """Evacuates the engine's failure domain at a fleet of the own interface."""
+
+    def __init__(self, site: FleetSite) -> None:
+        self.site = site
+        self.codes: list[int] = []
+        self.status: list[str] = []
+        self.ended = Evacuations()
+
+    async def run(self) -> None:
+        operator = self.site.operator
+        key = await self.site.issue_key()
+        try:
+            await anyio.to_thread.run_sync(operator.evacuate, "elsewhere")
+        except OperatorError as error:
+            self.codes.append(error.code.value.number)
+        await anyio.to_thread.run_sync(operator.evacuate, "a")
+        await self._wait_until(key, 1401)
+        entry = self.site.settings[ENTRIES[0]].operator_address
+        client = OperatorClient(entry, OperatorId("operator"))
+        self.status = (await anyio.to_thread.run_sync(client.read_status)).evacuated
+        self.ended = await anyio.to_thread.run_sync(operator.evacuate, "a", True)
+        await self._wait_until(key, 200)
+
+    async def _wait_until(self, key: str, code: int) -> None:
+        with anyio.fail_after(OBEYED_LIMIT_S):
+            while True:
+                answer = await self.site.post_turn(ENTRIES[0], key)
+                found = int(answer.headers.get("burdockwall-code", answer.status_code))
+                if found == code:
+                    break
+                await anyio.sleep(0.1)
+        self.codes.append(code)
