Keep the bound of cold endpoints while the leader freezes or changes

Instances that noticed a reset told only a leader that might have frozen.

Change: a list clears the suspicion of a restart only if it shows a later start, or the state 5 s after the reset; a refused health request renews it. A suspicion that no list follows within 0.3 s is also sent to the other instances.

--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -59,7 +59,7 @@
             servers += [
                 entry
                 for raw in page.instances
-                if (entry := _convert_entry(raw)) is not None
+                if (entry := convert_entry(raw)) is not None
             ]
             token = page.next
             if token is None:
@@ -76,7 +76,8 @@
             raise EndpointListUnread(f"{type(error).__name__}: {error}") from error
 
 
-def _convert_entry(raw: msgspec.Raw) -> ListedEndpoint | None:
+def convert_entry(raw: msgspec.Raw) -> ListedEndpoint | None:
+    """Convert an entry of the list, or return None if it is no usable server's."""
     try:
         entry = msgspec.json.decode(raw, type=_Entry)
     except msgspec.MsgspecError:
--- a/burdockwall/process/cold_endpoints/health.py
+++ b/burdockwall/process/cold_endpoints/health.py
@@ -18,6 +18,10 @@
 CHECK_TIMEOUT_S = 0.4
 
 
+class HealthRefused(Exception):
+    """The endpoint's machine answered that no process listens."""
+
+
 class HealthCodec(Protocol):
     """Builds the headers of health requests, and reads their responses."""
 
@@ -33,7 +37,10 @@
 async def ask_health(
     codec: HealthCodec, endpoint: ListedEndpoint, path: str
 ) -> float | None:
-    """Return how long an endpoint stays cold, or None if it does not say."""
+    """Return how long an endpoint stays cold, or None if it does not say.
+
+    Raise HealthRefused if it is down.
+    """
     if not path:
         return None
     try:
@@ -45,7 +52,11 @@
                 head = await connection.read_head(lambda received: True)
             finally:
                 await connection.close()
-    except (ConnectFailed, ConnectionBroken, TimeoutError):
+    except ConnectFailed as error:
+        if error.refused:
+            raise HealthRefused(str(error)) from error
+        return None
+    except (ConnectionBroken, TimeoutError):
         return None
     details = codec.read_answer(head)
     return None if details.misdirected else details.cold_left_s
--- a/burdockwall/process/cold_endpoints/judgement.py
+++ b/burdockwall/process/cold_endpoints/judgement.py
@@ -7,7 +7,6 @@
 endpoints of services that have a rule, and messages only with suspicions.
 """
 
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -23,6 +22,9 @@
 # so that a whole domain that returns at the target's size is asked within two seconds.
 CHECK_INTERVAL_S = 0.5
 MAX_CHECKS = 16
+# After a reset the list may show the earlier start of the endpoint until it is back. An
+# endpoint that is down for longer refuses health requests, which renews the suspicion.
+RESTART_S = 5.0
 _logger = logbook.Logger("cold")
 
 
@@ -30,13 +32,17 @@
 class _State:
     """What is known of one endpoint; times are those of this process's clock.
 
-    `known_at` is the time of the state that the latest observation describes.
+    `health_at` and `list_at` are the times of the states that the latest observations
+    describe. A list that shows no later start clears a suspicion only if it shows the
+    state at `list_clears_at` or later.
     """
 
     endpoint: ListedEndpoint
     cold_until: float = float("-inf")
-    known_at: float = float("-inf")
+    health_at: float = float("-inf")
+    list_at: float = float("-inf")
     suspected_at: float = float("-inf")
+    list_clears_at: float = float("-inf")
     checked_at: float = float("-inf")
     logged_cold: bool = False
     logged_unreadable: bool = False
@@ -84,10 +90,13 @@
                 state = _State(endpoint)
                 if left_s is None:
                     state.suspected_at = now
+                    state.list_clears_at = float("inf")
+            restarted = state.endpoint.started_ms != endpoint.started_ms
             state.endpoint = endpoint
             self._states[endpoint.name] = state
             if left_s is not None:
-                self._observe(state, left_s, began_at - self.list_lag_s, now)
+                shown_at = began_at - self.list_lag_s
+                self._observe_list(state, left_s, shown_at, restarted, now)
         self._has_list = True
 
     def _find_listed_left_s(
@@ -102,20 +111,14 @@
         # Without a time of its start, an endpoint that was not listed before is new.
         return start_s if state is None and self._has_list else None
 
-    def _observe(
-        self, state: _State, left_s: float, known_at: float, now: float
+    def _observe_list(
+        self, state: _State, left_s: float, shown_at: float, restarted: bool, now: float
     ) -> None:
-        if not 0 <= left_s <= MAX_COLD_S or math.isnan(left_s):
-            if not state.logged_unreadable:
-                state.logged_unreadable = True
-                _logger.warning(
-                    "cold time unreadable; endpoint counts as cold",
-                    extra={"endpoint": state.endpoint.name, "seconds": str(left_s)},
-                )
-            left_s = max(CHECK_INTERVAL_S, self.rules[state.endpoint.service].start_s)
-        if known_at >= state.known_at:
-            state.known_at = known_at
-            state.cold_until = now + left_s if left_s else float("-inf")
+        state.list_at = shown_at
+        if restarted:
+            state.list_clears_at = min(state.list_clears_at, shown_at)
+        if shown_at >= state.health_at:
+            state.cold_until = self._compute_end(state, left_s, now)
 
     def record_health(
         self, name: EndpointId, left_s: float | None, asked_at: float, now: float
@@ -125,16 +128,33 @@
         `asked_at` is when the request was sent.
         """
         state = self._states.get(name)
-        if state is not None and left_s is not None:
-            self._observe(state, left_s, asked_at, now)
+        if state is not None and left_s is not None and asked_at >= state.health_at:
+            state.health_at = asked_at
+            state.cold_until = self._compute_end(state, left_s, now)
+
+    def _compute_end(self, state: _State, left_s: float, now: float) -> float:
+        """Return when the cold time ends that an observation names."""
+        if left_s == 0:
+            return float("-inf")
+        if 0 < left_s <= MAX_COLD_S:
+            return now + left_s
+        if not state.logged_unreadable:
+            state.logged_unreadable = True
+            _logger.warning(
+                "cold time unreadable; endpoint counts as cold",
+                extra={"endpoint": state.endpoint.name, "seconds": str(left_s)},
+            )
+        return now + max(CHECK_INTERVAL_S, self.rules[state.endpoint.service].start_s)
 
     def record_suspicion(self, name: EndpointId, at: float) -> None:
         """Record that an endpoint may have become cold at a time."""
         state = self._states.get(name)
-        if state is not None and at > state.suspected_at:
-            if at > state.known_at:
-                _logger.info("endpoint may be cold", extra={"endpoint": name})
-            state.suspected_at = at
+        if state is None or at <= state.suspected_at:
+            return
+        if at - state.suspected_at > RESTART_S:
+            _logger.info("endpoint may be cold", extra={"endpoint": name})
+        state.suspected_at = at
+        state.list_clears_at = at + RESTART_S
 
     def record_evacuation_end(
         self, domain: FailureDomain, ended: float, at: float
@@ -149,15 +169,18 @@
         for state in self._states.values():
             if state.endpoint.failure_domain == domain:
                 state.suspected_at = max(state.suspected_at, at)
+                state.list_clears_at = max(state.list_clears_at, at)
 
     def _is_suspected(self, state: _State, now: float) -> bool:
-        """Return whether no observation is later than the latest suspicion.
+        """Return whether no observation has cleared the latest suspicion.
 
         What a suspicion may have made cold is warm again when a whole start has passed.
         """
         start_s = self.rules[state.endpoint.service].start_s
-        expires_at = state.suspected_at + start_s
-        return state.suspected_at >= state.known_at and now < expires_at
+        if now >= state.suspected_at + start_s:
+            return False
+        cleared = state.health_at > state.suspected_at
+        return not cleared and state.list_at < state.list_clears_at
 
     def find_rate(self, name: EndpointId, now: float) -> float | None:
         """Return what a cold endpoint takes per second, or None if it is warm."""
--- a/burdockwall/process/cold_endpoints/leader.py
+++ b/burdockwall/process/cold_endpoints/leader.py
@@ -7,6 +7,7 @@
 import anyio.abc
 import msgspec
 
+from burdockwall.process.cold_endpoints.health import HealthRefused
 from burdockwall.process.cold_endpoints.judgement import ColdJudge
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.types import EndpointId, FailureDomain, Term
@@ -30,8 +31,10 @@
         clock: Callable[[], float],
         get_term: Callable[[], Term | None],
         list_lag_s: float,
+        unix_clock: Callable[[], float] = time.time,
     ) -> None:
         self.clock = clock
+        self.unix_clock = unix_clock
         self.get_term = get_term
         self.judge = ColdJudge(list_lag_s)
         self.ask_health: AskHealth = ask_nothing
@@ -63,7 +66,7 @@
         """Record a list that was read, and return it without its cold times."""
         self._follow_term()
         self._domains = frozenset(item.failure_domain for item in endpoints)
-        self.judge.record_list(endpoints, began_at, self.clock(), time.time())
+        self.judge.record_list(endpoints, began_at, self.clock(), self.unix_clock())
         return [_clear_cold(endpoint) for endpoint in endpoints]
 
     def record_suspicion(self, name: EndpointId, age_s: float) -> None:
@@ -81,7 +84,7 @@
         for domain in sorted(self._domains):
             ended = self.find_evacuation_end(domain)
             if ended is not None:
-                at = now - max(0.0, time.time() - ended)
+                at = now - max(0.0, self.unix_clock() - ended)
                 self.judge.record_evacuation_end(domain, ended, at)
 
     def mark(self, endpoints: list[ListedEndpoint]) -> list[ListedEndpoint]:
@@ -118,7 +121,11 @@
     async def _check(self, endpoint: ListedEndpoint) -> None:
         asked_at = self.clock()
         path = self._health_paths.get(endpoint.service, "")
-        left_s = await self.ask_health(endpoint, path)
+        try:
+            left_s = await self.ask_health(endpoint, path)
+        except HealthRefused:
+            self.judge.record_suspicion(endpoint.name, self.clock())
+            return
         self.judge.record_health(endpoint.name, left_s, asked_at, self.clock())
 
 
--- a/burdockwall/process/cold_endpoints/view.py
+++ b/burdockwall/process/cold_endpoints/view.py
@@ -19,8 +19,11 @@
 # Without a repeated list for this time, which covers an election and the new leader's
 # first list, restarts and ends of evacuations may be unknown here.
 LIST_SILENCE_S = 4.0
-# After this time the leader has marked what it was told, and repeated its list.
+# A list that comes this long after a suspicion was made by a leader that knew of it.
 SUSPICION_S = 2.0
+# Without a list for this time after a suspicion, the leader may not have heard of it,
+# so other instances are told. It marks what it is told within 0.1 s.
+UNHEARD_S = 0.3
 # A health response of an instance's own counts for this time while the list is silent.
 HEALTH_VALID_S = 2.0
 # Time between two health requests of an instance, to whichever endpoint. Responses
@@ -41,6 +44,7 @@
         self.find_evacuation_end = find_evacuation_end
         self.rules: Mapping[ServiceName, ColdRule] = {}
         self._suspected_at: dict[EndpointId, float] = {}
+        self._unshared: set[EndpointId] = set()
         self._warm_at: dict[EndpointId, float] = {}
         self._cold_until: dict[EndpointId, float] = {}
         self._checked_at = float("-inf")
@@ -87,10 +91,15 @@
         warm_at = self._warm_at.get(name, float("-inf"))
         if self.is_list_silent(now):
             return warm_at > suspected_at and now - warm_at < HEALTH_VALID_S
-        if now - suspected_at < SUSPICION_S and suspected_at >= warm_at:
+        if self._is_suspected(name) and suspected_at >= warm_at:
             return False
         return not endpoint.cold and self._is_marked(endpoint.failure_domain)
 
+    def _is_suspected(self, name: EndpointId) -> bool:
+        """Return whether no list has come for long enough after a suspicion."""
+        suspected_at = self._suspected_at.get(name, float("-inf"))
+        return self.follower.received_at - suspected_at < SUSPICION_S
+
     def _is_marked(self, domain: FailureDomain) -> bool:
         """Return whether the list's marks include the latest end of an evacuation."""
         ended = self.find_evacuation_end(domain)
@@ -107,10 +116,11 @@
         """
         if not self.has_rule(name):
             return False
-        known_at = self._suspected_at.get(name, float("-inf"))
+        was_known = self._is_suspected(name)
         self._suspected_at[name] = now
-        if now - known_at < SUSPICION_S:
+        if was_known:
             return False
+        self._unshared.add(name)
         _logger.notice("endpoint may be cold", extra={"endpoint": name})
         return True
 
@@ -119,9 +129,33 @@
         return {
             name: now - at
             for name, at in sorted(self._suspected_at.items())
-            if now - at < SUSPICION_S
+            if self._is_suspected(name)
         }
 
+    def merge_suspicions(self, ages: Mapping[EndpointId, float], now: float) -> None:
+        """Add the suspicions of another instance, by their ages in seconds."""
+        for name, age_s in sorted(ages.items()):
+            at = now - max(0.0, age_s)
+            if self.has_rule(name):
+                known_at = self._suspected_at.get(name, at)
+                self._suspected_at[name] = max(at, known_at)
+
+    def take_unheard(self, now: float) -> dict[EndpointId, float]:
+        """Return the ages of suspicions that the leader seems not to have heard.
+
+        Each suspicion of this instance's own is returned once.
+        """
+        ages = {}
+        for name in sorted(self._unshared):
+            endpoint = self.find_endpoint(name)
+            at = self._suspected_at.get(name, float("-inf"))
+            if endpoint is None or endpoint.cold or self.follower.received_at > at:
+                self._unshared.discard(name)
+            elif now - at >= UNHEARD_S:
+                self._unshared.discard(name)
+                ages[name] = now - at
+        return ages
+
     def start_check(self, name: EndpointId, now: float) -> ListedEndpoint | None:
         """Return the endpoint if its health is to be asked for now, else None.
 
--- a/burdockwall/process/endpoint_limits/client.py
+++ b/burdockwall/process/endpoint_limits/client.py
@@ -5,7 +5,9 @@
 
 import logbook
 
+from burdockwall.machine import Message
 from burdockwall.process.cold_endpoints.bounds import ColdBounds
+from burdockwall.process.cold_endpoints.health import HealthRefused
 from burdockwall.process.cold_endpoints.view import ColdView
 from burdockwall.process.endpoint_limits.holder import (
     ANSWER_LIMIT_S,
@@ -17,7 +19,7 @@
     PermitHolder,
     Suspect,
 )
-from burdockwall.process.endpoint_limits.messages import GrantPermits
+from burdockwall.process.endpoint_limits.messages import AskPermits, GrantPermits
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.host import Host
 from burdockwall.process.waiters import Waiters
@@ -48,7 +50,11 @@
         self.asked_count = 0
         self.refused_count = 0
         self._waiters: Waiters[bool] = Waiters()
-        self._hosted = host.add(self.holder, (GrantPermits,), self._perform)
+        # Other instances tell what may be cold while the owner does not hear of it.
+        accepts: tuple[type[Message], ...] = (GrantPermits,)
+        if cold is not None:
+            accepts += (AskPermits,)
+        self._hosted = host.add(self.holder, accepts, self._perform)
         self._owner: OwnerInstalled | None = None
         self._listed: frozenset[EndpointId] = frozenset()
 
@@ -58,9 +64,10 @@
         term: Term,
         instances: int,
         possible: int = 0,
+        peers: tuple[InstanceId, ...] = (),
     ) -> None:
         """Ask this owner from now on."""
-        installed = OwnerInstalled(owner, term, instances, possible)
+        installed = OwnerInstalled(owner, term, instances, possible, peers)
         if installed != self._owner:
             self._owner = installed
             self.host.apply(self._hosted, installed)
@@ -155,7 +162,10 @@
         if listed is None:
             return False
         self.checks_count += 1
-        left_s = await self.ask_health(listed)
+        try:
+            left_s = await self.ask_health(listed)
+        except HealthRefused:
+            return False
         cold.record_health(endpoint, left_s, now, self.host.clock())
         return not self.needs_permit(endpoint)
 
--- a/burdockwall/process/endpoint_limits/holder.py
+++ b/burdockwall/process/endpoint_limits/holder.py
@@ -64,13 +64,15 @@
 class OwnerInstalled:
     """The owner of the permits, its term, and the number of entry instances.
 
-    `possible` also counts those that have failed as far as is known here.
+    `possible` also counts those that have failed as far as is known here, and `peers`
+    are the other entry instances.
     """
 
     owner: InstanceId | None
     term: Term
     instances: int
     possible: int = 0
+    peers: tuple[InstanceId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,7 @@
         self.term = Term(0)
         self.instances = 1
         self.possible = 1
+        self.peers: tuple[InstanceId, ...] = ()
         # Until when an endpoint counts as limited because the list showed it so.
         self._listed_until: dict[EndpointId, float] = {}
         self._exhausted_until: dict[EndpointId, float] = {}
@@ -164,8 +167,11 @@
                 self._install_listed(endpoints, now)
             case Receive(message=GrantPermits() as message):
                 return self._handle_grant(message, now)
+            case Receive(message=AskPermits(suspected=suspected)):
+                if self.cold is not None:
+                    self.cold.merge_suspicions(suspected, now)
             case Tick():
-                return self._tick(now)
+                return [*self._tick(now), *self._share_suspicions(now)]
             case _:
                 pass
         return []
@@ -178,6 +184,7 @@
         self.term = max(self.term, event.term)
         self.instances = max(1, event.instances)
         self.possible = max(self.instances, event.possible)
+        self.peers = event.peers
         # A new owner does not know what its predecessor was told.
         return self._report_suspicions(now) if changed else []
 
@@ -215,6 +222,14 @@
         self._waiting.append(ask)
         return self._send_waiting(now)
 
+    def _share_suspicions(self, now: float) -> list[Action]:
+        """Tell the other instances what the owner seems not to have heard."""
+        unheard = {} if self.cold is None else self.cold.take_unheard(now)
+        if not unheard:
+            return []
+        message = AskPermits(self.incarnation, 0, [], {}, unheard)
+        return [Send(peer, message) for peer in self.peers]
+
     def _observe(self, observed: RateObservation, now: float) -> list[Action]:
         if not self.limits.merge(observed, now):
             return []
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -189,6 +189,10 @@
             item.instance for item in members if item.state is not EndpointState.FAILED
         )
 
+    def _list_peers(self) -> tuple[InstanceId, ...]:
+        own = self.settings.instance_id
+        return tuple(item for item in self._list_live_instances() if item != own)
+
     def _count_live_members(self) -> int:
         return max(1, len(self._list_live_instances()))
 
@@ -347,6 +351,7 @@
             agent.term,
             self._count_live_members(),
             self._count_members(),
+            self._list_peers(),
         )
         self.endpoint_limits.install_listed(self.endpoints.limited)
 
--- a/features/steps/cold_endpoints_steps.py
+++ b/features/steps/cold_endpoints_steps.py
@@ -1,6 +1,14 @@
 from behave import given, then, when
 
-from features.subjects.cold_endpoints import BOUND, COLD_S, ColdSite
+from features.subjects import cold_network
+from features.subjects.cold_endpoints import (
+    BOUND,
+    COLD_S,
+    ColdSite,
+    list_reached,
+    read_listed,
+)
+from features.subjects.cold_network import ColdNetwork, run_faults
 from features.subjects.endpoint_limits import run_load
 
 
@@ -56,3 +64,56 @@
     cold = len(context.site.list_cold_arrivals())
     refused = sum(e.endpoint_limits.refused_count for e in context.site.entries)
     assert asked <= cold + refused + 5, (asked, cold, refused)
+
+
+# On virtual time.
+
+
+@when(
+    "an endpoint shared by {instances:d} instances restarts cold in "
+    "{count:d} drawn seeds"
+)
+def step_faults(context, instances, count):
+    context.outcomes = [run_faults(seed, instances) for seed in range(count)]
+
+
+@then("no run had more requests in a second than the cold endpoint bears")
+def step_no_excess(context):
+    broken = [item for item in context.outcomes if item.fullest > cold_network.BOUND]
+    assert not broken, broken
+
+
+@given("{instances:d} instances whose endpoint becomes cold without a restart")
+def step_network(context, instances):
+    context.network = ColdNetwork(1, instances)
+
+
+@when("the evacuation of its domain ends right afterwards")
+def step_ends(context):
+    context.network.end_evacuation_after(5)
+    context.network.load(40, 14)
+
+
+@then("no second had more requests than the cold endpoint bears")
+def step_network_bound(context):
+    endpoint = context.network.endpoint
+    assert endpoint.cold_arrivals
+    assert endpoint.count_fullest_second() <= cold_network.BOUND
+
+
+@then("its usual load is back within 1.2 of its cold time")
+def step_network_load(context):
+    endpoint = context.network.endpoint
+    start_s = endpoint.starts[-1] + 1.2 * cold_network.RULE.start_s
+    sent = sum(start_s <= at < start_s + 1 for at in endpoint.arrivals)
+    assert sent >= 39, sent
+
+
+@then("a list entry with the cold time {text} makes its endpoint {reading}")
+def step_reading(context, text, reading):
+    assert read_listed(text) is (reading == "cold")
+
+
+@then("a route for {route} and a customer for {customer} reach domains {reached}")
+def step_regions(context, route, customer, reached):
+    assert list_reached(route, customer) == reached
--- a/features/subjects/cold_endpoints.py
+++ b/features/subjects/cold_endpoints.py
@@ -3,7 +3,15 @@
 import bisect
 import time
 
+import msgspec
+
 from burdockwall.fakes.servers import FakeServer
+from burdockwall.platform.configuration import decode_deployment
+from burdockwall.platform.server_list import convert_entry
+from burdockwall.process.cold_endpoints.judgement import ColdJudge
+from burdockwall.request.regions import Regions
+from burdockwall.types import FailureDomain, ServiceName
+from burdockwall.version.deployment import ColdRule
 from features.subjects.platform import PlatformSite, build_configuration
 
 COLD_S = 3.0
@@ -66,3 +74,33 @@
             back_at + first_s <= item.received_at < back_at + last_s
             for item in tool.received_requests
         )
+
+
+def read_listed(text: str) -> bool:
+    """Return whether an entry of the list with a cold time makes its endpoint cold."""
+    entry = msgspec.Raw(
+        b'{"id":"e","service":"engines","address":"h:1","zone":"a","state":"ready",'
+        b'"cold-left-ms":%s}' % text.encode()
+    )
+    endpoint = convert_entry(entry)
+    assert endpoint is not None
+    judge = ColdJudge(0.8)
+    judge.install_rules({ServiceName("engines"): ColdRule(3, 2)})
+    judge.record_list([endpoint], 10, 10, 1000)
+    return endpoint.name in judge.list_cold(10)
+
+
+def list_reached(route: str, customer: str) -> str:
+    """List the domains that a request reaches, of a, b and one without a region."""
+    configuration = build_configuration(5)
+    for part, name in (("routes", route), ("tenants", customer)):
+        if name != "any":
+            configuration[part][0]["allowed-regions"] = [name]
+    deployment = decode_deployment(msgspec.json.encode(configuration))
+    domains = [FailureDomain(name) for name in "abc"]
+    known = dict(zip(domains[:2], ("north", "south"), strict=True))
+    allowed = Regions(known, FailureDomain("z"), "west").find_allowed(
+        deployment.routes[0], deployment.customers[0]
+    )
+    reached = [name for name in domains if allowed is None or allowed.includes(name)]
+    return " ".join(reached) or "none"
