--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -123,7 +123,9 @@
         self.cold = LeaderColdEndpoints(
             host.clock, membership.get_led_term, settings.list_lag_s
         )
-        self.cold.find_evacuation_end = self._find_evacuation_end
+        self.cold.list_evacuation_ends = lambda: (
+            self.evacuation_orders.get_evacuations().ended
+        )
         self.permit_owner = PermitOwner(
             membership.get_led_term,
             self.cold,
@@ -312,9 +314,6 @@
     def _propose(self, name: DocumentName, number: int, data: bytes) -> None:
         self.control.propose(create_put(name, number, data, SYSTEM))
 
-    def _find_evacuation_end(self, domain: FailureDomain) -> float | None:
-        return self.evacuation_orders.get_evacuations().ended.get(domain)
-
     async def _read_endpoints(self) -> None:
         while True:
             if not self.member.membership.is_leading():
--- a/burdockwall/process/evacuation/follower.py
+++ b/burdockwall/process/evacuation/follower.py
@@ -36,8 +36,8 @@
         """Return whether no request may be sent to the endpoints of a domain."""
         return domain in self.evacuations.domains
 
-    def find_end(self, domain: FailureDomain) -> float | None:
-        """Return when the last evacuation of a domain ended (Unix time), or None."""
+    def find_evacuation_end(self, domain: FailureDomain) -> float | None:
+        """Return when the latest evacuation of a domain ended, as a Unix time."""
         return self.evacuations.ended.get(domain)
 
     def count(self) -> float:
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -132,7 +132,9 @@
         self.balancer = create_balancer(
             settings, generator, self.upstreams.has_idle, self.health
         )
-        self.cold = ColdView(self.endpoints, self.endpoints.evacuation.find_end)
+        self.cold = ColdView(
+            self.endpoints, self.endpoints.evacuation.find_evacuation_end
+        )
         self.endpoint_limits = EndpointLimits(
             host,
             self.member.incarnation,
@@ -211,6 +213,10 @@
             item.instance for item in members if item.state is not EndpointState.FAILED
         )
 
+    def _list_peers(self) -> tuple[InstanceId, ...]:
+        own = self.settings.instance_id
+        return tuple(item for item in self._list_live_instances() if item != own)
+
     def _count_live_members(self) -> int:
         return max(1, len(self._list_live_instances()))
 
@@ -370,6 +376,7 @@
             agent.term,
             self._count_live_members(),
             self._count_members(),
+            self._list_peers(),
         )
         self.endpoint_limits.install_listed(self.endpoints.limited)
         self.health.install_leader(agent.path.leader)
--- a/features/steps/cold_endpoints_steps.py
+++ b/features/steps/cold_endpoints_steps.py
@@ -1,6 +1,16 @@
+import time
+
 from behave import given, then, when
 
-from features.subjects.cold_endpoints import BOUND, COLD_S, ColdSite
+from features.subjects import cold_network
+from features.subjects.cold_endpoints import (
+    BOUND,
+    COLD_S,
+    ColdSite,
+    list_reached,
+    read_listed,
+)
+from features.subjects.cold_network import ColdNetwork, run_faults
 from features.subjects.endpoint_limits import run_load
 
 
@@ -21,13 +31,15 @@
     "restarts after {after:d} s"
 )
 def step_restart(context, rate, seconds, after):
-    tool = context.site.tools[0]
+    site, context.asked = context.site, []
+    tool = site.tools[0]
 
     def restart(elapsed_s):
+        context.asked.append((time.monotonic(), site.count_asked()))
         if elapsed_s >= after and not tool.crash_times:
-            context.site.call_in_loop(tool.crash)
+            site.call_in_loop(tool.crash)
 
-    context.load = run_load(context.site, rate, seconds, restart)
+    context.load = run_load(site, rate, seconds, restart)
 
 
 @then("in no second the cold tool server gets more requests than it bears")
@@ -52,7 +64,62 @@
 
 @then("requests on warm endpoints asked for no permit")
 def step_no_permits(context):
-    asked = sum(entry.endpoint_limits.asked_count for entry in context.site.entries)
-    cold = len(context.site.list_cold_arrivals())
-    refused = sum(e.endpoint_limits.refused_count for e in context.site.entries)
-    assert asked <= cold + refused + 5, (asked, cold, refused)
+    tool = context.site.tools[0]
+    warm_at = tool.cold_until + 0.2 * COLD_S
+    before = [count for at, count in context.asked if at < tool.crash_times[0]]
+    after = [count for at, count in context.asked if at >= warm_at]
+    assert before[-1] == 0, before[-1]
+    assert after[0] == after[-1], (after[0], after[-1])
+
+
+# On virtual time.
+
+
+@when(
+    "an endpoint shared by {instances:d} instances restarts cold in "
+    "{count:d} drawn seeds"
+)
+def step_faults(context, instances, count):
+    context.outcomes = [run_faults(seed, instances) for seed in range(count)]
+
+
+@then("no run had more requests in a second than the cold endpoint bears")
+def step_no_excess(context):
+    broken = [item for item in context.outcomes if item.fullest > cold_network.BOUND]
+    assert not broken, broken
+
+
+@given("{instances:d} instances whose endpoint becomes cold without a restart")
+def step_network(context, instances):
+    context.network = ColdNetwork(1, instances)
+
+
+@when("the evacuation of its domain ends right afterwards")
+def step_ends(context):
+    context.network.end_evacuation_after(5)
+    context.network.load(40, 14)
+
+
+@then("no second had more requests than the cold endpoint bears")
+def step_network_bound(context):
+    endpoint = context.network.endpoint
+    assert endpoint.cold_arrivals
+    assert endpoint.count_fullest_second() <= cold_network.BOUND
+
+
+@then("its usual load is back within 1.2 of its cold time")
+def step_network_load(context):
+    endpoint = context.network.endpoint
+    start_s = endpoint.starts[-1] + 1.2 * cold_network.RULE.start_s
+    sent = sum(start_s <= at < start_s + 1 for at in endpoint.arrivals)
+    assert sent >= 39, sent
+
+
+@then("a list entry with the cold time {text} makes its endpoint {reading}")
+def step_reading(context, text, reading):
+    assert read_listed(text) is (reading == "cold")
+
+
+@then("a route for {route} and a customer for {customer} reach domains {reached}")
+def step_regions(context, route, customer, reached):
+    assert list_reached(route, customer) == reached
