Test that a failure counts only after its instance has heard from an endpoint

Change: a scenario of the rule itself; runs with two instances that are cut off, and with one of two that fails at one endpoint. No scenario shows the rule of two accusers alone.

--- a/features/endpoint_health.feature
+++ b/features/endpoint_health.feature
@@ -23,8 +23,17 @@
       | fault                           |
       | nothing fails                   |
       | every endpoint fails 45 in 100  |
-      | one instance fails at one endpoint |
-      | one instance reaches nothing    |
+      | two instances reach nothing     |
+
+  Scenario: What one instance of two sees alone ejects no endpoint
+    Given 2 instances that send 32 requests a second each to 6 endpoints
+    When one instance fails at one endpoint for 20 s, with seeds 1 to 5
+    Then no endpoint is ejected
+
+  Scenario: A failure does not count before its instance has heard from an endpoint
+    Given an instance whose request failed at 1 s and that heard from an endpoint at 0.5 s
+    Then its report at 1.5 s has 0 failures
+    And its report at 3.0 s has 1 failure if it heard from an endpoint at 2.0 s
 
   Scenario: At most a third of a service's endpoints is ejected
     Given 8 instances that send 8 requests a second each to 6 endpoints
--- a/features/steps/endpoint_health_steps.py
+++ b/features/steps/endpoint_health_steps.py
@@ -124,6 +124,34 @@
     assert abs(found - weight) < 0.01, found
 
 
+@given(
+    "an instance whose request failed at {failed:g} s and that heard from an endpoint "
+    "at {heard:g} s"
+)
+def step_failed_at(context, failed, heard):
+    context.heard = heard
+    context.health = EndpointHealth(
+        Incarnation(1), lambda: context.heard, lambda leader: True
+    )
+    context.health.install_leader(LEADER)
+    context.health.record_failed(ENDPOINT, failed)
+
+
+@then("its report at {now:g} s has {count:d} failures")
+def step_report(context, now, count):
+    (send,) = context.health.handle(Tick(), now)
+    assert sum(sample.failed for sample in send.message.samples) == count
+
+
+@then(
+    "its report at {now:g} s has {count:d} failure if it heard from an endpoint at "
+    "{heard:g} s"
+)
+def step_report_heard(context, now, count, heard):
+    context.heard = heard
+    step_report(context, now, count)
+
+
 @given("an attempt of a request at an endpoint")
 def step_attempt(context):
     context.now = 0.0
--- a/features/subjects/endpoint_health.py
+++ b/features/subjects/endpoint_health.py
@@ -161,9 +161,9 @@
     return None if instance == 0 and endpoint == "e0" else USUAL_S
 
 
-def cut_instance(site: HealthSite, instance: int, endpoint: str) -> float | None:
-    """Let one instance fail at every endpoint."""
-    return None if instance == 0 else USUAL_S
+def cut_instances(site: HealthSite, instance: int, endpoint: str) -> float | None:
+    """Let two instances fail at every endpoint, so that each has two accusers."""
+    return None if instance < 2 else USUAL_S
 
 
 FAULTS: dict[str, Serve] = {
@@ -176,7 +176,7 @@
         tuple(f"e{number}" for number in range(6)), 0.45
     ),
     "one instance fails at one endpoint": fail_at_instance,
-    "one instance reaches nothing": cut_instance,
+    "two instances reach nothing": cut_instances,
     "three endpoints fail 60 in 100": fail_share(("e0", "e1", "e2"), 0.6),
 }
 
