--- a/features/steps/endpoint_health_steps.py
+++ b/features/steps/endpoint_health_steps.py
@@ -1,5 +1,6 @@
 import time
 
+import msgspec
 from behave import given, then, when
 
 from burdockwall.machine import Receive, Tick
@@ -88,6 +89,21 @@
         assert growth <= step, growth
 
 
+@when("it starts anew, and everything serves well for {seconds:d} s more")
+def step_restart(context, seconds):
+    for site in context.sites:
+        assert site.detector.count_ejected(site.now)
+        site.listed[0] = msgspec.structs.replace(site.listed[0], started_ms=1)
+        site.run(seconds, serve_well)
+
+
+@then("it is no longer ejected, and returns by the ramp")
+def step_returned(context):
+    for site in context.sites:
+        assert not site.detector.count_ejected(site.now)
+        assert 0.0 < site.seen.weights[-1] < 1.0, site.seen.weights[-1]
+
+
 @then("at the end it is not ejected")
 def step_not_ejected_at_end(context):
     for site in context.sites:
@@ -108,6 +124,34 @@
     assert abs(found - weight) < 0.01, found
 
 
+@given(
+    "an instance whose request failed at {failed:g} s and that heard from an endpoint "
+    "at {heard:g} s"
+)
+def step_failed_at(context, failed, heard):
+    context.heard = heard
+    context.health = EndpointHealth(
+        Incarnation(1), lambda: context.heard, lambda leader: True
+    )
+    context.health.install_leader(LEADER)
+    context.health.record_failed(ENDPOINT, failed)
+
+
+@then("its report at {now:g} s has {count:d} failures")
+def step_report(context, now, count):
+    (send,) = context.health.handle(Tick(), now)
+    assert sum(sample.failed for sample in send.message.samples) == count
+
+
+@then(
+    "its report at {now:g} s has {count:d} failure if it heard from an endpoint at "
+    "{heard:g} s"
+)
+def step_report_heard(context, now, count, heard):
+    context.heard = heard
+    step_report(context, now, count)
+
+
 @given("an attempt of a request at an endpoint")
 def step_attempt(context):
     context.now = 0.0
--- a/features/subjects/endpoint_health.py
+++ b/features/subjects/endpoint_health.py
@@ -161,9 +161,9 @@
     return None if instance == 0 and endpoint == "e0" else USUAL_S
 
 
-def cut_instance(site: HealthSite, instance: int, endpoint: str) -> float | None:
-    """Let one instance fail at every endpoint."""
-    return None if instance == 0 else USUAL_S
+def cut_instances(site: HealthSite, instance: int, endpoint: str) -> float | None:
+    """Let two instances fail at every endpoint, so that each has two accusers."""
+    return None if instance < 2 else USUAL_S
 
 
 FAULTS: dict[str, Serve] = {
@@ -176,7 +176,7 @@
         tuple(f"e{number}" for number in range(6)), 0.45
     ),
     "one instance fails at one endpoint": fail_at_instance,
-    "one instance reaches nothing": cut_instance,
+    "two instances reach nothing": cut_instances,
     "three endpoints fail 60 in 100": fail_share(("e0", "e1", "e2"), 0.6),
 }
 
@@ -187,6 +187,9 @@
     def __init__(self) -> None:
         self.tools = [FakeServer(f"tool-{number}", "tools") for number in (1, 2, 3)]
         self.tools[0].refuses_each = 2
+        # With several calls at once, instances use all servers.
+        for tool in self.tools:
+            tool.delay_s = 0.15
         self.site = PlatformSite(tools=self.tools)
         self.statuses: list[tuple[float, int]] = []
 
@@ -197,7 +200,7 @@
 
     def send_calls(self, rate_per_s: int, seconds: int) -> None:
         """Send calls to the two instances in turn."""
-        with ThreadPoolExecutor(8) as pool:
+        with ThreadPoolExecutor(16) as pool:
             for number in range(rate_per_s * seconds):
                 pool.submit(self._call, number)
                 time.sleep(1 / rate_per_s)
