--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -39,7 +39,8 @@
     While `silent`, it answers no requests except for
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
     `leaving_values` is sent in a header of each answer that says whether it leaves, and
-    `rate_limit`, unless it is empty, in one that names the rate it takes.
+    `rate_limit`, unless it is empty, in one that names the rate it takes. `load` is the
+    load that it reports.
 
     A request whose body contains a text of `crashes_on` crashes the server when it
     begins to run it; the server is back after `down_s`, as a later start of itself.
@@ -61,6 +62,7 @@
     silent: bool = False
     leaving_values: tuple[str, ...] = ()
     rate_limit: str = ""
+    load: str = "1,0,8"
     started_ms: int | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_count: int = 0
@@ -115,7 +117,7 @@
                 b"x-server-stamp",
                 f"stamp-{self.name}-{len(self.received_requests)}".encode(),
             ),
-            (b"x-server-load", b"1,0,8"),
+            (b"x-server-load", self.load.encode()),
             *((b"server-leaving", value.encode()) for value in self.leaving_values),
         ]
 
--- a/burdockwall/process/scheduling/home.py
+++ b/burdockwall/process/scheduling/home.py
@@ -28,13 +28,11 @@
         is_usable: Callable[[ListedEndpoint], bool],
     ) -> ListedEndpoint | None:
         """Return the first usable endpoint in the order of a key, or None."""
-        hashes = self._hashes
-        for endpoint in endpoints:
-            if endpoint.name not in hashes:
-                hashes[endpoint.name] = _hash(endpoint.name)
-        point = _hash(key)
+        hashes, point = self._hashes, _hash(key)
+        known = [hashes.get(item.name) for item in endpoints]
         scores = [
-            (hashes[item.name] ^ point) * HASH_FACTOR & HASH_MASK for item in endpoints
+            ((value or self._add(item.name)) ^ point) * HASH_FACTOR & HASH_MASK
+            for value, item in zip(known, endpoints, strict=True)
         ]
         for _ in range(len(endpoints)):
             number = scores.index(max(scores))
@@ -43,6 +41,10 @@
             scores[number] = -1
         return None
 
+    def _add(self, endpoint: EndpointId) -> int:
+        value = self._hashes[endpoint] = _hash(endpoint)
+        return value
+
     def retain(self, listed: set[EndpointId]) -> None:
         """Forget the endpoints that are no longer listed."""
         self._hashes = {
--- a/burdockwall/process/scheduling/work_balance.py
+++ b/burdockwall/process/scheduling/work_balance.py
@@ -35,6 +35,10 @@
 # them did not shorten waits where reports are old (docs/design/placement.md).
 RANDOM_CANDIDATES = 1
 NEAR_CANDIDATES = 1
+# More are compared if a request is expected to wait at the best of them for longer than
+# it runs. At shorter waits, more candidates let instances with the same old report fill
+# one endpoint.
+MORE_CANDIDATES = 3
 # Draws for each of them, since some find endpoints that may not be used.
 DRAWS = 4
 # An endpoint in another failure domain must be better by this share of the cost and by
@@ -102,6 +106,22 @@
             usable = [item for item in listed if item.name not in excluded]
             healthy = [item for item in usable if is_usable(item)]
             candidates = [(item, "few are left") for item in healthy or usable]
+        best = self._find_cheapest(candidates, work, home, copies, now)
+        expected = work.expected
+        if expected is not None and expected.wait_s > expected.cost_s:
+            drawn = self._draw(listed, MORE_CANDIDATES, False, is_usable)
+            candidates += [(item, "others would make it wait") for item in drawn]
+            best = self._find_cheapest(candidates, work, home, copies, now)
+        return best
+
+    def _find_cheapest(
+        self,
+        candidates: list[tuple[ListedEndpoint, str]],
+        work: RequestWork,
+        home: ListedEndpoint | None,
+        copies: dict[EndpointId, float],
+        now: float,
+    ) -> ListedEndpoint | None:
         best, least_s = None, math.inf
         for endpoint, reason in candidates:
             expected = self._expect(work, endpoint, home, copies, reason, now)
@@ -280,6 +300,15 @@
         super().record_report(endpoint, report, now)
         self.work_left.record_report(endpoint, report, now)
 
+    def record_failure(self, endpoint: EndpointId, now: float) -> bool:
+        """Count a failure; return whether the endpoint is avoided from now on.
+
+        An endpoint that started again has neither its load nor its cached prefixes.
+        """
+        self.work_left.forget_report(endpoint)
+        self.prefixes.distrust_endpoint(endpoint, now)
+        return super().record_failure(endpoint, now)
+
     def list_gauges(self) -> list[tuple[str, Callable[[], float]]]:
         """List the gauges of the choice of endpoints."""
         return [("cost_estimate_error", lambda: self.mean_error)]
--- a/burdockwall/process/scheduling/work_left.py
+++ b/burdockwall/process/scheduling/work_left.py
@@ -178,6 +178,12 @@
             own_tokens + others * self._tokens,
         )
 
+    def forget_report(self, endpoint: EndpointId) -> None:
+        """Forget what an endpoint reported."""
+        state = self._endpoints.get(endpoint)
+        if state is not None:
+            state.report = None
+
     def get_pace(self, endpoint: EndpointId, now: float) -> float:
         """Return the expected pace of an endpoint."""
         state = self._endpoints.get(endpoint)
@@ -214,8 +220,9 @@
     if memory_tokens > 0 and load.tokens > 0:
         lacking = load.tokens + tokens - memory_tokens
         if lacking > 0:
-            part = min(1.0, lacking / load.tokens)
-            wait_s = max(wait_s, part * load.requests * drain_s)
+            # Memory is freed as requests end; until then one is preempted.
+            part = 1.0 + min(1.0, lacking / load.tokens)
+            wait_s = max(wait_s, part * load.work_s / max(1.0, load.requests))
     return wait_s
 
 
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -82,8 +82,12 @@
     """The instances of a site and the fakes, on an event loop in a thread."""
 
     def __init__(
-        self, engines: Sequence[FakeServer] = (), tools: Sequence[FakeServer] = ()
+        self,
+        engines: Sequence[FakeServer] = (),
+        tools: Sequence[FakeServer] = (),
+        placement: str = "counts",
     ) -> None:
+        self.placement = placement
         self._folder = tempfile.TemporaryDirectory()
         self.tools = list(tools) or [
             FakeServer("tool-1", "tools"),
@@ -113,6 +117,7 @@
 
     def _create_settings(self, role: Role, host: str, name: str) -> Settings:
         settings = Settings(
+            schedule_placement=self.placement,
             instance_id=InstanceId(f"{host}:{self.port}"),
             instance_name=name,
             role=role,
