Report the idle connections that one restart closed once

Idle connections that its restart had closed were found one by one, up to 4 s later, and each made the endpoint suspect anew.

Change: the first that is found closed closes all others that ended. The scenario checks that no request asks for a permit before the restart, nor after 1.2 of the cold time.

--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -65,6 +65,7 @@
                 if idle.connection.is_usable():
                     return idle.connection
                 self.report_closed(address)
+                await self._close_unusable(pool)
             pool.open_count -= 1
             await idle.connection.close()
         allowed = max(limit, MIN_CONNECTIONS)
@@ -72,6 +73,14 @@
             raise ConnectFailed(f"{address}: all {allowed} connections are in use")
         return await self._open(address, pool)
 
+    async def _close_unusable(self, pool: _Pool) -> None:
+        """Close what ended with another connection, so that it is reported once."""
+        closed = [item for item in pool.idle if not item.connection.is_usable()]
+        pool.idle = [item for item in pool.idle if item not in closed]
+        for item in closed:
+            pool.open_count -= 1
+            await item.connection.close()
+
     async def _open(self, address: Address, pool: _Pool) -> UpstreamConnection:
         pool.open_count += 1
         try:
