Send immediate answers between instances with the acknowledgement of their batch

Cause: each answer of a store to the beginning of a turn was a batch of its own, with its own acknowledgement; with 58 entry instances batches hold about one message, so half of the stores' processor time went into them. Change: messages that a machine sends to an instance while it handles a batch from it go into the acknowledgement, if the sender's build reads them there.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -8,6 +8,7 @@
 import ssl
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import cast
 
 import anyio
@@ -21,6 +22,7 @@
 from burdockwall.connection.address import split_address
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
+    ANSWERS_PROTOCOL,
     PROTOCOL,
     Acknowledgement,
     AnyMessage,
@@ -44,6 +46,21 @@
 Deliver = Callable[[InstanceId, Message], None]
 
 
+@dataclass(slots=True)
+class _Answers:
+    """The messages sent to an instance while a batch of it is delivered."""
+
+    to: InstanceId
+    protocol: int
+    messages: list[AnyMessage] = field(default_factory=list)
+
+    def accepts(self, to: InstanceId, message: AnyMessage) -> bool:
+        """Return whether a message may be sent in the acknowledgement of the batch."""
+        if to != self.to or self.protocol < ANSWERS_PROTOCOL:
+            return False
+        return message.protocol <= self.protocol
+
+
 class PeerLink:
     """A queue of messages to one instance, and the current connection to it."""
 
@@ -54,8 +71,10 @@
         address: Address,
         silence_s: float,
         tls: ssl.SSLContext | None,
+        receive: Callable[[list[AnyMessage]], None],
     ) -> None:
         self.tls = tls
+        self.receive = receive
         self.sender = sender
         self.incarnation = incarnation
         self.address = address
@@ -72,6 +91,11 @@
         self._connect_timeout_s = min(silence_s, CONNECT_TIMEOUT_FIRST_S)
         self._logger = logbook.Logger("peers")
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no message waits to be sent."""
+        return not self._queue
+
     @property
     def lost(self) -> bool:
         """Return whether the last connection failed and none has succeeded since."""
@@ -145,7 +169,9 @@
     ) -> None:
         messages = self._take_batch()
         self._sent += len(messages)
-        envelope = Envelope(self.sender, self.incarnation, self._sent, messages)
+        envelope = Envelope(
+            self.sender, self.incarnation, self._sent, messages, PROTOCOL
+        )
         # The next batch waits for the acknowledgement. Messages queued meanwhile are
         # sent together, and a silent connection is noticed by its first batch.
         with anyio.fail_after(self.silence_s):
@@ -157,6 +183,7 @@
         self._protocol = reply.protocol
         self._protocol_until = anyio.current_time() + PROTOCOL_VALID_S
         self._record_success()
+        self.receive(reply.messages)
 
     def _take_batch(self) -> list[AnyMessage]:
         """Take the next messages, without those that the peer does not know.
@@ -196,18 +223,24 @@
         self.instance = instance
         self.incarnation = incarnation
         self.silence_s = silence_s
+        self._deliver: Deliver | None = None
+        self._answers: _Answers | None = None
         self.links = {
-            peer: self._create_link(address)
+            peer: self._create_link(peer, address)
             for peer, address in peers.items()
             if peer != instance
         }
-        self._deliver: Deliver | None = None
         self._group: anyio.abc.TaskGroup | None = None
 
-    def _create_link(self, address: Address) -> PeerLink:
+    def _create_link(self, peer: InstanceId, address: Address) -> PeerLink:
         client = self.tls.client if self.tls else None
         return PeerLink(
-            self.instance, self.incarnation, address, self.silence_s, client
+            self.instance,
+            self.incarnation,
+            address,
+            self.silence_s,
+            client,
+            lambda messages: self._deliver_messages(peer, messages),
         )
 
     def set_receiver(self, deliver: Deliver) -> None:
@@ -220,8 +253,14 @@
         if link is None and self.named_by_address:
             self.add_peer(to, Address(to))
             link = self.links.get(to)
-        if link is not None:
-            link.enqueue(cast(AnyMessage, message))
+        if link is None:
+            return
+        queued = cast(AnyMessage, message)
+        answers = self._answers
+        if answers is not None and link.is_idle and answers.accepts(to, queued):
+            answers.messages.append(queued)
+        else:
+            link.enqueue(queued)
 
     def is_lost(self, peer: InstanceId) -> bool:
         """Return whether the last connection to an instance failed.
@@ -243,7 +282,7 @@
             return
         link = self.links.get(peer)
         if link is None:
-            link = self._create_link(address)
+            link = self._create_link(peer, address)
             self.links[peer] = link
             if self._group is not None:
                 self._group.start_soon(link.run)
@@ -256,10 +295,21 @@
             envelope = await stream.recv_message()
             if envelope is None:
                 return
-            await stream.send_message(Acknowledgement(envelope.count, PROTOCOL))
-            self._deliver_batch(envelope.sender, envelope.messages)
+            answers = self._deliver_batch(envelope)
+            await stream.send_message(
+                Acknowledgement(envelope.count, PROTOCOL, answers)
+            )
+
+    def _deliver_batch(self, envelope: Envelope) -> list[AnyMessage]:
+        """Deliver a batch, and return the messages that answer it at once."""
+        answers = self._answers = _Answers(envelope.sender, envelope.protocol)
+        try:
+            self._deliver_messages(envelope.sender, envelope.messages)
+        finally:
+            self._answers = None
+        return answers.messages
 
-    def _deliver_batch(self, sender: InstanceId, messages: list[AnyMessage]) -> None:
+    def _deliver_messages(self, sender: InstanceId, messages: list[AnyMessage]) -> None:
         if self._deliver is None:
             return
         for message in messages:
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -65,29 +65,35 @@
 
 # The version of the protocol between instances that this build speaks.
 PROTOCOL = 2
+# The first version that reads messages in acknowledgements.
+ANSWERS_PROTOCOL = 2
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """A batch of messages from one incarnation of an instance.
 
     `count` is the number of messages sent on the connection so far, including this
-    batch.
+    batch. `protocol` is the version that the sender speaks; earlier builds omit it.
     """
 
     sender: InstanceId
     incarnation: Incarnation
     count: int
     messages: list[AnyMessage]
+    protocol: int = 0
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
     """The number of messages that have arrived on the connection.
 
     `protocol` is the version that the receiver speaks; builds of version 0 omit it.
+    `messages` are the receiver's immediate answers to the batch, which cost no batch of
+    their own.
     """
 
     count: int
     protocol: int = 0
+    messages: list[AnyMessage] = []
 
 
 class _RawEnvelope(msgspec.Struct, frozen=True, array_like=True):
@@ -95,6 +101,7 @@
     incarnation: Incarnation
     count: int
     messages: list[msgspec.Raw]
+    protocol: int = 0
 
 
 class MessagePackCodec(CodecBase):
@@ -139,4 +146,4 @@
                 unknown += 1
         extra = {"sender": raw.sender, "count": unknown}
         _logger.warning("messages of another build left out", extra=extra)
-        return Envelope(raw.sender, raw.incarnation, raw.count, known)
+        return Envelope(raw.sender, raw.incarnation, raw.count, known, raw.protocol)
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -19,3 +19,13 @@
     Given a link to a machine that answers no connection, with a silence bound of 1 s
     When a message waits for 0.6 s
     Then at least 2 connections were tried
+
+  Scenario Outline: An immediate answer costs <batches> batches, to a build that <reads>
+    Given two instances, of which the sender's build <reads>
+    When it sends 5 questions, one after another
+    Then each is answered, and the answers took <batches> batches of their own
+
+    Examples:
+      | reads                                    | batches |
+      | reads messages in acknowledgements       | 0       |
+      | knows only the count of acknowledgements | 5       |
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -6,11 +6,12 @@
 from behave import given, then, when
 
 from burdockwall.connection.peers import PeerLink
+from burdockwall.connection.wire import PROTOCOL
 from burdockwall.fakes import ports
 from burdockwall.fakes.ports import find_address
 from burdockwall.process.membership.messages import Ping
 from burdockwall.types import Address, Incarnation, InstanceId
-from features.subjects.peers import ARRIVAL_LIMIT_S, PeersSubject
+from features.subjects.peers import ARRIVAL_LIMIT_S, AnswersSubject, PeersSubject
 
 
 @given("two instances that exchange messages over a path")
@@ -76,7 +77,12 @@
     context.tried = 0
     address = Address("127.0.0.1:1")
     context.link = PeerLink(
-        InstanceId("a"), Incarnation(1), address, float(silence_s), None
+        InstanceId("a"),
+        Incarnation(1),
+        address,
+        float(silence_s),
+        None,
+        lambda messages: None,
     )
 
 
@@ -98,3 +104,23 @@
 @then("at least {least:d} connections were tried")
 def step_tried(context, least):
     assert context.tried >= least, context.tried
+
+
+@given("two instances, of which the sender's build {reads}")
+def step_answers(context, reads):
+    context.answers = AnswersSubject()
+    context.sends_protocol = reads.startswith("reads")
+
+
+@when("it sends {count:d} questions, one after another")
+def step_ask(context, count):
+    protocol = PROTOCOL if context.sends_protocol else 0
+    with patch("burdockwall.connection.peers.PROTOCOL", protocol):
+        anyio.run(context.answers.ask, count)
+    context.asked = count
+
+
+@then("each is answered, and the answers took {batches:d} batches of their own")
+def step_batches(context, batches):
+    assert context.answers.answered == list(range(context.asked))
+    assert context.answers.batches == batches, context.answers.batches
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -7,7 +7,7 @@
 from burdockwall.connection.peers import RECONNECT_LIMIT_S, PeerBus
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.proxy import FaultyProxy
-from burdockwall.process.membership.messages import Ping
+from burdockwall.process.membership.messages import Ping, Pong
 from burdockwall.types import Incarnation, InstanceId
 
 SILENCE_S = 1.0
@@ -72,3 +72,34 @@
         listening.cancel()
         await anyio.sleep(SEND_INTERVAL_S)
         group.start_soon(self._listen, anyio.CancelScope())
+
+
+class AnswersSubject:
+    """An instance that asks, and one that answers each question at once."""
+
+    def __init__(self) -> None:
+        self.answered: list[int] = []
+        self.batches = 0
+
+    async def ask(self, count: int) -> None:
+        near_address, far_address = find_address(), find_address()
+        near = PeerBus(NEAR, Incarnation(1), {FAR: far_address}, SILENCE_S)
+        far = PeerBus(FAR, Incarnation(1), {NEAR: near_address}, SILENCE_S)
+        near.set_receiver(lambda sender, message: self.answered.append(message.nonce))
+        far.set_receiver(lambda sender, message: far.send(sender, Pong(message.nonce)))
+        send_batch = far.links[NEAR]._send_batch
+
+        async def count_batch(stream) -> None:
+            self.batches += 1
+            await send_batch(stream)
+
+        far.links[NEAR]._send_batch = count_batch
+        async with anyio.create_task_group() as group:
+            group.start_soon(near.run, near_address)
+            group.start_soon(far.run, far_address)
+            for nonce in range(count):
+                near.send(FAR, Ping(nonce))
+                with anyio.fail_after(ARRIVAL_LIMIT_S):
+                    while len(self.answered) <= nonce:
+                        await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
