Take only answers that name their request from a connection in use again

Cause: an answer without X-Request-Id counted as the request's own, the last of two ids decided, and a head that ran into another one was read as one head.

Change: an answer is the request's own if it names it, once. One that names none is taken only from a connection that has had no other request, and that connection is not used again. A head that contains another status line is broken. Refusals of instances name their request, so that an instance that relays knows them. The log counts extra answers.

--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 connections to endpoints, with one request at a time.
 
-An endpoint's answer carries the id of its request, so that late and duplicate answers
-to earlier requests are recognised and skipped.
+An endpoint's answer names its request, so that late and duplicate answers to earlier
+requests are recognised and skipped. An answer that names none is taken only from a
+connection that has had no other request.
 """
 
 import select
@@ -27,6 +28,8 @@
 # A longer body of an answer to another request counts as one without end.
 SKIPPED_BODY_LIMIT_BYTES = 1_048_576
 MAX_INTERIM_ANSWERS = 16
+# A value or a reason that contains it shows that two heads ran into each other.
+PROTOCOL_MARK = b"HTTP/1."
 
 
 class Probe(Enum):
@@ -38,6 +41,18 @@
     UNKNOWN = "unknown"
 
 
+class AnswerOwner(Enum):
+    """Whose answer one is, by the request that it names."""
+
+    REQUEST = "request"
+    OTHER = "other"
+    # The answer names no request.
+    UNNAMED = "unnamed"
+
+
+IdentifyAnswer = Callable[[Headers], AnswerOwner]
+
+
 def is_refusal(error: OSError) -> bool:
     """Return whether a machine answered that no process listens."""
     return isinstance(error.__cause__ or error, ConnectionRefusedError)
@@ -82,6 +97,10 @@
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self.stream: anyio.abc.ByteStream = stream
+        # Answers to other requests that came before the present one.
+        self.skipped_count = 0
+        self._reused = False
+        self._unnamed = False
         self._body_ended = False
         self._closed = False
         self._socket: socket.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
@@ -113,12 +132,16 @@
             # The endpoint may have answered before it read the whole request.
             return
 
-    async def read_head(self, is_own: Callable[[Headers], bool]) -> AnswerHead:
+    async def read_head(self, identify: IdentifyAnswer) -> AnswerHead:
         """Read the head of the request's own answer, skipping other answers."""
         for _ in range(MAX_SKIPPED_ANSWERS):
             head = await self._read_any_head()
-            if is_own(head.headers):
+            owner = identify(head.headers)
+            self._unnamed = owner is AnswerOwner.UNNAMED
+            # Earlier answers on a connection in use again all named their requests.
+            if owner is AnswerOwner.REQUEST or (self._unnamed and not self._reused):
                 return head
+            self.skipped_count += 1
             await self.read_body(SKIPPED_BODY_LIMIT_BYTES)
             self._start_next()
         raise ConnectionBroken("the answers belong to other requests")
@@ -127,11 +150,19 @@
         for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, list(event.headers))
+                headers = list(event.headers)
+                self._check_head(bytes(event.reason), headers)
+                return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken("the answer has no head", self._closed)
         raise ConnectionBroken("interim answers come without end")
 
+    def _check_head(self, reason: bytes, headers: Headers) -> None:
+        """Raise ConnectionBroken if the head's end, or the body's, is not certain."""
+        texts = [reason, *(value for _, value in headers)]
+        if any(PROTOCOL_MARK in text for text in texts):
+            raise ConnectionBroken("the head contains another head", self._closed)
+
     async def read_part(self) -> bytes | None:
         """Return the bytes of the body that have arrived, or None at its end."""
         event = None if self._body_ended else await self._next_event()
@@ -190,12 +221,16 @@
     def recycle(self) -> bool:
         """Prepare the connection for another request; return whether it can be used."""
         machine = self._machine
+        if self._unnamed:
+            return False
         if machine.our_state is not h11.DONE or machine.their_state is not h11.DONE:
             return False
         if machine.trailing_data[0]:
             return False
         machine.start_next_cycle()
         self._body_ended = False
+        self._reused = True
+        self.skipped_count = 0
         return True
 
     async def close(self) -> None:
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -9,7 +9,7 @@
     Exchange,
     Headers,
 )
-from burdockwall.connection.upstream import AnswerHead
+from burdockwall.connection.upstream import AnswerHead, AnswerOwner
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
 from burdockwall.platform.cold import convert_cold_ms
@@ -112,10 +112,16 @@
             headers.append((names.API_KEY, request.key.encode("latin-1")))
         return headers + _describe_body(request, body_bytes)
 
-    def is_answer_to(self, request: ForwardedRequest, headers: Headers) -> bool:
+    def identify_answer(
+        self, request: ForwardedRequest, headers: Headers
+    ) -> AnswerOwner:
         """Return whether an answer belongs to a request."""
-        echoed = dict(headers).get(names.REQUEST_ID)
-        return echoed is None or echoed.decode("latin-1") == request.request
+        echoed = [value for name, value in headers if name == names.REQUEST_ID]
+        if not echoed:
+            return AnswerOwner.UNNAMED
+        if echoed == [request.request.encode("latin-1")]:
+            return AnswerOwner.REQUEST
+        return AnswerOwner.OTHER
 
     def read_answer(self, head: AnswerHead) -> AnswerDetails:
         """Read the details of an answer from its status and headers."""
@@ -141,11 +147,14 @@
         dropped = HOP_HEADERS | _list_connection_headers(dict(head.headers))
         return [item for item in head.headers if item[0] not in dropped]
 
-    def build_refusal(self, error: BurdockwallError) -> Refusal:
+    def build_refusal(self, error: BurdockwallError, request: str) -> Refusal:
         """Build a refusal, whose body contains the result code."""
         code_row = error.code.value
         status = STATUS_OVERRIDES.get(error.code, code_row.status)
         headers: Headers = [JSON_TYPE]
+        if request:
+            # An instance that relays the request takes only answers that name it.
+            headers.append((names.REQUEST_ID, request.encode("latin-1")))
         if error.retry_after_s is not None:
             seconds = f"{error.retry_after_s:.3f}"
             headers.append((names.RETRY_AFTER, seconds.encode()))
--- a/burdockwall/process/cold_endpoints/health.py
+++ b/burdockwall/process/cold_endpoints/health.py
@@ -7,6 +7,7 @@
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.upstream import (
     AnswerHead,
+    AnswerOwner,
     ConnectFailed,
     ConnectionBroken,
     open_upstream,
@@ -49,7 +50,7 @@
             try:
                 headers = codec.build_health_headers(endpoint)
                 await connection.send("GET", path, headers, b"")
-                head = await connection.read_head(lambda received: True)
+                head = await connection.read_head(lambda received: AnswerOwner.UNNAMED)
             finally:
                 await connection.close()
     except ConnectFailed as error:
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -390,7 +390,7 @@
     async def _refuse(
         self, exchange: Exchange, error: BurdockwallError, trace: RequestTrace
     ) -> None:
-        refusal = self.codec.build_refusal(error)
+        refusal = self.codec.build_refusal(error, trace.request)
         trace.status = refusal.status
         headers = list(refusal.headers)
         if self.drain.leaving or self.reach.cut_off:
--- a/burdockwall/request/caller_relay.py
+++ b/burdockwall/request/caller_relay.py
@@ -1,7 +1,7 @@
 """Pass requests of the own interface on to a peer as they came."""
 
 from burdockwall.connection.exchange import HOP_HEADERS, RELAYED, Exchange, Headers
-from burdockwall.connection.upstream import AnswerHead
+from burdockwall.connection.upstream import AnswerHead, AnswerOwner
 from burdockwall.request.caller import DEADLINE_HEADER, read_deadline
 from burdockwall.request.codec import AnswerDetails, ForwardedRequest
 from burdockwall.types import RequestId
@@ -47,9 +47,11 @@
             headers.append((b"content-length", str(body_bytes).encode()))
         return headers
 
-    def is_answer_to(self, request: ForwardedRequest, headers: Headers) -> bool:
-        """Return true: a connection to a peer has one request at a time."""
-        return True
+    def identify_answer(
+        self, request: ForwardedRequest, headers: Headers
+    ) -> AnswerOwner:
+        """Return the request: a connection to a peer has one at a time."""
+        return AnswerOwner.REQUEST
 
     def read_answer(self, head: AnswerHead) -> AnswerDetails:
         """Read the details of an answer from its headers."""
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from burdockwall.connection.exchange import Exchange, Headers
-from burdockwall.connection.upstream import AnswerHead
+from burdockwall.connection.upstream import AnswerHead, AnswerOwner
 from burdockwall.errors import BurdockwallError
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.balance import ReportedLoad
@@ -119,7 +119,9 @@
         """Build the headers for another entry instance that serves the request."""
         ...
 
-    def is_answer_to(self, request: ForwardedRequest, headers: Headers) -> bool:
+    def identify_answer(
+        self, request: ForwardedRequest, headers: Headers
+    ) -> AnswerOwner:
         """Return whether an answer belongs to a request."""
         ...
 
@@ -149,6 +151,6 @@
         """Build the headers of a request for the health of an endpoint."""
         ...
 
-    def build_refusal(self, error: BurdockwallError) -> Refusal:
-        """Encode a refusal."""
+    def build_refusal(self, error: BurdockwallError, request: str) -> Refusal:
+        """Encode the refusal of a request, whose id may be empty."""
         ...
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -429,9 +429,11 @@
         self.progress.runs += 1
         self.trace.sent_at = self.parts.clock()
         await connection.send(request.method, request.target, headers, self.body)
-        return await connection.read_head(
-            lambda received: self.parts.codec.is_answer_to(request, received)
+        head = await connection.read_head(
+            lambda received: self.parts.codec.identify_answer(request, received)
         )
+        self.trace.extra_answers = connection.skipped_count
+        return head
 
     # Reading answers and sending them to the caller.
 
--- a/burdockwall/request/peer_relay.py
+++ b/burdockwall/request/peer_relay.py
@@ -80,7 +80,7 @@
             trace.sent_at = self.clock()
             await connection.send(request.method, request.target, headers, body)
             head = await connection.read_head(
-                lambda received: self.codec.is_answer_to(request, received)
+                lambda received: self.codec.identify_answer(request, received)
             )
             await self._pass_on(exchange, connection, head, trace)
             reusable = not self.codec.read_answer(head).closes
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -19,6 +19,7 @@
     the last event that the caller received. `rate_limit_per_s` is the request rate that
     the answer of the endpoint named. `fingerprint` is set if an endpoint broke the
     answer off, as hexadecimal digits.
+    `extra_answers` counts answers to other requests that the endpoint sent first.
     `placement` is why the endpoint was chosen, and `expected_ms` the time that the
     request was expected to take there; both are empty where counts decide.
     """
@@ -48,6 +49,7 @@
     fingerprint: str = ""
     placement: str = ""
     expected_ms: float | None = None
+    extra_answers: int = 0
 
     def describe(self, now: float) -> dict[str, object]:
         """Return the fields of the request's log line.
@@ -70,6 +72,7 @@
             "detail": self.detail,
             "failures": "; ".join(self.failures),
             "fingerprint": self.fingerprint,
+            "extra_answers": self.extra_answers,
             "placement": self.placement,
             "expected_ms": self.expected_ms,
             "admission": self.admission,
--- a/features/subjects/upstream.py
+++ b/features/subjects/upstream.py
@@ -9,7 +9,11 @@
 import httpx
 
 from burdockwall.connection.endpoints import EndpointClients, read_limited
-from burdockwall.connection.upstream import ConnectionBroken, open_upstream
+from burdockwall.connection.upstream import (
+    AnswerOwner,
+    ConnectionBroken,
+    open_upstream,
+)
 from burdockwall.request.events import EventSplitter, EventTooLong
 from burdockwall.types import Address, EndpointId, PoolName
 from burdockwall.version.configuration import Endpoint
@@ -119,7 +123,11 @@
         try:
             await connection.send("GET", "/x", headers, b"")
             await connection.read_head(
-                lambda received: dict(received).get(b"x-request-id") == b"own"
+                lambda received: (
+                    AnswerOwner.REQUEST
+                    if dict(received).get(b"x-request-id") == b"own"
+                    else AnswerOwner.OTHER
+                )
             )
             parts = []
             while (part := await connection.read_part()) is not None:
