Pass on no success without an event, and no promise that an endpoint did not give

A 503, 429 or 408 of an endpoint without the statement that it has not run was passed on, though to callers these promise that. A length beside chunks was read as chunks.

Change: a stream without an event is broken off; such a status of a request that may have run counts as a lost answer (repeatable requests go on elsewhere, others end with 502); an answer with a length and chunks is broken off.

--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -162,6 +162,8 @@
         texts = [reason, *(value for _, value in headers)]
         if any(PROTOCOL_MARK in text for text in texts):
             raise ConnectionBroken("the head contains another head", self._closed)
+        if {b"content-length", b"transfer-encoding"} <= {name for name, _ in headers}:
+            raise ConnectionBroken("the answer has a length and chunks", self._closed)
 
     async def read_part(self) -> bytes | None:
         """Return the bytes of the body that have arrived, or None at its end."""
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -32,6 +32,8 @@
 MIN_DEADLINE_MS = 1
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
+# To callers, these statuses promise that a request has not run.
+NOT_RUN_STATUSES = (408, 429, 503)
 NOT_LEAVING = (b"", b"0")
 # Headers of callers' requests that endpoints are not sent as they came.
 DROPPED_HEADERS = HOP_HEADERS | names.SYSTEM_HEADERS | {RELAYED}
@@ -140,6 +142,7 @@
             _read_rate_limit(head.headers),
             convert_cold_ms(headers.get(names.COLD_MS)),
             unreadable_load,
+            contradicts=ran and head.status in NOT_RUN_STATUSES,
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -87,6 +87,8 @@
     answered. `rate_limit_per_s` is the request rate that the endpoint takes from all
     instances together, or None if it names none. `unreadable_load` is a load
     report that can't be read, or None.
+    `contradicts` is true if the status promises that the request has not run, and the
+    endpoint does not say so.
     """
 
     ran: bool
@@ -99,6 +101,7 @@
     # How long the endpoint stays cold; None if it does not say, NaN if unreadable.
     cold_left_s: float | None = None
     unreadable_load: str | None = None
+    contradicts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -455,6 +455,8 @@
         if not details.ran:
             self.progress.runs -= 1
             raise NotRun(f"answered {head.status}, not run")
+        if details.contradicts:
+            raise ConnectionBroken(f"answered {head.status}, perhaps run")
         self.trace.status = head.status
         self.trace.first_byte_at = self.parts.clock()
         await self.exchange.answer(head.status, self._build_headers(head), body)
@@ -502,7 +504,7 @@
         if splitter.has_partial:
             raise ConnectionBroken("the stream ended within an event")
         if not self.exchange.started:
-            await self._start_stream(head)
+            raise ConnectionBroken("the stream ended before its first event")
         await self._store_turn(prompt, b"".join(answer))
         await self.exchange.finish()
 
