Find the leader soon after a start, whichever control instance knows it

Change: until its first grant an instance asks the next control instance after 0.1 s without a grant, or 0.05 s after one knows no leader, both doubling; a message from a peer gives up an attempt to connect to it that began earlier; the directory learns of an instance within 10 ms of its being ready in its first 3 s. At most 40 reports in 10 s.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -89,6 +89,9 @@
         self._protocol_until = float("-inf")
         self._reachable: bool | None = None
         self._connect_timeout_s = min(silence_s, CONNECT_TIMEOUT_FIRST_S)
+        # The attempt to connect that is under way, and when it began.
+        self._attempt: anyio.CancelScope | None = None
+        self._attempt_at = 0.0
         self._logger = logbook.Logger("peers")
 
     @property
@@ -112,6 +115,18 @@
         self._queue.append(message)
         self._wake.set()
 
+    def record_heard(self) -> None:
+        """Give up an attempt to connect that began before the peer was heard.
+
+        The peer's machine did not answer then; a new attempt reaches it.
+        """
+        attempt = self._attempt
+        if attempt is None:
+            return
+        if anyio.current_time() - self._attempt_at >= RECONNECT_FIRST_S:
+            self._connect_timeout_s = 0.0
+            attempt.cancel()
+
     async def run(self) -> None:
         """Connect when there are messages to send, and reconnect after failures."""
         delay_s = RECONNECT_FIRST_S
@@ -124,8 +139,9 @@
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
                 self.replacements += 1
                 self._record_failure(error)
+            heard = not self._connect_timeout_s
             self._connect_timeout_s = min(self.silence_s, 2 * self._connect_timeout_s)
-            if self._acknowledged:
+            if self._acknowledged or heard:
                 delay_s = RECONNECT_FIRST_S
                 self._connect_timeout_s = min(self.silence_s, CONNECT_TIMEOUT_FIRST_S)
             await anyio.sleep(delay_s)
@@ -157,13 +173,21 @@
             method = grpclib.client.StreamStreamMethod(
                 channel, EXCHANGE_METHOD, Envelope, Acknowledgement
             )
-            with anyio.fail_after(self._connect_timeout_s):
-                await channel.__connect__()
+            await self._connect(channel)
             async with method.open() as stream:
                 while True:
                     await self._send_batch(stream)
                     await self._wait_for_message()
 
+    async def _connect(self, channel: grpclib.client.Channel) -> None:
+        self._attempt_at = anyio.current_time()
+        with anyio.move_on_after(self._connect_timeout_s) as self._attempt:
+            await channel.__connect__()
+        given_up = self._attempt.cancelled_caught
+        self._attempt = None
+        if given_up:
+            raise TimeoutError("no connection")
+
     async def _send_batch(
         self, stream: "grpclib.client.Stream[Envelope, Acknowledgement]"
     ) -> None:
@@ -295,6 +319,9 @@
             envelope = await stream.recv_message()
             if envelope is None:
                 return
+            link = self.links.get(envelope.sender)
+            if link is not None:
+                link.record_heard()
             answers = self._deliver_batch(envelope)
             await stream.send_message(
                 Acknowledgement(envelope.count, PROTOCOL, answers)
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -71,6 +71,9 @@
 EXPECTED_STARTUP_S = 0.8
 NOT_READY_RETRY_S = 0.15
 PERIODIC_INTERVAL_S = 0.1
+# Shorter after the start, so that callers are served as soon as they can be.
+STARTUP_INTERVAL_S = 0.01
+STARTUP_PERIOD_S = 3.0
 EXPIRE_INTERVAL_S = 1.0
 CUT_OFF_RETRY_S = 0.1
 CALLER_IDLE_S = 20.0
@@ -479,8 +482,10 @@
     async def _run_periodic_work(self) -> None:
         expire_at = self.clock() + EXPIRE_INTERVAL_S
         while True:
-            due_at = self.clock() + PERIODIC_INTERVAL_S
-            await anyio.sleep(PERIODIC_INTERVAL_S)
+            starting = self.clock() - self._started_at < STARTUP_PERIOD_S
+            interval_s = STARTUP_INTERVAL_S if starting else PERIODIC_INTERVAL_S
+            due_at = self.clock() + interval_s
+            await anyio.sleep(interval_s)
             now = self.clock()
             self._update_limits_leader()
             self._update_endpoint_limits()
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -33,6 +33,8 @@
 from burdockwall.process.membership.publisher import Publisher
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.timing import (
+    FIRST_GRANT_TIMEOUT_S,
+    FIRST_LEADERLESS_RETRY_S,
     GRANT_TIMEOUT_S,
     HEARTBEAT_INTERVAL_S,
     LARGE_FLEET_MEMBERS,
@@ -129,6 +131,10 @@
         self._sequence = 0
         self._next_heartbeat_at = float("-inf")
         self._first_unanswered_at: float | None = None
+        # Shorter until the first grant: after a stop of all instances, the control
+        # instances come back at different times, and few know the leader at once.
+        self._grant_timeout_s = FIRST_GRANT_TIMEOUT_S
+        self._leaderless_retry_s = FIRST_LEADERLESS_RETRY_S
         self._copy_confirmations: dict[CopyDone, None] = {}
         self._shards: dict[ShardId, ShardView] | None = None
         # The current term and the version that its first grant required: once that
@@ -188,9 +194,10 @@
     def _tick(self, now: float) -> list[Action]:
         actions: list[Action] = [*self.prober.expire_probes(now)]
         unanswered_at = self._first_unanswered_at
-        if unanswered_at is not None and now - unanswered_at >= GRANT_TIMEOUT_S:
+        if unanswered_at is not None and now - unanswered_at >= self._grant_timeout_s:
             self.path.use_next_hop(now)
             self._first_unanswered_at = None
+            self._grant_timeout_s = min(GRANT_TIMEOUT_S, 2 * self._grant_timeout_s)
             return actions + self._send_heartbeat(now)
         if now >= self._next_heartbeat_at:
             return actions + self._send_heartbeat(now)
@@ -248,8 +255,14 @@
             # An election is in progress. Retry soon, so that the new leader is found
             # without waiting for a whole heartbeat interval.
             self._next_heartbeat_at = min(
-                self._next_heartbeat_at, now + LEADERLESS_RETRY_S
+                self._next_heartbeat_at, now + self._leaderless_retry_s
             )
+            if self._leaderless_retry_s < LEADERLESS_RETRY_S:
+                # Another control instance may know more than one that has just started.
+                self.path.use_next_hop(now)
+                self._first_unanswered_at = None
+                retry_s = 2 * self._leaderless_retry_s
+                self._leaderless_retry_s = min(LEADERLESS_RETRY_S, retry_s)
             return []
         # A NotLeader from the named leader itself is not redundant: it may have
         # refused the last report before it became the leader.
@@ -279,6 +292,8 @@
         stale = grant.term < self.term
         if stale or grant.incarnation != self.details.incarnation:
             return []
+        self._grant_timeout_s = GRANT_TIMEOUT_S
+        self._leaderless_retry_s = LEADERLESS_RETRY_S
         if grant.term > self.term:
             self.term = grant.term
             self._mask_expiry = (grant.term, grant.version)
--- a/burdockwall/process/membership/timing.py
+++ b/burdockwall/process/membership/timing.py
@@ -26,8 +26,13 @@
 MIN_HEARTBEAT_GAP_INTERVALS = 0.5
 # Without a grant for this long, an instance reports through another hop.
 GRANT_TIMEOUT_S = 1.2
-# Retry interval while a control instance reports that there is no leader.
+# The same until a leader has granted an instance its first lease. It doubles each time,
+# up to GRANT_TIMEOUT_S.
+FIRST_GRANT_TIMEOUT_S = 0.1
+# Retry interval while a control instance reports that there is no leader, and the first
+# one after the start of an instance; it doubles up to LEADERLESS_RETRY_S.
 LEADERLESS_RETRY_S = 0.3
+FIRST_LEADERLESS_RETRY_S = 0.05
 # An instance returns to its preferred hop after this long.
 HOP_AVOID_S = 10.0
 # A relay or leader stops pushing to a child that has been silent for this long.
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -5,6 +5,12 @@
     When the control instance answers that it knows no leader
     Then the instance reports again within 0.4 s
 
+  Scenario: An instance that has just started finds the control instance that leads
+    Given an instance that has just started, with three control instances
+    When the first is not up, and the second knows no leader
+    Then the instance has asked the third within 0.3 s
+    And it asks at most 40 times in 10 s while there is no leader
+
   Scenario: An instance reports to a named leader, even if that leader timed out before
     Given an instance that reports to three control instances
     When the first control instance is silent for 1.3 s
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -7,6 +7,7 @@
 from burdockwall.process.membership.detection import Detector
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
+    Grant,
     InstanceDetails,
     MemberEntry,
     MemberListVersion,
@@ -50,6 +51,7 @@
     context.agent = create_agent([CONTROL])
     context.now = 10.0
     assert count_reports(context.agent.handle(Tick(), context.now)) == 1
+    record_earlier_grant(context)
 
 
 @given("an instance that reports to three control instances")
@@ -57,6 +59,52 @@
     context.agent = create_agent([InstanceId(f"control-{n}") for n in (1, 2, 3)])
     context.now = 10.0
     assert list_targets(context.agent.handle(Tick(), context.now)) == [CONTROL]
+    record_earlier_grant(context)
+
+
+@given("an instance that has just started, with three control instances")
+def step_started_agent(context):
+    context.agent = create_agent([InstanceId(f"control-{n}") for n in (1, 2, 3)])
+    context.now = 10.0
+    context.targets = list_targets(context.agent.handle(Tick(), context.now))
+
+
+@when("the first is not up, and the second knows no leader")
+def step_no_leader_yet(context):
+    until = context.now + 1.0
+    while context.now < until and InstanceId("control-3") not in context.targets:
+        context.now += 0.01
+        sent = list_targets(context.agent.handle(Tick(), context.now))
+        context.targets += sent
+        if InstanceId("control-2") in sent:
+            event = Receive(InstanceId("control-2"), NotLeader(None))
+            context.targets += list_targets(context.agent.handle(event, context.now))
+
+
+@then("the instance has asked the third within {limit_s:f} s")
+def step_asked_third(context, limit_s):
+    assert InstanceId("control-3") in context.targets, context.targets
+    assert context.now - 10.0 <= limit_s, context.now
+
+
+@then("it asks at most {most:d} times in {seconds:d} s while there is no leader")
+def step_asks_rarely(context, most, seconds):
+    until = context.now + seconds
+    asked = []
+    while context.now < until:
+        context.now += 0.01
+        sent = list_targets(context.agent.handle(Tick(), context.now))
+        for target in sent:
+            context.agent.handle(Receive(target, NotLeader(None)), context.now)
+        asked += sent
+    assert len(asked) <= most, len(asked)
+
+
+def record_earlier_grant(context):
+    """Make the instance one that a leader has granted a lease since its start."""
+    sequence = 999
+    grant = Grant(Term(1), CONTROL, Incarnation(1), sequence, Version(0))
+    context.agent.handle(Receive(CONTROL, grant), context.now)
 
 
 def list_targets(actions):
