Refuse an unnamed answer on the own interface's connections that named others

Cause: on the own interface an answer without Request-Id was passed on as the request's own, also from a connection on which the endpoint had named requests before: an extra refusal without its id became the answer of a call that the endpoint may be running.

Change: the answer to a call must name it where an earlier call's answer on the same connection did; else the call has failed with an unknown outcome. An endpoint that never names requests is served as before (docs/ENDPOINTS.md).

Measured: features/extra_answers.feature, the case without an id failed before; those with another id, an empty one or two were already taken as broken.

--- a/burdockwall/connection/bounded_transport.py
+++ b/burdockwall/connection/bounded_transport.py
@@ -19,10 +19,14 @@
 
 
 class BoundedStream(httpcore.AsyncNetworkStream):
-    """A connection that counts what comes after a request until its answer's head."""
+    """A connection that counts what comes after a request until its answer's head.
+
+    `names_requests` is true once the answer to a call on it has named its request.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self.stream = stream
+        self.names_requests = False
         self._awaits_head = False
         self._reads = 0
         self._bytes = 0
@@ -112,3 +116,16 @@
     stream = response.extensions.get("network_stream")
     if isinstance(stream, BoundedStream):
         stream.record_head()
+
+
+def check_named(response: httpx.Response, names_request: bool) -> None:
+    """Raise httpx.RemoteProtocolError if a call's answer names none, as others did.
+
+    An extra answer must not end a request that the endpoint may be running.
+    """
+    stream = response.extensions.get("network_stream")
+    if not isinstance(stream, BoundedStream):
+        return
+    if stream.names_requests and not names_request:
+        raise httpx.RemoteProtocolError("the answer names no request")
+    stream.names_requests = names_request
--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -12,7 +12,11 @@
 import httpx
 
 from burdockwall.connection.address import split_address
-from burdockwall.connection.bounded_transport import BoundedTransport, record_head
+from burdockwall.connection.bounded_transport import (
+    BoundedTransport,
+    check_named,
+    record_head,
+)
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.upstream import Probe, is_refusal
 from burdockwall.types import Address, EndpointId
@@ -203,7 +207,7 @@
         A call counts against the rate that the endpoint takes; other requests do not.
 
         Raise httpx.RemoteProtocolError if the answer names another request, as a late
-        copy on a connection that is in use again does.
+        copy on a connection that is in use again does, or none where others did.
         """
         request, headers = _number_request(headers)
         pooled = self._acquire_client(endpoint)
@@ -214,11 +218,13 @@
             async with pooled.client.stream(
                 method, path, headers=headers, content=content
             ) as response:
+                answered = response.headers.get(REQUEST_ID)
                 record_head(response)
+                if is_call:
+                    check_named(response, answered is not None)
                 if observer is not None:
                     observer.record_heard()
-                answered = response.headers.get(REQUEST_ID, request)
-                if answered != request:
+                if answered not in (None, request):
                     detail = f"endpoint {endpoint.name} answered request {answered}"
                     raise httpx.RemoteProtocolError(detail)
                 if is_call:
--- a/features/extra_answers.feature
+++ b/features/extra_answers.feature
@@ -27,6 +27,18 @@
       | no id                         |
       | two ids, its own last         |
 
+  Scenario Outline: On the own interface, a refusal with <named> comes first
+    Given an endpoint of the own interface that names the request of its first answer
+    When it answers the second request with a refusal with <named>
+    Then the second request's outcome is unknown
+
+    Examples:
+      | named                         |
+      | the id of the earlier request |
+      | no id                         |
+      | an empty id                   |
+      | two ids                       |
+
   Scenario: An endpoint whose answers name no request is served on new connections
     Given an endpoint whose answers name no request
     When 3 requests are sent to it
--- a/features/steps/extra_answers_steps.py
+++ b/features/steps/extra_answers_steps.py
@@ -1,6 +1,10 @@
 from behave import given, then, when
 
-from features.subjects.extra_answers import ExtraAnswers, UnnamedAnswers
+from features.subjects.extra_answers import (
+    ExtraAnswers,
+    UnnamedAnswers,
+    ask_own_interface,
+)
 
 
 @given("an endpoint that writes a refusal with {named} once more")
@@ -40,3 +44,18 @@
     views = context.subject.views
     assert all(view.status == 200 and view.body == b"ok" for view in views), views
     assert context.subject.opened == len(views)
+
+
+@given("an endpoint of the own interface that names the request of its first answer")
+def step_own(context):
+    context.unknown = None
+
+
+@when("it answers the second request with a refusal with {named}")
+def step_own_extra(context, named):
+    context.unknown = ask_own_interface(named)
+
+
+@then("the second request's outcome is unknown")
+def step_own_unknown(context):
+    assert context.unknown is True
--- a/features/subjects/extra_answers.py
+++ b/features/subjects/extra_answers.py
@@ -1,7 +1,12 @@
 """Extra answers on a kept connection, whole or cut, before a request's own answer."""
 
 import anyio
+import anyio.abc
+import httpx
 
+from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.types import Address, EndpointId, PoolName
+from burdockwall.version.configuration import Endpoint
 from burdockwall.version.deployment import RequestKind
 from features.subjects.answer_site import (
     AnswerSite,
@@ -89,3 +94,45 @@
             self.opened = site.parts.upstreams.opened_count
 
         anyio.run(run)
+
+
+def ask_own_interface(named: str) -> bool:
+    """Make two calls over one connection; return whether the second one failed.
+
+    The endpoint names the first one's request, and then writes a refusal.
+    """
+    refusal = REFUSED + EXTRAS[named].replace(b"X-Request-Id", b"Request-Id") + BODY
+    first = FIRST.replace(b"X-Request-Id", b"Request-Id")
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        for answer in (first, refusal):
+            await stream.receive(65536)
+            await stream.send(answer)
+        await anyio.sleep(1.0)
+
+    async def call(clients: EndpointClients, endpoint: Endpoint, name: str) -> None:
+        headers = [(b"request-id", name.encode())]
+        async with clients.open_stream(
+            endpoint, "GET", "/x", headers, None, is_call=True
+        ) as response:
+            await read_limited(response, 1000)
+
+    async def run() -> bool:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        endpoint = Endpoint(
+            EndpointId("e1"), PoolName("p"), Address(f"127.0.0.1:{port}")
+        )
+        clients, failed = EndpointClients(1.0, 5.0), False
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            await call(clients, endpoint, "one")
+            try:
+                await call(clients, endpoint, "two")
+            except httpx.RemoteProtocolError:
+                failed = True
+            await clients.close()
+            group.cancel_scope.cancel()
+        return failed
+
+    return anyio.run(run)
