Ask another store for a turn's chain if the nearest one is silent for 20 ms

Cause: a begin asks one store, the nearest, for the chain. While that store is off, its answer was awaited for the interval of repetitions: begins of 210 to 220 ms for about a second after each loss of a store.

Change: 20 ms after a begin that lacks nothing but the chain, one more store is asked for it: two messages at most, once a begin.

--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -81,6 +81,13 @@
     start: TurnStart
 
 
+@dataclass(frozen=True, slots=True)
+class ChainOverdue:
+    """The store that was asked for a call's chain has been silent for a while."""
+
+    call: CallId
+
+
 @dataclass(frozen=True, slots=True)
 class AskEnd:
     """A call that settles a turn."""
@@ -187,7 +194,16 @@
     synced: set[InstanceId] = field(default_factory=set)
 
 
-Event = Tick | Receive | AskBegin | AskEnd | Withdraw | InstallView | ProbeStores
+Event = (
+    Tick
+    | Receive
+    | AskBegin
+    | ChainOverdue
+    | AskEnd
+    | Withdraw
+    | InstallView
+    | ProbeStores
+)
 Action = Send | BeginDecided | EndStored | StoreRefused
 
 
@@ -211,6 +227,8 @@
                 return self._receive(sender, message, now)
             case AskBegin(call=call, start=start):
                 return self._begin(call, start, now)
+            case ChainOverdue(call=call):
+                return self._ask_other_source(call)
             case AskEnd():
                 return self._end(event, now)
             case Withdraw(call=call):
@@ -292,6 +310,19 @@
         search.chain_requests |= sources
         return actions
 
+    def _ask_other_source(self, call: CallId) -> list[Action]:
+        """Ask one more store for the chain, if that is all that a call lacks."""
+        begin = self._begins.get(call)
+        actions: list[Action] = []
+        for search in begin.list_searches() if begin is not None else []:
+            if search.quorum.decide() is not Verdict.CHAIN_MISSING:
+                continue
+            sources = set(search.quorum.list_stores_with_chain())
+            sources -= search.chain_requests
+            if begin is not None and sources:
+                actions += self._ask_stores(call, begin, search, {min(sources)})
+        return actions
+
     def _build_question(
         self, call: CallId, start: TurnStart, search: _Search, sends_chain: bool
     ) -> BeginTurn | FindTurn:
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -12,6 +12,7 @@
     AskBegin,
     AskEnd,
     BeginDecided,
+    ChainOverdue,
     EndStored,
     InstallView,
     ProbeStores,
@@ -27,6 +28,9 @@
 from burdockwall.process.waiters import Waiters
 from burdockwall.types import FailureDomain, Incarnation, InstanceId
 
+# Stores answer a begin within a few milliseconds. If the one that was asked for the
+# chain is silent for this long, another one is asked too.
+CHAIN_DELAY_S = 0.02
 BEGIN_TIMEOUT_S = 1.5
 END_TIMEOUT_S = 2.5
 RETRY_AFTER_S = 0.3
@@ -111,6 +115,9 @@
         call = self._waiters.create()
         self.host.apply(self._hosted, AskBegin(call, start))
         try:
+            needs_chain = start.needs_chain and start.previous is not None
+            if needs_chain and not await self._waiters.is_answered(call, CHAIN_DELAY_S):
+                self.host.apply(self._hosted, ChainOverdue(call))
             decided = await self._waiters.wait(call, BEGIN_TIMEOUT_S)
         except TimeoutError as error:
             detail = "too few stores answered"
--- a/burdockwall/process/waiters.py
+++ b/burdockwall/process/waiters.py
@@ -31,6 +31,12 @@
             self._values[call] = value
             event.set()
 
+    async def is_answered(self, call: CallId, within_s: float) -> bool:
+        """Return whether a call is answered within a time; it stays awaited."""
+        with anyio.move_on_after(within_s):
+            await self._events[call].wait()
+        return call in self._values
+
     async def wait(self, call: CallId, timeout_s: float) -> T:
         """Wait for the answer to a call, or raise TimeoutError."""
         try:
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -19,6 +19,7 @@
     SoftwareVersion,
     TurnId,
 )
+from features.subjects.chain_sources import STORES, ChainSources
 from features.subjects.storage import (
     CUSTOMER,
     StorageNetwork,
@@ -421,3 +422,34 @@
     start = context.storage.describe(turn, program)
     assert is_admitted(context.storage.begin(start))
     assert context.storage.end(start, TurnOutcome(tokens, False))
+
+
+@given("a turn that begins at three stores, the nearest of which is silent")
+def step_silent_nearest(context):
+    context.sources = ChainSources()
+
+
+@when("the other two have answered that they have its chain")
+def step_others_answer(context):
+    context.begun = [context.sources.answer(store) for store in STORES[1:]]
+
+
+@then("the turn has not begun")
+def step_not_begun(context):
+    assert not any(context.begun)
+
+
+@when("the chain is overdue")
+def step_overdue(context):
+    context.asked = context.sources.wait()
+
+
+@then("one of the two is asked for the chain, once")
+def step_one_asked(context):
+    assert len(context.asked) == 1 and context.asked[0] in STORES[1:], context.asked
+    assert context.sources.wait() in ([], [STORES[2]])
+
+
+@then("the turn begins with its answer")
+def step_begins(context):
+    assert context.sources.answer(context.asked[0], with_chain=True)
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -138,3 +138,11 @@
     And store 1 is cut off
     Then the stores know an answered turn of program "p"
     And the stores know no answered turn of program "q"
+
+  Scenario: While the nearest store is silent, another one sends the chain
+    Given a turn that begins at three stores, the nearest of which is silent
+    When the other two have answered that they have its chain
+    Then the turn has not begun
+    When the chain is overdue
+    Then one of the two is asked for the chain, once
+    And the turn begins with its answer
