Let callers wait for an instance that has just started

Cause: an instance takes connections before it has configuration, endpoints and stores, and refused requests meanwhile (codes 1501, 1401, 1303), some in the very millisecond in which the configuration came into force. Each refusal costs a caller one of few attempts.

Change: until an instance is ready, but for 0.8 s after its start and a quarter of the request's time at most, a request waits for it before its body is read.

Measured: features/platform.feature, a caller of an instance that starts got 503, now 200.

--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -67,8 +67,12 @@
 )
 from burdockwall.version.keys import compute_digest
 
-# Time after its start at which an instance usually has a configuration.
+# Time after its start at which an instance is usually ready. Until then, callers that
+# connect early wait for it: a refusal would use up their attempts.
 EXPECTED_STARTUP_S = 0.8
+# The most of a request's time that it waits for a start; callers give up an instance
+# that has not read their request within a third of it.
+STARTUP_WAIT_SHARE = 0.25
 NOT_READY_RETRY_S = 0.15
 PERIODIC_INTERVAL_S = 0.1
 # Shorter after the start, so that callers are served as soon as they can be.
@@ -97,6 +101,7 @@
         self.clock = host.clock
         self._started_at = host.clock()
         self.view: DeploymentView | None = None
+        self._startup_ended = anyio.Event()
         self.metrics = self.member.metrics
         self.drain = Drain()
         self.in_flight = 0
@@ -293,11 +298,10 @@
         if request.resumption is not None:
             trace.resumed_from = request.resumption.begun_by or ""
             trace.last_event = request.resumption.last_event
+        await self._await_startup(request)
         view = self.view
         if view is None:
-            expected_s = self._started_at + EXPECTED_STARTUP_S - self.clock()
-            retry_s = max(NOT_READY_RETRY_S, expected_s)
-            raise RequestRefused(Code.NOT_READY, retry_after_s=retry_s)
+            raise RequestRefused(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
         trace.configuration = view.number
         route = view.find_route(request.host, request.path)
         if route is None:
@@ -316,6 +320,16 @@
 
         await run_while_connected(exchange, run)
 
+    async def _await_startup(self, request: ForwardedRequest) -> None:
+        """Wait for configuration, endpoints and rates if this instance just started."""
+        if self._startup_ended.is_set():
+            return
+        wait_s = self._started_at + EXPECTED_STARTUP_S - self.clock()
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, STARTUP_WAIT_SHARE * request.deadline_s)
+        with anyio.move_on_after(max(0.0, wait_s)):
+            await self._startup_ended.wait()
+
     async def _forward_or_relay(self, forwarding: Forwarding, body: bytes) -> None:
         """Serve a request here or, while this instance is cut off, through a peer."""
         if not self.reach.cut_off:
@@ -449,6 +463,7 @@
         if self._directory_joined or not self.is_ready():
             return
         self._directory_joined = True
+        self._startup_ended.set()
         self.member.membership.start_serving()
         self._logger.notice("ready for callers")
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -18,6 +18,10 @@
     When a caller asks for "/tool/4b" without a key
     Then the answer is 401
 
+  Scenario: A caller of an instance that has just started waits for its configuration
+    When instance 1 starts anew and a caller asks it at once for "/tool/1"
+    Then the answer is 200
+
   Scenario: A request that a server reports as not run is sent to another server
     Given the first tool server refuses 2 requests as not run
     When a caller sends 2 orders to "/order/1" with the key "key-one"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -73,6 +73,12 @@
     assert "key-one" not in str(request)
 
 
+@when('instance {number:d} starts anew and a caller asks it at once for "{path}"')
+def step_ask_starting(context, number, path):
+    headers = {"x-request-id": "early", "x-api-key": "key-one"}
+    context.answer = context.site.restart_entry_and_ask(number, path, headers)
+
+
 @given("the {which} tool server refuses {count:d} requests as not run")
 def step_refuse(context, which, count):
     number = {"first": 0, "second": 1}[which]
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -280,6 +280,22 @@
             self.call_in_loop(self._start_entry, number)
         assert self.wait_for(self._is_ready, READY_LIMIT_S)
 
+    def restart_entry_and_ask(self, number: int, path: str, headers) -> httpx.Response:
+        """End an entry instance, start it, and ask it as soon as it takes callers."""
+        self.kill_entry(number)
+        anyio.run(anyio.sleep, 0.3)
+        others = self.entries
+        self.entries = []
+        self.call_in_loop(self._start_entry, number)
+        started = self.entries[0]
+        self.entries = [*others[: number - 1], started, *others[number:]]
+        give_up_at = time.monotonic() + CALL_TIMEOUT_S
+        while True:
+            try:
+                return self.send_request("GET", path, headers, b"", number)
+            except httpx.ConnectError:
+                assert time.monotonic() < give_up_at
+
     def stop_entry(self, number: int) -> None:
         self.call_in_loop(self.entries[number - 1].member.stopping.set)
 
