--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -92,6 +92,7 @@
         # The attempt to connect that is under way, and when it began.
         self._attempt: anyio.CancelScope | None = None
         self._attempt_at = 0.0
+        self._heard = False
         self._logger = logbook.Logger("peers")
 
     @property
@@ -124,7 +125,7 @@
         if attempt is None:
             return
         if anyio.current_time() - self._attempt_at >= RECONNECT_FIRST_S:
-            self._connect_timeout_s = 0.0
+            self._heard = True
             attempt.cancel()
 
     async def run(self) -> None:
@@ -139,9 +140,9 @@
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
                 self.replacements += 1
                 self._record_failure(error)
-            heard = not self._connect_timeout_s
             self._connect_timeout_s = min(self.silence_s, 2 * self._connect_timeout_s)
-            if self._acknowledged or heard:
+            if self._acknowledged or self._heard:
+                self._heard = False
                 delay_s = RECONNECT_FIRST_S
                 self._connect_timeout_s = min(self.silence_s, CONNECT_TIMEOUT_FIRST_S)
             await anyio.sleep(delay_s)
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -20,6 +20,11 @@
     When a message waits for 0.6 s
     Then at least 2 connections were tried
 
+  Scenario: A peer that is heard is connected to at once, whatever attempt hangs
+    Given a link to a machine that answers no connection, with a silence bound of 1 s
+    When a message waits for 0.8 s, and the peer is heard after 0.6 s
+    Then a connection was tried within 0.05 s of that
+
   Scenario Outline: An immediate answer costs <batches> batches, to a build that <reads>
     Given two instances, of which the sender's build <reads>
     When it sends 5 questions, one after another
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -101,6 +101,37 @@
         anyio.run(wait)
 
 
+@when("a message waits for {seconds:f} s, and the peer is heard after {heard_s:f} s")
+def step_wait_heard(context, seconds, heard_s):
+    tried_at = []
+
+    async def connect(channel):
+        tried_at.append(anyio.current_time())
+        await anyio.sleep_forever()
+
+    async def hear():
+        await anyio.sleep(heard_s)
+        context.heard_at = anyio.current_time()
+        context.link.record_heard()
+
+    async def wait():
+        context.link.enqueue(Ping(1))
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as group:
+                group.start_soon(hear)
+                await context.link.run()
+
+    with patch.object(grpclib.client.Channel, "__connect__", connect):
+        anyio.run(wait)
+    context.tried_at = tried_at
+
+
+@then("a connection was tried within {limit_s:f} s of that")
+def step_tried_soon(context, limit_s):
+    after = [at - context.heard_at for at in context.tried_at if at > context.heard_at]
+    assert after and after[0] <= limit_s, after
+
+
 @then("at least {least:d} connections were tried")
 def step_tried(context, least):
     assert context.tried >= least, context.tried
