Draw among plain endpoints that are expected to take the same time

Cause: an endpoint with a slot that the instance had freed itself, or one of its own failure domain, won by differences of a microsecond to a few milliseconds; all instances of a domain sent their calls of tools to one of five servers. The way to another domain counted 3 ms and 5 in 100 of the cost, and takes 1 ms.

Change: of a service with up to eight endpoints all are compared; plain endpoints within 2 ms or 5 in 100 of the cost of the best are equal, and one is drawn; the way counts as long as connecting takes; 5 in 100 are kept for engines, whose prompts are large.

--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from burdockwall.connection.round_trips import RoundTrips
 from burdockwall.connection.upstream import (
     ConnectFailed,
     Probe,
@@ -50,6 +51,7 @@
         self.report_connect = report_connect
         self.report_closed: Callable[[Address], None] = lambda address: None
         self.opened_count = 0
+        self.round_trips = RoundTrips()
         self._pools: dict[Address, _Pool] = {}
 
     async def acquire(self, address: Address, limit: int) -> UpstreamConnection:
@@ -83,6 +85,7 @@
 
     async def _open(self, address: Address, pool: _Pool) -> UpstreamConnection:
         pool.open_count += 1
+        began_at = self.clock()
         try:
             connection = await self.open_connection(address, CONNECT_TIMEOUT_S)
         except ConnectFailed:
@@ -93,6 +96,7 @@
             pool.open_count -= 1
             raise
         self.opened_count += 1
+        self.round_trips.record(address, self.clock() - began_at)
         self.report_connect(address, True)
         return connection
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -138,7 +138,11 @@
         )
         host.add(self.health, (MarkEndpoints,))
         self.balancer = create_balancer(
-            settings, generator, self.upstreams.has_idle, self.health
+            settings,
+            generator,
+            self.upstreams.has_idle,
+            self.health,
+            self.upstreams.round_trips,
         )
         self.cold = ColdView(
             self.endpoints, self.endpoints.evacuation.find_evacuation_end
--- a/burdockwall/process/scheduling/home.py
+++ b/burdockwall/process/scheduling/home.py
@@ -20,6 +20,9 @@
 
     def __init__(self) -> None:
         self._hashes: dict[EndpointId, int] = {}
+        # The endpoints of the last search, and their hashes in order.
+        self._searched: list[ListedEndpoint] = []
+        self._values: list[int] = []
 
     def find(
         self,
@@ -28,12 +31,11 @@
         is_usable: Callable[[ListedEndpoint], bool],
     ) -> ListedEndpoint | None:
         """Return the first usable endpoint in the order of a key, or None."""
-        hashes, point = self._hashes, _hash(key)
-        known = [hashes.get(item.name) for item in endpoints]
-        scores = [
-            ((value or self._add(item.name)) ^ point) * HASH_FACTOR & HASH_MASK
-            for value, item in zip(known, endpoints, strict=True)
-        ]
+        point = _hash(key)
+        if endpoints != self._searched:
+            self._searched = list(endpoints)
+            self._values = [self._get(item.name) for item in endpoints]
+        scores = [(value ^ point) * HASH_FACTOR & HASH_MASK for value in self._values]
         for _ in range(len(endpoints)):
             number = scores.index(max(scores))
             if is_usable(endpoints[number]):
@@ -41,8 +43,10 @@
             scores[number] = -1
         return None
 
-    def _add(self, endpoint: EndpointId) -> int:
-        value = self._hashes[endpoint] = _hash(endpoint)
+    def _get(self, endpoint: EndpointId) -> int:
+        value = self._hashes.get(endpoint)
+        if value is None:
+            value = self._hashes[endpoint] = _hash(endpoint)
         return value
 
     def retain(self, listed: set[EndpointId]) -> None:
--- a/burdockwall/process/scheduling/work_balance.py
+++ b/burdockwall/process/scheduling/work_balance.py
@@ -6,10 +6,10 @@
 """
 
 import itertools
-import math
 import random
 from collections.abc import Callable, Iterable, Set
 
+from burdockwall.connection.round_trips import RoundTrips
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.affinity import PrefixTable
 from burdockwall.process.scheduling.balance import Balancer, ReportedLoad
@@ -42,9 +42,20 @@
 MORE_CANDIDATES = 3
 # Draws for each of them, since some find endpoints that may not be used.
 DRAWS = 4
-# An endpoint in another failure domain must be better by this share of the cost and by
-# `far_s`, since bytes between domains are expensive.
+# Of a service with at most this many endpoints, all are compared.
+FEW_ENDPOINTS = 8
+# An engine in another failure domain must be better by this share of the cost, since
+# the bytes of prompts between domains are expensive.
 FAR_SHARE = 0.05
+# Plain services' endpoints whose expected times differ by less than this, or by this
+# share of the cost, are equal, and one is drawn: instances with the same reports or in
+# the same failure domain must not all choose one endpoint.
+TIE_S = 0.002
+TIE_SHARE = 0.05
+# Why an endpoint is compared, for the log.
+HOLDS_PREFIX = "holds the prefix"
+FREED = "freed a slot"
+LESS_LOADED = "less loaded"
 # Time in which a connection is opened within a region.
 CONNECT_S = 0.002
 # The part of an earlier turn's prompt that is expected to be cached at the endpoint of
@@ -70,9 +81,11 @@
         is_connected: Callable[[Address], bool],
         policy: Policy,
         health: EndpointHealth | None = None,
+        round_trips: RoundTrips | None = None,
     ) -> None:
         super().__init__(own_domain, generator, is_connected, health)
         self.policy = policy
+        self.round_trips = round_trips or RoundTrips()
         self.costs = CostEstimator(policy)
         self.work_left = WorkLeft()
         self.prefixes = PrefixTable(policy)
@@ -124,12 +137,21 @@
         copies: dict[EndpointId, float],
         now: float,
     ) -> ListedEndpoint | None:
-        best, least_s = None, math.inf
+        compared: list[tuple[float, ListedEndpoint, ExpectedTime]] = []
         for endpoint, reason in candidates:
             expected = self._expect(work, endpoint, home, copies, reason, now)
             total_s = self._compute_total_s(work.size, endpoint, home, expected, now)
-            if total_s < least_s:
-                best, least_s, work.expected = endpoint, total_s, expected
+            compared.append((total_s, endpoint, expected))
+        if not compared:
+            return None
+        least_s, best, work.expected = min(compared, key=lambda item: item[0])
+        if not work.size.on_engine:
+            limit_s = least_s + max(TIE_S, TIE_SHARE * work.expected.cost_s)
+            equal = [item for item in compared if item[0] <= limit_s]
+            # Where nobody waits, freed slots would keep shares as they are by chance.
+            equal = [item for item in equal if item[2].reason != FREED] or equal
+            drawn = int(self.generator.random() * len(equal))
+            _, best, work.expected = equal[drawn]
         return best
 
     def _list_candidates(
@@ -143,15 +165,21 @@
         found: dict[EndpointId, tuple[ListedEndpoint, str]] = {}
         if home is not None:
             found[home.name] = (home, "endpoint of the program")
+        if len(listed) <= FEW_ENDPOINTS:
+            for item in listed:
+                if is_usable(item):
+                    reason = HOLDS_PREFIX if item.name in copies else LESS_LOADED
+                    found.setdefault(item.name, (item, reason))
+            return list(found.values())
         if copies or freed:
             for item in listed:
                 if item.name in copies and is_usable(item):
-                    found.setdefault(item.name, (item, "holds the prefix"))
+                    found.setdefault(item.name, (item, HOLDS_PREFIX))
                 elif item.name in freed and is_usable(item):
-                    found.setdefault(item.name, (item, "freed a slot"))
+                    found.setdefault(item.name, (item, FREED))
         for near, count in ((False, RANDOM_CANDIDATES), (True, NEAR_CANDIDATES)):
             for endpoint in self._draw(listed, count, near, is_usable):
-                found.setdefault(endpoint.name, (endpoint, "less loaded"))
+                found.setdefault(endpoint.name, (endpoint, LESS_LOADED))
         return list(found.values())
 
     def _draw(
@@ -225,20 +253,31 @@
         slowed = self._slowdowns[size.on_engine].compute(expected.occupancy)
         total_s = (expected.cost_s * slowed + expected.wait_s) * expected.pace
         total_s /= max(LEAST_WEIGHT, self.weigh(endpoint, now))
-        if endpoint.failure_domain != self.own_domain:
-            total_s += self.policy.far_s + FAR_SHARE * expected.cost_s
+        total_s += self._compute_distance_s(size, endpoint, expected)
         if not self.is_connected(endpoint.address):
             total_s += CONNECT_S
         if endpoint is home:
             total_s -= self._compute_home_gain_s(size, expected)
         return total_s
 
+    def _compute_distance_s(
+        self, size: RequestSize, endpoint: ListedEndpoint, expected: ExpectedTime
+    ) -> float:
+        """Return the time that the way to an endpoint costs, and its bytes."""
+        is_far = endpoint.failure_domain != self.own_domain
+        distance_s = self.round_trips.get(endpoint.address)
+        if distance_s is None:
+            distance_s = self.policy.far_s if is_far else 0.0
+        if is_far and size.on_engine:
+            distance_s += FAR_SHARE * expected.cost_s
+        return distance_s
+
     def _compute_home_gain_s(self, size: RequestSize, expected: ExpectedTime) -> float:
         """Return the time that later requests gain where this one goes to its home."""
         if not size.on_engine:
             return HOME_GAIN * expected.cost_s
         read = max(0.0, size.prompt_tokens - expected.cached_tokens)
-        return HOME_CACHED_SHARE * read * self.policy.prefill_token_s
+        return HOME_CACHED_SHARE * read * self.costs.rates.read_token_s
 
     # What is observed.
 
@@ -333,10 +372,13 @@
     generator: random.Random,
     is_connected: Callable[[Address], bool],
     health: EndpointHealth | None = None,
+    round_trips: RoundTrips | None = None,
 ) -> Balancer:
     """Create the balancer that the settings ask for."""
     domain = settings.failure_domain
     if settings.schedule_placement == BY_WORK:
         policy = create_policy(settings)
-        return WorkBalancer(domain, generator, is_connected, policy, health)
+        return WorkBalancer(
+            domain, generator, is_connected, policy, health, round_trips
+        )
     return Balancer(domain, generator, is_connected, health)
--- a/features/placement_work.feature
+++ b/features/placement_work.feature
@@ -63,6 +63,20 @@
       | 6         |
       | 50        |
 
+  Scenario Outline: Few plain endpoints of equal speed get equal shares
+    Then at <instances> instances and <load> of the capacity the busiest of <count> endpoints gets at most 1.2 of the mean
+
+    Examples:
+      | instances | load | count |
+      | 7         | 0.25 | 5     |
+      | 7         | 0.6  | 5     |
+      | 58        | 0.25 | 5     |
+      | 58        | 0.6  | 5     |
+      | 200       | 0.25 | 5     |
+      | 200       | 0.6  | 5     |
+      | 58        | 0.25 | 20    |
+      | 200       | 0.6  | 20    |
+
   Scenario: An instance that has just started learns what turns cost from a few answers
     When it has seen 10 answers of engines that are 40 times as fast as assumed
     Then expected over actual cost is 0.8 to 1.25 at the median, and under 3 for 95 in 100
