Count by how much a prompt that is read delays those that run there

Cause: with the true costs of tokens a prompt of 14,000 tokens costs 42 ms, so programs left the endpoint that has it for small differences; but an engine reads between the steps of all that run.

Change: reading costs its time once for each request expected to run at the engine.

--- a/burdockwall/process/scheduling/work_balance.py
+++ b/burdockwall/process/scheduling/work_balance.py
@@ -256,10 +256,20 @@
         total_s += self._compute_distance_s(size, endpoint, expected)
         if not self.is_connected(endpoint.address):
             total_s += CONNECT_S
+        if size.on_engine:
+            total_s += self._compute_delay_s(size, endpoint, expected)
         if endpoint is home:
-            total_s -= self._compute_home_gain_s(size, expected)
+            total_s -= self._compute_home_gain_s(size, endpoint, expected)
         return total_s
 
+    def _compute_delay_s(
+        self, size: RequestSize, endpoint: ListedEndpoint, expected: ExpectedTime
+    ) -> float:
+        """Return by how much a prompt that is read delays those that run there."""
+        others = min(1.0, expected.occupancy) * endpoint.slots
+        read = max(0.0, size.prompt_tokens - expected.cached_tokens)
+        return read * self.costs.rates.read_token_s * others
+
     def _compute_distance_s(
         self, size: RequestSize, endpoint: ListedEndpoint, expected: ExpectedTime
     ) -> float:
@@ -272,12 +282,16 @@
             distance_s += FAR_SHARE * expected.cost_s
         return distance_s
 
-    def _compute_home_gain_s(self, size: RequestSize, expected: ExpectedTime) -> float:
+    def _compute_home_gain_s(
+        self, size: RequestSize, endpoint: ListedEndpoint, expected: ExpectedTime
+    ) -> float:
         """Return the time that later requests gain where this one goes to its home."""
         if not size.on_engine:
             return HOME_GAIN * expected.cost_s
         read = max(0.0, size.prompt_tokens - expected.cached_tokens)
-        return HOME_CACHED_SHARE * read * self.costs.rates.read_token_s
+        read_s = read * self.costs.rates.read_token_s
+        delay_s = self._compute_delay_s(size, endpoint, expected)
+        return HOME_CACHED_SHARE * (read_s + delay_s)
 
     # What is observed.
 
