Give the wait of callers at a start a module of its own

Cause: the decision how long a request waits for an instance that has just started stood in the entry's code and had no test of its load.

Change: process/startup_wait.py decides, without I/O; forwarding_entry.py only waits.

--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -46,6 +46,7 @@
 from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.scheduling.unreadable_loads import UnreadableLoads
 from burdockwall.process.scheduling.work_balance import create_balancer
+from burdockwall.process.startup_wait import compute_startup_wait_s
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
@@ -67,12 +68,6 @@
 )
 from burdockwall.version.keys import compute_digest
 
-# Time after its start at which an instance is usually ready. Until then, callers that
-# connect early wait for it: a refusal would use up their attempts.
-EXPECTED_STARTUP_S = 0.8
-# The most of a request's time that it waits for a start; callers give up an instance
-# that has not read their request within a third of it.
-STARTUP_WAIT_SHARE = 0.25
 NOT_READY_RETRY_S = 0.15
 PERIODIC_INTERVAL_S = 0.1
 # Shorter after the start, so that callers are served as soon as they can be.
@@ -328,10 +323,8 @@
         """Wait for configuration, endpoints and rates if this instance just started."""
         if self._startup_ended.is_set():
             return
-        wait_s = self._started_at + EXPECTED_STARTUP_S - self.clock()
-        if request.deadline_s is not None:
-            wait_s = min(wait_s, STARTUP_WAIT_SHARE * request.deadline_s)
-        with anyio.move_on_after(max(0.0, wait_s)):
+        age_s = self.clock() - self._started_at
+        with anyio.move_on_after(compute_startup_wait_s(age_s, request.deadline_s)):
             await self._startup_ended.wait()
 
     async def _forward_or_relay(self, forwarding: Forwarding, body: bytes) -> None:
