--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -53,6 +53,15 @@
 IdentifyAnswer = Callable[[Headers], AnswerOwner]
 
 
+def identify_by_header(headers: Headers, header: bytes, request: str) -> AnswerOwner:
+    """Return whose answer one is by the header that names its request, once."""
+    named = [value for name, value in headers if name == header]
+    if not named:
+        return AnswerOwner.UNNAMED
+    is_own = named == [request.encode("latin-1")]
+    return AnswerOwner.REQUEST if is_own else AnswerOwner.OTHER
+
+
 def is_refusal(error: OSError) -> bool:
     """Return whether a machine answered that no process listens."""
     return isinstance(error.__cause__ or error, ConnectionRefusedError)
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -9,7 +9,7 @@
     Exchange,
     Headers,
 )
-from burdockwall.connection.upstream import AnswerHead, AnswerOwner
+from burdockwall.connection.upstream import AnswerHead, AnswerOwner, identify_by_header
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
 from burdockwall.platform.cold import convert_cold_ms
@@ -32,7 +32,6 @@
 MIN_DEADLINE_MS = 1
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
-# To callers, these statuses promise that a request has not run.
 NOT_RUN_STATUSES = (408, 429, 503)
 NOT_LEAVING = (b"", b"0")
 # Headers of callers' requests that endpoints are not sent as they came.
@@ -118,12 +117,7 @@
         self, request: ForwardedRequest, headers: Headers
     ) -> AnswerOwner:
         """Return whether an answer belongs to a request."""
-        echoed = [value for name, value in headers if name == names.REQUEST_ID]
-        if not echoed:
-            return AnswerOwner.UNNAMED
-        if echoed == [request.request.encode("latin-1")]:
-            return AnswerOwner.REQUEST
-        return AnswerOwner.OTHER
+        return identify_by_header(headers, names.REQUEST_ID, request.request)
 
     def read_answer(self, head: AnswerHead) -> AnswerDetails:
         """Read the details of an answer from its status and headers."""
@@ -156,7 +150,6 @@
         status = STATUS_OVERRIDES.get(error.code, code_row.status)
         headers: Headers = [JSON_TYPE]
         if request:
-            # An instance that relays the request takes only answers that name it.
             headers.append((names.REQUEST_ID, request.encode("latin-1")))
         if error.retry_after_s is not None:
             seconds = f"{error.retry_after_s:.3f}"
--- a/burdockwall/process/scheduling/work_balance.py
+++ b/burdockwall/process/scheduling/work_balance.py
@@ -70,6 +70,9 @@
 LEAST_WEIGHT = 0.01
 ERROR_GAIN = 0.02
 
+# The total time of a request at an endpoint in seconds, and its parts.
+Compared = tuple[float, ListedEndpoint, ExpectedTime]
+
 
 class WorkBalancer(Balancer):
     """Chooses the endpoint with the least expected time among a few candidates."""
@@ -117,16 +120,17 @@
         copies = self._count_cached(work.size, now)
         freed = self.freed.list_endpoints(now)
         candidates = self._list_candidates(listed, home, copies, freed, is_usable)
+        is_few = len(listed) <= FEW_ENDPOINTS
         if not candidates:
             usable = [item for item in listed if item.name not in excluded]
             healthy = [item for item in usable if is_usable(item)]
             candidates = [(item, "few are left") for item in healthy or usable]
-        best = self._find_cheapest(candidates, work, home, copies, now)
+        best = self._find_cheapest(candidates, work, home, copies, is_few, now)
         expected = work.expected
         if expected is not None and expected.wait_s > expected.cost_s:
             drawn = self._draw(listed, MORE_CANDIDATES, False, is_usable)
             candidates += [(item, "others would make it wait") for item in drawn]
-            best = self._find_cheapest(candidates, work, home, copies, now)
+            best = self._find_cheapest(candidates, work, home, copies, is_few, now)
         return best
 
     def _find_cheapest(
@@ -135,9 +139,10 @@
         work: RequestWork,
         home: ListedEndpoint | None,
         copies: dict[EndpointId, float],
+        is_few: bool,
         now: float,
     ) -> ListedEndpoint | None:
-        compared: list[tuple[float, ListedEndpoint, ExpectedTime]] = []
+        compared: list[Compared] = []
         for endpoint, reason in candidates:
             expected = self._expect(work, endpoint, home, copies, reason, now)
             total_s = self._compute_total_s(work.size, endpoint, home, expected, now)
@@ -148,12 +153,19 @@
         if not work.size.on_engine:
             limit_s = least_s + max(TIE_S, TIE_SHARE * work.expected.cost_s)
             equal = [item for item in compared if item[0] <= limit_s]
-            # Where nobody waits, freed slots would keep shares as they are by chance.
-            equal = [item for item in equal if item[2].reason != FREED] or equal
-            drawn = int(self.generator.random() * len(equal))
-            _, best, work.expected = equal[drawn]
+            _, best, work.expected = self._draw_equal(equal, is_few, now)
         return best
 
+    def _draw_equal(self, equal: list[Compared], is_few: bool, now: float) -> Compared:
+        """Draw one of the endpoints that are expected to take the same time."""
+        if is_few:
+            # Each of a few gets a large share, and one that hangs looks free.
+            hung = self.work_left.is_overdue
+            equal = [item for item in equal if not hung(item[1].name, now)] or equal
+        # Where nobody waits, freed slots would keep shares as they are by chance.
+        equal = [item for item in equal if item[2].reason != FREED] or equal
+        return equal[int(self.generator.random() * len(equal))]
+
     def _list_candidates(
         self,
         listed: list[ListedEndpoint],
--- a/burdockwall/process/scheduling/work_left.py
+++ b/burdockwall/process/scheduling/work_left.py
@@ -27,6 +27,10 @@
 # A request that runs longer than expected still has this share of its expected cost
 # left, since costs have a long tail.
 OVERDUE_SHARE = 0.3
+# A request that takes this many times as long as expected, and longer than this, shows
+# that its endpoint may hang.
+OVERDUE_FACTOR = 4.0
+LEAST_OVERDUE_S = 0.1
 INITIAL_COST_S = 0.1
 # Even a report of this moment misses requests that are on their way.
 LEAST_DEVIATION = 0.5
@@ -132,6 +136,17 @@
         """
         return self._cost_squared / (2 * max(1e-9, self._cost_s))
 
+    def is_overdue(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether an own request there takes far longer than expected."""
+        state = self._endpoints.get(endpoint)
+        if state is None:
+            return False
+        return any(
+            now - work.started_at
+            > LEAST_OVERDUE_S + OVERDUE_FACTOR * (work.cost_s + work.wait_s)
+            for work in state.own.values()
+        )
+
     def has_waiting(self, endpoint: EndpointId) -> bool:
         """Return whether requests waited at an endpoint by its last report."""
         state = self._endpoints.get(endpoint)
--- a/features/placement_work.feature
+++ b/features/placement_work.feature
@@ -77,6 +77,11 @@
       | 58        | 0.25 | 20    |
       | 200       | 0.6  | 20    |
 
+  Scenario: An endpoint that hangs is not drawn among those that answer
+    Given 1 instances that place by work among 5 endpoints
+    When a request to "e0" has no answer for 2 s
+    Then none of 100 plain requests goes to "e0"
+
   Scenario: An instance that has just started learns what turns cost from a few answers
     When it has seen 10 answers of engines that are 40 times as fast as assumed
     Then expected over actual cost is 0.8 to 1.25 at the median, and under 3 for 95 in 100
--- a/features/steps/placement_work_steps.py
+++ b/features/steps/placement_work_steps.py
@@ -275,3 +275,15 @@
     median, late = ratios[len(ratios) // 2], ratios[int(len(ratios) * 0.95)]
     assert low <= median <= high, median
     assert late < most, late
+
+
+@when('a request to "{name}" has no answer for {seconds:d} s')
+def step_hangs(context, name, seconds):
+    context.subject.send(name, RequestWork(measure(100)))
+    context.subject.now += seconds
+
+
+@then('none of {count:d} plain requests goes to "{name}"')
+def step_not_drawn(context, count, name):
+    chosen = {context.subject.choose(measure(100)) for _ in range(count)}
+    assert name not in chosen, chosen
