Log which instances are behind, missed changes, and what ends a process

A leader wrote nothing about an instance that stays behind, an instance nothing of an update that it could not install, a message whose handling failed left no line, and a process that ended by itself left a traceback outside the structured log. Change: lines for each, gauges versions_behind, instances_behind and instances_behind_s.

--- a/burdockwall/cmdline.py
+++ b/burdockwall/cmdline.py
@@ -23,6 +23,7 @@
 from burdockwall.process.control.commands import Outcome, Permission
 from burdockwall.process.control.opening import bootstrap_replica, join_replica
 from burdockwall.process.control.sections import compare_sections, split_sections
+from burdockwall.process.ending import log_ending
 from burdockwall.process.evacuation.operations import describe_evacuations
 from burdockwall.process.logs import create_log_handler
 from burdockwall.process.membership.page import FleetPage
@@ -117,7 +118,7 @@
     settings = _load_settings(settings_path)
     if click.get_current_context().find_root().params["debug"]:
         settings.log_level = "debug"
-    with create_log_handler(settings).applicationbound():
+    with create_log_handler(settings).applicationbound(), log_ending():
         anyio.run(run_node, settings, settings_path)
 
 
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -45,6 +45,8 @@
 
 Deliver = Callable[[InstanceId, Message], None]
 
+_logger = logbook.Logger("peers")
+
 
 @dataclass(slots=True)
 class _Answers:
@@ -341,7 +343,12 @@
         if self._deliver is None:
             return
         for message in messages:
-            self._deliver(sender, message)
+            try:
+                self._deliver(sender, message)
+            except Exception:
+                extra = {"sender": sender, "kind": type(message).__name__}
+                _logger.exception("message not handled", extra=extra)
+                raise
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         handler = grpclib.const.Handler(
--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -1,7 +1,6 @@
 """Start of a process on the platform, in the role that its settings give."""
 
 import os
-import sys
 from pathlib import Path
 from typing import Protocol
 
@@ -9,8 +8,7 @@
 
 from burdockwall.errors import Code, OperatorError
 from burdockwall.platform.names import SETTINGS_VARIABLE
-from burdockwall.process.clock import read_clock
-from burdockwall.process.logs import SinkHandler
+from burdockwall.process.logs import open_log
 from burdockwall.process.sink import LineSink
 from burdockwall.process.startup import resume_collection
 from burdockwall.settings import Settings, read_settings
@@ -38,12 +36,8 @@
     """Run this process with the settings that the platform names."""
     path = find_settings_path()
     settings = read_settings(path)
-    sink = LineSink(sys.stdout.fileno(), read_clock)
-    try:
-        with SinkHandler(sink, settings.log_level.upper()).applicationbound():
-            anyio.run(run_role, settings, path, sink)
-    finally:
-        sink.close()
+    with open_log(settings) as sink:
+        anyio.run(run_role, settings, path, sink)
 
 
 async def run_role(settings: Settings, path: Path, sink: LineSink) -> None:
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -151,6 +151,10 @@
         )
         self.member.gauges.add("term", lambda: float(self.control.term))
         self.member.gauges.add("version", lambda: float(self.control.version))
+        self.member.gauges.add(
+            "instances_behind", lambda: float(membership.count_behind())
+        )
+        self.member.gauges.add("instances_behind_s", membership.get_longest_lag_s)
         self.member.gauges.add(
             "evacuated_domains",
             lambda: float(len(self.evacuation_orders.get_evacuations().domains)),
--- a/burdockwall/process/logs.py
+++ b/burdockwall/process/logs.py
@@ -1,11 +1,15 @@
 """Structured logs: one JSON object or one text line per record."""
 
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import UTC
 
 import logbook
 import msgspec
 
+from burdockwall.process.clock import read_clock
+from burdockwall.process.ending import log_ending
 from burdockwall.process.sink import LineSink
 from burdockwall.settings import Settings
 
@@ -65,3 +69,15 @@
         informational = record.level <= logbook.INFO
         ordinary = informational and not record.extra.get("code")
         self.sink.put(format_json(record, self), ordinary)
+
+
+@contextmanager
+def open_log(settings: Settings) -> Iterator[LineSink]:
+    """Write the log to standard output without blocking, until the end of the block."""
+    sink = LineSink(sys.stdout.fileno(), read_clock)
+    try:
+        with SinkHandler(sink, settings.log_level.upper()).applicationbound():
+            with log_ending():
+                yield sink
+    finally:
+        sink.close()
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -63,6 +63,9 @@
         self.gauges = Gauges()
         self.gauges.add("leading", lambda: float(self.membership.is_leading()))
         self.gauges.add("members", lambda: float(len(self.membership.members)))
+        self.gauges.add(
+            "versions_behind", lambda: float(self.membership.count_versions_behind())
+        )
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
 
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -99,8 +99,25 @@
     endpoints: dict[EndpointId, EndpointState] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class ChangesMissed:
+    """Announces that received changes follow a version that is not installed."""
+
+    sender: InstanceId
+    installed: Version
+    since: Version
+    version: Version
+
+
 Event = Tick | Receive | Leave | Serve | CopyConfirmed
-Action = Send | InstallState | MembersInstalled | LeaseRenewed | ShardsInstalled
+Action = (
+    Send
+    | InstallState
+    | MembersInstalled
+    | LeaseRenewed
+    | ShardsInstalled
+    | ChangesMissed
+)
 
 
 class Agent:
@@ -119,6 +136,8 @@
         self.fan_out = fan_out
         self.leaving = False
         self.term = Term(0)
+        # The latest version that a leader has named in a grant.
+        self.required_version = Version(0)
         self.replica = StateReplica()
         self.member_list = MemberList()
         self.lease = Lease()
@@ -167,7 +186,7 @@
             case NotLeader(leader=leader):
                 return self._handle_not_leader(sender, leader, now)
             case StateChanges():
-                return self._install_state(self.replica.install_changes(message), now)
+                return self._install_changes(sender, message, now)
             case StateSnapshot():
                 return self._install_state(self.replica.install_snapshot(message), now)
             case MemberChanges():
@@ -297,6 +316,7 @@
         if grant.term > self.term:
             self.term = grant.term
             self._mask_expiry = (grant.term, grant.version)
+        self.required_version = max(self.required_version, grant.version)
         self.path.leader = grant.leader
         forwarded = self.collector.forward_grant(grant, self._interval_s, now)
         if forwarded is not None:
@@ -313,6 +333,14 @@
             actions.append(LeaseRenewed(self.lease.until))
         return actions
 
+    def _install_changes(
+        self, sender: InstanceId, message: StateChanges, now: float
+    ) -> list[Action]:
+        installed = self.replica.version
+        if message.since > installed:
+            return [ChangesMissed(sender, installed, message.since, message.version)]
+        return self._install_state(self.replica.install_changes(message), now)
+
     def _install_state(self, installed: bool, now: float) -> list[Action]:
         if not installed:
             return []
--- /dev/null
+++ b/burdockwall/process/membership/lagging.py
@@ -0,0 +1,79 @@
+"""Find the members that are behind the leader's version, and since when."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockwall.process.membership.records import MemberRecord
+from burdockwall.types import Incarnation, InstanceId, Version
+
+# Longer than a heartbeat interval, since a member reports its version only then.
+BEHIND_AFTER_S = 1.5
+MAX_VERSIONS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Lag:
+    """A member that has not reported a version `behind_s` after its acceptance."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    version: Version
+    latest: Version
+    behind_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LagsChanged:
+    """Announces the members that fell behind and the ones that caught up."""
+
+    behind: tuple[Lag, ...]
+    caught_up: tuple[InstanceId, ...]
+
+
+class LagTracker:
+    """Compares the versions that members report with the accepted ones."""
+
+    def __init__(self) -> None:
+        self.lags: dict[InstanceId, Lag] = {}
+        self._accepted: deque[tuple[Version, float]] = deque(maxlen=MAX_VERSIONS)
+
+    def reset(self, version: Version, now: float) -> None:
+        """Start a term, in which members have to reach `version` from now on."""
+        self.lags = {}
+        self._accepted.clear()
+        self._accepted.append((version, now))
+
+    def check(
+        self, records: Iterable[MemberRecord], latest: Version, now: float
+    ) -> list[LagsChanged]:
+        """Record the latest version and return what has changed."""
+        if not self._accepted or self._accepted[-1][0] < latest:
+            self._accepted.append((latest, now))
+        previous = self.lags
+        self.lags = {}
+        for record in records:
+            lag = self._measure(record, now)
+            if lag is not None and lag.behind_s >= BEHIND_AFTER_S:
+                self.lags[lag.instance] = lag
+        behind = tuple(lag for name, lag in self.lags.items() if name not in previous)
+        caught_up = tuple(name for name in previous if name not in self.lags)
+        return [LagsChanged(behind, caught_up)] if behind or caught_up else []
+
+    def _measure(self, record: MemberRecord, now: float) -> Lag | None:
+        for version, accepted_at in self._accepted:
+            if version > record.version:
+                details = record.details
+                latest = self._accepted[-1][0]
+                return Lag(
+                    details.instance,
+                    details.incarnation,
+                    record.version,
+                    latest,
+                    now - accepted_at,
+                )
+        return None
+
+    def get_longest_s(self) -> float:
+        """Return for how long the member that is behind longest has been so."""
+        return max((lag.behind_s for lag in self.lags.values()), default=0.0)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -4,6 +4,7 @@
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.membership.detection import Detector
+from burdockwall.process.membership.lagging import LagsChanged, LagTracker
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
     CopyDone,
@@ -60,7 +61,7 @@
 
 
 Event = Tick | Receive | AwaitInForce | PlatformList
-Action = Send | AddPeer | InForce | Propose
+Action = Send | AddPeer | InForce | Propose | LagsChanged
 
 
 class Registrar:
@@ -89,6 +90,7 @@
         self.plans_shards = plans_shards
         self.planner = Planner(instance, shard_count)
         self.rollouts = RolloutTracker()
+        self.lagging = LagTracker()
         self.platform: PlatformList | None = None
         self._reporters: dict[InstanceId, float] = {}
         self._awaiting_leader: dict[InstanceId, float] = {}
@@ -179,6 +181,7 @@
         self.publisher = Publisher(self.source, self.member_list)
         self.planner.start_term(self.term, now + former_leases_s)
         self.rollouts.start_term(now + former_leases_s)
+        self.lagging.reset(self.source.version, now)
         self._reporters = {}
         self._removed_records = []
         self._pushed_version = self.source.version
@@ -295,6 +298,7 @@
             versions = (self.source.version, self.member_list.version)
             actions += self.planner.plan(self.records.values(), views, versions, now)
         actions += self.rollouts.check(self._list_lease_holders(now), now)
+        actions += self.lagging.check(self.records.values(), self.source.version, now)
         if self._list_changed or self.source.version != self._pushed_version:
             self._list_changed = False
             self._pushed_version = self.source.version
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -2,17 +2,21 @@
 
 from collections.abc import Callable, Iterable
 
+import logbook
+
 from burdockwall.connection.peers import PeerBus
 from burdockwall.process.control.commands import AssignShards
 from burdockwall.process.host import Host
 from burdockwall.process.membership.agent import (
     AGENT_MESSAGES,
     Agent,
+    ChangesMissed,
     InstallState,
     Leave,
     MembersInstalled,
     Serve,
 )
+from burdockwall.process.membership.lagging import LagsChanged
 from burdockwall.process.membership.messages import (
     InstanceDetails,
     MemberEntry,
@@ -68,6 +72,7 @@
         self._install = install
         self._propose: Callable[[AssignShards], None] = lambda command: None
         self._waiters: Waiters[InForce] = Waiters()
+        self._logger = logbook.Logger("membership")
         self._hosted_agent = host.add(
             self.agent, AGENT_MESSAGES, self._perform_agent, (CopyConfirmed,)
         )
@@ -128,7 +133,11 @@
 
     def _perform_agent(
         self,
-        action: InstallState | MembersInstalled | LeaseRenewed | ShardsInstalled,
+        action: InstallState
+        | MembersInstalled
+        | LeaseRenewed
+        | ShardsInstalled
+        | ChangesMissed,
     ) -> None:
         match action:
             case InstallState(replica=replica):
@@ -145,11 +154,23 @@
                 self.host.publish(action)
             case LeaseRenewed() | ShardsInstalled():
                 self.host.publish(action)
+            case ChangesMissed():
+                self._logger.notice(
+                    "changes do not follow the installed version",
+                    extra={
+                        "sender": action.sender,
+                        "installed": action.installed,
+                        "since": action.since,
+                        "version": action.version,
+                    },
+                )
 
     def _add_peer(self, details: InstanceDetails) -> None:
         self.bus.add_peer(details.instance, details.peer_address)
 
-    def _perform_registrar(self, action: AddPeer | InForce | Propose) -> None:
+    def _perform_registrar(
+        self, action: AddPeer | InForce | Propose | LagsChanged
+    ) -> None:
         match action:
             case AddPeer(details=details):
                 self._add_peer(details)
@@ -157,6 +178,39 @@
                 self._waiters.complete(call, action)
             case Propose(command=command):
                 self._propose(command)
+            case LagsChanged():
+                self._log_lags(action)
+
+    def _log_lags(self, changed: LagsChanged) -> None:
+        for lag in changed.behind:
+            self._logger.warning(
+                "instance behind",
+                extra={
+                    "follower": lag.instance,
+                    "incarnation": lag.incarnation,
+                    "version": lag.version,
+                    "latest": lag.latest,
+                    "behind_s": round(lag.behind_s, 3),
+                },
+            )
+        for instance in changed.caught_up:
+            self._logger.notice("instance caught up", extra={"follower": instance})
+
+    def count_behind(self) -> int:
+        """Count, at the leader, the members that are behind its version."""
+        if self.registrar is None or not self.is_leading():
+            return 0
+        return len(self.registrar.lagging.lags)
+
+    def get_longest_lag_s(self) -> float:
+        """Return, at the leader, for how long some member has been behind."""
+        if self.registrar is None or not self.is_leading():
+            return 0.0
+        return self.registrar.lagging.get_longest_s()
+
+    def count_versions_behind(self) -> int:
+        """Count the versions that a leader has named to this instance and it lacks."""
+        return max(0, self.agent.required_version - self.agent.replica.version)
 
     def install_platform_list(self, published: PlatformList) -> None:
         """Pass the platform's list to the registrar, if this instance has one."""
