Send again what a follower has missed while changes go on

Callers were refused with 404 by instances that stayed on an older configuration, in touch, for as long as changes came. Cause: the publisher counted what it had sent as received, and each further change started anew the time in which it did not believe the follower's own report. A difference to a version that the follower lacks was dropped there without a word. One lost update, or two that overtook each other, was enough. Change: what is sent counts as received until the time of the first unconfirmed message is over, whatever follows; an instance asks at once for what it has missed (AskChanges, protocol 3), also when a grant names a version that does not come. The same for the member list, which had the same cause.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -41,6 +41,7 @@
     | membership.Report
     | membership.Grant
     | membership.NotLeader
+    | membership.AskChanges
     | membership.StateChanges
     | membership.StateSnapshot
     | membership.MemberChanges
@@ -64,7 +65,7 @@
 )
 
 # The version of the protocol between instances that this build speaks.
-PROTOCOL = 2
+PROTOCOL = 3
 # The first version that reads messages in acknowledgements.
 ANSWERS_PROTOCOL = 2
 
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -12,6 +12,7 @@
 from burdockwall.process.membership.lease import Lease
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
+    AskChanges,
     CopyDone,
     Grant,
     Heartbeat,
@@ -28,6 +29,7 @@
     StateChanges,
     StateSnapshot,
 )
+from burdockwall.process.membership.missed import MissedUpdates
 from burdockwall.process.membership.path import ReportPath
 from burdockwall.process.membership.prober import ReachabilityProber
 from burdockwall.process.membership.publisher import Publisher
@@ -60,6 +62,7 @@
 )
 
 AGENT_MESSAGES = (
+    AskChanges,
     Heartbeat,
     Grant,
     NotLeader,
@@ -138,6 +141,7 @@
         self.term = Term(0)
         # The latest version that a leader has named in a grant.
         self.required_version = Version(0)
+        self.missed = MissedUpdates()
         self.replica = StateReplica()
         self.member_list = MemberList()
         self.lease = Lease()
@@ -190,13 +194,13 @@
             case StateSnapshot():
                 return self._install_state(self.replica.install_snapshot(message), now)
             case MemberChanges():
-                return self._install_member_list(
-                    self.member_list.install_changes(message), now
-                )
+                return self._install_member_changes(sender, message, now)
             case MemberSnapshot():
                 return self._install_member_list(
                     self.member_list.install_snapshot(message), now
                 )
+            case AskChanges():
+                return list(self.publisher.resend(sender, message, now))
             case Release():
                 return self._handle_release(sender, message)
             case Probe():
@@ -211,7 +215,10 @@
     # Heartbeats and reports towards the leader.
 
     def _tick(self, now: float) -> list[Action]:
-        actions: list[Action] = [*self.prober.expire_probes(now)]
+        actions: list[Action] = [
+            *self.prober.expire_probes(now),
+            *self._ask_overdue_changes(now),
+        ]
         unanswered_at = self._first_unanswered_at
         if unanswered_at is not None and now - unanswered_at >= self._grant_timeout_s:
             self.path.use_next_hop(now)
@@ -317,6 +324,7 @@
             self.term = grant.term
             self._mask_expiry = (grant.term, grant.version)
         self.required_version = max(self.required_version, grant.version)
+        self._record_lag(now)
         self.path.leader = grant.leader
         forwarded = self.collector.forward_grant(grant, self._interval_s, now)
         if forwarded is not None:
@@ -338,12 +346,40 @@
     ) -> list[Action]:
         installed = self.replica.version
         if message.since > installed:
-            return [ChangesMissed(sender, installed, message.since, message.version)]
+            missed = ChangesMissed(sender, installed, message.since, message.version)
+            return [missed, *self._ask_changes(sender, now)]
         return self._install_state(self.replica.install_changes(message), now)
 
+    def _record_lag(self, now: float) -> None:
+        self.missed.record_grant(self.replica.version < self.required_version, now)
+
+    def _install_member_changes(
+        self, sender: InstanceId, message: MemberChanges, now: float
+    ) -> list[Action]:
+        installed = self.member_list.install_changes(message)
+        if not installed and message.list_version > self.member_list.version:
+            return list(self._ask_changes(sender, now))
+        return self._install_member_list(installed, now)
+
+    def _ask_changes(self, sender: InstanceId, now: float) -> list[Send]:
+        """Ask for what the installed versions lack, unless that was just done."""
+        version, list_version = self.replica.version, self.member_list.version
+        if not self.missed.should_ask((version, list_version), now):
+            return []
+        incarnation = self.details.incarnation
+        return [Send(sender, AskChanges(incarnation, version, list_version))]
+
+    def _ask_overdue_changes(self, now: float) -> list[Send]:
+        """Ask for a version that a grant named and that has not arrived."""
+        hop = self.path.find_hop(now)
+        if hop is None or not self.missed.is_overdue(now):
+            return []
+        return self._ask_changes(hop.instance, now)
+
     def _install_state(self, installed: bool, now: float) -> list[Action]:
         if not installed:
             return []
+        self._record_lag(now)
         actions: list[Action] = [InstallState(self.replica)]
         actions += self._expire_mask()
         if self.replica.shards is not self._shards:
--- a/burdockwall/process/membership/messages.py
+++ b/burdockwall/process/membership/messages.py
@@ -1,6 +1,7 @@
 """Define the messages for state distribution, leases, membership and shards."""
 
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 
@@ -136,6 +137,16 @@
     documents: dict[DocumentName, Document] = {}
 
 
+class AskChanges(Message, frozen=True):
+    """Request to send again what follows these versions, since updates are missing."""
+
+    protocol: ClassVar[int] = 3
+
+    incarnation: Incarnation
+    version: Version
+    list_version: MemberListVersion
+
+
 class MemberChanges(Message, frozen=True):
     """Changes of the member list after `since`."""
 
--- a/burdockwall/process/membership/publisher.py
+++ b/burdockwall/process/membership/publisher.py
@@ -1,13 +1,14 @@
 """Send followers the control state and member list versions that they lack."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Protocol
+from dataclasses import dataclass, field
+from typing import Generic, Protocol, TypeVar
 
 from burdockwall.machine import Send
 from burdockwall.process.control.changes import Change
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
+    AskChanges,
     MemberListVersion,
     StateChanges,
     StateSnapshot,
@@ -33,19 +34,71 @@
         ...
 
 
+V = TypeVar("V", Version, MemberListVersion)
+
+
 @dataclass(slots=True)
-class _FollowerProgress:
-    """State that a follower has if every message to it has arrived.
+class _Progress(Generic[V]):
+    """The version that a follower has if every message to it has arrived.
 
-    Until `version_pending_until` and `list_pending_until`, in seconds, the follower
-    may report older versions than it has been sent.
+    Until `awaited_until`, in seconds, the follower may report versions earlier than
+    `awaited`, since the messages may still be in transit. After that they count as
+    lost, whatever has been sent since.
     """
 
+    sent: V
+    reported: V
+    awaited: V
+    awaited_until: float = float("-inf")
+
+    def record_report(self, version: V, now: float) -> None:
+        """Record the version that the follower reports."""
+        self.reported = max(self.reported, version)
+        if version >= self.awaited:
+            self.sent = max(self.sent, version)
+            self._await_confirmation(now, RESEND_CHANGES_S)
+        elif now >= self.awaited_until:
+            self.forget_sent(version)
+
+    def forget_sent(self, version: V) -> None:
+        """Assume that nothing after a version has arrived."""
+        self.sent = self.reported = self.awaited = version
+        self.awaited_until = float("-inf")
+
+    def find_held(self, now: float) -> V:
+        """Return the version that the next message has to follow."""
+        if self.reported < self.awaited and now >= self.awaited_until:
+            self.forget_sent(self.reported)
+        return self.sent
+
+    def record_sent(self, version: V, now: float, wait_s: float) -> None:
+        """Record that a message with a version is sent now."""
+        self.sent = version
+        if self.reported >= self.awaited:
+            self._await_confirmation(now, wait_s)
+
+    def _await_confirmation(self, now: float, wait_s: float) -> None:
+        if self.sent > self.awaited:
+            self.awaited = self.sent
+            self.awaited_until = now + wait_s
+
+
+def _start_state() -> _Progress[Version]:
+    return _Progress(Version(0), Version(0), Version(0))
+
+
+def _start_list() -> _Progress[MemberListVersion]:
+    earliest = MemberListVersion()
+    return _Progress(earliest, earliest, earliest)
+
+
+@dataclass(slots=True)
+class _FollowerProgress:
+    """What one incarnation of a follower has of the control state and member list."""
+
     incarnation: Incarnation
-    version: Version = Version(0)
-    version_pending_until: float = float("-inf")
-    list_version: MemberListVersion = MemberListVersion()
-    list_pending_until: float = float("-inf")
+    state: _Progress[Version] = field(default_factory=_start_state)
+    member_list: _Progress[MemberListVersion] = field(default_factory=_start_list)
 
 
 class Publisher:
@@ -65,16 +118,26 @@
         now: float,
     ) -> list[Send]:
         """Record the versions that a follower reports and send what it lacks."""
+        progress = self._find_progress(follower, incarnation)
+        progress.state.record_report(version, now)
+        progress.member_list.record_report(list_version, now)
+        return self._build_sends(follower, progress, now)
+
+    def resend(self, follower: InstanceId, asked: AskChanges, now: float) -> list[Send]:
+        """Send everything that a follower lacks that has missed messages."""
+        progress = self._find_progress(follower, asked.incarnation)
+        progress.state.forget_sent(asked.version)
+        progress.member_list.forget_sent(asked.list_version)
+        return self._build_sends(follower, progress, now)
+
+    def _find_progress(
+        self, follower: InstanceId, incarnation: Incarnation
+    ) -> _FollowerProgress:
         progress = self._followers.get(follower)
         if progress is None or progress.incarnation != incarnation:
             progress = _FollowerProgress(incarnation)
             self._followers[follower] = progress
-        # Messages that were sent recently may still be in transit.
-        if now >= progress.version_pending_until or version > progress.version:
-            progress.version = version
-        if now >= progress.list_pending_until or list_version > progress.list_version:
-            progress.list_version = list_version
-        return self._build_sends(follower, progress, now)
+        return progress
 
     def push(self, followers: Iterable[InstanceId], now: float) -> list[Send]:
         """Send these followers what they lack according to their tracked versions."""
@@ -98,26 +161,24 @@
         self, follower: InstanceId, progress: _FollowerProgress, now: float
     ) -> list[Send]:
         sends: list[Send] = []
-        if progress.version < self.state.version:
-            sends.append(Send(follower, self._build_state_update(progress, now)))
-        update = self.member_list.build_update_since(progress.list_version)
+        if progress.state.find_held(now) < self.state.version:
+            sends.append(Send(follower, self._build_state_update(progress.state, now)))
+        held = progress.member_list.find_held(now)
+        update = self.member_list.build_update_since(held)
         if update is not None:
-            progress.list_version = self.member_list.version
-            if now >= progress.list_pending_until:
-                progress.list_pending_until = now + RESEND_CHANGES_S
+            latest = self.member_list.version
+            progress.member_list.record_sent(latest, now, RESEND_CHANGES_S)
             sends.append(Send(follower, update))
         return sends
 
     def _build_state_update(
-        self, progress: _FollowerProgress, now: float
+        self, progress: _Progress[Version], now: float
     ) -> StateChanges | StateSnapshot:
-        since = progress.version
+        since = progress.sent
+        latest = self.state.version
         changes = self.state.changes_since(since)
-        progress.version = self.state.version
-        pending = now < progress.version_pending_until
         if changes is None:
-            progress.version_pending_until = now + RESEND_SNAPSHOT_S
+            progress.record_sent(latest, now, RESEND_SNAPSHOT_S)
             return self.state.take_snapshot()
-        if not pending:
-            progress.version_pending_until = now + RESEND_CHANGES_S
-        return StateChanges(since, progress.version, changes)
+        progress.record_sent(latest, now, RESEND_CHANGES_S)
+        return StateChanges(since, latest, changes)
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -7,6 +7,7 @@
 from burdockwall.process.membership.lagging import LagsChanged, LagTracker
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
+    AskChanges,
     CopyDone,
     Grant,
     InstanceDetails,
@@ -42,7 +43,7 @@
 )
 from burdockwall.version.shards import SHARD_COUNT
 
-REGISTRAR_MESSAGES = (Report, ProbeResult, Released, CopyDone)
+REGISTRAR_MESSAGES = (Report, AskChanges, ProbeResult, Released, CopyDone)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,8 @@
                 return self._tick(now)
             case Receive(sender=sender, message=Report() as report):
                 return self._handle_report(sender, report, now)
+            case Receive(sender=sender, message=AskChanges() as asked):
+                return list(self.publisher.resend(sender, asked, now))
             case Receive(sender=sender, message=ProbeResult() as result):
                 self._handle_probe_result(sender, result, now)
             case Receive(sender=sender, message=Released() as released):
