Bound in bytes what a control replica keeps

An entry may be a document of 4 MiB.

Change: bounds.py states the bounds. The format of the files and messages is as before.

--- a/burdockwall/fakes/files.py
+++ b/burdockwall/fakes/files.py
@@ -84,14 +84,14 @@
         """Read a whole file."""
         return bytes(self._names[name].content)
 
-    def write(self, name: str, offset: int, data: bytes) -> None:
+    def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; with too little space, write a part and raise OSError."""
         due = self._count_operation()
         file = self._get_file(name)
         exceeds_space = self.space_left is not None and len(data) > self.space_left
         if exceeds_space:
             data = data[: self.space_left]
-        change = _Write(offset, data)
+        change = _Write(offset, bytes(data))
         _apply_change(file.content, change)
         file.pending.append(change)
         self._crash_if_due(due)
--- a/burdockwall/process/control/consensus.py
+++ b/burdockwall/process/control/consensus.py
@@ -4,6 +4,11 @@
 from typing import Any
 
 from burdockwall.machine import Receive, Tick
+from burdockwall.process.control.bounds import (
+    HELD_BYTES,
+    HELD_ENTRIES,
+    RETAINED_BYTES,
+)
 from burdockwall.process.control.consensus_state import (
     COMPACT_ENTRIES,
     FIRST_EARLY_CAMPAIGN_S,
@@ -37,6 +42,7 @@
     ControlMessage,
     SendSnapshot,
 )
+from burdockwall.process.control.transfer import OutgoingSnapshot
 from burdockwall.process.control.voters import VoterPolicy
 from burdockwall.types import InstanceId
 
@@ -131,7 +137,7 @@
                 self._receive(event, message)
             case Receive(message=AskJoin() as message) if self.is_leader:
                 self.leader.join(message)
-            case Propose() if self.is_leader:
+            case Propose(data=data) if self.is_leader and self.state.may_append(data):
                 self.leader.propose(event)
             case AskRead() if self.is_leader:
                 self.leader.read(event)
@@ -164,10 +170,33 @@
         state.snapshot_requested = False
         if snapshot.index > state.snapshot_index:
             state.save_snapshot(snapshot)
-            state.log.compact(snapshot.index - RETAINED_ENTRIES)
-        if self.is_leader:
+            state.log.compact(self._choose_base(snapshot.index))
+        if self.is_leader and self._find_awaited() is None:
             self.leader.send_snapshot(snapshot)
 
+    def _choose_base(self, last: int) -> int:
+        """Return the index up to which entries may go once a snapshot has them."""
+        log = self.state.log
+        base = log.find_retained(last, RETAINED_ENTRIES, RETAINED_BYTES)
+        awaited = self._find_awaited()
+        if awaited is None:
+            return base
+        held = log.find_retained(last, HELD_ENTRIES, HELD_BYTES)
+        return min(base, awaited.index) if held <= awaited.index else base
+
+    def _find_awaited(self) -> OutgoingSnapshot | None:
+        """Return the snapshot being sent if a replica that answers can use it."""
+        state, outgoing = self.state, self.leader.outgoing
+        base = state.log.base_index
+        if state.leadership is None or outgoing is None or outgoing.index < base:
+            return None
+        answered_since = state.now - state.timing.election_timeout_s
+        awaited = any(
+            progress.next_index <= base and progress.last_answer_at >= answered_since
+            for progress in state.leadership.progress.values()
+        )
+        return outgoing if awaited else None
+
     def _receive(self, event: Receive, message: ControlMessage) -> None:
         state = self.state
         if message.target != state.own_member.voter:
--- a/burdockwall/process/control/consensus_state.py
+++ b/burdockwall/process/control/consensus_state.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockwall.machine import Message, Send
+from burdockwall.process.control.bounds import COMPACT_BYTES, UNCOMMITTED_BYTES
 from burdockwall.process.control.entries import (
     NO_VOTER,
     Entry,
@@ -28,7 +29,7 @@
     TakeSnapshot,
 )
 from burdockwall.process.control.leadership import Leadership
-from burdockwall.process.control.log import ReplicatedLog
+from burdockwall.process.control.log import ReplicatedLog, measure_entries
 from burdockwall.process.deferred import DeferredMessages
 from burdockwall.types import InstanceId, Term
 
@@ -96,6 +97,8 @@
         self.ticket = 0
         self.snapshot_requested = False
         self.snapshot_index = self.log.base_index
+        # Bytes in the journal, replaced entries included.
+        self.journal_bytes = recovered.journal_bytes
         self._unsynced: list[PendingWrite] = []
         self._deferred = DeferredMessages()
         self._reported_membership_index = -1
@@ -167,6 +170,7 @@
             if entry.index <= self.log.last_index:
                 self.lower_durable_index(entry.index)
             self.log.append(entry)
+        self.journal_bytes += measure_entries(entries)
         self.ticket += 1
         self.actions.append(Persist(self.ticket, hard_state, entries))
         self.track_write()
@@ -225,7 +229,8 @@
     def advance_commit(self, index: int) -> None:
         """Commit entries up to an index and apply them in order.
 
-        Requests a snapshot after every `compact_entries` applied entries.
+        Requests a snapshot after every `compact_entries` applied entries, and sooner if
+        the journal is large.
         """
         self.commit_index = max(self.commit_index, min(index, self.log.last_index))
         calls = self.leadership.pending_calls if self.leadership else {}
@@ -233,9 +238,21 @@
             self.applied_index += 1
             entry = self.log.get_entry(self.applied_index)
             self.actions.append(ApplyEntry(entry, calls.pop(self.applied_index, None)))
-        if self.applied_index - self.snapshot_index >= self.compact_entries:
+        if self._is_snapshot_due():
             self.request_snapshot()
 
+    def _is_snapshot_due(self) -> bool:
+        applied = self.applied_index - self.snapshot_index
+        large = self.journal_bytes >= COMPACT_BYTES
+        return applied >= self.compact_entries or (applied > 0 and large)
+
+    def may_append(self, data: bytes) -> bool:
+        """Return whether data may wait with the entries that are not committed."""
+        first = self.commit_index + 1
+        waiting = self.log.list_from(first, len(self.log.entries))
+        size = len(data) + measure_entries(waiting)
+        return size <= UNCOMMITTED_BYTES or not waiting
+
     def request_snapshot(self) -> None:
         """Request a snapshot of the control state unless one is requested already."""
         if not self.snapshot_requested:
@@ -246,6 +263,7 @@
         """Request a write of a snapshot, and of a journal with the entries after it."""
         self.snapshot_index = snapshot.index
         later = self.log.list_from(snapshot.index + 1, len(self.log.entries))
+        self.journal_bytes = measure_entries(later)
         self.ticket += 1
         self.actions.append(SaveSnapshot(self.ticket, snapshot, self.hard_state, later))
         self.track_write()
--- a/burdockwall/process/control/events.py
+++ b/burdockwall/process/control/events.py
@@ -30,6 +30,7 @@
     hard_state: HardState
     snapshot: Snapshot | None = None
     entries: tuple[Entry, ...] = ()
+    journal_bytes: int = 0
 
 
 # Events.
--- a/burdockwall/process/control/files.py
+++ b/burdockwall/process/control/files.py
@@ -25,7 +25,7 @@
         """Read a whole file."""
         ...
 
-    def write(self, name: str, offset: int, data: bytes) -> None:
+    def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; create the file if it is missing."""
         ...
 
@@ -88,7 +88,7 @@
         """Read a whole file."""
         return (self.folder / name).read_bytes()
 
-    def write(self, name: str, offset: int, data: bytes) -> None:
+    def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; create the file if it is missing."""
         descriptor = self._get_descriptor(name)
         if os.pwrite(descriptor, data, offset) != len(data):
--- a/burdockwall/process/control/journal.py
+++ b/burdockwall/process/control/journal.py
@@ -38,6 +38,7 @@
 IDENTITY_NAME = "identity.json"
 MARK_NAME = "journal.mark"
 TEMPORARY_SUFFIX = ".new"
+WRITE_BYTES = 1_048_576
 
 
 class Identity(msgspec.Struct, frozen=True):
@@ -103,16 +104,23 @@
 
     def _write_batch(self, batch: list[Record]) -> None:
         name = name_journal(self._generation)
-        parts = []
+        waiting = bytearray()
         for record in batch:
             data, self._checksum = encode_record(record, self._checksum)
-            parts.append(data)
-        data = b"".join(parts)
-        self.files.write(name, self._length, data)
+            if len(waiting) + len(data) > WRITE_BYTES:
+                self._write_records(name, waiting)
+                waiting = data
+            else:
+                waiting += data
+        self._write_records(name, waiting)
         self.files.sync(name)
+        self._write_mark()
+
+    def _write_records(self, name: str, data: bytearray) -> None:
+        if data:
+            self.files.write(name, self._length, data)
         self._length += len(data)
         self.synced_bytes += len(data)
-        self._write_mark()
 
     def _write_mark(self) -> None:
         self._sequence += 1
@@ -133,7 +141,7 @@
         # journal valid again.
         self._write_mark()
 
-    def _replace_file(self, name: str, data: bytes) -> None:
+    def _replace_file(self, name: str, data: bytes | bytearray) -> None:
         temporary = name + TEMPORARY_SUFFIX
         self.files.truncate(temporary, 0)
         self.files.write(temporary, 0, data)
@@ -149,11 +157,16 @@
         self._remove_stale(name)
 
     def _remove_stale(self, snapshot: str | None) -> None:
-        current = {IDENTITY_NAME, MARK_NAME, name_journal(self._generation), snapshot}
-        for name in self.files.list_names():
-            storage = name.startswith(("journal-", "snapshot-"))
-            if name not in current and storage:
-                self.files.remove(name)
+        for name in self._list_stale(self.files.list_names(), snapshot):
+            self.files.remove(name)
+
+    def _list_stale(self, names: list[str], snapshot: str | None) -> list[str]:
+        current = {name_journal(self._generation), snapshot}
+        return [
+            name
+            for name in names
+            if name.startswith(("journal-", "snapshot-")) and name not in current
+        ]
 
     def create(self, identity: Identity, records: list[Record]) -> None:
         """Create the files of a new replica; write the identity last."""
@@ -182,12 +195,16 @@
         if name not in names:
             raise StorageError(Code.JOURNAL_DAMAGED, f"{name} is missing")
         data = self.files.read(name)
+        size = len(data)
         parsed = parse_records(data, mark.generation, mark.length)
+        # Both may be large, and so may the snapshot.
+        del data
         replayed = replay_records(parsed.records)
+        parsed.records.clear()
         snapshot = self._find_snapshot(names, replayed.base)
         self._sequence, self._generation = mark.sequence, mark.generation
         self._length, self._checksum = parsed.length, parsed.checksum
-        if (len(data), parsed.length) != (mark.length, mark.length):
+        if (size, parsed.length) != (mark.length, mark.length):
             self.files.truncate(name, parsed.length)
             self.files.sync(name)
             self._write_mark()
@@ -195,8 +212,15 @@
         if snapshot is not None and snapshot.index > replayed.base:
             # A crash happened after the snapshot was written and before its journal.
             self._start_generation([Base(snapshot.index), replayed.hard_state, *later])
-            self._remove_stale(name_snapshot(snapshot.index))
-        return Recovered(replayed.hard_state, snapshot, tuple(later))
+        self._remove_left(names, name_snapshot(snapshot.index) if snapshot else None)
+        return Recovered(replayed.hard_state, snapshot, tuple(later), self._length)
+
+    def _remove_left(self, names: list[str], snapshot: str | None) -> None:
+        """Remove the files that a crash has left, so that they don't fill the disk."""
+        if self._list_stale(names, snapshot):
+            # No mark may name a journal that is removed.
+            self._write_mark()
+            self._remove_stale(snapshot)
 
     def _find_snapshot(self, names: list[str], base: int) -> Snapshot | None:
         for name in list_snapshots(names):
--- a/burdockwall/process/control/log.py
+++ b/burdockwall/process/control/log.py
@@ -1,5 +1,7 @@
 """Store the entries of the replicated log after its compacted part."""
 
+from collections.abc import Iterable
+
 from burdockwall.process.control.entries import (
     Data,
     Entry,
@@ -86,6 +88,17 @@
                 return tuple(entries[:count])
         return tuple(entries)
 
+    def find_retained(self, last: int, limit: int, limit_bytes: int) -> int:
+        """Return the index after which entries up to `last` fit a count and a size."""
+        index = last
+        size = 0
+        while index > max(self.base_index, last - limit):
+            size += measure_entry(self.get_entry(index))
+            if size > limit_bytes:
+                break
+            index -= 1
+        return index
+
     def append(self, entry: Entry) -> None:
         """Append an entry, replacing all entries from its index on."""
         if entry.index <= self.last_index:
@@ -123,3 +136,8 @@
     payload = entry.payload
     size = len(payload.data) if isinstance(payload, Data) else 0
     return size + ENTRY_OVERHEAD_BYTES
+
+
+def measure_entries(entries: Iterable[Entry]) -> int:
+    """Estimate the size of encoded entries in bytes."""
+    return sum(measure_entry(entry) for entry in entries)
--- a/burdockwall/process/control/records.py
+++ b/burdockwall/process/control/records.py
@@ -16,6 +16,7 @@
 SNAPSHOT_HEAD = struct.Struct("<QI")
 
 Record = Base | HardState | Entry
+_encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
@@ -37,12 +38,20 @@
     checksum: int
 
 
-def encode_record(record: Record, checksum: int) -> tuple[bytes, int]:
+def encode_record(record: Record, checksum: int) -> tuple[bytearray, int]:
     """Encode a record; return it and the checksum to continue with."""
-    body = msgspec.msgpack.encode(record)
+    # Large records are copied as seldom as possible.
+    data = bytearray(FRAME.size)
+    _encoder.encode_into(record, data, FRAME.size)
+    with memoryview(data)[FRAME.size :] as body:
+        checksum = _continue_checksum(body, checksum)
+        FRAME.pack_into(data, 0, len(body), checksum)
+    return data, checksum
+
+
+def _continue_checksum(body: memoryview, checksum: int) -> int:
     head = struct.pack("<I", len(body))
-    checksum = zlib.crc32(head + body, checksum)
-    return FRAME.pack(len(body), checksum) + body, checksum
+    return zlib.crc32(body, zlib.crc32(head, checksum))
 
 
 def parse_records(data: bytes, generation: int, synced: int) -> ParsedRecords:
@@ -52,11 +61,12 @@
     length were never acknowledged, so they may be lost.
     """
     records: list[Record] = []
+    view = memoryview(data)
     offset, checksum = 0, generation
     while offset + FRAME.size <= len(data):
         size, expected = FRAME.unpack_from(data, offset)
-        body = data[offset + FRAME.size : offset + FRAME.size + size]
-        computed = zlib.crc32(struct.pack("<I", size) + body, checksum)
+        body = view[offset + FRAME.size : offset + FRAME.size + size]
+        computed = _continue_checksum(body, checksum)
         if len(body) != size or computed != expected or not size:
             break
         records.append(_decoder.decode(body))
@@ -89,15 +99,18 @@
     return max(marks, key=lambda mark: mark.sequence)
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
+def encode_snapshot(snapshot: Snapshot) -> bytearray:
     """Encode a snapshot with its length and checksum."""
-    body = msgspec.msgpack.encode(snapshot)
-    return SNAPSHOT_HEAD.pack(len(body), zlib.crc32(body)) + body
+    data = bytearray(SNAPSHOT_HEAD.size)
+    _encoder.encode_into(snapshot, data, SNAPSHOT_HEAD.size)
+    with memoryview(data)[SNAPSHOT_HEAD.size :] as body:
+        SNAPSHOT_HEAD.pack_into(data, 0, len(body), zlib.crc32(body))
+    return data
 
 
 def parse_snapshot(data: bytes, name: str) -> Snapshot:
     """Decode a snapshot, or raise StorageError if it is damaged."""
-    body = data[SNAPSHOT_HEAD.size :]
+    body = memoryview(data)[SNAPSHOT_HEAD.size :]
     damaged = StorageError(Code.SNAPSHOT_DAMAGED, f"{name} is damaged")
     if len(data) < SNAPSHOT_HEAD.size:
         raise damaged
--- a/burdockwall/process/control/transfer.py
+++ b/burdockwall/process/control/transfer.py
@@ -7,7 +7,7 @@
 from burdockwall.process.control.entries import Snapshot
 from burdockwall.process.control.messages import SendSnapshot
 
-PART_BYTES = 65_536
+PART_BYTES = 262_144
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +49,7 @@
             self._parts += message.part
         if len(self._parts) < self.total:
             return None
-        snapshot = msgspec.msgpack.decode(bytes(self._parts), type=Snapshot)
+        snapshot = msgspec.msgpack.decode(self._parts, type=Snapshot)
         self.index = self.total = 0
-        self._parts.clear()
+        self._parts = bytearray()
         return snapshot
--- a/features/steps/control_faults_steps.py
+++ b/features/steps/control_faults_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from burdockwall.process.control.consensus_state import COMPACT_ENTRIES
 from features.subjects.control_faults import run_seed
 from features.subjects.control_protections import find_failure
 
@@ -33,3 +34,14 @@
 def step_check_leaders(context):
     observed = [cluster.observed for cluster in context.clusters]
     assert sum(len(item.leaders) for item in observed) > len(observed)
+
+
+@then("snapshots were written before the bound on entries")
+def step_check_snapshots(context):
+    states = [
+        node.replica.consensus.state
+        for cluster in context.clusters
+        for node in cluster.nodes.values()
+    ]
+    assert all(state.log.last_index < COMPACT_ENTRIES for state in states)
+    assert sum(state.snapshot_index > 0 for state in states) > len(states) / 2
--- a/features/subjects/control_faults.py
+++ b/features/subjects/control_faults.py
@@ -4,6 +4,7 @@
 
 from burdockwall.fakes.network import NetworkConditions
 from features.subjects.control_cluster import BrokenInvariant, ControlCluster, Node
+from features.subjects.control_documents import DocumentsCluster, patch_bounds
 
 HOUR_S = 3600.0
 
@@ -129,6 +130,11 @@
         committed = state.log.membership_index <= state.commit_index
         return committed and state.log.membership.is_voter(node.member.voter)
 
+    def run_documents(self) -> None:
+        runs = (FaultRun.run_crashes, FaultRun.run_network, FaultRun.run_disks)
+        with patch_bounds():
+            runs[self.cluster.seed % len(runs)](self)
+
     def run_isolated_hour(self) -> None:
         cluster = self.cluster
         cluster.run(3.0)
@@ -153,12 +159,15 @@
     "network": FaultRun.run_network,
     "disks": FaultRun.run_disks,
     "hour": FaultRun.run_isolated_hour,
+    "documents": FaultRun.run_documents,
 }
+CLUSTERS = {"documents": DocumentsCluster}
 
 
-def run_seed(kind: str, seed: int, cluster_class=ControlCluster) -> ControlCluster:
+def run_seed(kind: str, seed: int, cluster_class=None) -> ControlCluster:
     """Run one kind of faults from one seed; raise BrokenInvariant on a violation."""
     voters = 5 if seed % 5 == 0 else 3
+    cluster_class = cluster_class or CLUSTERS.get(kind, ControlCluster)
     cluster = cluster_class(seed, voters)
     RUNS[kind](FaultRun(cluster))
     return cluster
