--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -38,7 +38,8 @@
     if arguments == ["list"]:
         print("\n".join(names))
         return 0
-    selected = names if arguments == ["all"] else arguments
+    given = [argument.replace("-", "_") for argument in arguments]
+    selected = names if given == ["all"] else given
     unknown = [name for name in selected if name not in names]
     if unknown or not selected:
         print(f"unknown {unknown}; known: {', '.join(names)}", file=sys.stderr)
