Treat an address that can't be read as one that can't be reached

Callers saw streams cut off and calls answered 500: an entry of another writer in the platform's list, whose address was a URL, ended every entry process soon after any server had crashed, and again after each restart.

Cause: the list took each address with a colon in it, and split_address raised a ValueError, which the task that opens connections doesn't expect.

Change: an entry whose address is no IP address with a port of 1 to 65535 names no server. split_address raises AddressUnreadable, an OSError, so that each place that opens a connection (requests, checks of the path, health requests, links to peers) sees a connection that failed.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -242,9 +242,9 @@
 
     async def check(self, address: Address) -> Probe:
         """Open a connection to an address, and report whether it could be opened."""
-        host, port = split_address(address)
         probe = Probe.UNKNOWN
         try:
+            host, port = split_address(address)
             with anyio.fail_after(self.connect_s):
                 stream = await self.open_socket(host, port)
             probe = Probe.OPENED
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -252,8 +252,8 @@
 
 async def open_upstream(address: Address, timeout_s: float) -> UpstreamConnection:
     """Connect to an endpoint, or raise ConnectFailed."""
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(host, port)
     except TimeoutError as error:
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -3,6 +3,7 @@
 import httpx
 import msgspec
 
+from burdockwall.connection.address import read_ip_address
 from burdockwall.connection.client import create_http_client
 from burdockwall.platform.cold import convert_cold_ms
 from burdockwall.platform.names import LIST_PATH
@@ -83,12 +84,13 @@
     except msgspec.MsgspecError:
         # Another program wrote the entry, and it describes no server.
         return None
-    if entry.state not in USABLE_STATES or ":" not in entry.address:
+    address = read_ip_address(entry.address)
+    if entry.state not in USABLE_STATES or address is None:
         return None
     return ListedEndpoint(
         EndpointId(entry.id),
         ServiceName(entry.service),
-        Address(entry.address),
+        address,
         FailureDomain(entry.zone),
         max(1, entry.slots),
         entry.state == DRAINING,
