Let an unreadable entry of the server list cost only itself

Callers saw routes that were added later not served while another writer's entry stood in the platform's list: text with half a character or a number that is none made the whole page unreadable. Brackets 100,000 deep raised RecursionError, which the reader's caller doesn't expect; slots, starts or pages beyond any bound went on to the peers' encoding, the headers and httpx.

Cause: the page and its entries were decoded at once, only msgspec's own errors were expected, and no range was checked.

Change: connection/json_text.py has one exception for every text that can't be decoded, and splits an array or object without recursion and without reading its parts. connection/paged_list.py reads a list with bounds for pages, bytes and entries, and splits a page only where it can't be decoded. The entry's type in platform/server_list.py has the ranges of its fields. A page that is cut or isn't JSON is unread as before.

--- a/burdockwall/connection/address.py
+++ b/burdockwall/connection/address.py
@@ -1,5 +1,6 @@
 """Parse network addresses."""
 
+import functools
 import ipaddress
 import re
 
@@ -7,6 +8,8 @@
 
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 MAX_PORT = 65_535
+# A list of endpoints has the same addresses at each reading.
+MAX_CACHED = 8192
 
 
 class AddressUnreadable(OSError):
@@ -34,6 +37,7 @@
     return True
 
 
+@functools.lru_cache(maxsize=MAX_CACHED)
 def read_ip_address(text: str) -> Address | None:
     """Return a text if it is an IP address and a port, else None."""
     try:
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -1,10 +1,12 @@
 """Reader of the platform's list of servers."""
 
-import httpx
+from typing import Annotated
+
 import msgspec
 
 from burdockwall.connection.address import read_ip_address
-from burdockwall.connection.client import create_http_client
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
+from burdockwall.connection.paged_list import ListUnreadable, PagedList, PageFormat
 from burdockwall.platform.cold import convert_cold_ms
 from burdockwall.platform.names import LIST_PATH
 from burdockwall.process.control_node import EndpointListUnread
@@ -17,71 +19,58 @@
     SoftwareVersion,
 )
 
-READ_TIMEOUT_S = 1.5
-MAX_PAGES = 100
+PAGE_FORMAT = PageFormat(LIST_PATH, "instances", "next", "page-token")
 DRAINING = "draining"
 USABLE_STATES = ("ready", DRAINING)
 
+# An id is sent in a header.
+_Id = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,256}\Z")]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Token = Annotated[str, msgspec.Meta(max_length=1024)]
+
 
 class _Entry(msgspec.Struct):
     """The fields read from an entry; entries of other programs may lack some."""
 
-    id: str
-    service: str
-    address: str
-    zone: str
+    id: _Id
+    service: _Name
+    address: Annotated[str, msgspec.Meta(max_length=64)]
+    zone: _Name
     state: str
-    version: str = ""
-    slots: int = 1
-    born: int | None = None
+    version: Annotated[str, msgspec.Meta(max_length=256)] = ""
+    slots: _Slots = 1
+    born: _UnixMs | None = None
     # Read later, so that a value that is no number costs only itself.
     cold_left_ms: msgspec.Raw = msgspec.field(
         name="cold-left-ms", default=msgspec.Raw()
     )
 
 
-class _Page(msgspec.Struct):
-    instances: list[msgspec.Raw]
-    next: str | None = None
+_decoder = msgspec.json.Decoder(_Entry)
 
 
 class ServerListReader:
-    """Reads the platform's list of servers, page by page."""
+    """Reads the platform's list of servers."""
 
     def __init__(self, address: Address) -> None:
-        self._client = create_http_client(READ_TIMEOUT_S, f"http://{address}")
+        self._list = PagedList(address, PAGE_FORMAT)
 
     async def read(self) -> list[ListedEndpoint]:
         """Return the servers of the list, or raise EndpointListUnread."""
-        servers: list[ListedEndpoint] = []
-        token: str | None = None
-        for _ in range(MAX_PAGES):
-            page = await self._read_page(token)
-            servers += [
-                entry
-                for raw in page.instances
-                if (entry := convert_entry(raw)) is not None
-            ]
-            token = page.next
-            if token is None:
-                return servers
-        raise EndpointListUnread(f"the list has over {MAX_PAGES} pages")
-
-    async def _read_page(self, token: str | None) -> _Page:
-        query = {"page-token": token} if token else {}
         try:
-            response = await self._client.get(LIST_PATH, params=query)
-            response.raise_for_status()
-            return msgspec.json.decode(response.content, type=_Page)
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
-            raise EndpointListUnread(f"{type(error).__name__}: {error}") from error
+            entries = map(convert_entry, await self._list.read())
+        except ListUnreadable as error:
+            raise EndpointListUnread(str(error)) from error
+        return [entry for entry in entries if entry is not None]
 
 
-def convert_entry(raw: msgspec.Raw) -> ListedEndpoint | None:
+def convert_entry(raw: bytes) -> ListedEndpoint | None:
     """Convert an entry of the list, or return None if it is no usable server's."""
     try:
-        entry = msgspec.json.decode(raw, type=_Entry)
-    except msgspec.MsgspecError:
+        entry = decode_json(raw, _decoder)
+    except JsonUnreadable:
         # Another program wrote the entry, and it describes no server.
         return None
     address = read_ip_address(entry.address)
--- a/features/subjects/cold_endpoints.py
+++ b/features/subjects/cold_endpoints.py
@@ -82,7 +82,7 @@
 
 def read_listed(text: str) -> bool:
     """Return whether an entry of the list with a cold time makes its endpoint cold."""
-    entry = msgspec.Raw(
+    entry = (
         b'{"id":"e","service":"engines","address":"10.0.0.1:1","zone":"a","state":"ready",'
         b'"cold-left-ms":%s}' % text.encode()
     )
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -87,3 +87,67 @@
         pooled = await UpstreamPools(anyio.current_time).check(self.address)
         clients = EndpointClients(TIMEOUT_S, TIMEOUT_S)
         return [opened, pooled, await clients.check(self.address)]
+
+
+def _replace(name: bytes, value: bytes) -> bytes:
+    """Build an entry with the text of one field as it stands."""
+    entry = build_entry("bad", **{name.decode(): "REPLACED"})
+    return entry.replace(b'"REPLACED"', value)
+
+
+DEPTH = 100_000
+DEEP = b"[" * DEPTH + b"]" * DEPTH
+MEGABYTE = "a" * 1_000_000
+BAD_ENTRIES = {
+    "half a character": _replace(b"id", b'"\\ud800"'),
+    "bytes that are no UTF-8": _replace(b"id", b'"\xff\xfe"'),
+    "brackets 100000 deep": DEEP,
+    "an unknown field that deep": _replace(b"notes", DEEP),
+    "slots of 2**70": build_entry("bad", slots=2**70),
+    "slots of -1": build_entry("bad", slots=-1),
+    "slots of 1e400": _replace(b"slots", b"1e400"),
+    "slots of NaN": _replace(b"slots", b"NaN"),
+    "slots of a text": build_entry("bad", slots="8"),
+    "a start of 2**70": build_entry("bad", born=2**70),
+    "a start of -1": build_entry("bad", born=-1),
+    "a start of Infinity": _replace(b"born", b"Infinity"),
+    "a start of 5000 digits": _replace(b"born", b"9" * 5000),
+    "an id of a megabyte": build_entry(MEGABYTE),
+    "an id of two lines": build_entry("bad\r\nx: y"),
+    "an empty id": build_entry(""),
+    "a zone of a megabyte": build_entry("bad", zone=MEGABYTE),
+    "a number as its service": build_entry("bad", service=5),
+    "other brackets at its end": b'{"id":"bad"]',
+    "a literal that is cut": b"tru",
+    "no text at all": b"",
+    "quotes and brackets in text": _replace(b"id", b'"\\ud800\\\\\\"]}[{,"'),
+    "null for a version": build_entry("bad", version=None),
+    **{
+        f"no {field}": build_entry("bad", **{field: ...})
+        for field in ("id", "service", "address", "zone", "state", "version", "slots")
+    },
+}
+_WHOLE = build_page(build_entry("i-1"), build_entry("i-2"))
+UNREAD_PAGES = {
+    "nothing": b"",
+    "a page cut within an entry": _WHOLE[:60],
+    "a page cut after an entry": _WHOLE[: _WHOLE.index(b"}") + 1],
+    "a page cut within a text": _WHOLE[: _WHOLE.index(b"i-2") + 1],
+    "bytes after the page": _WHOLE + b"}",
+    "bytes within the page": build_page(b"\xff]", build_entry("i-1")),
+    "no entries": b'{"next":null}',
+    "an object of entries": b'{"instances":{},"next":null}',
+    "a number for the next page": build_page(b"\xff", following=b"5"),
+    "a next page of a megabyte": build_page(following=json.dumps(MEGABYTE).encode()),
+    "brackets without end": b"[" * DEPTH,
+    "a page of 5 megabytes": build_page(*[build_entry("i-1", zone=MEGABYTE)] * 5),
+}
+
+
+def build_many(count: int, page: int) -> list[bytes]:
+    """Build the pages of a list with many servers."""
+    entries = [build_entry(f"i-{number}") for number in range(count)]
+    return [
+        build_page(*entries[first : first + page], following=b'"more"')
+        for first in range(0, count, page)
+    ]
