Let a message that fails cost itself alone

Seen: an instance ends by itself when one of its messages can't be encoded (an integer over 64 bits: OverflowError in PeerLink.run), and when an acknowledgement can't be read or has one message with a field of another type. A message whose handling raises breaks the connection and loses those after it; a batch nested too deep does so too.

Cause: PeerLink.run expects only errors of the connection; the codec leaves unknown messages out of batches only, only for errors of the validation, and encodes a batch as a whole.

Change: the codec leaves out, in both directions and in acknowledgements too, what can't be encoded or read; bytes that can't be taken apart are an UnreadableFrame, which costs its batch and not the connection. An error in handling is logged with its place, counted (gauge errors_survived) and passed over; any error of a link is a lost connection.

A message that is nested too deep still costs its batch: its end can't be found.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -28,8 +28,10 @@
     AnyMessage,
     Envelope,
     MessagePackCodec,
+    UnreadableFrame,
 )
 from burdockwall.machine import Message
+from burdockwall.process.failures import Failures
 from burdockwall.types import Address, Incarnation, InstanceId
 
 EXCHANGE_METHOD = "/burdockwall.Peer/Exchange"
@@ -45,8 +47,6 @@
 
 Deliver = Callable[[InstanceId, Message], None]
 
-_logger = logbook.Logger("peers")
-
 
 @dataclass(slots=True)
 class _Answers:
@@ -74,8 +74,10 @@
         silence_s: float,
         tls: ssl.SSLContext | None,
         receive: Callable[[list[AnyMessage]], None],
+        failures: Failures | None = None,
     ) -> None:
         self.tls = tls
+        self.failures = failures or Failures()
         self.receive = receive
         self.sender = sender
         self.incarnation = incarnation
@@ -140,7 +142,9 @@
             try:
                 await self._connect_once()
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
-                self.replacements += 1
+                self._record_failure(error)
+            except Exception as error:
+                self.failures.record("peer not sent to", error, peer=self.address)
                 self._record_failure(error)
             self._connect_timeout_s = min(self.silence_s, 2 * self._connect_timeout_s)
             if self._acknowledged or self._heard:
@@ -151,6 +155,7 @@
             delay_s = min(RECONNECT_LIMIT_S, 2 * delay_s)
 
     def _record_failure(self, error: Exception) -> None:
+        self.replacements += 1
         if self._reachable is not False:
             problem = f"{type(error).__name__}: {error}"
             extra = {"peer": self.address, "error": problem}
@@ -250,6 +255,7 @@
         self.instance = instance
         self.incarnation = incarnation
         self.silence_s = silence_s
+        self.failures = Failures()
         self._deliver: Deliver | None = None
         self._answers: _Answers | None = None
         self.links = {
@@ -268,6 +274,7 @@
             self.silence_s,
             client,
             lambda messages: self._deliver_messages(peer, messages),
+            self.failures,
         )
 
     def set_receiver(self, deliver: Deliver) -> None:
@@ -319,7 +326,12 @@
         self, stream: "grpclib.server.Stream[Envelope, Acknowledgement]"
     ) -> None:
         while True:
-            envelope = await stream.recv_message()
+            try:
+                envelope = await stream.recv_message()
+            except UnreadableFrame as error:
+                self.failures.record("batch not read", error)
+                await stream.send_message(Acknowledgement(0, PROTOCOL))
+                continue
             if envelope is None:
                 return
             link = self.links.get(envelope.sender)
@@ -345,10 +357,10 @@
         for message in messages:
             try:
                 self._deliver(sender, message)
-            except Exception:
-                extra = {"sender": sender, "kind": type(message).__name__}
-                _logger.exception("message not handled", extra=extra)
-                raise
+            except Exception as error:
+                kind = type(message).__name__
+                fields = {"sender": sender, "kind": kind}
+                self.failures.record("message not handled", error, **fields)
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         handler = grpclib.const.Handler(
@@ -371,4 +383,5 @@
                     group.start_soon(link.run)
                 await anyio.sleep_forever()
         finally:
+            self._group = None
             server.close()
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -1,5 +1,6 @@
 """Encode the messages between instances as MessagePack."""
 
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -97,6 +98,10 @@
     messages: list[AnyMessage] = []
 
 
+class UnreadableFrame(Exception):
+    """The bytes of a batch or acknowledgement can't be taken apart."""
+
+
 class _RawEnvelope(msgspec.Struct, frozen=True, array_like=True):
     sender: InstanceId
     incarnation: Incarnation
@@ -105,8 +110,20 @@
     protocol: int = 0
 
 
+class _RawAcknowledgement(msgspec.Struct, frozen=True, array_like=True):
+    count: int
+    protocol: int = 0
+    messages: list[msgspec.Raw] = []
+
+
+Frame = Envelope | Acknowledgement
+
+
 class MessagePackCodec(CodecBase):
-    """The grpclib codec of envelopes and acknowledgements."""
+    """The grpclib codec of envelopes and acknowledgements.
+
+    A message that can't be encoded or decoded is left out, and the others are kept.
+    """
 
     __content_subtype__ = "msgpack"
 
@@ -115,36 +132,57 @@
         self._decoders = {
             kind: msgspec.msgpack.Decoder(kind) for kind in (Envelope, Acknowledgement)
         }
-        self._raw_decoder = msgspec.msgpack.Decoder(_RawEnvelope)
+        self._raw_decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {
+            Envelope: msgspec.msgpack.Decoder(_RawEnvelope),
+            Acknowledgement: msgspec.msgpack.Decoder(_RawAcknowledgement),
+        }
         self._message_decoder: msgspec.msgpack.Decoder[AnyMessage] = (
             msgspec.msgpack.Decoder(AnyMessage)
         )
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Encode a struct of the given type."""
-        return self._encoder.encode(message)
+        """Encode a frame."""
+        try:
+            return self._encoder.encode(message)
+        except Exception:
+            return self._encode_sound(message)
 
-    def decode(self, data: bytes, message_type: Any) -> Any:
-        """Decode a struct of the given type.
+    def _encode_sound(self, frame: Frame) -> bytes:
+        sound = []
+        for message in frame.messages:
+            try:
+                self._encoder.encode(message)
+            except Exception as error:
+                extra = {"kind": type(message).__name__, "error": repr(error)}
+                _logger.error("message not encoded", extra=extra)
+            else:
+                sound.append(message)
+        return self._encoder.encode(msgspec.structs.replace(frame, messages=sound))
 
-        Messages of an envelope that this build does not know are left out.
-        """
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Decode a frame of the given type; raise UnreadableFrame if that fails."""
         try:
             return self._decoders[message_type].decode(data)
-        except msgspec.ValidationError:
-            if message_type is not Envelope:
-                raise
-            return self._decode_known(data)
+        except Exception:
+            return self._decode_known(data, message_type)
 
-    def _decode_known(self, data: bytes) -> Envelope:
-        raw = self._raw_decoder.decode(data)
+    def _decode_known(self, data: bytes, message_type: Any) -> Frame:
+        try:
+            raw = self._raw_decoders[message_type].decode(data)
+        except Exception as error:
+            raise UnreadableFrame(repr(error)) from error
+        known = self._decode_messages(raw.messages)
+        unknown = len(raw.messages) - len(known)
+        extra = {"sender": getattr(raw, "sender", ""), "count": unknown}
+        _logger.warning("messages of another build left out", extra=extra)
+        fields = msgspec.structs.asdict(raw) | {"messages": known}
+        frame: Frame = message_type(**fields)
+        return frame
+
+    def _decode_messages(self, messages: list[msgspec.Raw]) -> list[AnyMessage]:
         known = []
-        unknown = 0
-        for item in raw.messages:
-            try:
+        for item in messages:
+            # Decoding raises errors of several kinds, for text that isn't UTF-8 too.
+            with suppress(Exception):
                 known.append(self._message_decoder.decode(item))
-            except msgspec.ValidationError:
-                unknown += 1
-        extra = {"sender": raw.sender, "count": unknown}
-        _logger.warning("messages of another build left out", extra=extra)
-        return Envelope(raw.sender, raw.incarnation, raw.count, known, raw.protocol)
+        return known
--- a/burdockwall/process/ending.py
+++ b/burdockwall/process/ending.py
@@ -23,13 +23,18 @@
     """Log an error, or each of the errors in a group."""
     logger = logbook.Logger("instance")
     for cause in list_causes(error):
-        extra: dict[str, object] = {
-            "error": f"{type(cause).__name__}: {cause}",
-            "place": find_place(cause),
-        }
-        if isinstance(cause, BurdockwallError):
-            extra["code"] = cause.code.value.number
-        logger.critical("process ends by itself", extra=extra)
+        logger.critical("process ends by itself", extra=describe_cause(cause))
+
+
+def describe_cause(cause: BaseException) -> dict[str, object]:
+    """Return the fields of a log line about an error."""
+    extra: dict[str, object] = {
+        "error": f"{type(cause).__name__}: {cause}",
+        "place": find_place(cause),
+    }
+    if isinstance(cause, BurdockwallError):
+        extra["code"] = cause.code.value.number
+    return extra
 
 
 def list_causes(error: BaseException) -> Iterator[BaseException]:
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -66,6 +66,7 @@
         self.gauges.add(
             "versions_behind", lambda: float(self.membership.count_versions_behind())
         )
+        self.gauges.add("errors_survived", lambda: float(self.bus.failures.count))
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
 
