Contain an error within one event of a state machine

Seen: a machine that raises at a tick ends Host.run and with it the process; the machines after it get no tick. One that raises at a message breaks the connection; an action that raises keeps back the actions after it, messages to others among them.

Cause: the host delivers events and performs actions without any bound around an error.

An error within the replica of the control state, a store's ledger or the records of programs ends the process (MachineFailed, new code 2106): what such a machine confirms must be stored, and an event that was half handled can leave a record that counts as written and isn't. The machine gets no further event, so it confirms nothing meanwhile.

--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -268,6 +268,12 @@
     DISK_FAILED = CodeRow(
         2105, 500, Ran.UNKNOWN, Retry.SAME_KEY, "A write to the data folder failed."
     )
+    STATE_UNCERTAIN = CodeRow(
+        2106, 500, Ran.UNKNOWN, Retry.SAME_KEY, "A fault left stored state uncertain."
+    )
+    ADDRESS_UNAVAILABLE = CodeRow(
+        2107, 500, Ran.NOT_RUN, Retry.NEVER, "A listening address can't be used."
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -108,7 +108,9 @@
         self._flush_requested = anyio.Event()
         self._refusal_tokens = float(REFUSALS_BURST)
         self._refusal_tokens_at = 0.0
-        self._hosted = host.add(self.replica, CONTROL_MESSAGES, self._perform)
+        self._hosted = host.add(
+            self.replica, CONTROL_MESSAGES, self._perform, ends_process=True
+        )
         self.copier: AuditCopier | None = None
         if self.replica.archive is not None:
             self.copier = AuditCopier(
--- a/burdockwall/process/programs/client.py
+++ b/burdockwall/process/programs/client.py
@@ -78,6 +78,7 @@
             STORE_MESSAGES,
             self._perform_store,
             (ShardsInstalled, LeaseRenewed),
+            ends_process=True,
         )
         self._hosted_requester = host.add(
             self.requester,
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -51,7 +51,9 @@
         self._queue: list[WriteRecords | ReleaseRecords] = []
         self._due = anyio.Event()
         self._recover()
-        self._hosted = host.add(self.ledger, LEDGER_MESSAGES, self._perform)
+        self._hosted = host.add(
+            self.ledger, LEDGER_MESSAGES, self._perform, ends_process=True
+        )
         self._hosted_copier = host.add(
             self.copier, COPIER_MESSAGES, self._log_completeness
         )
