Take in an instance with an empty disk whoever leads

Seen: while a control instance led that is none of the joiner's contacts (the three seeds), an instance that had lost its disk was never taken in. Its former identity stayed a voter, so that the next loss could end the last majority for good. A second instance that asked in the same tenth of a second was forgotten, and asked again a second later.

Cause: only a leader handled AskJoin, the contacts dropped it; and the leader forgot all other requests at each look at the membership.

Change: a replica that doesn't lead passes the request on to its leader, once. The leader keeps the latest request of each instance until it is a member.

--- a/burdockwall/process/control/consensus.py
+++ b/burdockwall/process/control/consensus.py
@@ -137,6 +137,8 @@
                 self._receive(event, message)
             case Receive(message=AskJoin() as message) if self.is_leader:
                 self.leader.join(message)
+            case Receive(message=AskJoin() as message):
+                self.follower.forward_join(event.sender, message)
             case Propose(data=data) if self.is_leader and self.state.may_append(data):
                 self.leader.propose(event)
             case AskRead() if self.is_leader:
--- a/burdockwall/process/control/follower.py
+++ b/burdockwall/process/control/follower.py
@@ -138,6 +138,16 @@
         state.save_snapshot(snapshot)
         state.report_membership()
 
+    def forward_join(self, sender: InstanceId, message: AskJoin) -> None:
+        """Pass a request to join on to the leader, whom the contacts may not include.
+
+        What another replica has passed on is ignored, so that it does not circulate.
+        """
+        state = self.state
+        leader = state.log.membership.find(state.leader)
+        if leader is not None and sender == message.member.instance:
+            state.send(leader.instance, message)
+
     def request_join_when_due(self) -> None:
         """Ask the contacts to admit this replica while no leader contacts it."""
         state = self.state
--- a/burdockwall/process/control/leader.py
+++ b/burdockwall/process/control/leader.py
@@ -10,7 +10,6 @@
     Membership,
     MembershipChange,
     Snapshot,
-    VoterId,
 )
 from burdockwall.process.control.events import (
     AskRead,
@@ -41,7 +40,7 @@
     choose_membership,
     remove_member,
 )
-from burdockwall.types import CallId
+from burdockwall.types import CallId, InstanceId
 
 APPEND_ENTRIES = 256
 APPEND_BYTES = 262_144
@@ -54,7 +53,7 @@
     def __init__(self, state: ConsensusState, policy: VoterPolicy) -> None:
         self.state = state
         self.policy = policy
-        self.joining: dict[VoterId, Member] = {}
+        self.joining: dict[InstanceId, Member] = {}
         self.outgoing: OutgoingSnapshot | None = None
 
     def start_leading(self) -> None:
@@ -260,8 +259,11 @@
         self.advance()
 
     def join(self, message: AskJoin) -> None:
-        """Record a replica that asks to join."""
-        self.joining[message.member.voter] = message.member
+        """Record a replica that asks to join, the latest one of each instance."""
+        member = message.member
+        is_member = self.state.log.membership.find(member.voter) is not None
+        if self.policy.admits(member.instance) and not is_member:
+            self.joining[member.instance] = member
 
     def remove(self, event: RemoveMember) -> None:
         """Remove a replica unless a membership change is in progress."""
@@ -297,6 +299,10 @@
             state.now,
             state.timing.election_timeout_s,
         )
-        self.joining.clear()
-        if membership is not None:
-            self._append(MembershipChange(membership), None)
+        if membership is None:
+            return
+        self._append(MembershipChange(membership), None)
+        # The others are taken in by the next changes.
+        for member in membership.members:
+            if self.joining.get(member.instance) == member:
+                del self.joining[member.instance]
--- a/burdockwall/process/control/voters.py
+++ b/burdockwall/process/control/voters.py
@@ -76,7 +76,7 @@
 def choose_membership(
     membership: Membership,
     leadership: Leadership,
-    joining: dict[VoterId, Member],
+    joining: dict[InstanceId, Member],
     policy: VoterPolicy,
     last_index: int,
     now: float,
--- a/features/subjects/control_rules.py
+++ b/features/subjects/control_rules.py
@@ -29,11 +29,13 @@
     AnswerPreVote,
     AnswerVote,
     Append,
+    AskJoin,
     AskPreVote,
     AskVote,
     SendSnapshot,
 )
 from burdockwall.process.control.transfer import create_outgoing_snapshot
+from burdockwall.process.control.voters import VoterPolicy
 from burdockwall.types import InstanceId, Term
 
 NAMES = ("a", "b", "c")
@@ -66,7 +68,8 @@
         own_member = Member(VoterId("a"), InstanceId("a"), voting=True)
         recovered = self.journal.recover()
         rng = random.Random(1)
-        self.consensus = Consensus(own_member, recovered, [], rng)
+        policy = VoterPolicy(None)
+        self.consensus = Consensus(own_member, recovered, [], rng, policy=policy)
         self.handle(Tick())
 
     def handle(self, event) -> list:
@@ -95,6 +98,10 @@
             for action in sent
         )
 
+    def ask_join(self, name: str, sender: str) -> list:
+        member = Member(VoterId(name), InstanceId(name))
+        return self.handle(Receive(InstanceId(sender), AskJoin(member)))
+
     def win_election(self) -> None:
         self.now += 10.0
         self.handle(Tick())
@@ -181,6 +188,33 @@
     return not any(isinstance(action.message, AskVote) for action in sent)
 
 
+def check_join_reaches_leader() -> bool:
+    replica = SingleReplica(3)
+    replica.receive(Append, "b", 1, 3, Term(1), (), 3, 1)
+    assert not replica.ask_join("d", sender="c")
+    sent = replica.ask_join("d", sender="d")
+    return [(action.to, action.message.member.voter) for action in sent] == [("b", "d")]
+
+
+def check_all_joiners_admitted() -> bool:
+    replica = SingleReplica(3)
+    replica.win_election()
+    state = replica.consensus.state
+    for name in "de":
+        replica.ask_join(name, sender=name)
+    for _ in range(2):
+        replica.receive(AnswerAppend, "b", state.term, True, state.log.last_index, 0)
+        replica.handle(Tick())
+    membership = state.log.membership
+    assert membership.find(VoterId("d")) is not None
+    return membership.find(VoterId("e")) is not None
+
+
+def change_membership_and_forget(leader):
+    change_membership(leader)
+    leader.joining.clear()
+
+
 def ask_pre_votes_counting_own(election):
     ask(election)
     election.votes = {election.state.own_member.voter}
@@ -208,6 +242,7 @@
 
 persist, advance, install = ConsensusState.persist, Leader.advance, Follower._install
 ask = Election._ask_pre_votes
+change_membership = Leader._change_membership
 
 RULES: dict[str, tuple[Callable[[], bool], Callable[[], AbstractContextManager]]] = {
     "a vote survives a restart": (
@@ -238,6 +273,16 @@
         check_no_own_pre_vote,
         lambda: patch.object(Election, "_ask_pre_votes", ask_pre_votes_counting_own),
     ),
+    "a request to join is passed on to the leader once": (
+        check_join_reaches_leader,
+        lambda: patch.object(Follower, "forward_join", lambda *arguments: None),
+    ),
+    "all that ask to join at once are taken in": (
+        check_all_joiners_admitted,
+        lambda: patch.object(
+            Leader, "_change_membership", change_membership_and_forget
+        ),
+    ),
 }
 
 
