Answer a document that is sent again without another log entry

Cause: only applying the entry showed that it changes nothing.

Change: the leader looks the put up in its applied state and answers with what applying would have given, after a quorum round has shown that it still leads. Wrong tokens and missing permissions go through the log as before, for the audit trail. Puts under a lower number leave no audit record any more; the same put again left none before.

--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -18,6 +18,7 @@
     Operator,
     Outcome,
     Permission,
+    PutDocument,
     SubmitConfiguration,
 )
 from burdockwall.process.control.copier import COPY_MESSAGES, AuditCopier
@@ -176,6 +177,9 @@
         """
         self._check_operators_defined()
         self._limit_refused_attempts(command, credential)
+        known = await self._find_outcome(command, credential)
+        if known is not None:
+            return known
         shortened = self._shorten(command)
         data = encode_command(shortened, self.wall_clock(), credential)
         call = self._waiters.create()
@@ -183,6 +187,20 @@
         assert answer.outcome is not None
         return answer.outcome
 
+    async def _find_outcome(
+        self, command: AnyOperatorCommand, credential: KeyDigest
+    ) -> Outcome | None:
+        """Return the outcome of a put that changes nothing, which needs no log entry.
+
+        A confirmed read shows that what is stored already is in force.
+        """
+        if not isinstance(command, PutDocument):
+            return None
+        if self.state.find_outcome(command, credential) is None:
+            return None
+        await self.confirm_read()
+        return self.state.find_outcome(command, credential)
+
     def _shorten(self, command: AnyOperatorCommand) -> AnyCommand:
         consensus_state = self.replica.consensus.state
         leadership = consensus_state.leadership
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -171,6 +171,26 @@
             raise OperatorError(Code.OPERATOR_REFUSED, detail)
         return operator
 
+    def find_outcome(
+        self, command: PutDocument, credential: KeyDigest
+    ) -> Outcome | None:
+        """Return the outcome of a put that changes nothing, or None if it must run."""
+        document = self.documents.get(command.name)
+        if document is None or command.number > document.number:
+            return None
+        if self.operators:
+            try:
+                self.authenticate(command.operator, credential)
+                self.authorize(command)
+            except OperatorError:
+                # A refusal belongs in the audit trail.
+                return None
+        stored = self.outcomes.get(command.submission)
+        if stored is None:
+            return Outcome(version=self.version)
+        same = stored.digest == _compute_command_digest(command)
+        return stored.outcome if same else None
+
     def _find_customer(self, command: AnyCommand) -> CustomerId | None:
         match command:
             case IssueKey(customer=customer):
--- a/features/control_bounds.feature
+++ b/features/control_bounds.feature
@@ -41,3 +41,14 @@
     When one crashes at 30 steps of its writes while documents change
     Then every control replica keeps at most 51 MB and 64 MB of files
     And all control replicas hold the last document
+
+  Scenario: A document sent again or under a lower number adds nothing to the log
+    Given 1 control instances on loopback that store document 5
+    When it is sent again, under number 4, with a wrong token, and then under number 6
+    Then only the last two were appended to the log of the control instance
+    And the control instance answered them with 0, 0, 2004 and 0, and holds document 6
+
+  Scenario: A document sent again to a leader without a majority is not acknowledged
+    Given 3 control instances on loopback that store document 5
+    When it is sent again to the leader after the others have stopped
+    Then the control instance answered it with 2014
--- a/features/steps/control_bounds_steps.py
+++ b/features/steps/control_bounds_steps.py
@@ -1,6 +1,12 @@
 from behave import given, then, when
 
-from features.subjects.control_bounds import MB, NAME, DiskReplica, DocumentCluster
+from features.subjects.control_bounds import (
+    MB,
+    NAME,
+    DiskReplica,
+    DocumentCluster,
+    StoringSite,
+)
 
 
 @when("{count:d} documents of {size:d} bytes are stored on the disk of one voter")
@@ -83,3 +89,36 @@
     cluster.network.run_until(cluster.network.now + 4.0)
     cluster.change()
     assert cluster.holds_last()
+
+
+@given("{count:d} control instances on loopback that store document 5")
+def step_create_site(context, count):
+    context.subject = StoringSite(count)
+
+
+@when("it is sent again, under number 4, with a wrong token, and then under number 6")
+def step_put_repeatedly(context):
+    context.subject.actions.append(context.subject.put_repeatedly)
+    context.subject.run()
+
+
+@then("only the last two were appended to the log of the control instance")
+def step_check_log(context):
+    assert context.subject.grown == [1, 0, 0, 1, 1], context.subject.grown
+
+
+@then("the control instance answered them with 0, 0, 2004 and 0, and holds document 6")
+def step_check_codes(context):
+    assert context.subject.codes == [0, 0, 0, 2004, 0], context.subject.codes
+    assert context.subject.held == 6
+
+
+@when("it is sent again to the leader after the others have stopped")
+def step_put_without_majority(context):
+    context.subject.actions.append(context.subject.put_without_majority)
+    context.subject.run()
+
+
+@then("the control instance answered it with 2014")
+def step_check_no_quorum(context):
+    assert context.subject.codes == [0, 2014], context.subject.codes
--- a/features/subjects/control_bounds.py
+++ b/features/subjects/control_bounds.py
@@ -5,10 +5,12 @@
 import tracemalloc
 from pathlib import Path
 
+from burdockwall.errors import OperatorError
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.fakes.network import NetworkConditions
 from burdockwall.machine import Tick
 from burdockwall.process.control.commands import PutDocument
+from burdockwall.process.control.documents import create_put
 from burdockwall.process.control.events import Propose
 from burdockwall.process.control.files import DiskFiles
 from burdockwall.process.control.log import measure_entry
@@ -17,8 +19,10 @@
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
 from burdockwall.types import CallId, DocumentName, OperatorId
+from burdockwall.version.keys import compute_digest
 from features.subjects.control_cluster import ControlCluster, Node
 from features.subjects.control_documents import create_consensus
+from features.subjects.control_site import TOKEN, ControlSite
 
 NAME = DocumentName("document")
 MB = 1_000_000
@@ -235,3 +239,41 @@
         len(outgoing.data) if outgoing is not None else 0
     )
     return log + documents + changes + transfer
+
+
+class StoringSite(ControlSite):
+    """Control instances on loopback that store documents, and the answers to puts."""
+
+    def __init__(self, count: int) -> None:
+        super().__init__(count)
+        self.codes: list[int] = []
+        self.grown: list[int] = []
+        self.actions.append(lambda: self.put(5))
+
+    async def put(self, number: int, token: str = TOKEN) -> None:
+        """Send a document to the leader and record the answer and the log's growth."""
+        control = self.nodes[self.find_leader()].control
+        log = control.replica.consensus.state.log
+        before = log.last_index
+        command = create_put(NAME, number, b"%d" % number, OperatorId("root"))
+        try:
+            outcome = await control.run_command(command, compute_digest(token))
+            self.codes.append(outcome.code)
+        except OperatorError as error:
+            self.codes.append(error.code.value.number)
+        self.grown.append(log.last_index - before)
+        self.held = control.state.documents[NAME].number
+
+    async def put_repeatedly(self) -> None:
+        """Send the document again, under other numbers, and with a wrong token."""
+        await self.put(5)
+        await self.put(4)
+        await self.put(5, "wrong token")
+        await self.put(6)
+
+    async def put_without_majority(self) -> None:
+        """Stop the followers and send the document again."""
+        leader = self.find_leader()
+        for name in [name for name in self.nodes if name != leader]:
+            await self.stop(name)
+        await self.put(5)
