Take only what must end before a planned stop does

Cause: Drain said when new requests are refused, but ForwardingEntry never asked it. Even asked, it knew only a time after which everything is refused, and not whether a request that comes earlier can end. Two more of that class: what was under way at the limit was cut off by the listener, with a 500 or nothing, on both interfaces; and the process could end on a count of requests that was made up to 0.1 s before, without those taken since.

Change: DrainGate stands in front of both interfaces. A request is taken only if its deadline or the route's timeout lies before the limit; one without a known end (own interface) is taken for the hold. Others are refused at once with 503, code 1502, Retry-After and Connection: close, before the body and once more after it. At the limit the shutdown ends what is under way: 504 if it may have run, 503 if it was not sent, a started stream breaks off. The process ends on a fresh count only. Late requests are not passed on to peers: their answers would come through the process that ends.

Tests: platform's stand-in site has a limit of 5 s instead of 3, since a request with a deadline of 3 s would now be refused at once, and the scenario of the planned stop would no longer have answers of servers after the stop began.

--- a/burdockwall/options/process.py
+++ b/burdockwall/options/process.py
@@ -250,7 +250,8 @@
         "drain_hold_s",
         Kind.NUMBER,
         "s",
-        "Time from the removal from `resolve` until new requests are refused.",
+        "Time from the removal from `resolve` in which requests without a known end are"
+        " still taken; afterwards the process ends once nothing is in flight.",
         0,
         3600,
     ),
@@ -260,7 +261,19 @@
         "drain_limit_s",
         Kind.NUMBER,
         "s",
-        "Longest wait for requests in flight before the process ends.",
+        "Time from the start of a shutdown at which requests in flight are ended;"
+        " those that could last longer are refused.",
+        0,
+        86_400,
+    ),
+    Option(
+        "drain",
+        "grace",
+        "drain_grace_s",
+        Kind.NUMBER,
+        "s",
+        "Time after SIGTERM at which the process is killed, 0 if it isn't; requests in"
+        " flight are ended 0.5 s earlier at the latest.",
         0,
         86_400,
     ),
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -12,6 +12,7 @@
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import Drain
+from burdockwall.process.drain_gate import DrainGate
 from burdockwall.process.evacuation.follower import EvacuationFollower
 from burdockwall.process.host import Host
 from burdockwall.process.membership.replica import StateReplica
@@ -77,6 +78,7 @@
         self.evacuation = EvacuationFollower()
         self.accepted = AcceptedSender(self.parts, lambda: self.view)
         self.drain = Drain()
+        self.drain_gate = DrainGate(self.drain)
         self.metrics = Metrics()
         self.budget = ByteBudget(settings.body_memory_bytes)
         self.in_flight = 0
@@ -141,7 +143,12 @@
         trace = RequestTrace(uuid.uuid4().hex, self.clock())
         self.in_flight += 1
         try:
-            await self._serve_traced(exchange, trace)
+            await self.drain_gate.run(
+                lambda: self._serve_traced(exchange, trace), lambda: True
+            )
+        except BurdockwallError as error:
+            trace.code = error.code.value.number
+            raise
         finally:
             self.in_flight -= 1
             self._record(trace)
@@ -153,8 +160,7 @@
                 await self._relay(exchange, trace)
             else:
                 await serve_request(self.parts, self.view, exchange, trace)
-        except BurdockwallError as error:
-            trace.code = error.code.value.number
+        except BurdockwallError:
             raise
         except Exception as error:
             trace.code = Code.INTERNAL.value.number
@@ -184,8 +190,8 @@
         await run_while_connected(exchange, relay)
 
     def _check_serving(self) -> None:
-        if self.drain.refusing:
-            raise RequestRefused(Code.LEAVING, retry_after_s=REFUSED_RETRY_S)
+        # The deadline of a call says when its answer must start, not when it ends.
+        self.drain_gate.check(None)
         if self.view.version == 0:
             raise RequestRefused(Code.NOT_READY, retry_after_s=REFUSED_RETRY_S)
         if self.clock() >= self.get_lease_end():
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -17,11 +17,14 @@
 from burdockwall.process.crashes.evidence import CrashEvidence
 from burdockwall.process.drain import (
     Drain,
+    DrainAction,
     DrainState,
+    EndRequests,
     RequestsInFlight,
-    StartDrain,
     StopServing,
+    plan_drain,
 )
+from burdockwall.process.drain_gate import DrainGate
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import (
@@ -52,7 +55,7 @@
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
-from burdockwall.request.forwarding import Forwarding
+from burdockwall.request.forwarding import Forwarding, compute_expiry
 from burdockwall.request.forwarding_parts import ForwardingParts
 from burdockwall.request.peer_relay import PeerRelay
 from burdockwall.request.regions import Regions
@@ -76,7 +79,8 @@
 EXPIRE_INTERVAL_S = 1.0
 CUT_OFF_RETRY_S = 0.1
 CALLER_IDLE_S = 20.0
-STOP_GRACE_S = 0.5
+# The requests in flight have ended before.
+STOP_GRACE_S = 0.2
 REQUEST_COST = 1.0
 MS_PER_S = 1000.0
 
@@ -100,6 +104,7 @@
         self._startup_ended = anyio.Event()
         self.metrics = self.member.metrics
         self.drain = Drain()
+        self.drain_gate = DrainGate(self.drain)
         self.in_flight = 0
         self._logger = logbook.Logger("front")
         self._pending_settlements: list[tuple[TurnStart, TurnOutcome]] = []
@@ -119,7 +124,7 @@
         self._limits_leader: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
         host.add(self.endpoints, (EndpointList,))
-        self._hosted_drain = host.add(self.drain, (), self._stop_serving)
+        self._hosted_drain = host.add(self.drain, (), self._perform_drain)
         self.turn_client = TurnClient(
             host,
             self.member.incarnation,
@@ -272,7 +277,10 @@
         trace = RequestTrace("", self.clock())
         self.in_flight += 1
         try:
-            await self._serve_traced(exchange, trace)
+            await self.drain_gate.run(
+                lambda: self._serve_traced(exchange, trace),
+                lambda: trace.sent_at is not None,
+            )
         except BurdockwallError as error:
             trace.code = error.code.value.number
             trace.detail = error.detail
@@ -310,7 +318,11 @@
         customer = self._authenticate(view, route, request)
         if customer is not None:
             trace.customer = customer.name
+        expires_at = compute_expiry(route, request, trace.started_at)
+        self.drain_gate.check(expires_at)
         body = await exchange.read_body(view.deployment.max_body_bytes)
+        # The shutdown may have begun while the body came.
+        self.drain_gate.check(expires_at)
         forwarding = Forwarding(
             self.parts, view, exchange, request, route, customer, body, trace
         )
@@ -493,15 +505,18 @@
         """Answer 200 if callers should connect here, else 503."""
         await exchange.answer(200 if self.is_ready() else 503, [], b"")
 
-    def _stop_serving(self, action: StopServing) -> None:
-        self._logger.notice("stopped serving", extra={"cut_off": action.interrupted})
-        self.ended.set()
+    def _perform_drain(self, action: DrainAction) -> None:
+        match action:
+            case EndRequests():
+                self.drain_gate.end_requests()
+            case StopServing(interrupted=interrupted):
+                extra = {"cut_off": interrupted}
+                self._logger.notice("stopped serving", extra=extra)
+                self.ended.set()
 
     async def _drain_on_stop(self) -> None:
         await self.member.stopping.wait()
-        settings = self.settings
-        start = StartDrain(settings.drain_hold_s, settings.drain_limit_s)
-        self.member.host.apply(self._hosted_drain, start)
+        self.member.host.apply(self._hosted_drain, plan_drain(self.settings))
         self.member.membership.start_leaving()
 
     async def _run_periodic_work(self) -> None:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -15,7 +15,13 @@
 from burdockwall.process.control.console import Console
 from burdockwall.process.control.documents import Documents
 from burdockwall.process.control.service import ControlService
-from burdockwall.process.drain import RequestsInFlight, StartDrain, StopServing
+from burdockwall.process.drain import (
+    DrainAction,
+    EndRequests,
+    RequestsInFlight,
+    StopServing,
+    plan_drain,
+)
 from burdockwall.process.endpoint_limits.messages import AskPermits
 from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.entry import Entry
@@ -110,7 +116,9 @@
             self.list_members,
             lambda: self.membership.lease_until,
         )
-        self.hosted_drain = self.host.add(entry.drain, (), self._stop_serving)
+        self.hosted_drain = self.host.add(
+            entry.drain, (), lambda action: self._perform_drain(entry, action)
+        )
         return entry
 
     def _create_membership(self, incarnation: Incarnation) -> Membership:
@@ -201,15 +209,17 @@
         if self.entry is None:
             self.stop.set()
         else:
-            self.host.apply(
-                self.hosted_drain,
-                StartDrain(self.settings.drain_hold_s, self.settings.drain_limit_s),
-            )
+            self.host.apply(self.hosted_drain, plan_drain(self.settings))
             self.membership.start_leaving()
 
-    def _stop_serving(self, action: StopServing) -> None:
-        self._logger.notice("stopped serving", extra={"cut_off": action.interrupted})
-        self.stop.set()
+    def _perform_drain(self, entry: Entry, action: DrainAction) -> None:
+        match action:
+            case EndRequests():
+                entry.drain_gate.end_requests()
+            case StopServing(interrupted=interrupted):
+                extra = {"cut_off": interrupted}
+                self._logger.notice("stopped serving", extra=extra)
+                self.stop.set()
 
     async def run(self) -> None:
         """Run until stopped; requests in flight end first."""
--- a/burdockwall/process/reload.py
+++ b/burdockwall/process/reload.py
@@ -11,6 +11,7 @@
 # Attributes that are read at each use; changes of others need a restart.
 RELOADABLE = frozenset(
     {
+        "drain_grace_s",
         "drain_hold_s",
         "drain_limit_s",
         "endpoint_attempts",
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -48,6 +48,7 @@
     denial_valid_ms: float = 0.0
     drain_hold_s: float = 5.0
     drain_limit_s: float = 60.0
+    drain_grace_s: float = 0.0
     tick_interval_s: float = 0.1
     peer_silence_s: float = 2.0
     endpoint_connect_s: float = 1.0
--- a/features/subjects/platform.py
+++ b/features/subjects/platform.py
@@ -139,7 +139,7 @@
             resolve_ttl_s=2.0,
             denial_valid_ms=2000.0,
             drain_hold_s=0.5,
-            drain_limit_s=3.0,
+            drain_limit_s=5.0,
         )
         if role is not Role.ENTRY:
             settings.data_folder = Path(self._folder.name) / name
