Start background tasks again, and end a process only in named cases

Seen: processes that end by themselves. Any error in any background task ends the whole process: a check of one endpoint, a settlement, the health checks and the server list at the leader. And a configuration that was delivered, but whose putting in force raised halfway, is reported as held and never put in force (decoding), or without its rates for good.

Cause: all parts of a process run in one task group, and a part that raises cancels it. The replica has moved on before the entry installs it, and the entry notes the configuration as its own before it installs rates and cold rules.

Change: a supervisor starts a failed task again, after 0.05 to 2 s; jobs and steps of a task fail one by one; what failed is logged with its place and counted. Installation puts each delivered version in force and tries again each 0.1 s, also where it was never passed on; until then what the former configuration doesn't allow is refused as not run (1505). Fields that say "done" are now set last (view, deployment and limits of the leader, the rates' owner). A store whose record can't be written for another reason than the disk ends with 2106: the next sync would have confirmed it.

--- a/burdockwall/process/cold_endpoints/leader.py
+++ b/burdockwall/process/cold_endpoints/leader.py
@@ -4,12 +4,13 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import anyio
-import anyio.abc
 import msgspec
 
 from burdockwall.process.cold_endpoints.health import HealthRefused
 from burdockwall.process.cold_endpoints.judgement import ColdJudge
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.failures import Failures
+from burdockwall.process.jobs import Jobs
 from burdockwall.types import EndpointId, FailureDomain, Term
 from burdockwall.version.deployment import Deployment, list_cold_rules
 
@@ -31,12 +32,14 @@
         clock: Callable[[], float],
         get_term: Callable[[], Term | None],
         list_lag_s: float,
+        failures: Failures | None = None,
         unix_clock: Callable[[], float] = time.time,
     ) -> None:
         self.clock = clock
         self.unix_clock = unix_clock
         self.get_term = get_term
         self.judge = ColdJudge(list_lag_s)
+        self._jobs = Jobs(failures or Failures())
         self.ask_health: AskHealth = ask_nothing
         # Lists when the latest evacuation of each domain ended, as Unix times.
         self.list_evacuation_ends: Callable[[], Mapping[FailureDomain, float]] = dict
@@ -99,18 +102,16 @@
 
     async def run(self) -> None:
         """Make the health requests that the judge wants, until cancelled."""
-        async with anyio.create_task_group() as group:
+        async with self._jobs.open():
             while True:
                 await anyio.sleep(CHECK_POLL_S)
                 if self._term is not None and self.get_term() == self._term:
-                    self._start_checks(group, self.judge.start_checks(self.clock()))
+                    self._start_checks(self.judge.start_checks(self.clock()))
 
-    def _start_checks(
-        self, group: anyio.abc.TaskGroup, endpoints: Iterable[ListedEndpoint]
-    ) -> None:
+    def _start_checks(self, endpoints: Iterable[ListedEndpoint]) -> None:
         for endpoint in endpoints:
             self.checks_count += 1
-            group.start_soon(self._check, endpoint)
+            self._jobs.start(self._check, endpoint)
 
     async def _check(self, endpoint: ListedEndpoint) -> None:
         asked_at = self.clock()
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -121,7 +121,7 @@
         self.emptying_planner = EmptyingPlanner()
         self._hosted_publisher = host.add(self.publisher)
         self.cold = LeaderColdEndpoints(
-            host.clock, membership.get_led_term, settings.list_lag_s
+            host.clock, membership.get_led_term, settings.list_lag_s, host.failures
         )
         self.cold.list_evacuation_ends = lambda: (
             self.evacuation_orders.get_evacuations().ended
@@ -198,11 +198,10 @@
                 self.store_planner.reset()
                 self.emptying_planner.reset()
             self._check_storage()
-            self._install_limits()
-            self.limits.follow(self.member.membership.get_led_term())
+            attempt = self.member.supervisor.attempt
+            attempt(self._install_deployment, self._install_limits, self._follow_term)
             if leading:
-                self._plan_stores()
-                self._publish()
+                attempt(self._plan_stores, self._publish)
             else:
                 self._endpoint_list = None
 
@@ -211,19 +210,27 @@
         if self.control.replica.consensus.state.role is ReplicaRole.FAILED:
             raise StorageError(Code.DISK_FAILED)
 
-    def _install_limits(self) -> None:
+    def _follow_term(self) -> None:
+        self.limits.follow(self.member.membership.get_led_term())
+
+    def _install_deployment(self) -> None:
         document = self.control.state.documents.get(DEPLOYMENT)
         if document is None:
             return
         if self._deployment is None or self._deployment.number != document.number:
-            self._deployment = self.decode(document.data)
-            self.cold.install(self._deployment)
+            deployment = self.decode(document.data)
+            self.cold.install(deployment)
+            self._deployment = deployment
+
+    def _install_limits(self) -> None:
+        if self._deployment is None:
+            return
         instances = self._instances.read()
         silent = self.member.membership.count_silent_entries(FALLBACK_SILENCE_S)
-        installed = (document.number, instances, silent)
+        installed = (self._deployment.number, instances, silent)
         if installed != self._installed_limits:
-            self._installed_limits = installed
             self.limits.install(self._deployment, instances, silent)
+            self._installed_limits = installed
 
     def _count_entry_members(self) -> int:
         members = self.member.membership.list_all_members()
@@ -402,10 +409,9 @@
             self._run_leader_duties,
             self._read_endpoints,
             self.cold.run,
-            self._serve_callers,
-            self._serve_operators,
         ]
-        await self.member.run(path, tasks)
+        servers = [self._serve_callers, self._serve_operators]
+        await self.member.run(path, tasks, servers)
 
 
 def find_store(node: ControlNode, name: str) -> InstanceId | None:
--- a/burdockwall/process/crashes/client.py
+++ b/burdockwall/process/crashes/client.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 import anyio
-import anyio.abc
 import logbook
 
 from burdockwall.errors import Code, RequestRefused
@@ -21,6 +20,7 @@
     RunEnded,
 )
 from burdockwall.process.host import Host
+from burdockwall.process.jobs import Jobs
 from burdockwall.types import Address, EndpointId, Fingerprint, InstanceId
 
 _logger = logbook.Logger("crashes")
@@ -49,7 +49,7 @@
         self._hosted = host.add(self.watch, (AskSuspects, ShareSuspects), self._perform)
         self._instances: tuple[InstanceId, ...] = ()
         self._checking: dict[tuple[EndpointId, Address], list[BrokenRun]] = {}
-        self._group: anyio.abc.TaskGroup | None = None
+        self._jobs = Jobs(host.failures)
 
     @property
     def active(self) -> bool:
@@ -89,9 +89,9 @@
         if runs is not None:
             runs.append(run)
             return
-        if self._group is not None:
+        if self._jobs.running:
             self._checking[key] = [run]
-            self._group.start_soon(self._check_endpoint, key, run)
+            self._jobs.start(self._check_endpoint, key, run)
 
     async def _check_endpoint(
         self, key: tuple[EndpointId, Address], first: BrokenRun
@@ -116,8 +116,7 @@
     def _perform(self, action: RefusalChanged | NewsGathered) -> None:
         match action:
             case NewsGathered():
-                if self._group is not None:
-                    self._group.start_soon(self._tick_soon)
+                self._jobs.start(self._tick_soon)
             case RefusalChanged():
                 _log_refusal(action)
 
@@ -128,9 +127,7 @@
 
     async def run(self) -> None:
         """Carry out checks until cancelled."""
-        async with anyio.create_task_group() as group:
-            self._group = group
-            await anyio.sleep_forever()
+        await self._jobs.run()
 
 
 def _log_refusal(changed: RefusalChanged) -> None:
--- a/burdockwall/process/endpoint_reach.py
+++ b/burdockwall/process/endpoint_reach.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import anyio
-import anyio.abc
 import logbook
 
 from burdockwall.connection.upstream import Probe
 from burdockwall.process.host import Host
+from burdockwall.process.jobs import Jobs
 from burdockwall.process.scheduling.reachability import (
     AddressesListed,
     ConnectEnded,
@@ -47,7 +46,7 @@
         self.on_changed = on_changed
         self.machine = Reachability()
         self._hosted = host.add(self.machine, (), self._perform)
-        self._group: anyio.abc.TaskGroup | None = None
+        self._jobs = Jobs(host.failures)
         self._services: tuple[tuple[Address, ...], ...] = ()
         # When bytes last came from an endpoint, or a connection to one was opened.
         self.contact_at = float("-inf")
@@ -91,8 +90,7 @@
         match action:
             case OpenConnections(addresses=addresses):
                 for address in addresses:
-                    if self._group is not None:
-                        self._group.start_soon(self.connector.check, address)
+                    self._jobs.start(self.connector.check, address)
             case ReachChanged(cut_off=cut_off):
                 message = "reaches no endpoint" if cut_off else "reaches endpoints"
                 _logger.notice(message, extra={"services": len(self._services)})
@@ -100,6 +98,4 @@
 
     async def run(self) -> None:
         """Carry out checks until cancelled."""
-        async with anyio.create_task_group() as group:
-            self._group = group
-            await anyio.sleep_forever()
+        await self._jobs.run()
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -3,6 +3,7 @@
 import random
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 import logbook
@@ -21,6 +22,7 @@
 from burdockwall.process.scheduling.jobs import InstancesCounted
 from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.process.scheduling.poller import EndpointPoller
+from burdockwall.process.supervisor import Supervisor
 from burdockwall.request.caller_relay import CallerRelayCodec, read_relayed_request
 from burdockwall.request.handler import serve_request
 from burdockwall.request.once import AcceptedSender
@@ -60,11 +62,13 @@
         self.view = build_empty_view()
         self.parts = create_parts(settings, host)
         self.clock = host.clock
+        self.supervisor = Supervisor(host.failures)
         self.poller = EndpointPoller(
             self.parts.dispatcher,
             self.parts.clients,
             host.clock,
             settings.schedule_poll_s,
+            host.failures,
         )
         self.reach = self.parts.reach
         self.reach.on_changed = self._follow_reach
@@ -87,17 +91,21 @@
     async def run(self) -> None:
         """Run the background tasks of the parts until cancelled."""
         tick_s = self.settings.tick_interval_s
+        tasks = (
+            self.parts.streams.run,
+            partial(self.parts.dispatcher.run, tick_s),
+            partial(self.parts.admission.run, tick_s),
+            self.poller.run,
+            self.reach.run,
+            self.parts.crashes.run,
+            self.parts.reclaimer.run,
+            self.accepted.run,
+            self._update_instance_count,
+        )
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self.parts.streams.run)
-                group.start_soon(self.parts.dispatcher.run, tick_s)
-                group.start_soon(self.parts.admission.run, tick_s)
-                group.start_soon(self.poller.run)
-                group.start_soon(self.reach.run)
-                group.start_soon(self.parts.crashes.run)
-                group.start_soon(self.parts.reclaimer.run)
-                group.start_soon(self.accepted.run)
-                group.start_soon(self._update_instance_count)
+                for task in tasks:
+                    group.start_soon(self.supervisor.run, task)
         finally:
             with anyio.CancelScope(shield=True):
                 await self.parts.clients.close()
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -32,6 +33,7 @@
     EndpointList,
     ListedEndpoint,
 )
+from burdockwall.process.jobs import Jobs
 from burdockwall.process.limits.client import LimitClient
 from burdockwall.process.limits.excess import create_excess
 from burdockwall.process.limits.fallback import InstanceCount
@@ -53,6 +55,7 @@
 from burdockwall.process.storage.calls import TurnOutcome, TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
+from burdockwall.process.supervisor import run_each
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
 from burdockwall.request.forwarding import Forwarding, compute_expiry
@@ -243,23 +246,36 @@
     # Configurations.
 
     def _install(self, replica: StateReplica) -> None:
+        run_each(
+            partial(self._install_evacuations, replica),
+            partial(self._install_stores, replica),
+            partial(self._install_deployment, replica),
+        )
+
+    def _install_evacuations(self, replica: StateReplica) -> None:
         self.endpoints.evacuation.install(replica.documents)
+
+    def _install_stores(self, replica: StateReplica) -> None:
         stores = replica.documents.get(STORE_VIEW)
         if stores is not None:
             self.turn_client.install_view(decode_view(stores.data))
+
+    def _install_deployment(self, replica: StateReplica) -> None:
         document = replica.documents.get(DEPLOYMENT)
         if document is None:
             return
         if self.view is not None and document.number <= self.view.number:
             return
         deployment = self.decode(document.data)
-        self.view = DeploymentView(deployment)
-        self.cold.install_rules(self.view.list_cold_rules())
+        view = DeploymentView(deployment)
+        self.cold.install_rules(view.list_cold_rules())
         self.gate.install(list_deployment_limits(deployment))
         routes = {route.name for route in deployment.routes}
         self.parts.hedge_delay.drop_unconfigured(routes)
         self.health.drop_unconfigured(routes)
         self._update_limits_leader()
+        # Last, since a version that is in force is not installed again.
+        self.view = view
         self._logger.notice(
             "configuration in force",
             extra={
@@ -386,7 +402,8 @@
         """
         valid_s = self.settings.denial_valid_ms / MS_PER_S
         current_at = self.member.membership.agent.lease.current_at
-        if not valid_s or self.clock() - current_at < valid_s:
+        current = not valid_s or self.clock() - current_at < valid_s
+        if current and not self.member.is_behind():
             return RequestRefused(code, detail)
         detail = f"{code.value.meaning} {detail}".strip()
         return RequestRefused(Code.OUTDATED, detail, NOT_READY_RETRY_S)
@@ -400,9 +417,9 @@
         leader = agent.path.leader
         if leader is None or (leader, agent.term) == self._limits_leader:
             return
-        self._limits_leader = (leader, agent.term)
         shards = build_leader_shards(leader, agent.term)
         self.limits.install_shards(shards)
+        self._limits_leader = (leader, agent.term)
         self._logger.notice(
             "rate owner changed", extra={"leader": leader, "term": agent.term}
         )
@@ -448,13 +465,14 @@
         self._settle_due.set()
 
     async def _run_settlements(self) -> None:
-        async with anyio.create_task_group() as group:
+        jobs = Jobs(self.member.bus.failures)
+        async with jobs.open():
             while True:
                 await self._settle_due.wait()
                 self._settle_due = anyio.Event()
                 settling, self._pending_settlements = self._pending_settlements, []
                 for start, outcome in settling:
-                    group.start_soon(self._settle_turn, start, outcome)
+                    jobs.start(self._settle_turn, start, outcome)
 
     async def _settle_turn(self, start: TurnStart, outcome: TurnOutcome) -> None:
         if not await self.turn_client.end(start, outcome):
@@ -527,11 +545,13 @@
             due_at = self.clock() + interval_s
             await anyio.sleep(interval_s)
             now = self.clock()
-            self._update_limits_leader()
-            self._update_endpoint_limits()
-            self.reach.install(self.endpoints.addresses)
-            self.crashes.install_instances(self._list_live_instances())
-            self._join_directory()
+            self.member.supervisor.attempt(
+                self._update_limits_leader,
+                self._update_endpoint_limits,
+                lambda: self.reach.install(self.endpoints.addresses),
+                lambda: self.crashes.install_instances(self._list_live_instances()),
+                self._join_directory,
+            )
             self.metrics.record_lag(max(0.0, now - due_at))
             if self.drain.state is not DrainState.SERVING:
                 in_flight = RequestsInFlight(
@@ -555,10 +575,9 @@
             self.crashes.run,
             self._drain_on_stop,
             self._run_periodic_work,
-            self._serve_readiness,
-            self._serve_callers,
         ]
-        await self.member.run(path, tasks)
+        servers = [self._serve_readiness, self._serve_callers]
+        await self.member.run(path, tasks, servers)
 
     async def _serve_callers(self) -> None:
         limits = WebLimits(CALLER_IDLE_S, CALLER_IDLE_S)
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -3,9 +3,9 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
-from typing import Any
 
 import anyio
 import logbook
@@ -16,12 +16,14 @@
 from burdockwall.process.control.opening import list_contacts
 from burdockwall.process.exposition import Gauges, PrometheusPage
 from burdockwall.process.host import Host
+from burdockwall.process.installation import Installation
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
 from burdockwall.process.metrics import Metrics
 from burdockwall.process.reload import reload_and_log
 from burdockwall.process.signals import follow_signals
+from burdockwall.process.supervisor import Supervisor, Task
 from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import FailureDomain, Incarnation, InstanceId
@@ -58,7 +60,11 @@
             name=settings.instance_name,
         )
         contacts = list_contacts(settings)
-        self.membership = Membership(self.host, details, contacts, install)
+        self.supervisor = Supervisor(self.bus.failures)
+        self.installation = Installation(install, self.bus.failures)
+        self.membership = Membership(
+            self.host, details, contacts, self.installation.install
+        )
         self.metrics = Metrics()
         self.gauges = Gauges()
         self.gauges.add("leading", lambda: float(self.membership.is_leading()))
@@ -66,6 +72,7 @@
         self.gauges.add(
             "versions_behind", lambda: float(self.membership.count_versions_behind())
         )
+        self.gauges.add("version_not_in_force", lambda: float(self.is_behind()))
         self.gauges.add("errors_survived", lambda: float(self.bus.failures.count))
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
@@ -78,9 +85,9 @@
         return None
 
     async def run(
-        self, path: Path | None, tasks: list[Callable[[], Coroutine[Any, Any, None]]]
+        self, path: Path | None, tasks: Sequence[Task], servers: Sequence[Task]
     ) -> None:
-        """Run the parts and the given tasks until the last of these tasks ends."""
+        """Run the parts, the given tasks and servers until the last server ends."""
         settings = self.settings
         self._logger.notice(
             "started",
@@ -93,20 +100,30 @@
             },
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(self.bus.run, settings.peer_address)
-            group.start_soon(self.host.run)
+            supervisor = self.supervisor
+            for listen in (self._run_bus, self._serve_metrics, *servers[:-1]):
+                group.start_soon(supervisor.listen, listen)
+            for task in (self.host.run, self._retry_installation, *tasks):
+                group.start_soon(supervisor.run, task)
             # Python allows signal handlers only in the main thread; an instance that is
             # embedded in another program must not change that program's handlers.
             if threading.current_thread() is threading.main_thread():
                 group.start_soon(follow_signals, lambda: self.reload(path), self._stop)
-            group.start_soon(self._reload_on_change, path)
-            group.start_soon(self._serve_metrics)
-            for task in tasks[:-1]:
-                group.start_soon(task)
-            await tasks[-1]()
+            group.start_soon(supervisor.run, partial(self._reload_on_change, path))
+            await supervisor.listen(servers[-1])
             group.cancel_scope.cancel()
         self._logger.notice("stopped", extra={"instance": settings.instance_id})
 
+    async def _run_bus(self) -> None:
+        await self.bus.run(self.settings.peer_address)
+
+    async def _retry_installation(self) -> None:
+        await self.installation.run(self.membership.agent.replica)
+
+    def is_behind(self) -> bool:
+        """Return whether a version was delivered here that is not in force."""
+        return self.installation.is_behind(self.membership.agent.replica)
+
     async def _serve_metrics(self) -> None:
         address = self.settings.metrics_address
         if address:
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -32,6 +33,7 @@
 )
 from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.host import Host
+from burdockwall.process.installation import Installation
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.platform import PlatformReader
 from burdockwall.process.membership.replica import StateReplica
@@ -43,6 +45,7 @@
 from burdockwall.process.resolver import EntryInstance
 from burdockwall.process.scheduling.explain import describe_placements
 from burdockwall.process.signals import follow_signals
+from burdockwall.process.supervisor import Supervisor, Task
 from burdockwall.process.web import create_limits, serve_address
 from burdockwall.settings import Settings, check_combinations
 from burdockwall.types import (
@@ -79,6 +82,8 @@
             create_peer_contexts(settings),
         )
         self.host = Host(self.bus, read_clock, settings.tick_interval_s)
+        self.supervisor = Supervisor(self.bus.failures)
+        self.installation = Installation(self._install, self.bus.failures)
         self.control: ControlService | None = None
         self.entry: Entry | None = None
         self.membership = self._create_membership(self.bus.incarnation)
@@ -135,7 +140,7 @@
             peer_address=settings.peer_address,
             caller_address=settings.caller_address,
         )
-        return Membership(self.host, details, control, self._install)
+        return Membership(self.host, details, control, self.installation.install)
 
     def _install(self, replica: StateReplica) -> None:
         if self.entry is not None:
@@ -225,30 +230,36 @@
         """Run until stopped; requests in flight end first."""
         async with anyio.create_task_group() as group:
             if self.bus.tls is not None or self.settings.peer_plaintext:
-                group.start_soon(self.bus.run, self.settings.peer_address)
-            if self.control is not None:
-                group.start_soon(self.control.run)
-            group.start_soon(self.host.run)
-            group.start_soon(self._run_periodic_work)
-            if self.control is not None:
-                group.start_soon(self._run_leader_duties)
+                group.start_soon(self.supervisor.listen, self._run_bus)
+            for task in self._list_tasks():
+                group.start_soon(self.supervisor.run, task)
             if self.entry is not None:
                 group.start_soon(self.entry.run)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
 
-    async def _run_leader_duties(self) -> None:
-        """Run what only the leader of the control state does."""
-        membership = self.membership
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.orders.run)
-            if self.settings.platform_address:
-                reader = PlatformReader(
-                    self.settings.platform_address,
-                    membership.is_leading,
-                    membership.install_platform_list,
-                )
-                group.start_soon(reader.run)
+    async def _run_bus(self) -> None:
+        await self.bus.run(self.settings.peer_address)
+
+    async def _retry_installation(self) -> None:
+        await self.installation.run(self.membership.agent.replica)
+
+    def _list_tasks(self) -> list[Task]:
+        tasks: list[Task] = [
+            self.host.run,
+            self._run_periodic_work,
+            self._retry_installation,
+        ]
+        if self.control is not None:
+            tasks += [self.control.run, self.orders.run]
+        if self.control is not None and self.settings.platform_address:
+            reader = PlatformReader(
+                self.settings.platform_address,
+                self.membership.is_leading,
+                self.membership.install_platform_list,
+            )
+            tasks.append(reader.run)
+        return tasks
 
     def _find_endpoint_address(self, endpoint: EndpointId) -> Address | None:
         state = self.control.state if self.control is not None else None
@@ -287,15 +298,17 @@
 
     async def _serve_until_stopped(self) -> None:
         ended = anyio.Event()
+        async with anyio.create_task_group() as group:
+            serve_operators = partial(self._serve_operators, ended)
+            group.start_soon(self.supervisor.listen, serve_operators)
+            await self.supervisor.listen(self._serve_callers)
+            ended.set()
+
+    async def _serve_operators(self, ended: anyio.Event) -> None:
         address = self.settings.operator_address
         serve = self.operations.serve
         limits = create_limits(self.settings)
-        async with anyio.create_task_group() as group:
-            group.start_soon(
-                serve_address, address, serve, ended, OPERATOR_GRACE_S, limits
-            )
-            await self._serve_callers()
-            ended.set()
+        await serve_address(address, serve, ended, OPERATOR_GRACE_S, limits)
 
     async def _serve_callers(self) -> None:
         if self.entry is None:
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 import anyio
-import anyio.abc
 import httpx
 import msgspec
 
 from burdockwall.connection.client import create_http_client
 from burdockwall.process.host import Host, HostedMachine
+from burdockwall.process.jobs import Jobs
 from burdockwall.process.membership.timing import FIRST_TERM
 from burdockwall.process.orders.order import NumberedOrder, Order, OrderResult
 from burdockwall.process.orders.sender import (
@@ -40,7 +40,7 @@
         self.find_address = find_address
         self.get_led_term = get_led_term
         self.on_finished = on_finished
-        self._group: anyio.abc.TaskGroup | None = None
+        self._jobs = Jobs(host.failures)
         self._client: httpx.AsyncClient | None = None
         self.hosted: HostedMachine = host.add(self.sender, (), self._perform)
 
@@ -51,8 +51,7 @@
     def _perform(self, action: SendOrder | OrderFinished) -> None:
         match action:
             case SendOrder(numbered_order=numbered_order):
-                if self._group is not None:
-                    self._group.start_soon(self._attempt, numbered_order)
+                self._jobs.start(self._attempt, numbered_order)
             case OrderFinished():
                 self.on_finished(action)
 
@@ -60,8 +59,7 @@
         """Send due orders until cancelled."""
         async with create_http_client(ORDER_TIMEOUT_S) as client:
             self._client = client
-            async with anyio.create_task_group() as group:
-                self._group = group
+            async with self._jobs.open():
                 while True:
                     self._start_new_term()
                     await anyio.sleep(self.host.tick_s)
@@ -79,12 +77,14 @@
     async def _attempt(self, numbered_order: NumberedOrder) -> None:
         result = OrderResult.FAILED
         # Limit the whole attempt, also if the endpoint answers slowly.
-        with anyio.move_on_after(ORDER_TIMEOUT_S):
-            result = await self._send(numbered_order)
-        event = AttemptEnded(
-            numbered_order.order.endpoint, numbered_order.number, result
-        )
-        self.host.apply(self.hosted, event)
+        try:
+            with anyio.move_on_after(ORDER_TIMEOUT_S):
+                result = await self._send(numbered_order)
+        finally:
+            event = AttemptEnded(
+                numbered_order.order.endpoint, numbered_order.number, result
+            )
+            self.host.apply(self.hosted, event)
 
     async def _send(self, numbered_order: NumberedOrder) -> OrderResult:
         address = self.find_address(numbered_order.order.endpoint)
--- a/burdockwall/process/programs/reclaimer.py
+++ b/burdockwall/process/programs/reclaimer.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 
 import anyio
-import anyio.abc
 import httpx
 import logbook
 import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.process.jobs import Jobs
 from burdockwall.process.programs import calls
 from burdockwall.process.programs.client import RecordClient
 from burdockwall.process.programs.program_tree import ProgramEnded
@@ -70,15 +70,14 @@
         self.sweep = Sweep(client.instance, settings.sweep_interval_s)
         self.confirmed_orders = 0
         self.unconfirmed_orders = 0
-        self._group: anyio.abc.TaskGroup | None = None
+        self._jobs = Jobs(client.host.failures)
         self._open_orders: set[tuple[EndpointId, str]] = set()
         self._logger = logbook.Logger("reclaimer")
         client.on_program_ended = self.release
 
     async def run(self) -> None:
         """Sweep engines and resend unconfirmed orders until cancelled."""
-        async with anyio.create_task_group() as group:
-            self._group = group
+        async with self._jobs.open():
             while True:
                 views = self.client.requester.shards.views.values()
                 instances = tuple(sorted({view.primary for view in views}))
@@ -101,10 +100,10 @@
     def _start_posting(self, name: EndpointId, path: str, target: str) -> None:
         endpoint = self.engines.get(name)
         order = (name, f"{path} {target}")
-        if endpoint is None or self._group is None or order in self._open_orders:
+        if endpoint is None or not self._jobs.running or order in self._open_orders:
             return
         self._open_orders.add(order)
-        self._group.start_soon(
+        self._jobs.start(
             self._post_until_confirmed, endpoint, path, target.encode(), order
         )
 
@@ -142,12 +141,11 @@
             self._perform(action)
 
     def _perform(self, action: SweepAction) -> None:
-        assert self._group is not None
         match action:
             case ListEngine(endpoint=name) if name in self.engines:
-                self._group.start_soon(self._list, self.engines[name])
+                self._jobs.start(self._list, self.engines[name])
             case CheckIds():
-                self._group.start_soon(self._check, action)
+                self._jobs.start(self._check, action)
             case CancelRequest(endpoint=name, request=request):
                 self.cancel(name, request)
             case DropCache(endpoint=name, tag=tag):
--- a/burdockwall/process/scheduling/poller.py
+++ b/burdockwall/process/scheduling/poller.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.process.failures import Failures
+from burdockwall.process.jobs import contain
 from burdockwall.process.scheduling.dispatcher import Dispatcher
 from burdockwall.process.scheduling.jobs import ObserveCache, ObserveLoad, ReleaseCache
 from burdockwall.process.scheduling.reports import CachePage, LoadReport
@@ -32,7 +34,9 @@
         clients: EndpointClients,
         clock: Callable[[], float],
         interval_s: float,
+        failures: Failures | None = None,
     ) -> None:
+        self.failures = failures or Failures()
         self.dispatcher = dispatcher
         self.clients = clients
         self.clock = clock
@@ -51,10 +55,10 @@
         limit = anyio.CapacityLimiter(CONCURRENT_POLLS)
         async with anyio.create_task_group() as group:
             for endpoint in self._list_active():
-                group.start_soon(self._poll, endpoint, limit)
+                group.start_soon(contain, self.failures, self._poll, endpoint, limit)
             while self.dispatcher.releases:
                 release = self.dispatcher.releases.popleft()
-                group.start_soon(self._release, release, limit)
+                group.start_soon(contain, self.failures, self._release, release, limit)
 
     def _list_active(self) -> list[Endpoint]:
         now = self.clock()
--- a/burdockwall/process/storage/node.py
+++ b/burdockwall/process/storage/node.py
@@ -37,4 +37,5 @@
 
     async def run(self, path: Path | None) -> None:
         """Run until stopped."""
-        await self.member.run(path, [self.service.run, self.member.stopping.wait])
+        stopping = self.member.stopping.wait
+        await self.member.run(path, [self.service.run], [stopping])
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -6,7 +6,8 @@
 import anyio.to_thread
 import logbook
 
-from burdockwall.process.control.files import Files
+from burdockwall.errors import Code
+from burdockwall.process.control.files import Files, StorageError
 from burdockwall.process.host import Host
 from burdockwall.process.storage.copier import (
     COPIER_MESSAGES,
@@ -125,6 +126,10 @@
                 failed = True
                 await anyio.sleep(RETRY_WRITE_S)
                 continue
+            except Exception as error:
+                # Later records must not be confirmed without these.
+                detail = f"records not written: {error!r}"
+                raise StorageError(Code.STATE_UNCERTAIN, detail) from error
             if failed:
                 self._logger.notice("writes succeed again")
             return
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -11,6 +11,7 @@
 from burdockwall.connection.endpoints import read_limited
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, RequestRefused
+from burdockwall.process.jobs import Jobs
 from burdockwall.process.programs import calls
 from burdockwall.process.programs.client import find_shard
 from burdockwall.process.programs.operations import Outcome, OutcomeKey, ServiceRequest
@@ -179,20 +180,18 @@
         self.parts = parts
         self.get_view = get_view
         self.sent = 0
-        self._group: anyio.abc.TaskGroup | None = None
+        self._jobs = Jobs(parts.programs.client.host.failures)
         parts.programs.client.on_send_accepted = self.add
 
     async def run(self) -> None:
         """Send the requests that are added, until cancelled."""
-        async with anyio.create_task_group() as group:
-            self._group = group
-            await anyio.sleep_forever()
+        await self._jobs.run()
 
     def add(self, record: OutcomeRecord) -> None:
         """Send one accepted request, unless its route is no longer configured."""
         route = self.get_view().routes.get(record.key.route)
-        if self._group is not None and route is not None:
-            self._group.start_soon(self._send, record, route)
+        if route is not None:
+            self._jobs.start(self._send, record, route)
 
     async def _send(self, record: OutcomeRecord, route: Route) -> None:
         attempt = create_attempt(
