Go on without a log when its reader is gone

Seen: a process of the platform ends with exit code 1 when the reading end of its standard output is closed and it logs a line: BrokenPipeError in LineSink.drain, which ends the task group of run_role.

Cause: the sink bounds what a slow reader costs, and doesn't allow for a failed write.

Change: after a failed write the queued lines are dropped and counted; later ones are tried again.

Measured: "A process whose log nobody reads any more goes on" of process_signals (a real process) passes, and fails with exit code 1 on the code before (a trial on a scratch copy).

--- a/burdockwall/process/sink.py
+++ b/burdockwall/process/sink.py
@@ -54,9 +54,19 @@
             if not chunk or not self._is_writable():
                 self._partial = chunk
                 return
-            written = os.write(self.descriptor, chunk)
+            try:
+                written = os.write(self.descriptor, chunk)
+            except OSError:
+                # The reader is gone or the disk is full; the process goes on without.
+                self._drop(chunk)
+                return
             self._partial = chunk[written:]
 
+    def _drop(self, chunk: bytes) -> None:
+        self.dropped += chunk.count(b"\n") + len(self._lines)
+        self._partial = b""
+        self._lines.clear()
+
     def _take_chunk(self) -> bytes:
         parts = [self._partial]
         size = len(self._partial)
