Let a process that starts keep its signals, and refuse cut-off settings

Seen: SIGHUP in the first 0.6 s after the start of a process ends it with signal 1, SIGTERM with signal 15. A settings file that is replaced by bytes that aren't UTF-8 ends it with UnicodeDecodeError; one that becomes empty is reloaded as valid, with no seeds.

Cause: handlers exist only once the task group runs, after the imports. FleetMember._read_text expects an OSError only. An empty file is a valid file of defaults.

Change: the module that is imported first installs handlers that keep the signals; once the process follows signals it follows those first, and restores the handlers afterwards, so that one at the very end doesn't kill it either. Settings files are compared as bytes, and a file whose id and role aren't those of the process is refused like one with faults. What a reload raises is contained. Settings that are cut off at the end of a later line still count as whole: nothing in the file tells.

The 0.05 s before, while the interpreter starts, stay as they are.

--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -108,7 +108,8 @@
             # Python allows signal handlers only in the main thread; an instance that is
             # embedded in another program must not change that program's handlers.
             if threading.current_thread() is threading.main_thread():
-                group.start_soon(follow_signals, lambda: self.reload(path), self._stop)
+                reload = partial(self.supervisor.attempt, partial(self.reload, path))
+                group.start_soon(follow_signals, reload, self._stop)
             group.start_soon(supervisor.run, partial(self._reload_on_change, path))
             await supervisor.listen(servers[-1])
             group.cancel_scope.cancel()
@@ -135,17 +136,17 @@
         self.stopping.set()
 
     async def _reload_on_change(self, path: Path | None) -> None:
-        text = self._read_text(path) if path is not None else None
+        data = self._read_file(path) if path is not None else None
         while path is not None:
             await anyio.sleep(WATCH_INTERVAL_S)
-            current = self._read_text(path)
-            if current is not None and current != text:
-                text = current
+            current = self._read_file(path)
+            if current is not None and current != data:
+                data = current
                 self.reload(path)
 
-    def _read_text(self, path: Path) -> str | None:
+    def _read_file(self, path: Path) -> bytes | None:
         try:
-            return path.read_text(encoding="utf-8")
+            return path.read_bytes()
         except OSError as error:
             # The file may be being replaced; it is read again after the interval.
             self._logger.warning("settings not read", extra={"error": str(error)})
--- a/burdockwall/process/reload.py
+++ b/burdockwall/process/reload.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from burdockwall.errors import InvalidFile
+from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.settings import Settings, read_settings
 
 # Attributes that are read at each use; changes of others need a restart.
@@ -50,9 +50,12 @@
 def reload_settings(settings: Settings, path: Path) -> ReloadResult:
     """Copy the reloadable attributes of a file into the settings in use.
 
-    Raises InvalidFile and changes nothing if the file is invalid.
+    Raises InvalidFile and changes nothing if the file is invalid, or is that of another
+    instance, as one that is cut off or empty looks like.
     """
     fresh = read_settings(path)
+    if (fresh.instance_id, fresh.role) != (settings.instance_id, settings.role):
+        raise InvalidFile(Code.SETTINGS_INVALID, [_describe_other(fresh, path)])
     names = [field.name for field in fields(Settings)]
     differing = [
         name for name in names if getattr(fresh, name) != getattr(settings, name)
@@ -62,3 +65,13 @@
         setattr(settings, name, getattr(fresh, name))
     needs_restart = tuple(name for name in differing if name not in RELOADABLE)
     return ReloadResult(changed, needs_restart)
+
+
+def _describe_other(fresh: Settings, path: Path) -> Fault:
+    return Fault(
+        Code.SETTINGS_INVALID,
+        str(path),
+        f"[instance] id {fresh.instance_id} and role {fresh.role.value} are not those "
+        "of this instance",
+        "Write the whole file, or restart the process.",
+    )
--- a/burdockwall/process/startup.py
+++ b/burdockwall/process/startup.py
@@ -1,7 +1,15 @@
-"""Control of the garbage collector during startup."""
+"""What a process does about garbage and signals during startup."""
 
 import gc
 
+from burdockwall.process.early_signals import keep_signals
+
+
+def begin_startup() -> None:
+    """Keep signals, and collect no garbage, until the process runs."""
+    keep_signals()
+    pause_collection()
+
 
 def pause_collection() -> None:
     """Disable garbage collection until resume_collection()."""
