Acknowledge nothing that the tolerated losses could take away

Seen by the operator: the first configuration was acknowledged some 0.7 s after the start, the machine that had answered lost its disk, and the configuration was gone.

Cause: the lowest seed alone was the first voter, so it committed with one disk. The others had no cluster to join once it was lost. Also later, entries were committed with the majority of however many voters there were.

Change: at the first start all three seeds are voters, under identities that follow from the settings, so that each writes the same first entry without an agreement, in any order of starts. A seed with an empty disk later still gets an identity of its own. A leader commits only while the voters that are known to have a disk, less tolerated_losses, are a majority and their membership is agreed; what isn't committed isn't acknowledged, read or published. The membership changes meanwhile. Until a leader may make its first commit, calls get 2014 at once (503 with Retry-After). Fleets of too few instances for their losses go on with what there is; without seeds nothing changes.

ControlCluster's constructor is split, so that the test can create its instances in another way; its runs are as before.

--- a/burdockwall/process/control/consensus.py
+++ b/burdockwall/process/control/consensus.py
@@ -86,6 +86,10 @@
         """Return whether this replica regards itself as the leader."""
         return self.state.role is ReplicaRole.LEADER
 
+    def awaits_voters(self) -> bool:
+        """Return whether this leader can't commit yet, for want of voters."""
+        return self.is_leader and self.leader.awaits_voters()
+
     def find_leader(self) -> Member | None:
         """Return the leader, or None if it is unknown."""
         return self.state.log.membership.find(self.state.leader)
--- a/burdockwall/process/control/entries.py
+++ b/burdockwall/process/control/entries.py
@@ -15,7 +15,8 @@
     """A replica: its identity, and the instance that runs it.
 
     An identity belongs to one data folder; an instance that lost its folder gets
-    another identity.
+    another identity. An awaited voter was one from the start and has not answered yet,
+    so that its folder may never have existed.
     """
 
     voter: VoterId
@@ -23,6 +24,7 @@
     peer_address: Address = Address("")
     operator_address: Address = Address("")
     voting: bool = False
+    awaited: bool = False
 
 
 class Membership(msgspec.Struct, frozen=True, array_like=True):
--- a/burdockwall/process/control/leader.py
+++ b/burdockwall/process/control/leader.py
@@ -31,6 +31,7 @@
     AskJoin,
     SendSnapshot,
 )
+from burdockwall.process.control.redundancy import bears_losses, count_copies
 from burdockwall.process.control.transfer import (
     OutgoingSnapshot,
     create_outgoing_snapshot,
@@ -99,6 +100,7 @@
         if state.now >= leadership.next_heartbeat_at:
             self._send_heartbeats()
         self._change_membership()
+        self.advance()
 
     def _send_heartbeats(self) -> None:
         state, leadership = self.state, self._get_leadership()
@@ -223,6 +225,8 @@
     def advance(self) -> None:
         """Commit what a majority has synced, and answer confirmed reads.
 
+        While the voters don't bear the tolerated losses, nothing is committed, so that
+        nothing is acknowledged or shown; the membership may still change.
         A leader that is not a voter any more steps down once that is committed.
         """
         state, leadership = self.state, self._get_leadership()
@@ -230,8 +234,10 @@
         leadership.update_confirmed_at(membership, state.now)
         index = leadership.find_majority_match(membership, state.durable_index)
         # Entries of earlier terms are committed only together with one of this term.
-        if index > state.commit_index and state.log.find_term(index) == state.term:
-            state.advance_commit(index)
+        if state.log.find_term(index) == state.term:
+            leadership.agreed_index = max(leadership.agreed_index, index)
+            if index > state.commit_index and self._may_commit(index):
+                state.advance_commit(index)
         for call in leadership.pop_ready_reads(membership, state.applied_index):
             state.actions.append(ReadReady(call))
         removed = (
@@ -240,6 +246,28 @@
         if removed:
             state.become_follower()
 
+    def _may_commit(self, index: int) -> bool:
+        """Return whether entries up to an agreed index survive the tolerated losses."""
+        if not self.policy.bounds.losses:
+            return True
+        return index >= self.state.log.membership_index and self._bears_losses()
+
+    def _bears_losses(self) -> bool:
+        state = self.state
+        return bears_losses(
+            state.log.membership,
+            self._get_leadership(),
+            self.policy.bounds,
+            state.now,
+            state.timing.election_timeout_s,
+            bool(self.joining),
+        )
+
+    def awaits_voters(self) -> bool:
+        """Return whether too few voters keep this leader from its first commit."""
+        has_committed = self.state.commit_index >= self._get_leadership().start_index
+        return not has_committed and not self._bears_losses()
+
     def propose(self, event: Propose) -> None:
         """Append proposed data, or refuse it while too many calls are pending."""
         if len(self._get_leadership().pending_calls) >= MAX_PENDING_CALLS:
@@ -275,7 +303,10 @@
             state.actions.append(CallRefused(event.call))
             return
         membership = remove_member(state.log.membership, event.voter)
-        if not membership.list_voters():
+        voters = membership.list_voters()
+        if not voters or len(voters) // 2 + 1 < count_copies(
+            state.log.membership, self.policy.bounds
+        ):
             state.actions.append(CallRefused(event.call))
             return
         self._append(MembershipChange(membership), event.call)
@@ -283,8 +314,9 @@
 
     def _may_change_membership(self) -> bool:
         state = self.state
-        started = state.commit_index >= self._get_leadership().start_index
-        return started and state.log.membership_index <= state.commit_index
+        leadership = self._get_leadership()
+        started = leadership.agreed_index >= leadership.start_index
+        return started and state.log.membership_index <= leadership.agreed_index
 
     def _change_membership(self) -> None:
         state, leadership = self.state, self._get_leadership()
--- a/burdockwall/process/control/leadership.py
+++ b/burdockwall/process/control/leadership.py
@@ -46,7 +46,8 @@
     """State of a leader in one term.
 
     A round is one set of heartbeats. A replica returns the round's number, which
-    proves that it followed this leader after the round was sent.
+    proves that it followed this leader after the round was sent. Entries up to
+    `agreed_index` are in the logs of a majority, but not all may be committed yet.
     """
 
     voter: VoterId
@@ -54,6 +55,7 @@
     elected_at: float
     confirmed_at: float = -math.inf
     round: int = 0
+    agreed_index: int = 0
     progress: dict[VoterId, Progress] = field(default_factory=dict)
     pending_reads: list[PendingRead] = field(default_factory=list)
     pending_calls: dict[int, CallId] = field(default_factory=dict)
--- a/burdockwall/process/control/opening.py
+++ b/burdockwall/process/control/opening.py
@@ -12,6 +12,12 @@
 from burdockwall.process.control.entries import HardState, Member, VoterId
 from burdockwall.process.control.events import Recovered
 from burdockwall.process.control.files import DiskFiles, Files, StorageError
+from burdockwall.process.control.founding import (
+    build_founding_records,
+    is_founder,
+    list_seeds,
+    name_founder,
+)
 from burdockwall.process.control.journal import (
     Identity,
     Journal,
@@ -19,6 +25,7 @@
     replay_records,
 )
 from burdockwall.process.control.records import Record
+from burdockwall.process.control.redundancy import LossBounds
 from burdockwall.process.control.replica import MemoryStorage, Replica
 from burdockwall.process.control.state import ControlState
 from burdockwall.process.control.voters import VoterPolicy
@@ -47,31 +54,31 @@
     return settings.control_instances or [settings.instance_id]
 
 
-def list_seeds(settings: Settings) -> list[InstanceId]:
-    """List the seeds by peer address; all instances use the same peer port."""
-    port = settings.peer_address.rpartition(":")[2]
-    hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
-    return [InstanceId(f"{host}:{port}") for host in hosts]
-
-
 def prepare_replica(settings: Settings) -> None:
     """Create the replica of an instance that has none, if seeds are set.
 
-    At the first start of the whole system the seed with the lowest address creates
-    the cluster and the others join it. Later, an instance with an empty disk joins
-    under a new identity.
+    At the first start of the whole system the seeds are the first voters and the
+    others join them. Later, an instance with an empty disk joins under a new identity.
     """
     files = open_files(settings)
     try:
-        if Journal(files).read_identity() is not None:
-            return
-        first = min(list_seeds(settings), default=None)
-        bootstrap = settings.first_start and settings.instance_id == first
-        _create_identity(settings, files, bootstrap=bootstrap)
+        prepare_files(settings, files)
     finally:
         files.close()
 
 
+def prepare_files(settings: Settings, files: Files) -> None:
+    """Create the files of the replica of an instance, unless there are some."""
+    journal = Journal(files)
+    if journal.read_identity() is not None:
+        return
+    if not is_founder(settings):
+        _create_identity(settings, files, bootstrap=False)
+        return
+    identity = Identity(name_founder(settings.instance_id), settings.instance_id)
+    journal.create(identity, build_founding_records(settings))
+
+
 def create_voter_policy(settings: Settings) -> VoterPolicy | None:
     """Create the policy of a fleet with seeds, or None if voters are configured.
 
@@ -80,8 +87,9 @@
     """
     if not settings.seeds:
         return None
-    max_voters = max(len(settings.seeds), 2 * settings.tolerated_losses + 1)
-    return VoterPolicy(None, max_voters, SEEDED_REPLACE_SILENCE_S)
+    bounds = LossBounds(settings.tolerated_losses, len(settings.seeds))
+    max_voters = max(bounds.seeds, bounds.needed_voters)
+    return VoterPolicy(None, max_voters, SEEDED_REPLACE_SILENCE_S, bounds)
 
 
 def open_files(settings: Settings) -> DiskFiles:
@@ -143,7 +151,7 @@
         detail = f"{settings.data_folder} belongs to instance {identity.instance}"
         raise StorageError(Code.IDENTITY_OTHER, detail)
     recovered = journal.recover()
-    consensus = _create_consensus(settings, identity.voter, recovered)
+    consensus = create_consensus(settings, identity.voter, recovered)
     archive = AuditArchive(files)
     return Replica(consensus, journal, state, recovered, archive)
 
@@ -156,13 +164,14 @@
     records = build_first_records("memory", create_member(settings, voter))
     replayed = replay_records(records)
     recovered = Recovered(replayed.hard_state, None, tuple(replayed.entries))
-    consensus = _create_consensus(settings, voter, recovered)
+    consensus = create_consensus(settings, voter, recovered)
     return Replica(consensus, MemoryStorage(), state, recovered)
 
 
-def _create_consensus(
+def create_consensus(
     settings: Settings, voter: VoterId, recovered: Recovered
 ) -> Consensus:
+    """Create the consensus of a replica from its settings and what was recovered."""
     seed = msgspec.msgpack.encode((voter, recovered.hard_state))
     return Consensus(
         create_member(settings, voter),
--- /dev/null
+++ b/burdockwall/process/control/redundancy.py
@@ -0,0 +1,99 @@
+"""Decide whether the voters bear the tolerated losses, so that entries may commit."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from burdockwall.process.control.entries import Member, Membership
+from burdockwall.process.control.leadership import Leadership
+
+# Fleets with this many seeds may have further control instances.
+ALL_SEEDS = 3
+# All instances start at about the same time, and ask to join once a second.
+JOIN_WAIT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class LossBounds:
+    """How many disks may be lost at once, and how many seeds the fleet has.
+
+    With fewer than ALL_SEEDS there are no control instances but the seeds.
+    """
+
+    losses: int = 0
+    seeds: int = 0
+
+    @property
+    def needed_voters(self) -> int:
+        """Return how many voters keep a majority after the losses."""
+        return 2 * self.losses + 1
+
+    @property
+    def expected_voters(self) -> int:
+        """Return how many voters there will be as far as the seeds tell."""
+        if self.seeds >= ALL_SEEDS:
+            return self.needed_voters
+        return min(self.needed_voters, self.seeds)
+
+
+def bears_losses(
+    membership: Membership,
+    leadership: Leadership,
+    bounds: LossBounds,
+    now: float,
+    silence_s: float,
+    joining: bool,
+) -> bool:
+    """Return whether what a majority of the voters has survives the losses.
+
+    It does if a majority of the voters remains. A fleet with too few control instances
+    for that goes on once none of them is awaited or asks to join.
+    """
+    voters = [member for member in membership.members if member.voting]
+    quorum = len(voters) // 2 + 1
+    present = [member for member in voters if is_present(member, leadership)]
+    if len(present) - bounds.losses >= quorum:
+        return True
+    if len(present) < len(voters) or quorum < count_copies(membership, bounds):
+        return False
+    starting = now - leadership.elected_at < JOIN_WAIT_S
+    if joining or (starting and len(voters) < bounds.expected_voters):
+        return False
+    return not _has_answering_learner(membership, leadership, now, silence_s)
+
+
+def is_present(member: Member, leadership: Leadership) -> bool:
+    """Return whether a voter has a disk with the log, as far as anyone has heard."""
+    if not member.awaited or member.voter == leadership.voter:
+        return True
+    return leadership.progress[member.voter].match_index > 0
+
+
+def confirm_present(membership: Membership, leadership: Leadership) -> Membership:
+    """Cease to await the voters that have answered."""
+    return Membership(
+        tuple(
+            msgspec.structs.replace(member, awaited=False)
+            if is_present(member, leadership)
+            else member
+            for member in membership.members
+        )
+    )
+
+
+def count_copies(membership: Membership, bounds: LossBounds) -> int:
+    """Return on how many disks an entry must be, if there are enough instances."""
+    instances = {member.instance for member in membership.members}
+    if max(len(instances), bounds.seeds) < bounds.needed_voters:
+        return 1
+    return bounds.losses + 1
+
+
+def _has_answering_learner(
+    membership: Membership, leadership: Leadership, now: float, silence_s: float
+) -> bool:
+    return any(
+        now - leadership.progress[member.voter].last_answer_at < silence_s
+        for member in membership.members
+        if not member.voting
+    )
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -175,6 +175,7 @@
 
         Raise OperatorError if it was not accepted or its outcome is unknown.
         """
+        self._check_voters()
         self._check_operators_defined()
         self._limit_refused_attempts(command, credential)
         known = await self._find_outcome(command, credential)
@@ -217,6 +218,7 @@
 
     async def confirm_read(self) -> None:
         """Wait for a linearizable read, or raise OperatorError."""
+        self._check_voters()
         call = self._waiters.create()
         await self._wait(call, AskRead(call))
 
@@ -246,6 +248,12 @@
             case CallRefused():
                 raise self._build_refusal()
 
+    def _check_voters(self) -> None:
+        """Refuse a call at once that would wait for more voters."""
+        if self.replica.consensus.awaits_voters():
+            detail = "too few voters yet to bear the tolerated losses"
+            raise OperatorError(Code.NO_QUORUM, detail)
+
     def _build_refusal(self) -> OperatorError:
         consensus = self.replica.consensus
         member = consensus.find_leader()
--- a/burdockwall/process/control/voters.py
+++ b/burdockwall/process/control/voters.py
@@ -6,6 +6,7 @@
 
 from burdockwall.process.control.entries import Member, Membership, VoterId
 from burdockwall.process.control.leadership import Leadership
+from burdockwall.process.control.redundancy import LossBounds, confirm_present
 from burdockwall.types import InstanceId
 
 REPLACE_SILENCE_S = 10.0
@@ -19,12 +20,14 @@
 
     Without `allowed_instances` any instance may join. While there are `max_voters`,
     a learner becomes a voter only in place of one that has not answered for
-    `replace_silence_s`.
+    `replace_silence_s`. Nothing is committed while the voters don't bear the losses
+    of `bounds`.
     """
 
     allowed_instances: tuple[InstanceId, ...] | None
     max_voters: int | None = None
     replace_silence_s: float = REPLACE_SILENCE_S
+    bounds: LossBounds = LossBounds()
 
     def admits(self, instance: InstanceId) -> bool:
         """Return whether an instance may hold a replica."""
@@ -88,6 +91,9 @@
     previous identity of its instance is removed before the new one is promoted,
     since adding the new one first would raise the size of a majority.
     """
+    confirmed = confirm_present(membership, leadership)
+    if confirmed != membership:
+        return confirmed
     for member in joining.values():
         is_member = membership.find(member.voter) is not None
         if policy.admits(member.instance) and not is_member:
--- a/features/faults.py
+++ b/features/faults.py
@@ -5,13 +5,14 @@
 
 import click
 
-from features.subjects import control_faults
+from features.subjects import control_faults, control_founding
 
 SUBJECTS: dict[str, dict[str, Callable[[int], object]]] = {
     "control": {
         kind: lambda seed, kind=kind: control_faults.run_seed(kind, seed)
         for kind in control_faults.RUNS
-    }
+    },
+    "founding": {"losses": control_founding.run_seed},
 }
 
 
--- a/features/subjects/control_cluster.py
+++ b/features/subjects/control_cluster.py
@@ -132,6 +132,11 @@
         self.to_resend: list[object] = []
         self.count = 0
         self.nodes: dict[InstanceId, Node] = {}
+        self.create_nodes(voters)
+
+    # Instances.
+
+    def create_nodes(self, voters: int) -> None:
         names = [InstanceId(f"control-{number}") for number in range(1, voters + 1)]
         self.names = names
         for name in names:
@@ -145,8 +150,6 @@
             self.create_files(node, records)
             self.start(node)
 
-    # Instances.
-
     def add_node(self, name: InstanceId) -> Node:
         files = FakeFiles(random.Random(self.rng.random()))
         node = Node(name, files, Member(VoterId(f"{name}.0"), name, voting=True))
