Bound in bytes the messages that wait for an instance

Could be seen: messages for an instance that is down or slow wait in a queue of up to 4,096. While one instance is down they keep what log and state have let go, until the process passes its memory.

Cause: the queue was bounded by count alone.

Change: MessageQueue drops the oldest messages beyond 9 MiB too, and always keeps the latest. A message that waits alone is not measured, so that sending to a peer that answers costs nothing more. Delivery was best effort before: the machines repeat what must arrive.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -6,7 +6,6 @@
 """
 
 import ssl
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -20,6 +19,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from burdockwall.connection.address import split_address
+from burdockwall.connection.message_queue import MessageQueue
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
     ANSWERS_PROTOCOL,
@@ -35,7 +35,6 @@
 from burdockwall.types import Address, Incarnation, InstanceId
 
 EXCHANGE_METHOD = "/burdockwall.Peer/Exchange"
-MAX_QUEUED_MESSAGES = 4096
 MAX_BATCH_MESSAGES = 256
 RECONNECT_FIRST_S = 0.02
 RECONNECT_LIMIT_S = 0.1
@@ -84,7 +83,7 @@
         self.address = address
         self.silence_s = silence_s
         self.replacements = 0
-        self._queue: deque[AnyMessage] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self._queue = MessageQueue()
         self._wake = anyio.Event()
         self._sent = 0
         self._acknowledged = 0
@@ -116,7 +115,7 @@
         return self._protocol if known else None
 
     def enqueue(self, message: AnyMessage) -> None:
-        """Add a message to the queue; a full queue drops its oldest one."""
+        """Add a message to the queue; a full queue drops its oldest ones."""
         self._queue.append(message)
         self._wake.set()
 
@@ -226,7 +225,7 @@
         messages: list[AnyMessage] = []
         spoken = self.protocol
         while self._queue and len(messages) < MAX_BATCH_MESSAGES:
-            required = self._queue[0].protocol
+            required = self._queue.get_first().protocol
             if spoken is None and required:
                 break
             message = self._queue.popleft()
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -34,3 +34,17 @@
       | reads                                    | batches |
       | reads messages in acknowledgements       | 0       |
       | knows only the count of acknowledgements | 5       |
+
+  Scenario Outline: Large messages for an instance that is down don't fill the memory
+    When 100 messages of <size> bytes wait for an instance that is down
+    Then at most 10 MB of them wait, the latest one among them
+
+    Examples:
+      | size    |
+      | 1000    |
+      | 1280000 |
+      | 4194304 |
+
+  Scenario: Small messages for an instance that is down are bounded in number
+    When 5000 messages of 10 bytes wait for an instance that is down
+    Then 4096 of them wait, the latest one among them
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -11,7 +11,12 @@
 from burdockwall.fakes.ports import find_address
 from burdockwall.process.membership.messages import Ping
 from burdockwall.types import Address, Incarnation, InstanceId
-from features.subjects.peers import ARRIVAL_LIMIT_S, AnswersSubject, PeersSubject
+from features.subjects.peers import (
+    ARRIVAL_LIMIT_S,
+    AnswersSubject,
+    PeersSubject,
+    WaitingSubject,
+)
 
 
 @given("two instances that exchange messages over a path")
@@ -155,3 +160,24 @@
 def step_batches(context, batches):
     assert context.answers.answered == list(range(context.asked))
     assert context.answers.batches == batches, context.answers.batches
+
+
+@when("{count:d} messages of {size:d} bytes wait for an instance that is down")
+def step_wait(context, count, size):
+    context.waiting = WaitingSubject()
+    context.waiting.run(count, size)
+
+
+@then("at most {size:d} MB of them wait, the latest one among them")
+def step_check_bytes(context, size):
+    waiting = context.waiting.waiting
+    held = sum(len(message.entries[0].payload.data) for message in waiting)
+    assert held <= size * 1_000_000, held
+    assert waiting[-1].entries[0].index == 100
+
+
+@then("{count:d} of them wait, the latest one among them")
+def step_check_count(context, count):
+    waiting = context.waiting.waiting
+    assert len(waiting) == count, len(waiting)
+    assert waiting[-1].entries[0].index == 5000
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -4,11 +4,14 @@
 
 import anyio
 
-from burdockwall.connection.peers import RECONNECT_LIMIT_S, PeerBus
+from burdockwall.connection.peers import RECONNECT_LIMIT_S, PeerBus, PeerLink
 from burdockwall.fakes.ports import find_address
 from burdockwall.fakes.proxy import FaultyProxy
+from burdockwall.machine import Message
+from burdockwall.process.control.entries import Data, Entry, VoterId
+from burdockwall.process.control.messages import Append
 from burdockwall.process.membership.messages import Ping, Pong
-from burdockwall.types import Incarnation, InstanceId
+from burdockwall.types import Incarnation, InstanceId, Term
 
 SILENCE_S = 1.0
 # The silence bound, the delay before the new connection, and time to connect.
@@ -103,3 +106,27 @@
                     while len(self.answered) <= nonce:
                         await anyio.sleep(0.01)
             group.cancel_scope.cancel()
+
+
+class WaitingSubject:
+    """Messages that wait for an instance to which no connection is made."""
+
+    def __init__(self) -> None:
+        self.waiting: list[Message] = []
+
+    def run(self, count: int, size: int) -> None:
+        anyio.run(self._run, count, size)
+
+    async def _run(self, count: int, size: int) -> None:
+        link = PeerLink(NEAR, Incarnation(1), find_address(), SILENCE_S, None, print)
+        for number in range(1, count + 1):
+            link.enqueue(build_append(number, bytes(size)))
+        while not link.is_idle:
+            self.waiting += link._take_batch()
+
+
+def build_append(number: int, data: bytes) -> Append:
+    """Build a message with one entry of the log of the control state."""
+    entry = Entry(Term(1), number, Data(data))
+    voter = VoterId("voter")
+    return Append("cluster", voter, voter, Term(1), number - 1, Term(1), (entry,), 0, 0)
