Give large batches the time that a slow link needs

Could be seen: a configuration of 4 MiB never arrives at an instance behind a link of 15 Mbit/s, nor do six changes of 1.28 MB that wait together; the instance stays on the older one. Cause: a connection without an acknowledgement for the silence bound is replaced, however many bytes its batch has, and a batch was bounded by the number of its messages alone. Each new attempt begins from nothing. Change: a message that would take a batch over 1 MiB waits for the next one, and a batch may take as long as a link of 1 MB/s needs beside the silence bound.

--- a/burdockwall/connection/message_queue.py
+++ b/burdockwall/connection/message_queue.py
@@ -47,6 +47,10 @@
         """Return the oldest message."""
         return self._waiting[0]
 
+    def measure_first(self) -> int:
+        """Return the size of the oldest message, or 0 if it has waited alone."""
+        return self._sizes[0] if self._sizes else 0
+
     def popleft(self) -> Any:
         """Remove and return the oldest message."""
         if self._sizes:
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -36,6 +36,10 @@
 
 EXCHANGE_METHOD = "/burdockwall.Peer/Exchange"
 MAX_BATCH_MESSAGES = 256
+# A larger message has a batch of its own.
+MAX_BATCH_BYTES = 1_048_576
+# A batch may take as long as a link of this rate needs, beside the silence bound.
+LEAST_BYTES_PER_S = 1_000_000
 RECONNECT_FIRST_S = 0.02
 RECONNECT_LIMIT_S = 0.1
 # A machine that is off does not answer an attempt to connect. It may be back soon, so
@@ -96,6 +100,7 @@
         self._attempt: anyio.CancelScope | None = None
         self._attempt_at = 0.0
         self._heard = False
+        self._batch: anyio.CancelScope | None = None
         self._logger = logbook.Logger("peers")
 
     @property
@@ -173,7 +178,7 @@
 
     async def _connect_once(self) -> None:
         host, port = split_address(self.address)
-        codec = MessagePackCodec()
+        codec = MessagePackCodec(self._allow_time)
         async with grpclib.client.Channel(
             host, port, codec=codec, ssl=self.tls
         ) as channel:
@@ -205,7 +210,7 @@
         )
         # The next batch waits for the acknowledgement. Messages queued meanwhile are
         # sent together, and a silent connection is noticed by its first batch.
-        with anyio.fail_after(self.silence_s):
+        with anyio.fail_after(self.silence_s) as self._batch:
             await stream.send_message(envelope)
             reply = await stream.recv_message()
         if reply is None:
@@ -216,6 +221,11 @@
         self._record_success()
         self.receive(reply.messages)
 
+    def _allow_time(self, size: int) -> None:
+        """Allow a batch of a size the time that a slow link needs to carry it."""
+        if self._batch is not None:
+            self._batch.deadline += size / LEAST_BYTES_PER_S
+
     def _take_batch(self) -> list[AnyMessage]:
         """Take the next messages, without those that the peer does not know.
 
@@ -223,10 +233,13 @@
         which may be empty.
         """
         messages: list[AnyMessage] = []
+        size = 0
         spoken = self.protocol
         while self._queue and len(messages) < MAX_BATCH_MESSAGES:
             required = self._queue.get_first().protocol
-            if spoken is None and required:
+            size += self._queue.measure_first()
+            too_large = size > MAX_BATCH_BYTES and messages
+            if too_large or (spoken is None and required):
                 break
             message = self._queue.popleft()
             if not required or required <= (spoken or 0):
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -1,5 +1,6 @@
 """Encode the messages between instances as MessagePack."""
 
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -127,7 +128,8 @@
 
     __content_subtype__ = "msgpack"
 
-    def __init__(self) -> None:
+    def __init__(self, report_bytes: Callable[[int], None] | None = None) -> None:
+        self._report_bytes = report_bytes
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders = {
             kind: msgspec.msgpack.Decoder(kind) for kind in (Envelope, Acknowledgement)
@@ -141,11 +143,14 @@
         )
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Encode a frame."""
+        """Encode a frame, and report its size before it is sent."""
         try:
-            return self._encoder.encode(message)
+            data = self._encoder.encode(message)
         except Exception:
-            return self._encode_sound(message)
+            data = self._encode_sound(message)
+        if self._report_bytes is not None:
+            self._report_bytes(len(data))
+        return data
 
     def _encode_sound(self, frame: Frame) -> bytes:
         sound = []
--- a/burdockwall/fakes/proxy.py
+++ b/burdockwall/fakes/proxy.py
@@ -18,12 +18,14 @@
 
     A silenced connection stays open, but its bytes are dropped. With `repeats_answers`
     the next request on a connection is answered with a copy of the answer before.
+    `bytes_per_s` bounds what each connection carries to the target.
     """
 
     address: Address
     target: Address
     connection_count: int = 0
     repeats_answers: bool = False
+    bytes_per_s: float | None = None
     _answers: dict[int, bytes] = field(default_factory=dict)
     _writing: anyio.Lock = field(default_factory=anyio.Lock)
     _silenced: set[int] = field(default_factory=set)
@@ -74,6 +76,8 @@
                 if earlier:
                     async with self._writing:
                         await client.send(earlier)
+                if self.bytes_per_s is not None:
+                    await anyio.sleep(len(chunk) / self.bytes_per_s)
                 if number not in self._silenced:
                     await server.send(chunk)
         if number not in self._silenced:
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -48,3 +48,13 @@
   Scenario: Small messages for an instance that is down are bounded in number
     When 5000 messages of 10 bytes wait for an instance that is down
     Then 4096 of them wait, the latest one among them
+
+  Scenario Outline: Large messages arrive over a link that carries none within the silence bound
+    Given a path that carries 15 Mbit/s, and a silence bound of 1 s
+    When <count> messages of <size> bytes are sent at once
+    Then each arrives within 8 s, over one connection
+
+    Examples:
+      | count | size    |
+      | 1     | 4194304 |
+      | 6     | 1280000 |
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -15,6 +15,7 @@
     ARRIVAL_LIMIT_S,
     AnswersSubject,
     PeersSubject,
+    SlowLinkSubject,
     WaitingSubject,
 )
 
@@ -181,3 +182,21 @@
     waiting = context.waiting.waiting
     assert len(waiting) == count, len(waiting)
     assert waiting[-1].entries[0].index == 5000
+
+
+@given("a path that carries {mbit_per_s:d} Mbit/s, and a silence bound of 1 s")
+def step_slow_path(context, mbit_per_s):
+    context.slow_link = SlowLinkSubject(mbit_per_s * 1_000_000 / 8)
+
+
+@when("{count:d} messages of {size:d} bytes are sent at once")
+def step_send_large(context, count, size):
+    context.slow_link.run(count, size, 8.0)
+    context.sent_count = count
+
+
+@then("each arrives within 8 s, over one connection")
+def step_all_arrive(context):
+    link = context.slow_link
+    assert link.arrived == list(range(1, context.sent_count + 1)), link.arrived
+    assert link.connections == 1, link.connections
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -108,6 +108,38 @@
             group.cancel_scope.cancel()
 
 
+class SlowLinkSubject:
+    """Large messages over a path that carries few bytes a second."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.arrived: list[int] = []
+        self.connections = 0
+
+    def run(self, count: int, size: int, limit_s: float) -> None:
+        anyio.run(self._run, count, size, limit_s)
+
+    async def _run(self, count: int, size: int, limit_s: float) -> None:
+        path = FaultyProxy(find_address(), find_address(), bytes_per_s=self.bytes_per_s)
+        near = PeerBus(NEAR, Incarnation(1), {FAR: path.address}, SILENCE_S)
+        near.set_receiver(lambda sender, message: None)
+        far = PeerBus(FAR, Incarnation(1), {}, SILENCE_S)
+        far.set_receiver(
+            lambda sender, message: self.arrived.append(message.entries[0].index)
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(path.run)
+            group.start_soon(far.run, path.target)
+            group.start_soon(near.run, find_address())
+            for number in range(1, count + 1):
+                near.send(FAR, build_append(number, bytes(size)))
+            with anyio.move_on_after(limit_s):
+                while len(self.arrived) < count:
+                    await anyio.sleep(0.05)
+            self.connections = path.connection_count
+            group.cancel_scope.cancel()
+
+
 class WaitingSubject:
     """Messages that wait for an instance to which no connection is made."""
 
