Pass on no success without an endpoint's signature

Callers got 200 "ok" for bookings that no server had run: an entry of the list without version and slots named an address at which another program answers each request.

Cause: fields that each entry of the list has had defaults, and an answer on a new connection that names no request and has no signature was passed on.

Change: an entry that lacks version or slots names no server (cold-left-ms, born and the rest may be missing on some deployments). AnswerDetails has `signed`, which the platform's codec reads; a success that isn't signed ends its attempt like a broken connection: a repeatable request is asked for at another endpoint, any other is answered 502, which promises nothing.

Both new scenarios of `platform` and 2 of 8 of `decoders` failed before, and pass now.

Tests changed: the scripted endpoints of answer_ends and extra_answers sign their successes, since without a signature each would be a 502 whatever else is wrong with it; the entry in cold_endpoints has version and slots. What they check is as before.

--- a/burdockwall/fakes/servers.py
+++ b/burdockwall/fakes/servers.py
@@ -41,7 +41,7 @@
     streams. `cancelled_count` counts the requests that the caller cancelled. A value of
     `leaving_values` is sent in a header of each answer that says whether it leaves, and
     `rate_limit`, unless it is empty, in one that names the rate it takes. `load` is the
-    load that it reports.
+    load that it reports. Unless it `signs`, its answers have no signature.
 
     A request whose body contains a text of `crashes_on` crashes the server when it
     begins to run it; the server is back after `down_s`, as a later start of itself.
@@ -66,6 +66,7 @@
     leaving_values: tuple[str, ...] = ()
     rate_limit: str = ""
     load: str = "1,0,8"
+    signs: bool = True
     started_ms: int | None = None
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_count: int = 0
@@ -128,13 +129,11 @@
 
     def _build_headers(self, headers: dict[str, str]) -> Headers:
         limits = [self.rate_limit] if self.rate_limit else []
+        stamp = f"stamp-{self.name}-{len(self.received_requests)}".encode()
         return [
             *((b"server-limit", value.encode()) for value in limits),
             (b"x-request-id", headers.get("x-request-id", "").encode()),
-            (
-                b"x-server-stamp",
-                f"stamp-{self.name}-{len(self.received_requests)}".encode(),
-            ),
+            *([(b"x-server-stamp", stamp)] if self.signs else []),
             (b"x-server-load", self.load.encode()),
             *((b"server-leaving", value.encode()) for value in self.leaving_values),
         ]
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -137,6 +137,7 @@
             convert_cold_ms(headers.get(names.COLD_MS)),
             unreadable_load,
             contradicts=ran and head.status in NOT_RUN_STATUSES,
+            signed=bool(headers.get(names.SERVER_STAMP, b"").strip()),
         )
 
     def select_headers(self, head: AnswerHead) -> Headers:
--- a/burdockwall/platform/names.py
+++ b/burdockwall/platform/names.py
@@ -6,6 +6,8 @@
 # The name of the customer, which is sent to endpoints.
 TENANT = b"x-tenant"
 EXPECT_INSTANCE = b"x-expect-instance"
+# The signature of the endpoint that ran the request.
+SERVER_STAMP = b"x-server-stamp"
 SERVER_LOAD = b"x-server-load"
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LEAVING = b"server-leaving"
--- a/burdockwall/platform/server_list.py
+++ b/burdockwall/platform/server_list.py
@@ -32,15 +32,15 @@
 
 
 class _Entry(msgspec.Struct):
-    """The fields read from an entry; entries of other programs may lack some."""
+    """The fields read from an entry; each server has those without a default."""
 
     id: _Id
     service: _Name
     address: Annotated[str, msgspec.Meta(max_length=64)]
     zone: _Name
     state: str
-    version: Annotated[str, msgspec.Meta(max_length=256)] = ""
-    slots: _Slots = 1
+    version: Annotated[str, msgspec.Meta(max_length=256)]
+    slots: _Slots
     born: _UnixMs | None = None
     # Read later, so that a value that is no number costs only itself.
     cold_left_ms: msgspec.Raw = msgspec.field(
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -88,7 +88,8 @@
     instances together, or None if it names none. `unreadable_load` is a load
     report that can't be read, or None.
     `contradicts` is true if the status promises that the request has not run, and the
-    endpoint does not say so.
+    endpoint does not say so. `signed` is false if the answer lacks what only endpoints
+    add, so that another program may have given it.
     """
 
     ran: bool
@@ -102,6 +103,7 @@
     cold_left_s: float | None = None
     unreadable_load: str | None = None
     contradicts: bool = False
+    signed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -445,6 +445,8 @@
         prompt: bytes,
         seen: AttemptHealth,
     ) -> None:
+        if details.ran and head.status in STATUS_OK and not details.signed:
+            raise ConnectionBroken(f"answered {head.status} without a signature")
         is_stream = self.route.kind is RequestKind.STREAM
         if details.ran and is_stream and head.status in STATUS_OK:
             await self._relay_stream(connection, head, prompt, seen)
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -65,6 +65,21 @@
       | no text at all              |
       | quotes and brackets in text |
 
+  Scenario Outline: An entry that lacks a field that each entry has names no server
+    # Requests were sent to the address of an entry that another program had written.
+    Then a list of two pages with an entry that has <fault> has only its other entries
+
+    Examples:
+      | fault              |
+      | no id              |
+      | no service         |
+      | no address         |
+      | no zone            |
+      | no state           |
+      | no version         |
+      | no slots           |
+      | null for a version |
+
   Scenario Outline: A page that is cut or isn't JSON leaves the list unread
     Then a list with <fault> is unread
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -36,6 +36,21 @@
     Then every answer is 200
     And no order ran twice
 
+  Scenario: A success without the server's signature is not passed on as one
+    # A program that is no server answered bookings at an address that the list showed.
+    Given the servers leave out their signatures
+    When a caller sends 2 orders to "/order/1" with the key "key-one"
+    Then every answer is 502
+    When a turn "t1" asks "one " at instance 1
+    Then the answer is 502
+
+  Scenario: A safe request whose success has no signature is sent to another server
+    Given a caller has received 20 answers from "/tool/1"
+    When the tool server that answered last leaves out its signature
+    And a caller sends 8 requests to "/tool/1" with the key "key-one"
+    Then the unsigned answer came, and every answer is 200
+    And every answer has a server's signature
+
   Scenario: A safe request that is not answered is soon sent to another server
     Given a caller has received 20 answers from "/tool/1"
     When the tool server that answered last stops answering and 6 more requests are sent
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -91,6 +91,35 @@
     context.answers = [send_request(context, "POST", path, key) for _ in range(count)]
 
 
+@given("the servers leave out their signatures")
+def step_unsigned(context):
+    for server in (*context.site.tools, *context.site.engines):
+        server.signs = False
+
+
+@when("the tool server that answered last leaves out its signature")
+def step_last_unsigned(context):
+    context.unsigned = find_answering(context)
+    context.unsigned.signs = False
+    context.asked_before = len(context.unsigned.received_requests)
+
+
+@then("the unsigned answer came, and every answer is {status:d}")
+def step_unsigned_came(context, status):
+    assert len(context.unsigned.received_requests) > context.asked_before
+    step_all_statuses(context, status)
+
+
+@when('a caller sends {count:d} requests to "{path}" with the key "{key}"')
+def step_requests(context, count, path, key):
+    context.answers = [send_request(context, "GET", path, key) for _ in range(count)]
+
+
+@then("every answer has a server's signature")
+def step_all_signed(context):
+    assert all("x-server-stamp" in answer.headers for answer in context.answers)
+
+
 @given('a caller has received {count:d} answers from "{path}"')
 def step_receive_answers(context, count, path):
     context.path = path
@@ -99,13 +128,18 @@
         assert context.answer.status_code == 200
 
 
+def find_answering(context):
+    stamp = context.answer.headers["x-server-stamp"]
+    (answering,) = [tool for tool in context.site.tools if f"-{tool.name}-" in stamp]
+    return answering
+
+
 @when(
     "the tool server that answered last stops answering and {count:d} more requests "
     "are sent"
 )
 def step_silent(context, count):
-    stamp = context.answer.headers["x-server-stamp"]
-    (silent,) = [tool for tool in context.site.tools if f"-{tool.name}-" in stamp]
+    silent = find_answering(context)
     silent.silent = True
     context.answers, context.times = [], []
     for _ in range(count):
--- a/features/subjects/answer_ends.py
+++ b/features/subjects/answer_ends.py
@@ -6,6 +6,7 @@
 
 from burdockwall.version.deployment import RequestKind
 from features.subjects.answer_site import (
+    SIGNATURE,
     AnswerSite,
     CallerView,
     Ending,
@@ -13,7 +14,7 @@
     ScriptedEndpoint,
 )
 
-OWN = b"X-Request-Id: own\r\n"
+OWN = b"X-Request-Id: own\r\n" + SIGNATURE
 HEAD = b"HTTP/1.1 200 OK\r\n" + OWN
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: end\n\n"]
 NOT_RUN = (408, 421, 429, 503)
--- a/features/subjects/answer_site.py
+++ b/features/subjects/answer_site.py
@@ -42,6 +42,8 @@
 SERVICE = ServiceName("tools")
 DOMAIN = FailureDomain("a")
 TIMEOUT_S = 0.4
+# Each answer of an endpoint has a signature.
+SIGNATURE = b"X-Server-Stamp: s\r\n"
 MAX_ATTEMPTS = 2
 
 
--- a/features/subjects/cold_endpoints.py
+++ b/features/subjects/cold_endpoints.py
@@ -84,7 +84,7 @@
     """Return whether an entry of the list with a cold time makes its endpoint cold."""
     entry = (
         b'{"id":"e","service":"engines","address":"10.0.0.1:1","zone":"a","state":"ready",'
-        b'"cold-left-ms":%s}' % text.encode()
+        b'"version":"v1","slots":8,"cold-left-ms":%s}' % text.encode()
     )
     endpoint = convert_entry(entry)
     assert endpoint is not None
--- a/features/subjects/extra_answers.py
+++ b/features/subjects/extra_answers.py
@@ -9,6 +9,7 @@
 from burdockwall.version.configuration import Endpoint
 from burdockwall.version.deployment import RequestKind
 from features.subjects.answer_site import (
+    SIGNATURE,
     AnswerSite,
     CallerView,
     Ending,
@@ -19,8 +20,9 @@
 ID = b"X-Request-Id: %s\r\n"
 REFUSED = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
 BODY = b"Content-Length: 4\r\n\r\nbusy"
-FIRST = b"HTTP/1.1 200 OK\r\n" + ID % b"one" + b"Content-Length: 5\r\n\r\nfirst"
-OWN = b"HTTP/1.1 200 OK\r\n" + ID % b"two" + b"Content-Length: 6\r\n\r\nsecond"
+SUCCESS = b"HTTP/1.1 200 OK\r\n" + SIGNATURE
+FIRST = SUCCESS + ID % b"one" + b"Content-Length: 5\r\n\r\nfirst"
+OWN = SUCCESS + ID % b"two" + b"Content-Length: 6\r\n\r\nsecond"
 EXTRAS = {
     "the id of the earlier request": ID % b"one",
     "no id": b"",
@@ -85,7 +87,7 @@
         """Ask one request after the other."""
 
         async def run() -> None:
-            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            answer = SUCCESS + b"Content-Length: 2\r\n\r\nok"
             endpoint = ScriptedEndpoint("e1", [Script([answer])] * count)
             site = AnswerSite([endpoint])
             for number in range(count):
