Read the figures of callers and endpoints at one place, with bounds

Callers got 500 for token budgets of nan, inf or 1e400 and for token usage in digits of other scripts or thousands of digits; deadlines of nan and inf counted as none. Token usage of 2**70 was taken, though no message to the stores can hold it (by reading, its encoding ends the process; not played).

Cause: float(), int() and isdigit() were called where the headers are read, with the errors of only some of them expected, and without ranges.

A caller's header that holds none is refused with 400, which quotes header and value; an endpoint's (Keep-Alive, limits of its rate, ids of events) counts as absent.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -1,9 +1,8 @@
 """Pooled httpx clients for endpoints, with one pool for each endpoint."""
 
-import re
 import ssl
 import uuid
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -18,6 +17,7 @@
     record_head,
 )
 from burdockwall.connection.exchange import Headers
+from burdockwall.connection.figures import read_decimal
 from burdockwall.connection.upstream import Probe, is_refusal
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
@@ -53,18 +53,18 @@
 REQUEST_ID = "request-id"
 # The header in which an endpoint names the requests a second that it takes.
 RATE_LIMIT = "request-limit"
-RATE_PATTERN = re.compile(r"\d+(\.\d*)?|\.\d+")
 
 
 def read_rate_limit(headers: httpx.Headers) -> float | None:
     """Return the lowest request rate that an answer names, or None."""
     values = headers.get_list(RATE_LIMIT, split_commas=True)
-    return min((float(item) for item in values if is_rate(item)), default=None)
+    return find_lowest_rate(values)
 
 
-def is_rate(text: str) -> bool:
-    """Return whether a text is a decimal number of requests per second."""
-    return RATE_PATTERN.fullmatch(text) is not None
+def find_lowest_rate(values: Iterable[str]) -> float | None:
+    """Return the lowest number of requests per second, or None if there is none."""
+    rates = [read_decimal(value.strip()) for value in values]
+    return min((rate for rate in rates if rate is not None and rate >= 0), default=None)
 
 
 async def read_limited(response: httpx.Response, limit_bytes: int) -> bytes:
--- a/burdockwall/platform/codec.py
+++ b/burdockwall/platform/codec.py
@@ -1,7 +1,6 @@
 """Conversion of requests, answers and refusals from and to the platform's format."""
 
-import re
-
+from burdockwall.connection.endpoints import find_lowest_rate
 from burdockwall.connection.exchange import (
     HOP_HEADERS,
     JSON_TYPE,
@@ -9,6 +8,12 @@
     Exchange,
     Headers,
 )
+from burdockwall.connection.figures import (
+    build_refusal,
+    read_count,
+    require_count,
+    require_decimal,
+)
 from burdockwall.connection.upstream import AnswerHead, AnswerOwner, identify_by_header
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.platform import names
@@ -36,7 +41,6 @@
 NOT_LEAVING = (b"", b"0")
 # Headers of callers' requests that endpoints are not sent as they came.
 DROPPED_HEADERS = HOP_HEADERS | names.SYSTEM_HEADERS | {RELAYED}
-RATE_PATTERN = re.compile(rb"\d+(\.\d*)?|\.\d+")
 # The id of the last event before the caller has received one.
 NO_EVENT_IDS = ("", "0")
 # Codes for which the platform expects a status other than that in the code table.
@@ -162,20 +166,9 @@
     return headers.get(name, b"").decode("latin-1").strip()
 
 
-def _get_number(headers: dict[bytes, bytes], name: bytes) -> float | None:
-    text = _get_text(headers, name)
-    if not text:
-        return None
-    try:
-        return float(text)
-    except ValueError as error:
-        detail = f"header {name.decode()!r} is {text!r}, not a number"
-        raise RequestRefused(Code.BAD_REQUEST, detail) from error
-
-
 def _get_seconds(headers: dict[bytes, bytes], name: bytes) -> float | None:
-    value = _get_number(headers, name)
-    return None if value is None else value / MS_PER_S
+    text = _get_text(headers, name)
+    return require_decimal(name, text) / MS_PER_S if text else None
 
 
 def _build_deadline(remaining_s: float) -> tuple[bytes, bytes]:
@@ -192,16 +185,16 @@
 def _read_turn(headers: dict[bytes, bytes], program: str) -> TurnDetails | None:
     if not program or names.TOKEN_USAGE not in headers:
         return None
-    budget = _get_number(headers, names.TOKEN_BUDGET)
+    budget = _get_text(headers, names.TOKEN_BUDGET)
     previous = _get_text(headers, names.PREVIOUS_TURN)
     usage = _get_text(headers, names.TOKEN_USAGE)
-    max_output = usage.rpartition(",")[2]
-    if not max_output.isdigit():
-        raise RequestRefused(Code.BAD_REQUEST, f"token usage is {usage!r}")
+    max_output = read_count(usage.rpartition(",")[2].strip())
+    if max_output is None:
+        raise build_refusal(names.TOKEN_USAGE, usage)
     return TurnDetails(
         ProgramId(program),
-        None if budget is None else int(budget),
-        int(max_output),
+        require_count(names.TOKEN_BUDGET, budget) if budget else None,
+        max_output,
         TurnId(previous) if previous else None,
     )
 
@@ -223,8 +216,8 @@
 def _read_idle_s(headers: dict[bytes, bytes]) -> float | None:
     for item in headers.get(names.KEEP_ALIVE, b"").split(b","):
         name, _, value = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return float(value)
+        if name.lower() == b"timeout":
+            return read_count(value.decode("latin-1"))
     return None
 
 
@@ -239,9 +232,5 @@
 
 def _read_rate_limit(headers: Headers) -> float | None:
     """Return the lowest rate that a value names, or None if no value is a rate."""
-    rates = [
-        float(value)
-        for name, value in headers
-        if name == names.SERVER_LIMIT and RATE_PATTERN.fullmatch(value.strip())
-    ]
-    return min(rates, default=None)
+    values = [value for name, value in headers if name == names.SERVER_LIMIT]
+    return find_lowest_rate(value.decode("latin-1") for value in values)
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -5,6 +5,7 @@
 from urllib.parse import urlencode
 
 from burdockwall.connection.exchange import Exchange, Headers
+from burdockwall.connection.figures import require_count
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.types import CustomerId, PriorityClass
 from burdockwall.version.configuration import Customer, Route
@@ -161,10 +162,7 @@
     text = exchange.get_header(name)
     if text is None:
         return None
-    if not text.isdecimal():
-        detail = f"header {name.decode()} is {text!r}, not a number"
-        raise RequestRefused(Code.BAD_REQUEST, detail)
-    return int(text)
+    return require_count(name, text)
 
 
 def read_deadline(exchange: Exchange, now: float) -> float | None:
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from burdockwall.connection.figures import read_count
 from burdockwall.request.completion import DONE_DATA
 
 EVENT_END = b"\n\n"
@@ -116,6 +117,5 @@
     event = events[: events.find(EVENT_END)]
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return read_count(line[len(ID_FIELD) :].strip().decode("latin-1"))
     return None
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -99,3 +99,67 @@
       | a page of 5 megabytes        |
       | 100000 servers               |
       | pages without end            |
+
+  Scenario Outline: A figure of a caller that can't be read or is out of range is refused
+    # A figure beyond 64 bits ended the process when it was encoded for the stores, and
+    # digits of other scripts or in the thousands were answered 500.
+    Then a request with "<header>" of <figure> is refused with its header and value
+
+    Examples:
+      | header         | figure             |
+      | x-token-usage  | 10,2**70           |
+      | x-token-usage  | 10,²               |
+      | x-token-usage  | 10,5000 digits     |
+      | x-token-usage  | 10,-1              |
+      | x-token-usage  | nothing            |
+      | x-token-budget | 2**70              |
+      | x-token-budget | nan                |
+      | x-token-budget | inf                |
+      | x-token-budget | 1e400              |
+      | x-token-budget | -1                 |
+      | x-token-budget | 5000 digits        |
+      | x-token-budget | ²                  |
+      | x-deadline-ms  | nan                |
+      | x-deadline-ms  | inf                |
+      | x-deadline-ms  | -inf               |
+      | x-deadline-ms  | 1e400              |
+      | x-deadline-ms  | 2**70              |
+      | x-deadline-ms  | 5000 digits        |
+      | x-deadline-ms  | 1_000              |
+      | x-finish-ms    | nan                |
+      | x-finish-ms    | inf                |
+      | x-finish-ms    | 2**70              |
+
+  Scenario: Figures of callers that are in range are read
+    Then a request with whole and decimal figures is read as it is
+
+  Scenario Outline: A figure of a caller on the own interface that is out of range is refused
+    Then a request with "program-turn" of <figure> is refused on the own interface
+
+    Examples:
+      | figure      |
+      | 2**70       |
+      | 5000 digits |
+      | -1          |
+      | ²           |
+
+  Scenario Outline: A figure of an endpoint that can't be read counts as absent
+    # A limit or time without bound was kept as one, or failed where it was used.
+    Then an answer with "<header>" of <figure> is read, and names no such figure
+
+    Examples:
+      | header       | figure      |
+      | keep-alive   | 5000 digits |
+      | keep-alive   | nan         |
+      | keep-alive   | ²           |
+      | keep-alive   | -1          |
+      | server-limit | 5000 digits |
+      | server-limit | nan         |
+      | server-limit | inf         |
+      | server-limit | 1e400       |
+      | server-limit | ²           |
+      | server-limit | -1          |
+      | request-limit | 5000 digits |
+      | event id     | 5000 digits |
+      | event id     | 2**70       |
+      | event id     | ²           |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -1,6 +1,10 @@
+from types import SimpleNamespace
+
 from behave import then
 
 from burdockwall.connection.upstream import Probe
+from burdockwall.errors import Code, RequestRefused
+from burdockwall.request.caller import read_number
 from features.subjects.decoders import (
     BAD_ENTRIES,
     UNREAD_PAGES,
@@ -9,6 +13,9 @@
     build_entry,
     build_many,
     build_page,
+    find_figure,
+    read_endpoint_figure,
+    read_platform_request,
 )
 
 MANY_SERVERS = 100_000
@@ -64,3 +71,45 @@
 @then("a list with {fault} is unread")
 def step_unread(context, fault):
     assert ListSubject(UNREAD_PAGES[fault]).read() is None
+
+
+def check_refused(read, name, value):
+    try:
+        result = read()
+    except RequestRefused as error:
+        assert error.code is Code.BAD_REQUEST, error
+        assert name in error.detail and value[:40] in error.detail, error.detail
+        assert len(error.detail) < 200, error.detail
+        return
+    raise AssertionError(f"{name} of {value[:40]!r} was read: {result}")
+
+
+@then('a request with "{header}" of {figure} is refused with its header and value')
+def step_caller_figure(context, header, figure):
+    value = find_figure(figure)
+    check_refused(lambda: read_platform_request(**{header: value}), header, value)
+
+
+@then("a request with whole and decimal figures is read as it is")
+def step_caller_figures(context):
+    request = read_platform_request(
+        x_token_usage="1840, 280",
+        x_token_budget="2240",
+        x_deadline_ms="2999.9999999999995",
+        x_finish_ms="-5200",
+    )
+    assert (request.turn.tokens, request.turn.budget) == (280, 2240)
+    assert (round(request.deadline_s, 3), request.finish_s) == (3.0, -5.2)
+
+
+@then('a request with "{header}" of {figure} is refused on the own interface')
+def step_own_figure(context, header, figure):
+    value = find_figure(figure)
+    exchange = SimpleNamespace(get_header=lambda name: value)
+    check_refused(lambda: read_number(exchange, header.encode()), header, value)
+
+
+@then('an answer with "{header}" of {figure} is read, and names no such figure')
+def step_endpoint_figure(context, header, figure):
+    found = read_endpoint_figure(header, find_figure(figure))
+    assert found is None, str(found)[:80]
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -1,17 +1,27 @@
 """Input that can't be read, for the decoders of what others send."""
 
 import json
+from types import SimpleNamespace
 
 import anyio
-
-from burdockwall.connection.endpoints import EndpointClients
-from burdockwall.connection.upstream import ConnectFailed, Probe, open_upstream
+import httpx
+
+from burdockwall.connection.endpoints import EndpointClients, read_rate_limit
+from burdockwall.connection.upstream import (
+    AnswerHead,
+    ConnectFailed,
+    Probe,
+    open_upstream,
+)
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.fakes.ports import find_address
+from burdockwall.platform.codec import PlatformCodec
 from burdockwall.platform.server_list import ServerListReader
 from burdockwall.process.control_node import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.web import serve_address
+from burdockwall.request.codec import ForwardedRequest
+from burdockwall.request.events import find_event_id
 from burdockwall.types import Address
 
 TIMEOUT_S = 2.0
@@ -151,3 +161,51 @@
         build_page(*entries[first : first + page], following=b'"more"')
         for first in range(0, count, page)
     ]
+
+
+FIGURES = {
+    "2**70": str(2**70),
+    "5000 digits": "9" * 5000,
+    "10,2**70": f"10,{2**70}",
+    "10,5000 digits": "10," + "9" * 5000,
+    "nothing": "",
+}
+TURN_HEADERS = {
+    b"x-request-id": b"r1",
+    b"host": b"a",
+    b"x-program-id": b"p1",
+    b"x-token-usage": b"10,20",
+}
+
+
+def find_figure(name: str) -> str:
+    """Return the text of a figure, which may have a name."""
+    return FIGURES.get(name, name)
+
+
+def read_platform_request(**changes: str) -> ForwardedRequest:
+    """Read a turn's headers, with changes, whose names have underscores."""
+    headers = dict(TURN_HEADERS)
+    for name, value in changes.items():
+        headers[name.replace("_", "-").encode()] = value.encode("latin-1")
+    exchange = SimpleNamespace(
+        headers=list(headers.items()), raw_path="/chat/1", query=b"", method="POST"
+    )
+    return PlatformCodec().read_request(exchange)
+
+
+def read_endpoint_figure(header: str, figure: str) -> object:
+    """Read a figure of an endpoint's answer, or return None if it names none."""
+    value = figure.encode("latin-1")
+    match header:
+        case "keep-alive":
+            head = AnswerHead(200, [(b"keep-alive", b"timeout=" + value)])
+            return PlatformCodec().read_answer(head).idle_s
+        case "server-limit":
+            head = AnswerHead(200, [(b"server-limit", value)])
+            return PlatformCodec().read_answer(head).rate_limit_per_s
+        case "request-limit":
+            return read_rate_limit(httpx.Headers([(b"request-limit", value)]))
+        case "event id":
+            return find_event_id(b"id: " + value + b"\ndata: a\n\n")
+    raise ValueError(header)
