Refuse a configuration that no instance could put in force

Operators got 500 for a configuration with brackets 100,000 deep, and 200 for figures beyond 64 bits, negative counts, times of 1e297 s, names and paths of two lines (which can't be sent in a header or request) and a prefix that no path can match. By reading, some of these fail later at each entry.

Cause: only msgspec's own errors were expected, and few figures had ranges.

Change: version/deployment_ranges.py lists what is out of range in a decoded deployment, with place and value. Control instances check new configurations with it; what an earlier build has stored is decoded as before, so that it stays in force. Unknown fields and 0 attempts are allowed as before.

--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.types import CustomerId, RouteName, ServiceName
 from burdockwall.version.deployment import (
@@ -14,6 +15,7 @@
     RequestKind,
     ServiceShare,
 )
+from burdockwall.version.deployment_ranges import list_faults
 from burdockwall.version.keys import compute_digest
 
 MS_PER_S = 1000.0
@@ -103,13 +105,31 @@
 def decode_deployment(data: bytes) -> Deployment:
     """Decode a configuration; raise InvalidFile with every fault found."""
     try:
-        wire = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+        wire = decode_json(data, _decoder)
+    except JsonUnreadable as error:
         fault = _build_fault("configuration", str(error))
         raise InvalidFile(Code.CONFIGURATION_INVALID, [fault]) from error
     faults = [*_check_routes(wire), *_check_services(wire), *_check_tenants(wire)]
+    _raise_any(faults)
+    return _convert(wire)
+
+
+def decode_new(data: bytes) -> Deployment:
+    """Decode what is not in force yet; raise InvalidFile if it could not be.
+
+    What an earlier build has stored stays in force, so only this has ranges.
+    """
+    deployment = decode_deployment(data)
+    _raise_any([_build_fault(*fault) for fault in list_faults(deployment)])
+    return deployment
+
+
+def _raise_any(faults: list[Fault]) -> None:
     if faults:
         raise InvalidFile(Code.CONFIGURATION_INVALID, faults)
+
+
+def _convert(wire: _Configuration) -> Deployment:
     return Deployment(
         wire.version,
         tuple(_convert_route(route) for route in wire.routes),
@@ -193,14 +213,14 @@
             ServiceShare(ServiceName(share.service), share.weight)
             for share in _list_shares(route)
         ),
-        max_attempts=max(1, route.max_attempts),
+        max_attempts=route.max_attempts or 1,
         retains_turns=route.retained,
         retention_s=route.retention_s,
         open=route.public,
         resumable=route.resumable,
         sticky=route.sticky,
         allowed_regions=_convert_regions(route.allowed_regions),
-        objective_s=max(0.0, route.target_latency_ms) / MS_PER_S,
+        objective_s=route.target_latency_ms / MS_PER_S,
     )
 
 
@@ -215,8 +235,7 @@
         cold = ColdRule(service.cold_start_s, service.cold_per_s)
     parameters = None
     if engine is not None:
-        memory_tokens = max(0, engine.kv_capacity)
-        parameters = EngineParameters(engine.event_tokens, memory_tokens)
+        parameters = EngineParameters(engine.event_tokens, engine.kv_capacity)
     return HostService(
         ServiceName(service.name),
         service.max_conns,
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -15,7 +15,7 @@
 )
 from burdockwall.platform import names
 from burdockwall.platform.codec import PlatformCodec
-from burdockwall.platform.configuration import decode_deployment
+from burdockwall.platform.configuration import decode_new
 from burdockwall.platform.failure import encode_failure
 from burdockwall.process.cold_endpoints.health import ask_health
 from burdockwall.process.control.documents import Documents
@@ -81,7 +81,7 @@
 
     async def _put_configuration(self, exchange: Exchange) -> None:
         body = await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
-        deployment = decode_deployment(body)
+        deployment = decode_new(body)
         await self.documents.put(DEPLOYMENT, deployment.number, body, OPERATOR)
         await exchange.answer(200, JSON_HEADERS, b"{}")
 
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -163,3 +163,37 @@
       | event id     | 5000 digits |
       | event id     | 2**70       |
       | event id     | ²           |
+
+  Scenario Outline: A configuration that no instance could put in force is refused
+    # Deep brackets were answered 500, and figures beyond 64 bits were acknowledged.
+    Then a configuration with <fault> is refused, which quotes "<value>"
+
+    Examples:
+      | fault                         | value         |
+      | brackets 100000 deep          | too deep      |
+      | half a character              | configuration |
+      | a number of 2**70             | 1180591620717 |
+      | a number of -1                | -1            |
+      | a retention of 1e297          | 1e+297        |
+      | a retention of -1             | -1            |
+      | a time-out of 1e300           | 1e+297        |
+      | a time-out of NaN             | configuration |
+      | a time-out of 1e400           | timeout-ms    |
+      | -1 attempts                   | -1            |
+      | 2**70 attempts                | 1180591620717 |
+      | an objective of -1            | -0.001        |
+      | a weight of 2**70             | 1180591620717 |
+      | 2**70 connections             | 1180591620717 |
+      | -1 connections                | -1            |
+      | 2**70 tokens an event         | 1180591620717 |
+      | -1 tokens of memory           | -1            |
+      | a rate of -1                  | -1            |
+      | a burst of 1e300              | 1e+300        |
+      | a rank of 2**70               | 1180591620717 |
+      | a customer of two lines       | evil          |
+      | a health path of two lines    | evil          |
+      | a prefix without slashes      | tool          |
+      | hosts that differ in case     | /tool/        |
+
+  Scenario: A configuration with unknown fields and unusual figures is accepted
+    Then a configuration with unknown fields and figures at the ends of ranges is read
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -1,11 +1,14 @@
+import json
 from types import SimpleNamespace
 
 from behave import then
 
 from burdockwall.connection.upstream import Probe
-from burdockwall.errors import Code, RequestRefused
+from burdockwall.errors import Code, InvalidFile, RequestRefused
+from burdockwall.platform.configuration import decode_new
 from burdockwall.request.caller import read_number
 from features.subjects.decoders import (
+    BAD_CONFIGURATIONS,
     BAD_ENTRIES,
     UNREAD_PAGES,
     AddressSubject,
@@ -17,6 +20,7 @@
     read_endpoint_figure,
     read_platform_request,
 )
+from features.subjects.platform import build_configuration
 
 MANY_SERVERS = 100_000
 PAGE_SERVERS = 2_000
@@ -113,3 +117,25 @@
 def step_endpoint_figure(context, header, figure):
     found = read_endpoint_figure(header, find_figure(figure))
     assert found is None, str(found)[:80]
+
+
+@then('a configuration with {fault} is refused, which quotes "{value}"')
+def step_configuration(context, fault, value):
+    try:
+        decode_new(BAD_CONFIGURATIONS[fault])
+    except InvalidFile as error:
+        texts = [f"{each.place}: {each.problem}" for each in error.faults]
+        assert any(value in text for text in texts), texts
+        return
+    raise AssertionError("it was accepted")
+
+
+@then("a configuration with unknown fields and figures at the ends of ranges is read")
+def step_configuration_read(context):
+    configuration = build_configuration(2**63 - 1)
+    configuration |= {"notes": [{"x": 2**70}, None, 1.5]}
+    configuration["routes"][0] |= {"max-attempts": 0, "later": {"a": [1]}}
+    configuration["tenants"][0] |= {"rate-per-s": 0, "burst": 0, "name": "Zürich 7"}
+    deployment = decode_new(json.dumps(configuration).encode())
+    assert deployment.number == 2**63 - 1
+    assert deployment.routes[0].max_attempts == 1
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -23,6 +23,7 @@
 from burdockwall.request.codec import ForwardedRequest
 from burdockwall.request.events import find_event_id
 from burdockwall.types import Address
+from features.subjects.platform import build_configuration
 
 TIMEOUT_S = 2.0
 GOOD_ENTRY = {
@@ -209,3 +210,62 @@
         case "event id":
             return find_event_id(b"id: " + value + b"\ndata: a\n\n")
     raise ValueError(header)
+
+
+def _change(part: str, **changes: object) -> bytes:
+    """Build a configuration whose first item of a part has some fields changed."""
+    configuration = build_configuration(5)
+    configuration[part][0].update(
+        {name.replace("_", "-"): value for name, value in changes.items()}
+    )
+    return json.dumps(configuration).encode()
+
+
+def _engine(**changes: object) -> bytes:
+    configuration = build_configuration(5)
+    engine = {name.replace("_", "-"): value for name, value in changes.items()}
+    configuration["services"][0]["engine"] = engine
+    return json.dumps(configuration).encode()
+
+
+def _double() -> bytes:
+    """Build a configuration with a route twice, once with its host in capitals."""
+    configuration = build_configuration(5)
+    route = dict(configuration["routes"][0])
+    route["host"] = route["host"].upper()
+    configuration["routes"].append(route)
+    return json.dumps(configuration).encode()
+
+
+def _insert(text: bytes) -> bytes:
+    return json.dumps(build_configuration(5)).encode()[:-1] + b',"x":%s}' % text
+
+
+BAD_CONFIGURATIONS = {
+    "brackets 100000 deep": _insert(DEEP),
+    "half a character": _insert(b'"\\ud800"'),
+    "a number of 2**70": json.dumps(build_configuration(2**70)).encode(),
+    "a number of -1": json.dumps(build_configuration(-1)).encode(),
+    "a retention of 1e297": _change("routes", retention_s=1e297),
+    "a retention of -1": _change("routes", retention_s=-1),
+    "a time-out of 1e300": _change("routes", timeout_ms=1e300),
+    "a time-out of NaN": _change("routes", timeout_ms=float("nan")),
+    "a time-out of 1e400": _change("routes", timeout_ms="X").replace(b'"X"', b"1e400"),
+    "-1 attempts": _change("routes", max_attempts=-1),
+    "2**70 attempts": _change("routes", max_attempts=2**70),
+    "an objective of -1": _change("routes", target_latency_ms=-1),
+    "a weight of 2**70": _change(
+        "routes", service=None, backends=[{"service": "tools", "weight": 2**70}]
+    ),
+    "2**70 connections": _change("services", max_conns=2**70),
+    "-1 connections": _change("services", max_conns=-1),
+    "2**70 tokens an event": _engine(event_tokens=2**70),
+    "-1 tokens of memory": _engine(kv_capacity=-1),
+    "a rate of -1": _change("tenants", rate_per_s=-1),
+    "a burst of 1e300": _change("tenants", burst=1e300),
+    "a rank of 2**70": _change("tenants", priority=2**70),
+    "a customer of two lines": _change("tenants", name="evil\r\nx: y"),
+    "a health path of two lines": _change("services", health_path="/evil\r\nx: y"),
+    "a prefix without slashes": _change("routes", path_prefix="tool"),
+    "hosts that differ in case": _double(),
+}
