Give a defined error for each damaged file, and call no damaged store whole

Seen: a store whose closed file is empty or ends early at a record, or whose last file is damaged before sound records, counts as whole: it lacks records that it confirmed and says that it has all. A flipped bit in identity.json gives a replica another identity. A damaged byte in the audit trail cuts off all records after it for good.

Cause: any damage in the last file was taken for a torn tail, closed files were not checked for their size, records were decoded without bounds, identity.json had no checksum.

Change: a closed file that isn't full, or a sound record after a damaged one, makes the store incomplete, so that it copies from the others. Sound records that can't be read are StorageErrors with file and byte; all errors of damage name their file. Foreign names are passed over. identity.json gets a checksum (files without one stay valid). Of an audit file that is damaged before its last line a copy is kept.

Can't be told: a last file cut at a record (a torn tail), the first file of a store missing (as if released), damage of the last record.

--- a/burdockwall/process/control/archive.py
+++ b/burdockwall/process/control/archive.py
@@ -8,6 +8,7 @@
 from burdockwall.process.control.files import Files
 
 SEGMENT_PREFIX = "audit-"
+DAMAGED_PREFIX = "damaged-"
 SEGMENT_RECORDS = 10_000
 _decoder = msgspec.json.Decoder(AuditRecord)
 
@@ -32,9 +33,14 @@
                 return
 
     def _open_last(self, name: str) -> bool:
-        """Cut off a partly written record; return whether a record is left."""
+        """Cut off a partly written record; return whether a record is left.
+
+        A copy of the file is kept if more than that is cut off.
+        """
         data = self.files.read(name)
         records, size = _parse_lines(data)
+        if b"\n" in data[size:]:
+            self._keep_copy(DAMAGED_PREFIX + name, data)
         if size != len(data):
             self.files.truncate(name, size)
             self.files.sync(name)
@@ -44,6 +50,12 @@
         self._size = size
         return True
 
+    def _keep_copy(self, name: str, data: bytes) -> None:
+        self.files.truncate(name, 0)
+        self.files.write(name, 0, data)
+        self.files.sync(name)
+        self.files.sync_folder()
+
     def store(self, records: Iterable[AuditRecord]) -> None:
         """Append and sync the records that continue the chain; skip all others."""
         lines: list[bytes] = []
--- a/burdockwall/process/control/journal.py
+++ b/burdockwall/process/control/journal.py
@@ -5,6 +5,7 @@
 may have been acknowledged, so damage there is an error; records after it were not.
 """
 
+import zlib
 from dataclasses import dataclass
 
 import msgspec
@@ -48,6 +49,41 @@
     instance: InstanceId
 
 
+class _StoredIdentity(msgspec.Struct, frozen=True):
+    """An identity in its file; files of earlier builds have no checksum."""
+
+    voter: VoterId
+    instance: InstanceId
+    checksum: int
+
+
+def _compute_checksum(identity: Identity) -> int:
+    return zlib.crc32(msgspec.json.encode(identity))
+
+
+def encode_identity(identity: Identity) -> bytes:
+    """Encode an identity with its checksum."""
+    checksum = _compute_checksum(identity)
+    stored = _StoredIdentity(identity.voter, identity.instance, checksum)
+    return msgspec.json.encode(stored)
+
+
+def decode_identity(data: bytes) -> Identity:
+    """Decode an identity, or raise StorageError if it is damaged."""
+    try:
+        identity = msgspec.json.decode(data, type=Identity)
+        if data == msgspec.json.encode(identity):
+            return identity
+        stored = msgspec.json.decode(data, type=_StoredIdentity)
+    except Exception as error:
+        detail = f"{IDENTITY_NAME}: {error}"
+        raise StorageError(Code.JOURNAL_DAMAGED, detail) from error
+    if stored.checksum != _compute_checksum(identity):
+        detail = f"{IDENTITY_NAME} fails its checksum"
+        raise StorageError(Code.JOURNAL_DAMAGED, detail)
+    return identity
+
+
 def name_journal(generation: int) -> str:
     """Return the file name of a journal."""
     return f"journal-{generation:08d}"
@@ -173,30 +209,26 @@
         self.files.truncate(MARK_NAME, 0)
         self._start_generation(records)
         self._remove_stale(None)
-        self._replace_file(IDENTITY_NAME, msgspec.json.encode(identity))
+        self._replace_file(IDENTITY_NAME, encode_identity(identity))
 
     def read_identity(self) -> Identity | None:
         """Return the identity of the folder, or None if it has none."""
         if IDENTITY_NAME not in self.files.list_names():
             return None
-        try:
-            return msgspec.json.decode(self.files.read(IDENTITY_NAME), type=Identity)
-        except msgspec.DecodeError as error:
-            detail = f"{IDENTITY_NAME}: {error}"
-            raise StorageError(Code.JOURNAL_DAMAGED, detail) from error
+        return decode_identity(self.files.read(IDENTITY_NAME))
 
     def recover(self) -> Recovered:
         """Read the persisted state; raise StorageError if synced data is damaged."""
         names = self.files.list_names()
         if MARK_NAME not in names:
             raise StorageError(Code.JOURNAL_DAMAGED, f"{MARK_NAME} is missing")
-        mark = parse_marks(self.files.read(MARK_NAME))
+        mark = parse_marks(self.files.read(MARK_NAME), MARK_NAME)
         name = name_journal(mark.generation)
         if name not in names:
             raise StorageError(Code.JOURNAL_DAMAGED, f"{name} is missing")
         data = self.files.read(name)
         size = len(data)
-        parsed = parse_records(data, mark.generation, mark.length)
+        parsed = parse_records(data, mark.generation, mark.length, name)
         # Both may be large, and so may the snapshot.
         del data
         replayed = replay_records(parsed.records)
--- a/burdockwall/process/control/records.py
+++ b/burdockwall/process/control/records.py
@@ -54,8 +54,10 @@
     return zlib.crc32(body, zlib.crc32(head, checksum))
 
 
-def parse_records(data: bytes, generation: int, synced: int) -> ParsedRecords:
-    """Parse a journal up to its first damaged record.
+def parse_records(
+    data: bytes, generation: int, synced: int, name: str = "journal"
+) -> ParsedRecords:
+    """Parse a journal up to its first damaged record; the name is that of its file.
 
     Raise StorageError if that is within the synced length. Records after the synced
     length were never acknowledged, so they may be lost.
@@ -69,23 +71,32 @@
         computed = _continue_checksum(body, checksum)
         if len(body) != size or computed != expected or not size:
             break
-        records.append(_decoder.decode(body))
+        records.append(_decode_record(body, name, offset))
         offset += FRAME.size + size
         checksum = computed
     if offset < synced:
-        detail = f"journal {generation} is damaged at byte {offset} of {synced} synced"
+        detail = f"{name} is damaged at byte {offset} of {synced} synced"
         raise StorageError(Code.JOURNAL_DAMAGED, detail)
     return ParsedRecords(records, offset, checksum)
 
 
+def _decode_record(body: bytes, name: str, offset: int) -> Record:
+    try:
+        return _decoder.decode(body)
+    except Exception as error:
+        # Its checksum holds, so that another build has written it.
+        detail = f"{name}: the record at byte {offset} can't be read: {error}"
+        raise StorageError(Code.JOURNAL_DAMAGED, detail) from error
+
+
 def encode_mark(mark: Mark) -> bytes:
     """Encode a mark with its checksum."""
     body = struct.pack("<QQQ", mark.sequence, mark.generation, mark.length)
     return body + struct.pack("<I", zlib.crc32(body))
 
 
-def parse_marks(data: bytes) -> Mark:
-    """Return the latest valid mark, or raise StorageError if there is none."""
+def parse_marks(data: bytes, name: str = "journal.mark") -> Mark:
+    """Return the latest valid mark of a file, or raise StorageError without one."""
     marks = []
     for offset in (0, MARK_SLOT_BYTES):
         slot = data[offset : offset + MARK.size]
@@ -95,7 +106,7 @@
         if sequence and zlib.crc32(slot[: MARK.size - 4]) == checksum:
             marks.append(Mark(sequence, generation, length))
     if not marks:
-        raise StorageError(Code.JOURNAL_DAMAGED, "the journal's mark is damaged")
+        raise StorageError(Code.JOURNAL_DAMAGED, f"{name} holds no valid mark")
     return max(marks, key=lambda mark: mark.sequence)
 
 
@@ -117,4 +128,8 @@
     size, checksum = SNAPSHOT_HEAD.unpack_from(data)
     if len(body) != size or zlib.crc32(body) != checksum:
         raise damaged
-    return msgspec.msgpack.decode(body, type=Snapshot)
+    try:
+        return msgspec.msgpack.decode(body, type=Snapshot)
+    except Exception as error:
+        detail = f"{name} can't be read: {error}"
+        raise StorageError(Code.SNAPSHOT_DAMAGED, detail) from error
--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -1,5 +1,6 @@
 """The journal of a store, which writes records to files and reads them back."""
 
+import re
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -8,12 +9,14 @@
 from burdockwall.process.storage.records import (
     StoredRecord,
     encode_stored,
+    has_record_after,
     parse_stored,
 )
 
 SEGMENT_PREFIX = "ledger-"
 SEGMENT_DIGITS = 10
 SEGMENT_BYTES = 4_194_304
+_SEGMENT = re.compile(rf"{SEGMENT_PREFIX}[0-9]{{{SEGMENT_DIGITS}}}")
 
 
 @dataclass(slots=True)
@@ -48,11 +51,11 @@
         """Read every record, and truncate each file at its first damaged record.
 
         An incomplete record at the end of the last file is usual after a crash, and the
-        files still count as whole.
+        files still count as whole. They don't if a sound record follows it, which was
+        written after it was synced. Raise StorageError if a record is sound but can't
+        be read, as one of another build.
         """
-        names = [
-            name for name in self.files.list_names() if name.startswith(SEGMENT_PREFIX)
-        ]
+        names = [name for name in self.files.list_names() if _SEGMENT.fullmatch(name)]
         records: list[StoredRecord] = []
         whole = True
         for name in names:
@@ -60,9 +63,13 @@
             if self._segments and number != self._segments[-1].number + 1:
                 whole = False
             data = self.files.read(name)
-            parsed, length = parse_stored(data)
+            parsed, length = parse_stored(data, name)
+            # A file is closed when it is full, so that only the last one is shorter.
+            if name != names[-1]:
+                whole = whole and SEGMENT_BYTES <= length == len(data)
+            elif has_record_after(data, length):
+                whole = False
             if length < len(data):
-                whole = whole and name == names[-1]
                 self.files.truncate(name, length)
                 self.files.sync(name)
             records += parsed
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from burdockwall.errors import Code
+from burdockwall.process.control.files import StorageError
 from burdockwall.types import CustomerId, ProgramId, TurnId
 
 FRAME = struct.Struct("<II")
@@ -85,20 +87,47 @@
     return FRAME.pack(len(body), zlib.crc32(body)) + body
 
 
-def parse_stored(data: bytes) -> tuple[list[StoredRecord], int]:
-    """Parse records up to the first damaged one; return them and their end offset."""
+def parse_stored(data: bytes, name: str = "ledger") -> tuple[list[StoredRecord], int]:
+    """Parse records up to the first damaged one; return them and their end offset.
+
+    Raise StorageError if a record is sound, but can't be read; the name is the file's.
+    """
     records: list[StoredRecord] = []
     offset = 0
     while offset + FRAME.size <= len(data):
-        size, checksum = FRAME.unpack_from(data, offset)
-        body = data[offset + FRAME.size : offset + FRAME.size + size]
-        if not size or len(body) != size or zlib.crc32(body) != checksum:
+        body = _read_body(data, offset)
+        if body is None:
             break
-        records.append(_decode_body(body))
-        offset += FRAME.size + size
+        try:
+            records.append(_decode_body(body))
+        except Exception as error:
+            detail = f"{name}: the record at byte {offset} can't be read: {error}"
+            raise StorageError(Code.JOURNAL_DAMAGED, detail) from error
+        offset += FRAME.size + len(body)
     return records, offset
 
 
+def has_record_after(data: bytes, offset: int) -> bool:
+    """Return whether a sound record begins anywhere after an offset."""
+    for mark in (_STATE_MARK, _RECORD_MARK):
+        found = data.find(mark, offset + 1 + FRAME.size)
+        while found >= 0:
+            if _read_body(data, found - FRAME.size) is not None:
+                return True
+            found = data.find(mark, found + 1)
+    return False
+
+
+def _read_body(data: bytes, offset: int) -> bytes | None:
+    """Return the body of the record at an offset, or None if it is damaged."""
+    size, checksum = FRAME.unpack_from(data, offset)
+    start = offset + FRAME.size
+    if not size or start + size > len(data):
+        return None
+    body = data[start : start + size]
+    return body if zlib.crc32(body) == checksum else None
+
+
 def _decode_body(body: bytes) -> StoredRecord:
     if body[:1] == _STATE_MARK:
         return _state_decoder.decode(body[1:])
