Bound in bytes the earlier configurations and the stored outcomes

A refusal names all faults of a submitted text, so that refused submissions of a large text take its size each.

Cause: both were bounded by count alone.

Change: both are kept within 4 MiB too, the oldest go first, and the latest is always kept.

--- a/burdockwall/process/control/configurations.py
+++ b/burdockwall/process/control/configurations.py
@@ -22,6 +22,8 @@
 )
 
 MAX_CONFIGURATIONS = 16
+# Compressed; the configuration in force is kept whatever its size.
+MAX_HISTORY_BYTES = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,9 @@
         self.operator = operator
         compressed = zlib.compress(self.text.encode())
         self.history.append(StoredConfiguration(version, compressed))
+        size = sum(len(stored.text) for stored in self.history)
+        while size > MAX_HISTORY_BYTES and len(self.history) > 1:
+            size -= len(self.history.popleft().text)
 
     def find(self, version: Version, latest: Version) -> dict[str, str]:
         """Return the sections in force at a version; raise OperatorError if unknown."""
--- a/burdockwall/process/control/image.py
+++ b/burdockwall/process/control/image.py
@@ -14,6 +14,9 @@
 )
 from burdockwall.version.shards import ShardView
 
+# Encoded version, code and lengths of an outcome.
+OUTCOME_BYTES = 32
+
 
 class StoredOutcome(msgspec.Struct, frozen=True, array_like=True):
     """A submission, the digest of its command and its first outcome."""
@@ -22,6 +25,11 @@
     digest: bytes
     outcome: Outcome
 
+    def measure_bytes(self) -> int:
+        """Estimate the size of the encoded outcome."""
+        texts = len(self.submission.encode()) + len(self.outcome.detail.encode())
+        return texts + len(self.digest) + OUTCOME_BYTES
+
 
 class StoredConfiguration(msgspec.Struct, frozen=True, array_like=True):
     """A configuration as compressed text, and the version that put it in force."""
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -58,6 +58,7 @@
 
 DIGEST_PREFIX_CHARACTERS = 12
 MAX_OUTCOMES = 16_384
+MAX_OUTCOMES_BYTES = 4_194_304
 MAX_AUDIT_RECORDS = 1024
 TEXT_DIGEST_BYTES = 16
 NO_CREDENTIAL = KeyDigest("")
@@ -90,6 +91,7 @@
         self.shards: dict[ShardId, ShardView] = {}
         self.operators: dict[OperatorId, Operator] = {}
         self.outcomes: dict[str, StoredOutcome] = {}
+        self._outcomes_bytes = 0
         self.audit: deque[AuditRecord] = deque(maxlen=self.max_audit_records)
         self.changes = ChangeLog()
         self.withdrawn = WithdrawnKeys()
@@ -202,8 +204,13 @@
 
     def _store_outcome(self, stored: StoredOutcome) -> None:
         self.outcomes[stored.submission] = stored
-        if len(self.outcomes) > MAX_OUTCOMES:
-            del self.outcomes[next(iter(self.outcomes))]
+        self._outcomes_bytes += stored.measure_bytes()
+        while len(self.outcomes) > MAX_OUTCOMES or self._exceeds_outcomes_bytes():
+            oldest = self.outcomes.pop(next(iter(self.outcomes)))
+            self._outcomes_bytes -= oldest.measure_bytes()
+
+    def _exceeds_outcomes_bytes(self) -> bool:
+        return self._outcomes_bytes > MAX_OUTCOMES_BYTES and len(self.outcomes) > 1
 
     def _execute(self, command: AnyCommand) -> tuple[Outcome, str]:
         match command:
@@ -422,6 +429,8 @@
         self.operators = dict(image.operators)
         self.documents = dict(image.documents)
         self.outcomes = {stored.submission: stored for stored in image.outcomes}
+        sizes = (stored.measure_bytes() for stored in image.outcomes)
+        self._outcomes_bytes = sum(sizes)
         self.audit = deque(image.audit, maxlen=self.max_audit_records)
         self.changes = ChangeLog(image.changes)
         self.withdrawn = decode_withdrawn(image.withdrawn)
--- a/features/control_bounds.feature
+++ b/features/control_bounds.feature
@@ -52,3 +52,16 @@
     Given 3 control instances on loopback that store document 5
     When it is sent again to the leader after the others have stopped
     Then the control instance answered it with 2014
+
+  Scenario: Earlier configurations are kept up to a size
+    When 16 configurations of 600000 bytes that hardly compress come in turn
+    Then at most 4 MiB of them are kept, the last two among them
+
+  Scenario: A single configuration beyond the size is kept
+    When 1 configurations of 9000000 bytes that hardly compress come in turn
+    Then the last one is kept
+
+  Scenario: Long refusals of submissions are kept up to a size
+    When 100 submissions are refused for a reason of 100000 characters
+    Then their outcomes take at most 4 MiB
+    And the last submission gets its first outcome when it is sent again
--- a/features/steps/control_bounds_steps.py
+++ b/features/steps/control_bounds_steps.py
@@ -5,9 +5,13 @@
     NAME,
     DiskReplica,
     DocumentCluster,
+    RefusedSubmissions,
     StoringSite,
+    build_history,
 )
 
+MIB = 1_048_576
+
 
 @when("{count:d} documents of {size:d} bytes are stored on the disk of one voter")
 def step_store(context, count, size):
@@ -122,3 +126,40 @@
 @then("the control instance answered it with 2014")
 def step_check_no_quorum(context):
     assert context.subject.codes == [0, 2014], context.subject.codes
+
+
+@when("{count:d} configurations of {size:d} bytes that hardly compress come in turn")
+def step_build_history(context, count, size):
+    context.configurations = build_history(count, size)
+
+
+@then("at most {size:d} MiB of them are kept, the last two among them")
+def step_check_history(context, size):
+    history = context.configurations.history
+    kept = sum(len(stored.text) for stored in history)
+    assert kept <= size * MIB, kept
+    assert [stored.version for stored in history][-2:] == [15, 16]
+
+
+@then("the last one is kept")
+def step_check_single(context):
+    assert len(context.configurations.history) == 1
+
+
+@when("{count:d} submissions are refused for a reason of {size:d} characters")
+def step_refuse(context, count, size):
+    context.refused = RefusedSubmissions(count, size)
+    assert all(
+        outcome.code and len(outcome.detail) >= size
+        for outcome in context.refused.outcomes
+    )
+
+
+@then("their outcomes take at most {size:d} MiB")
+def step_check_outcomes(context, size):
+    assert context.refused.measure() <= size * MIB, context.refused.measure()
+
+
+@then("the last submission gets its first outcome when it is sent again")
+def step_check_again(context):
+    assert context.refused.again == context.refused.outcomes[-1]
--- a/features/subjects/control_bounds.py
+++ b/features/subjects/control_bounds.py
@@ -1,15 +1,19 @@
 """Measure what control replicas keep while large documents change."""
 
+import base64
 import random
 import tempfile
 import tracemalloc
 from pathlib import Path
 
+import msgspec
+
 from burdockwall.errors import OperatorError
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.fakes.network import NetworkConditions
 from burdockwall.machine import Tick
-from burdockwall.process.control.commands import PutDocument
+from burdockwall.process.control.commands import PutDocument, SubmitConfiguration
+from burdockwall.process.control.configurations import Configurations
 from burdockwall.process.control.documents import create_put
 from burdockwall.process.control.events import Propose
 from burdockwall.process.control.files import DiskFiles
@@ -18,7 +22,7 @@
 from burdockwall.process.control.replica import Flush, Replica, encode_command
 from burdockwall.process.control.state import ControlState
 from burdockwall.settings import Settings
-from burdockwall.types import CallId, DocumentName, OperatorId
+from burdockwall.types import CallId, DocumentName, OperatorId, Version
 from burdockwall.version.keys import compute_digest
 from features.subjects.control_cluster import ControlCluster, Node
 from features.subjects.control_documents import create_consensus
@@ -277,3 +281,37 @@
         for name in [name for name in self.nodes if name != leader]:
             await self.stop(name)
         await self.put(5)
+
+
+def build_history(count: int, size: int) -> Configurations:
+    """Put configurations of a size in force that hardly compress."""
+    configurations = Configurations()
+    for number in range(1, count + 1):
+        text = base64.b64encode(random.Random(number).randbytes(size * 3 // 4))
+        configurations.replace({"": text.decode()})
+        configurations.add_to_history(Version(number), OperatorId("operator"))
+    return configurations
+
+
+class RefusedSubmissions:
+    """Submissions that a control state refuses, and their outcomes."""
+
+    def __init__(self, count: int, size: int) -> None:
+        self.state = ControlState()
+        self.outcomes = [
+            self.state.apply(self.build(number, size), 0.0) for number in range(count)
+        ]
+        self.again = self.state.apply(self.build(count - 1, size), 0.0)
+
+    def build(self, number: int, size: int) -> SubmitConfiguration:
+        """Build a submission with one fault, which is named in full."""
+        return SubmitConfiguration(
+            operator=OperatorId("operator"),
+            submission=f"submission {number}",
+            based_on=Version(0),
+            text=f"[pool {number:0{size}d}]\nfault = 1\n",
+        )
+
+    def measure(self) -> int:
+        """Return the bytes that the stored outcomes take in a snapshot."""
+        return len(msgspec.msgpack.encode(list(self.state.outcomes.values())))
