Have the leader confirm a sole version for each stream that is taken up

Callers saw, or could see: during a release an entry instance was cut off or stood still while servers of a new version joined. Streams that began there through other instances broke, were taken up at that instance, and went on at a server of the old version (ORDER). It takes a caller that names no beginning, as those of the standing deployments do, or stores that have lost it.

Cause: such a stream goes on at the only version that the instance's list shows. The age of the list counted from its receipt, 3 s were allowed, and the list may have lain in a buffer before. Even a list received just now does not show what others got a moment later, so no shorter time would have mended it.

Change: the leader is asked after the request has come, and answers for the lists of its term after a majority has followed it since (AskSoleVersion, AnswerSoleVersion, protocol 3). No list of a later term has been sent until then, so the answer holds for every stream that began before the request, and a pause before the sending does no harm. The instance's own lists must agree. Without an answer within 0.8 s: 1406, not run, Retry-After. Places that the stores know need no question.

Open: a server that starts again under its id with another software version before the list shows it, and one that serves on for seconds after it has left the list.

--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -20,6 +20,7 @@
     ReportHealth,
 )
 from burdockwall.process.storage.messages import AnyStorageMessage
+from burdockwall.process.version_checks import AnyVersionMessage
 from burdockwall.types import Incarnation, InstanceId
 
 _logger = logbook.Logger("peers")
@@ -58,6 +59,7 @@
     | AnyRecordMessage
     | AnyStorageMessage
     | EndpointList
+    | AnyVersionMessage
     | endpoint_limits.AskPermits
     | endpoint_limits.GrantPermits
     | AskSuspects
--- a/burdockwall/process/control/records.py
+++ b/burdockwall/process/control/records.py
@@ -80,7 +80,7 @@
     return ParsedRecords(records, offset, checksum)
 
 
-def _decode_record(body: bytes, name: str, offset: int) -> Record:
+def _decode_record(body: memoryview, name: str, offset: int) -> Record:
     try:
         return _decoder.decode(body)
     except Exception as error:
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -56,6 +56,8 @@
     decode_view,
     encode_view,
 )
+from burdockwall.process.version_checks import VersionOwner
+from burdockwall.process.version_service import VersionService
 from burdockwall.process.web import Serve, serve_address
 from burdockwall.settings import Settings
 from burdockwall.types import (
@@ -141,6 +143,11 @@
         self._list_unreadable = False
         self._endpoint_list: list[ListedEndpoint] | None = None
         self._led_versions = LedVersions()
+        self.versions = VersionService(
+            host,
+            VersionOwner(self._led_versions, membership.get_led_term),
+            self.control.confirm_read,
+        )
         self._leading = False
         self._serve_control: Serve | None = None
         self._serve_directory: Serve | None = None
@@ -408,6 +415,7 @@
             self.control.run,
             self._run_leader_duties,
             self._read_endpoints,
+            self.versions.run,
             self.cold.run,
         ]
         servers = [self._serve_callers, self._serve_operators]
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -56,6 +56,7 @@
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.supervisor import run_each
+from burdockwall.process.version_client import VersionClient
 from burdockwall.process.web import WebLimits, serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
 from burdockwall.request.forwarding import Forwarding, compute_expiry
@@ -127,6 +128,7 @@
         self._limits_leader: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
         host.add(self.endpoints, (EndpointList,))
+        self.versions = VersionClient(host, self.member.incarnation)
         self._hosted_drain = host.add(self.drain, (), self._perform_drain)
         self.turn_client = TurnClient(
             host,
@@ -189,6 +191,7 @@
             Regions(settings.regions, settings.failure_domain, settings.region),
             self.health,
             UnreadableLoads(),
+            self.versions.find,
             settings.limit_program_wait_s,
         )
         self._add_gauges()
@@ -434,6 +437,7 @@
             self._count_members(),
             self._list_peers(),
         )
+        self.versions.install_leader(agent.path.leader)
         self.endpoint_limits.install_listed(self.endpoints.limited)
         self.health.install_leader(agent.path.leader)
 
--- a/burdockwall/process/scheduling/resumption.py
+++ b/burdockwall/process/scheduling/resumption.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from burdockwall.process.sole_versions import SoleVersion
 from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.types import ServiceName, SoftwareVersion
 
@@ -49,3 +50,16 @@
     if sole_version is None or (recorded and recorded.service != likely):
         return None
     return ResumePlace(likely, sole_version, Basis.SOLE_VERSION)
+
+
+def decide_sole_version(
+    listed: SoftwareVersion, confirmed: SoleVersion | None, since: float
+) -> SoftwareVersion | None:
+    """Return the only version that a service has had since a time, or None.
+
+    `listed` is the one by this instance's lists, and `confirmed` what a leader said
+    about its own after it was asked, or None if no leader has answered.
+    """
+    if confirmed is None or confirmed.since > since:
+        return None
+    return listed if confirmed.software == listed else None
--- a/burdockwall/process/sole_versions.py
+++ b/burdockwall/process/sole_versions.py
@@ -59,6 +59,10 @@
         sole = self._versions.get(service)
         return None if sole is None or sole.since > since else sole.software
 
+    def get(self, service: ServiceName) -> SoleVersion | None:
+        """Return the single version that a service has now, or None."""
+        return self._versions.get(service)
+
     def list_since(self) -> dict[ServiceName, float]:
         """Return since when each service with a single version has had it."""
         return {service: sole.since for service, sole in self._versions.items()}
@@ -90,3 +94,7 @@
     def list_since(self, term: Term) -> dict[ServiceName, float]:
         """Return since when the services had their single versions in a term."""
         return self._versions.list_since() if term == self.term else {}
+
+    def find(self, term: Term, service: ServiceName) -> SoleVersion | None:
+        """Return the single version that the lists of a term show, or None."""
+        return self._versions.get(service) if term == self.term else None
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -163,7 +163,9 @@
         try:
             chain = await self.parts.turn_client.begin(start)
             if self.binding.resumption is not None:
-                self.binding.resume(chain.place, self.parts.clock())
+                await self.binding.resume(
+                    chain.place, self.trace.started_at, self.parts.confirm_version
+                )
                 self._check_limits(self.choice.check_evacuated)
             links = [link.prompt + link.answer for link in chain.links]
             self.body = b"".join([*links, prompt])
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -18,6 +18,7 @@
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.request.codec import RequestCodec
 from burdockwall.request.regions import Regions
+from burdockwall.request.stream_binding import ConfirmVersion
 from burdockwall.types import CustomerId
 
 
@@ -42,4 +43,5 @@
     regions: Regions
     health: EndpointHealth
     unreadable_loads: UnreadableLoads
+    confirm_version: ConfirmVersion
     program_wait_s: float = 0.0
--- a/burdockwall/request/stream_binding.py
+++ b/burdockwall/request/stream_binding.py
@@ -5,11 +5,17 @@
 from; a request that takes the stream up learns it from them.
 """
 
+from collections.abc import Awaitable, Callable
+
 import logbook
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.endpoints import EndpointFollower, ListedEndpoint
-from burdockwall.process.scheduling.resumption import decide_resume_place
+from burdockwall.process.scheduling.resumption import (
+    decide_resume_place,
+    decide_sole_version,
+)
+from burdockwall.process.sole_versions import SoleVersion
 from burdockwall.process.storage.calls import TurnStart
 from burdockwall.process.storage.client import TurnClient
 from burdockwall.process.storage.messages import StreamPlace
@@ -18,6 +24,8 @@
 from burdockwall.types import ProgramId, ServiceName, SoftwareVersion, TurnId
 from burdockwall.version.deployment import HostRoute, choose_service
 
+# Returns the only version of a service and since when, as a leader confirms it now.
+ConfirmVersion = Callable[[ServiceName], Awaitable[SoleVersion | None]]
 RETRY_AFTER_S = 0.1
 # A caller may take up a stream until it has waited this many times for the route's
 # timeout.
@@ -100,16 +108,19 @@
         await client.record_place(turn, place)
         self.recorded = place
 
-    def resume(self, recorded: StreamPlace | None, now: float) -> None:
+    async def resume(
+        self, recorded: StreamPlace | None, came_at: float, confirm: ConfirmVersion
+    ) -> None:
         """Bind the request to the place that began the stream which it takes up.
 
-        Raise RequestRefused if that place is not certain.
+        `came_at` is when the request came. Raise RequestRefused if the place is not
+        certain.
         """
+        sole_version = None
+        if recorded is None or not recorded.software:
+            sole_version = await self._find_sole_version(came_at, confirm)
         place = decide_resume_place(
-            recorded,
-            self._list_services(),
-            self.service,
-            self._find_sole_version(now),
+            recorded, self._list_services(), self.service, sole_version
         )
         begun_by = self.begun_by or "an unnamed request"
         if place is None:
@@ -126,16 +137,22 @@
         }
         _logger.info("stream taken up", extra=extra)
 
-    def _find_sole_version(self, now: float) -> SoftwareVersion | None:
+    async def _find_sole_version(
+        self, came_at: float, confirm: ConfirmVersion
+    ) -> SoftwareVersion | None:
         """Return the only version that can have begun the stream, or None.
 
         Where a request names no beginning, the shares of the route do not tell which of
-        several services began the stream.
+        several services began the stream. The list here may be older than another
+        instance's, so a leader must confirm the version, asked after the request came.
         """
         if self.begun_by is None and len(self._list_services()) > 1:
             return None
-        since = now - self.stream_s - LIST_SKEW_S
-        return self.endpoints.find_sole_version(self.service, since, now)
+        since = came_at - self.stream_s - LIST_SKEW_S
+        listed = self.endpoints.find_sole_version(self.service, since, came_at)
+        if listed is None:
+            return None
+        return decide_sole_version(listed, await confirm(self.service), since)
 
     def _list_services(self) -> frozenset[ServiceName]:
         return frozenset(share.service for share in self.route.shares if share.weight)
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -13,10 +13,12 @@
     create_binding,
     create_endpoint,
     create_engines,
+    hide_from_instance,
     remove_version,
     send_list,
     start_follower,
     take_up_during_release,
+    take_up_of_joined,
     take_up_streams,
     take_up_under_refusals,
     wait_out_streams,
@@ -35,6 +37,19 @@
     start_site(context, create_engines(versions))
 
 
+@given(
+    'a site whose engines are of version "{first}", and one of version "{later}" that '
+    "joins later"
+)
+def step_joining_version(context, first, later):
+    engines = create_engines(f"{first} {first} {later}")
+    context.site = PlatformSite(engines)
+    context.site.server_list.servers.remove(engines[-1])
+    context.add_cleanup(context.site.close)
+    context.site.start()
+    context.caller = StreamCaller(context.site)
+
+
 @given('a site with two engines of "{first}" and two of "{second}"')
 def step_services(context, first, second):
     engines = create_engines("v1 v1", first) + create_engines("v1 v1", second)
@@ -129,6 +144,15 @@
             assert "resumes" not in request.headers, request
 
 
+@when(
+    'instance 2 gets {missed}, and a stream that begins at "{version}" meanwhile is '
+    "taken up there without naming its beginning"
+)
+def step_missed_list(context, missed, version):
+    hide_from_instance(context.site, 2, missed)
+    context.taken_up = [take_up_of_joined(context.caller, version)]
+
+
 # All entry instances start anew.
 
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -97,6 +97,17 @@
     When a stream of the split route breaks off and is taken up without naming the request that began it
     Then every taker is refused with 503, code 1406 and a time to come back
 
+  Scenario Outline: An instance that missed a new version's list does not go on at the old one
+    Given a site whose engines are of version "v1", and one of version "v2" that joins later
+    And each service has had its versions for longer than a stream lasts
+    When instance 2 gets <missed>, and a stream that begins at "v2" meanwhile is taken up there without naming its beginning
+    Then every taker is refused with 503, code 1406 and a time to come back
+
+    Examples:
+      | missed                             |
+      | no list of endpoints               |
+      | nothing from the control instances |
+
   Scenario Outline: The place where a stream may go on
     Given a route to the services "a b" whose shares give a stream to "a"
     When the stores know the place "<recorded>" and "a" has long had "<sole>"
--- a/features/subjects/stream_versions.py
+++ b/features/subjects/stream_versions.py
@@ -7,8 +7,8 @@
 import httpx
 
 from burdockwall.connection.exchange import Headers
-from burdockwall.fakes.servers import FakeServer
-from burdockwall.machine import Receive
+from burdockwall.fakes.servers import UNLIMITED, FakeServer
+from burdockwall.machine import Message, Receive
 from burdockwall.process.endpoints import (
     EndpointFollower,
     EndpointList,
@@ -226,6 +226,40 @@
     return shares, taken_up
 
 
+def hide_from_instance(site: PlatformSite, number: int, missed: str) -> None:
+    """Drop the lists, or all that control instances send, to an entry instance."""
+    host = site.entries[number - 1].member.host
+    control = {node.settings.instance_id for node in site.control_nodes}
+    lists_only = missed == "no list of endpoints"
+
+    def deliver(sender: InstanceId, message: Message) -> None:
+        is_list = isinstance(message, EndpointList)
+        if not (is_list if lists_only else sender in control):
+            host.deliver(sender, message)
+
+    site.call_in_loop(host.bus.set_receiver, deliver)
+
+
+def take_up_of_joined(caller: StreamCaller, version: str) -> TakenUp:
+    """Let an engine join, and take a stream up at instance 2 that breaks off there."""
+    site = caller.site
+    (joined,) = (engine for engine in site.engines if engine.software == version)
+    others = [engine for engine in site.engines if engine is not joined]
+    for engine in others:
+        engine.refusals_left = UNLIMITED
+    joined.cut_after_events = 1
+    site.server_list.servers.append(joined)
+    give_up_at = time.monotonic() + CALL_TIMEOUT_S
+    begun = Received(0, None, [])
+    while begun.engine is not joined or begun.status != 200:
+        assert time.monotonic() < give_up_at, begun
+        begun = caller.begin(f"begin-{time.monotonic()}", 1)
+    for engine in others:
+        engine.refusals_left = 0
+    resumed = caller.resume("resume-1", None, begun.events[-1], 2)
+    return TakenUp(begun, resumed)
+
+
 def remove_version(site: PlatformSite, version: str) -> None:
     """Take all engines of a version off the list, and wait until instances know."""
     for engine in site.engines:
