Take a write of which only the end is on disk for a torn tail

Could be seen after a power loss of all stores: the last write had several records, and of its pages only later ones were kept, which the pages allow. A sound record after a damaged one then made the store incomplete, and all stores may be at once. Cause: such a record was taken to be of a later write, after a sync; files don't tell which records were one write. Damage of synced records there can't be told; in earlier files it can.

--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -9,7 +9,6 @@
 from burdockwall.process.storage.records import (
     StoredRecord,
     encode_stored,
-    has_record_after,
     parse_stored,
 )
 
@@ -51,9 +50,9 @@
         """Read every record, and truncate each file at its first damaged record.
 
         An incomplete record at the end of the last file is usual after a crash, and the
-        files still count as whole. They don't if a sound record follows it, which was
-        written after it was synced. Raise StorageError if a record is sound but can't
-        be read, as one of another build.
+        files still count as whole, also if the end of the last write is there and its
+        beginning isn't. Raise StorageError if a record is sound but can't be read, as
+        one of another build.
         """
         names = [name for name in self.files.list_names() if _SEGMENT.fullmatch(name)]
         records: list[StoredRecord] = []
@@ -67,8 +66,6 @@
             # A file is closed when it is full, so that only the last one is shorter.
             if name != names[-1]:
                 whole = whole and SEGMENT_BYTES <= length == len(data)
-            elif has_record_after(data, length):
-                whole = False
             if length < len(data):
                 self.files.truncate(name, length)
                 self.files.sync(name)
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -107,17 +107,6 @@
     return records, offset
 
 
-def has_record_after(data: bytes, offset: int) -> bool:
-    """Return whether a sound record begins anywhere after an offset."""
-    for mark in (_STATE_MARK, _RECORD_MARK):
-        found = data.find(mark, offset + 1 + FRAME.size)
-        while found >= 0:
-            if _read_body(data, found - FRAME.size) is not None:
-                return True
-            found = data.find(mark, found + 1)
-    return False
-
-
 def _read_body(data: bytes, offset: int) -> bytes | None:
     """Return the body of the record at an offset, or None if it is damaged."""
     size, checksum = FRAME.unpack_from(data, offset)
--- a/features/damaged_files.feature
+++ b/features/damaged_files.feature
@@ -14,8 +14,12 @@
     When the last file of a store is cut within its last record
     Then the store counts as whole, without that record
 
-  Scenario: A damaged record before others in a store's last file is no torn tail
-    When a byte of the first record in the last file of a store is flipped
+  Scenario: A write of several records of which only the end reached the disk is a torn tail
+    When a store loses power while it writes 3 records, and only their end is in its file
+    Then the store counts as whole, without these records
+
+  Scenario: A damaged record in a file before a store's last one is no torn tail
+    When a byte of the first record in the first file of a store is flipped
     Then the store does not count as whole
 
   Scenario: Audit records after a damaged one are kept in a copy of their file
--- a/features/steps/damaged_files_steps.py
+++ b/features/steps/damaged_files_steps.py
@@ -6,6 +6,7 @@
     recover_store,
     run_control,
     run_store,
+    tear_last_write,
 )
 
 
@@ -33,10 +34,22 @@
     context.recovered = recover_store(lambda data: data[:-3])
 
 
-@when("a byte of the first record in the last file of a store is flipped")
+@when(
+    "a store loses power while it writes 3 records, and only their end is in its file"
+)
+def step_tear(context):
+    context.recovered = tear_last_write(3)
+
+
+@then("the store counts as whole, without these records")
+def step_whole_without(context):
+    assert context.recovered == (STORE_RECORDS, True), context.recovered
+
+
+@when("a byte of the first record in the first file of a store is flipped")
 def step_flip(context):
     context.recovered = recover_store(
-        lambda data: data[:20] + bytes([data[20] ^ 1]) + data[21:]
+        lambda data: data[:20] + bytes([data[20] ^ 1]) + data[21:], position=0
     )
 
 
--- a/features/subjects/damaged_files.py
+++ b/features/subjects/damaged_files.py
@@ -36,6 +36,7 @@
     LedgerRecord,
     RecordKind,
     StoreState,
+    encode_stored,
 )
 from burdockwall.settings import Settings
 from burdockwall.types import (
@@ -319,11 +320,29 @@
     return bytes(data), folder.files.get(f"damaged-{name}", b"")
 
 
-def recover_store(change: Callable[[bytes], bytes]) -> tuple[int, bool]:
-    """Change the last file of a store; return the records that it has, and if whole."""
+def recover_store(
+    change: Callable[[bytes], bytes], position: int = -1
+) -> tuple[int, bool]:
+    """Change a file of a store; return the records that it has, and if whole."""
     folder = build_store_folder()
+    name = folder.list_names()[position]
+    folder.files[name] = change(folder.files[name])
+    return recover_folder(folder)
+
+
+def tear_last_write(count: int) -> tuple[int, bool]:
+    """Lose the beginning of a write of some records, as a power loss may."""
+    folder = build_store_folder()
+    written = [build_store_record(STORE_RECORDS + number) for number in range(count)]
+    torn = b"".join(encode_stored(record) for record in written)
+    beginning = len(encode_stored(written[0]))
     last = folder.list_names()[-1]
-    folder.files[last] = change(folder.files[last])
+    folder.files[last] += bytes(beginning) + torn[beginning:]
+    return recover_folder(folder)
+
+
+def recover_folder(folder: MemoryFolder) -> tuple[int, bool]:
+    """Return how many records a store has read, and whether it counts as whole."""
     with patch.object(storage_journal, "SEGMENT_BYTES", SEGMENT_BYTES):
         recovery = LedgerJournal(folder).recover()
     records = [item for item in recovery.records if isinstance(item, LedgerRecord)]
