Let no answer overtake what was sent before it

Cause: an answer goes in the acknowledgement of the other's batch if no message waits; a batch under way didn't count. An acknowledgement also had no bound in bytes, though the sender of the batch waits for it no longer than the silence bound. Change: what is under way without acknowledgement keeps answers in the queue, and an acknowledgement carries at most 16 KiB of them.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -19,7 +19,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from burdockwall.connection.address import split_address
-from burdockwall.connection.message_queue import MessageQueue
+from burdockwall.connection.message_queue import MessageQueue, measure_bytes
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
     ANSWERS_PROTOCOL,
@@ -40,6 +40,8 @@
 MAX_BATCH_BYTES = 1_048_576
 # A batch may take as long as a link of this rate needs, beside the silence bound.
 LEAST_BYTES_PER_S = 1_000_000
+# The sender of a batch waits for its acknowledgement, whatever that carries.
+MAX_ANSWERS_BYTES = 16_384
 RECONNECT_FIRST_S = 0.02
 RECONNECT_LIMIT_S = 0.1
 # A machine that is off does not answer an attempt to connect. It may be back soon, so
@@ -58,12 +60,20 @@
     to: InstanceId
     protocol: int
     messages: list[AnyMessage] = field(default_factory=list)
+    size: int = 0
 
-    def accepts(self, to: InstanceId, message: AnyMessage) -> bool:
-        """Return whether a message may be sent in the acknowledgement of the batch."""
+    def add(self, to: InstanceId, message: AnyMessage) -> bool:
+        """Add a message if the acknowledgement may carry it; return whether it may."""
         if to != self.to or self.protocol < ANSWERS_PROTOCOL:
             return False
-        return message.protocol <= self.protocol
+        if message.protocol > self.protocol:
+            return False
+        size = self.size + measure_bytes(message)
+        if size > MAX_ANSWERS_BYTES:
+            return False
+        self.size = size
+        self.messages.append(message)
+        return True
 
 
 class PeerLink:
@@ -101,12 +111,16 @@
         self._attempt_at = 0.0
         self._heard = False
         self._batch: anyio.CancelScope | None = None
+        self._unacknowledged = 0
         self._logger = logbook.Logger("peers")
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no message waits to be sent."""
-        return not self._queue
+        """Return whether no message waits, or is on its way without acknowledgement.
+
+        What is sent otherwise while some are would overtake them.
+        """
+        return not self._queue and not self._unacknowledged
 
     @property
     def lost(self) -> bool:
@@ -142,6 +156,7 @@
         while True:
             await self._wait_for_message()
             self._sent = self._acknowledged = 0
+            self._unacknowledged = 0
             self._protocol_until = float("-inf")
             try:
                 await self._connect_once()
@@ -204,6 +219,7 @@
         self, stream: "grpclib.client.Stream[Envelope, Acknowledgement]"
     ) -> None:
         messages = self._take_batch()
+        self._unacknowledged = len(messages)
         self._sent += len(messages)
         envelope = Envelope(
             self.sender, self.incarnation, self._sent, messages, PROTOCOL
@@ -215,6 +231,7 @@
             reply = await stream.recv_message()
         if reply is None:
             raise StreamTerminatedError("the peer closed the stream")
+        self._unacknowledged = 0
         self._acknowledged = reply.count
         self._protocol = reply.protocol
         self._protocol_until = anyio.current_time() + PROTOCOL_VALID_S
@@ -303,9 +320,7 @@
             return
         queued = cast(AnyMessage, message)
         answers = self._answers
-        if answers is not None and link.is_idle and answers.accepts(to, queued):
-            answers.messages.append(queued)
-        else:
+        if answers is None or not link.is_idle or not answers.add(to, queued):
             link.enqueue(queued)
 
     def is_lost(self, peer: InstanceId) -> bool:
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -58,3 +58,8 @@
       | count | size    |
       | 1     | 4194304 |
       | 6     | 1280000 |
+
+  Scenario: An answer does not overtake what was sent before it
+    Given a path that carries 15 Mbit/s, and a silence bound of 1 s
+    When a message of 2000000 bytes is on its way to an instance that then asks something
+    Then that message arrives before the answer
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -14,6 +14,7 @@
 from features.subjects.peers import (
     ARRIVAL_LIMIT_S,
     AnswersSubject,
+    OvertakingSubject,
     PeersSubject,
     SlowLinkSubject,
     WaitingSubject,
@@ -186,7 +187,8 @@
 
 @given("a path that carries {mbit_per_s:d} Mbit/s, and a silence bound of 1 s")
 def step_slow_path(context, mbit_per_s):
-    context.slow_link = SlowLinkSubject(mbit_per_s * 1_000_000 / 8)
+    context.bytes_per_s = mbit_per_s * 1_000_000 / 8
+    context.slow_link = SlowLinkSubject(context.bytes_per_s)
 
 
 @when("{count:d} messages of {size:d} bytes are sent at once")
@@ -200,3 +202,16 @@
     link = context.slow_link
     assert link.arrived == list(range(1, context.sent_count + 1)), link.arrived
     assert link.connections == 1, link.connections
+
+
+@when(
+    "a message of {size:d} bytes is on its way to an instance that then asks something"
+)
+def step_overtake(context, size):
+    context.overtaking = OvertakingSubject(context.bytes_per_s)
+    context.overtaking.run(size)
+
+
+@then("that message arrives before the answer")
+def step_in_order(context):
+    assert context.overtaking.arrived == ["Append", "Pong"], context.overtaking.arrived
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -140,6 +140,40 @@
             group.cancel_scope.cancel()
 
 
+class OvertakingSubject:
+    """An instance that is sent a large message, and asks before it has arrived."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.arrived: list[str] = []
+
+    def run(self, size: int) -> None:
+        anyio.run(self._run, size)
+
+    async def _run(self, size: int) -> None:
+        near_address = find_address()
+        path = FaultyProxy(find_address(), find_address(), bytes_per_s=self.bytes_per_s)
+        near = PeerBus(NEAR, Incarnation(1), {FAR: path.address}, SILENCE_S)
+        far = PeerBus(FAR, Incarnation(1), {NEAR: near_address}, SILENCE_S)
+        near.set_receiver(
+            lambda sender, message: near.send(sender, Pong(message.nonce))
+        )
+        far.set_receiver(
+            lambda sender, message: self.arrived.append(type(message).__name__)
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(path.run)
+            group.start_soon(far.run, path.target)
+            group.start_soon(near.run, near_address)
+            near.send(FAR, build_append(1, bytes(size)))
+            await anyio.sleep(0.3)
+            far.send(NEAR, Ping(1))
+            with anyio.move_on_after(ARRIVAL_LIMIT_S):
+                while len(self.arrived) < 2:
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+
+
 class WaitingSubject:
     """Messages that wait for an instance to which no connection is made."""
 
