Send no update that a report could not confirm yet, and no document twice

A follower that had missed several versions of a document of megabytes got each of them, which a slow link doesn't carry in time. A grant 0.25 s ahead of its update made the instance ask for it. Cause: one time for fleets of all sizes; differences hold every version of a document, though only the last is used; the delay of a grant was the same as that of a message. Change: large fleets have 2.3 s until what was sent counts as lost; documents that later changes of one message replace are left out; an instance asks 0.5 s after a grant.

--- a/burdockwall/process/membership/missed.py
+++ b/burdockwall/process/membership/missed.py
@@ -6,7 +6,7 @@
 FIRST_INTERVAL_S = 0.25
 MAX_INTERVAL_S = 2.0
 # An update may still be on its way when a grant names its version.
-GRANT_DELAY_S = 0.25
+GRANT_DELAY_S = 0.5
 
 Held = tuple[Version, MemberListVersion]
 
--- a/burdockwall/process/membership/publisher.py
+++ b/burdockwall/process/membership/publisher.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
+import msgspec
+
 from burdockwall.machine import Send
 from burdockwall.process.control.changes import Change
 from burdockwall.process.membership.member_list import MemberList
@@ -13,8 +15,13 @@
     StateChanges,
     StateSnapshot,
 )
-from burdockwall.process.membership.timing import RESEND_CHANGES_S, RESEND_SNAPSHOT_S
-from burdockwall.types import Incarnation, InstanceId, Version
+from burdockwall.process.membership.timing import (
+    LARGE_FLEET_MEMBERS,
+    LARGE_RESEND_CHANGES_S,
+    RESEND_CHANGES_S,
+    RESEND_SNAPSHOT_S,
+)
+from burdockwall.types import DocumentName, Incarnation, InstanceId, Version
 
 
 class StateReader(Protocol):
@@ -51,12 +58,12 @@
     awaited: V
     awaited_until: float = float("-inf")
 
-    def record_report(self, version: V, now: float) -> None:
-        """Record the version that the follower reports."""
+    def record_report(self, version: V, now: float, wait_s: float) -> None:
+        """Record a reported version; what was sent since has `wait_s` to arrive."""
         self.reported = max(self.reported, version)
         if version >= self.awaited:
             self.sent = max(self.sent, version)
-            self._await_confirmation(now, RESEND_CHANGES_S)
+            self._await_confirmation(now, wait_s)
         elif now >= self.awaited_until:
             self.forget_sent(version)
 
@@ -119,8 +126,9 @@
     ) -> list[Send]:
         """Record the versions that a follower reports and send what it lacks."""
         progress = self._find_progress(follower, incarnation)
-        progress.state.record_report(version, now)
-        progress.member_list.record_report(list_version, now)
+        wait_s = self._get_resend_s()
+        progress.state.record_report(version, now, wait_s)
+        progress.member_list.record_report(list_version, now, wait_s)
         return self._build_sends(follower, progress, now)
 
     def resend(self, follower: InstanceId, asked: AskChanges, now: float) -> list[Send]:
@@ -167,7 +175,7 @@
         update = self.member_list.build_update_since(held)
         if update is not None:
             latest = self.member_list.version
-            progress.member_list.record_sent(latest, now, RESEND_CHANGES_S)
+            progress.member_list.record_sent(latest, now, self._get_resend_s())
             sends.append(Send(follower, update))
         return sends
 
@@ -180,5 +188,29 @@
         if changes is None:
             progress.record_sent(latest, now, RESEND_SNAPSHOT_S)
             return self.state.take_snapshot()
-        progress.record_sent(latest, now, RESEND_CHANGES_S)
-        return StateChanges(since, latest, changes)
+        progress.record_sent(latest, now, self._get_resend_s())
+        return StateChanges(since, latest, drop_replaced(changes))
+
+    def _get_resend_s(self) -> float:
+        large = len(self.member_list.members) > LARGE_FLEET_MEMBERS
+        return LARGE_RESEND_CHANGES_S if large else RESEND_CHANGES_S
+
+
+def drop_replaced(changes: list[Change]) -> list[Change]:
+    """Drop the documents that later ones of the changes replace.
+
+    All are installed at once, and documents may be large.
+    """
+    kept: list[Change] = []
+    replaced: set[DocumentName] = set()
+    for change in reversed(changes):
+        documents = {
+            name: document
+            for name, document in change.documents.items()
+            if name not in replaced
+        }
+        replaced.update(documents)
+        if len(documents) < len(change.documents):
+            change = msgspec.structs.replace(change, documents=documents)
+        kept.append(change)
+    return kept[::-1]
--- a/burdockwall/process/membership/timing.py
+++ b/burdockwall/process/membership/timing.py
@@ -38,6 +38,8 @@
 # A relay or leader stops pushing to a child that has been silent for this long.
 CHILD_EXPIRY_S = 3.0
 RESEND_CHANGES_S = 1.0
+# Longer than the time in which a member of a large fleet reports what it has installed.
+LARGE_RESEND_CHANGES_S = LARGE_HEARTBEAT_INTERVAL_S + 2 * RELAY_BATCH_S
 RESEND_SNAPSHOT_S = 5.0
 
 DETECTION_INTERVAL_S = 0.3
