Feed random input to the decoders of what others send

A decoder may raise its own exception only, and what is read is encoded for peers and sent in headers.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -197,3 +197,15 @@
 
   Scenario: A configuration with unknown fields and unusual figures is accepted
     Then a configuration with unknown fields and figures at the ends of ranges is read
+
+  Scenario Outline: No input raises another exception, and what is read can be used
+    # Any number by hand: python -m features.subjects.decoder_inputs COUNT SEED
+    Then 200 random inputs of <source> are read or refused, from seed 1
+
+    Examples:
+      | source             |
+      | pages              |
+      | foreign entries    |
+      | callers' headers   |
+      | endpoints' headers |
+      | configurations     |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -7,6 +7,7 @@
 from burdockwall.errors import Code, InvalidFile, RequestRefused
 from burdockwall.platform.configuration import decode_new
 from burdockwall.request.caller import read_number
+from features.subjects.decoder_inputs import run_check
 from features.subjects.decoders import (
     BAD_CONFIGURATIONS,
     BAD_ENTRIES,
@@ -139,3 +140,8 @@
     deployment = decode_new(json.dumps(configuration).encode())
     assert deployment.number == 2**63 - 1
     assert deployment.routes[0].max_attempts == 1
+
+
+@then("{count:d} random inputs of {source} are read or refused, from seed {first:d}")
+def step_random(context, count, source, first):
+    run_check(source, count, first)
