Let no report of an endpoint end the process on the own interface

An endpoint's report of load, cache events or held programs with brackets some 1,000 deep raised RecursionError in the task that polls, which ends the process; figures beyond 64 bits and negative ones were used. Callers got 500 for such bodies, and max_tokens of 2**70 was taken, though no message to peers can hold it.

Cause: msgspec.json.decode was called in each place with only its own errors expected, and the figures had no ranges.

Change: these places use decode_json, whose one exception they expect, and the type Count for whole numbers of 0 to a million million.

--- a/burdockwall/connection/json_text.py
+++ b/burdockwall/connection/json_text.py
@@ -5,11 +5,13 @@
 """
 
 import re
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 Decoded = TypeVar("Decoded")
+# A whole number that can be added up and encoded for peers.
+Count = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
 
 WHITESPACE = b" \t\r\n"
 OPENING = b"[{"
--- a/burdockwall/process/programs/reclaimer.py
+++ b/burdockwall/process/programs/reclaimer.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.json_text import Count, JsonUnreadable, decode_json
 from burdockwall.process.jobs import Jobs
 from burdockwall.process.programs import calls
 from burdockwall.process.programs.client import RecordClient
@@ -47,11 +48,14 @@
     `sequence` is the number of its last cache event.
     """
 
-    sequence: int = 0
+    sequence: Count = 0
     requests: list[RequestId] = []
     programs: list[ProgramTag] = []
 
 
+_held_decoder = msgspec.json.Decoder(HeldPage)
+
+
 class Reclaimer:
     """Sends cancellations and releases to engines until the engines confirm them."""
 
@@ -159,8 +163,8 @@
                 body = await read_limited(response, ANSWER_LIMIT_BYTES)
             if not response.is_success:
                 return
-            page = msgspec.json.decode(body, type=HeldPage)
-        except (httpx.TransportError, msgspec.DecodeError):
+            page = decode_json(body, _held_decoder)
+        except (httpx.TransportError, JsonUnreadable):
             return
         listed = EngineListed(
             endpoint.name, page.sequence, tuple(page.programs), tuple(page.requests)
--- a/burdockwall/process/programs/unknowns.py
+++ b/burdockwall/process/programs/unknowns.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.errors import Code, OperatorError, find_code
 from burdockwall.process.operations import Operations
 from burdockwall.process.programs import calls
@@ -36,6 +37,9 @@
     note: str
 
 
+_settle_decoder = msgspec.json.Decoder(SettleBody)
+
+
 class Unknowns:
     """Answers operators with the unknown outcomes that the shards' primaries list."""
 
@@ -59,8 +63,8 @@
         """Settle one unknown outcome and write the audit line."""
         body = await exchange.read_body(SETTLE_BODY_BYTES)
         try:
-            settle = msgspec.json.decode(body, type=SettleBody)
-        except msgspec.DecodeError as error:
+            settle = decode_json(body, _settle_decoder)
+        except JsonUnreadable as error:
             raise OperatorError(Code.BAD_REQUEST, str(error)) from error
         key = OutcomeKey(settle.customer, settle.route, settle.key)
         call = calls.Settle(key, settle.operator, settle.ran, settle.note)
--- a/burdockwall/process/scheduling/poller.py
+++ b/burdockwall/process/scheduling/poller.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.process.failures import Failures
 from burdockwall.process.jobs import contain
 from burdockwall.process.scheduling.dispatcher import Dispatcher
@@ -23,6 +24,8 @@
 UNSUPPORTED_PAUSE_S = 60.0
 TIMEOUT_PAUSE_INTERVALS = 4
 CONCURRENT_POLLS = 16
+_load_decoder = msgspec.json.Decoder(LoadReport)
+_events_decoder = msgspec.json.Decoder(CachePage)
 
 
 class EndpointPoller:
@@ -96,15 +99,15 @@
 
     def _observe_load(self, endpoint: Endpoint, body: bytes) -> None:
         try:
-            report = msgspec.json.decode(body, type=LoadReport)
-        except msgspec.DecodeError:
+            report = decode_json(body, _load_decoder)
+        except JsonUnreadable:
             return
         self.dispatcher.apply(ObserveLoad(endpoint.name, report))
 
     def _observe_events(self, endpoint: Endpoint, body: bytes) -> None:
         try:
-            page = msgspec.json.decode(body, type=CachePage)
-        except msgspec.DecodeError:
+            page = decode_json(body, _events_decoder)
+        except JsonUnreadable:
             return
         if page.events:
             self._last_sequences[endpoint.name] = page.events[-1].sequence
--- a/burdockwall/process/scheduling/reports.py
+++ b/burdockwall/process/scheduling/reports.py
@@ -5,16 +5,18 @@
 
 import msgspec
 
+from burdockwall.connection.json_text import Count
+
 CacheKey = NewType("CacheKey", str)
 
 
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """An endpoint's load in calls; `capacity` is 0 if it is unknown."""
 
-    sequence: int
-    running: int
-    waiting: int
-    capacity: int = 0
+    sequence: Count
+    running: Count
+    waiting: Count
+    capacity: Count = 0
     memory_share: float = 0.0
 
 
@@ -29,7 +31,7 @@
 class CacheEvent(msgspec.Struct, frozen=True, omit_defaults=True):
     """One change of an engine's prefix cache, numbered without gaps."""
 
-    sequence: int
+    sequence: Count
     change: CacheChange
     key: CacheKey = CacheKey("")
     tokens: int = 0
--- a/burdockwall/request/completion.py
+++ b/burdockwall/request/completion.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from burdockwall.connection.json_text import Count, JsonUnreadable, decode_json
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.types import ModelName
 
@@ -18,7 +19,7 @@
 
     model: ModelName
     messages: list[ChatMessage]
-    max_tokens: int = 256
+    max_tokens: Count = 256
     stream: bool = False
     continue_final_message: bool = False
 
@@ -60,8 +61,8 @@
 def parse_completion(body: bytes) -> CompletionRequest:
     """Parse a caller's body, or raise RequestRefused."""
     try:
-        return _request_decoder.decode(body)
-    except msgspec.DecodeError as error:
+        return decode_json(body, _request_decoder)
+    except JsonUnreadable as error:
         detail = f"the body is not a completion request: {error}"
         raise RequestRefused(Code.BAD_REQUEST, detail) from error
 
@@ -89,8 +90,8 @@
         if data == DONE_DATA:
             return None
         try:
-            return _event_decoder.decode(data).system_fingerprint
-        except msgspec.DecodeError:
+            return decode_json(data, _event_decoder).system_fingerprint
+        except JsonUnreadable:
             return None
     return None
 
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -209,3 +209,14 @@
       | callers' headers   |
       | endpoints' headers |
       | configurations     |
+
+  Scenario Outline: A completion request that can't be read is refused with 400
+    # RecursionError was answered 500, and figures beyond 64 bits went on to peers.
+    Then a completion request with <fault> is refused
+
+    Examples:
+      | fault                |
+      | brackets 5000 deep   |
+      | 2**70 tokens at most |
+      | -1 tokens at most    |
+      | half a character     |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -7,8 +7,10 @@
 from burdockwall.errors import Code, InvalidFile, RequestRefused
 from burdockwall.platform.configuration import decode_new
 from burdockwall.request.caller import read_number
+from burdockwall.request.completion import parse_completion
 from features.subjects.decoder_inputs import run_check
 from features.subjects.decoders import (
+    BAD_COMPLETIONS,
     BAD_CONFIGURATIONS,
     BAD_ENTRIES,
     UNREAD_PAGES,
@@ -145,3 +147,13 @@
 @then("{count:d} random inputs of {source} are read or refused, from seed {first:d}")
 def step_random(context, count, source, first):
     run_check(source, count, first)
+
+
+@then("a completion request with {fault} is refused")
+def step_completion(context, fault):
+    try:
+        parse_completion(BAD_COMPLETIONS[fault])
+    except RequestRefused as error:
+        assert error.code is Code.BAD_REQUEST, error
+        return
+    raise AssertionError("it was read")
--- a/features/steps/poller_steps.py
+++ b/features/steps/poller_steps.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from features.subjects.poller import PollerSubject
+from features.subjects.poller import UNREADABLE, PollerSubject
 
 
 @given("an endpoint whose first report comes late")
@@ -27,3 +27,14 @@
 def step_once(context):
     assert context.poller.load_requests == 1
     assert not context.poller.reports
+
+
+@given("an endpoint whose reports are {fault}")
+def step_unreadable(context, fault):
+    context.poller = PollerSubject(False, 200, UNREADABLE[fault])
+
+
+@then("it is asked again, and no report arrives")
+def step_asked_again(context):
+    assert context.poller.load_requests > 1
+    assert not context.poller.reports
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -269,3 +269,14 @@
     "a prefix without slashes": _change("routes", path_prefix="tool"),
     "hosts that differ in case": _double(),
 }
+
+
+COMPLETION = b'{"model":"m","messages":[],"max_tokens":5}'
+BAD_COMPLETIONS = {
+    "brackets 5000 deep": COMPLETION.replace(
+        b"{", b'{"x":%s,' % (DEEP[95_000:105_000])
+    ),
+    "2**70 tokens at most": COMPLETION.replace(b":5", b":%d" % 2**70),
+    "-1 tokens at most": COMPLETION.replace(b":5", b":-1"),
+    "half a character": COMPLETION.replace(b'"m"', b'"\\ud800"'),
+}
--- a/features/subjects/poller.py
+++ b/features/subjects/poller.py
@@ -17,9 +17,16 @@
 SLOW_ANSWER_S = 5 * INTERVAL_S
 LOAD = b'{"sequence":1,"running":1,"waiting":0,"capacity":8,"memory_share":0.1}'
 
+UNREADABLE = {
+    "nested 5000 deep": b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}",
+    "beyond 64 bits": LOAD.replace(b'"running":1', b'"running":%d' % 2**70),
+    "negative": LOAD.replace(b'"running":1', b'"running":-1'),
+    "half a character": LOAD.replace(b"{", b'{"\\ud800":1,'),
+}
 
-async def _send_load():
-    yield LOAD
+
+async def _send(report: bytes):
+    yield report
 
 
 class PollerSubject:
@@ -28,7 +35,8 @@
     The first request for a load is answered late if `slow`, and each with `status`.
     """
 
-    def __init__(self, slow: bool, status: int) -> None:
+    def __init__(self, slow: bool, status: int, report: bytes = LOAD) -> None:
+        self.report = report
         self.slow = slow
         self.status = status
         self.requests: Counter[str] = Counter()
@@ -52,7 +60,7 @@
         self.requests[path] += 1
         if self.slow and self.requests[path] == 1:
             await anyio.sleep(SLOW_ANSWER_S)
-        yield httpx.Response(self.status, content=_send_load())
+        yield httpx.Response(self.status, content=_send(self.report))
 
     def run(self, seconds: float) -> None:
         async def poll() -> None:
