Fail to connect to a configured address that can't be read

On the own interface a configured endpoint whose address has no readable port made each request to it fail with 500, and, by reading, ended the process in the tasks that poll it and send it orders: httpx raises InvalidURL, which is no HTTPError.

Change: the clients of endpoints raise ConnectError for such an address, and an order to one fails like any other.

--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -10,7 +10,7 @@
 import anyio
 import httpx
 
-from burdockwall.connection.address import split_address
+from burdockwall.connection.address import AddressUnreadable, split_address
 from burdockwall.connection.bounded_transport import (
     BoundedTransport,
     check_named,
@@ -168,6 +168,10 @@
         return BoundedTransport(self._tls, limits)
 
     def _create_client(self, endpoint: Endpoint) -> httpx.AsyncClient:
+        try:
+            split_address(endpoint.address)
+        except AddressUnreadable as error:
+            raise httpx.ConnectError(str(error)) from error
         limits = httpx.Limits(
             max_connections=STREAMS_PER_CLIENT,
             max_keepalive_connections=STREAMS_PER_CLIENT,
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -96,7 +96,7 @@
                 content=msgspec.json.encode(numbered_order),
                 headers={"content-type": "application/json"},
             )
-        except httpx.HTTPError:
+        except (httpx.HTTPError, httpx.InvalidURL):
             return OrderResult.FAILED
         if response.status_code == httpx.codes.CONFLICT:
             return OrderResult.STALE
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -220,3 +220,14 @@
       | 2**70 tokens at most |
       | -1 tokens at most    |
       | half a character     |
+
+  Scenario Outline: A request to a configured address that can't be read fails to connect
+    # httpx.InvalidURL, which no caller of the clients expects, left them.
+    Then a request to a configured endpoint at "<address>" fails to connect
+    And an order to a configured endpoint at "<address>" fails
+
+    Examples:
+      | address |
+      | a:http  |
+      | a\0:1   |
+      | a:99999 |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -1,11 +1,13 @@
 import json
 from types import SimpleNamespace
 
+import httpx
 from behave import then
 
 from burdockwall.connection.upstream import Probe
 from burdockwall.errors import Code, InvalidFile, RequestRefused
 from burdockwall.platform.configuration import decode_new
+from burdockwall.process.orders.order import OrderResult
 from burdockwall.request.caller import read_number
 from burdockwall.request.completion import parse_completion
 from features.subjects.decoder_inputs import run_check
@@ -22,6 +24,8 @@
     find_figure,
     read_endpoint_figure,
     read_platform_request,
+    request_configured,
+    send_order,
 )
 from features.subjects.platform import build_configuration
 
@@ -157,3 +161,17 @@
         assert error.code is Code.BAD_REQUEST, error
         return
     raise AssertionError("it was read")
+
+
+@then('a request to a configured endpoint at "{address}" fails to connect')
+def step_configured(context, address):
+    try:
+        request_configured(unescape(address))
+    except httpx.ConnectError:
+        return
+    raise AssertionError("it was sent")
+
+
+@then('an order to a configured endpoint at "{address}" fails')
+def step_order(context, address):
+    assert send_order(unescape(address)) is OrderResult.FAILED
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 
+from burdockwall.connection.client import create_http_client
 from burdockwall.connection.endpoints import EndpointClients, read_rate_limit
 from burdockwall.connection.upstream import (
     AnswerHead,
@@ -19,10 +20,18 @@
 from burdockwall.platform.server_list import ServerListReader
 from burdockwall.process.control_node import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.orders.order import (
+    NumberedOrder,
+    Order,
+    OrderKind,
+    OrderResult,
+)
+from burdockwall.process.orders.shell import Orders
 from burdockwall.process.web import serve_address
 from burdockwall.request.codec import ForwardedRequest
 from burdockwall.request.events import find_event_id
-from burdockwall.types import Address
+from burdockwall.types import Address, EndpointId, FencingNumber, PoolName
+from burdockwall.version.configuration import Endpoint
 from features.subjects.platform import build_configuration
 
 TIMEOUT_S = 2.0
@@ -280,3 +289,31 @@
     "-1 tokens at most": COMPLETION.replace(b":5", b":-1"),
     "half a character": COMPLETION.replace(b'"m"', b'"\\ud800"'),
 }
+
+
+def request_configured(address: str) -> None:
+    """Send a request to an endpoint of the own interface's configuration."""
+    endpoint = Endpoint(EndpointId("e"), PoolName("p"), Address(address))
+
+    async def request() -> None:
+        clients = EndpointClients(TIMEOUT_S, TIMEOUT_S)
+        async with clients.open_stream(endpoint, "GET", "/", [], None):
+            pass
+
+    anyio.run(request)
+
+
+def send_order(address: str) -> OrderResult:
+    """Send an order as the leader does to a configured endpoint."""
+
+    async def send() -> OrderResult:
+        async with create_http_client(TIMEOUT_S) as client:
+            leader = SimpleNamespace(
+                find_address=lambda endpoint: address,
+                _client=client,
+                _is_leading=lambda: True,
+            )
+            order = Order(EndpointId("e"), next(iter(OrderKind)))
+            return await Orders._send(leader, NumberedOrder(FencingNumber(1), order))
+
+    return anyio.run(send)
