Walk chains of turns that name one another only once

Seen: a caller's request whose X-Previous-Turn names its own X-Request-Id stops each store that lacks the first turn of that id: the store's process answers nobody any more, at full load. The entry lets it pass where the other stores have that turn.

Cause: the ledger follows the turns before one without end; callers choose both ids, and a record that one store lacks is new there.

Change: a chain is walked up to a turn that was walked before; such a chain is not whole.

--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -260,16 +260,32 @@
     def _collect_chain(
         self, customer: CustomerId, latest: TurnId | None
     ) -> list[ChainLink] | None:
-        links: list[ChainLink] = []
-        following = latest
-        while following is not None:
-            stored = self._turns.get(TurnKey(customer, following))
+        if latest is None:
+            return []
+        chain = list(self._walk_chain(customer, latest))
+        if not chain or chain[-1].record.previous is not None:
+            return None
+        return [
+            ChainLink(stored.record.prompt, stored.record.answer)
+            for stored in reversed(chain)
+        ]
+
+    def _walk_chain(
+        self, customer: CustomerId, latest: TurnId | None
+    ) -> Iterator[_StoredTurn]:
+        """Yield a turn and those before it, up to one that is not stored.
+
+        Callers choose which turn is before another, so that a chain may be a circle.
+        """
+        walked: set[TurnId] = set()
+        turn = latest
+        while turn is not None and turn not in walked:
+            stored = self._turns.get(TurnKey(customer, turn))
             if stored is None:
-                return None
-            links.append(ChainLink(stored.record.prompt, stored.record.answer))
-            following = stored.record.previous
-        links.reverse()
-        return links
+                return
+            yield stored
+            walked.add(turn)
+            turn = stored.record.previous
 
     def _end(self, sender: InstanceId, message: EndTurn, now: float) -> None:
         record = LedgerRecord(
@@ -342,13 +358,8 @@
             self._extend_chain(record, now + retention_s)
 
     def _extend_chain(self, record: LedgerRecord, expires_at: float) -> None:
-        turn = record.previous
-        while turn is not None:
-            stored = self._turns.get(TurnKey(record.customer, turn))
-            if stored is None:
-                return
+        for stored in self._walk_chain(record.customer, record.previous):
             stored.expires_at = max(stored.expires_at, expires_at)
-            turn = stored.record.previous
 
     # Other stores.
 
