Take a voter in again that was replaced while it was cut off

Seen: a control instance that was cut off for some seconds, and replaced as a voter meanwhile, never followed the control state again: it took itself for a voter by its old log, asked for votes, and got no entries.

Cause: only a replica that isn't a voter by its own log asked to join. An instance whose contacts had all been replaced asked nobody.

Change: a voter that hears no leader asks as well, and each replica also asks the members that it knows.

--- a/burdockwall/process/control/follower.py
+++ b/burdockwall/process/control/follower.py
@@ -149,15 +149,19 @@
             state.send(leader.instance, message)
 
     def request_join_when_due(self) -> None:
-        """Ask the contacts to admit this replica while no leader contacts it."""
+        """Ask contacts and members to admit this replica while no leader contacts it.
+
+        A voter asks too: it may have been removed while it was cut off.
+        """
         state = self.state
         silent = state.now - state.leader_contact_at >= state.timing.election_timeout_s
-        if state.is_voter() or state.now < self._next_join_at:
+        if state.now < self._next_join_at:
             return
         if state.hard_state.cluster and not silent:
             return
         self._next_join_at = state.now + state.timing.join_retry_s
         member = msgspec.structs.replace(state.own_member, voting=False)
-        for contact in self.contacts:
+        members = [item.instance for item in state.log.membership.members]
+        for contact in dict.fromkeys([*self.contacts, *members]):
             if contact != state.own_member.instance:
                 state.send(contact, AskJoin(member))
--- a/features/subjects/control_rules.py
+++ b/features/subjects/control_rules.py
@@ -210,6 +210,22 @@
     return membership.find(VoterId("e")) is not None
 
 
+def check_removed_voter_asks() -> bool:
+    replica = SingleReplica(3)
+    replica.receive(Append, "b", 1, 3, Term(1), (), 3, 1)
+    early = replica.handle(Tick())
+    replica.now = 10.0
+    sent = replica.handle(Tick())
+    asked = {action.to for action in sent if isinstance(action.message, AskJoin)}
+    none_early = not any(isinstance(action.message, AskJoin) for action in early)
+    return none_early and asked == {"b", "c"}
+
+
+def ask_join_as_learner(follower):
+    if not follower.state.is_voter():
+        ask_join(follower)
+
+
 def change_membership_and_forget(leader):
     change_membership(leader)
     leader.joining.clear()
@@ -243,6 +259,7 @@
 persist, advance, install = ConsensusState.persist, Leader.advance, Follower._install
 ask = Election._ask_pre_votes
 change_membership = Leader._change_membership
+ask_join = Follower.request_join_when_due
 
 RULES: dict[str, tuple[Callable[[], bool], Callable[[], AbstractContextManager]]] = {
     "a vote survives a restart": (
@@ -277,6 +294,10 @@
         check_join_reaches_leader,
         lambda: patch.object(Follower, "forward_join", lambda *arguments: None),
     ),
+    "a voter that was removed while cut off asks to join": (
+        check_removed_voter_asks,
+        lambda: patch.object(Follower, "request_join_when_due", ask_join_as_learner),
+    ),
     "all that ask to join at once are taken in": (
         check_all_joiners_admitted,
         lambda: patch.object(
