Count a seed that never comes among the losses, and wait for joiners only at first

Could be seen: a deployment of three control instances of which one never starts, or hangs from its start, acknowledges nothing, though one lost machine is tolerated. Cause: while a first voter hadn't been heard nothing was committed, without end; the wait for instances that may join began anew with each leader. Change: an awaited voter that hasn't come 2.5 s after an election is one of the tolerated losses. The wait for joiners is only for a leader whose log has no data yet. The scenario 'Nothing is acknowledged before every seed is known to have a disk' asked that nothing ever be acknowledged without the third seed; it now asks that nothing is for 2.5 s, and that what is acknowledged then outlives the disk that acknowledged it and a loss of power once the third seed has caught up.

--- a/burdockwall/process/control/leader.py
+++ b/burdockwall/process/control/leader.py
@@ -61,7 +61,10 @@
         """Become the leader of the current term."""
         state = self.state
         state.leadership = Leadership(
-            state.own_member.voter, state.log.last_index + 1, elected_at=state.now
+            state.own_member.voter,
+            state.log.last_index + 1,
+            elected_at=state.now,
+            founding=not state.log.has_data(),
         )
         self.joining.clear()
         self.outgoing = None
--- a/burdockwall/process/control/leadership.py
+++ b/burdockwall/process/control/leadership.py
@@ -48,6 +48,7 @@
     A round is one set of heartbeats. A replica returns the round's number, which
     proves that it followed this leader after the round was sent. Entries up to
     `agreed_index` are in the logs of a majority, but not all may be committed yet.
+    `founding` is whether the log had no data when this leader was elected.
     """
 
     voter: VoterId
@@ -56,6 +57,7 @@
     confirmed_at: float = -math.inf
     round: int = 0
     agreed_index: int = 0
+    founding: bool = False
     progress: dict[VoterId, Progress] = field(default_factory=dict)
     pending_reads: list[PendingRead] = field(default_factory=list)
     pending_calls: dict[int, CallId] = field(default_factory=dict)
--- a/burdockwall/process/control/log.py
+++ b/burdockwall/process/control/log.py
@@ -88,6 +88,12 @@
                 return tuple(entries[:count])
         return tuple(entries)
 
+    def has_data(self) -> bool:
+        """Return whether the log has had commands, in entries or a snapshot."""
+        return self.base_index > 0 or any(
+            isinstance(entry.payload, Data) for entry in self.entries
+        )
+
     def find_retained(self, last: int, limit: int, limit_bytes: int) -> int:
         """Return the index after which entries up to `last` fit a count and a size."""
         index = last
--- a/burdockwall/process/control/redundancy.py
+++ b/burdockwall/process/control/redundancy.py
@@ -11,6 +11,8 @@
 ALL_SEEDS = 3
 # All instances start at about the same time, and ask to join once a second.
 JOIN_WAIT_S = 3.0
+# An awaited voter that hasn't come so long after an election is one of the losses.
+ABSENT_WAIT_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,18 +48,24 @@
 ) -> bool:
     """Return whether what a majority of the voters has survives the losses.
 
-    It does if a majority of the voters remains. A fleet with too few control instances
-    for that goes on once none of them is awaited or asks to join.
+    It does if a majority of the voters remains. Voters that never come count among the
+    losses after a while. A fleet with too few control instances goes on once no other
+    asks to join.
     """
     voters = [member for member in membership.members if member.voting]
     quorum = len(voters) // 2 + 1
-    present = [member for member in voters if is_present(member, leadership)]
-    if len(present) - bounds.losses >= quorum:
+    absent = sum(not is_present(member, leadership) for member in voters)
+    if len(voters) - absent - bounds.losses >= quorum:
         return True
-    if len(present) < len(voters) or quorum < count_copies(membership, bounds):
+    led_s = now - leadership.elected_at
+    if absent > bounds.losses or (absent and led_s < ABSENT_WAIT_S):
         return False
-    starting = now - leadership.elected_at < JOIN_WAIT_S
-    if joining or (starting and len(voters) < bounds.expected_voters):
+    if len(voters) - bounds.losses >= quorum:
+        return True
+    if quorum < count_copies(membership, bounds):
+        return False
+    few = len(voters) < bounds.expected_voters
+    if joining or (few and leadership.founding and led_s < JOIN_WAIT_S):
         return False
     return not _has_answering_learner(membership, leadership, now, silence_s)
 
--- a/features/control_founding.feature
+++ b/features/control_founding.feature
@@ -35,10 +35,31 @@
       | 3         | 2      |
       | 4         | 2      |
 
-  Scenario: Nothing is acknowledged before every seed is known to have a disk
-    When the third seed of a fleet starts late
+  Scenario: A seed that starts late is awaited for 2.5 s, and is one of the losses after that
+    When the third seed of a fleet starts 6 s after the others, and a disk is lost later
     Then the founded fleet holds what it acknowledged
 
+  Scenario Outline: A fleet acknowledges changes though a control instance never starts
+    When <instances> control instances that tolerate <losses> losses start without seed <seed>
+    Then the first change is acknowledged within 4.5 s of the start
+    And the founded fleet holds what it acknowledged
+
+    Examples:
+      | instances | losses | seed |
+      | 3         | 1      | 1    |
+      | 3         | 1      | 3    |
+      | 5         | 2      | 3    |
+      | 5         | 1      | 2    |
+
+  Scenario Outline: A later election costs a fleet of few control instances no wait
+    When the leader of <instances> control instances that tolerate <losses> losses is killed
+    Then changes are acknowledged again within 2.5 s
+
+    Examples:
+      | instances | losses |
+      | 3         | 2      |
+      | 4         | 2      |
+
   Scenario: The operator is refused with 503 and Retry-After until the voters suffice
     Given a site whose third control instance has not started
     Then a configuration is refused with 503 and Retry-After, as not made
--- a/features/steps/control_founding_steps.py
+++ b/features/steps/control_founding_steps.py
@@ -22,9 +22,39 @@
     context.clusters = [control_founding.run_small_fleet(instances, losses)]
 
 
-@when("the third seed of a fleet starts late")
-def step_late_seed(context):
-    context.clusters = [control_founding.run_late_seed()]
+@when(
+    "the third seed of a fleet starts {late_s:d} s after the others, and a disk is "
+    "lost later"
+)
+def step_late_seed(context, late_s):
+    context.clusters = [control_founding.run_late_seed(late_s)]
+
+
+@when(
+    "{instances:d} control instances that tolerate {losses:d} losses start without "
+    "seed {seed:d}"
+)
+def step_absent_seed(context, instances, losses, seed):
+    context.clusters = [control_founding.run_absent_seed(instances, losses, seed)]
+
+
+@then("the first change is acknowledged within {limit_s:g} s of the start")
+def step_first_ack(context, limit_s):
+    acked_at = context.clusters[0].first_acked_at
+    assert acked_at <= limit_s, acked_at
+
+
+@when(
+    "the leader of {instances:d} control instances that tolerate {losses:d} losses is "
+    "killed"
+)
+def step_kill_leader(context, instances, losses):
+    context.election_s = control_founding.measure_election(instances, losses)
+
+
+@then("changes are acknowledged again within {limit_s:g} s")
+def step_election(context, limit_s):
+    assert context.election_s <= limit_s, context.election_s
 
 
 @when('fleets are founded with "{kind}" from seeds {first:d} to {last:d}')
--- a/features/subjects/control_founding.py
+++ b/features/subjects/control_founding.py
@@ -356,21 +356,53 @@
     return cluster
 
 
-def run_late_seed() -> FoundedCluster:
-    """Start two of three seeds, and the third one later."""
+def run_late_seed(late_s: float) -> FoundedCluster:
+    """Start two of three seeds, and the third one later; then lose another's disk."""
     cluster = FoundedCluster(1, start_all=False)
     *others, late = cluster.nodes.values()
     for node in others:
         cluster.start(node)
-    cluster.run(2 * FIRST_LIMIT_S)
+    cluster.run(redundancy.ABSENT_WAIT_S, calls_per_s=30.0)
     if cluster.find_leader() is None or cluster.observed.acknowledged:
-        raise BrokenInvariant("two seeds have no leader, or acknowledge")
-    cluster.start(late)
+        raise BrokenInvariant("two seeds have no leader, or acknowledge at once")
     cluster.run_to_first_ack()
+    cluster.run(late_s - cluster.network.now)
+    cluster.start(late)
+    cluster.run(CATCH_UP_S)
+    leader = cluster.find_leader()
+    cluster.lose_disk(leader)
+    cluster.cut_power([leader])
     cluster.settle()
     return cluster
 
 
+def run_absent_seed(instances: int, losses: int, absent: int) -> FoundedCluster:
+    """Start a fleet of which one seed never comes up."""
+    cluster = FoundedCluster(1, instances, losses, start_all=False)
+    nodes = list(cluster.nodes.values())
+    for node in nodes:
+        if node is not nodes[absent - 1]:
+            cluster.start(node)
+    cluster.run_to_first_ack()
+    return cluster
+
+
+def measure_election(instances: int, losses: int) -> float:
+    """Kill the leader of a fleet, and return how long no change is acknowledged."""
+    cluster = FoundedCluster(1, instances, losses, start_all=False)
+    cluster.start_spread()
+    cluster.run_to_first_ack()
+    cluster.run(3.0, calls_per_s=20.0)
+    cluster.crash(cluster.find_leader())
+    killed_at = cluster.network.now
+    known = len(cluster.observed.acknowledged)
+    while len(cluster.observed.acknowledged) == known:
+        cluster.run(0.1, calls_per_s=30.0)
+        if cluster.network.now - killed_at > FIRST_LIMIT_S:
+            break
+    return cluster.network.now - killed_at
+
+
 PROTECTIONS: dict[str, Callable[[], AbstractContextManager]] = {
     "wait for voters": lambda: patch.object(
         Leader, "_may_commit", lambda leader, index: True
