Take the wall clock of the cold judgement by its place again

The product itself gives no such clock.

Change: the new parameter comes last, and is given by name.

--- a/burdockwall/process/cold_endpoints/leader.py
+++ b/burdockwall/process/cold_endpoints/leader.py
@@ -32,8 +32,8 @@
         clock: Callable[[], float],
         get_term: Callable[[], Term | None],
         list_lag_s: float,
-        failures: Failures | None = None,
         unix_clock: Callable[[], float] = time.time,
+        failures: Failures | None = None,
     ) -> None:
         self.clock = clock
         self.unix_clock = unix_clock
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -123,7 +123,10 @@
         self.emptying_planner = EmptyingPlanner()
         self._hosted_publisher = host.add(self.publisher)
         self.cold = LeaderColdEndpoints(
-            host.clock, membership.get_led_term, settings.list_lag_s, host.failures
+            host.clock,
+            membership.get_led_term,
+            settings.list_lag_s,
+            failures=host.failures,
         )
         self.cold.list_evacuation_ends = lambda: (
             self.evacuation_orders.get_evacuations().ended
