Refuse a command that can't be applied alike on every replica

Operators could send an import whose image has a key that is no hex digest. It was committed, and applying it raised ValueError in each control process, which ended by that, and again at each replay of its log.

Cause: commands changed the state step by step, and an error in the middle that is no OperatorError ended the process (the replica may no longer keep its promises then).

An error within a command is now an outcome: the parts of before are put back, the refusal (1001, with the error's type) is stored and audited like others. MemoryError and RecursionError depend on the machine and still end the process. An import checks keys and numbers (at most 2^62) before it assigns anything, as does a put. The leader refuses an image that a deeper stack might not decode before it is in the log. Logs that hold such entries already are replayed to the same refusals.

An image with a key that is hex but no digest, once accepted, is refused too.

--- a/burdockwall/process/control/changes.py
+++ b/burdockwall/process/control/changes.py
@@ -52,8 +52,9 @@
 
     def append(self, change: Change) -> None:
         """Add the change of the next version and drop the oldest beyond the bounds."""
+        size = change.measure_bytes()
         self._changes.append(change)
-        self._bytes += change.measure_bytes()
+        self._bytes += size
         while self._changes and (
             len(self._changes) > MAX_CHANGES or self._bytes > MAX_CHANGES_BYTES
         ):
--- a/burdockwall/process/control/image.py
+++ b/burdockwall/process/control/image.py
@@ -14,6 +14,8 @@
 )
 from burdockwall.version.shards import ShardView
 
+# Calls by which the stack of a replica that applies an image may exceed the leader's.
+SPARE_CALLS = 200
 # Encoded version, code and lengths of an outcome.
 OUTCOME_BYTES = 32
 
@@ -68,3 +70,27 @@
 def decode_image(data: bytes) -> StateImage:
     """Decode an image, or raise msgspec.DecodeError."""
     return _decoder.decode(data)
+
+
+def decode_given_image(data: bytes) -> StateImage:
+    """Decode an operator's image, or raise msgspec.DecodeError."""
+    try:
+        return decode_image(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
+
+
+def is_nested_deeply(data: bytes, spare_calls: int = SPARE_CALLS) -> bool:
+    """Return whether a replica with a deeper stack may be unable to decode an image.
+
+    The stacks of a commit and of a replay differ, and so would what they apply.
+    """
+    if spare_calls > 0:
+        return is_nested_deeply(data, spare_calls - 1)
+    try:
+        decode_image(data)
+    except RecursionError:
+        return True
+    except msgspec.DecodeError:
+        return False
+    return False
--- a/burdockwall/process/control/service.py
+++ b/burdockwall/process/control/service.py
@@ -16,6 +16,7 @@
     AnyCommand,
     AnyOperatorCommand,
     DefineOperator,
+    ImportState,
     Operator,
     Outcome,
     Permission,
@@ -34,6 +35,7 @@
     ReplicaRole,
     RoleChanged,
 )
+from burdockwall.process.control.image import is_nested_deeply
 from burdockwall.process.control.messages import CONTROL_MESSAGES
 from burdockwall.process.control.opening import open_replica
 from burdockwall.process.control.replica import (
@@ -182,6 +184,7 @@
         known = await self._find_outcome(command, credential)
         if known is not None:
             return known
+        _check_nesting(command)
         shortened = self._shorten(command)
         data = encode_command(shortened, self.wall_clock(), credential)
         call = self._waiters.create()
@@ -390,3 +393,9 @@
             await self._flush_requested.wait()
             self._flush_requested = anyio.Event()
             self.host.apply(self._hosted, Flush())
+
+
+def _check_nesting(command: AnyOperatorCommand) -> None:
+    """Refuse an image that some replicas might be able to decode and others not."""
+    if isinstance(command, ImportState) and is_nested_deeply(command.image):
+        raise OperatorError(Code.IMAGE_INVALID, "nested too deeply")
--- a/burdockwall/process/control/state.py
+++ b/burdockwall/process/control/state.py
@@ -4,6 +4,7 @@
 import hmac
 from collections import deque
 
+import logbook
 import msgspec
 
 from burdockwall.errors import Code, OperatorError
@@ -36,9 +37,11 @@
 from burdockwall.process.control.image import (
     StateImage,
     StoredOutcome,
+    decode_given_image,
     decode_image,
     encode_image,
 )
+from burdockwall.process.control.savepoint import save_parts
 from burdockwall.process.control.sections import split_sections
 from burdockwall.process.control.shortening import strip_change
 from burdockwall.process.control.withdrawals import (
@@ -62,6 +65,10 @@
 MAX_AUDIT_RECORDS = 1024
 TEXT_DIGEST_BYTES = 16
 NO_CREDENTIAL = KeyDigest("")
+# A version or number up to this one can be encoded, with all that are counted from it.
+LARGEST_NUMBER = 2**62
+# Errors that depend on the machine: another replica may apply the same command.
+_MACHINE_ERRORS = (MemoryError, RecursionError)
 
 _PERMISSIONS: dict[type[Command], Permission] = {
     SubmitConfiguration: Permission.CONFIGURATION,
@@ -76,6 +83,7 @@
 }
 # The log stores a submission as ChangeSections; the audit trail names the original.
 _ACTIONS: dict[type[Command], type[Command]] = {ChangeSections: SubmitConfiguration}
+_logger = logbook.Logger("control")
 _command_encoder = msgspec.msgpack.Encoder()
 
 
@@ -137,7 +145,7 @@
         try:
             if guarded:
                 self.authorize(command)
-            outcome, difference = self._execute(command)
+            outcome, difference = self._execute_whole(command)
         except OperatorError as error:
             outcome = self._refuse_attempt(command, error, accepted_at)
         else:
@@ -212,6 +220,24 @@
     def _exceeds_outcomes_bytes(self) -> bool:
         return self._outcomes_bytes > MAX_OUTCOMES_BYTES and len(self.outcomes) > 1
 
+    def _execute_whole(self, command: AnyCommand) -> tuple[Outcome, str]:
+        """Execute a command, or raise OperatorError and leave the state as it was."""
+        savepoint = save_parts(self)
+        try:
+            return self._execute(command)
+        except OperatorError:
+            savepoint.restore(self)
+            raise
+        except _MACHINE_ERRORS:
+            raise
+        except Exception as error:
+            savepoint.restore(self)
+            kind = type(error).__name__
+            _logger.exception("command can't be applied", extra={"error": kind})
+            # The text of an error may differ between replicas, its type does not.
+            detail = f"the command can't be applied: {kind}"
+            raise OperatorError(Code.BAD_REQUEST, detail) from error
+
     def _execute(self, command: AnyCommand) -> tuple[Outcome, str]:
         match command:
             case SubmitConfiguration(based_on=based_on, text=text):
@@ -253,9 +279,9 @@
         shards: tuple[ShardView, ...] = (),
         documents: dict[DocumentName, Document] | None = None,
     ) -> Outcome:
-        self.version = Version(self.version + 1)
+        version = Version(self.version + 1)
         change = Change(
-            self.version,
+            version,
             sections or {},
             removed_sections,
             keys or {},
@@ -264,7 +290,8 @@
             documents or {},
         )
         self.changes.append(change)
-        return Outcome(version=self.version)
+        self.version = version
+        return Outcome(version=version)
 
     def _refuse_attempt(
         self, command: AnyCommand, error: OperatorError, accepted_at: float
@@ -280,10 +307,10 @@
         self, sections: dict[str, str], operator: OperatorId
     ) -> tuple[Outcome, str]:
         difference = self.configurations.replace(sections)
+        self.configurations.add_to_history(Version(self.version + 1), operator)
         outcome = self._accept(
             sections=difference.changed, removed_sections=difference.removed
         )
-        self.configurations.add_to_history(self.version, operator)
         return outcome, difference.description
 
     def _change_sections(self, command: ChangeSections) -> tuple[Outcome, str]:
@@ -313,19 +340,22 @@
         if digest in self.withdrawn or digest in self.keys:
             detail = f"key {prefix} has been issued before"
             raise OperatorError(Code.KEY_REUSED, detail)
+        outcome = self._accept(keys={digest: customer})
         self.keys[digest] = customer
-        return self._accept(keys={digest: customer}), f"+key {prefix} {customer}"
+        return outcome, f"+key {prefix} {customer}"
 
     def _withdraw_key(self, digest: KeyDigest) -> tuple[Outcome, str]:
         prefix = digest[:DIGEST_PREFIX_CHARACTERS]
         _check_digest(digest)
-        customer = self.keys.pop(digest, None)
+        customer = self.keys.get(digest)
         if customer is None and digest in self.withdrawn:
             return Outcome(version=self.version), f"-key {prefix} (already withdrawn)"
         if customer is None:
             raise OperatorError(Code.KEY_UNKNOWN, f"no key {prefix} was issued")
+        outcome = self._accept(removed_keys=(digest,))
         self.withdrawn.add(digest)
-        return self._accept(removed_keys=(digest,)), f"-key {prefix} {customer}"
+        del self.keys[digest]
+        return outcome, f"-key {prefix} {customer}"
 
     def _remove_operator(self, name: OperatorId) -> tuple[Outcome, str]:
         others = [item for item in self.operators.values() if item.name != name]
@@ -343,14 +373,18 @@
             if view.number != number + 1:
                 detail = f"shard {view.shard} has view {number}, not {view.number - 1}"
                 raise OperatorError(Code.VERSION_CONFLICT, detail)
+        description = describe_views(views)
         self.shards.update((view.shard, view) for view in views)
-        return self._accept(shards=views), describe_views(views)
+        return self._accept(shards=views), description
 
     def _put_document(self, command: PutDocument) -> tuple[Outcome, str]:
         stored = self.documents.get(command.name)
         if stored is not None and command.number <= stored.number:
             summary = f"{command.name} {command.number} is not after {stored.number}"
             return Outcome(version=self.version), summary
+        if command.number > LARGEST_NUMBER:
+            detail = f"{command.name} {command.number} is over {LARGEST_NUMBER}"
+            raise OperatorError(Code.BAD_REQUEST, detail)
         document = Document(command.number, command.data)
         self.documents[command.name] = document
         summary = f"+{command.name} {command.number}, {len(command.data)} bytes"
@@ -358,26 +392,29 @@
 
     def _import(self, data: bytes, operator: OperatorId) -> tuple[Outcome, str]:
         try:
-            image = decode_image(data)
+            image = decode_given_image(data)
             check_sections(image.sections)
         except (msgspec.DecodeError, OperatorError) as error:
             raise OperatorError(Code.IMAGE_INVALID, str(error)) from error
-        self.withdrawn = self.withdrawn.merge(decode_withdrawn(image.withdrawn))
-        difference = self.configurations.replace(dict(image.sections))
-        self.keys = {
+        _check_image(image)
+        withdrawn = self.withdrawn.merge(decode_withdrawn(image.withdrawn))
+        keys = {
             digest: customer
             for digest, customer in image.keys.items()
-            if digest not in self.withdrawn
+            if digest not in withdrawn
         }
+        difference = self.configurations.replace(dict(image.sections))
+        self.withdrawn = withdrawn
+        self.keys = keys
         self.operators = image.operators or self.operators
         self.documents = dict(image.documents)
         self.version = Version(max(self.version, image.version))
+        self.configurations.add_to_history(Version(self.version + 1), operator)
+        chain = image.audit[-1].chain if image.audit else CHAIN_START
+        summary = f"imported version {image.version}, audit chain {chain}\n"
         outcome = self._accept()
         # A Change can't describe an import, so other instances get the whole state.
         self.changes.clear()
-        self.configurations.add_to_history(self.version, operator)
-        chain = image.audit[-1].chain if image.audit else CHAIN_START
-        summary = f"imported version {image.version}, audit chain {chain}\n"
         return outcome, summary + difference.description
 
     def _append_audit(
@@ -452,6 +489,15 @@
         raise OperatorError(Code.BAD_REQUEST, "a key's digest is 64 hex digits")
 
 
+def _check_image(image: StateImage) -> None:
+    if not all(is_digest(digest) for digest in image.keys):
+        raise OperatorError(Code.IMAGE_INVALID, "a key's digest is 64 hex digits")
+    numbers = [document.number for document in image.documents.values()]
+    if max([image.version, *numbers]) > LARGEST_NUMBER:
+        detail = f"a version or a document's number is over {LARGEST_NUMBER}"
+        raise OperatorError(Code.IMAGE_INVALID, detail)
+
+
 def _compute_command_digest(command: AnyCommand) -> bytes:
     encoded = _command_encoder.encode(strip_change(command))
     whole = hashlib.sha256(encoded).digest()
