Send a lost Prepare again while other writes keep coming

A write to a program's record or key whose Prepare was lost was sent again only after 0.25 s without any write to its shard. All writes of the shard waited, as backups take them in order: 6.55 s with a write each 0.2 s and 3.42 s each 0.1 s, until the window of 64 operations was full.

Cause: each proposal restarted the time after which unconfirmed operations are sent again. A follower now keeps since when its oldest unconfirmed operation is waiting: from the time it was sent, restarted only when it is sent again or `confirmed` advances.

--- a/burdockwall/process/programs/replica.py
+++ b/burdockwall/process/programs/replica.py
@@ -94,14 +94,16 @@
 
     `reported` is set once the replica has answered the start of the view. `confirmed`
     and `committed` are sequence numbers. A replica that is `required` must confirm
-    each operation before it is committed.
+    each operation before it is committed. `waiting_since` is when the message was sent
+    that the replica has to answer next: the start of the view, or the oldest operation
+    that it has not confirmed.
     """
 
     has_shard: bool = False
     reported: bool = False
     confirmed: int = 0
     committed: int = 0
-    sent_at: float = 0.0
+    waiting_since: float = 0.0
     copy: CopySender | None = None
     required: bool = False
 
@@ -231,7 +233,7 @@
 
     def _send_start_view(self, peer: InstanceId, now: float) -> None:
         assert self.view is not None
-        self.followers[peer].sent_at = now
+        self.followers[peer].waiting_since = now
         message = StartView(self.view, self.has_shard, self.committed, self.prepared)
         self._send(peer, message)
 
@@ -320,6 +322,7 @@
         self._copy_count += 1
         follower.copy = create_copy(self._copy_count, self.committed, self.state)
         follower.confirmed = follower.committed = self.committed
+        follower.waiting_since = now
         self._send_chunk(peer, now)
 
     def _send_chunk(self, peer: InstanceId, now: float, resend: bool = False) -> None:
@@ -414,7 +417,8 @@
             self.pending_answers[self.prepared] = (pending, answer)
         for peer, follower in self.followers.items():
             if follower.accepts_operations() and follower.has_room(self.prepared):
-                follower.sent_at = now
+                if follower.confirmed >= self.prepared - 1:
+                    follower.waiting_since = now
                 self._send(peer, self._build_prepare(self.prepared))
         self._commit(now)
 
@@ -432,7 +436,7 @@
 
     def _send_log(self, peer: InstanceId, now: float) -> None:
         follower = self.followers[peer]
-        follower.sent_at = now
+        follower.waiting_since = now
         last = min(self.prepared, follower.confirmed + WINDOW_OPERATIONS)
         for sequence in range(follower.confirmed + 1, last + 1):
             if sequence in self.log:
@@ -464,7 +468,9 @@
         follower = self.followers.get(sender)
         if follower is None or self.view is None or message.number != self.view.number:
             return
-        follower.confirmed = max(follower.confirmed, message.sequence)
+        if message.sequence > follower.confirmed:
+            follower.confirmed = message.sequence
+            follower.waiting_since = now
         follower.committed = max(follower.committed, message.committed)
         self._commit(now)
         self._begin_serving(now)
@@ -606,14 +612,15 @@
 
     def _resend(self, peer: InstanceId, follower: Follower, now: float) -> None:
         if not follower.reported:
-            if now - follower.sent_at >= RESEND_S:
+            if now - follower.waiting_since >= RESEND_S:
                 self._send_start_view(peer, now)
             return
         copy = follower.copy
         copying = copy is not None and not copy.done
         if copying and copy and now - copy.sent_at >= CHUNK_RESEND_S:
             self._send_chunk(peer, now, resend=True)
-        if follower.confirmed < self.prepared and now - follower.sent_at >= RESEND_S:
+        waiting = follower.confirmed < self.prepared
+        if waiting and now - follower.waiting_since >= RESEND_S:
             if copy is not None and follower.confirmed + 1 not in self.log:
                 # The log no longer has the replica's next operation, so it needs a
                 # new copy. No commit has depended on this replica yet.
