Read the own list of instances and a version to wait for like other input

An own list with brackets 100,000 deep raised RecursionError in its reader, and a version of ² ValueError (answered 500). Change: both use the decoders of the other inputs.

--- a/burdockwall/process/control/console.py
+++ b/burdockwall/process/control/console.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from burdockwall.connection.exchange import Exchange
+from burdockwall.connection.figures import SHOWN_CHARACTERS, read_count
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.audit import AuditFilter, AuditRecord
 from burdockwall.process.control.commands import AnyOperatorCommand, Permission
@@ -93,11 +94,13 @@
     async def _serve_in_force(self, exchange: Exchange) -> None:
         await self.service.confirm_read()
         self._authenticate(exchange, None)
-        version = dict(exchange.list_query()).get("version", "")
-        if not version.isdigit():
-            raise OperatorError(Code.BAD_REQUEST, "version is not a number")
+        text = dict(exchange.list_query()).get("version", "")
+        version = read_count(text)
+        if version is None:
+            detail = f"version is {text[:SHOWN_CHARACTERS]!r}, not a number"
+            raise OperatorError(Code.BAD_REQUEST, detail)
         try:
-            status = await self.wait_in_force(Version(int(version)))
+            status = await self.wait_in_force(Version(version))
         except TimeoutError as error:
             raise OperatorError(Code.IN_FORCE_UNKNOWN) from error
         page = InForcePage(
--- a/burdockwall/process/membership/platform.py
+++ b/burdockwall/process/membership/platform.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from burdockwall.connection.client import create_http_client
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.types import Address, EndpointId, EndpointState, InstanceId
 
 
@@ -24,6 +25,7 @@
 POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_S = 2.0
 LIST_PATH = "/instances"
+_decoder = msgspec.json.Decoder(PlatformList)
 
 
 class PlatformReader:
@@ -52,8 +54,8 @@
         try:
             response = await client.get(self.url)
             response.raise_for_status()
-            published = msgspec.json.decode(response.content, type=PlatformList)
-        except (httpx.HTTPError, msgspec.DecodeError) as error:
+            published = decode_json(response.content, _decoder)
+        except (httpx.HTTPError, JsonUnreadable) as error:
             # The last list stays in use; heartbeats detect failures without it.
             self._logger.warning(
                 "cannot read the platform's instance list; keeping the previous one",
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -231,3 +231,17 @@
       | a:http  |
       | a\0:1   |
       | a:99999 |
+
+  Scenario Outline: An own list of instances that is <text> keeps the one before
+    When an own list of instances is <text>
+    Then no error leaves its reader, and nothing is installed
+
+    Examples:
+      | text                |
+      | nested 100,000 deep |
+      | no UTF-8            |
+      | cut in the middle   |
+
+  Scenario: A version in digits of another script is refused
+    When an operator waits for version "²" to be in force
+    Then the operator's wait is refused as a bad request that quotes "²"
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -2,7 +2,7 @@
 from types import SimpleNamespace
 
 import httpx
-from behave import then
+from behave import then, when
 
 from burdockwall.connection.upstream import Probe
 from burdockwall.errors import Code, InvalidFile, RequestRefused
@@ -15,6 +15,7 @@
     BAD_COMPLETIONS,
     BAD_CONFIGURATIONS,
     BAD_ENTRIES,
+    OWN_LISTS,
     UNREAD_PAGES,
     AddressSubject,
     ListSubject,
@@ -23,9 +24,11 @@
     build_page,
     find_figure,
     read_endpoint_figure,
+    read_own_list,
     read_platform_request,
     request_configured,
     send_order,
+    wait_for_version,
 )
 from features.subjects.platform import build_configuration
 
@@ -175,3 +178,24 @@
 @then('an order to a configured endpoint at "{address}" fails')
 def step_order(context, address):
     assert send_order(unescape(address)) is OrderResult.FAILED
+
+
+@when("an own list of instances is {text}")
+def step_own_list(context, text):
+    context.installed = read_own_list(OWN_LISTS[text])
+
+
+@then("no error leaves its reader, and nothing is installed")
+def step_nothing_installed(context):
+    assert context.installed == []
+
+
+@when('an operator waits for version "{version}" to be in force')
+def step_wait_in_force(context, version):
+    context.refused = wait_for_version(version)
+
+
+@then('the operator\'s wait is refused as a bad request that quotes "{text}"')
+def step_quoted(context, text):
+    assert context.refused.code is Code.BAD_REQUEST, context.refused
+    assert text in context.refused.detail, context.refused
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -15,11 +15,14 @@
     open_upstream,
 )
 from burdockwall.connection.upstream_pools import UpstreamPools
+from burdockwall.errors import OperatorError
 from burdockwall.fakes.ports import find_address
 from burdockwall.platform.codec import PlatformCodec
 from burdockwall.platform.server_list import ServerListReader
+from burdockwall.process.control.console import Console
 from burdockwall.process.control_node import EndpointListUnread
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.membership.platform import PlatformList, PlatformReader
 from burdockwall.process.orders.order import (
     NumberedOrder,
     Order,
@@ -317,3 +320,53 @@
             return await Orders._send(leader, NumberedOrder(FencingNumber(1), order))
 
     return anyio.run(send)
+
+
+OWN_LISTS = {
+    "nested 100,000 deep": b'{"other":' + b"[" * 100_000,
+    "no UTF-8": b'{"instances":{"a":"\xff"}}',
+    "cut in the middle": b'{"instances":{"a":"li',
+}
+
+
+def read_own_list(content: bytes) -> list[PlatformList]:
+    """Read a list of instances of the own interface; return what was installed."""
+    installed: list[PlatformList] = []
+    reader = PlatformReader(Address("127.0.0.1:1"), lambda: True, installed.append)
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(200, content=content)
+    )
+
+    async def read() -> None:
+        async with httpx.AsyncClient(transport=transport) as client:
+            await reader._read(client)
+
+    anyio.run(read)
+    return installed
+
+
+class _WaitingOperator:
+    """A call of an operator, and the parts of a console that it reaches."""
+
+    def __init__(self, version: str) -> None:
+        self.version = version
+
+    def list_query(self) -> list[tuple[str, str]]:
+        return [("version", self.version)]
+
+    async def confirm_read(self) -> None:
+        pass
+
+
+def wait_for_version(version: str) -> OperatorError:
+    """Return how a console refuses to wait for a version."""
+    call = _WaitingOperator(version)
+    console = Console.__new__(Console)
+    console.service = call
+    console.wait_in_force = None
+    console._authenticate = lambda exchange, permission: None
+    try:
+        anyio.run(console._serve_in_force, call)
+    except OperatorError as error:
+        return error
+    raise AssertionError("the wait was not refused")
