Don't resume a request whose caller was told that it did not run

A request with an idempotency key could run after its caller had the answer 1403, "not run".

Cause: a resuming attempt followed a freed record like a caller's own new attempt. It now `resumes`, and ends where the attempt that it resumes ended as not sent.

The fault run marks its resuming attempts as the product does; no check changed.

--- a/burdockwall/process/programs/unrepeatable.py
+++ b/burdockwall/process/programs/unrepeatable.py
@@ -44,7 +44,8 @@
 class Attempt:
     """One attempt to run an unrepeatable request.
 
-    `claim_tries` bounds how often the attempt claims the record.
+    `claim_tries` bounds how often the attempt claims the record. One that `resumes` an
+    accepted request ends with it: its caller may have been told that it did not run.
     """
 
     key: OutcomeKey
@@ -53,6 +54,7 @@
     owner: InstanceId
     service_request: ServiceRequest
     claim_tries: int
+    resumes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +100,8 @@
                     callbacks.stop_renewing(attempt.request)
             case calls.ClaimFinished(outcome=outcome):
                 return outcome
+            case calls.ClaimFree() if attempt.resumes:
+                raise RequestRefused(Code.OUTCOME_UNKNOWN)
             case calls.ClaimFree(request=request):
                 follows = request
             case calls.ClaimRunning():
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -90,12 +90,16 @@
 
 
 def create_attempt(
-    parts: Parts, key: OutcomeKey, digest: bytes, service_request: ServiceRequest
+    parts: Parts,
+    key: OutcomeKey,
+    digest: bytes,
+    service_request: ServiceRequest,
+    resumes: bool = False,
 ) -> Attempt:
-    """Create an attempt by this instance to run a request."""
+    """Create an attempt by this instance to run a request, or to resume one."""
     request = RequestId(f"{find_shard(key)}.{uuid.uuid4().hex}")
     owner = parts.programs.client.instance
-    return Attempt(key, request, digest, owner, service_request, CLAIM_TRIES)
+    return Attempt(key, request, digest, owner, service_request, CLAIM_TRIES, resumes)
 
 
 def _build_callbacks(
@@ -195,7 +199,11 @@
 
     async def _send(self, record: OutcomeRecord, route: Route) -> None:
         attempt = create_attempt(
-            self.parts, record.key, record.digest, record.service_request
+            self.parts,
+            record.key,
+            record.digest,
+            record.service_request,
+            resumes=True,
         )
         callbacks = _build_callbacks(
             self.parts, self.get_view(), route, record.key.customer
--- a/features/subjects/programs_faults.py
+++ b/features/subjects/programs_faults.py
@@ -379,6 +379,7 @@
             instance,
             service_request,
             6,
+            resumes=True,
         )
         self.resumed[attempt.request] = record.request
 
