Answer an instance that starts again at once, whatever hangs to its former process

Cause: since answers don't overtake what is under way, the configuration waited behind a batch to the former process, until that connection had been silent for 1 s. Change: what is under way to another incarnation than the one that is heard holds nothing back.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -110,6 +110,7 @@
         self._attempt: anyio.CancelScope | None = None
         self._attempt_at = 0.0
         self._heard = False
+        self._heard_incarnation: Incarnation | None = None
         self._batch: anyio.CancelScope | None = None
         self._unacknowledged = 0
         self._logger = logbook.Logger("peers")
@@ -138,11 +139,15 @@
         self._queue.append(message)
         self._wake.set()
 
-    def record_heard(self) -> None:
-        """Give up an attempt to connect that began before the peer was heard.
+    def record_heard(self, incarnation: Incarnation) -> None:
+        """Give up what began before the peer was heard.
 
-        The peer's machine did not answer then; a new attempt reaches it.
+        An attempt to connect failed to reach the peer's machine; a new one reaches it.
+        What is on its way to a former incarnation overtakes nothing any more.
         """
+        if self._heard_incarnation not in (None, incarnation):
+            self._unacknowledged = 0
+        self._heard_incarnation = incarnation
         attempt = self._attempt
         if attempt is None:
             return
@@ -363,7 +368,7 @@
                 return
             link = self.links.get(envelope.sender)
             if link is not None:
-                link.record_heard()
+                link.record_heard(envelope.incarnation)
             answers = self._deliver_batch(envelope)
             await stream.send_message(
                 Acknowledgement(envelope.count, PROTOCOL, answers)
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -63,3 +63,8 @@
     Given a path that carries 15 Mbit/s, and a silence bound of 1 s
     When a message of 2000000 bytes is on its way to an instance that then asks something
     Then that message arrives before the answer
+
+  Scenario: An instance that starts again is answered at once, whatever hangs to its former process
+    Given an instance whose connection hangs with messages on their way
+    When it starts again and asks something
+    Then it is answered within 0.5 s
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -16,6 +16,7 @@
     AnswersSubject,
     OvertakingSubject,
     PeersSubject,
+    RestartSubject,
     SlowLinkSubject,
     WaitingSubject,
 )
@@ -119,7 +120,7 @@
     async def hear():
         await anyio.sleep(heard_s)
         context.heard_at = anyio.current_time()
-        context.link.record_heard()
+        context.link.record_heard(Incarnation(1))
 
     async def wait():
         context.link.enqueue(Ping(1))
@@ -215,3 +216,18 @@
 @then("that message arrives before the answer")
 def step_in_order(context):
     assert context.overtaking.arrived == ["Append", "Pong"], context.overtaking.arrived
+
+
+@given("an instance whose connection hangs with messages on their way")
+def step_hanging(context):
+    context.restart = RestartSubject()
+
+
+@when("it starts again and asks something")
+def step_start_again(context):
+    context.restart.run()
+
+
+@then("it is answered within {limit_s:g} s")
+def step_answered_soon(context, limit_s):
+    assert context.restart.answered_after_s <= limit_s, context.restart.answered_after_s
--- a/features/subjects/peers.py
+++ b/features/subjects/peers.py
@@ -174,6 +174,56 @@
             group.cancel_scope.cancel()
 
 
+class RestartSubject:
+    """An instance that starts again while a connection to it hangs."""
+
+    def __init__(self) -> None:
+        self.answered_after_s: float | None = None
+
+    def run(self) -> None:
+        anyio.run(self._run)
+
+    async def _run(self) -> None:
+        near_address = find_address()
+        path = FaultyProxy(find_address(), find_address())
+        near = PeerBus(NEAR, Incarnation(1), {FAR: path.address}, SILENCE_S)
+        near.set_receiver(
+            lambda sender, message: near.send(sender, Pong(message.nonce))
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(path.run)
+            group.start_soon(near.run, near_address)
+            former = anyio.CancelScope()
+            await self._start_far(group, former, 1, path.target, near_address)
+            near.send(FAR, Ping(0))
+            await anyio.sleep(0.3)
+            path.silence_open_connections()
+            near.send(FAR, Ping(1))
+            await anyio.sleep(0.1)
+            former.cancel()
+            await anyio.sleep(0.1)
+            began_at = time.monotonic()
+            scope = anyio.CancelScope()
+            await self._start_far(group, scope, 2, path.target, near_address)
+            self.answered_after_s = time.monotonic() - began_at
+            group.cancel_scope.cancel()
+
+    async def _start_far(self, group, scope, incarnation, address, near) -> None:
+        """Start an incarnation that asks something, and wait for the answer."""
+        answered = anyio.Event()
+        far = PeerBus(FAR, Incarnation(incarnation), {NEAR: near}, SILENCE_S)
+        far.set_receiver(lambda sender, message: answered.set())
+
+        async def run() -> None:
+            with scope:
+                await far.run(address)
+
+        group.start_soon(run)
+        far.send(NEAR, Ping(incarnation))
+        with anyio.move_on_after(ARRIVAL_LIMIT_S):
+            await answered.wait()
+
+
 class WaitingSubject:
     """Messages that wait for an instance to which no connection is made."""
 
