Count one process that ends by itself as a failure in review/4

The rule counts three ends on two machines, so that two ends of each entry beside load passed. The script now fails at the first.

--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -23,9 +23,6 @@
 STREAM_S = 0.8
 DOWN_S = 4.5
 PAUSE_S = 4.0
-# What the rule counts: so many ends of processes on so many machines.
-ENDS = 3
-MACHINES = 2
 TURN = {"X-Model": "m", "X-Token-Usage": "300,160", "X-Prompt-Prefix": "5c1e07a2:300"}
 
 
@@ -73,10 +70,10 @@
     for process in site.processes:
         if process.ended:
             record.add(f"{process.name} ended by itself, exit codes {process.ended}")
-    often = [item for item in site.processes if len(item.ended) >= ENDS]
     for client in clients:
         client.close()
-    return len(often) < MACHINES
+    # The rule counts three ends on two machines; here one is a failure.
+    return not any(process.ended for process in site.processes)
 
 
 async def _go_on(client: Client, until: float) -> None:
