--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -9,7 +9,7 @@
 
 from review.standin.record import Record
 from review.standin.servers import Server
-from review.standin.site import Site
+from review.standin.site import SMALL, Shape, Site
 
 LIMIT_S = 110.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -44,7 +44,7 @@
     ]
 
 
-def run_case(folder: Path, play: Play, fronts: int = 3) -> None:
+def run_case(folder: Path, play: Play, shape: Shape = SMALL) -> None:
     """Play a case and exit; `play` returns whether the rule held.
 
     The disruption is left out where TROUBLE is 0.
@@ -53,7 +53,7 @@
     record = Record()
     code = NOT_RUN
     try:
-        code = asyncio.run(_play(play, record, trouble, fronts))
+        code = asyncio.run(_play(play, record, trouble, shape))
     except Exception:
         record.add(traceback.format_exc())
     record.add(f"exit code {code}, disruption {'on' if trouble else 'off'}")
@@ -62,8 +62,8 @@
     sys.exit(code)
 
 
-async def _play(play: Play, record: Record, trouble: bool, fronts: int) -> int:
-    site = Site(record, fronts)
+async def _play(play: Play, record: Record, trouble: bool, shape: Shape) -> int:
+    site = Site(record, shape)
     try:
         held = await asyncio.wait_for(play(site, record, trouble), LIMIT_S)
         return HELD if held else BROKEN
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -50,6 +50,20 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """How many machines of each role a site has, and over which zones."""
+
+    fronts: int = 3
+    controls: int = 3
+    stores: int = 3
+    zones: tuple[str, ...] = ZONES
+    region: str = REGION
+
+
+SMALL = Shape()
+
+
 class CaseFailed(Exception):
     """The case could not run."""
 
@@ -144,15 +158,17 @@
 class Site:
     """Entry, control and storage processes, and the platform around them."""
 
-    def __init__(self, record: Record, fronts: int = 3) -> None:
+    def __init__(self, record: Record, shape: Shape = SMALL) -> None:
         self.record = record
+        self.shape = shape
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
         self._hosts = 10
         self.ports = Ports(*_find_ports(self.network, 5))
         self.list = ServerList(f"{self.network}.9:{self.ports.directory}", record)
         self.processes: list[Process] = []
-        plan = ["control"] * 3 + ["storage"] * 3 + ["entry"] * fronts
+        plan = ["control"] * shape.controls + ["storage"] * shape.stores
+        plan += ["entry"] * shape.fronts
         for role in plan:
             self._add(role)
         for process in self.processes:
@@ -161,8 +177,9 @@
     def _add(self, role: str) -> None:
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         index = len(self.list_role(role))
-        zone = ZONES[index % len(ZONES)]
-        name = f"{CLASSES[role]}-{zone}-{1 + index // len(ZONES)}"
+        zones = self.shape.zones
+        zone = zones[index % len(zones)]
+        name = f"{CLASSES[role]}-{zone}-{1 + index // len(zones)}"
         folder = self.folder / name
         (folder / "data").mkdir(parents=True)
         command = deploy["roles"][role]["run"].split()
@@ -198,11 +215,11 @@
             "node-class": CLASSES[process.role],
             "ip": process.ip,
             "zone": process.zone,
-            "region": REGION,
+            "region": self.shape.region,
             "port-range": [self.ports.peer, self.ports.peer + 15],
             "seeds": seeds[:3],
             "bootstrap": bootstrap,
-            "zones": dict.fromkeys(ZONES, REGION),
+            "zones": dict.fromkeys(self.shape.zones, self.shape.region),
             "listen": {name: f"{process.ip}:{port}" for name, port in listen.items()},
             "fault-tolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
@@ -301,7 +318,7 @@
         """Ask the directory which addresses to use, as a client does."""
         for process in self.list_role("control"):
             address = f"{process.ip}:{self.ports.directory}"
-            path = f"/api/resolve?name={name}&region={REGION}&zone={zone}"
+            path = f"/api/resolve?name={name}&region={self.shape.region}&zone={zone}"
             try:
                 answer = await call(address, "GET", path)
             except (BrokenOff, OSError, TimeoutError):
