Wait for settings that are being written at the start of a process

Cause: at the start the file is read once; one that is cut off or empty is taken for invalid, or names no role. Settings that stay invalid left no line in the log, though docs/operate/endings.md says so.

--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -8,10 +8,11 @@
 
 from burdockwall.errors import Code, OperatorError
 from burdockwall.platform.names import SETTINGS_VARIABLE
+from burdockwall.process.first_settings import wait_for_settings
 from burdockwall.process.logs import open_log
 from burdockwall.process.sink import LineSink
 from burdockwall.process.startup import resume_collection
-from burdockwall.settings import Settings, read_settings
+from burdockwall.settings import Settings
 from burdockwall.types import Role
 
 
@@ -35,7 +36,8 @@
 def run_process() -> None:
     """Run this process with the settings that the platform names."""
     path = find_settings_path()
-    settings = read_settings(path)
+    with open_log(Settings()):
+        settings = wait_for_settings(path)
     with open_log(settings) as sink:
         anyio.run(run_role, settings, path, sink)
 
--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -53,3 +53,24 @@
     Given the settings of an instance of role storage
     When another socket has its peer address, and it starts
     Then it ends with exit code 1, and logged the code 2107
+
+  Scenario Outline: A settings file that is being written at a start does not end the process
+    Given the settings of an instance of role storage
+    When its settings file <change>, it starts, and the whole file is there 0.7 s later
+    Then it runs
+
+    Examples:
+      | change                 |
+      | is cut off in the middle |
+      | becomes empty          |
+      | disappears             |
+
+  Scenario Outline: Settings that stay invalid end a process at its start, with the code
+    Given the settings of an instance of role storage
+    When its settings file <change>, and it starts
+    Then it ends with exit code 1, and logged the code 2001
+
+    Examples:
+      | change                     |
+      | becomes empty              |
+      | becomes bytes without text |
--- a/features/steps/process_signals_steps.py
+++ b/features/steps/process_signals_steps.py
@@ -103,3 +103,26 @@
     assert context.subject.wait_for_end() == code
     codes = context.subject.list_ending_codes()
     assert logged in codes, (codes, context.subject.lines[-3:])
+
+
+@when(
+    "its settings file {change}, it starts, and the whole file is there {after_s:g} s "
+    "later"
+)
+def step_written_late(context, change, after_s):
+    context.subject.change_settings(change)
+    context.subject.start()
+    time.sleep(after_s)
+    context.subject.restore_settings()
+
+
+@then("it runs")
+def step_runs(context):
+    context.subject.wait_for_line("started")
+    assert context.subject.is_running()
+
+
+@when("its settings file {change}, and it starts")
+def step_invalid(context, change):
+    context.subject.change_settings(change)
+    context.subject.start()
