--- a/review/soak/scenario.py
+++ b/review/soak/scenario.py
@@ -109,11 +109,16 @@
 
     async def _hang_up(self) -> None:
         process = self._choose()
+        if not process.has_begun():
+            # Before our code runs, the signal has its usual effect (endings.md).
+            return
         self.checks.trouble(process)
         process.signal(signal.SIGHUP)
 
     async def _stop(self) -> None:
         process = self._choose("entry", "control")
+        if not process.has_begun():
+            return
         self.checks.trouble(process, lasts=True)
         process.signal(signal.SIGTERM)
         await asyncio.sleep(GRACE_S)
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -94,6 +94,7 @@
     restarts: bool = True
     popen: asyncio.subprocess.Process | None = None
     _watch: asyncio.Task[None] | None = None
+    _logged_before: int = 0
 
     async def start(self) -> None:
         """Start the process, and watch over it."""
@@ -103,6 +104,7 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         with (self.folder / "log.txt").open("ab") as log:
+            self._logged_before = log.tell()
             self.popen = await asyncio.create_subprocess_exec(
                 *self.command,
                 cwd=ROOT,
@@ -122,6 +124,14 @@
             await asyncio.sleep(RESTART_S)
             await self.start()
 
+    def has_files(self) -> bool:
+        """Return whether the process has written to its disk."""
+        return any((self.folder / "data").iterdir())
+
+    def has_begun(self) -> bool:
+        """Return whether the process has logged anything since its latest start."""
+        return (self.folder / "log.txt").stat().st_size > self._logged_before
+
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
         if self.popen is not None and self.popen.returncode is None:
@@ -237,11 +247,23 @@
         for server in servers:
             await server.start()
         await asyncio.gather(*(process.start() for process in self.processes))
-        await asyncio.sleep(1.0)
+        await self._wait_for_files(READY_LIMIT_S)
         self.end_first_start()
         await self.put_configuration(configuration, READY_LIMIT_S)
         await self.wait_until_ready(READY_LIMIT_S)
 
+    async def _wait_for_files(self, limit_s: float) -> None:
+        """Wait until every machine with a disk has begun to use it."""
+        until = self.record.now() + limit_s
+        waiting = [item for item in self.processes if item.role != "entry"]
+        while waiting:
+            if self.record.now() > until:
+                raise CaseFailed(f"no files: {[item.name for item in waiting]}")
+            await asyncio.sleep(0.05)
+            waiting = [item for item in waiting if not item.has_files()]
+        # What is being read or written now is of the first start still.
+        await asyncio.sleep(1.0)
+
     def end_first_start(self) -> None:
         """Write the settings of later starts."""
         for process in self.processes:
