--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -29,7 +29,7 @@
     StateChanges,
     StateSnapshot,
 )
-from burdockwall.process.membership.missed import MissedUpdates
+from burdockwall.process.membership.missed_updates import MissedUpdates
 from burdockwall.process.membership.path import ReportPath
 from burdockwall.process.membership.prober import ReachabilityProber
 from burdockwall.process.membership.publisher import Publisher
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -4,7 +4,7 @@
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.membership.detection import Detector
-from burdockwall.process.membership.lagging import LagsChanged, LagTracker
+from burdockwall.process.membership.lag import LagsChanged, LagTracker
 from burdockwall.process.membership.member_list import MemberList
 from burdockwall.process.membership.messages import (
     AskChanges,
--- a/burdockwall/process/membership/shell.py
+++ b/burdockwall/process/membership/shell.py
@@ -16,7 +16,7 @@
     MembersInstalled,
     Serve,
 )
-from burdockwall.process.membership.lagging import LagsChanged
+from burdockwall.process.membership.lag import LagsChanged
 from burdockwall.process.membership.messages import (
     InstanceDetails,
     MemberEntry,
--- a/features/subjects/changes_in_series.py
+++ b/features/subjects/changes_in_series.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from burdockwall.fakes.network import NetworkConditions
-from burdockwall.process.membership.lagging import LagsChanged
+from burdockwall.process.membership.lag import LagsChanged
 from burdockwall.types import InstanceId, Version
 from features.subjects.fleet import FleetSubject
 
