Refuse an operator's command that is nested too deep as a bad request

A command nested 100,000 deep raised RecursionError in the console, and was answered 500, an internal fault. Cause: it was decoded apart from the other inputs, with msgspec's errors expected only. Change: it uses the decoder of the other inputs.

--- a/burdockwall/process/control/console.py
+++ b/burdockwall/process/control/console.py
@@ -6,6 +6,7 @@
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.figures import SHOWN_CHARACTERS, read_count
+from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.errors import Code, OperatorError
 from burdockwall.process.control.audit import AuditFilter, AuditRecord
 from burdockwall.process.control.commands import AnyOperatorCommand, Permission
@@ -116,8 +117,8 @@
     async def _serve_command(self, exchange: Exchange) -> None:
         body = await exchange.read_body(COMMAND_BODY_BYTES)
         try:
-            command = _command_decoder.decode(body)
-        except msgspec.DecodeError as error:
+            command = decode_json(body, _command_decoder)
+        except JsonUnreadable as error:
             raise OperatorError(Code.BAD_REQUEST, str(error)) from error
         credential = read_credential(exchange)
         outcome = await self.service.run_command(command, credential)
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -245,3 +245,13 @@
   Scenario: A version in digits of another script is refused
     When an operator waits for version "²" to be in force
     Then the operator's wait is refused as a bad request that quotes "²"
+
+  Scenario Outline: An operator's command that is <text> is refused as a bad request
+    When an operator sends a command that is <text>
+    Then the operator's call is refused as a bad request
+
+    Examples:
+      | text                |
+      | nested 100,000 deep |
+      | no UTF-8            |
+      | cut in the middle   |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -12,6 +12,7 @@
 from burdockwall.request.completion import parse_completion
 from features.subjects.decoder_inputs import run_check
 from features.subjects.decoders import (
+    BAD_COMMANDS,
     BAD_COMPLETIONS,
     BAD_CONFIGURATIONS,
     BAD_ENTRIES,
@@ -27,6 +28,7 @@
     read_own_list,
     read_platform_request,
     request_configured,
+    send_command,
     send_order,
     wait_for_version,
 )
@@ -199,3 +201,13 @@
 def step_quoted(context, text):
     assert context.refused.code is Code.BAD_REQUEST, context.refused
     assert text in context.refused.detail, context.refused
+
+
+@when("an operator sends a command that is {text}")
+def step_command(context, text):
+    context.refused = send_command(BAD_COMMANDS[text])
+
+
+@then("the operator's call is refused as a bad request")
+def step_call_refused(context):
+    assert context.refused.code is Code.BAD_REQUEST, context.refused
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -1,6 +1,7 @@
 """Input that can't be read, for the decoders of what others send."""
 
 import json
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import anyio
@@ -329,6 +330,18 @@
 }
 
 
+BAD_COMMANDS = {
+    "nested 100,000 deep": (
+        b'["SubmitConfiguration","o","s",0,"t",'
+        + b"[" * 100_000
+        + b"]" * 100_000
+        + b"]"
+    ),
+    "no UTF-8": b'["SubmitConfiguration","\xff"]',
+    "cut in the middle": b'["SubmitConf',
+}
+
+
 def read_own_list(content: bytes) -> list[PlatformList]:
     """Read a list of instances of the own interface; return what was installed."""
     installed: list[PlatformList] = []
@@ -345,28 +358,41 @@
     return installed
 
 
-class _WaitingOperator:
+class _OperatorCall:
     """A call of an operator, and the parts of a console that it reaches."""
 
-    def __init__(self, version: str) -> None:
+    def __init__(self, version: str = "", body: bytes = b"") -> None:
         self.version = version
+        self.body = body
 
     def list_query(self) -> list[tuple[str, str]]:
         return [("version", self.version)]
 
+    async def read_body(self, limit: int) -> bytes:
+        return self.body
+
     async def confirm_read(self) -> None:
         pass
 
 
 def wait_for_version(version: str) -> OperatorError:
     """Return how a console refuses to wait for a version."""
-    call = _WaitingOperator(version)
+    call = _OperatorCall(version)
+    return _find_refusal(Console._serve_in_force, call)
+
+
+def send_command(body: bytes) -> OperatorError:
+    """Return how a console refuses a command."""
+    return _find_refusal(Console._serve_command, _OperatorCall(body=body))
+
+
+def _find_refusal(serve: Callable, call: _OperatorCall) -> OperatorError:
     console = Console.__new__(Console)
     console.service = call
     console.wait_in_force = None
     console._authenticate = lambda exchange, permission: None
     try:
-        anyio.run(console._serve_in_force, call)
+        anyio.run(serve, console, call)
     except OperatorError as error:
         return error
-    raise AssertionError("the wait was not refused")
+    raise AssertionError("the call was not refused")
