--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import random
 from pathlib import Path
 
@@ -39,7 +40,7 @@
         foreign = {
             "id": "backup-agent-7",
             "service": "backup-agent",
-            "address": f"http://{site.network}.{site.find_host()}:9100/",
+            "address": _build_address(f"{site.network}.{site.find_host()}"),
             "zone": "bergen-a",
             "version": "2.1",
             "state": "ready",
@@ -55,6 +56,13 @@
     return _check(site, record, clients)
 
 
+def _build_address(host: str) -> str:
+    """Build an address that can't be read: a URL, or a port out of range."""
+    if os.environ.get("ENTRY") == "port":
+        return f"{host}:70000"
+    return f"http://{host}:9100/"
+
+
 async def _crash(server: Server, record: Record) -> None:
     record.add(f"server {server.name} crashes")
     server.crash()
