--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,11 +1,11 @@
 """Measure the control state: acknowledgements, syncs, restarts, sizes, idle cost."""
 
-import dataclasses
 import tempfile
 import time
 from pathlib import Path
 
 import anyio
+import msgspec
 
 from benchmarks._control_cluster import (
     OPERATOR,
@@ -197,7 +197,7 @@
     )
     state.apply(first, 0.0)
     customers[0] = Customer(customers[0].name, rate_per_s=11.0)
-    changed = dataclasses.replace(configuration, customers=tuple(customers))
+    changed = msgspec.structs.replace(configuration, customers=tuple(customers))
     text = print_configuration(changed)
     second = build_text_submission(text, state.version, "second")
     state.configurations.checker.check(state.sections)
--- a/burdockwall/client.py
+++ b/burdockwall/client.py
@@ -4,7 +4,6 @@
 import time
 import urllib.parse
 import uuid
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TypeVar
 
@@ -98,8 +97,7 @@
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceMetrics:
+class InstanceMetrics(msgspec.Struct, frozen=True):
     """The metrics of an instance, with its operator address."""
 
     address: Address
--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -4,11 +4,11 @@
 import uuid
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 import httpx
+import msgspec
 
 from burdockwall.connection.address import AddressUnreadable, split_address
 from burdockwall.connection.bounded_transport import (
@@ -89,8 +89,7 @@
     return request, [*headers, (REQUEST_ID.encode(), request.encode())]
 
 
-@dataclass(slots=True, eq=False)
-class PooledClient:
+class PooledClient(msgspec.Struct, eq=False):
     """A client, its number of open streams, and whether its pool has removed it."""
 
     client: httpx.AsyncClient
@@ -98,11 +97,10 @@
     removed: bool = False
 
 
-@dataclass(slots=True)
-class EndpointPool:
+class EndpointPool(msgspec.Struct):
     """The clients for one address of an endpoint, the oldest first."""
 
-    clients: list[PooledClient] = field(default_factory=list)
+    clients: list[PooledClient] = msgspec.field(default_factory=list)
 
     def find(self) -> PooledClient | None:
         """Return the oldest client that can open another stream, or None."""
--- a/burdockwall/connection/paged_list.py
+++ b/burdockwall/connection/paged_list.py
@@ -1,6 +1,5 @@
 """Read a JSON list that comes in pages, and whose items different programs write."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
 import httpx
@@ -31,8 +30,7 @@
     """A list can't be fetched, or one of its pages can't be read."""
 
 
-@dataclass(frozen=True, slots=True)
-class PageFormat:
+class PageFormat(msgspec.Struct, frozen=True):
     """The path of a list, the names in its pages, and that of a page's query."""
 
     path: str
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -7,7 +7,6 @@
 
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import cast
 
 import anyio
@@ -16,6 +15,7 @@
 import grpclib.const
 import grpclib.server
 import logbook
+import msgspec
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from burdockwall.connection.address import split_address
@@ -53,13 +53,12 @@
 Deliver = Callable[[InstanceId, Message], None]
 
 
-@dataclass(slots=True)
-class _Answers:
+class _Answers(msgspec.Struct):
     """The messages sent to an instance while a batch of it is delivered."""
 
     to: InstanceId
     protocol: int
-    messages: list[AnyMessage] = field(default_factory=list)
+    messages: list[AnyMessage] = msgspec.field(default_factory=list)
     size: int = 0
 
     def add(self, to: InstanceId, message: AnyMessage) -> bool:
--- a/burdockwall/connection/tls.py
+++ b/burdockwall/connection/tls.py
@@ -1,9 +1,10 @@
 """Create TLS contexts from the certificate files that the settings name."""
 
 import ssl
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.settings import Settings
 
@@ -11,8 +12,7 @@
 PEER_PROTOCOLS = ["h2"]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerContexts:
+class PeerContexts(msgspec.Struct, frozen=True):
     """The contexts with which instances authenticate each other."""
 
     server: ssl.SSLContext
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -8,12 +8,12 @@
 import select
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
 import anyio
 import anyio.abc
 import h11
+import msgspec
 
 from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
@@ -93,8 +93,7 @@
         self.closed = closed
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """The status and headers of an endpoint's answer."""
 
     status: int
--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -1,7 +1,8 @@
 """Pools of idle connections to endpoints, with a limit for each endpoint."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.connection.round_trips import RoundTrips
 from burdockwall.connection.upstream import (
@@ -22,15 +23,13 @@
 MIN_CONNECTIONS = 2
 
 
-@dataclass(slots=True)
-class _Idle:
+class _Idle(msgspec.Struct):
     connection: UpstreamConnection
     expires_at: float
 
 
-@dataclass(slots=True)
-class _Pool:
-    idle: list[_Idle] = field(default_factory=list)
+class _Pool(msgspec.Struct):
+    idle: list[_Idle] = msgspec.field(default_factory=list)
     open_count: int = 0
 
 
--- a/burdockwall/errors.py
+++ b/burdockwall/errors.py
@@ -1,8 +1,9 @@
 """The numbered result codes and the exceptions that carry them."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.types import Ran
 
 
@@ -14,8 +15,7 @@
     NEVER = "not useful"
 
 
-@dataclass(frozen=True, slots=True)
-class CodeRow:
+class CodeRow(msgspec.Struct, frozen=True):
     """A result code: its number, HTTP status and meaning."""
 
     number: int
@@ -276,8 +276,7 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(msgspec.Struct, frozen=True):
     """A fault in a file: its place, the problem and the remedy."""
 
     code: Code
--- a/burdockwall/machine.py
+++ b/burdockwall/machine.py
@@ -6,7 +6,6 @@
 the actions.
 """
 
-from dataclasses import dataclass
 from typing import Any, ClassVar, Protocol
 
 import msgspec
@@ -24,21 +23,18 @@
     protocol: ClassVar[int] = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     """Time has passed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Receive:
+class Receive(msgspec.Struct, frozen=True):
     """A message has arrived from another instance."""
 
     sender: InstanceId
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Asks the shell to send a message, which may be lost, to an instance."""
 
     to: InstanceId
--- a/burdockwall/options/option.py
+++ b/burdockwall/options/option.py
@@ -1,11 +1,12 @@
 """The description of an option, and the conversion of its text to a typed value."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from burdockwall.types import Address, FailureDomain, InstanceId, Role
 
 
@@ -25,8 +26,7 @@
     REGIONS = "domain=region list"
 
 
-@dataclass(frozen=True, slots=True)
-class Option:
+class Option(msgspec.Struct, frozen=True):
     """An option of the settings file, and the attribute of Settings that holds it.
 
     A numeric value must be between `low` and `high`, inclusive; None means no bound.
--- a/burdockwall/process/admission/queue.py
+++ b/burdockwall/process/admission/queue.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from burdockwall.types import CallId, CustomerId, PoolName, PriorityClass
 
 START_RATE_WINDOW_S = 5.0
@@ -20,8 +21,7 @@
     DEADLINE = "its deadline cannot be met"
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingJob:
+class WaitingJob(msgspec.Struct, frozen=True):
     """A job that is offered to the queue; `deadline` is a time of the queue's clock."""
 
     call: CallId
@@ -32,8 +32,7 @@
     deadline: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Shed:
+class Shed(msgspec.Struct, frozen=True):
     """A refused job, which has not run; its caller may retry after `retry_after_s`."""
 
     call: CallId
@@ -41,20 +40,18 @@
     retry_after_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(msgspec.Struct, frozen=True):
     """A job that may wait, and the job that it displaced, if any."""
 
     call: CallId
     displaced: Shed | None = None
 
 
-@dataclass(slots=True)
-class _StartRate:
+class _StartRate(msgspec.Struct):
     """The rate at which jobs start while others wait."""
 
     busy_since: float = 0.0
-    starts: deque[float] = field(default_factory=deque)
+    starts: deque[float] = msgspec.field(default_factory=deque)
 
     def record(self, now: float) -> None:
         self.starts.append(now)
@@ -71,13 +68,12 @@
         return len(self.starts) / max(START_RATE_MIN_S, busy_s)
 
 
-@dataclass(slots=True)
-class _PoolQueue:
+class _PoolQueue(msgspec.Struct):
     """The waiting jobs of one pool by priority class and customer, oldest first."""
 
     size: int = 0
-    start_rate: _StartRate = field(default_factory=_StartRate)
-    classes: dict[PriorityClass, dict[CustomerId, list[WaitingJob]]] = field(
+    start_rate: _StartRate = msgspec.field(default_factory=_StartRate)
+    classes: dict[PriorityClass, dict[CustomerId, list[WaitingJob]]] = msgspec.field(
         default_factory=lambda: {priority: {} for priority in PriorityClass}
     )
 
--- a/burdockwall/process/cold_endpoints/bounds.py
+++ b/burdockwall/process/cold_endpoints/bounds.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 # A permit is used within this time after it was asked for, or not at all. Opening a
 # connection within a region takes a few milliseconds.
@@ -19,8 +20,7 @@
 ALONE_INTERVAL_S = 1.0 + 2 * PERMIT_USE_S
 
 
-@dataclass(frozen=True, slots=True)
-class ColdBounds:
+class ColdBounds(msgspec.Struct, frozen=True):
     """The requests that a cold endpoint bears in any one second, beside its rate."""
 
     overrun: float = 1.5
--- a/burdockwall/process/cold_endpoints/judgement.py
+++ b/burdockwall/process/cold_endpoints/judgement.py
@@ -8,9 +8,9 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 import logbook
+import msgspec
 
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.types import EndpointId, FailureDomain, ServiceName
@@ -28,8 +28,7 @@
 _logger = logbook.Logger("cold")
 
 
-@dataclass(slots=True)
-class _State:
+class _State(msgspec.Struct):
     """What is known of one endpoint; times are those of this process's clock.
 
     `health_at` and `list_at` are the times of the states that the latest observations
--- a/burdockwall/process/control/configurations.py
+++ b/burdockwall/process/control/configurations.py
@@ -3,7 +3,8 @@
 import zlib
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.errors import Code, InvalidFile, OperatorError
 from burdockwall.process.control.image import StoredConfiguration
@@ -26,8 +27,7 @@
 MAX_HISTORY_BYTES = 4_194_304
 
 
-@dataclass(frozen=True, slots=True)
-class Difference:
+class Difference(msgspec.Struct, frozen=True):
     """New or changed sections, the names of removed ones, and a printed form."""
 
     changed: dict[str, str]
--- a/burdockwall/process/control/consensus_state.py
+++ b/burdockwall/process/control/consensus_state.py
@@ -1,7 +1,6 @@
 """Define the state that election, leader and follower share, and pending writes."""
 
 import random
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -41,8 +40,7 @@
 NEXT_EARLY_CAMPAIGN_S = (0.04, 0.16)
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(msgspec.Struct, frozen=True):
     """Intervals of consensus, in seconds."""
 
     election_timeout_s: float = 1.5
@@ -51,8 +49,7 @@
     join_retry_s: float = 1.0
 
 
-@dataclass(slots=True)
-class PendingWrite:
+class PendingWrite(msgspec.Struct):
     """A write that is not synced yet, and the index of the last entry it covers."""
 
     ticket: int
--- a/burdockwall/process/control/events.py
+++ b/burdockwall/process/control/events.py
@@ -1,8 +1,9 @@
 """Define the events that consensus handles and the actions that it returns."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.control.entries import (
     Entry,
     HardState,
@@ -23,8 +24,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class Recovered:
+class Recovered(msgspec.Struct, frozen=True):
     """What storage recovered at the start of a replica."""
 
     hard_state: HardState
@@ -36,43 +36,37 @@
 # Events.
 
 
-@dataclass(frozen=True, slots=True)
-class Propose:
+class Propose(msgspec.Struct, frozen=True):
     """Ask the leader to append data; `call` identifies the answer."""
 
     call: CallId
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class AskRead:
+class AskRead(msgspec.Struct, frozen=True):
     """Ask for a linearizable read of the state; the answer is ReadReady."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class RemoveMember:
+class RemoveMember(msgspec.Struct, frozen=True):
     """Ask the leader to remove a replica."""
 
     call: CallId
     voter: VoterId
 
 
-@dataclass(frozen=True, slots=True)
-class Persisted:
+class Persisted(msgspec.Struct, frozen=True):
     """Every write up to a ticket is synced."""
 
     ticket: int
 
 
-@dataclass(frozen=True, slots=True)
-class StorageFailed:
+class StorageFailed(msgspec.Struct, frozen=True):
     """A write failed, so the content of the storage is unknown."""
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotTaken:
+class SnapshotTaken(msgspec.Struct, frozen=True):
     """A snapshot of the applied state is ready."""
 
     snapshot: Snapshot
@@ -81,8 +75,7 @@
 # Actions.
 
 
-@dataclass(frozen=True, slots=True)
-class Persist:
+class Persist(msgspec.Struct, frozen=True):
     """Write term, vote and entries; an entry replaces those from its index on."""
 
     ticket: int
@@ -90,8 +83,7 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SaveSnapshot:
+class SaveSnapshot(msgspec.Struct, frozen=True):
     """Write a snapshot, and a journal with only the entries after it."""
 
     ticket: int
@@ -100,56 +92,48 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TakeSnapshot:
+class TakeSnapshot(msgspec.Struct, frozen=True):
     """Take a snapshot of the state as currently applied."""
 
 
-@dataclass(frozen=True, slots=True)
-class RestoreState:
+class RestoreState(msgspec.Struct, frozen=True):
     """Replace the state by a snapshot from the leader."""
 
     snapshot: Snapshot
 
 
-@dataclass(frozen=True, slots=True)
-class ApplyEntry:
+class ApplyEntry(msgspec.Struct, frozen=True):
     """Apply a committed entry; `call`, if set, waits for its outcome."""
 
     entry: Entry
     call: CallId | None
 
 
-@dataclass(frozen=True, slots=True)
-class CallRefused:
+class CallRefused(msgspec.Struct, frozen=True):
     """A call had no effect, since this replica can't serve it."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class CallUnknown:
+class CallUnknown(msgspec.Struct, frozen=True):
     """A proposal was appended, but whether it commits is unknown here."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class ReadReady:
+class ReadReady(msgspec.Struct, frozen=True):
     """The state may be read now."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipChanged:
+class MembershipChanged(msgspec.Struct, frozen=True):
     """The membership in effect has changed."""
 
     membership: Membership
 
 
-@dataclass(frozen=True, slots=True)
-class RoleChanged:
+class RoleChanged(msgspec.Struct, frozen=True):
     """The role or leader has changed; `leader` is empty if unknown."""
 
     role: ReplicaRole
--- a/burdockwall/process/control/journal.py
+++ b/burdockwall/process/control/journal.py
@@ -6,7 +6,6 @@
 """
 
 import zlib
-from dataclasses import dataclass
 
 import msgspec
 
@@ -272,8 +271,7 @@
         return None
 
 
-@dataclass(slots=True)
-class ReplayedRecords:
+class ReplayedRecords(msgspec.Struct):
     """The state that the records of a journal result in."""
 
     base: int
--- a/burdockwall/process/control/leadership.py
+++ b/burdockwall/process/control/leadership.py
@@ -2,7 +2,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.control.entries import Membership, VoterId
 from burdockwall.types import CallId
@@ -10,8 +11,7 @@
 RETAINED_ROUNDS = 64
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """Replication progress of one replica.
 
     Times are on the leader's clock in seconds. Until `resend_at` only heartbeats
@@ -26,8 +26,7 @@
     snapshot_offset: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class PendingRead:
+class PendingRead(msgspec.Struct, frozen=True):
     """A read that waits until a round is answered and an index is applied."""
 
     call: CallId
@@ -41,8 +40,7 @@
     return ordered[len(ordered) // 2] if ordered else 0
 
 
-@dataclass(slots=True)
-class Leadership:
+class Leadership(msgspec.Struct):
     """State of a leader in one term.
 
     A round is one set of heartbeats. A replica returns the round's number, which
@@ -58,11 +56,11 @@
     round: int = 0
     agreed_index: int = 0
     founding: bool = False
-    progress: dict[VoterId, Progress] = field(default_factory=dict)
-    pending_reads: list[PendingRead] = field(default_factory=list)
-    pending_calls: dict[int, CallId] = field(default_factory=dict)
+    progress: dict[VoterId, Progress] = msgspec.field(default_factory=dict)
+    pending_reads: list[PendingRead] = msgspec.field(default_factory=list)
+    pending_calls: dict[int, CallId] = msgspec.field(default_factory=dict)
     next_heartbeat_at: float = 0.0
-    _rounds: deque[tuple[int, float]] = field(
+    _rounds: deque[tuple[int, float]] = msgspec.field(
         default_factory=lambda: deque(maxlen=RETAINED_ROUNDS)
     )
 
--- a/burdockwall/process/control/records.py
+++ b/burdockwall/process/control/records.py
@@ -2,7 +2,6 @@
 
 import struct
 import zlib
-from dataclasses import dataclass
 
 import msgspec
 
@@ -20,8 +19,7 @@
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
+class Mark(msgspec.Struct, frozen=True):
     """States how many bytes of which journal file are synced."""
 
     sequence: int
@@ -29,8 +27,7 @@
     length: int
 
 
-@dataclass(frozen=True, slots=True)
-class ParsedRecords:
+class ParsedRecords(msgspec.Struct, frozen=True):
     """The valid records of a journal, their length in bytes and last checksum."""
 
     records: list[Record]
--- a/burdockwall/process/control/redundancy.py
+++ b/burdockwall/process/control/redundancy.py
@@ -1,7 +1,5 @@
 """Decide whether the voters bear the tolerated losses, so that entries may commit."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from burdockwall.process.control.entries import Member, Membership
@@ -15,8 +13,7 @@
 ABSENT_WAIT_S = 2.5
 
 
-@dataclass(frozen=True, slots=True)
-class LossBounds:
+class LossBounds(msgspec.Struct, frozen=True):
     """How many disks may be lost at once, and how many seeds the fleet has.
 
     With fewer than ALL_SEEDS there are no control instances but the seeds.
--- a/burdockwall/process/control/replica.py
+++ b/burdockwall/process/control/replica.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgspec
@@ -47,21 +46,18 @@
     credential: KeyDigest = NO_CREDENTIAL
 
 
-@dataclass(frozen=True, slots=True)
-class Flush:
+class Flush(msgspec.Struct, frozen=True):
     """Write and sync the queued writes."""
 
 
-@dataclass(frozen=True, slots=True)
-class FlushRequested:
+class FlushRequested(msgspec.Struct, frozen=True):
     """Asks the shell for a Flush once the other pending events are handled.
 
     Several writes then share one sync.
     """
 
 
-@dataclass(frozen=True, slots=True)
-class CommandApplied:
+class CommandApplied(msgspec.Struct, frozen=True):
     """A command was applied to the state, with this outcome."""
 
     index: int
@@ -70,16 +66,14 @@
     outcome: Outcome
 
 
-@dataclass(frozen=True, slots=True)
-class CallDone:
+class CallDone(msgspec.Struct, frozen=True):
     """The answer to a call; `outcome` is set if the call was a command."""
 
     call: CallId
     outcome: Outcome | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class StateReplaced:
+class StateReplaced(msgspec.Struct, frozen=True):
     """The whole state was replaced by a snapshot."""
 
 
--- a/burdockwall/process/control/savepoint.py
+++ b/burdockwall/process/control/savepoint.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from burdockwall.process.control.changes import Document
 from burdockwall.process.control.commands import Operator
 from burdockwall.process.control.image import StoredConfiguration
@@ -28,8 +29,7 @@
     from burdockwall.process.control.state import ControlState
 
 
-@dataclass(frozen=True, slots=True)
-class Savepoint:
+class Savepoint(msgspec.Struct, frozen=True):
     """The parts of a state before a command."""
 
     version: Version
--- a/burdockwall/process/control/transfer.py
+++ b/burdockwall/process/control/transfer.py
@@ -1,7 +1,5 @@
 """Split a snapshot into parts for sending, and assemble a received one."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from burdockwall.process.control.entries import Snapshot
@@ -10,8 +8,7 @@
 PART_BYTES = 262_144
 
 
-@dataclass(frozen=True, slots=True)
-class OutgoingSnapshot:
+class OutgoingSnapshot(msgspec.Struct, frozen=True):
     """An encoded snapshot that is being sent to replicas."""
 
     index: int
--- a/burdockwall/process/control/voters.py
+++ b/burdockwall/process/control/voters.py
@@ -1,7 +1,5 @@
 """Choose the next membership, changing one voter at a time."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from burdockwall.process.control.entries import Member, Membership, VoterId
@@ -14,8 +12,7 @@
 CAUGHT_UP_ENTRIES = 16
 
 
-@dataclass(frozen=True, slots=True)
-class VoterPolicy:
+class VoterPolicy(msgspec.Struct, frozen=True):
     """Rules for which instances may hold a replica and vote.
 
     Without `allowed_instances` any instance may join. While there are `max_voters`,
--- a/burdockwall/process/crashes/client.py
+++ b/burdockwall/process/crashes/client.py
@@ -1,10 +1,10 @@
 """Keep requests that crash endpoints from them, on behalf of one instance."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import logbook
+import msgspec
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.machine import Tick
@@ -26,8 +26,7 @@
 _logger = logbook.Logger("crashes")
 
 
-@dataclass(frozen=True, slots=True)
-class BrokenRun:
+class BrokenRun(msgspec.Struct, frozen=True):
     """A run whose answer an endpoint broke off, in seconds of this process's clock."""
 
     fingerprint: Fingerprint
--- a/burdockwall/process/crashes/evidence.py
+++ b/burdockwall/process/crashes/evidence.py
@@ -5,10 +5,10 @@
 that no process listens, while this instance reaches other endpoints.
 """
 
-from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
+import msgspec
 
 from burdockwall.connection.upstream import Probe
 from burdockwall.types import Address
@@ -42,8 +42,7 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class CrashEvidence:
+class CrashEvidence(msgspec.Struct, frozen=True):
     """The means to tell a crash from a broken connection."""
 
     prober: Prober
--- a/burdockwall/process/crashes/suspects.py
+++ b/burdockwall/process/crashes/suspects.py
@@ -1,7 +1,9 @@
 """Requests that may crash endpoints, as one instance knows them."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.types import EndpointId, Fingerprint
 
@@ -17,8 +19,7 @@
 NEVER = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class Crash:
+class Crash(msgspec.Struct, frozen=True):
     """A run that ended with the crash of its endpoint, by this instance's clock.
 
     `started_ms` is the Unix time at which the endpoint started, if the list gives it.
@@ -63,16 +64,15 @@
     return in_turn
 
 
-@dataclass(slots=True)
-class Suspect:
+class Suspect(msgspec.Struct):
     """Equal requests, and the crashes since one of them last ended well.
 
     `cleared` are the crashes before that. `refused` is whether they are kept from
     endpoints.
     """
 
-    crashes: list[Crash] = field(default_factory=list)
-    cleared: list[Crash] = field(default_factory=list)
+    crashes: list[Crash] = msgspec.field(default_factory=list)
+    cleared: list[Crash] = msgspec.field(default_factory=list)
     cleared_at: float = NEVER
     refused: bool = False
 
--- a/burdockwall/process/crashes/watch.py
+++ b/burdockwall/process/crashes/watch.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.crashes.judgement import compute_refusal_s, find_causes
@@ -43,8 +44,7 @@
 KNOWN_REFUSALS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class RunCrashed:
+class RunCrashed(msgspec.Struct, frozen=True):
     """A run here ended with the crash of its endpoint."""
 
     fingerprint: Fingerprint
@@ -54,22 +54,19 @@
     crashed_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class RunEnded:
+class RunEnded(msgspec.Struct, frozen=True):
     """An endpoint here answered a request that equals a suspect."""
 
     fingerprint: Fingerprint
 
 
-@dataclass(frozen=True, slots=True)
-class InstancesChanged:
+class InstancesChanged(msgspec.Struct, frozen=True):
     """The entry instances that are alive."""
 
     instances: tuple[InstanceId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RefusalChanged:
+class RefusalChanged(msgspec.Struct, frozen=True):
     """Announces that a suspect is refused, or no longer is, and its crashes."""
 
     fingerprint: Fingerprint
@@ -78,8 +75,7 @@
     refusal_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class NewsGathered:
+class NewsGathered(msgspec.Struct, frozen=True):
     """Asks the shell for a tick after GATHER_S."""
 
 
--- a/burdockwall/process/deferred.py
+++ b/burdockwall/process/deferred.py
@@ -1,14 +1,14 @@
 """Messages that are sent only after the writes they depend on are synced."""
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.machine import Message, Send
 from burdockwall.types import InstanceId
 
 
-@dataclass(frozen=True, slots=True)
-class _DeferredMessage:
+class _DeferredMessage(msgspec.Struct, frozen=True):
     ticket: int
     send: Send
 
--- a/burdockwall/process/drain.py
+++ b/burdockwall/process/drain.py
@@ -1,8 +1,9 @@
 """The stages of a graceful shutdown: holding, leaving, answering, ended."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.machine import Tick
 from burdockwall.settings import Settings
 
@@ -22,8 +23,7 @@
     ENDED = "ended"
 
 
-@dataclass(frozen=True, slots=True)
-class StartDrain:
+class StartDrain(msgspec.Struct, frozen=True):
     """Starts the shutdown.
 
     The process serves on for `hold_s`; each request ends after `limit_s` at the latest.
@@ -33,22 +33,19 @@
     limit_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RequestsInFlight:
+class RequestsInFlight(msgspec.Struct, frozen=True):
     """Reports the number of requests that are in flight now."""
 
     requests: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndRequests:
+class EndRequests(msgspec.Struct, frozen=True):
     """Asks the shell to end the requests that are in flight at the limit."""
 
     requests: int
 
 
-@dataclass(frozen=True, slots=True)
-class StopServing:
+class StopServing(msgspec.Struct, frozen=True):
     """Asks the shell to end the process; `interrupted` requests reached the limit."""
 
     interrupted: int
--- a/burdockwall/process/endpoint_limits/bucket.py
+++ b/burdockwall/process/endpoint_limits/bucket.py
@@ -1,6 +1,6 @@
 """The tokens of one endpoint: each permit takes one, and its rate refills them."""
 
-from dataclasses import dataclass
+import msgspec
 
 # An endpoint that takes less is still sent this many requests per second, since only
 # its answers show that its limit has changed.
@@ -9,8 +9,7 @@
 BURST_S = 0.5
 
 
-@dataclass(slots=True)
-class TokenBucket:
+class TokenBucket(msgspec.Struct):
     """A bucket that starts empty. Rates are in tokens per second."""
 
     rate_per_s: float
--- a/burdockwall/process/endpoint_limits/holder.py
+++ b/burdockwall/process/endpoint_limits/holder.py
@@ -8,7 +8,8 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.cold_endpoints.bounds import ALONE_INTERVAL_S, ColdBounds
@@ -37,31 +38,27 @@
 LISTED_HOLD_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """A request asks whether it may be sent to an endpoint."""
 
     call: CallId
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveAnswer:
+class ObserveAnswer(msgspec.Struct, frozen=True):
     """An answer of an endpoint named a rate limit, or none."""
 
     endpoint: EndpointId
     rate_per_s: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class Suspect:
+class Suspect(msgspec.Struct, frozen=True):
     """An endpoint's connection was refused or reset, so that it may be cold."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerInstalled:
+class OwnerInstalled(msgspec.Struct, frozen=True):
     """The owner of the permits, its term, and the number of entry instances.
 
     `possible` also counts those that have failed as far as is known here, and `peers`
@@ -75,26 +72,23 @@
     peers: tuple[InstanceId, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class LimitedListed:
+class LimitedListed(msgspec.Struct, frozen=True):
     """The endpoints that the published list shows as limited."""
 
     endpoints: frozenset[EndpointId]
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(msgspec.Struct, frozen=True):
     """Tells the shell whether a request may be sent."""
 
     call: CallId
     permitted: bool
 
 
-@dataclass(slots=True)
-class _Sent:
+class _Sent(msgspec.Struct):
     sequence: int
     sent_at: float
-    asks: list[Ask] = field(default_factory=list)
+    asks: list[Ask] = msgspec.field(default_factory=list)
 
 
 Event = Ask | ObserveAnswer | Suspect | OwnerInstalled | LimitedListed | Tick | Receive
--- a/burdockwall/process/endpoint_limits/observations.py
+++ b/burdockwall/process/endpoint_limits/observations.py
@@ -1,6 +1,7 @@
 """Keep the latest rate limit that each endpoint has named."""
 
-from dataclasses import dataclass, field, replace
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.process.endpoint_limits.messages import RateObservation
 from burdockwall.types import EndpointId
@@ -8,8 +9,7 @@
 RETENTION_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class RateLimit:
+class RateLimit(msgspec.Struct, frozen=True):
     """The rate that an endpoint named, or None if its latest answer named none.
 
     `seen_at` is the time of that answer on this process's clock, in seconds, and
@@ -21,11 +21,10 @@
     reported_at: float
 
 
-@dataclass(slots=True)
-class RateLimits:
+class RateLimits(msgspec.Struct):
     """The latest limit of each endpoint that has named one."""
 
-    _limits: dict[EndpointId, RateLimit] = field(default_factory=dict)
+    _limits: dict[EndpointId, RateLimit] = msgspec.field(default_factory=dict)
 
     def find(self, endpoint: EndpointId) -> RateLimit | None:
         """Return what is known of an endpoint, or None if it has named no limit."""
--- a/burdockwall/process/exposition.py
+++ b/burdockwall/process/exposition.py
@@ -1,9 +1,9 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from burdockwall.connection.exchange import Exchange
@@ -17,11 +17,10 @@
 MS_PER_S = 1000.0
 
 
-@dataclass(slots=True)
-class Gauges:
+class Gauges(msgspec.Struct):
     """The gauges of a process: functions that read a value, by name."""
 
-    readers: dict[str, Callable[[], float]] = field(default_factory=dict)
+    readers: dict[str, Callable[[], float]] = msgspec.field(default_factory=dict)
 
     def add(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge."""
--- a/burdockwall/process/host.py
+++ b/burdockwall/process/host.py
@@ -1,10 +1,10 @@
 """The host of a process's state machines: delivers events and performs actions."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import anyio
+import msgspec
 
 from burdockwall.connection.peers import PeerBus
 from burdockwall.errors import BurdockwallError, Code
@@ -21,8 +21,7 @@
     """A machine raised whose state must not be used after that."""
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class HostedMachine:
+class HostedMachine(msgspec.Struct, frozen=True, eq=False):
     """A machine, what it accepts, and the function that performs its actions.
 
     `ends_process` is whether it makes promises that its state may no longer keep after
--- a/burdockwall/process/limits/allowance.py
+++ b/burdockwall/process/limits/allowance.py
@@ -5,15 +5,15 @@
 in every window. A larger bucket with a cap on each window admits them.
 """
 
-from dataclasses import dataclass, replace
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.process.limits.events import Limit, WindowCap
 from burdockwall.process.limits.excess import ToleratedExcess, count_instance_requests
 from burdockwall.process.limits.fallback import LimitSplit
 
 
-@dataclass(frozen=True, slots=True)
-class WindowAllowance:
+class WindowAllowance(msgspec.Struct, frozen=True):
     """Enlarges bursts as far as a change of the owner keeps within the excess.
 
     A new owner does not know what the former one granted, and starts with an empty
--- a/burdockwall/process/limits/bucket.py
+++ b/burdockwall/process/limits/bucket.py
@@ -18,13 +18,14 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import msgspec
+
 from burdockwall.process.limits.events import Limit, WindowCap
 from burdockwall.process.limits.units import GRANT_LIMIT_S
 from burdockwall.types import Incarnation, InstanceId, ShardId
 
 
-@dataclass(slots=True)
-class Need:
+class Need(msgspec.Struct):
     """The units that the waiting requests of one holder lack.
 
     `units` is the sum, `head` what the first request lacks, and `in_flight` the part
@@ -44,8 +45,7 @@
         return self.units - self.in_flight
 
 
-@dataclass(frozen=True, slots=True)
-class UnacknowledgedGrant:
+class UnacknowledgedGrant(msgspec.Struct, frozen=True):
     """A grant that its holder has not acknowledged."""
 
     incarnation: Incarnation
@@ -54,16 +54,14 @@
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class PrefetchGrant:
+class PrefetchGrant(msgspec.Struct, frozen=True):
     """A grant for expected requests; the owner can recall it."""
 
     holder: InstanceId
     units: int
 
 
-@dataclass(slots=True)
-class LostRefill:
+class LostRefill(msgspec.Struct):
     """Units of a period's refill that did not fit into the bucket."""
 
     started_at: float
@@ -71,12 +69,11 @@
     units: float
 
 
-@dataclass(slots=True)
-class WindowSpend:
+class WindowSpend(msgspec.Struct):
     """Units spent within the last window, which may be spent again after it."""
 
     units: int = 0
-    _ends: list[tuple[float, int]] = field(default_factory=list)
+    _ends: list[tuple[float, int]] = msgspec.field(default_factory=list)
 
     def record(self, units: int, ends_at: float) -> None:
         """Record units whose window ends at a time."""
--- a/burdockwall/process/limits/events.py
+++ b/burdockwall/process/limits/events.py
@@ -1,8 +1,9 @@
 """The events and actions of the limiter."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.limits.kinds import NO_PROGRAM, Kind, ProgramMark
 from burdockwall.types import CallId, CustomerId
 
@@ -19,16 +20,14 @@
     PROGRAMS = 7
 
 
-@dataclass(frozen=True, slots=True)
-class WindowCap:
+class WindowCap(msgspec.Struct, frozen=True):
     """The most units that may be spent in any window of `length_s` seconds."""
 
     length_s: float
     units: int
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
+class Limit(msgspec.Struct, frozen=True):
     """A customer's limit: a rate in units per second and a burst in units.
 
     With a `window`, no window of time has more units than its cap, even where the
@@ -40,15 +39,13 @@
     window: WindowCap | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class LimitsInstalled:
+class LimitsInstalled(msgspec.Struct, frozen=True):
     """The limits in force have changed."""
 
     limits: dict[CustomerId, Limit]
 
 
-@dataclass(frozen=True, slots=True)
-class Admit:
+class Admit(msgspec.Struct, frozen=True):
     """A request to be admitted; it waits at most `wait_s` for its units.
 
     A request that begins a program waits as long once the owner has admitted the start.
@@ -62,16 +59,14 @@
     program: ProgramMark = NO_PROGRAM
 
 
-@dataclass(frozen=True, slots=True)
-class Withdraw:
+class Withdraw(msgspec.Struct, frozen=True):
     """A request no longer waits, or has been answered."""
 
     call: CallId
     customer: CustomerId
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(msgspec.Struct, frozen=True):
     """A request may run; its units are spent."""
 
     call: CallId
@@ -79,8 +74,7 @@
     units: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """A request is refused; its caller may retry after `retry_after_s`."""
 
     call: CallId
--- a/burdockwall/process/limits/excess.py
+++ b/burdockwall/process/limits/excess.py
@@ -1,6 +1,6 @@
 """The tolerated excess above a limit, and its use while the owner is unreachable."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.units import UNITS_PER_REQUEST
@@ -8,8 +8,7 @@
 from burdockwall.types import CustomerId
 
 
-@dataclass(frozen=True, slots=True)
-class ToleratedExcess:
+class ToleratedExcess(msgspec.Struct, frozen=True):
     """The excess above rate and burst that operators allow in any window of time.
 
     It is a `share` of what rate and burst allow in the window, plus `requests`.
@@ -34,14 +33,12 @@
     )
 
 
-@dataclass(slots=True)
-class _WindowSpend:
+class _WindowSpend(msgspec.Struct):
     window_start: float
     requests: int = 0
 
 
-@dataclass(slots=True)
-class ExcessBudget:
+class ExcessBudget(msgspec.Struct):
     """Admits a few requests while the owner of the rates does not answer.
 
     All instances together stay within the tolerated excess. Each gets an equal part of
@@ -49,7 +46,7 @@
     """
 
     excess: ToleratedExcess
-    _spent: dict[CustomerId, _WindowSpend] = field(default_factory=dict)
+    _spent: dict[CustomerId, _WindowSpend] = msgspec.field(default_factory=dict)
 
     def take(
         self,
--- a/burdockwall/process/limits/fallback.py
+++ b/burdockwall/process/limits/fallback.py
@@ -9,7 +9,9 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.excess import ToleratedExcess
@@ -28,8 +30,7 @@
 COUNT_RETENTION_S = 20.0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitSplit:
+class LimitSplit(msgspec.Struct, frozen=True):
     """Splits limits between their owner and the instances it has lost contact with."""
 
     excess: ToleratedExcess
@@ -64,13 +65,12 @@
         )
 
 
-@dataclass(slots=True)
-class InstanceCount:
+class InstanceCount(msgspec.Struct):
     """The highest number of instances within the last `COUNT_RETENTION_S`."""
 
     count: Callable[[], int]
     clock: Callable[[], float]
-    _samples: deque[tuple[float, int]] = field(default_factory=deque)
+    _samples: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
 
     def read(self) -> int:
         """Return how many instances may admit requests, or 0 if none is known."""
@@ -83,8 +83,7 @@
         return self._samples[0][1]
 
 
-@dataclass(slots=True)
-class _FallbackBucket:
+class _FallbackBucket(msgspec.Struct):
     """The units of a share; below zero, requests wait for the refill."""
 
     level: float
--- a/burdockwall/process/limits/gate.py
+++ b/burdockwall/process/limits/gate.py
@@ -1,10 +1,10 @@
 """Admission by customers' rates, with fallbacks while the owner does not answer."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from enum import Enum
 
 import anyio
+from msgspec.structs import replace
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.limits.events import Limit
--- a/burdockwall/process/limits/grants.py
+++ b/burdockwall/process/limits/grants.py
@@ -1,7 +1,8 @@
 """The grants and waiting requests of one customer on one instance."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.limits.events import Reason
 from burdockwall.process.limits.kinds import NO_PROGRAM, URGENT_RUN, Kind, ProgramMark
@@ -9,8 +10,7 @@
 from burdockwall.types import CallId, CustomerId, Incarnation, InstanceId
 
 
-@dataclass(slots=True)
-class ReceivedGrant:
+class ReceivedGrant(msgspec.Struct):
     """Granted units, which may be spent until `expires_at` of this instance's clock."""
 
     owner: InstanceId
@@ -22,8 +22,7 @@
     report_spend: bool
 
 
-@dataclass(slots=True)
-class WaitingRequest:
+class WaitingRequest(msgspec.Struct):
     """A request that waits for units.
 
     `demand` is the sequence number of the first demand that included the request, or
@@ -43,8 +42,7 @@
     latest_at: float = 0.0
 
 
-@dataclass(slots=True)
-class Estimate:
+class Estimate(msgspec.Struct):
     """Estimates the demand of the next horizon from the last two horizons."""
 
     horizon_s: float
@@ -71,8 +69,7 @@
         self.started_at = now
 
 
-@dataclass(slots=True)
-class CustomerGrants:
+class CustomerGrants(msgspec.Struct):
     """Spends a customer's grants on its requests by kind and in order of arrival.
 
     `reported_need` is the need that the owner has recorded, from the latest demand or
@@ -83,8 +80,8 @@
     customer: CustomerId
     estimate: Estimate
     owner: InstanceId | None = None
-    grants: list[ReceivedGrant] = field(default_factory=list)
-    waiting: deque[WaitingRequest] = field(default_factory=deque)
+    grants: list[ReceivedGrant] = msgspec.field(default_factory=list)
+    waiting: deque[WaitingRequest] = msgspec.field(default_factory=deque)
     used_at: float = 0.0
     reported_need: int = 0
     reported_at: float = float("-inf")
@@ -92,7 +89,7 @@
     prefetch_at: float = float("-inf")
     blocked_until: float = float("-inf")
     reason: Reason = Reason.RATE
-    reports: ProgressReports = field(default_factory=ProgressReports)
+    reports: ProgressReports = msgspec.field(default_factory=ProgressReports)
     urgent_run: int = 0
 
     def enqueue(self, request: WaitingRequest) -> None:
--- a/burdockwall/process/limits/holder.py
+++ b/burdockwall/process/limits/holder.py
@@ -1,6 +1,6 @@
 """The holder of granted units: it admits the requests of one instance."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.limits.events import (
@@ -47,8 +47,7 @@
 CUSTOMER_IDLE_S = 10.0
 
 
-@dataclass(slots=True)
-class _Owner:
+class _Owner(msgspec.Struct):
     """The state of one owner.
 
     `in_flight` is the sequence number of the unanswered demand, or None. Wants that
@@ -61,8 +60,8 @@
     unanswered_since: float = 0.0
     sent_at: float = float("-inf")
     unreachable: bool = False
-    wants: dict[CustomerId, CustomerGrants] = field(default_factory=dict)
-    closes: list[ReceivedGrant] = field(default_factory=list)
+    wants: dict[CustomerId, CustomerGrants] = msgspec.field(default_factory=dict)
+    closes: list[ReceivedGrant] = msgspec.field(default_factory=list)
 
 
 class LimitHolder:
--- a/burdockwall/process/limits/kinds.py
+++ b/burdockwall/process/limits/kinds.py
@@ -5,10 +5,11 @@
 """
 
 import hashlib
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import NewType
 
+import msgspec
+
 from burdockwall.types import ProgramId
 
 # A program of a customer, as 63 bits of the digest of its id.
@@ -33,8 +34,7 @@
     return ProgramMark(int.from_bytes(digest, "big") >> 1 or 1)
 
 
-@dataclass(frozen=True, slots=True)
-class RateRequest:
+class RateRequest(msgspec.Struct, frozen=True):
     """A request at a customer's rate; `wait_s` is how long it may wait for that.
 
     `wait_s` counts only for requests of programs.
--- a/burdockwall/process/limits/owner.py
+++ b/burdockwall/process/limits/owner.py
@@ -4,7 +4,8 @@
 """
 
 import heapq
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.limits.bucket import (
@@ -58,37 +59,33 @@
 HOLDER_SILENCE_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class _OutstandingGrant:
+class _OutstandingGrant(msgspec.Struct, frozen=True):
     customer: CustomerId
     bucket: CustomerBucket
     holder: InstanceId
     units: int
 
 
-@dataclass(slots=True)
-class _Holder:
+class _Holder(msgspec.Struct):
     incarnation: Incarnation
     sequence: int
     last_demand_at: float
 
 
-@dataclass(slots=True)
-class _Shard:
+class _Shard(msgspec.Struct):
     number: FencingNumber
     starts_at: float
 
 
-@dataclass(slots=True)
-class _Answer:
+class _Answer(msgspec.Struct):
     """The grants and refusals that answer one demand of a holder."""
 
     holder: InstanceId
     incarnation: Incarnation
     sequence: int
-    grants: list[LimitGrant] = field(default_factory=list)
-    verdicts: list[LimitVerdict] = field(default_factory=list)
-    starts: list[StartVerdict] = field(default_factory=list)
+    grants: list[LimitGrant] = msgspec.field(default_factory=list)
+    verdicts: list[LimitVerdict] = msgspec.field(default_factory=list)
+    starts: list[StartVerdict] = msgspec.field(default_factory=list)
 
 
 class LimitOwner:
--- a/burdockwall/process/limits/program_load.py
+++ b/burdockwall/process/limits/program_load.py
@@ -7,7 +7,7 @@
 that memory is bounded.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.limits.kinds import NO_PROGRAM, ProgramMark
 
@@ -37,8 +37,7 @@
 EXPIRE_INTERVAL_S = 0.5
 
 
-@dataclass(slots=True)
-class Mean:
+class Mean(msgspec.Struct):
     """A mean of samples that forgets old ones; it starts with an assumed value."""
 
     value: float
@@ -51,8 +50,7 @@
         self.value += (sample - self.value) / self.weight
 
 
-@dataclass(slots=True)
-class TrackedProgram:
+class TrackedProgram(msgspec.Struct):
     """A program under way, with the number of its admitted requests.
 
     `from_start` is whether this owner admitted its first one.
@@ -63,8 +61,7 @@
     from_start: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Supply:
+class Supply(msgspec.Struct, frozen=True):
     """What a customer's rate can give: `level` requests at once, and `rate_per_s`.
 
     `wait_s` is how long a request of a program under way may wait.
@@ -75,15 +72,16 @@
     wait_s: float
 
 
-@dataclass(slots=True)
-class ProgramLoad:
+class ProgramLoad(msgspec.Struct):
     """The programs under way of one customer, at the owner of its rate."""
 
     capacity: int
-    requests: Mean = field(default_factory=lambda: Mean(PRIOR_REQUESTS, REQUESTS_DECAY))
-    gap_s: Mean = field(default_factory=lambda: Mean(PRIOR_GAP_S, GAP_DECAY))
-    waited_s: Mean = field(default_factory=lambda: Mean(0.0, GAP_DECAY))
-    programs: dict[ProgramMark, TrackedProgram] = field(default_factory=dict)
+    requests: Mean = msgspec.field(
+        default_factory=lambda: Mean(PRIOR_REQUESTS, REQUESTS_DECAY)
+    )
+    gap_s: Mean = msgspec.field(default_factory=lambda: Mean(PRIOR_GAP_S, GAP_DECAY))
+    waited_s: Mean = msgspec.field(default_factory=lambda: Mean(0.0, GAP_DECAY))
+    programs: dict[ProgramMark, TrackedProgram] = msgspec.field(default_factory=dict)
     refused_count: int = 0
     _sample_bits: int = 0
     _expire_at: float = 0.0
--- a/burdockwall/process/limits/progress.py
+++ b/burdockwall/process/limits/progress.py
@@ -5,7 +5,7 @@
 owner is told of the recent ones, so that it doesn't admit as many again.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.limits.kinds import NO_PROGRAM, ProgramMark
 from burdockwall.process.limits.messages import LimitProgress
@@ -20,8 +20,7 @@
 REPORT_INTERVAL_S = 0.3
 
 
-@dataclass(slots=True)
-class _Requests:
+class _Requests(msgspec.Struct):
     """The admitted requests of one program, and those not reported yet."""
 
     seen_at: float
@@ -31,12 +30,11 @@
     is_resent: bool = False
 
 
-@dataclass(slots=True)
-class ProgressReports:
+class ProgressReports(msgspec.Struct):
     """Counts the admitted requests of programs until they are reported."""
 
     unreported_since: float | None = None
-    _programs: dict[ProgramMark, _Requests] = field(default_factory=dict)
+    _programs: dict[ProgramMark, _Requests] = msgspec.field(default_factory=dict)
 
     def record(self, program: ProgramMark, waited_s: float, now: float) -> None:
         """Count an admitted request; those without a program matter beside others."""
--- a/burdockwall/process/limits/retries.py
+++ b/burdockwall/process/limits/retries.py
@@ -3,9 +3,9 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from burdockwall.settings import Settings
 from burdockwall.types import CustomerId, PoolName
@@ -13,8 +13,7 @@
 RETENTION_WINDOWS = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class RetryPolicy:
+class RetryPolicy(msgspec.Struct, frozen=True):
     """The parameters of retries; times are in seconds.
 
     `share` is the number of retries allowed per recent request, and `reserve` the
@@ -28,8 +27,7 @@
     backoff_limit_s: float
 
 
-@dataclass(slots=True)
-class _RecentCounts:
+class _RecentCounts(msgspec.Struct):
     """Counts of requests and retries that decay exponentially over the window."""
 
     requests: float
--- a/burdockwall/process/limits/retry_after.py
+++ b/burdockwall/process/limits/retry_after.py
@@ -5,7 +5,7 @@
 refused caller gets a time of its own.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.limits.events import Limit
 from burdockwall.process.limits.units import UNITS_PER_REQUEST
@@ -16,11 +16,10 @@
 RETRY_AFTER_MAX_S = 1.2
 
 
-@dataclass(slots=True)
-class RetryAfterTimes:
+class RetryAfterTimes(msgspec.Struct):
     """Spaces the retries of each customer's refused callers at the customer's rate."""
 
-    _latest: dict[CustomerId, float] = field(default_factory=dict)
+    _latest: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
     def choose(
         self, customer: CustomerId, limit: Limit, instances: int, now: float
--- a/burdockwall/process/limits/start_admission.py
+++ b/burdockwall/process/limits/start_admission.py
@@ -5,7 +5,7 @@
 under way keep the rate.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.limits.bucket import CustomerBucket
 from burdockwall.process.limits.kinds import ProgramMark
@@ -23,11 +23,10 @@
 PROGRAMS_MIN, PROGRAMS_MAX = 16, 64
 
 
-@dataclass(slots=True)
-class StartDecision:
+class StartDecision(msgspec.Struct):
     """The verdicts on the starts of one demand, and the units of either kind."""
 
-    verdicts: list[StartVerdict] = field(default_factory=list)
+    verdicts: list[StartVerdict] = msgspec.field(default_factory=list)
     admitted_units: int = 0
     refused_units: int = 0
 
--- a/burdockwall/process/limits/units.py
+++ b/burdockwall/process/limits/units.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.settings import Settings
 
@@ -15,8 +16,7 @@
 PENDING_WAIT_SHARE = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class LimitParameters:
+class LimitParameters(msgspec.Struct, frozen=True):
     """The parameters of the limiter; times are in seconds.
 
     A request waits at most `wait_s`. A grant for waiting requests is valid for
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -5,7 +5,7 @@
 computes which these are.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.membership.collector import Collector
@@ -77,33 +77,28 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Leave:
+class Leave(msgspec.Struct, frozen=True):
     """Tells the agent that its instance is leaving and takes no new work."""
 
 
-@dataclass(frozen=True, slots=True)
-class Serve:
+class Serve(msgspec.Struct, frozen=True):
     """Tells the agent that its instance takes work."""
 
 
-@dataclass(frozen=True, slots=True)
-class InstallState:
+class InstallState(msgspec.Struct, frozen=True):
     """Asks the shell to put the replica's version in force."""
 
     replica: StateReplica
 
 
-@dataclass(frozen=True, slots=True)
-class MembersInstalled:
+class MembersInstalled(msgspec.Struct, frozen=True):
     """Announces a new member list and the endpoints that are not live."""
 
     members: tuple[MemberEntry, ...]
-    endpoints: dict[EndpointId, EndpointState] = field(default_factory=dict)
+    endpoints: dict[EndpointId, EndpointState] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class ChangesMissed:
+class ChangesMissed(msgspec.Struct, frozen=True):
     """Announces that received changes follow a version that is not installed."""
 
     sender: InstanceId
--- a/burdockwall/process/membership/collector.py
+++ b/burdockwall/process/membership/collector.py
@@ -1,6 +1,6 @@
 """Batch the heartbeats of children into reports and forward their grants."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.machine import Send
 from burdockwall.process.membership.member_list import MemberList
@@ -21,21 +21,19 @@
 MAX_UNGRANTED_REPORTS = 8
 
 
-@dataclass(frozen=True, slots=True)
-class _CollectedHeartbeat:
+class _CollectedHeartbeat(msgspec.Struct, frozen=True):
     child: InstanceId
     heartbeat: Heartbeat
     number: MemberNumber | None = None
 
 
-@dataclass(slots=True)
-class Child:
+class Child(msgspec.Struct):
     """Last reported state of an instance that reports through this one."""
 
     last_heartbeat_at: float
     version: Version
     details: InstanceDetails | None = None
-    incarnation: Incarnation = field(default=Incarnation(0))
+    incarnation: Incarnation = msgspec.field(default=Incarnation(0))
 
 
 class Collector:
--- a/burdockwall/process/membership/detection.py
+++ b/burdockwall/process/membership/detection.py
@@ -1,7 +1,8 @@
 """Detect which members are suspected, failed or leaving, and which to remove."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.machine import Send
 from burdockwall.process.membership.messages import (
@@ -25,13 +26,12 @@
 from burdockwall.types import EndpointState, MemberNumber
 
 
-@dataclass(slots=True)
-class DetectionResult:
+class DetectionResult(msgspec.Struct):
     """Probes to send, members with a new state, and members to remove."""
 
-    probes: list[Send] = field(default_factory=list)
-    changed: list[MemberEntry] = field(default_factory=list)
-    removed: list[MemberNumber] = field(default_factory=list)
+    probes: list[Send] = msgspec.field(default_factory=list)
+    changed: list[MemberEntry] = msgspec.field(default_factory=list)
+    removed: list[MemberNumber] = msgspec.field(default_factory=list)
 
 
 class Detector:
--- a/burdockwall/process/membership/fleet.py
+++ b/burdockwall/process/membership/fleet.py
@@ -1,7 +1,8 @@
 """Evaluate the members for the shard planner: their states, domains and load."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.membership.records import MemberRecord
 from burdockwall.types import (
@@ -13,8 +14,7 @@
 from burdockwall.version.shards import ShardView
 
 
-@dataclass(frozen=True, slots=True)
-class Holder:
+class Holder(msgspec.Struct, frozen=True):
     """One incarnation of an instance that a view lists."""
 
     instance: InstanceId
@@ -30,16 +30,14 @@
     ]
 
 
-@dataclass(slots=True)
-class Load:
+class Load(msgspec.Struct):
     """Number of shards that an instance holds."""
 
     primaries: int = 0
     copies: int = 0
 
 
-@dataclass(slots=True)
-class Fleet:
+class Fleet(msgspec.Struct):
     """Snapshot of the members that can hold shards, with their load.
 
     `removed` are incarnations that this leader removed from the list.
@@ -50,10 +48,12 @@
     now: float
     removed: frozenset[Holder] = frozenset()
     unlisted_state: EndpointState = EndpointState.SUSPECTED
-    loads: dict[InstanceId, Load] = field(default_factory=dict)
-    live: list[Holder] = field(default_factory=list)
+    loads: dict[InstanceId, Load] = msgspec.field(default_factory=dict)
+    live: list[Holder] = msgspec.field(default_factory=list)
     domain_count: int = 0
-    granted_incarnations: dict[InstanceId, Incarnation] = field(default_factory=dict)
+    granted_incarnations: dict[InstanceId, Incarnation] = msgspec.field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         # The list of a former leader may name an older incarnation than a view does,
--- a/burdockwall/process/membership/lag.py
+++ b/burdockwall/process/membership/lag.py
@@ -2,7 +2,8 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.membership.records import MemberRecord
 from burdockwall.types import Incarnation, InstanceId, Version
@@ -12,8 +13,7 @@
 MAX_VERSIONS = 1024
 
 
-@dataclass(frozen=True, slots=True)
-class Lag:
+class Lag(msgspec.Struct, frozen=True):
     """A member that has not reported a version `behind_s` after its acceptance."""
 
     instance: InstanceId
@@ -23,8 +23,7 @@
     behind_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LagsChanged:
+class LagsChanged(msgspec.Struct, frozen=True):
     """Announces the members that fell behind and the ones that caught up."""
 
     behind: tuple[Lag, ...]
--- a/burdockwall/process/membership/lease.py
+++ b/burdockwall/process/membership/lease.py
@@ -1,6 +1,6 @@
 """Track the lease of an instance from the times at which it sent its heartbeats."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.process.membership.timing import LEASE_S
 from burdockwall.types import Version
@@ -8,8 +8,7 @@
 MAX_SENT_HEARTBEATS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingGrant:
+class _PendingGrant(msgspec.Struct, frozen=True):
     sent_at: float
     version: Version
 
--- a/burdockwall/process/membership/path.py
+++ b/burdockwall/process/membership/path.py
@@ -1,6 +1,6 @@
 """Choose the next hop for an instance's heartbeats, and another if it is silent."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.process.membership.timing import HOP_AVOID_S
 from burdockwall.process.membership.tree import find_candidates, list_relays
@@ -9,8 +9,7 @@
 MAX_DETOURS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Hop:
+class Hop(msgspec.Struct, frozen=True):
     """Next instance on the path to the leader."""
 
     instance: InstanceId
--- a/burdockwall/process/membership/planner.py
+++ b/burdockwall/process/membership/planner.py
@@ -1,7 +1,8 @@
 """Plan at the leader which instances hold which shards."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.machine import Send
 from burdockwall.process.control.commands import AssignShards
@@ -54,15 +55,13 @@
 SYSTEM_OPERATOR = OperatorId("system")
 
 
-@dataclass(frozen=True, slots=True)
-class Propose:
+class Propose(msgspec.Struct, frozen=True):
     """Asks the shell to put a command into the control log."""
 
     command: AssignShards
 
 
-@dataclass(frozen=True, slots=True)
-class _OutstandingProposal:
+class _OutstandingProposal(msgspec.Struct, frozen=True):
     proposal: Propose
     views: tuple[ShardView, ...]
     blocked: frozenset[Holder]
--- a/burdockwall/process/membership/prober.py
+++ b/burdockwall/process/membership/prober.py
@@ -1,6 +1,6 @@
 """Check for the leader whether this instance can reach another one."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.machine import Send
 from burdockwall.process.membership.messages import (
@@ -13,8 +13,7 @@
 from burdockwall.types import InstanceId
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
+class _Attempt(msgspec.Struct, frozen=True):
     requester: InstanceId
     subject: InstanceId
     expires_at: float
--- a/burdockwall/process/membership/publisher.py
+++ b/burdockwall/process/membership/publisher.py
@@ -1,7 +1,6 @@
 """Send followers the control state and member list versions that they lack."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
@@ -44,8 +43,7 @@
 V = TypeVar("V", Version, MemberListVersion)
 
 
-@dataclass(slots=True)
-class _Progress(Generic[V]):
+class _Progress(msgspec.Struct, Generic[V]):
     """The version that a follower has if every message to it has arrived.
 
     Until `awaited_until`, in seconds, the follower may report versions earlier than
@@ -99,13 +97,14 @@
     return _Progress(earliest, earliest, earliest)
 
 
-@dataclass(slots=True)
-class _FollowerProgress:
+class _FollowerProgress(msgspec.Struct):
     """What one incarnation of a follower has of the control state and member list."""
 
     incarnation: Incarnation
-    state: _Progress[Version] = field(default_factory=_start_state)
-    member_list: _Progress[MemberListVersion] = field(default_factory=_start_list)
+    state: _Progress[Version] = msgspec.field(default_factory=_start_state)
+    member_list: _Progress[MemberListVersion] = msgspec.field(
+        default_factory=_start_list
+    )
 
 
 class Publisher:
--- a/burdockwall/process/membership/records.py
+++ b/burdockwall/process/membership/records.py
@@ -1,6 +1,6 @@
 """Store the leader's record of each member: heartbeats, lease and probe results."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.membership.messages import (
     InstanceDetails,
@@ -13,8 +13,7 @@
 NEVER = float("-inf")
 
 
-@dataclass(slots=True)
-class MemberRecord:
+class MemberRecord(msgspec.Struct):
     """Leader's record of one member; times are in seconds of the leader's clock."""
 
     entry: MemberEntry
@@ -24,7 +23,7 @@
     leaving: bool = False
     has_grant: bool = False
     probed_at: float = NEVER
-    probe_results: dict[InstanceId, tuple[float, Reachability]] = field(
+    probe_results: dict[InstanceId, tuple[float, Reachability]] = msgspec.field(
         default_factory=dict
     )
 
--- a/burdockwall/process/membership/registrar.py
+++ b/burdockwall/process/membership/registrar.py
@@ -1,6 +1,6 @@
 """Maintain the member list and grant leases at the leader of the control state."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.membership.detection import Detector
@@ -46,16 +46,14 @@
 REGISTRAR_MESSAGES = (Report, AskChanges, ProbeResult, Released, CopyDone)
 
 
-@dataclass(frozen=True, slots=True)
-class AwaitInForce:
+class AwaitInForce(msgspec.Struct, frozen=True):
     """Request an InForce action once a version is in force everywhere."""
 
     call: CallId
     version: Version
 
 
-@dataclass(frozen=True, slots=True)
-class AddPeer:
+class AddPeer(msgspec.Struct, frozen=True):
     """Asks the shell to store the peer address of an instance."""
 
     details: InstanceDetails
--- a/burdockwall/process/membership/rollout.py
+++ b/burdockwall/process/membership/rollout.py
@@ -1,15 +1,15 @@
 """Track when a version is in force on every instance."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.membership.records import MemberRecord
 from burdockwall.process.membership.timing import LEASE_EXPIRY_S
 from burdockwall.types import CallId, InstanceId, Version
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
+class InForce(msgspec.Struct, frozen=True):
     """Result that no instance acts under an earlier version any more.
 
     Instances in `confirmed` have installed the version. Instances in `expired` have
@@ -23,12 +23,11 @@
     expired: tuple[InstanceId, ...]
 
 
-@dataclass(slots=True)
-class _PendingCall:
+class _PendingCall(msgspec.Struct):
     call: CallId
     version: Version
     requested_at: float
-    names: set[InstanceId] = field(default_factory=set)
+    names: set[InstanceId] = msgspec.field(default_factory=set)
 
 
 class RolloutTracker:
--- a/burdockwall/process/membership/view_mask.py
+++ b/burdockwall/process/membership/view_mask.py
@@ -1,6 +1,6 @@
 """Hide the views that this instance must not act under."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.types import (
     FencingNumber,
@@ -12,8 +12,7 @@
 from burdockwall.version.shards import ShardMap, ShardView
 
 
-@dataclass(frozen=True, slots=True)
-class _MaskedView:
+class _MaskedView(msgspec.Struct, frozen=True):
     number: FencingNumber
     term: Term
 
--- a/burdockwall/process/membership/views.py
+++ b/burdockwall/process/membership/views.py
@@ -1,6 +1,6 @@
 """Draft the next view of a shard."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.process.membership.fleet import Fleet, Holder, list_holders
 from burdockwall.types import EndpointState, FencingNumber, InstanceId, ShardId
@@ -10,8 +10,7 @@
 COPIES = BACKUPS + 1
 
 
-@dataclass(slots=True)
-class Draft:
+class Draft(msgspec.Struct):
     """The next view of a shard while it is being built.
 
     `renumbered` makes the draft count as changed although its holders are the same.
--- a/burdockwall/process/metrics.py
+++ b/burdockwall/process/metrics.py
@@ -1,7 +1,6 @@
 """Latency histograms of requests by route, customer and endpoint."""
 
 from collections import Counter
-from dataclasses import dataclass, field
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -66,13 +65,12 @@
     )
 
 
-@dataclass(slots=True)
-class HistogramTable:
+class HistogramTable(msgspec.Struct):
     """A histogram for each name; names beyond the limit share one."""
 
     digits: int
     limit: int = CUSTOMERS_LIMIT
-    histograms: dict[str, HdrHistogram] = field(default_factory=dict)
+    histograms: dict[str, HdrHistogram] = msgspec.field(default_factory=dict)
 
     def record(self, name: str, seconds: float) -> None:
         """Record a time under a name."""
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -1,12 +1,12 @@
 """A process built from its settings: a control instance, an entry or both."""
 
 import time
-from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
 import anyio
 import logbook
+from msgspec.structs import replace
 
 from burdockwall.connection.exchange import Exchange
 from burdockwall.connection.peers import PeerBus
--- a/burdockwall/process/orders/sender.py
+++ b/burdockwall/process/orders/sender.py
@@ -1,7 +1,8 @@
 """Send orders to endpoints: in order, repeated until done, with fencing numbers."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.machine import Tick
 from burdockwall.process.membership.timing import LEASE_EXPIRY_S
@@ -19,24 +20,21 @@
 PREVIOUS_LEADER_WAIT_S = LEASE_EXPIRY_S + ORDER_TIMEOUT_S
 
 
-@dataclass(frozen=True, slots=True)
-class StartTerm:
+class StartTerm(msgspec.Struct, frozen=True):
     """This instance now leads a term."""
 
     term: Term
     has_previous_leader: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class QueueOrder:
+class QueueOrder(msgspec.Struct, frozen=True):
     """Queue an order; `checks_orders` is set if its endpoint refuses stale numbers."""
 
     order: Order
     checks_orders: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(msgspec.Struct, frozen=True):
     """An attempt to send an order has ended with a result."""
 
     endpoint: EndpointId
@@ -44,15 +42,13 @@
     result: OrderResult
 
 
-@dataclass(frozen=True, slots=True)
-class SendOrder:
+class SendOrder(msgspec.Struct, frozen=True):
     """Send an order once, within ORDER_TIMEOUT_S."""
 
     numbered_order: NumberedOrder
 
 
-@dataclass(frozen=True, slots=True)
-class OrderFinished:
+class OrderFinished(msgspec.Struct, frozen=True):
     """An order is done, or was refused as older than a later leader's order."""
 
     numbered_order: NumberedOrder
@@ -63,10 +59,9 @@
 Action = SendOrder | OrderFinished
 
 
-@dataclass(slots=True)
-class _Queue:
+class _Queue(msgspec.Struct):
     checks_orders: bool
-    orders: deque[NumberedOrder] = field(default_factory=deque)
+    orders: deque[NumberedOrder] = msgspec.field(default_factory=deque)
     in_flight: bool = False
     next_attempt_at: float = float("-inf")
 
--- a/burdockwall/process/programs/copying.py
+++ b/burdockwall/process/programs/copying.py
@@ -4,7 +4,7 @@
 number of the last operation applied to it, and the receiver applies later ones.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.process.programs.messages import CopyChunk, CopyPiece
 from burdockwall.process.programs.operations import RecordKey
@@ -16,8 +16,7 @@
 TOMBSTONES_PER_CHUNK = 8192
 
 
-@dataclass(slots=True)
-class CopySender:
+class CopySender(msgspec.Struct):
     """Splits one copy into chunks; each is sent after the previous is confirmed."""
 
     copy_id: int
@@ -96,14 +95,13 @@
         return True
 
 
-@dataclass(slots=True)
-class CopyReceiver:
+class CopyReceiver(msgspec.Struct):
     """Assembles the records of one copy from its chunks."""
 
     copy_id: int
     base: int
     index: int = -1
-    incomplete: dict[RecordKey, bytearray] = field(default_factory=dict)
+    incomplete: dict[RecordKey, bytearray] = msgspec.field(default_factory=dict)
 
     def receive(self, chunk: CopyChunk, state: ShardState) -> bool:
         """Store the records that a chunk completes; return whether it is the last."""
--- a/burdockwall/process/programs/history.py
+++ b/burdockwall/process/programs/history.py
@@ -2,7 +2,6 @@
 
 import zlib
 from collections import OrderedDict
-from dataclasses import dataclass
 
 import msgspec
 
@@ -43,8 +42,7 @@
     return prompt + messages
 
 
-@dataclass(slots=True)
-class _CachedHistory:
+class _CachedHistory(msgspec.Struct):
     tag: ProgramTag
     turns: list[bytes]
     size_bytes: int
--- a/burdockwall/process/programs/program_tree.py
+++ b/burdockwall/process/programs/program_tree.py
@@ -9,7 +9,6 @@
 `ShardReplica.read_time` returns it.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
@@ -37,8 +36,7 @@
     ENDED = "ended"
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """Limits of records: counts, bytes of history, and times in seconds.
 
     A program tree ends after `lease_s` without a call. A program ends `grace_s` after
@@ -137,16 +135,14 @@
         ]
 
 
-@dataclass(frozen=True, slots=True)
-class Revoked:
+class Revoked(msgspec.Struct, frozen=True):
     """Reports that a running call was ended by someone other than its owner."""
 
     request: RequestId
     owner: InstanceId
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramEnded:
+class ProgramEnded(msgspec.Struct, frozen=True):
     """Reports that a program has ended, and which endpoints may cache its history."""
 
     tag: ProgramTag
@@ -156,8 +152,7 @@
 Effect = Revoked | ProgramEnded
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True):
     """The operation to write, if any, and the answer to send once it is written."""
 
     answer: calls.AnyAnswer
--- a/burdockwall/process/programs/programs.py
+++ b/burdockwall/process/programs/programs.py
@@ -2,7 +2,8 @@
 
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.programs import calls
@@ -34,8 +35,7 @@
 UNAVAILABLE_RETRY_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class TurnSpec:
+class TurnSpec(msgspec.Struct, frozen=True):
     """The turn that a caller asks for."""
 
     customer: CustomerId
@@ -48,8 +48,7 @@
     supersedes: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Turn:
+class Turn(msgspec.Struct, frozen=True):
     """A granted turn, or a tool call with number 0.
 
     A turn without a key belongs to no program.
@@ -67,8 +66,7 @@
     key: ProgramTreeKey | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RepeatedTurn:
+class RepeatedTurn(msgspec.Struct, frozen=True):
     """The stored answer to a turn that has finished."""
 
     customer: CustomerId
--- a/burdockwall/process/programs/requester.py
+++ b/burdockwall/process/programs/requester.py
@@ -1,6 +1,6 @@
 """Send calls to the primaries of shards, and resend them until one answers."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.programs import calls
@@ -13,8 +13,7 @@
 REQUESTER_MESSAGES: tuple[type[Message], ...] = (RecordAnswer, CallRevoked)
 
 
-@dataclass(frozen=True, slots=True)
-class StartCall:
+class StartCall(msgspec.Struct, frozen=True):
     """Send a call to the primary of a shard; the token is unique to the call."""
 
     token: RequestId
@@ -22,45 +21,39 @@
     call: calls.AnyCall
 
 
-@dataclass(frozen=True, slots=True)
-class AbandonCall:
+class AbandonCall(msgspec.Struct, frozen=True):
     """Stop sending a call; nothing waits for its answer any more."""
 
     token: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class StartRenewing:
+class StartRenewing(msgspec.Struct, frozen=True):
     """Renew a running call at its shard until StopRenewing."""
 
     request: RequestId
     shard: ShardId
 
 
-@dataclass(frozen=True, slots=True)
-class StopRenewing:
+class StopRenewing(msgspec.Struct, frozen=True):
     """Stop renewing a call."""
 
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class CompleteCall:
+class CompleteCall(msgspec.Struct, frozen=True):
     """Pass an answer to the task that waits for it."""
 
     token: RequestId
     answer: calls.AnyAnswer
 
 
-@dataclass(frozen=True, slots=True)
-class RevokeCall:
+class RevokeCall(msgspec.Struct, frozen=True):
     """Tell the owner that a renewed call no longer runs in its record."""
 
     request: RequestId
 
 
-@dataclass(slots=True)
-class _PendingCall:
+class _PendingCall(msgspec.Struct):
     shard: ShardId
     call: calls.AnyCall
     sent_at: float
--- a/burdockwall/process/programs/sweep.py
+++ b/burdockwall/process/programs/sweep.py
@@ -7,7 +7,8 @@
 """
 
 import hashlib
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.programs import calls
 from burdockwall.types import EndpointId, InstanceId, ProgramTag, RequestId, ShardId
@@ -15,8 +16,7 @@
 TAG_PREFIX = "p-"
 
 
-@dataclass(frozen=True, slots=True)
-class EngineListed:
+class EngineListed(msgspec.Struct, frozen=True):
     """Reports an engine's own list and the number of its last cache event."""
 
     endpoint: EndpointId
@@ -25,8 +25,7 @@
     requests: tuple[RequestId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class CacheChanged:
+class CacheChanged(msgspec.Struct, frozen=True):
     """Reports a cache event of an engine; events may be late, duplicated or lost."""
 
     endpoint: EndpointId
@@ -35,31 +34,27 @@
     cached: bool
 
 
-@dataclass(frozen=True, slots=True)
-class IdsChecked:
+class IdsChecked(msgspec.Struct, frozen=True):
     """Reports which of the checked ids have ended, by their shard's primary."""
 
     endpoint: EndpointId
     ended: calls.EndedIds
 
 
-@dataclass(frozen=True, slots=True)
-class SweepTick:
+class SweepTick(msgspec.Struct, frozen=True):
     """Reports that time has passed, and the current endpoints and instances."""
 
     endpoints: tuple[EndpointId, ...]
     instances: tuple[InstanceId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ListEngine:
+class ListEngine(msgspec.Struct, frozen=True):
     """Asks the shell for an engine's own list."""
 
     endpoint: EndpointId
 
 
-@dataclass(frozen=True, slots=True)
-class CheckIds:
+class CheckIds(msgspec.Struct, frozen=True):
     """Asks the shell to check with a shard's primary which ids have ended."""
 
     endpoint: EndpointId
@@ -67,16 +62,14 @@
     call: calls.FindEnded
 
 
-@dataclass(frozen=True, slots=True)
-class CancelRequest:
+class CancelRequest(msgspec.Struct, frozen=True):
     """Asks the shell to cancel a request at an engine."""
 
     endpoint: EndpointId
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class DropCache:
+class DropCache(msgspec.Struct, frozen=True):
     """Asks the shell to release a program's cache at an engine."""
 
     endpoint: EndpointId
@@ -87,11 +80,10 @@
 SweepAction = ListEngine | CheckIds | CancelRequest | DropCache
 
 
-@dataclass(slots=True)
-class _Engine:
+class _Engine(msgspec.Struct):
     listed_at: float
     sequence: int = 0
-    tags: dict[ProgramTag, None] = field(default_factory=dict)
+    tags: dict[ProgramTag, None] = msgspec.field(default_factory=dict)
 
 
 def parse_shard(name: str) -> ShardId | None:
--- a/burdockwall/process/programs/unrepeatable.py
+++ b/burdockwall/process/programs/unrepeatable.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.errors import Code, RequestRefused, find_code
 from burdockwall.process.programs import calls
@@ -40,8 +41,7 @@
 Pause = Callable[[float], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, frozen=True):
     """One attempt to run an unrepeatable request.
 
     `claim_tries` bounds how often the attempt claims the record. One that `resumes` an
@@ -57,8 +57,7 @@
     resumes: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Callbacks:
+class Callbacks(msgspec.Struct, frozen=True):
     """The operations that an attempt needs from its caller."""
 
     ask: Ask
--- a/burdockwall/process/resolver.py
+++ b/burdockwall/process/resolver.py
@@ -2,7 +2,6 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -15,8 +14,7 @@
 DIRECTORY_MAX_ADDRESSES = 64
 
 
-@dataclass(frozen=True, slots=True)
-class EntryInstance:
+class EntryInstance(msgspec.Struct, frozen=True):
     """An entry instance that callers may use."""
 
     instance: InstanceId
--- a/burdockwall/process/scheduling/affinity.py
+++ b/burdockwall/process/scheduling/affinity.py
@@ -1,7 +1,8 @@
 """A table of the endpoints that are expected to have a history's prefix cached."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.scheduling.policy import Policy
 from burdockwall.process.scheduling.reports import CacheChange, CacheEvent, CacheKey
@@ -10,8 +11,7 @@
 COPIES_LIMIT = 3
 
 
-@dataclass(slots=True)
-class CachedPrefix:
+class CachedPrefix(msgspec.Struct):
     """The cached tokens of one prefix at one endpoint, and when this was confirmed."""
 
     tokens: int
--- a/burdockwall/process/scheduling/balance.py
+++ b/burdockwall/process/scheduling/balance.py
@@ -8,7 +8,8 @@
 import hashlib
 import random
 from collections.abc import Callable, Iterable, Set
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.endpoints import ListedEndpoint
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
@@ -31,8 +32,7 @@
 MAX_FAILURES = 4
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
+class ReportedLoad(msgspec.Struct, frozen=True):
     """The numbers of running and waiting requests that an endpoint reported.
 
     `slots` is 0 if the endpoint names none. `pace` is how long work takes there at this
@@ -45,8 +45,7 @@
     pace: float = 1.0
 
 
-@dataclass(slots=True)
-class _EndpointState:
+class _EndpointState(msgspec.Struct):
     own: int = 0
     reported: int = 0
     own_at_report: int = 0
--- a/burdockwall/process/scheduling/cost_estimate.py
+++ b/burdockwall/process/scheduling/cost_estimate.py
@@ -8,7 +8,8 @@
 import math
 from collections import OrderedDict
 from collections.abc import Hashable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.scheduling.policy import Policy
 from burdockwall.process.scheduling.request_size import RequestSize
@@ -44,8 +45,7 @@
 NORMAL_QUANTILE_95 = 1.645
 
 
-@dataclass(frozen=True, slots=True)
-class CostEstimate:
+class CostEstimate(msgspec.Struct, frozen=True):
     """A log-normal distribution of a cost in seconds."""
 
     median_s: float
@@ -62,8 +62,7 @@
         return self.median_s * math.exp(self.deviation * NORMAL_QUANTILE_95)
 
 
-@dataclass(slots=True)
-class _Cell:
+class _Cell(msgspec.Struct):
     """A deviation of the logarithm of the cost, and how many samples support it."""
 
     offset: float = 0.0
--- a/burdockwall/process/scheduling/dispatcher.py
+++ b/burdockwall/process/scheduling/dispatcher.py
@@ -4,10 +4,10 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 
 import anyio
 import msgspec
+from msgspec.structs import replace
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.machine import Tick
@@ -54,8 +54,7 @@
 BYTES_PER_TOKEN = 4
 
 
-@dataclass(frozen=True, slots=True)
-class DispatchRequest:
+class DispatchRequest(msgspec.Struct, frozen=True):
     """One call that needs an endpoint; its prompt is estimated from `body_bytes`."""
 
     customer: CustomerId
@@ -70,8 +69,7 @@
     limited: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """A call and the endpoint assigned to it."""
 
     call: CallId
--- a/burdockwall/process/scheduling/endpoint_health.py
+++ b/burdockwall/process/scheduling/endpoint_health.py
@@ -9,9 +9,9 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import logbook
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.scheduling.health_reports import (
@@ -46,8 +46,7 @@
     return min(1.0, RAMP_START + (1.0 - RAMP_START) * returned_s / RAMP_S)
 
 
-@dataclass(slots=True)
-class _Counts:
+class _Counts(msgspec.Struct):
     answered: int = 0
     failed: int = 0
     log_time: float = 0.0
--- a/burdockwall/process/scheduling/health.py
+++ b/burdockwall/process/scheduling/health.py
@@ -3,9 +3,10 @@
 At most `ejected_share` of a pool is ejected at a time.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.scheduling.jobs import Outcome, Result
 from burdockwall.process.scheduling.policy import Policy
 from burdockwall.types import EndpointId
@@ -25,8 +26,7 @@
     PROBING = "probing"
 
 
-@dataclass(slots=True)
-class EndpointHealth:
+class EndpointHealth(msgspec.Struct):
     """Health statistics of one endpoint.
 
     `unit_latency_s` is the moving average of a call's latency per output token, or of
--- a/burdockwall/process/scheduling/hedge_delay.py
+++ b/burdockwall/process/scheduling/hedge_delay.py
@@ -5,7 +5,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.types import RouteName
 
@@ -16,11 +17,10 @@
 MIN_DELAY_S = 0.15
 
 
-@dataclass(slots=True)
-class HedgeDelay:
+class HedgeDelay(msgspec.Struct):
     """The recent answer times of each route, and the delays that follow from them."""
 
-    _times: dict[RouteName, deque[float]] = field(default_factory=dict)
+    _times: dict[RouteName, deque[float]] = msgspec.field(default_factory=dict)
 
     def record(self, route: RouteName, seconds: float) -> None:
         """Record how long an answer took, or how long a timed-out one was awaited."""
--- a/burdockwall/process/scheduling/jobs.py
+++ b/burdockwall/process/scheduling/jobs.py
@@ -1,8 +1,9 @@
 """The events and actions of the scheduler."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.scheduling.reports import CacheEvent, CacheKey, LoadReport
 from burdockwall.types import (
     CallId,
@@ -18,8 +19,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Asset:
+class Asset(msgspec.Struct, frozen=True):
     """What an engine must have loaded; empty fields match everything."""
 
     model: ModelName = ModelName("")
@@ -42,8 +42,7 @@
     return Asset(ModelName(model), adapter, version)
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """An endpoint as the router sees it; without assets it serves all of them."""
 
     endpoint: EndpointId
@@ -54,8 +53,7 @@
     moves_cache: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
+class Job(msgspec.Struct, frozen=True):
     """One call to be placed at an endpoint.
 
     Service is charged to `program`, the root program of the call; `key` names the
@@ -86,8 +84,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(msgspec.Struct, frozen=True):
     """The end of a call; `latency_s` is measured from its start."""
 
     result: Result
@@ -96,8 +93,7 @@
     output_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """The endpoint of a call, the reason, and what the engine is sent with it.
 
     `level` orders calls at an engine, the lowest first. `cache_source` is an endpoint
@@ -113,83 +109,72 @@
     waited_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class TargetsInstalled:
+class TargetsInstalled(msgspec.Struct, frozen=True):
     """Replaces the scheduler's list of endpoints."""
 
     targets: tuple[Target, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class InstancesCounted:
+class InstancesCounted(msgspec.Struct, frozen=True):
     """Sets the number of instances that share the endpoints."""
 
     count: int
 
 
-@dataclass(frozen=True, slots=True)
-class Submit:
+class Submit(msgspec.Struct, frozen=True):
     """Adds a job."""
 
     job: Job
 
 
-@dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     """Withdraws a job that has not started; a started one must be finished."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class Finish:
+class Finish(msgspec.Struct, frozen=True):
     """Reports the end of a started job."""
 
     call: CallId
     outcome: Outcome
 
 
-@dataclass(frozen=True, slots=True)
-class EndProgram:
+class EndProgram(msgspec.Struct, frozen=True):
     """Reports the end of a program and of the histories with these keys."""
 
     program: ProgramId
     keys: tuple[CacheKey, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveLoad:
+class ObserveLoad(msgspec.Struct, frozen=True):
     """Passes on a load report of an endpoint."""
 
     endpoint: EndpointId
     report: LoadReport
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveCache:
+class ObserveCache(msgspec.Struct, frozen=True):
     """Passes on cache events of an endpoint."""
 
     endpoint: EndpointId
     events: tuple[CacheEvent, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True):
     """Asks the shell to run a job."""
 
     call: CallId
     placement: Placement
 
 
-@dataclass(frozen=True, slots=True)
-class Reject:
+class Reject(msgspec.Struct, frozen=True):
     """Asks the shell to refuse a job that no endpoint serves."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseCache:
+class ReleaseCache(msgspec.Struct, frozen=True):
     """Asks the shell to let an engine drop a cached prefix."""
 
     endpoint: EndpointId
--- a/burdockwall/process/scheduling/load.py
+++ b/burdockwall/process/scheduling/load.py
@@ -1,7 +1,8 @@
 """Estimate each endpoint's load from this instance's calls and delayed reports."""
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.scheduling.policy import Policy, Window
 from burdockwall.process.scheduling.reports import LoadReport
@@ -9,8 +10,7 @@
 OTHERS_GAIN = 0.5
 
 
-@dataclass(slots=True)
-class LoadEstimate:
+class LoadEstimate(msgspec.Struct):
     """The load of one endpoint, in calls.
 
     Calls of this instance are counted exactly; `others`, the calls of other instances,
--- a/burdockwall/process/scheduling/outliers.py
+++ b/burdockwall/process/scheduling/outliers.py
@@ -9,10 +9,10 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from enum import Enum
 
 import logbook
+import msgspec
 
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.endpoints import ListedEndpoint
@@ -62,8 +62,7 @@
     SLOW = "slow"
 
 
-@dataclass(slots=True)
-class _Tally:
+class _Tally(msgspec.Struct):
     """Decayed counts of what was observed at one endpoint or several."""
 
     answered: float = 0.0
@@ -90,8 +89,7 @@
         self.log_time += sign * other.log_time
 
 
-@dataclass(slots=True)
-class _Record:
+class _Record(msgspec.Struct):
     """What is known of one endpoint.
 
     `accuser` and `other_accuser` are the latest two instances that saw failures.
--- a/burdockwall/process/scheduling/placement.py
+++ b/burdockwall/process/scheduling/placement.py
@@ -5,9 +5,10 @@
 time, since all loads share the rate of the weight store.
 """
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from burdockwall.machine import Tick
 from burdockwall.process.scheduling.jobs import Asset
 from burdockwall.types import EndpointId, FencingNumber
@@ -22,8 +23,7 @@
     UNLOAD = "unload"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadOrder:
+class LoadOrder(msgspec.Struct, frozen=True):
     """An order to load or unload an asset; one with a higher number replaces it."""
 
     endpoint: EndpointId
@@ -32,8 +32,7 @@
     number: FencingNumber
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementPolicy:
+class PlacementPolicy(msgspec.Struct, frozen=True):
     """The parameters of placement; times in seconds, sizes in bytes.
 
     An endpoint whose `slots` are all loaded is changed only if the new asset has no
@@ -49,24 +48,21 @@
     least_copies: int = 2
 
 
-@dataclass(frozen=True, slots=True)
-class AssetSize:
+class AssetSize(msgspec.Struct, frozen=True):
     """The size of an asset's weights in bytes."""
 
     asset: Asset
     weight_bytes: float
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveDemand:
+class ObserveDemand(msgspec.Struct, frozen=True):
     """Reports the demand for an asset since the last report, in engine seconds."""
 
     asset: Asset
     work_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveEndpoint:
+class ObserveEndpoint(msgspec.Struct, frozen=True):
     """Reports which assets an endpoint has loaded, or that it is gone."""
 
     endpoint: EndpointId
@@ -74,8 +70,7 @@
     gone: bool = False
 
 
-@dataclass(slots=True)
-class _EndpointAssets:
+class _EndpointAssets(msgspec.Struct):
     """The assets loaded or being loaded by an endpoint, and its last change."""
 
     loaded: tuple[Asset, ...]
@@ -83,14 +78,13 @@
     loading: Asset | None = None
 
 
-@dataclass(slots=True)
-class PlacementPlanner:
+class PlacementPlanner(msgspec.Struct):
     """Plans changes one at a time, within the rate of the weight store."""
 
     policy: PlacementPolicy
     sizes: dict[Asset, float]
-    endpoints: dict[EndpointId, _EndpointAssets] = field(default_factory=dict)
-    demand_s: dict[Asset, float] = field(default_factory=dict)
+    endpoints: dict[EndpointId, _EndpointAssets] = msgspec.field(default_factory=dict)
+    demand_s: dict[Asset, float] = msgspec.field(default_factory=dict)
     store_free_at: float = 0.0
     last_number: int = 0
     _decayed_at: float = 0.0
--- a/burdockwall/process/scheduling/policy.py
+++ b/burdockwall/process/scheduling/policy.py
@@ -1,8 +1,9 @@
 """The parameters of the scheduling policies."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.settings import Settings
 
 
@@ -34,8 +35,7 @@
     UNLIMITED = "unlimited"
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
+class Policy(msgspec.Struct, frozen=True):
     """The parameters of scheduling; times in seconds, costs in engine seconds.
 
     The cost of an endpoint increases by `load_call_s` per call that it has, and by
--- a/burdockwall/process/scheduling/queue.py
+++ b/burdockwall/process/scheduling/queue.py
@@ -2,9 +2,10 @@
 
 import heapq
 from collections import deque
-from dataclasses import dataclass, field
 from itertools import islice
 
+import msgspec
+
 from burdockwall.process.scheduling.attained_service import AttainedService
 from burdockwall.process.scheduling.jobs import Job
 from burdockwall.process.scheduling.policy import Policy, QueueOrder
@@ -13,8 +14,7 @@
 Rank = tuple[float, float, int]
 
 
-@dataclass(slots=True)
-class QueuedJob:
+class QueuedJob(msgspec.Struct):
     """A waiting job; `endpoint` is the one whose queue it is in, if any."""
 
     job: Job
@@ -34,8 +34,7 @@
         return self.endpoint == endpoint
 
 
-@dataclass(slots=True)
-class _ClassQueue:
+class _ClassQueue(msgspec.Struct):
     """The jobs of one priority class.
 
     `customers` is a heap by virtual time, `jobs` holds a heap by rank per customer and
@@ -43,11 +42,11 @@
     first, and is dropped then.
     """
 
-    customers: list[tuple[float, CustomerId]] = field(default_factory=list)
-    jobs: dict[CustomerId, list[tuple[Rank, int, QueuedJob]]] = field(
+    customers: list[tuple[float, CustomerId]] = msgspec.field(default_factory=list)
+    jobs: dict[CustomerId, list[tuple[Rank, int, QueuedJob]]] = msgspec.field(
         default_factory=dict
     )
-    arrivals: deque[QueuedJob] = field(default_factory=deque)
+    arrivals: deque[QueuedJob] = msgspec.field(default_factory=deque)
 
 
 class JobQueue:
--- a/burdockwall/process/scheduling/reachability.py
+++ b/burdockwall/process/scheduling/reachability.py
@@ -5,9 +5,10 @@
 connections to some endpoints.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.machine import Tick
 from burdockwall.types import Address
 
@@ -31,45 +32,38 @@
     CUT_OFF = "cut off"
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectEnded:
+class ConnectEnded(msgspec.Struct, frozen=True):
     """A connection to an endpoint's address was opened, or could not be."""
 
     address: Address
     opened: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Sent:
+class Sent(msgspec.Struct, frozen=True):
     """A request was sent to an endpoint, and its answer is awaited."""
 
 
-@dataclass(frozen=True, slots=True)
-class Heard:
+class Heard(msgspec.Struct, frozen=True):
     """Bytes of an answer came from an endpoint."""
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(msgspec.Struct, frozen=True):
     """An answer is no longer awaited."""
 
 
-@dataclass(frozen=True, slots=True)
-class AddressesListed:
+class AddressesListed(msgspec.Struct, frozen=True):
     """The addresses of endpoints, those of each service in a tuple of their own."""
 
     services: tuple[tuple[Address, ...], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class OpenConnections:
+class OpenConnections(msgspec.Struct, frozen=True):
     """Asks the shell to open connections and to report how each ended."""
 
     addresses: tuple[Address, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ReachChanged:
+class ReachChanged(msgspec.Struct, frozen=True):
     """Announces that the instance is cut off, or no longer is."""
 
     cut_off: bool
--- a/burdockwall/process/scheduling/request_size.py
+++ b/burdockwall/process/scheduling/request_size.py
@@ -4,7 +4,8 @@
 """
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.scheduling.reports import CacheKey
 from burdockwall.types import CustomerId, ProgramId, RouteName
@@ -18,16 +19,14 @@
 LARGEST_CLASS = 24
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that endpoints may have cached, with its tokens."""
 
     key: CacheKey
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class DeclaredSize:
+class DeclaredSize(msgspec.Struct, frozen=True):
     """The size of a request as its caller declares it; None where it says nothing."""
 
     prompt_tokens: int | None = None
@@ -36,8 +35,7 @@
     parts: tuple[PromptPart, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class RequestSize:
+class RequestSize(msgspec.Struct, frozen=True):
     """The size of a request and whose it is, as cost estimates use it.
 
     `is_declared` is false if the caller declared nothing, or what the body contradicts.
--- a/burdockwall/process/scheduling/request_work.py
+++ b/burdockwall/process/scheduling/request_work.py
@@ -1,13 +1,12 @@
 """What the choice of an endpoint expects of one request."""
 
-from dataclasses import dataclass
+import msgspec
 
 from burdockwall.process.scheduling.request_size import RequestSize
 from burdockwall.types import EndpointId
 
 
-@dataclass(slots=True)
-class ExpectedTime:
+class ExpectedTime(msgspec.Struct):
     """The time expected of a request at the endpoint that was chosen for it.
 
     `cost_s` is the time that it runs alone at the usual pace. `occupancy` is the load
@@ -28,8 +27,7 @@
         return (self.cost_s + self.wait_s) * self.pace
 
 
-@dataclass(slots=True)
-class RequestWork:
+class RequestWork(msgspec.Struct):
     """A request's size, and what is expected of its latest attempt.
 
     `memory_tokens` is the memory of one endpoint in tokens, or 0 if it is unknown.
--- a/burdockwall/process/scheduling/resumption.py
+++ b/burdockwall/process/scheduling/resumption.py
@@ -6,9 +6,10 @@
 the version is certain only where a service has had a single one for long enough.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.sole_versions import SoleVersion
 from burdockwall.process.storage.messages import StreamPlace
 from burdockwall.types import ServiceName, SoftwareVersion
@@ -21,8 +22,7 @@
     SOLE_VERSION = "sole version"
 
 
-@dataclass(frozen=True, slots=True)
-class ResumePlace:
+class ResumePlace(msgspec.Struct, frozen=True):
     """The service and software version at which a stream may go on."""
 
     service: ServiceName
--- a/burdockwall/process/scheduling/router.py
+++ b/burdockwall/process/scheduling/router.py
@@ -1,7 +1,8 @@
 """The choice of a job's endpoint by prefix affinity, load, health and distance."""
 
 import random
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.scheduling.affinity import PrefixTable
 from burdockwall.process.scheduling.health import Ejector
@@ -25,8 +26,7 @@
 INITIAL_SERVICE_S = 0.02
 
 
-@dataclass(slots=True)
-class AssetGroup:
+class AssetGroup(msgspec.Struct):
     """The endpoints of a pool that serve one asset."""
 
     endpoints: list[EndpointId]
@@ -35,18 +35,16 @@
     next_index: int = 0
 
 
-@dataclass(slots=True)
-class PoolState:
+class PoolState(msgspec.Struct):
     """The endpoints of a pool, their health and the pool's mean service time."""
 
     targets: dict[EndpointId, Target]
     ejector: Ejector
-    groups: dict[Asset, AssetGroup] = field(default_factory=dict)
+    groups: dict[Asset, AssetGroup] = msgspec.field(default_factory=dict)
     service_s: float = INITIAL_SERVICE_S
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """The endpoint chosen for a job, the reason and the expected cost in seconds.
 
     `moved_tokens` are tokens of the prefix to import from `cache_source`.
--- a/burdockwall/process/scheduling/scheduler.py
+++ b/burdockwall/process/scheduling/scheduler.py
@@ -2,9 +2,11 @@
 
 import random
 from collections import OrderedDict
-from dataclasses import dataclass, replace
 from typing import Any
 
+import msgspec
+from msgspec.structs import replace
+
 from burdockwall.machine import Tick
 from burdockwall.process.scheduling.attained_service import AttainedService
 from burdockwall.process.scheduling.jobs import (
@@ -41,8 +43,7 @@
 LEVELS_PER_CLASS = 16
 
 
-@dataclass(slots=True)
-class RunningJob:
+class RunningJob(msgspec.Struct):
     """A started call; `charged_s` is the estimated cost that was charged for it."""
 
     job: Job
--- a/burdockwall/process/scheduling/work_left.py
+++ b/burdockwall/process/scheduling/work_left.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from dataclasses import dataclass, field
+
+import msgspec
 
 from burdockwall.process.scheduling.balance import ReportedLoad
 from burdockwall.types import EndpointId
@@ -36,8 +37,7 @@
 LEAST_DEVIATION = 0.5
 
 
-@dataclass(slots=True)
-class SentWork:
+class SentWork(msgspec.Struct):
     """A request in flight at an endpoint, with what was expected of it."""
 
     cost_s: float
@@ -51,8 +51,7 @@
         return max(self.cost_s - done_s, OVERDUE_SHARE * self.cost_s)
 
 
-@dataclass(slots=True)
-class _Report:
+class _Report(msgspec.Struct):
     """What an endpoint reported last; `others` are requests of other instances."""
 
     others: float
@@ -66,14 +65,12 @@
         return 1.0 + (self.pace - 1.0) * math.exp(-age_s / PACE_LIFE_S)
 
 
-@dataclass(slots=True)
-class _Endpoint:
-    own: dict[int, SentWork] = field(default_factory=dict)
+class _Endpoint(msgspec.Struct):
+    own: dict[int, SentWork] = msgspec.field(default_factory=dict)
     report: _Report | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad:
+class EndpointLoad(msgspec.Struct, frozen=True):
     """The load that is expected at an endpoint; `deviation` is that of `requests`."""
 
     requests: float
--- a/burdockwall/process/sole_versions.py
+++ b/burdockwall/process/sole_versions.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.types import ServiceName, SoftwareVersion, Term
 
 
-@dataclass(frozen=True, slots=True)
-class SoleVersion:
+class SoleVersion(msgspec.Struct, frozen=True):
     """The version of all listed endpoints of a service, and since when it is."""
 
     software: SoftwareVersion
--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -5,7 +5,7 @@
 is asked.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.storage.messages import (
@@ -38,8 +38,7 @@
 REPEAT_S = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class TurnStart:
+class TurnStart(msgspec.Struct, frozen=True):
     """A turn that is about to run.
 
     `needs_chain` asks the stores for the chain of earlier turns. `place` is where the
@@ -60,8 +59,7 @@
     stream_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class TurnOutcome:
+class TurnOutcome(msgspec.Struct, frozen=True):
     """The end of a turn: the tokens sent to the caller, and the texts if it is whole.
 
     A turn is whole if its answer is complete.
@@ -73,23 +71,20 @@
     answer: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class AskBegin:
+class AskBegin(msgspec.Struct, frozen=True):
     """A call that reserves a turn's tokens and fetches the chain that it continues."""
 
     call: CallId
     start: TurnStart
 
 
-@dataclass(frozen=True, slots=True)
-class ChainOverdue:
+class ChainOverdue(msgspec.Struct, frozen=True):
     """The store that was asked for a call's chain has been silent for a while."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class AskEnd:
+class AskEnd(msgspec.Struct, frozen=True):
     """A call that settles a turn."""
 
     call: CallId
@@ -97,28 +92,24 @@
     outcome: TurnOutcome
 
 
-@dataclass(frozen=True, slots=True)
-class Withdraw:
+class Withdraw(msgspec.Struct, frozen=True):
     """No caller waits for a call any more."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class InstallView:
+class InstallView(msgspec.Struct, frozen=True):
     """The view of the stores, and the nearest of each group, may have changed."""
 
     view: StoreView
     nearest: tuple[InstanceId | None, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeStores:
+class ProbeStores(msgspec.Struct, frozen=True):
     """A command to send every store a message, to detect which are reachable."""
 
 
-@dataclass(frozen=True, slots=True)
-class BeginDecided:
+class BeginDecided(msgspec.Struct, frozen=True):
     """The verdict of a quorum about the beginning of a turn.
 
     `other_group` is whether the chain came from a group that does not hold the program.
@@ -134,22 +125,19 @@
     answered: bool | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndStored:
+class EndStored(msgspec.Struct, frozen=True):
     """A quorum has synced the end of a turn."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRefused:
+class StoreRefused(msgspec.Struct, frozen=True):
     """A store has refused a call, since it has reached its size limit."""
 
     store: InstanceId
 
 
-@dataclass(slots=True)
-class _Search:
+class _Search(msgspec.Struct):
     """What the stores of one group have answered about the beginning of a turn.
 
     The group that holds the program also reserves the turn's tokens.
@@ -158,7 +146,7 @@
     quorum: BeginQuorum
     nearest: InstanceId | None
     reserves: bool
-    chain_requests: set[InstanceId] = field(default_factory=set)
+    chain_requests: set[InstanceId] = msgspec.field(default_factory=set)
 
     def list_first_sources(self) -> set[InstanceId]:
         """Return the store to ask for the chain first, if it is needed."""
@@ -167,11 +155,10 @@
         return {self.nearest}
 
 
-@dataclass(slots=True)
-class _Begin:
+class _Begin(msgspec.Struct):
     start: TurnStart
     own: _Search
-    others: list[_Search] = field(default_factory=list)
+    others: list[_Search] = msgspec.field(default_factory=list)
     sent_at: float = 0.0
 
     def list_searches(self) -> list[_Search]:
@@ -185,13 +172,12 @@
         return None
 
 
-@dataclass(slots=True)
-class _End:
+class _End(msgspec.Struct):
     message: EndTurn
     view: StoreView
     repeat_at: float = 0.0
     repeat_s: float = REPEAT_S
-    synced: set[InstanceId] = field(default_factory=set)
+    synced: set[InstanceId] = msgspec.field(default_factory=set)
 
 
 Event = (
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -1,9 +1,10 @@
 """The client of the stores, which begins and ends callers' turns."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 
 import logbook
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.host import Host
@@ -36,8 +37,7 @@
 RETRY_AFTER_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class TurnChain:
+class TurnChain(msgspec.Struct, frozen=True):
     """The earlier turns that a turn continues, oldest first.
 
     `other_group` is whether they are held by stores other than the turn's own. `place`
--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -1,6 +1,6 @@
 """The copier of a store, which fetches the records that only other stores have."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.storage.ledger import Ledger
@@ -26,23 +26,20 @@
 NO_ASKER = Incarnation(0)
 
 
-@dataclass(frozen=True, slots=True)
-class ViewInstalled:
+class ViewInstalled(msgspec.Struct, frozen=True):
     """A view of the stores is in force."""
 
     view: StoreView
 
 
-@dataclass(frozen=True, slots=True)
-class CompletenessChanged:
+class CompletenessChanged(msgspec.Struct, frozen=True):
     """The store became complete, after copying `sources`, or incomplete."""
 
     complete: bool
     sources: tuple[InstanceId, ...]
 
 
-@dataclass(slots=True)
-class _Source:
+class _Source(msgspec.Struct):
     """The state of copying from one store; `position` is the next in its log."""
 
     incarnation: Incarnation = Incarnation(0)
@@ -51,7 +48,7 @@
     requested_at: float = float("-inf")
     unanswered: bool = False
     caught_up_at: float = float("-inf")
-    missing: list[RecordKey] = field(default_factory=list)
+    missing: list[RecordKey] = msgspec.field(default_factory=list)
 
 
 class Copier:
--- a/burdockwall/process/storage/emptying.py
+++ b/burdockwall/process/storage/emptying.py
@@ -5,8 +5,6 @@
 final.
 """
 
-from dataclasses import dataclass
-
 import msgspec
 
 from burdockwall.machine import Receive, Send
@@ -46,16 +44,14 @@
     return msgspec.json.decode(data, type=EmptyingStores)
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveEmptying:
+class ObserveEmptying(msgspec.Struct, frozen=True):
     """The stores being emptied and the view, as the leader observes them."""
 
     emptying: EmptyingStores
     view: StoreView
 
 
-@dataclass(frozen=True, slots=True)
-class ProposeEmptying:
+class ProposeEmptying(msgspec.Struct, frozen=True):
     """A new state to put in force, in which `instance` is empty."""
 
     emptying: EmptyingStores
--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -3,7 +3,8 @@
 import re
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.control.files import Files
 from burdockwall.process.storage.records import (
@@ -18,15 +19,13 @@
 _SEGMENT = re.compile(rf"{SEGMENT_PREFIX}[0-9]{{{SEGMENT_DIGITS}}}")
 
 
-@dataclass(slots=True)
-class _Segment:
+class _Segment(msgspec.Struct):
     number: int
     bytes: int = 0
     records: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Recovery:
+class Recovery(msgspec.Struct, frozen=True):
     """The records read, and whether every file was present and intact."""
 
     records: list[StoredRecord]
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -7,9 +7,10 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
+import msgspec
+
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.deferred import DeferredMessages
 from burdockwall.process.storage.messages import (
@@ -65,23 +66,20 @@
 STATE_REWRITE_S = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class WriteRecords:
+class WriteRecords(msgspec.Struct, frozen=True):
     """An action: write records, and report RecordsSynced with the ticket."""
 
     ticket: int
     records: tuple[StoredRecord, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RecordsSynced:
+class RecordsSynced(msgspec.Struct, frozen=True):
     """An event: every record up to a ticket is synced to disk."""
 
     ticket: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseRecords:
+class ReleaseRecords(msgspec.Struct, frozen=True):
     """An action: the oldest `records` records of the files are no longer needed."""
 
     records: int
@@ -94,22 +92,19 @@
     program: ProgramId
 
 
-@dataclass(slots=True)
-class _Account:
-    charges: dict[TurnId, Charge] = field(default_factory=dict)
+class _Account(msgspec.Struct):
+    charges: dict[TurnId, Charge] = msgspec.field(default_factory=dict)
     expires_at: float = 0.0
     # Whether a turn of the program was answered completely.
     answered: bool = False
 
 
-@dataclass(slots=True)
-class _StoredTurn:
+class _StoredTurn(msgspec.Struct):
     record: LedgerRecord
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _LogEntry:
+class _LogEntry(msgspec.Struct, frozen=True):
     record: StoredRecord
     logged_at: float
 
--- a/burdockwall/process/storage/quorum.py
+++ b/burdockwall/process/storage/quorum.py
@@ -1,8 +1,9 @@
 """The quorum of stores' answers about the beginning of a turn."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from burdockwall.process.storage.messages import (
     ChainLink,
     Charge,
@@ -24,8 +25,7 @@
     CHAIN_MISSING = "chain missing"
 
 
-@dataclass(slots=True)
-class BeginQuorum:
+class BeginQuorum(msgspec.Struct):
     """The stores' answers to the beginning of one turn.
 
     `continues` is whether the turn names a previous one. If the turn takes up a stream,
@@ -40,7 +40,7 @@
     needs_chain: bool
     stream_s: float = 0.0
     place_overdue: bool = False
-    answers: dict[InstanceId, TurnBegun] = field(default_factory=dict)
+    answers: dict[InstanceId, TurnBegun] = msgspec.field(default_factory=dict)
 
     def add(self, store: InstanceId, answer: TurnBegun) -> None:
         """Add a store's answer; it replaces an earlier answer without the chain."""
--- a/burdockwall/process/storage/store_planner.py
+++ b/burdockwall/process/storage/store_planner.py
@@ -7,7 +7,8 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.process.membership.messages import MemberEntry
 from burdockwall.process.storage.view import StoreMember, StoreView
@@ -25,8 +26,7 @@
 CHANGE_INTERVAL_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ObserveStores:
+class ObserveStores(msgspec.Struct, frozen=True):
     """The members and the view in force, as the leader observes them.
 
     `leaving` are the stores that are being emptied or are empty.
@@ -37,8 +37,7 @@
     leaving: frozenset[InstanceId] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class ProposeView:
+class ProposeView(msgspec.Struct, frozen=True):
     """A view to put in force, and the reason for it."""
 
     view: StoreView
--- a/burdockwall/process/version_checks.py
+++ b/burdockwall/process/version_checks.py
@@ -8,9 +8,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import ClassVar
 
+import msgspec
+
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.sole_versions import LedVersions, SoleVersion
 from burdockwall.types import (
@@ -52,29 +53,25 @@
 AnyVersionMessage = AskSoleVersion | AnswerSoleVersion
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmLeadership:
+class ConfirmLeadership(msgspec.Struct, frozen=True):
     """Asks the shell whether a majority follows this leader, from now on."""
 
     question: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipConfirmed:
+class LeadershipConfirmed(msgspec.Struct, frozen=True):
     """Says that a majority followed this leader after it was asked to confirm."""
 
     question: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeadershipUnconfirmed:
+class LeadershipUnconfirmed(msgspec.Struct, frozen=True):
     """Says that it is not known whether a majority follows this leader."""
 
     question: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Question:
+class _Question(msgspec.Struct, frozen=True):
     """What was asked, by whom, and the term that was led then."""
 
     sender: InstanceId
@@ -134,38 +131,33 @@
         return [Send(question.sender, answer)]
 
 
-@dataclass(frozen=True, slots=True)
-class AskVersion:
+class AskVersion(msgspec.Struct, frozen=True):
     """Asks the leader on behalf of a request that is waiting."""
 
     call: CallId
     service: ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class WithdrawVersion:
+class WithdrawVersion(msgspec.Struct, frozen=True):
     """Says that a request waits no longer."""
 
     call: CallId
 
 
-@dataclass(frozen=True, slots=True)
-class LeaderInstalled:
+class LeaderInstalled(msgspec.Struct, frozen=True):
     """Names the leader to ask, or None if none is known."""
 
     leader: InstanceId | None
 
 
-@dataclass(frozen=True, slots=True)
-class VersionAnswered:
+class VersionAnswered(msgspec.Struct, frozen=True):
     """Gives the single version of a service, by this instance's clock, or None."""
 
     call: CallId
     sole: SoleVersion | None
 
 
-@dataclass(slots=True)
-class _Waiting:
+class _Waiting(msgspec.Struct):
     """The service that a request waits for, and when the leader was last asked."""
 
     service: ServiceName
--- a/burdockwall/process/web.py
+++ b/burdockwall/process/web.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import anyio
 import hypercorn.asyncio
 import hypercorn.config
+import msgspec
 
 from burdockwall.connection.exchange import (
     Exchange,
@@ -28,8 +28,7 @@
 HEADERS_LIMIT_BYTES = 32_768
 
 
-@dataclass(frozen=True, slots=True)
-class WebLimits:
+class WebLimits(msgspec.Struct, frozen=True):
     """The limits of connections and the files for TLS; times in seconds."""
 
     idle_s: float = IDLE_S
@@ -39,6 +38,9 @@
     key: Path | None = None
 
 
+DEFAULT_LIMITS = WebLimits()
+
+
 def create_limits(settings: Settings, budget: ByteBudget | None = None) -> WebLimits:
     """Create the limits of the caller and operator ports."""
     return WebLimits(
@@ -110,7 +112,7 @@
     serve: Serve,
     stop: anyio.Event,
     grace_s: float,
-    limits: WebLimits = WebLimits(),
+    limits: WebLimits = DEFAULT_LIMITS,
 ) -> None:
     """Serve an address until the event is set and its requests have ended."""
     config = create_config(address, grace_s, limits)
--- a/burdockwall/request/caller.py
+++ b/burdockwall/request/caller.py
@@ -1,9 +1,11 @@
 """Identify the caller of a request, and keep its key out of what is forwarded."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
+import msgspec
+from msgspec.structs import replace
+
 from burdockwall.connection.exchange import Exchange, Headers
 from burdockwall.connection.figures import require_count
 from burdockwall.errors import Code, RequestRefused
@@ -38,8 +40,7 @@
 OPEN_CUSTOMER = Customer(CustomerId(""), rate_per_s=1000.0, burst=1000)
 
 
-@dataclass(frozen=True, slots=True)
-class CallerKey:
+class CallerKey(msgspec.Struct, frozen=True):
     """The key that came with a request, or None."""
 
     value: str | None
--- a/burdockwall/request/codec.py
+++ b/burdockwall/request/codec.py
@@ -3,9 +3,10 @@
 A codec reads and writes the headers of one protocol between callers and endpoints.
 """
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from burdockwall.connection.exchange import Exchange, Headers
 from burdockwall.connection.upstream import AnswerHead, AnswerOwner
 from burdockwall.errors import BurdockwallError
@@ -15,8 +16,7 @@
 from burdockwall.types import CustomerId, ProgramId, RequestId, TurnId
 
 
-@dataclass(frozen=True, slots=True)
-class TurnDetails:
+class TurnDetails(msgspec.Struct, frozen=True):
     """The turn of a program that a request carries, as its caller describes it."""
 
     program: ProgramId
@@ -25,8 +25,7 @@
     previous: TurnId | None
 
 
-@dataclass(frozen=True, slots=True)
-class Resumption:
+class Resumption(msgspec.Struct, frozen=True):
     """The stream that a request takes up after its last event received.
 
     `begun_by` is the request whose answer began the stream, or None if the caller does
@@ -37,8 +36,7 @@
     last_event: str
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardedRequest:
+class ForwardedRequest(msgspec.Struct, frozen=True):
     """A caller's request without its body.
 
     `headers` are those that may be forwarded, and `key` is the caller's key.
@@ -65,8 +63,7 @@
     size: DeclaredSize = DeclaredSize()
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptDetails:
+class AttemptDetails(msgspec.Struct, frozen=True):
     """The details that are added to a request for one attempt at one endpoint."""
 
     endpoint: ListedEndpoint
@@ -76,8 +73,7 @@
     body_bytes: int
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerDetails:
+class AnswerDetails(msgspec.Struct, frozen=True):
     """What the headers of an endpoint's answer say about request and connection.
 
     `ran` is false if the endpoint did not run the request, and `closes` is true if it
@@ -106,8 +102,7 @@
     signed: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """An encoded refusal."""
 
     status: int
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -1,6 +1,6 @@
 """Split, count and join the events of a stream without parsing each of them."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from burdockwall.connection.figures import read_count
 from burdockwall.request.completion import DONE_DATA
@@ -19,8 +19,7 @@
     """An event has more bytes than EVENT_LIMIT_BYTES."""
 
 
-@dataclass(slots=True)
-class EventSplitter:
+class EventSplitter(msgspec.Struct):
     """Splits a byte stream at the ends of its events."""
 
     _tail: bytes = b""
@@ -58,13 +57,12 @@
     )
 
 
-@dataclass(slots=True)
-class EventBuffer:
+class EventBuffer(msgspec.Struct):
     """Whole events and their number; `done` is set once the last event is added."""
 
     event_count: int = 0
     done: bool = False
-    _parts: list[bytes] = field(default_factory=list)
+    _parts: list[bytes] = msgspec.field(default_factory=list)
 
     def add(self, events: bytes) -> None:
         """Add one or more whole events."""
@@ -81,8 +79,7 @@
         return b"".join(self._parts)
 
 
-@dataclass(frozen=True, slots=True)
-class SkipResult:
+class SkipResult(msgspec.Struct, frozen=True):
     """The rest of a chunk, and the number of events that remain to be skipped."""
 
     rest: bytes
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import anyio
 import logbook
+from msgspec.structs import replace
 
 from burdockwall.connection.exchange import CLOSE, Exchange, Headers
 from burdockwall.connection.upstream import (
--- a/burdockwall/request/forwarding_parts.py
+++ b/burdockwall/request/forwarding_parts.py
@@ -1,7 +1,8 @@
 """The components that the forwarding of all requests of a process shares."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.process.crashes.client import CrashSuspects
@@ -22,8 +23,7 @@
 from burdockwall.types import CustomerId
 
 
-@dataclass(slots=True)
-class ForwardingParts:
+class ForwardingParts(msgspec.Struct):
     """The components of a process that all forwarded requests share."""
 
     codec: RequestCodec
--- a/burdockwall/request/parts.py
+++ b/burdockwall/request/parts.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.process.admission.gate import AdmissionGate
@@ -25,8 +26,7 @@
 from burdockwall.settings import Settings
 
 
-@dataclass(frozen=True, slots=True)
-class Parts:
+class Parts(msgspec.Struct, frozen=True):
     """The components that all requests of a process share."""
 
     settings: Settings
--- a/burdockwall/request/peer_relay.py
+++ b/burdockwall/request/peer_relay.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import logbook
+import msgspec
 
 from burdockwall.connection.exchange import CLOSE, Exchange
 from burdockwall.connection.upstream import (
@@ -34,8 +34,7 @@
 _logger = logbook.Logger("relay")
 
 
-@dataclass(slots=True)
-class PeerRelay:
+class PeerRelay(msgspec.Struct):
     """Passes requests on to peers, and their answers back."""
 
     codec: RelayCodec
--- a/burdockwall/request/program.py
+++ b/burdockwall/request/program.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from urllib.parse import unquote
 
 import anyio
@@ -25,8 +24,7 @@
 ID_LIMIT_CHARACTERS = 512
 
 
-@dataclass(frozen=True, slots=True)
-class ProgramHeaders:
+class ProgramHeaders(msgspec.Struct, frozen=True):
     """The headers of a request that concern its program.
 
     `number` is the number of the turn, and `supersedes` the program that it replaces.
--- a/burdockwall/request/progress.py
+++ b/burdockwall/request/progress.py
@@ -1,6 +1,6 @@
 """The state of one forwarded request across its attempts, and how attempts fail."""
 
-from dataclasses import dataclass
+import msgspec
 
 
 class NotRun(Exception):
@@ -18,8 +18,7 @@
         self.closed = closed
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """The state of a request across its attempts.
 
     `runs` counts the attempts that may have run, and `refusals` those that provably did
--- a/burdockwall/request/regions.py
+++ b/burdockwall/request/regions.py
@@ -1,14 +1,14 @@
 """Find the regions whose endpoints a request may reach."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockwall.types import FailureDomain
 from burdockwall.version.deployment import HostCustomer, HostRoute
 
 
-@dataclass(frozen=True, slots=True)
-class AllowedRegions:
+class AllowedRegions(msgspec.Struct, frozen=True):
     """The regions that one request may reach, and the region of each failure domain."""
 
     names: frozenset[str]
--- a/burdockwall/request/relay.py
+++ b/burdockwall/request/relay.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import anyio
 import httpx
@@ -44,8 +43,7 @@
 RESUMABLE_STATUSES = (httpx.codes.BAD_GATEWAY, httpx.codes.SERVICE_UNAVAILABLE)
 
 
-@dataclass(frozen=True, slots=True)
-class EngineRequest:
+class EngineRequest(msgspec.Struct, frozen=True):
     """One request to an engine."""
 
     request: RequestId
--- a/burdockwall/request/streams.py
+++ b/burdockwall/request/streams.py
@@ -1,19 +1,18 @@
 """Store each answer's events while it is produced, so that callers can rejoin it."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
 
 import anyio
 import anyio.abc
 import logbook
+import msgspec
 
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.request.events import EventBuffer, skip_events
 from burdockwall.types import CustomerId, ProgramId
 
 
-@dataclass(frozen=True, slots=True)
-class StreamKey:
+class StreamKey(msgspec.Struct, frozen=True):
     """The key of the answer to one turn of one customer's program."""
 
     customer: CustomerId
--- a/burdockwall/request/trace.py
+++ b/burdockwall/request/trace.py
@@ -1,13 +1,12 @@
 """The record of one request for its log line and metrics."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 MS_PER_S = 1000
 MS_DECIMALS = 1
 
 
-@dataclass(slots=True)
-class RequestTrace:
+class RequestTrace(msgspec.Struct):
     """The details and times of one request; times are seconds of the process's clock.
 
     `begun_at` is when the stores had reserved the turn, if the request has one, and the
@@ -37,7 +36,7 @@
     begun_at: float | None = None
     sent_at: float | None = None
     answered_at: float | None = None
-    failures: list[str] = field(default_factory=list)
+    failures: list[str] = msgspec.field(default_factory=list)
     detail: str = ""
     admitted_at: float | None = None
     admission: str = ""
--- a/burdockwall/request/turns.py
+++ b/burdockwall/request/turns.py
@@ -1,7 +1,6 @@
 """Serve the turns of programs: chat completions whose streams callers can rejoin."""
 
 import hashlib
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -47,8 +46,7 @@
 NO_ENDPOINT = EndpointId("")
 
 
-@dataclass(frozen=True, slots=True)
-class TurnRequest:
+class TurnRequest(msgspec.Struct, frozen=True):
     """A caller's request for one turn.
 
     `number` is the number of the turn, `offset` the number of events that the caller
--- a/burdockwall/version/configuration.py
+++ b/burdockwall/version/configuration.py
@@ -5,13 +5,13 @@
 """
 
 import configparser
-import dataclasses
 import io
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any, get_type_hints
 
+import msgspec
+
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.types import (
     Address,
@@ -27,8 +27,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Customer:
+class Customer(msgspec.Struct, frozen=True):
     """A customer: requests per second, burst in requests, and fair-share weight."""
 
     name: CustomerId
@@ -37,16 +36,14 @@
     weight: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Pool:
+class Pool(msgspec.Struct, frozen=True):
     """A set of endpoints that are interchangeable for a route."""
 
     name: PoolName
     kind: RouteKind = RouteKind.MODEL
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(msgspec.Struct, frozen=True):
     """An endpoint: its address, and the requests that it serves.
 
     `assets` lists the models that it serves, each as MODEL, MODEL+ADAPTER,
@@ -64,8 +61,7 @@
     moves_cache: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """A route from a path, and optionally a model, to a pool.
 
     An empty `customers` admits every customer; `open` admits callers without a key.
@@ -85,8 +81,7 @@
     version: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """Everything that operators configure; parsed tuples are sorted by name."""
 
     customers: tuple[Customer, ...] = ()
@@ -139,9 +134,9 @@
     parser = configparser.ConfigParser(interpolation=None)
     for section, item in _list_items(configuration):
         values = {
-            field.name: _print_value(getattr(item, field.name))
-            for field in dataclasses.fields(item)
-            if field.name != "name"
+            name: _print_value(getattr(item, name))
+            for name in item.__struct_fields__
+            if name != "name"
         }
         parser[f"{section} {item.name}"] = values
     text = io.StringIO()
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -2,9 +2,10 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from burdockwall.types import (
     CustomerId,
     DocumentName,
@@ -25,16 +26,14 @@
     STREAM = "stream"
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True):
     """A service with its share of a route's requests, by weight."""
 
     service: ServiceName
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class HostRoute:
+class HostRoute(msgspec.Struct, frozen=True):
     """A route of a host; rank 0 is the most urgent, and times are in seconds.
 
     `max_attempts` bounds the endpoints on which one request may run. With
@@ -67,8 +66,7 @@
         return self.kind is RequestKind.SAFE
 
 
-@dataclass(frozen=True, slots=True)
-class EngineParameters:
+class EngineParameters(msgspec.Struct, frozen=True):
     """The engines of a service; a stream's event counts as `event_tokens` tokens.
 
     The requests that run on one engine share a memory of `memory_tokens`, or 0 if the
@@ -79,16 +77,14 @@
     memory_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ColdRule:
+class ColdRule(msgspec.Struct, frozen=True):
     """How long a new endpoint stays cold, and what it takes from all instances."""
 
     start_s: float
     per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class HostService:
+class HostService(msgspec.Struct, frozen=True):
     """A service; all instances share `max_connections` to one endpoint.
 
     Without a `cold` rule its endpoints count as warm from their start.
@@ -101,8 +97,7 @@
     health_path: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class HostCustomer:
+class HostCustomer(msgspec.Struct, frozen=True):
     """A customer; without a rate it has no limit."""
 
     name: CustomerId
@@ -114,8 +109,7 @@
     allowed_regions: frozenset[str] | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Deployment:
+class Deployment(msgspec.Struct, frozen=True):
     """A numbered configuration; `max_body_bytes` bounds the body of a request."""
 
     number: int
@@ -125,13 +119,12 @@
     max_body_bytes: int = 4_194_304
 
 
-@dataclass(slots=True)
-class DeploymentView:
+class DeploymentView(msgspec.Struct):
     """Finds the routes, customers and services of one configuration."""
 
     deployment: Deployment
-    _routes: dict[tuple[str, str], HostRoute] = field(default_factory=dict)
-    _customers: dict[KeyDigest, HostCustomer] = field(default_factory=dict)
+    _routes: dict[tuple[str, str], HostRoute] = msgspec.field(default_factory=dict)
+    _customers: dict[KeyDigest, HostCustomer] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for route in self.deployment.routes:
--- a/burdockwall/version/shards.py
+++ b/burdockwall/version/shards.py
@@ -2,7 +2,6 @@
 
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -52,26 +51,23 @@
         return self.incarnations[self.holders.index(instance)] == incarnation
 
 
-@dataclass(frozen=True, slots=True)
-class ShardMap:
+class ShardMap(msgspec.Struct, frozen=True):
     """The latest view of every shard that this instance has received."""
 
-    views: dict[ShardId, ShardView] = field(default_factory=dict)
+    views: dict[ShardId, ShardView] = msgspec.field(default_factory=dict)
 
     def get_view(self, shard: ShardId) -> ShardView | None:
         """Return the view of a shard, or None where none is assigned."""
         return self.views.get(shard)
 
 
-@dataclass(frozen=True, slots=True)
-class ShardsInstalled:
+class ShardsInstalled(msgspec.Struct, frozen=True):
     """A new shard map is in force on this instance."""
 
     shards: ShardMap
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRenewed:
+class LeaseRenewed(msgspec.Struct, frozen=True):
     """The lease of the instance has been renewed until `until`.
 
     `until` is in seconds of the instance's own clock and never decreases. A machine
@@ -81,8 +77,7 @@
     until: float
 
 
-@dataclass(frozen=True, slots=True)
-class CopyConfirmed:
+class CopyConfirmed(msgspec.Struct, frozen=True):
     """The primary of a view confirms that a joining instance has the whole shard."""
 
     shard: ShardId
--- a/burdockwall/version/view.py
+++ b/burdockwall/version/view.py
@@ -1,6 +1,7 @@
 """One version of the control state, indexed for the lookups of requests."""
 
-from dataclasses import dataclass, replace
+import msgspec
+from msgspec.structs import replace
 
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.types import (
@@ -28,8 +29,7 @@
 DEFAULT_SECTION = "DEFAULT"
 
 
-@dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True):
     """One version of the control state, with an index for each lookup."""
 
     version: Version
--- a/features/steps/resolver_steps.py
+++ b/features/steps/resolver_steps.py
@@ -2,9 +2,9 @@
 
 import random
 from collections import Counter
-from dataclasses import replace
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from burdockwall.process.resolver import EntryInstance, Resolution, resolve_domain
 from burdockwall.types import Address, EndpointState, FailureDomain, InstanceId
--- a/features/steps/storage_groups_steps.py
+++ b/features/steps/storage_groups_steps.py
@@ -1,6 +1,5 @@
-from dataclasses import replace
-
 from behave import given, then, when
+from msgspec.structs import replace
 
 from burdockwall.process.storage.calls import AskBegin, TurnOutcome
 from burdockwall.process.storage.messages import StreamPlace
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -1,7 +1,6 @@
-from dataclasses import replace
-
 import msgspec
 from behave import given, then, when
+from msgspec.structs import replace
 
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.machine import Message, Receive
@@ -195,7 +194,7 @@
         ledger = storage.stores[name_store(number)].ledger
         ask = Receive(asker, AskIndex(ledger.incarnation, 0))
         answers = ledger.handle(ask, storage.network.now + 1.0)
-        index = msgspec.structs.replace(answers[-1].message, keys=[], asker=former)
+        index = replace(answers[-1].message, keys=[], asker=former)
         storage.network.apply(asker, copier, Receive(name_store(number), index))
 
 
@@ -392,7 +391,7 @@
     del values["place"], values["resumes"]
     data = msgspec.msgpack.encode(EarlierBeginTurn(**values))
     read = msgspec.msgpack.decode(data, type=BeginTurn)
-    expected = msgspec.structs.replace(context.reservation, place=None, resumes=None)
+    expected = replace(context.reservation, place=None, resumes=None)
     assert read == expected, read
 
 
