Copy structs with msgspec in tests and benchmarks, too

After data classes had become structs, 27 scenarios of routing, scheduling and storage failed with a TypeError: their set-up copied objects with dataclasses.replace(), which takes no structs. The checks are unchanged.

--- a/benchmarks/_scheduling_runs.py
+++ b/benchmarks/_scheduling_runs.py
@@ -1,6 +1,8 @@
 """Run seeded workloads under several policies and collect the results of programs."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from burdockwall.fakes.scheduling_site import SchedulingSite
 from burdockwall.fakes.workloads import (
--- a/features/subjects/scheduling.py
+++ b/features/subjects/scheduling.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import replace
 
+import msgspec
+
 from burdockwall.fakes.scheduling_site import SchedulingSite
 from burdockwall.fakes.workloads import ASSOCIATION, Ending, generate_workload
 from burdockwall.machine import Tick
@@ -54,7 +56,7 @@
         self, endpoints: int = 1, places: int = 1, create=Scheduler, **changes
     ) -> None:
         policy = Policy(endpoint_calls=places, window=Window.SPLIT, instances=1)
-        self.policy = replace(policy, **changes)
+        self.policy = msgspec.structs.replace(policy, **changes)
         self.now = 0.0
         self.count = endpoints
         self.scheduler = create(self.policy, NEAR, random.Random(7))
--- a/features/subjects/storage.py
+++ b/features/subjects/storage.py
@@ -1,7 +1,9 @@
 """Stores, and the instances that call them, on a virtual network."""
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from burdockwall.fakes.files import FakeFiles
 from burdockwall.fakes.network import FakeNetwork, NetworkConditions
--- a/features/subjects/stream_place_faults.py
+++ b/features/subjects/stream_place_faults.py
@@ -1,7 +1,9 @@
 """Streams whose stores fail between their beginning and their resumption."""
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+from msgspec.structs import replace
 
 from burdockwall.fakes.network import NetworkConditions
 from burdockwall.process.storage.messages import StreamPlace
