Measure messages by encoding them

Change: a message is measured by its encoding, which is what is sent. One that can't be encoded counts as small, since it is left out of its batch.

--- a/burdockwall/connection/message_queue.py
+++ b/burdockwall/connection/message_queue.py
@@ -8,8 +8,11 @@
 MAX_MESSAGES = 4096
 # Two entries of the log with the largest documents (4 MiB), and small messages.
 MAX_BYTES = 9_437_184
+# What a message takes beside its fields.
 ITEM_BYTES = 32
 
+_encoder = msgspec.msgpack.Encoder()
+
 
 class MessageQueue:
     """Messages that wait to be sent; beyond the bounds the oldest ones are dropped.
@@ -58,18 +61,10 @@
         return self._waiting.popleft()
 
 
-def measure_bytes(value: Any) -> int:
-    """Estimate the size of a value in a message, in bytes."""
-    match value:
-        case str() | bytes():
-            return len(value) + ITEM_BYTES
-        case msgspec.Struct():
-            fields = value.__struct_fields__
-            return sum(measure_bytes(getattr(value, name)) for name in fields)
-        case dict():
-            items = value.items()
-            return sum(measure_bytes(key) + measure_bytes(item) for key, item in items)
-        case list() | tuple() | set() | frozenset():
-            return sum(measure_bytes(item) for item in value)
-        case _:
-            return ITEM_BYTES
+def measure_bytes(message: Any) -> int:
+    """Measure a message as it is sent, in bytes."""
+    try:
+        return len(_encoder.encode(message)) + ITEM_BYTES
+    except Exception:
+        # It can't be sent and is left out of its batch.
+        return ITEM_BYTES
