--- a/burdockwall/process/crashes/judgement.py
+++ b/burdockwall/process/crashes/judgement.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from burdockwall.process.crashes.suspects import (
     NEVER,
     Crash,
@@ -100,8 +102,7 @@
         return len(left) - best
 
 
-@dataclass(frozen=True, slots=True)
-class _Numbered:
+class _Numbered(msgspec.Struct, frozen=True):
     number: int
     crash: Crash
 
--- a/burdockwall/process/reload.py
+++ b/burdockwall/process/reload.py
@@ -1,9 +1,10 @@
 """Reload a changed settings file while the process runs."""
 
-from dataclasses import dataclass, fields
+from dataclasses import fields
 from pathlib import Path
 
 import logbook
+import msgspec
 
 from burdockwall.errors import Code, Fault, InvalidFile
 from burdockwall.settings import Settings, read_settings
@@ -22,8 +23,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class ReloadResult:
+class ReloadResult(msgspec.Struct, frozen=True):
     """The attributes that were changed, and those whose change needs a restart."""
 
     changed: tuple[str, ...]
