Read from callers only what there is room for

What callers saw: an entry, a control instance or a process of the own interface ended for want of memory or descriptors; ordinary callers of it got nothing meanwhile.

Cause: hypercorn read ahead of the application, whose budget counted payload alone, up to 268 MB whatever the machine had. An announced length was not compared before bytes were read, an answered exchange read on for 16 MB, and nothing bounded connections, heads, unread answers or requests sent ahead.

Change: connections of our own on h11 and h2, an account that knows the machine's memory and descriptors (`[machine]`), and a listener that knows its connections. The configuration's header and idle limits are in force.

--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -1,13 +1,15 @@
 """ASGI requests: read them with limits, answer them, and detect that a caller left."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, TypeVar
 from urllib.parse import parse_qsl
 
 import anyio
 import msgspec
 
-from burdockwall.connection.memory import ByteBudget
+from burdockwall.connection.memory import Share
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 
 Scope = dict[str, Any]
@@ -16,8 +18,10 @@
 Headers = list[tuple[bytes, bytes]]
 
 T = TypeVar("T")
-DISCARD_LIMIT_BYTES = 16_777_216
-DISCARD_LIMIT_S = 2.0
+# What a body takes while it is read: its parts, and the whole that they are joined to.
+COPIES_WHILE_READ = 2
+# A body may take as long as one that comes at this rate, beside the silence bound.
+LEAST_BODY_BYTES_PER_S = 16_384
 JSON_TYPE = (b"content-type", b"application/json")
 CLOSE = (b"connection", b"close")
 # Headers that concern one connection only, and are not forwarded.
@@ -49,7 +53,7 @@
         receive: ReceiveEvent,
         send: SendEvent,
         body_silence_s: float,
-        budget: ByteBudget | None = None,
+        share: Share | None = None,
     ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -61,10 +65,14 @@
         self._receive = receive
         self._send = send
         self._body_silence_s = body_silence_s
-        self._budget = budget
-        self._reserved_bytes = 0
+        self._share = share
         self._body_read = False
 
+    async def enter(self) -> None:
+        """Take the place of a request, or raise RequestRefused."""
+        if self._share is not None:
+            await self._share.take_place()
+
     def get_header(self, name: bytes) -> str | None:
         """Return a header's value or None; raise RequestRefused if it came twice."""
         values = [value for key, value in self.headers if key == name]
@@ -78,11 +86,23 @@
         """Return the names and values of the query, in order."""
         return parse_qsl(self.query.decode("latin-1"), keep_blank_values=True)
 
-    async def stream_body(self, limit_bytes: int) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body; raise RequestRefused beyond the limit."""
+    def _read_announced(self) -> int | None:
+        """Return the length of the body that its headers announce, or None."""
+        value = self.get_header(b"content-length")
+        return int(value) if value is not None and value.isdecimal() else None
+
+    async def stream_body(
+        self, limit_bytes: int, limit_s: float = math.inf
+    ) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raise RequestRefused beyond the limits."""
+        announced = self._read_announced()
+        if announced is not None and announced > limit_bytes:
+            raise self._refuse_size(limit_bytes)
         total = 0
+        began_at = anyio.current_time()
         while not self._body_read:
-            event = await self._receive_body()
+            allowed_s = self._body_silence_s + total / LEAST_BODY_BYTES_PER_S
+            event = await self._receive_body(began_at + min(limit_s, allowed_s))
             if event["type"] == "http.disconnect":
                 self.caller_gone.set()
                 raise RequestRefused(Code.BODY_CUT)
@@ -90,36 +110,69 @@
             chunk: bytes = event.get("body", b"")
             total += len(chunk)
             if total > limit_bytes:
-                detail = f"the body exceeds {limit_bytes} bytes"
-                raise RequestRefused(Code.BODY_TOO_LARGE, detail)
+                raise self._refuse_size(limit_bytes)
+            if self._share is not None:
+                self._share.record_progress(len(chunk))
             if chunk:
                 yield chunk
 
-    async def _receive_body(self) -> dict[str, Any]:
+    def _refuse_size(self, limit_bytes: int) -> RequestRefused:
+        detail = f"the body exceeds {limit_bytes} bytes"
+        return RequestRefused(Code.BODY_TOO_LARGE, detail)
+
+    async def _receive_body(self, until: float) -> dict[str, Any]:
+        wait_s = min(self._body_silence_s, until - anyio.current_time())
         try:
-            with anyio.fail_after(self._body_silence_s):
+            with anyio.fail_after(max(0.0, wait_s)):
                 return await self._receive()
         except TimeoutError as error:
             raise RequestRefused(Code.BODY_SLOW) from error
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Read the whole body into memory; raise RequestRefused beyond the limit."""
-        chunks = []
-        async for chunk in self.stream_body(limit_bytes):
-            self._reserve(len(chunk))
-            chunks.append(chunk)
-        return b"".join(chunks)
-
-    def _reserve(self, size_bytes: int) -> None:
-        if self._budget is not None:
-            self._budget.reserve(size_bytes)
-            self._reserved_bytes += size_bytes
-
-    def release(self) -> None:
-        """Release the memory that is reserved for the body."""
-        if self._budget is not None:
-            self._budget.release(self._reserved_bytes)
-            self._reserved_bytes = 0
+    async def read_body(
+        self, limit_bytes: int, owner: str = "", limit_s: float = math.inf
+    ) -> bytes:
+        """Read the whole body into memory once there is room for it.
+
+        The room counts as the owner's. Raise RequestRefused beyond the limits, or if
+        no room becomes free.
+        """
+        if self._share is not None:
+            self._share.set_owner(owner)
+        announced = self._read_announced() or 0
+        drawn = min(announced, limit_bytes + 1)
+        if announced <= limit_bytes:
+            await self.draw(COPIES_WHILE_READ * drawn)
+        body = bytearray()
+        with self._waiting_for_caller():
+            async for chunk in self.stream_body(limit_bytes, limit_s):
+                body += chunk
+                if len(body) > drawn:
+                    await self.draw(COPIES_WHILE_READ * len(body))
+                    drawn += len(body)
+        whole = bytes(body)
+        self.give_back(COPIES_WHILE_READ * drawn - len(whole))
+        return whole
+
+    @contextmanager
+    def _waiting_for_caller(self) -> Iterator[None]:
+        if self._share is None:
+            yield
+            return
+        self._share.begin_wait()
+        try:
+            yield
+        finally:
+            self._share.end_wait()
+
+    async def draw(self, size_bytes: int) -> None:
+        """Take room for bytes that the request holds, or raise RequestRefused."""
+        if self._share is not None:
+            await self._share.draw(size_bytes)
+
+    def give_back(self, size_bytes: int) -> None:
+        """Give back room that the request has drawn."""
+        if self._share is not None:
+            self._share.give_back(size_bytes)
 
     async def watch_caller(self) -> None:
         """Wait until the caller disconnects; the body must have been read."""
@@ -137,9 +190,10 @@
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the answer's body."""
-        await self._send(
-            {"type": "http.response.body", "body": chunk, "more_body": True}
-        )
+        with self._waiting_for_caller():
+            await self._send(
+                {"type": "http.response.body", "body": chunk, "more_body": True}
+            )
 
     async def finish(self) -> None:
         """End the answer's body."""
@@ -161,22 +215,8 @@
         await self.start(status, headers)
         if body:
             await self.write(body)
-        await self._discard_body()
         await self.finish()
 
-    async def _discard_body(self) -> None:
-        # If the connection closed while the caller is still sending, a reset could
-        # reach the caller before it reads the answer.
-        left_bytes = DISCARD_LIMIT_BYTES
-        with anyio.move_on_after(DISCARD_LIMIT_S):
-            while not self._body_read and left_bytes > 0:
-                event = await self._receive()
-                if event["type"] == "http.disconnect":
-                    self.caller_gone.set()
-                    return
-                self._body_read = not event.get("more_body", False)
-                left_bytes -= len(event.get("body", b""))
-
 
 class RefusalBody(msgspec.Struct, frozen=True):
     """The body of a refusal."""
--- a/burdockwall/options/callers.py
+++ b/burdockwall/options/callers.py
@@ -41,8 +41,9 @@
         "body_memory_bytes",
         Kind.INTEGER,
         "bytes",
-        "Most bytes of request bodies in memory at once.",
-        1024,
+        "Most bytes of request bodies in memory at once, beside small ones; 0: as many "
+        "as the machine's memory has room for.",
+        0,
         68_719_476_736,
     ),
     Option(
@@ -65,6 +66,16 @@
         1,
         86_400,
     ),
+    Option(
+        "callers",
+        "head",
+        "caller_head_s",
+        Kind.NUMBER,
+        "s",
+        "How long the head of a request may take from its first byte; at most `idle`.",
+        0.1,
+        3600,
+    ),
     Option(
         "callers",
         "abandon_grace",
--- a/burdockwall/options/process.py
+++ b/burdockwall/options/process.py
@@ -57,6 +57,27 @@
         "",
         "Failure domain in which this instance runs.",
     ),
+    Option(
+        "machine",
+        "memory",
+        "machine_memory_mb",
+        Kind.INTEGER,
+        "MB",
+        "What this process may use of the machine's memory.",
+        64,
+        1_000_000,
+    ),
+    Option(
+        "machine",
+        "descriptors",
+        "machine_descriptors",
+        Kind.INTEGER,
+        "",
+        "How many descriptors this process may have open; 0: as many as the system "
+        "allows.",
+        0,
+        10_000_000,
+    ),
     Option("instance", "region", "region", Kind.TEXT, "", "Region of this instance."),
     Option(
         "instance",
--- a/burdockwall/platform/configuration.py
+++ b/burdockwall/platform/configuration.py
@@ -13,6 +13,7 @@
     HostRoute,
     HostService,
     RequestKind,
+    RequestLimits,
     ServiceShare,
 )
 from burdockwall.version.deployment_ranges import list_faults
@@ -74,7 +75,6 @@
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    # Only max_body_bytes is used; the other values are checked for their types.
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3000.0
@@ -135,7 +135,12 @@
         tuple(_convert_route(route) for route in wire.routes),
         {ServiceName(each.name): _convert_service(each) for each in wire.services},
         tuple(_convert_tenant(tenant) for tenant in wire.tenants),
-        wire.limits.max_body_bytes,
+        RequestLimits(
+            wire.limits.max_body_bytes,
+            wire.limits.max_header_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
     )
 
 
--- a/burdockwall/platform/control.py
+++ b/burdockwall/platform/control.py
@@ -37,10 +37,6 @@
     ttl_s: float
 
 
-class _Emptying(msgspec.Struct):
-    state: str
-
-
 class OperatorHandler:
     """Answers the calls of operators at a control instance."""
 
@@ -68,8 +64,9 @@
 
     async def _serve_call(self, exchange: Exchange) -> None:
         call = (exchange.method, exchange.path)
+        body = await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
         if call == ("POST", names.CONFIG_PUT_PATH):
-            await self._put_configuration(exchange)
+            await self._put_configuration(exchange, body)
         elif call == ("GET", names.CONFIG_GET_PATH):
             await self._get_configuration(exchange)
         elif exchange.path.startswith(names.RETIRE_PREFIX):
@@ -79,8 +76,7 @@
         else:
             raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {exchange.path}")
 
-    async def _put_configuration(self, exchange: Exchange) -> None:
-        body = await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
+    async def _put_configuration(self, exchange: Exchange, body: bytes) -> None:
         deployment = decode_new(body)
         await self.documents.put(DEPLOYMENT, deployment.number, body, OPERATOR)
         await exchange.answer(200, JSON_HEADERS, b"{}")
@@ -93,7 +89,6 @@
 
     async def _serve_retire(self, exchange: Exchange) -> None:
         name, _, action = exchange.path.removeprefix(names.RETIRE_PREFIX).partition("/")
-        await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
         await self.node.control.confirm_read()
         instance = find_store(self.node, name)
         if instance is None:
@@ -106,7 +101,7 @@
                 emptied = await self.node.is_emptied(instance)
                 if emptied is None:
                     raise OperatorError(Code.STORE_UNKNOWN, f"{name!r} is in use")
-                body = msgspec.json.encode(_Emptying(EMPTYING_STATES[emptied]))
+                body = msgspec.json.encode({"state": EMPTYING_STATES[emptied]})
                 await exchange.answer(200, JSON_HEADERS, body)
             case _:
                 raise RequestRefused(Code.NO_ROUTE, f"{exchange.method} {action}")
@@ -114,7 +109,6 @@
     async def _serve_evacuate(self, exchange: Exchange) -> None:
         path = exchange.path.removeprefix(names.EVACUATE_PREFIX)
         zone, _, action = path.rpartition("/")
-        await exchange.read_body(CONFIGURATION_LIMIT_BYTES)
         orders = self.node.evacuation_orders
         match (exchange.method, action):
             case ("POST", "start"):
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -29,6 +29,7 @@
 from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.limits.fallback import FALLBACK_SILENCE_S, InstanceCount
 from burdockwall.process.limits.leader import LeaderLimits
+from burdockwall.process.machine import PortKind
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.health_reports import ReportHealth
@@ -401,6 +402,7 @@
                 self._serve_control,
                 self.member.stopping,
                 STOP_GRACE_S,
+                self.member.machine.create_options(PortKind.OPERATORS),
             )
 
     async def _serve_callers(self) -> None:
@@ -410,6 +412,7 @@
                 self._serve_directory,
                 self.member.stopping,
                 STOP_GRACE_S,
+                self.member.machine.create_options(PortKind.CALLERS),
             )
 
     async def run(self, path: Path | None) -> None:
--- a/burdockwall/process/entry.py
+++ b/burdockwall/process/entry.py
@@ -9,7 +9,7 @@
 import logbook
 
 from burdockwall.connection.exchange import Exchange, run_while_connected
-from burdockwall.connection.memory import ByteBudget
+from burdockwall.connection.memory import MemoryAccount
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.drain import Drain
@@ -54,6 +54,7 @@
         host: Host,
         list_members: Callable[[], list[EntryInstance]],
         get_lease_end: Callable[[], float],
+        account: MemoryAccount,
     ) -> None:
         self.settings = settings
         self.list_members = list_members
@@ -84,7 +85,7 @@
         self.drain = Drain()
         self.drain_gate = DrainGate(self.drain)
         self.metrics = Metrics()
-        self.budget = ByteBudget(settings.body_memory_bytes)
+        self.budget = account
         self.in_flight = 0
         self._logger = logbook.Logger("entry")
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -9,6 +9,7 @@
 import logbook
 
 from burdockwall.connection.exchange import CLOSE, Exchange, run_while_connected
+from burdockwall.connection.listener import ConnectionLimits
 from burdockwall.connection.upstream_pools import UpstreamPools
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 from burdockwall.process.cold_endpoints.bounds import ColdBounds
@@ -43,6 +44,7 @@
     build_leader_shards,
     list_deployment_limits,
 )
+from burdockwall.process.machine import PortKind
 from burdockwall.process.member import FleetMember
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
@@ -57,7 +59,7 @@
 from burdockwall.process.storage.view import STORE_VIEW, decode_view
 from burdockwall.process.supervisor import run_each
 from burdockwall.process.version_client import VersionClient
-from burdockwall.process.web import WebLimits, serve_address
+from burdockwall.process.web import serve_address
 from burdockwall.request.codec import ForwardedRequest, RequestCodec
 from burdockwall.request.forwarding import Forwarding, compute_expiry
 from burdockwall.request.forwarding_parts import ForwardingParts
@@ -82,7 +84,10 @@
 STARTUP_PERIOD_S = 3.0
 EXPIRE_INTERVAL_S = 1.0
 CUT_OFF_RETRY_S = 0.1
-CALLER_IDLE_S = 20.0
+# Before any configuration has come.
+STARTUP_IDLE_S = 20.0
+# A configuration bounds the headers, to which the first line of a request comes.
+FIRST_LINE_BYTES = 8192
 # The requests in flight have ended before.
 STOP_GRACE_S = 0.2
 REQUEST_COST = 1.0
@@ -339,7 +344,11 @@
             trace.customer = customer.name
         expires_at = compute_expiry(route, request, trace.started_at)
         self.drain_gate.check(expires_at)
-        body = await exchange.read_body(view.deployment.max_body_bytes)
+        body = await exchange.read_body(
+            view.deployment.limits.body_bytes,
+            customer.name if customer is not None else "",
+            expires_at - self.clock(),
+        )
         # The shutdown may have begun while the body came.
         self.drain_gate.check(expires_at)
         forwarding = Forwarding(
@@ -584,11 +593,30 @@
         await self.member.run(path, tasks, servers)
 
     async def _serve_callers(self) -> None:
-        limits = WebLimits(CALLER_IDLE_S, CALLER_IDLE_S)
+        options = self.member.machine.create_options(
+            PortKind.CALLERS, self._get_connection_limits
+        )
         address = self.settings.caller_address
-        await serve_address(address, self.serve, self.ended, STOP_GRACE_S, limits)
+        await serve_address(address, self.serve, self.ended, STOP_GRACE_S, options)
+
+    def _get_connection_limits(self) -> ConnectionLimits:
+        """Return the limits of the configuration in force."""
+        if self.view is None:
+            return ConnectionLimits(
+                idle_s=STARTUP_IDLE_S, body_silence_s=STARTUP_IDLE_S
+            )
+        limits = self.view.deployment.limits
+        return ConnectionLimits(
+            limits.idle_s,
+            limits.head_s,
+            limits.head_bytes + FIRST_LINE_BYTES,
+            limits.idle_s,
+        )
 
     async def _serve_readiness(self) -> None:
         address = self.settings.ready_address
         if address:
-            await serve_address(address, self.serve_ready, self.ended, STOP_GRACE_S)
+            options = self.member.machine.create_options(PortKind.MONITORS)
+            await serve_address(
+                address, self.serve_ready, self.ended, STOP_GRACE_S, options
+            )
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -17,6 +17,7 @@
 from burdockwall.process.exposition import Gauges, PrometheusPage
 from burdockwall.process.host import Host
 from burdockwall.process.installation import Installation
+from burdockwall.process.machine import Machine, PortKind
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.replica import StateReplica
 from burdockwall.process.membership.shell import Membership
@@ -39,6 +40,7 @@
         self, settings: Settings, install: Callable[[StateReplica], None]
     ) -> None:
         self.settings = settings
+        self.machine = Machine(settings)
         self.incarnation = Incarnation(time.time_ns())
         self.bus = PeerBus(
             settings.instance_id,
@@ -73,6 +75,10 @@
             "versions_behind", lambda: float(self.membership.count_versions_behind())
         )
         self.gauges.add("version_not_in_force", lambda: float(self.is_behind()))
+        account = self.machine.account
+        self.gauges.add("body_bytes", lambda: float(account.bodies.taken))
+        self.gauges.add("request_places", lambda: float(account.requests.taken))
+        self.gauges.add("requests_given_up", lambda: float(account.given_up_count))
         self.gauges.add("errors_survived", lambda: float(self.bus.failures.count))
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
@@ -129,7 +135,10 @@
         address = self.settings.metrics_address
         if address:
             page = PrometheusPage(self.metrics, self.gauges)
-            await serve_address(address, page.serve, anyio.Event(), STOP_GRACE_S)
+            options = self.machine.create_options(PortKind.MONITORS)
+            await serve_address(
+                address, page.serve, anyio.Event(), STOP_GRACE_S, options
+            )
 
     def _stop(self, number: signal.Signals) -> None:
         self._logger.notice("stopping", extra={"signal": number.name})
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -34,6 +34,7 @@
 from burdockwall.process.evacuation.orders import EvacuationOrders, find_in
 from burdockwall.process.host import Host
 from burdockwall.process.installation import Installation
+from burdockwall.process.machine import Machine, PortKind
 from burdockwall.process.membership.messages import InstanceDetails
 from burdockwall.process.membership.platform import PlatformReader
 from burdockwall.process.membership.replica import StateReplica
@@ -46,7 +47,7 @@
 from burdockwall.process.scheduling.explain import describe_placements
 from burdockwall.process.signals import follow_signals
 from burdockwall.process.supervisor import Supervisor, Task
-from burdockwall.process.web import create_limits, serve_address
+from burdockwall.process.web import serve_address
 from burdockwall.settings import Settings, check_combinations
 from burdockwall.types import (
     Address,
@@ -72,6 +73,7 @@
         if faults:
             raise InvalidFile(Code.SETTINGS_INVALID, faults)
         self.settings = settings
+        self.machine = Machine(settings)
         self.stop = anyio.Event()
         self._logger = logbook.Logger("node")
         self.bus = PeerBus(
@@ -120,6 +122,7 @@
             self.host,
             self.list_members,
             lambda: self.membership.lease_until,
+            self.machine.account,
         )
         self.hosted_drain = self.host.add(
             entry.drain, (), lambda action: self._perform_drain(entry, action)
@@ -307,8 +310,8 @@
     async def _serve_operators(self, ended: anyio.Event) -> None:
         address = self.settings.operator_address
         serve = self.operations.serve
-        limits = create_limits(self.settings)
-        await serve_address(address, serve, ended, OPERATOR_GRACE_S, limits)
+        options = self.machine.create_options(PortKind.OPERATORS, secure=True)
+        await serve_address(address, serve, ended, OPERATOR_GRACE_S, options)
 
     async def _serve_callers(self) -> None:
         if self.entry is None:
@@ -319,7 +322,7 @@
             self.entry.serve,
             self.stop,
             CALLER_GRACE_S,
-            create_limits(self.settings, self.entry.budget),
+            self.machine.create_options(PortKind.CALLERS, secure=True),
         )
 
     def reload(self, path: Path | None) -> None:
--- a/burdockwall/process/web.py
+++ b/burdockwall/process/web.py
@@ -1,110 +1,88 @@
-"""Serve HTTP on an address with hypercorn until asked to stop."""
+"""Serve HTTP on an address until asked to stop."""
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
-from pathlib import Path
-from typing import Any
+from contextlib import suppress
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
 import msgspec
 
-from burdockwall.connection.exchange import (
-    Exchange,
-    ReceiveEvent,
-    Scope,
-    SendEvent,
-    answer_refusal,
+from burdockwall.connection.exchange import Exchange, answer_refusal
+from burdockwall.connection.http1 import Http1Connection
+from burdockwall.connection.listener import (
+    READ_BYTES,
+    ConnectionLimits,
+    Connections,
+    Listener,
+    Port,
 )
-from burdockwall.connection.memory import ByteBudget
+from burdockwall.connection.memory import MemoryAccount, MemoryPlan
 from burdockwall.errors import BurdockwallError
-from burdockwall.settings import Settings
+from burdockwall.process.clock import read_clock
 from burdockwall.types import Address
 
 Serve = Callable[[Exchange], Awaitable[None]]
-IDLE_S = 75.0
-BACKLOG_CONNECTIONS = 1024
-HEADERS_LIMIT_BYTES = 32_768
+HTTP_2 = "h2"
 
 
-class WebLimits(msgspec.Struct, frozen=True):
-    """The limits of connections and the files for TLS; times in seconds."""
+def get_default_limits() -> ConnectionLimits:
+    """Return the limits of connections that no settings give."""
+    return ConnectionLimits()
 
-    idle_s: float = IDLE_S
-    body_silence_s: float = IDLE_S
-    budget: ByteBudget | None = None
-    certificate: Path | None = None
-    key: Path | None = None
 
+class WebOptions(msgspec.Struct, frozen=True):
+    """The bounds of an address: its connections, their limits and their memory."""
 
-DEFAULT_LIMITS = WebLimits()
+    connections: int = 4096
+    get_limits: Callable[[], ConnectionLimits] = get_default_limits
+    account: MemoryAccount | None = None
+    tls: ssl.SSLContext | None = None
 
 
-def create_limits(settings: Settings, budget: ByteBudget | None = None) -> WebLimits:
-    """Create the limits of the caller and operator ports."""
-    return WebLimits(
-        idle_s=settings.caller_idle_s,
-        body_silence_s=settings.body_silence_s,
-        budget=budget,
-        certificate=settings.caller_certificate,
-        key=settings.caller_key,
-    )
+DEFAULT_OPTIONS = WebOptions()
+
 
+class _Choice(asyncio.Protocol):
+    """Chooses the protocol of a connection by what TLS has agreed on."""
 
-def create_app(serve: Serve, limits: WebLimits) -> Any:
-    """Create the ASGI application that passes each request to a function."""
+    def __init__(self, port: Port) -> None:
+        self.port = port
 
-    async def app(scope: Scope, receive: ReceiveEvent, send: SendEvent) -> None:
-        if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
-        elif scope["type"] == "http":
-            await _serve_exchange(
-                Exchange(scope, receive, send, limits.body_silence_s, limits.budget),
-                serve,
-            )
-        elif scope["type"] == "websocket":
-            await send({"type": "websocket.close"})
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        agreed = transport.get_extra_info("ssl_object").selected_alpn_protocol()
+        chosen: asyncio.BaseProtocol
+        if agreed == HTTP_2:
+            # Imported here, since most processes have no use for it.
+            from burdockwall.connection.http2 import Http2Connection
 
-    return app
+            chosen = Http2Connection(self.port)
+        else:
+            chosen = Http1Connection(self.port)
+        transport.set_protocol(chosen)
+        chosen.connection_made(transport)
 
 
-async def _serve_exchange(exchange: Exchange, serve: Serve) -> None:
+async def _serve_exchange(serve: Serve, exchange: Exchange) -> None:
     try:
+        await exchange.enter()
         await serve(exchange)
     except BurdockwallError as error:
         if exchange.started:
             raise
         await answer_refusal(exchange, error)
-    finally:
-        exchange.release()
-
-
-async def _answer_lifespan(receive: ReceiveEvent, send: SendEvent) -> None:
-    while True:
-        event = await receive()
-        await send({"type": f"{event['type']}.complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
-def create_config(
-    address: Address, grace_s: float, limits: WebLimits
-) -> hypercorn.config.Config:
-    """Create hypercorn's configuration for one listening address."""
-    config = hypercorn.config.Config()
-    config.bind = [address]
-    config.graceful_timeout = grace_s
-    config.keep_alive_timeout = limits.idle_s
-    config.backlog = BACKLOG_CONNECTIONS
-    config.h11_max_incomplete_size = HEADERS_LIMIT_BYTES
-    if limits.certificate is not None:
-        config.certfile = str(limits.certificate)
-        config.keyfile = str(limits.key)
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    return config
+
+
+def create_port(serve: Serve, options: WebOptions) -> Port:
+    """Create what the connections of an address share."""
+    account = options.account or MemoryAccount(MemoryPlan(), read_clock)
+    return Port(
+        Connections(options.connections, options.get_limits),
+        account,
+        lambda exchange: _serve_exchange(serve, exchange),
+        memoryview(bytearray(READ_BYTES)),
+        set(),
+    )
 
 
 async def serve_address(
@@ -112,32 +90,40 @@
     serve: Serve,
     stop: anyio.Event,
     grace_s: float,
-    limits: WebLimits = DEFAULT_LIMITS,
+    options: WebOptions = DEFAULT_OPTIONS,
 ) -> None:
     """Serve an address until the event is set and its requests have ended."""
-    config = create_config(address, grace_s, limits)
-    ended = anyio.Event()
-
-    async def wait_for_stop() -> None:
-        async with anyio.create_task_group() as group:
-            for event in (stop, ended):
-                group.start_soon(_cancel_after, event, group.cancel_scope)
-
-    # hypercorn cancels its own tasks when it stops. It runs in a separate task, so that
-    # these cancellations do not reach the surrounding cancel scopes.
-    server = asyncio.create_task(
-        hypercorn.asyncio.serve(
-            create_app(serve, limits), config, shutdown_trigger=wait_for_stop
-        )
-    )
+    port = create_port(serve, options)
+
+    def create_protocol() -> asyncio.BaseProtocol:
+        return Http1Connection(port) if options.tls is None else _Choice(port)
+
+    listener = Listener(address, port.connections, create_protocol, options.tls)
+    listening = listener.open()
+    listener.start(listening)
     try:
-        await asyncio.shield(server)
+        await stop.wait()
+        await listener.close(listening)
+        await _end_requests(port, grace_s)
     finally:
-        ended.set()
         with anyio.CancelScope(shield=True):
-            await asyncio.wait([server])
-
-
-async def _cancel_after(event: anyio.Event, scope: anyio.CancelScope) -> None:
-    await event.wait()
-    scope.cancel()
+            await listener.close(listening)
+            await _close(port)
+
+
+async def _end_requests(port: Port, grace_s: float) -> None:
+    """Close idle connections, and let the requests under way end for a while."""
+    port.connections.stop()
+    with anyio.move_on_after(grace_s):
+        while port.tasks:
+            await asyncio.wait(port.tasks)
+
+
+async def _close(port: Port) -> None:
+    port.connections.abort_all()
+    # The requests see that their callers are gone.
+    await asyncio.sleep(0)
+    for task in list(port.tasks):
+        task.cancel()
+    with suppress(asyncio.CancelledError):
+        await asyncio.gather(*port.tasks, return_exceptions=True)
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -23,6 +23,8 @@
     regions: dict[FailureDomain, str] = field(default_factory=dict)
     data_folder: Path | None = None
     store_limit_bytes: int = 134_217_728
+    machine_memory_mb: int = 1024
+    machine_descriptors: int = 0
     caller_address: Address = Address("127.0.0.1:8080")
     operator_address: Address = Address("127.0.0.1:8081")
     peer_address: Address = Address("127.0.0.1:8082")
@@ -79,9 +81,10 @@
     open_burst: int = 1000
     admission_limit: int = 512
     admission_reserve: float = 0.05
-    body_memory_bytes: int = 268_435_456
+    body_memory_bytes: int = 0
     body_silence_s: float = 10.0
     caller_idle_s: float = 30.0
+    caller_head_s: float = 10.0
     caller_certificate: Path | None = None
     caller_key: Path | None = None
     peer_certificate: Path | None = None
--- a/burdockwall/version/deployment.py
+++ b/burdockwall/version/deployment.py
@@ -109,14 +109,23 @@
     allowed_regions: frozenset[str] | None = None
 
 
+class RequestLimits(msgspec.Struct, frozen=True):
+    """What a request of a caller may take, and how long its connection may be idle."""
+
+    body_bytes: int = 4_194_304
+    head_bytes: int = 16_384
+    head_s: float = 3.0
+    idle_s: float = 15.0
+
+
 class Deployment(msgspec.Struct, frozen=True):
-    """A numbered configuration; `max_body_bytes` bounds the body of a request."""
+    """A numbered configuration."""
 
     number: int
     routes: tuple[HostRoute, ...]
     services: dict[ServiceName, HostService]
     customers: tuple[HostCustomer, ...]
-    max_body_bytes: int = 4_194_304
+    limits: RequestLimits = RequestLimits()
 
 
 class DeploymentView(msgspec.Struct):
--- a/burdockwall/version/deployment_ranges.py
+++ b/burdockwall/version/deployment_ranges.py
@@ -35,6 +35,12 @@
     "rank": RANK,
     "max_attempts": COUNT,
 }
+LIMIT_RANGES: Ranges = {
+    "body_bytes": COUNT,
+    "head_bytes": COUNT,
+    "head_s": TIME_S,
+    "idle_s": TIME_S,
+}
 CUSTOMER_RANGES: Ranges = {"rank": RANK, "rate_per_s": COUNT, "burst": COUNT}
 ENGINE_RANGES: Ranges = {"event_tokens": COUNT, "memory_tokens": COUNT}
 COLD_RANGES: Ranges = {"start_s": TIME_S, "per_s": COUNT}
@@ -44,7 +50,7 @@
     """List the place of each fault, and the value and problem there."""
     place = "configuration"
     yield from _check(place, deployment, {"number": (0, MAX_NUMBER)})
-    yield from _check(place, deployment, {"max_body_bytes": COUNT})
+    yield from _check(place, deployment.limits, LIMIT_RANGES)
     for route in deployment.routes:
         yield from _check_route(route)
     yield from _check_doubles(deployment)
