Read answers of endpoints only while there is room for them

What callers saw: an entry ended for want of memory while some endpoints answered without end.

Cause: whole answers were read up to 16 MiB each and joined, events of kept turns without any bound, and a request was copied whole to be sent.

Change: what is read of an answer, an event or a chain draws from the request's share; without room the caller gets 502, since it may have run, also through a peer. Requests are sent to endpoints in parts.

--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from burdockwall.connection.memory import Share
+from burdockwall.connection.memory import COPIES_WHILE_READ, Collector, Share
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 
 Scope = dict[str, Any]
@@ -18,8 +18,6 @@
 Headers = list[tuple[bytes, bytes]]
 
 T = TypeVar("T")
-# What a body takes while it is read: its parts, and the whole that they are joined to.
-COPIES_WHILE_READ = 2
 # A body may take as long as one that comes at this rate, beside the silence bound.
 LEAST_BODY_BYTES_PER_S = 16_384
 JSON_TYPE = (b"content-type", b"application/json")
@@ -139,19 +137,15 @@
         if self._share is not None:
             self._share.set_owner(owner)
         announced = self._read_announced() or 0
-        drawn = min(announced, limit_bytes + 1)
-        if announced <= limit_bytes:
-            await self.draw(COPIES_WHILE_READ * drawn)
-        body = bytearray()
+        if announced > limit_bytes:
+            raise self._refuse_size(limit_bytes)
+        await self.draw(COPIES_WHILE_READ * announced)
+        collector = Collector(self.draw, announced)
         with self._waiting_for_caller():
             async for chunk in self.stream_body(limit_bytes, limit_s):
-                body += chunk
-                if len(body) > drawn:
-                    await self.draw(COPIES_WHILE_READ * len(body))
-                    drawn += len(body)
-        whole = bytes(body)
-        self.give_back(COPIES_WHILE_READ * drawn - len(whole))
-        return whole
+                await collector.add(chunk)
+        self.give_back(COPIES_WHILE_READ * collector.drawn_bytes - len(collector))
+        return collector.join()
 
     @contextmanager
     def _waiting_for_caller(self) -> Iterator[None]:
--- a/burdockwall/connection/memory.py
+++ b/burdockwall/connection/memory.py
@@ -5,7 +5,8 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from types import TracebackType
 
 import anyio
@@ -20,6 +21,8 @@
 STALL_S = 0.5
 # Fewer bytes are no progress.
 PROGRESS_BYTES = 16_384
+# What a body takes while it is read: its parts, and the whole that they are joined to.
+COPIES_WHILE_READ = 2
 # What the place of a request covers, so that small requests need no further room.
 COVERED_BYTES = 8_192
 # What one customer may take of the room for bodies.
@@ -31,10 +34,11 @@
 
 
 class MemoryPlan(msgspec.Struct, frozen=True):
-    """How many requests are served at once, and how many bytes large bodies take."""
+    """How many requests are served at once, and what bodies and peers' batches take."""
 
     requests: int = 1024
     bodies_bytes: int = 268_435_456
+    peers_bytes: int = 134_217_728
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -111,6 +115,11 @@
                 self._admit()
         return waiter.taken
 
+    @property
+    def largest(self) -> int:
+        """Return the most that one may ask for."""
+        return int(LARGE_SUM_PART * self.limit)
+
     def _can_ever_fit(self, demand: Demand) -> bool:
         most = self._compute_limit(demand)
         if demand.owner:
@@ -150,6 +159,7 @@
     def __init__(self, plan: MemoryPlan, clock: Callable[[], float]) -> None:
         self.requests = Pool(plan.requests, "requests")
         self.bodies = Pool(plan.bodies_bytes, "bodies")
+        self.peers = Pool(plan.peers_bytes, "batches of peers")
         self.clock = clock
         self.given_up_count = 0
         self._stalled: dict[Share, float] = {}
@@ -161,7 +171,11 @@
 
     def open_share(self, give_up: Callable[[], None]) -> "Share":
         """Open the share of a request; `give_up` ends the request."""
-        return Share(self, give_up)
+        return Share(self, self.bodies, give_up)
+
+    def open_peer_share(self, give_up: Callable[[], None]) -> "Share":
+        """Open the share of a peer's batch; `give_up` ends its connection."""
+        return Share(self, self.peers, give_up)
 
     def set_stalled(self, share: "Share", since: float | None) -> None:
         """Record since when a share's caller has made no progress; None: it has."""
@@ -202,14 +216,22 @@
             await anyio.sleep(STALL_S / 4)
 
 
+def create_default_account() -> MemoryAccount:
+    """Create the account of a process whose machine nobody describes."""
+    return MemoryAccount(MemoryPlan(), anyio.current_time)
+
+
 class Share:
     """What one request has taken: a place, and room for its bodies.
 
     The place covers COVERED_BYTES of its bodies.
     """
 
-    def __init__(self, account: MemoryAccount, give_up: Callable[[], None]) -> None:
+    def __init__(
+        self, account: MemoryAccount, pool: Pool, give_up: Callable[[], None]
+    ) -> None:
         self.account = account
+        self.pool = pool
         self.give_up = give_up
         self.owner = ""
         self._has_place = False
@@ -242,7 +264,7 @@
             # Whoever waits for room does not wait for its caller.
             waits = self.account.is_stalled(self)
             self.end_wait()
-            await self.account.take(self.account.bodies, demand)
+            await self.account.take(self.pool, demand)
             self._taken_bytes += more
             if waits:
                 self.begin_wait()
@@ -254,7 +276,7 @@
         spare = self._taken_bytes - max(0, self._needed_bytes - COVERED_BYTES)
         if spare > 0:
             self._taken_bytes -= spare
-            self.account.bodies.give_back(spare, self.owner)
+            self.pool.give_back(spare, self.owner)
 
     def begin_wait(self) -> None:
         """Record that the request waits for its caller."""
@@ -271,24 +293,62 @@
         """Record that the request does not wait for its caller any more."""
         self.account.set_stalled(self, None)
 
-    def close(self) -> None:
-        """Give everything back."""
+    def reset(self) -> None:
+        """Give everything back but the place."""
         self.end_wait()
         self.give_back(self._needed_bytes)
+
+    def close(self) -> None:
+        """Give everything back."""
+        self.reset()
         if self._has_place:
             self._has_place = False
             self.account.requests.give_back(1, "")
 
 
-class Room:
-    """A context that takes room for some bytes of work of the process's own."""
+class Collector:
+    """Joins the parts of a body, for which room is drawn as it grows.
+
+    `drawn_bytes` is the length for which there is room already.
+    """
+
+    def __init__(
+        self, draw: Callable[[int], Awaitable[None]], drawn_bytes: int = 0
+    ) -> None:
+        self._draw = draw
+        self.drawn_bytes = drawn_bytes
+        self._body = bytearray()
+
+    def __len__(self) -> int:
+        return len(self._body)
+
+    async def add(self, part: bytes) -> None:
+        """Add a part, or raise RequestRefused if there is no room for it."""
+        size = len(self._body) + len(part)
+        if size > self.drawn_bytes:
+            # Seldom, since the room at least doubles.
+            more = max(size - self.drawn_bytes, self.drawn_bytes)
+            await self._draw(COPIES_WHILE_READ * more)
+            self.drawn_bytes += more
+        self._body += part
+
+    def join(self) -> bytes:
+        """Return the whole body."""
+        return bytes(self._body)
+
+
+class PatientRoom:
+    """A context with room for a batch to a peer, which waits until there is some."""
 
     def __init__(self, account: MemoryAccount, size_bytes: int) -> None:
-        self.share = account.open_share(lambda: None)
-        self.size_bytes = size_bytes
+        self._share = account.open_peer_share(lambda: None)
+        self._size_bytes = min(size_bytes, account.peers.largest)
 
     async def __aenter__(self) -> None:
-        await self.share.draw(self.size_bytes)
+        while True:
+            with suppress(RequestRefused):
+                await self._share.draw(self._size_bytes)
+                return
 
     async def __aexit__(
         self,
@@ -296,4 +356,4 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self.share.close()
+        self._share.close()
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -7,7 +7,7 @@
 
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import anyio
@@ -18,9 +18,12 @@
 from burdockwall.connection.address import split_address
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.keepalive import SOCKET_OPTIONS
+from burdockwall.connection.memory import Collector
 from burdockwall.types import Address
 
 READ_BYTES = 65_536
+# A longer request is given to the connection in parts.
+SEND_BYTES = 65_536
 # A longer head of an answer is treated as an error of the endpoint.
 HEAD_LIMIT_BYTES = 65_536
 # After this many answers to other requests, the connection counts as broken.
@@ -127,15 +130,16 @@
     ) -> None:
         """Send a whole request."""
         machine = self._machine
-        parts = [
-            machine.send(h11.Request(method=method, target=target, headers=headers))
-        ]
-        if body:
-            parts.append(machine.send(h11.Data(data=body)))
-        parts.append(machine.send(h11.EndOfMessage()))
-        data = b"".join(part for part in parts if part)
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = machine.send(head) or b""
         try:
-            await self.stream.send(data)
+            for start in range(0, len(body), SEND_BYTES):
+                part = body[start : start + SEND_BYTES]
+                data += machine.send(h11.Data(data=part)) or b""
+                if start + SEND_BYTES < len(body):
+                    await self.stream.send(data)
+                    data = b""
+            await self.stream.send(data + (machine.send(h11.EndOfMessage()) or b""))
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             # The endpoint may have answered before it read the whole request.
             return
@@ -150,7 +154,7 @@
             if owner is AnswerOwner.REQUEST or (self._unnamed and not self._reused):
                 return head
             self.skipped_count += 1
-            await self.read_body(SKIPPED_BODY_LIMIT_BYTES)
+            await self.skip_body(SKIPPED_BODY_LIMIT_BYTES)
             self._start_next()
         raise ConnectionBroken("the answers belong to other requests")
 
@@ -189,16 +193,27 @@
             return None
         return b"".join(parts)
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Read the rest of the body; raise ConnectionBroken beyond the limit."""
-        parts: list[bytes] = []
+    async def skip_body(self, limit_bytes: int) -> None:
+        """Read the rest of a body of no use; raise ConnectionBroken beyond a limit."""
         size = 0
         while (part := await self.read_part()) is not None:
             size += len(part)
             if size > limit_bytes:
                 raise ConnectionBroken(f"the answer exceeds {limit_bytes} bytes")
-            parts.append(part)
-        return b"".join(parts)
+
+    async def read_body(
+        self, limit_bytes: int, draw: Callable[[int], Awaitable[None]]
+    ) -> bytes:
+        """Read the rest of the body as room for it is drawn.
+
+        Raise ConnectionBroken beyond the limit, and what `draw` raises without room.
+        """
+        collector = Collector(draw)
+        while (part := await self.read_part()) is not None:
+            if len(collector) + len(part) > limit_bytes:
+                raise ConnectionBroken(f"the answer exceeds {limit_bytes} bytes")
+            await collector.add(part)
+        return collector.join()
 
     def _parse_event(self) -> object:
         try:
--- a/burdockwall/process/machine.py
+++ b/burdockwall/process/machine.py
@@ -24,10 +24,11 @@
 PROCESS_BYTES = 80 * BYTES_PER_MB
 # On a machine that is smaller than that, so much is divided all the same.
 LEAST_ROOM_PART = 0.25
-CONNECTIONS_PART = 0.2
+CONNECTIONS_PART = 0.15
 REQUESTS_PART = 0.2
-BODIES_PART = 0.5
-# A store keeps turns in memory, and needs room to receive and write them.
+BODIES_PART = 0.35
+PEERS_PART = 0.3
+# A store has no callers; it keeps turns in memory.
 STORED_PART = 0.45
 # What one of them takes, with what waits unread in its socket.
 CONNECTION_BYTES = 12_288
@@ -81,7 +82,11 @@
     if settings.body_memory_bytes:
         bodies = min(bodies, settings.body_memory_bytes)
     return MachineParts(
-        MemoryPlan(int(REQUESTS_PART * room / REQUEST_BYTES), int(bodies)),
+        MemoryPlan(
+            int(REQUESTS_PART * room / REQUEST_BYTES),
+            int(bodies),
+            int(PEERS_PART * room),
+        ),
         max(SMALL_PORT_CONNECTIONS, int(callers)),
         max(SMALL_PORT_CONNECTIONS, int(peers)),
         stored,
--- a/burdockwall/process/web.py
+++ b/burdockwall/process/web.py
@@ -17,9 +17,8 @@
     Listener,
     Port,
 )
-from burdockwall.connection.memory import MemoryAccount, MemoryPlan
+from burdockwall.connection.memory import MemoryAccount, create_default_account
 from burdockwall.errors import BurdockwallError
-from burdockwall.process.clock import read_clock
 from burdockwall.types import Address
 
 Serve = Callable[[Exchange], Awaitable[None]]
@@ -75,7 +74,7 @@
 
 def create_port(serve: Serve, options: WebOptions) -> Port:
     """Create what the connections of an address share."""
-    account = options.account or MemoryAccount(MemoryPlan(), read_clock)
+    account = options.account or create_default_account()
     return Port(
         Connections(options.connections, options.get_limits),
         account,
--- a/burdockwall/request/events.py
+++ b/burdockwall/request/events.py
@@ -39,6 +39,11 @@
         self._tail = data[end:]
         return data[:end]
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the bytes of the event that has not ended yet."""
+        return len(self._tail)
+
     @property
     def has_partial(self) -> bool:
         """Return whether the bytes so far end within an event."""
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -12,6 +12,7 @@
 from msgspec.structs import replace
 
 from burdockwall.connection.exchange import CLOSE, Exchange, Headers
+from burdockwall.connection.memory import Collector
 from burdockwall.connection.upstream import (
     AnswerHead,
     ConnectFailed,
@@ -63,6 +64,8 @@
 MAX_ENDPOINT_REFUSALS = 3
 STATUS_OK = range(200, 300)
 ANSWER_LIMIT_BYTES = 16_777_216
+# Room is drawn for events that grow by more than this before they end.
+SPLIT_BYTES = 65_536
 # The owner of turns on routes that need no key.
 ANONYMOUS_CUSTOMER = CustomerId("")
 _logger = logbook.Logger("front")
@@ -167,8 +170,7 @@
                     chain.place, self.trace.started_at, self.parts.confirm_version
                 )
                 self._check_limits(self.choice.check_evacuated)
-            links = [link.prompt + link.answer for link in chain.links]
-            self.body = b"".join([*links, prompt])
+            await self._join_chain(chain, prompt)
             if chain.other_group:
                 # The turn's own stores lack the chain, so it is stored with the turn.
                 self.turn = replace(start, previous=None)
@@ -182,6 +184,23 @@
                 outcome = TurnOutcome(self.progress.tokens, False)
                 self.parts.settle_later(start, outcome)
 
+    async def _join_chain(self, chain: TurnChain, prompt: bytes) -> None:
+        if not chain.links:
+            return
+        texts = [text for link in chain.links for text in (link.prompt, link.answer)]
+        # The links themselves are held until the request ends, too.
+        size = sum(len(text) for text in texts)
+        await self._draw(2 * size + len(prompt))
+        self.body = b"".join([*texts, prompt])
+
+    async def _draw(self, size_bytes: int) -> None:
+        """Take room for bytes, or raise a refusal that says whether it has run."""
+        try:
+            await self.exchange.draw(size_bytes)
+        except RequestRefused as error:
+            self.progress.last_failure = error.detail
+            raise self._build_refusal(error.code) from error
+
     def _check_limits(self, check: Callable[[], None]) -> None:
         """Refuse a request at once that no endpoint may be sent now."""
         try:
@@ -211,6 +230,7 @@
             place=place,
             resumes=self.binding.begun_by,
             stream_s=self.binding.stream_s,
+            prompt_bytes=len(self.body) if self.route.retains_turns else 0,
         )
 
     async def _admit(self, chain: TurnChain | None) -> None:
@@ -454,7 +474,7 @@
             await self._relay_stream(connection, head, prompt, seen)
             return
         seen.start_wait()
-        body = await connection.read_body(ANSWER_LIMIT_BYTES)
+        body = await connection.read_body(ANSWER_LIMIT_BYTES, self._draw)
         seen.stop_wait()
         if not details.ran:
             self.progress.runs -= 1
@@ -483,7 +503,8 @@
         seen: AttemptHealth,
     ) -> None:
         splitter = EventSplitter()
-        answer: list[bytes] = []
+        answer = Collector(self._draw)
+        partial_bytes = 0
         event_tokens = self._get_event_tokens()
         while True:
             seen.start_wait()
@@ -496,11 +517,14 @@
                 events = splitter.feed(part)
             except EventTooLong as error:
                 raise ConnectionBroken("an event of the stream has no end") from error
+            if splitter.partial_bytes > partial_bytes + SPLIT_BYTES:
+                await self._draw(2 * (splitter.partial_bytes - partial_bytes))
+                partial_bytes = splitter.partial_bytes
             if not events:
                 continue
             self.progress.tokens += events.count(EVENT_END) * event_tokens
             if self.route.retains_turns:
-                answer.append(join_event_data(events))
+                await answer.add(join_event_data(events))
             if not self.exchange.started:
                 self.trace.first_byte_at = self.parts.clock()
                 await self._start_stream(head)
@@ -509,7 +533,7 @@
             raise ConnectionBroken("the stream ended within an event")
         if not self.exchange.started:
             raise ConnectionBroken("the stream ended before its first event")
-        await self._store_turn(prompt, b"".join(answer))
+        await self._store_turn(prompt, answer.join())
         await self.exchange.finish()
 
     def _get_event_tokens(self) -> int:
--- a/burdockwall/request/peer_relay.py
+++ b/burdockwall/request/peer_relay.py
@@ -123,7 +123,7 @@
         # The caller's next connection should be to an instance that is not cut off.
         headers = [*self.codec.select_headers(head), CLOSE]
         if not is_stream(head):
-            body = await connection.read_body(BODY_LIMIT_BYTES)
+            body = await self._read_body(exchange, connection)
             trace.first_byte_at = self.clock()
             await exchange.answer(head.status, headers, body)
             return
@@ -134,6 +134,15 @@
                 await exchange.write(part)
         await exchange.finish()
 
+    async def _read_body(
+        self, exchange: Exchange, connection: UpstreamConnection
+    ) -> bytes:
+        try:
+            return await connection.read_body(BODY_LIMIT_BYTES, exchange.draw)
+        except RequestRefused as error:
+            # The peer may have run it.
+            raise RequestRefused(Code.ENDPOINT_FAILED, error.detail) from error
+
 
 def is_stream(head: AnswerHead) -> bool:
     """Return whether an answer is a stream of events."""
