Reserve room at the stores when a turn begins

What callers saw: stores ended for want of memory on many large turns.

Cause: a store refused new records only beyond 134 MB, whatever its machine had, and did not know when a turn begins what it will store. A refusal was left to a time limit.

Once too few stores have room the caller gets 503 at once, and the turn has not run. A chain of over 5 MB, which no entry could take, is refused alike.

Test changed: storage, "Builds with and without places of streams": earlier builds know no `prompt_bytes` either; the comparison now covers it.

--- a/burdockwall/process/storage/calls.py
+++ b/burdockwall/process/storage/calls.py
@@ -57,6 +57,7 @@
     place: StreamPlace | None = None
     resumes: TurnId | None = None
     stream_s: float = 0.0
+    prompt_bytes: int = 0
 
 
 class TurnOutcome(msgspec.Struct, frozen=True):
@@ -160,6 +161,8 @@
     own: _Search
     others: list[_Search] = msgspec.field(default_factory=list)
     sent_at: float = 0.0
+    # The stores that have no room for the turn.
+    full: set[InstanceId] = msgspec.field(default_factory=set)
 
     def list_searches(self) -> list[_Search]:
         return [self.own, *self.others]
@@ -245,8 +248,8 @@
                 return self._handle_begun(sender, message, now)
             case TurnEnded() if message.incarnation == self.incarnation:
                 return self._handle_ended(sender, message)
-            case StoreFull():
-                return [StoreRefused(sender)]
+            case StoreFull() if message.incarnation == self.incarnation:
+                return [StoreRefused(sender), *self._handle_full(sender, message)]
             case _:
                 return []
 
@@ -329,6 +332,7 @@
             sends_chain,
             start.place,
             start.resumes,
+            start.prompt_bytes,
         )
 
     def _handle_begun(
@@ -349,6 +353,18 @@
             return []
         return self._decide(answer.call, begin)
 
+    def _handle_full(self, sender: InstanceId, message: StoreFull) -> list[Action]:
+        """Refuse a turn once too few stores have room for it."""
+        begin = self._begins.get(message.call)
+        if begin is None:
+            return []
+        begin.full.add(sender)
+        view = begin.own.quorum.view
+        if len(view.members) - len(begin.full) >= view.write_quorum:
+            return []
+        del self._begins[message.call]
+        return [BeginDecided(message.call, Verdict.STORES_FULL, begin.own.quorum)]
+
     def _decide(self, call: CallId, begin: _Begin) -> list[Action]:
         own = begin.own.quorum
         verdict = own.decide()
--- a/burdockwall/process/storage/client.py
+++ b/burdockwall/process/storage/client.py
@@ -92,7 +92,7 @@
             case BeginDecided(call=call) | EndStored(call=call):
                 self._waiters.complete(call, action)
             case StoreRefused(store=store):
-                self._logger.error("store is full", extra={"store": store})
+                self._logger.warning("store is full", extra={"store": store})
 
     def _check_reachable(self, start: TurnStart) -> None:
         """Raise RequestRefused if too few stores are connected for a quorum."""
@@ -130,6 +130,9 @@
                 used = decided.quorum.count_charges()
                 detail = f"{used} of {start.budget} tokens are used or reserved"
                 raise RequestRefused(Code.BUDGET_SPENT, detail)
+            case Verdict.STORES_FULL:
+                detail = "the stores have no room for the turn"
+                raise RequestRefused(Code.RECORDS_UNAVAILABLE, detail, RETRY_AFTER_S)
             case Verdict.TURN_UNKNOWN:
                 raise RequestRefused(Code.TURN_UNKNOWN, f"no turn {start.previous}")
             case _:
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -37,6 +37,7 @@
     StoreState,
     TurnKey,
 )
+from burdockwall.process.storage.room import StoreRoom
 from burdockwall.process.storage.stream_places import StreamPlaces
 from burdockwall.types import (
     CustomerId,
@@ -62,6 +63,8 @@
 INDEX_DELAY_S = 0.4
 INDEX_KEYS_LIMIT = 2000
 ANSWER_BYTES_LIMIT = 262_144
+# A longer conversation would not fit into the message that brings it to an entry.
+CHAIN_LIMIT_BYTES = 5_000_000
 EXPIRE_INTERVAL_S = 1.0
 STATE_REWRITE_S = 30.0
 
@@ -117,8 +120,7 @@
     ) -> None:
         self.incarnation = incarnation
         self.state = StoreState(complete)
-        self.limit_bytes = limit_bytes
-        self.stored_bytes = 0
+        self.room = StoreRoom(limit_bytes)
         self._accounts: dict[ProgramKey, _Account] = {}
         self._turns: dict[TurnKey, _StoredTurn] = {}
         self._records: dict[RecordKey, LedgerRecord] = {}
@@ -131,6 +133,11 @@
         self.stream_places = StreamPlaces()
         self._next_expiry_at = 0.0
 
+    @property
+    def stored_bytes(self) -> int:
+        """Return the memory that the records take."""
+        return self.room.stored_bytes
+
     def recover(self, records: Iterable[StoredRecord], whole: bool, now: float) -> None:
         """Apply the records of the files; the retention of each starts again.
 
@@ -171,7 +178,7 @@
 
     def _receive(self, sender: InstanceId, message: Message, now: float) -> list[Send]:
         match message:
-            case BeginTurn() | EndTurn() if self.stored_bytes >= self.limit_bytes:
+            case BeginTurn() | EndTurn() if not self._has_room(message, now):
                 return [Send(sender, StoreFull(message.call, message.incarnation))]
             case BeginTurn():
                 self._begin(sender, message, now)
@@ -189,6 +196,14 @@
                 pass
         return []
 
+    def _has_room(self, message: BeginTurn | EndTurn, now: float) -> bool:
+        key = TurnKey(message.customer, message.turn)
+        if isinstance(message, BeginTurn):
+            if self._is_too_long(message):
+                return False
+            return self.room.reserve(key, message.prompt_bytes, now)
+        return self.room.has_reserved(key) or not self.room.is_full
+
     # Turns.
 
     def _begin(self, sender: InstanceId, message: BeginTurn, now: float) -> None:
@@ -333,7 +348,7 @@
 
     def _apply(self, record: LedgerRecord, now: float) -> None:
         if record.key not in self._records:
-            self.stored_bytes += record.measure_bytes()
+            self.room.add(record)
         self._records[record.key] = record
         retention_s = record.retention_ms / MS_PER_S
         account = self._accounts.setdefault(
@@ -352,6 +367,14 @@
             self._turns[key] = _StoredTurn(record, now + retention_s)
             self._extend_chain(record, now + retention_s)
 
+    def _is_too_long(self, message: BeginTurn) -> bool:
+        """Return whether no entry could take the chain that a turn continues."""
+        if message.previous is None:
+            return False
+        chain = self._walk_chain(message.customer, message.previous)
+        sizes = (len(item.record.prompt) + len(item.record.answer) for item in chain)
+        return sum(sizes) > CHAIN_LIMIT_BYTES
+
     def _extend_chain(self, record: LedgerRecord, expires_at: float) -> None:
         for stored in self._walk_chain(record.customer, record.previous):
             stored.expires_at = max(stored.expires_at, expires_at)
@@ -426,6 +449,7 @@
             self._log_start += 1
         self._expire_accounts(now)
         self.stream_places.expire(now)
+        self.room.expire(now)
         return [ReleaseRecords(released)] if released else []
 
     def _get_rewrite_s(self, record: LedgerRecord) -> float:
@@ -440,7 +464,7 @@
 
     def _drop(self, record: LedgerRecord) -> None:
         if self._records.pop(record.key, None) is not None:
-            self.stored_bytes -= record.measure_bytes()
+            self.room.drop(record)
         turn = TurnKey(record.customer, record.turn)
         stored = self._turns.get(turn)
         if stored is not None and stored.record.key == record.key:
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -61,7 +61,8 @@
     """Reserves tokens for a turn, and looks up the turn that it continues.
 
     `place` is where the turn's stream will come from, if callers may take it up.
-    `resumes` is the turn whose stream this one takes up.
+    `resumes` is the turn whose stream this one takes up. `prompt_bytes` is what the
+    turn will store beside its answer, or 0 from an earlier build.
     """
 
     call: CallId
@@ -75,6 +76,7 @@
     sends_chain: bool = False
     place: StreamPlace | None = None
     resumes: TurnId | None = None
+    prompt_bytes: int = 0
 
 
 class FindTurn(Message, frozen=True):
--- a/burdockwall/process/storage/node.py
+++ b/burdockwall/process/storage/node.py
@@ -22,11 +22,11 @@
             self.member.incarnation,
             files,
             settings.first_start,
-            settings.store_limit_bytes,
+            min(settings.store_limit_bytes, self.member.machine.parts.stored_bytes),
         )
 
         gauges, service = self.member.gauges, self.service
-        gauges.add("store_bytes", lambda: float(service.ledger.stored_bytes))
+        gauges.add("store_bytes", lambda: float(service.ledger.room.stored_bytes))
         gauges.add("store_complete", lambda: float(service.ledger.state.complete))
         gauges.add("store_syncs", lambda: float(service.syncs))
 
--- a/burdockwall/process/storage/quorum.py
+++ b/burdockwall/process/storage/quorum.py
@@ -23,6 +23,7 @@
     BUDGET_SPENT = "budget spent"
     TURN_UNKNOWN = "turn unknown"
     CHAIN_MISSING = "chain missing"
+    STORES_FULL = "stores full"
 
 
 class BeginQuorum(msgspec.Struct):
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -375,6 +375,7 @@
         60_000,
         place=StreamPlace(ServiceName("s"), SoftwareVersion("v1")),
         resumes=TurnId("a"),
+        prompt_bytes=100,
     )
 
 
@@ -388,10 +389,10 @@
 @then("a reservation of an earlier build is read as one without them")
 def step_read_later(context):
     values = msgspec.structs.asdict(context.reservation)
-    del values["place"], values["resumes"]
+    del values["place"], values["resumes"], values["prompt_bytes"]
     data = msgspec.msgpack.encode(EarlierBeginTurn(**values))
     read = msgspec.msgpack.decode(data, type=BeginTurn)
-    expected = replace(context.reservation, place=None, resumes=None)
+    expected = replace(context.reservation, place=None, resumes=None, prompt_bytes=0)
     assert read == expected, read
 
 
