Bound the connections and batches of the peer port

What callers saw: nothing yet; anyone who reaches the port could end any process.

Cause: a batch was read up to its announced length, whatever that was, on any number of streams and connections, each with a window of 4 MiB.

Change: batches draw from a part of the machine's memory before they are read, and a large one before it is sent; windows are 256 KiB; the connection that was silent for the longest time makes room for a new one.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -18,7 +18,21 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from burdockwall.connection.address import split_address
+from burdockwall.connection.memory import (
+    MemoryAccount,
+    PatientRoom,
+    Share,
+    create_default_account,
+)
 from burdockwall.connection.message_queue import MessageQueue, measure_bytes
+from burdockwall.connection.peer_bounds import (
+    COPIES_OF_BATCH,
+    UNCOUNTED_BYTES,
+    bound_messages,
+    create_bounded_server,
+    create_peer_connections,
+    measure_texts,
+)
 from burdockwall.connection.tls import PeerContexts
 from burdockwall.connection.wire import (
     ANSWERS_PROTOCOL,
@@ -89,8 +103,10 @@
         tls: ssl.SSLContext | None,
         receive: Callable[[list[AnyMessage]], None],
         failures: Failures | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         self.tls = tls
+        self.account = account or create_default_account()
         self.failures = failures or Failures()
         self.receive = receive
         self.sender = sender
@@ -225,6 +241,18 @@
         self, stream: "grpclib.client.Stream[Envelope, Acknowledgement]"
     ) -> None:
         messages = self._take_batch()
+        size = measure_texts(messages)
+        if size <= UNCOUNTED_BYTES:
+            await self._exchange_batch(stream, messages)
+            return
+        async with PatientRoom(self.account, COPIES_OF_BATCH * size):
+            await self._exchange_batch(stream, messages)
+
+    async def _exchange_batch(
+        self,
+        stream: "grpclib.client.Stream[Envelope, Acknowledgement]",
+        messages: list[AnyMessage],
+    ) -> None:
         self._unacknowledged = len(messages)
         self._sent += len(messages)
         envelope = Envelope(
@@ -284,8 +312,12 @@
         silence_s: float,
         tls: PeerContexts | None = None,
         named_by_address: bool = False,
+        account: MemoryAccount | None = None,
+        connections: int = 1024,
     ) -> None:
         self.tls = tls
+        self.account = account or create_default_account()
+        self.connections = create_peer_connections(connections)
         self.named_by_address = named_by_address
         self.instance = instance
         self.incarnation = incarnation
@@ -312,6 +344,7 @@
             client,
             lambda messages: self._deliver_messages(peer, messages),
             self.failures,
+            self.account,
         )
 
     def set_receiver(self, deliver: Deliver) -> None:
@@ -369,8 +402,17 @@
 
     async def _exchange(
         self, stream: "grpclib.server.Stream[Envelope, Acknowledgement]"
+    ) -> None:
+        with bound_messages(stream, self.account) as share:
+            await self._receive_batches(stream, share)
+
+    async def _receive_batches(
+        self,
+        stream: "grpclib.server.Stream[Envelope, Acknowledgement]",
+        share: Share,
     ) -> None:
         while True:
+            share.reset()
             try:
                 envelope = await stream.recv_message()
             except UnreadableFrame as error:
@@ -431,7 +473,7 @@
 
     async def run(self, address: Address) -> None:
         """Listen on an address and run the links to all other instances."""
-        server = grpclib.server.Server([self], codec=MessagePackCodec())
+        server = create_bounded_server(self, MessagePackCodec(), self.connections)
         host, port = split_address(address)
         await server.start(host, port, ssl=self.tls.server if self.tls else None)
         try:
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -49,6 +49,8 @@
             settings.peer_silence_s,
             create_peer_contexts(settings),
             settings.named_by_address,
+            self.machine.account,
+            self.machine.parts.peer_connections,
         )
         self.host = Host(self.bus, read_clock, settings.tick_interval_s)
         details = InstanceDetails(
--- a/burdockwall/process/node.py
+++ b/burdockwall/process/node.py
@@ -82,6 +82,8 @@
             settings.peers,
             settings.peer_silence_s,
             create_peer_contexts(settings),
+            account=self.machine.account,
+            connections=self.machine.parts.peer_connections,
         )
         self.host = Host(self.bus, read_clock, settings.tick_interval_s)
         self.supervisor = Supervisor(self.bus.failures)
