Free what a request holds when it ends, and take room in smaller steps

Cause: an error kept in a list beside its traceback, and a function of a forwarding's that referred to the forwarding, formed circles, which are freed seldom; room for bodies without a known length doubled; a customer's part was half. Connections of peers were counted at six times their memory, too few for large fleets.

Change: no circles there; room grows by a quarter; a customer's part is three quarters; smaller windows of peers instead of fewer connections. Endpoints' sockets hold 128 KiB unread.

Tests: a crowd keeps turns of the own interface; it fails (275 MB of 200 MB) and is listed, as its histories are bounded by number only.

--- a/burdockwall/connection/exchange.py
+++ b/burdockwall/connection/exchange.py
@@ -269,7 +269,9 @@
         await exchange.watch_caller()
         group.cancel_scope.cancel()
     if errors:
-        raise errors[0]
+        # Its traceback names this frame: a list that kept the error would keep all that
+        # the request holds, too.
+        raise errors.pop()
     if not results:
         raise RequestRefused(Code.CALLER_GONE)
     return results[0]
--- a/burdockwall/connection/keepalive.py
+++ b/burdockwall/connection/keepalive.py
@@ -1,4 +1,7 @@
-"""The socket options by which connections to endpoints notice a dead path."""
+"""The socket options of connections to endpoints.
+
+By them a dead path is noticed, and little waits unread of what an endpoint sends.
+"""
 
 import socket
 
@@ -9,6 +12,8 @@
 # their count, so it must not be shorter than all of them take.
 USER_TIMEOUT_MS = 1000 * (IDLE_S + PROBES * INTERVAL_S)
 
+RECEIVE_BUFFER_BYTES = 131_072
+
 # Unanswered probes show that the network path no longer has a connection.
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -16,4 +21,5 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
 )
--- a/burdockwall/connection/memory.py
+++ b/burdockwall/connection/memory.py
@@ -23,10 +23,13 @@
 PROGRESS_BYTES = 16_384
 # What a body takes while it is read: its parts, and the whole that they are joined to.
 COPIES_WHILE_READ = 2
+# By how much room at least grows that is drawn for a body without a known length.
+GROWTH_DIVISOR = 4
+LEAST_GROWTH_BYTES = 4_096
 # What the place of a request covers, so that small requests need no further room.
 COVERED_BYTES = 8_192
 # What one customer may take of the room for bodies.
-OWNER_PART = 0.5
+OWNER_PART = 0.75
 # A share with more than this part of the room is large. All large ones together leave
 # a rest for the others.
 LARGE_PART = 1 / 32
@@ -326,8 +329,9 @@
         """Add a part, or raise RequestRefused if there is no room for it."""
         size = len(self._body) + len(part)
         if size > self.drawn_bytes:
-            # Seldom, since the room at least doubles.
-            more = max(size - self.drawn_bytes, self.drawn_bytes)
+            # Seldom, since the room grows by a part of itself.
+            grown = self.drawn_bytes // GROWTH_DIVISOR
+            more = max(size - self.drawn_bytes, grown, LEAST_GROWTH_BYTES)
             await self._draw(COPIES_WHILE_READ * more)
             self.drawn_bytes += more
         self._body += part
--- a/burdockwall/connection/peer_bounds.py
+++ b/burdockwall/connection/peer_bounds.py
@@ -20,7 +20,7 @@
 # Larger than any batch: a message of the largest document or turn, and small ones.
 MAX_BATCH_FRAME_BYTES = 33_554_432
 # What a connection may send before it is read.
-WINDOW_BYTES = 262_144
+WINDOW_BYTES = 65_535
 # Peers that have something to say to each other do so more often.
 IDLE_S = 300.0
 
--- a/burdockwall/request/forwarding.py
+++ b/burdockwall/request/forwarding.py
@@ -91,6 +91,16 @@
     return (request.program or "") if is_engine else ""
 
 
+def _create_guard(
+    parts: ForwardingParts, owner: CustomerId, request: ForwardedRequest, body: bytes
+) -> CrashGuard:
+    # It does not refer to the forwarding, so that bodies are freed with that at once.
+    return CrashGuard(
+        parts.crashes,
+        lambda: compute_fingerprint(owner, request.method, request.target, body),
+    )
+
+
 class Forwarding:
     """The forwarding of one request, in one or several attempts."""
 
@@ -127,12 +137,7 @@
         )
         self.body = body
         self.owner = customer.name if customer else ANONYMOUS_CUSTOMER
-        self.guard = CrashGuard(
-            parts.crashes,
-            lambda: compute_fingerprint(
-                self.owner, request.method, request.target, body
-            ),
-        )
+        self.guard = _create_guard(parts, self.owner, request, body)
         self.turn: TurnStart | None = None
         self.expires_at = compute_expiry(route, request, trace.started_at)
 
--- a/features/misbehaving_own_clients.feature
+++ b/features/misbehaving_own_clients.feature
@@ -23,3 +23,4 @@
       | with      | 800 idle connections                               |
       | with      | 800 unfinished heads                               |
       | with      | 10 streams of HTTP/2 without end                   |
+      | without   | 8 series of kept turns                             |
--- a/features/subjects/own_limited_site.py
+++ b/features/subjects/own_limited_site.py
@@ -1,6 +1,7 @@
 """A real process of the own interface in little memory, and crowds at its ports."""
 
 import asyncio
+import json
 import os
 import signal
 import ssl
@@ -45,6 +46,7 @@
 DESCRIPTORS = 600
 TOKEN_S = 0.001
 START_LIMIT_S = 20.0
+KEPT_TURNS = 25
 SETTINGS = """
 [listen]
 caller = {caller}
@@ -226,6 +228,9 @@
         case "streams of HTTP/2 without end":
             protocol = "h2"
     crowd = play.create_crowd(port, protocol)
+    if kind == "series of kept turns":
+        await _come_with_kept_turns(play, crowd, count)
+        return crowd
     if kind in ("idle connections", "unfinished heads"):
         head = play.build_post("/filings", {})[:-4] if kind[0] == "u" else b""
         await _come_and_stay(crowd, count, head, reads=False)
@@ -241,6 +246,26 @@
     return crowd
 
 
+async def _come_with_kept_turns(play: OwnPlay, crowd: Crowd, count: int) -> None:
+    """Send turns whose texts don't shrink when they are packed, one after the other."""
+    text = os.urandom(crowds.MIB).hex()
+    content = {"role": "user", "content": text}
+    body = json.dumps({"model": "inspector", "messages": [content]}).encode()
+    lines = {"Content-Length": str(len(body)), "Connection": "close"}
+    lines |= {"Program-Turn": "1"}
+
+    async def act(client: crowds.Client) -> None:
+        for _ in range(KEPT_TURNS):
+            head = play.build_post(
+                "/v1/chat/completions", lines | {"Program-Id": os.urandom(8).hex()}
+            )
+            await client.connect()
+            await client.send(head + body)
+            await client.read_on()
+
+    await crowd.come(count, act)
+
+
 async def _come_and_stay(crowd: Crowd, count: int, data: bytes, reads: bool) -> None:
     async def act(client: crowds.Client) -> None:
         await client.connect()
