Bound what several requests of a customer take, and close at once after a refusal

Cause: a customer's part was as much as all large requests together may take, so one customer could hold it all. After a refusal the connection waited a second for the rest of a body, although the answer had said that it would close.

Change: one request may take what it needs, several of a customer half of the room. A connection whose answer says so is closed at once.

--- a/burdockwall/connection/http1.py
+++ b/burdockwall/connection/http1.py
@@ -115,6 +115,8 @@
         self._body = _Body(0)
         self._is_head_request = False
         self._response: h11.Response | None = None
+        # Whether the present answer says that the connection is closed after it.
+        self._closing = False
 
     # Events of the transport.
 
@@ -379,11 +381,12 @@
         if self._machine.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._get_transport().write(self._machine.send(interim) or b"")
+        self._body.asked_for = True
         self._resume_reading()
 
     async def _finish_body(self) -> None:
         """Read the rest of a short body that the answer did not wait for."""
-        if self._body.ended or self._closes():
+        if self._body.ended or self._closing:
             return
         with suppress(TimeoutError):
             async with asyncio.timeout(DISCARD_S):
@@ -392,8 +395,12 @@
 
     def _closes(self) -> bool:
         """Return whether the connection can't be used after the present answer."""
+        if self._stopping:
+            return True
+        if self._body.ended:
+            return False
         waits = self._machine.they_are_waiting_for_100_continue
-        return self._stopping or waits or self._body.left_bytes > DISCARD_BYTES
+        return waits or self._body.asked_for or self._body.left_bytes > DISCARD_BYTES
 
     async def _recycle(self) -> h11.Request | None:
         """Return the next request if its head has come, or wait for it; or close."""
@@ -453,7 +460,8 @@
 
     def _build_response(self, status: int, headers: Headers) -> h11.Response:
         lines = [*headers, get_date_line()]
-        if self._closes() and CLOSE not in lines:
+        self._closing = self._closes()
+        if self._closing and CLOSE not in lines:
             lines.append(CLOSE)
         return h11.Response(status_code=status, headers=lines)
 
@@ -484,6 +492,8 @@
         self.announced_bytes = announced_bytes
         self.read_bytes = 0
         self.ended = False
+        # Whether some of it was waited for.
+        self.asked_for = False
 
     @property
     def left_bytes(self) -> int:
--- a/burdockwall/connection/memory.py
+++ b/burdockwall/connection/memory.py
@@ -28,8 +28,8 @@
 LEAST_GROWTH_BYTES = 4_096
 # What the place of a request covers, so that small requests need no further room.
 COVERED_BYTES = 8_192
-# What one customer may take of the room for bodies.
-OWNER_PART = 0.75
+# What an owner may take with several shares.
+OWNER_PART = 0.5
 # A share with more than this part of the room is large. All large ones together leave
 # a rest for the others.
 LARGE_PART = 1 / 32
@@ -84,7 +84,9 @@
     def _exceeds_part(self, demand: Demand) -> bool:
         if not demand.owner:
             return False
-        return self._by_owner[demand.owner] + demand.size > OWNER_PART * self.limit
+        taken = self._by_owner[demand.owner]
+        by_others = taken - (demand.total - demand.size)
+        return by_others > 0 and taken + demand.size > OWNER_PART * self.limit
 
     def _add(self, demand: Demand) -> None:
         self.taken += demand.size
@@ -124,10 +126,7 @@
         return int(LARGE_SUM_PART * self.limit)
 
     def _can_ever_fit(self, demand: Demand) -> bool:
-        most = self._compute_limit(demand)
-        if demand.owner:
-            most = min(most, OWNER_PART * self.limit)
-        return max(demand.size, demand.total) <= most
+        return max(demand.size, demand.total) <= self._compute_limit(demand)
 
     def give_back(self, size: int, owner: str) -> None:
         """Give an amount back, and let those take it that wait."""
