--- a/features/memory_account.feature
+++ b/features/memory_account.feature
@@ -17,13 +17,13 @@
 
   Scenario: An owner leaves room to others
     Given room for 1000 bytes
-    When "a" takes 400 bytes of the owner "x"
-    Then "b" of the owner "x" gets no 200 bytes within the time to wait
-    And "c" of the owner "y" gets 300 bytes
+    When the owner "x" takes 400 bytes as "a"
+    Then the owner "x" gets no 200 bytes as "b" within the time to wait
+    And the owner "y" gets 300 bytes as "c"
 
   Scenario: One share of an owner may be larger than the owner's part
     Given room for 1000 bytes
-    Then "b" of the owner "x" gets 700 bytes
+    Then the owner "x" gets 700 bytes as "b"
 
   Scenario: What never fits is refused at once
     Given room for 1000 bytes
--- a/features/steps/memory_account_steps.py
+++ b/features/steps/memory_account_steps.py
@@ -35,7 +35,7 @@
     add(context, act)
 
 
-@when('"{name}" takes {size:d} bytes of the owner "{owner}"')
+@when('the owner "{owner}" takes {size:d} bytes as "{name}"')
 def step_take_of_owner(context, name, size, owner):
     async def act(group):
         await context.account.take(name, size, owner)
@@ -86,7 +86,7 @@
         context.account.run()
 
 
-@then('"{name}" of the owner "{owner}" gets no {size:d} bytes within the time to wait')
+@then('the owner "{owner}" gets no {size:d} bytes as "{name}" within the time to wait')
 def step_owner_gets_none(context, name, owner, size):
     async def act(group):
         await context.account.take(name, size, owner)
@@ -101,7 +101,7 @@
     context.account.run()
 
 
-@then('"{name}" of the owner "{owner}" gets {size:d} bytes')
+@then('the owner "{owner}" gets {size:d} bytes as "{name}"')
 def step_owner_gets(context, name, owner, size):
     step_take_of_owner(context, name, size, owner)
     context.account.run()
