Close unfinished heads by their own limit

What callers saw: nothing yet; an unfinished head stayed open until the next look at idle connections, up to five times its limit.

Cause: the listener looked at its connections once the first limit that it knew of ended, also where a shorter one began later.

Change: the next look is at the earliest limit. Connections that made room or found none are counted in gauges.

Measured: "A head is closed by its own limit, though an idle connection came before" fails without this change (19 passed, 1 failed) and passes with it (20).

--- a/burdockwall/connection/listener.py
+++ b/burdockwall/connection/listener.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -58,14 +59,25 @@
         ...
 
 
+class ConnectionCounts(msgspec.Struct):
+    """How often a connection had to make room, or found none."""
+
+    evicted: int = 0
+    refused: int = 0
+
+
 class Connections:
     """The connections of one address, by what they wait for, oldest first."""
 
-    def __init__(self, limit: int, get_limits: Callable[[], ConnectionLimits]) -> None:
+    def __init__(
+        self,
+        limit: int,
+        get_limits: Callable[[], ConnectionLimits],
+        counts: ConnectionCounts | None = None,
+    ) -> None:
         self.limit = limit
         self.get_limits = get_limits
-        self.evicted_count = 0
-        self.refused_count = 0
+        self.counts = counts or ConnectionCounts()
         self._idle: dict[Closable, float] = {}
         self._heads: dict[Closable, float] = {}
         self._lingering: dict[Closable, float] = {}
@@ -73,6 +85,7 @@
         # Accepted, and still agreeing on TLS.
         self.opening_count = 0
         self._sweep: asyncio.TimerHandle | None = None
+        self._sweep_at = math.inf
 
     def __len__(self) -> int:
         waiting = len(self._idle) + len(self._heads) + len(self._lingering)
@@ -118,10 +131,10 @@
         for waiting in (self._lingering, self._idle, self._heads):
             while waiting and len(self) >= self.limit:
                 self._abort_first(waiting)
-                self.evicted_count += 1
+                self.counts.evicted += 1
         if len(self) < self.limit:
             return True
-        self.refused_count += 1
+        self.counts.refused += 1
         return False
 
     def _abort_first(self, waiting: dict[Closable, float]) -> None:
@@ -146,12 +159,18 @@
             connection.abort()
 
     def _schedule(self, delay_s: float) -> None:
-        if self._sweep is None:
-            loop = asyncio.get_running_loop()
-            self._sweep = loop.call_later(max(delay_s, LEAST_SWEEP_S), self._run_sweep)
+        loop = asyncio.get_running_loop()
+        at = loop.time() + max(delay_s, LEAST_SWEEP_S)
+        if at >= self._sweep_at:
+            return
+        if self._sweep is not None:
+            self._sweep.cancel()
+        self._sweep_at = at
+        self._sweep = loop.call_at(at, self._run_sweep)
 
     def _run_sweep(self) -> None:
         self._sweep = None
+        self._sweep_at = math.inf
         now = asyncio.get_running_loop().time()
         limits = self.get_limits()
         next_s: list[float] = []
--- a/burdockwall/process/machine.py
+++ b/burdockwall/process/machine.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from burdockwall.connection.listener import ConnectionLimits
+from burdockwall.connection.listener import ConnectionCounts, ConnectionLimits
 from burdockwall.connection.memory import MemoryAccount, MemoryPlan
 from burdockwall.connection.tls import create_caller_context
 from burdockwall.process.clock import read_clock
@@ -105,6 +105,7 @@
         self.settings = settings
         self.parts = plan_parts(settings)
         self.account = MemoryAccount(self.parts.plan, read_clock)
+        self.counts = ConnectionCounts()
 
     def create_options(
         self,
@@ -119,7 +120,9 @@
         connections = SMALL_PORT_CONNECTIONS
         if kind is PortKind.CALLERS:
             connections = self.parts.caller_connections
-        return WebOptions(connections, get_limits or self.get_limits, self.account, tls)
+        return WebOptions(
+            connections, get_limits or self.get_limits, self.account, self.counts, tls
+        )
 
     def get_limits(self) -> ConnectionLimits:
         """Return the limits of connections by the settings."""
--- a/burdockwall/process/member.py
+++ b/burdockwall/process/member.py
@@ -81,6 +81,9 @@
         self.gauges.add("body_bytes", lambda: float(account.bodies.taken))
         self.gauges.add("request_places", lambda: float(account.requests.taken))
         self.gauges.add("requests_given_up", lambda: float(account.given_up_count))
+        counts = self.machine.counts
+        self.gauges.add("connections_evicted", lambda: float(counts.evicted))
+        self.gauges.add("connections_refused", lambda: float(counts.refused))
         self.gauges.add("errors_survived", lambda: float(self.bus.failures.count))
         self.stopping = anyio.Event()
         self._logger = logbook.Logger("instance")
--- a/burdockwall/process/web.py
+++ b/burdockwall/process/web.py
@@ -12,6 +12,7 @@
 from burdockwall.connection.http1 import Http1Connection
 from burdockwall.connection.listener import (
     READ_BYTES,
+    ConnectionCounts,
     ConnectionLimits,
     Connections,
     Listener,
@@ -36,6 +37,7 @@
     connections: int = 4096
     get_limits: Callable[[], ConnectionLimits] = get_default_limits
     account: MemoryAccount | None = None
+    counts: ConnectionCounts | None = None
     tls: ssl.SSLContext | None = None
 
 
@@ -76,7 +78,7 @@
     """Create what the connections of an address share."""
     account = options.account or create_default_account()
     return Port(
-        Connections(options.connections, options.get_limits),
+        Connections(options.connections, options.get_limits, options.counts),
         account,
         lambda exchange: _serve_exchange(serve, exchange),
         memoryview(bytearray(READ_BYTES)),
--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -27,6 +27,11 @@
       | nothing                                |             | closed |
       | a body that stops                      | 408         | closed |
 
+  Scenario: A head is closed by its own limit, though an idle connection came before
+    Given a server of callers
+    When a caller stays idle, and another one never ends its head
+    Then the head was closed first
+
   Scenario: An answer that is broken off never looks complete
     Given a server of callers
     When a caller of HTTP/1.0 and one of HTTP/1.1 get answers that are broken off
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -33,6 +33,16 @@
     assert subject.closed == (end == "closed"), end
 
 
+@when("a caller stays idle, and another one never ends its head")
+def step_race(context):
+    context.subject.race()
+
+
+@then("the head was closed first")
+def step_check_race(context):
+    assert context.subject.ended == ["head"], context.subject.ended
+
+
 @when("a caller of HTTP/1.0 and one of HTTP/1.1 get answers that are broken off")
 def step_break_off(context):
     context.subject.break_off()
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -62,6 +62,7 @@
     closed: bool = False
     bodies: list[bytes] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
     served: bool = False
 
     def run(self, act) -> None:
@@ -144,6 +145,24 @@
 
         self.run(act)
 
+    def race(self) -> None:
+        """Stay idle on one connection, and then leave a head unfinished on another."""
+
+        async def act(host: str, port: int) -> None:
+            async def wait(name: str, data: bytes) -> None:
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(data)
+                await reader.read()
+                self.ended.append(name)
+                writer.close()
+
+            idle = asyncio.create_task(wait("idle", b""))
+            await asyncio.sleep(0.1)
+            await wait("head", REQUESTS["a head without end"])
+            idle.cancel()
+
+        self.run(act)
+
     def hold_room(self) -> None:
         """Take all room with an answer that isn't read, and ask for some of it."""
 
