Part what both HTTP versions know of a request from their connections

Change: connection/http_request.py has the scope, the date, the length of a body and how much of it was read.

--- a/burdockwall/connection/http1.py
+++ b/burdockwall/connection/http1.py
@@ -7,17 +7,23 @@
 import asyncio
 import socket
 import struct
-import time
 from contextlib import suppress
-from email.utils import formatdate
 from enum import Enum
 from typing import Any, cast
-from urllib.parse import unquote
 
 import h11
 import logbook
 
 from burdockwall.connection.exchange import CLOSE, Exchange, Headers
+from burdockwall.connection.http_request import (
+    CONTENT_LENGTH,
+    DISCONNECT,
+    RequestBody,
+    build_scope,
+    find_length,
+    get_date_line,
+    wake,
+)
 from burdockwall.connection.listener import Port
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
 
@@ -34,9 +40,6 @@
 LINGER_BYTES = 8_388_608
 VERSIONS = (b"1.1", b"1.0")
 BODYLESS_STATUSES = (204, 304)
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
-DISCONNECT = {"type": "http.disconnect"}
 # The method with which HTTP/2 begins where both sides know that it is spoken.
 PRIOR_KNOWLEDGE = b"PRI"
 VERSION_NOT_SUPPORTED = 505
@@ -54,42 +57,6 @@
     LINGERING = "lingering"
 
 
-class _Date:
-    """The date header, which changes each second."""
-
-    def __init__(self) -> None:
-        self.second = 0
-        self.line = (b"date", b"")
-
-    def get_line(self) -> tuple[bytes, bytes]:
-        now = int(time.time())
-        if now != self.second:
-            self.second = now
-            self.line = (b"date", formatdate(now, usegmt=True).encode())
-        return self.line
-
-
-_date = _Date()
-
-
-def get_date_line() -> tuple[bytes, bytes]:
-    """Return the date header of an answer that is sent now."""
-    return _date.get_line()
-
-
-def build_scope(method: bytes, target: bytes, headers: Headers) -> dict[str, Any]:
-    """Build what an exchange knows of a request."""
-    path, _, query = target.partition(b"?")
-    return {
-        "type": "http",
-        "method": method.decode("ascii"),
-        "path": unquote(path.decode("ascii")),
-        "raw_path": path,
-        "query_string": query,
-        "headers": headers,
-    }
-
-
 class Http1Connection(asyncio.BufferedProtocol):
     """One connection of a caller."""
 
@@ -112,7 +79,7 @@
         self._stopping = False
         self._arrived: asyncio.Future[None] | None = None
         self._drained: asyncio.Future[None] | None = None
-        self._body = _Body(0)
+        self._body = RequestBody(0)
         self._is_head_request = False
         self._response: h11.Response | None = None
         # Whether the present answer says that the connection is closed after it.
@@ -145,12 +112,12 @@
             return
         if self._unread_bytes > READ_AHEAD_BYTES:
             self._pause_reading()
-        _wake(self._arrived)
+        wake(self._arrived)
 
     def eof_received(self) -> bool:
         """End the request under way, since its caller is gone."""
         self._ended = True
-        _wake(self._arrived)
+        wake(self._arrived)
         # The task of the request closes the connection then.
         return self._phase is Phase.BUSY and not self._is_secure
 
@@ -159,8 +126,8 @@
         self._ended = True
         self._blocked = False
         self._port.connections.remove(self)
-        _wake(self._arrived)
-        _wake(self._drained)
+        wake(self._arrived)
+        wake(self._drained)
 
     def pause_writing(self) -> None:
         """Wait until the caller has read of its answer."""
@@ -169,7 +136,7 @@
     def resume_writing(self) -> None:
         """Go on with the answer."""
         self._blocked = False
-        _wake(self._drained)
+        wake(self._drained)
 
     # Closing.
 
@@ -191,7 +158,7 @@
             self.abort()
             return
         self._given_up = True
-        _wake(self._arrived)
+        wake(self._arrived)
 
     def _break_off(self) -> None:
         """Close within an answer, which must not look complete."""
@@ -322,7 +289,7 @@
         self._response = None
         self._given_up = False
         self._is_head_request = request.method == b"HEAD"
-        self._body = _Body(_find_length(headers))
+        self._body = RequestBody(find_length(headers))
         share = self._port.account.open_share(self._give_up)
         self._share = share
         exchange = Exchange(
@@ -483,34 +450,3 @@
             except TimeoutError:
                 if transport.get_write_buffer_size() >= left_bytes:
                     self.abort()
-
-
-class _Body:
-    """How much of a request's body has been read."""
-
-    def __init__(self, announced_bytes: int) -> None:
-        self.announced_bytes = announced_bytes
-        self.read_bytes = 0
-        self.ended = False
-        # Whether some of it was waited for.
-        self.asked_for = False
-
-    @property
-    def left_bytes(self) -> int:
-        """Return how many bytes are still to come."""
-        return 0 if self.ended else self.announced_bytes - self.read_bytes
-
-
-def _wake(waiting: "asyncio.Future[None] | None") -> None:
-    if waiting is not None and not waiting.done():
-        waiting.set_result(None)
-
-
-def _find_length(headers: Headers) -> int:
-    """Return the announced length of a body; one in chunks counts as long."""
-    for name, value in headers:
-        if name == CONTENT_LENGTH:
-            return int(value)
-        if name == TRANSFER_ENCODING:
-            return LINGER_BYTES
-    return 0
--- a/burdockwall/connection/http2.py
+++ b/burdockwall/connection/http2.py
@@ -18,12 +18,12 @@
 import logbook
 
 from burdockwall.connection.exchange import HOP_HEADERS, Exchange, Headers
-from burdockwall.connection.http1 import (
+from burdockwall.connection.http1 import WRITE_BYTES, WRITE_STALL_S
+from burdockwall.connection.http_request import (
     DISCONNECT,
-    WRITE_BYTES,
-    WRITE_STALL_S,
     build_scope,
     get_date_line,
+    wake,
 )
 from burdockwall.connection.listener import Port
 from burdockwall.errors import BurdockwallError, Code, RequestRefused
@@ -88,7 +88,7 @@
         self._port.connections.remove(self)
         for stream in self._streams.values():
             stream.end()
-        _wake(self._drained)
+        wake(self._drained)
 
     def pause_writing(self) -> None:
         """Read no more frames, whose answers would wait too."""
@@ -100,7 +100,7 @@
         self._blocked = False
         if not self._get_transport().is_closing():
             self._get_transport().resume_reading()
-        _wake(self._drained)
+        wake(self._drained)
 
     # Closing.
 
@@ -144,7 +144,7 @@
                     stream.end()
             case h2.events.WindowUpdated():
                 for stream in self._streams.values():
-                    _wake(stream.opened)
+                    wake(stream.opened)
             case h2.events.ConnectionTerminated():
                 self._get_transport().close()
             case _:
@@ -284,13 +284,13 @@
         if data or size:
             self._parts.append((data, size))
         self._all_came = self._all_came or ends
-        _wake(self._arrived)
+        wake(self._arrived)
 
     def end(self) -> None:
         """Record that the caller has left."""
         self._gone = True
-        _wake(self._arrived)
-        _wake(self.opened)
+        wake(self._arrived)
+        wake(self.opened)
 
     def give_up(self) -> None:
         """End the request, whose caller makes no progress."""
@@ -298,7 +298,7 @@
             self.connection.abort()
             return
         self._given_up = True
-        _wake(self._arrived)
+        wake(self._arrived)
 
     def take_unread_bytes(self) -> int:
         """Return what is unread of the window, and drop it."""
@@ -362,8 +362,3 @@
 
 
 DROPPED = HOP_HEADERS - {b"content-length"}
-
-
-def _wake(waiting: "asyncio.Future[None] | None") -> None:
-    if waiting is not None and not waiting.done():
-        waiting.set_result(None)
