Close at once what a caller ends itself, and give TLS small buffers

Cause: a connection whose caller had announced its close was kept for up to two seconds as if more could come. Each connection over TLS had a buffer of 256 KiB, more than three times what the account counts for it.

Change: it is closed with its answer; the buffers have 32 KiB.

--- a/burdockwall/connection/http1.py
+++ b/burdockwall/connection/http1.py
@@ -40,6 +40,8 @@
 LINGER_BYTES = 8_388_608
 VERSIONS = (b"1.1", b"1.0")
 BODYLESS_STATUSES = (204, 304)
+# The states of a caller that sends nothing more, or nothing but a next request.
+SENT_ALL = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 # The method with which HTTP/2 begins where both sides know that it is spoken.
 PRIOR_KNOWLEDGE = b"PRI"
 VERSION_NOT_SUPPORTED = 505
@@ -396,7 +398,7 @@
         return None
 
     def _close_after_answer(self) -> None:
-        if self._machine.their_state is h11.DONE and not self._unread_bytes:
+        if self._machine.their_state in SENT_ALL and not self._unread_bytes:
             self._close()
         else:
             self._linger()
--- a/burdockwall/connection/listener.py
+++ b/burdockwall/connection/listener.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import asyncio.sslproto
 import math
 import socket
 import ssl
@@ -21,6 +22,7 @@
 
 BACKLOG_CONNECTIONS = 1024
 READ_BYTES = 16_384
+TLS_BUFFER_BYTES = 32_768
 # What a socket holds unread, and what of an answer it holds unsent.
 RECEIVE_BUFFER_BYTES = 32_768
 SEND_BUFFER_BYTES = 65_536
@@ -208,6 +210,9 @@
         self.connections = connections
         self.create_protocol = create_protocol
         self.tls = tls
+        if tls is not None:
+            # The buffer that each connection over TLS has for itself.
+            asyncio.sslproto.SSLProtocol.max_size = TLS_BUFFER_BYTES
         self._tasks: set[asyncio.Task[None]] = set()
         self._retry: asyncio.TimerHandle | None = None
 
--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -19,6 +19,7 @@
       | chunks that are none                   | 400         | closed |
       | a question for headers only            | 200 200     | kept   |
       | an old request                         | 200         | closed |
+      | a request that is the last             | 200         | closed |
       | an upgrade to websocket                | 200 200     | kept   |
       | the preface of HTTP/2                  | 505         | closed |
       | noise                                  | 400         | closed |
--- a/features/subjects/caller_connections.py
+++ b/features/subjects/caller_connections.py
@@ -41,6 +41,8 @@
     "a body that becomes too long": POST_READ + CHUNKED + CHUNK * 50,
     "chunks that are none": POST_READ + CHUNKED + b"zz\r\n",
     "a question for headers only": b"HEAD /skip HTTP/1.1\r\nhost: a\r\n\r\n" + GET,
+    "a request that is the last": b"GET /skip HTTP/1.1\r\nhost: a\r\n"
+    b"connection: close\r\n\r\n",
     "an old request": b"GET /skip HTTP/1.0\r\n\r\n",
     "an upgrade to websocket": b"GET /skip HTTP/1.1\r\nhost: a\r\n"
     b"connection: upgrade\r\nupgrade: websocket\r\n\r\n" + GET,
