--- a/burdockwall/fakes/files.py
+++ b/burdockwall/fakes/files.py
@@ -20,6 +20,24 @@
     size: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Create:
+    name: str
+    file: "_File"
+
+
+@dataclass(frozen=True, slots=True)
+class _Rename:
+    old: str
+    new: str
+    file: "_File"
+
+
+@dataclass(frozen=True, slots=True)
+class _Remove:
+    name: str
+
+
 @dataclass(slots=True)
 class _File:
     content: bytearray = field(default_factory=bytearray)
@@ -37,6 +55,19 @@
             content.extend(bytes(size - len(content)))
 
 
+def _apply_name_change(
+    names: dict[str, _File], change: _Create | _Rename | _Remove
+) -> None:
+    match change:
+        case _Create(name=name, file=file):
+            names[name] = file
+        case _Rename(old=old, new=new, file=file):
+            names.pop(old, None)
+            names[new] = file
+        case _Remove(name=name):
+            names.pop(name, None)
+
+
 class FakeFiles:
     """A fake of a folder on a disk.
 
@@ -52,7 +83,7 @@
         self.space_left: int | None = None
         self._names: dict[str, _File] = {}
         self._synced_names: dict[str, _File] = {}
-        self._name_changes: list[dict[str, _File]] = []
+        self._name_changes: list[_Create | _Rename | _Remove] = []
 
     def _count_operation(self) -> bool:
         """Count an operation, and return whether the process crashes in it."""
@@ -69,12 +100,12 @@
 
     def _get_file(self, name: str) -> _File:
         if name not in self._names:
-            self._names[name] = _File()
-            self._record_name_change()
+            self._change_name(_Create(name, _File()))
         return self._names[name]
 
-    def _record_name_change(self) -> None:
-        self._name_changes.append(dict(self._names))
+    def _change_name(self, change: _Create | _Rename | _Remove) -> None:
+        _apply_name_change(self._names, change)
+        self._name_changes.append(change)
 
     def list_names(self) -> list[str]:
         """List the names of all files."""
@@ -122,15 +153,15 @@
     def rename(self, old: str, new: str) -> None:
         """Rename a file."""
         due = self._count_operation()
-        self._names[new] = self._names.pop(old)
-        self._record_name_change()
+        self._change_name(_Rename(old, new, self._names[old]))
         self._crash_if_due(due)
 
     def remove(self, name: str) -> None:
         """Remove a file."""
         due = self._count_operation()
-        del self._names[name]
-        self._record_name_change()
+        if name not in self._names:
+            raise FileNotFoundError(errno.ENOENT, "no such file", name)
+        self._change_name(_Remove(name))
         self._crash_if_due(due)
 
     def sync_folder(self) -> None:
@@ -148,11 +179,13 @@
     def crash(self) -> None:
         """Lose unsynced changes.
 
-        All changes of names after a random one are lost. Of the changes of contents,
+        Each change of a name is kept or lost independently. Of the changes of contents,
         each is applied, lost or, if it is a write, possibly cut short.
         """
-        durable = self.generator.randint(0, len(self._name_changes))
-        names = self._name_changes[durable - 1] if durable else self._synced_names
+        names = dict(self._synced_names)
+        for change in self._name_changes:
+            if self.generator.random() < 0.5:
+                _apply_name_change(names, change)
         for file in names.values():
             self._recover_content(file)
         self._names = dict(names)
--- a/burdockwall/process/control/journal.py
+++ b/burdockwall/process/control/journal.py
@@ -5,6 +5,7 @@
 may have been acknowledged, so damage there is an error; records after it were not.
 """
 
+import contextlib
 import zlib
 
 import msgspec
@@ -158,11 +159,13 @@
         self.synced_bytes += len(data)
 
     def _write_mark(self) -> None:
-        self._sequence += 1
-        mark = Mark(self._sequence, self._generation, self._length)
-        offset = (self._sequence % 2) * MARK_SLOT_BYTES
+        sequence = self._sequence + 1
+        mark = Mark(sequence, self._generation, self._length)
+        offset = (sequence % 2) * MARK_SLOT_BYTES
         self.files.write(MARK_NAME, offset, encode_mark(mark))
         self.files.sync(MARK_NAME)
+        # A write that failed is repeated in its slot: the other one has the last mark.
+        self._sequence = sequence
 
     def _start_generation(self, records: list[Record]) -> None:
         self._generation += 1
@@ -248,7 +251,10 @@
 
     def _remove_left(self, names: list[str], snapshot: str | None) -> None:
         """Remove the files that a crash has left, so that they don't fill the disk."""
-        if self._list_stale(names, snapshot):
+        if not self._list_stale(names, snapshot):
+            return
+        # On a full disk they are removed at the next start.
+        with contextlib.suppress(OSError):
             # No mark may name a journal that is removed.
             self._write_mark()
             self._remove_stale(snapshot)
