--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -1,5 +1,6 @@
 """The journal of a store, which writes records to files and reads them back."""
 
+import contextlib
 import re
 from collections import deque
 from collections.abc import Sequence
@@ -7,6 +8,7 @@
 import msgspec
 
 from burdockwall.process.control.files import Files
+from burdockwall.process.storage.first_segment import FirstSegment
 from burdockwall.process.storage.records import (
     StoredRecord,
     encode_stored,
@@ -37,11 +39,16 @@
     return f"{SEGMENT_PREFIX}{number:0{SEGMENT_DIGITS}}"
 
 
+def _parse_number(name: str) -> int:
+    return int(name.removeprefix(SEGMENT_PREFIX))
+
+
 class LedgerJournal:
     """Appends records to segments, and removes segments whose records are released."""
 
     def __init__(self, files: Files) -> None:
         self.files = files
+        self._first = FirstSegment(files)
         self._segments: deque[_Segment] = deque()
         self._released = 0
 
@@ -53,11 +60,12 @@
         beginning isn't. Raise StorageError if a record is sound but can't be read, as
         one of another build.
         """
-        names = [name for name in self.files.list_names() if _SEGMENT.fullmatch(name)]
+        self._first.recover()
+        names = self._list_needed()
         records: list[StoredRecord] = []
-        whole = True
+        whole = self._starts_whole(names)
         for name in names:
-            number = int(name.removeprefix(SEGMENT_PREFIX))
+            number = _parse_number(name)
             if self._segments and number != self._segments[-1].number + 1:
                 whole = False
             data = self.files.read(name)
@@ -70,8 +78,26 @@
                 self.files.sync(name)
             records += parsed
             self._segments.append(_Segment(number, length, len(parsed)))
+        if whole and names and not self._first.number:
+            # On a full disk the number is stored before the next removal.
+            with contextlib.suppress(OSError):
+                self._first.store(self._segments[0].number)
         return Recovery(records, whole)
 
+    def _list_needed(self) -> list[str]:
+        """List the segments that are needed; remove those that have come back."""
+        names = [name for name in self.files.list_names() if _SEGMENT.fullmatch(name)]
+        needed = [name for name in names if _parse_number(name) >= self._first.number]
+        for name in names[: len(names) - len(needed)]:
+            self.files.remove(name)
+        return needed
+
+    def _starts_whole(self, names: Sequence[str]) -> bool:
+        """Return whether the first segment that is needed is there, if it is known."""
+        if not self._first.number:
+            return True
+        return bool(names) and _parse_number(names[0]) == self._first.number
+
     def write(self, records: Sequence[StoredRecord]) -> None:
         """Write records and sync them."""
         data = b"".join(encode_stored(record) for record in records)
@@ -85,7 +111,8 @@
     def _open_segment(self) -> _Segment:
         if self._segments and self._segments[-1].bytes < SEGMENT_BYTES:
             return self._segments[-1]
-        number = self._segments[-1].number + 1 if self._segments else 1
+        last = self._segments[-1].number if self._segments else 0
+        number = max(last + 1, self._first.number)
         segment = _Segment(number)
         self.files.truncate(name_segment(number), 0)
         self.files.sync_folder()
@@ -95,7 +122,21 @@
     def release(self, records: int) -> None:
         """Release the oldest records, whose files may be removed."""
         self._released += records
-        while len(self._segments) > 1 and self._released >= self._segments[0].records:
-            segment = self._segments.popleft()
-            self._released -= segment.records
-            self.files.remove(name_segment(segment.number))
+
+    def remove_released(self) -> None:
+        """Remove the files whose records are all released; it may be tried again."""
+        first = self._find_first_needed()
+        if first > self._first.number:
+            self._first.store(first)
+        while self._segments and self._segments[0].number < first:
+            self.files.remove(name_segment(self._segments[0].number))
+            self._released -= self._segments.popleft().records
+
+    def _find_first_needed(self) -> int:
+        """Return the number of the first segment that is needed, or 0 without one."""
+        released = self._released
+        for segment in self._segments:
+            released -= segment.records
+            if released < 0 or segment is self._segments[-1]:
+                return segment.number
+        return 0
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -110,18 +110,19 @@
             released = sum(
                 action.records for action in queue if isinstance(action, ReleaseRecords)
             )
-            await self._write_until_done(records, released)
+            if records:
+                await self._write_until_done(records)
             if tickets:
                 self.host.apply(self._hosted, RecordsSynced(tickets[-1]))
+            if released:
+                await self._remove_released(released)
 
-    async def _write_until_done(
-        self, records: Sequence[StoredRecord], released: int
-    ) -> None:
+    async def _write_until_done(self, records: Sequence[StoredRecord]) -> None:
         """Write and sync, and retry until it succeeds; nothing is confirmed before."""
         failed = False
         while True:
             try:
-                await anyio.to_thread.run_sync(self._write, records, released)
+                await anyio.to_thread.run_sync(self.journal.write, records)
             except OSError as error:
                 if not failed:
                     self._logger.error("write failed", extra={"error": str(error)})
@@ -132,13 +133,15 @@
                 # Later records must not be confirmed without these.
                 detail = f"records not written: {error!r}"
                 raise StorageError(Code.STATE_UNCERTAIN, detail) from error
+            self.syncs += 1
             if failed:
                 self._logger.notice("writes succeed again")
             return
 
-    def _write(self, records: Sequence[StoredRecord], released: int) -> None:
-        if records:
-            self.journal.write(records)
-            self.syncs += 1
-        if released:
-            self.journal.release(released)
+    async def _remove_released(self, released: int) -> None:
+        """Remove files that are not needed; what fails is tried with the next ones."""
+        self.journal.release(released)
+        try:
+            await anyio.to_thread.run_sync(self.journal.remove_released)
+        except OSError as error:
+            self._logger.error("files not removed", extra={"error": str(error)})
--- a/features/subjects/storage.py
+++ b/features/subjects/storage.py
@@ -174,7 +174,9 @@
             case WriteRecords():
                 self._store(instance, action)
             case ReleaseRecords(records=records):
-                self.stores[instance].journal.release(records)
+                journal = self.stores[instance].journal
+                journal.release(records)
+                journal.remove_released()
             case BeginDecided(call=call):
                 self.decisions.begins[call] = action
             case EndStored(call=call):
