--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -78,6 +78,10 @@
                 self.files.sync(name)
             records += parsed
             self._segments.append(_Segment(number, length, len(parsed)))
+        if names:
+            # A crash may have left the last file or its last write unsynced.
+            self.files.sync(names[-1])
+            self.files.sync_folder()
         if whole and names and not self._first.number:
             # On a full disk the number is stored before the next removal.
             with contextlib.suppress(OSError):
--- a/features/subjects/returned_files.py
+++ b/features/subjects/returned_files.py
@@ -122,12 +122,30 @@
         return min(numbers, default=self.removed)
 
     def _fail(self) -> None:
-        self._lose_power()
+        match self.random.choice(("power", "kill", "kill while writing")):
+            case "power":
+                self._lose_power()
+            case "kill":
+                self._recover()
+            case "kill while writing":
+                self._kill_while_writing()
 
     def _lose_power(self) -> None:
         self.files.crash()
         self._recover()
 
+    def _kill_while_writing(self) -> None:
+        after = self.files.operations + self.random.randint(1, 4)
+        self.files.crash_at_operation = after
+        count = self.random.randint(1, 4)
+        try:
+            self.journal.write(self._build_next(count))
+            self.written += count
+        except CrashPoint:
+            pass
+        self.files.crash_at_operation = None
+        self._recover()
+
     def _recover(self) -> None:
         self.journal = LedgerJournal(self.files)
         recovery = self.journal.recover()
