--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -10,12 +10,13 @@
     AskRecords,
     Copied,
     RecordIndex,
+    RecordsFound,
 )
 from burdockwall.process.storage.records import RecordKey, StoreState
 from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import Incarnation, InstanceId
 
-COPIER_MESSAGES: tuple[type[Message], ...] = (RecordIndex, AskCopied)
+COPIER_MESSAGES: tuple[type[Message], ...] = (RecordIndex, RecordsFound, AskCopied)
 REQUEST_INTERVAL_S = 0.3
 REQUEST_TIMEOUT_S = 1.0
 REQUEST_KEYS_LIMIT = 400
@@ -116,6 +117,8 @@
         match message:
             case RecordIndex():
                 return [*self._handle_index(sender, message, now)]
+            case RecordsFound():
+                return [*self._handle_records(sender, message, now)]
             case AskCopied(source=source, since_s=since_s):
                 done = self._has_copied(source, now - since_s)
                 return [Send(sender, Copied(source, done))]
@@ -137,10 +140,29 @@
         source.incarnation = index.incarnation
         source.position = index.position
         source.complete = index.complete
-        source.missing += [key for key in index.keys if not self.ledger.holds(key)]
+        new = [key for key in index.keys if not self.ledger.holds(key)]
+        source.missing += new
         if index.ended and not source.missing:
             source.caught_up_at = now
-        if not index.ended or source.missing:
+        if not index.ended or new:
+            return self._request(sender, source, now)
+        return []
+
+    def _handle_records(
+        self, sender: InstanceId, found: RecordsFound, now: float
+    ) -> list[Send]:
+        self.ledger.add_all(found.records, now)
+        source = self._sources.get(sender)
+        if source is None:
+            return []
+        missing = len(source.missing)
+        absent = set(found.absent)
+        source.missing = [
+            key
+            for key in source.missing
+            if key not in absent and not self.ledger.holds(key)
+        ]
+        if 0 < len(source.missing) < missing:
             return self._request(sender, source, now)
         return []
 
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -53,7 +53,6 @@
     EndTurn,
     AskIndex,
     AskRecords,
-    RecordsFound,
 )
 MS_PER_S = 1000
 # Charges are retained twice as long as turns: a program can continue within the
@@ -189,9 +188,8 @@
             case AskIndex():
                 return [Send(sender, self._list_index(message, now))]
             case AskRecords(keys=keys):
-                return [Send(sender, RecordsFound(self._find_records(keys)))]
-            case RecordsFound(records=records):
-                self.add_all(records, now)
+                absent = [key for key in keys if not self.holds(key)]
+                return [Send(sender, RecordsFound(self._find_records(keys), absent))]
             case _:
                 pass
         return []
@@ -395,8 +393,9 @@
             if len(keys) >= INDEX_KEYS_LIMIT:
                 ended = False
                 break
-            if isinstance(entry.record, LedgerRecord):
-                keys.append(entry.record.key)
+            record = entry.record
+            if isinstance(record, LedgerRecord) and self._is_current(record):
+                keys.append(record.key)
             index += 1
         return RecordIndex(
             self.incarnation,
@@ -435,6 +434,9 @@
                 self._log.popleft()
                 if entry.record == self.state:
                     self._write(self.state, now)
+            elif not self._is_current(entry.record):
+                # A later entry has the record, or the record has expired.
+                self._log.popleft()
             elif not self._is_expired(entry.record, now):
                 if now < entry.logged_at + self._get_rewrite_s(entry.record):
                     break
@@ -452,6 +454,13 @@
         self.room.expire(now)
         return [ReleaseRecords(released)] if released else []
 
+    def _is_current(self, record: LedgerRecord) -> bool:
+        """Return whether this copy of a record is the one that the ledger holds.
+
+        A record that was written again is read twice from the files after a restart.
+        """
+        return self._records.get(record.key) is record
+
     def _get_rewrite_s(self, record: LedgerRecord) -> float:
         return 2 * ACCOUNT_RETENTIONS * record.retention_ms / MS_PER_S
 
--- a/burdockwall/process/storage/messages.py
+++ b/burdockwall/process/storage/messages.py
@@ -171,9 +171,13 @@
 
 
 class RecordsFound(Message, frozen=True):
-    """Sends records, each with its retention."""
+    """Sends records, each with its retention.
+
+    `absent` are the keys asked for that the store does not hold, or no longer.
+    """
 
     records: list[LedgerRecord]
+    absent: list[RecordKey] = []
 
 
 class AskCopied(Message, frozen=True):
--- a/features/returning_stores.feature
+++ b/features/returning_stores.feature
@@ -16,3 +16,20 @@
       | 3    |
       | 4    |
       | 5    |
+
+  # Guards against keys that stores list without having the record (review/9).
+  Scenario: A store lists only records that it holds, although it read one twice
+    Given a store that has read a record twice from its files
+    Then after each of 30 s its index lists only what it holds
+
+  # Guards against a store that waits for good for an expired record (review/9).
+  Scenario: A record that expired after it was listed holds up no copy
+    Given a store that lost its disk, and two that no longer have a record they list
+    When they answer for 4 s that they no longer have it
+    Then the store is complete
+
+  # Guards against questions without a pause (review/9).
+  Scenario: Stores of an earlier build are asked for an expired record with pauses
+    Given a store that lost its disk, and two that no longer have a record they list
+    When they answer for 4 s without a word about it
+    Then the store has asked at most 60 times
