--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -34,10 +34,15 @@
 
 
 class CompletenessChanged(msgspec.Struct, frozen=True):
-    """The store became complete, after copying `sources`, or incomplete."""
+    """The store became complete, or incomplete.
+
+    `sources` are the complete stores that it has copied, `copied` all stores that it
+    has. With too few complete ones, it has copied every other member.
+    """
 
     complete: bool
     sources: tuple[InstanceId, ...]
+    copied: tuple[InstanceId, ...] = ()
 
 
 class _Source(msgspec.Struct):
@@ -200,16 +205,16 @@
         if state.complete or self.view.find(self.instance) is None:
             return []
         settled_at = self._incomplete_since + SETTLE_S
-        ready = [
+        others = [each for each in self.view.instances if each != self.instance]
+        copied = [
             instance
-            for instance in self.view.instances
-            if instance != self.instance and self._is_ready_source(instance, settled_at)
+            for instance in others
+            if self._sources[instance].caught_up_at >= settled_at
         ]
-        if len(ready) < min(self.view.read_quorum, len(self.view.members) - 1):
+        ready = [instance for instance in copied if self._sources[instance].complete]
+        enough = len(ready) >= min(self.view.read_quorum, len(others))
+        # Without enough complete stores, what all members hold is all that is left.
+        if not enough and len(copied) < len(others):
             return []
         self.ledger.set_state(StoreState(True, state.since), now)
-        return [CompletenessChanged(True, tuple(ready))]
-
-    def _is_ready_source(self, instance: InstanceId, settled_at: float) -> bool:
-        source = self._sources[instance]
-        return source.complete and source.caught_up_at >= settled_at
+        return [CompletenessChanged(True, tuple(ready), tuple(copied))]
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -88,6 +88,7 @@
             extra={
                 "complete": action.complete,
                 "sources": " ".join(action.sources),
+                "copied": " ".join(action.copied),
                 "view": self.copier.view.number,
             },
         )
--- a/features/returning_stores.feature
+++ b/features/returning_stores.feature
@@ -17,6 +17,14 @@
       | 4    |
       | 5    |
 
+  # Guards against an incomplete group that waits for good for a complete store.
+  Scenario: A group whose stores all miss records serves what is left
+    Given three stores whose turns expire soon, seed 1
+    When each store has several files, and another one of them is damaged at each
+    Then 0 stores are complete at once
+    And the program that went on gets its chain after 4 s
+    And 3 stores are complete at once
+
   # Guards against keys that stores list without having the record (review/9).
   Scenario: A store lists only records that it holds, although it read one twice
     Given a store that has read a record twice from its files
