--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -18,7 +18,7 @@
 )
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.figures import read_decimal
-from burdockwall.connection.upstream import Probe, is_refusal
+from burdockwall.connection.upstream import FINAL_STATUSES, Probe, is_refusal
 from burdockwall.types import Address, EndpointId
 from burdockwall.version.configuration import Endpoint
 
@@ -80,6 +80,13 @@
     return b"".join(parts)
 
 
+def _check_status(endpoint: Endpoint, response: httpx.Response) -> None:
+    """Raise httpx.RemoteProtocolError if the status of an answer is invalid."""
+    if response.status_code not in FINAL_STATUSES:
+        detail = f"endpoint {endpoint.name} answered {response.status_code}"
+        raise httpx.RemoteProtocolError(detail)
+
+
 def _number_request(headers: Headers) -> tuple[str, Headers]:
     """Return the id of a request and its headers, with a new id if they have none."""
     for name, value in headers:
@@ -209,7 +216,8 @@
         A call counts against the rate that the endpoint takes; other requests do not.
 
         Raise httpx.RemoteProtocolError if the answer names another request, as a late
-        copy on a connection that is in use again does, or none where others did.
+        copy on a connection that is in use again does, or none where others did, or if
+        its status is invalid.
         """
         request, headers = _number_request(headers)
         pooled = self._acquire_client(endpoint)
@@ -222,6 +230,7 @@
             ) as response:
                 answered = response.headers.get(REQUEST_ID)
                 record_head(response)
+                _check_status(endpoint, response)
                 if is_call:
                     check_named(response, answered is not None)
                 if observer is not None:
--- a/burdockwall/connection/upstream.py
+++ b/burdockwall/connection/upstream.py
@@ -31,6 +31,8 @@
 # A longer body of an answer to another request counts as one without end.
 SKIPPED_BODY_LIMIT_BYTES = 1_048_576
 MAX_INTERIM_ANSWERS = 16
+# A final answer with another status is invalid.
+FINAL_STATUSES = range(200, 600)
 # A value or a reason that contains it shows that two heads ran into each other.
 PROTOCOL_MARK = b"HTTP/1."
 
@@ -164,6 +166,9 @@
             if isinstance(event, h11.Response):
                 headers = list(event.headers)
                 self._check_head(bytes(event.reason), headers)
+                if event.status_code not in FINAL_STATUSES:
+                    detail = f"the answer's status is {event.status_code}"
+                    raise ConnectionBroken(detail, self._closed)
                 return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken("the answer has no head", self._closed)
--- a/features/answer_ends.feature
+++ b/features/answer_ends.feature
@@ -32,6 +32,49 @@
       | body   | busy, without saying that it has not run |
       | body   | a refusal that is cut                  |
 
+  # Guards against an invalid status that reaches a caller as an answer (MIXED).
+  Scenario Outline: A <kind> answered with the invalid status <status> gets 502
+    Given endpoints that answer a <kind> with status <status>
+    When a caller asks for it
+    Then the caller gets 502, and one endpoint was asked once
+
+    Examples:
+      | kind   | status |
+      | body   | 000    |
+      | body   | 099    |
+      | body   | 600    |
+      | body   | 999    |
+      | stream | 000    |
+      | stream | 099    |
+      | stream | 600    |
+      | stream | 999    |
+
+  # Guards against an invalid status of a peer that is passed on (MIXED).
+  Scenario Outline: A peer's answer with the invalid status <status> gets 502
+    Given a peer that answers a relayed request with status <status>
+    When a caller's request is relayed to it
+    Then the caller of the relayed request gets 502
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+
+  # Guards against an invalid status on the own interface (MIXED).
+  Scenario Outline: On the own interface, the invalid status <status> is no answer
+    Given an endpoint of the own interface that answers with status <status>
+    When a pooled client calls it
+    Then the call has failed without an answer
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+
   Scenario: A stream that broke off isn't continued by another endpoint's error
     Given two endpoints, of which the first breaks a stream off after each byte
     When callers ask for it
--- a/features/steps/answer_ends_steps.py
+++ b/features/steps/answer_ends_steps.py
@@ -6,7 +6,9 @@
     OWN,
     CutAnswers,
     PlainAnswers,
+    relay_answer,
 )
+from features.subjects.upstream import call_endpoint
 
 LARGE_BYTES = 20_000_000
 LENGTH = b"Content-Length: 2\r\n"
@@ -33,6 +35,16 @@
 }
 
 
+INVALID_STATUSES = ("000", "099", "600", "999")
+WRONG_ANSWERS |= {
+    f"status {status}": b"HTTP/1.1 %s No\r\n" % status.encode()
+    + OWN
+    + LENGTH
+    + b"\r\nno"
+    for status in INVALID_STATUSES
+}
+
+
 @given("a {kind} of an unrepeatable request with {framing}")
 def step_framing(context, kind, framing):
     context.subject = CutAnswers(framing, kind)
@@ -87,3 +99,33 @@
         assert view.status in (200, 502), view
         assert view.status != 200 or whole.startswith(view.body), view
         assert view.status != 200 or not view.whole, view
+
+
+@given("a peer that answers a relayed request with status {status}")
+def step_peer(context, status):
+    context.wrong = WRONG_ANSWERS[f"status {status}"]
+
+
+@when("a caller's request is relayed to it")
+def step_relay(context):
+    context.view = relay_answer(context.wrong)
+
+
+@then("the caller of the relayed request gets 502")
+def step_relayed(context):
+    assert context.view.status == 502, context.view
+
+
+@given("an endpoint of the own interface that answers with status {status}")
+def step_own_status(context, status):
+    context.answer = WRONG_ANSWERS[f"status {status}"].replace(OWN, b"")
+
+
+@when("a pooled client calls it")
+def step_own_call(context):
+    context.status = call_endpoint(context.answer)
+
+
+@then("the call has failed without an answer")
+def step_own_failed(context):
+    assert context.status is None, context.status
--- a/features/subjects/answer_ends.py
+++ b/features/subjects/answer_ends.py
@@ -122,3 +122,13 @@
             return view, [len(item.requests) for item in endpoints]
 
         return anyio.run(run)
+
+
+def relay_answer(answer: bytes) -> CallerView:
+    """Relay a request to a peer with an answer; return what its caller has received."""
+    peer = ScriptedEndpoint("peer", [Script([answer], Ending.CLOSE)])
+
+    async def run():
+        return await AnswerSite([peer]).relay("own")
+
+    return anyio.run(run)
--- a/features/subjects/answer_site.py
+++ b/features/subjects/answer_site.py
@@ -1,7 +1,8 @@
 """The platform path's forwarding before endpoints that answer with given bytes."""
 
+import random
 import socket
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from types import SimpleNamespace
@@ -16,16 +17,20 @@
 from burdockwall.errors import RequestRefused
 from burdockwall.platform.codec import PlatformCodec
 from burdockwall.process.endpoints import ListedEndpoint
+from burdockwall.process.resolver import EntryInstance
 from burdockwall.process.scheduling.balance import Balancer
 from burdockwall.process.scheduling.endpoint_health import EndpointHealth
 from burdockwall.process.scheduling.hedge_delay import HedgeDelay
+from burdockwall.process.scheduling.peer_choice import PeerChoice
 from burdockwall.request.forwarding import Forwarding
+from burdockwall.request.peer_relay import PeerRelay
 from burdockwall.request.trace import RequestTrace
 from burdockwall.types import (
     Address,
     EndpointId,
     FailureDomain,
     Incarnation,
+    InstanceId,
     RouteName,
     ServiceName,
 )
@@ -231,28 +236,7 @@
         )
         deployment = Deployment(1, (route,), {SERVICE: HostService(SERVICE, 8)}, ())
         view = CallerView()
-
-        async def send(event) -> None:
-            if event["type"] == "http.response.start":
-                view.status = event["status"]
-                return
-            view.body += event["body"]
-            view.whole = not event.get("more_body", False)
-
-        async def receive():
-            return {"type": "http.request", "body": b"", "more_body": False}
-
-        scope = {
-            "method": "POST",
-            "path": "/x",
-            "raw_path": b"/x",
-            "query_string": b"",
-            "headers": [
-                (b"host", HOST.encode()),
-                (b"x-request-id", request.encode()),
-            ],
-        }
-        exchange = Exchange(scope, receive, send, 1.0)
+        exchange = _create_exchange(view, request)
         forwarding = Forwarding(
             self.parts,
             DeploymentView(deployment),
@@ -263,13 +247,67 @@
             b"input",
             RequestTrace(request, self.clock()),
         )
+        await self._answer(forwarding.run(), exchange, view, request)
+        return view
+
+    async def relay(self, request: str) -> CallerView:
+        """Relay a request to the first endpoint as a peer."""
+        view = CallerView()
+        exchange = _create_exchange(view, request)
+        name, *_ = self.endpoints
+        peer = EntryInstance(InstanceId(name), Address(f"{name}:80"), DOMAIN)
+        choice = PeerChoice(InstanceId("own"), DOMAIN, random.Random(1))
+        parts = self.parts
+        relay = PeerRelay(
+            parts.codec, parts.upstreams, choice, lambda: [peer], self.clock
+        )
+        serving = relay.serve(
+            exchange,
+            parts.codec.read_request(exchange),
+            b"input",
+            self.clock() + TIMEOUT_S,
+            RequestTrace(request, self.clock()),
+        )
+        await self._answer(serving, exchange, view, request)
+        return view
+
+    async def _answer(
+        self,
+        serving: Awaitable[None],
+        exchange: Exchange,
+        view: CallerView,
+        request: str,
+    ) -> None:
         try:
-            await forwarding.run()
+            await serving
         except RequestRefused as error:
             view.code = error.code.value.number
             if not exchange.started:
                 view.status = self.parts.codec.build_refusal(error, request).status
-        return view
+
+
+def _create_exchange(view: CallerView, request: str) -> Exchange:
+    async def send(event) -> None:
+        if event["type"] == "http.response.start":
+            view.status = event["status"]
+            return
+        view.body += event["body"]
+        view.whole = not event.get("more_body", False)
+
+    async def receive():
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    scope = {
+        "method": "POST",
+        "path": "/x",
+        "raw_path": b"/x",
+        "query_string": b"",
+        "headers": [
+            (b"host", HOST.encode()),
+            (b"x-request-id", request.encode()),
+        ],
+    }
+    return Exchange(scope, receive, send, 1.0)
 
 
 class _First:
--- a/features/subjects/upstream.py
+++ b/features/subjects/upstream.py
@@ -210,3 +210,35 @@
     started_at = time.monotonic()
     failed = anyio.run(run)
     return EndlessRead(failed, time.monotonic() - started_at)
+
+
+def call_endpoint(answer: bytes) -> int | None:
+    """Return the status that a pooled client has from an answer, or None."""
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive(65536)
+        await stream.send(answer)
+        await stream.aclose()
+
+    async def run() -> int | None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        endpoint = Endpoint(
+            EndpointId("e1"), PoolName("p"), Address(f"127.0.0.1:{port}")
+        )
+        clients = EndpointClients(1.0, 30.0)
+        status = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            try:
+                async with clients.open_stream(
+                    endpoint, "GET", "/x", [], None, is_call=True
+                ) as response:
+                    status = response.status_code
+            except httpx.TransportError:
+                pass
+            await clients.close()
+            group.cancel_scope.cancel()
+        return status
+
+    return anyio.run(run)
