--- a/burdockwall/connection/endpoints.py
+++ b/burdockwall/connection/endpoints.py
@@ -16,6 +16,7 @@
     check_named,
     record_head,
 )
+from burdockwall.connection.client import PLAIN_ANSWERS
 from burdockwall.connection.exchange import Headers
 from burdockwall.connection.figures import read_decimal
 from burdockwall.connection.upstream import FINAL_STATUSES, Probe, is_refusal
@@ -67,19 +68,6 @@
     return min((rate for rate in rates if rate is not None and rate >= 0), default=None)
 
 
-async def read_limited(response: httpx.Response, limit_bytes: int) -> bytes:
-    """Read a body; raise httpx.RemoteProtocolError if it exceeds the limit."""
-    parts = []
-    left_bytes = limit_bytes
-    async for chunk in response.aiter_bytes():
-        left_bytes -= len(chunk)
-        if left_bytes < 0:
-            detail = f"the answer exceeds {limit_bytes} bytes"
-            raise httpx.RemoteProtocolError(detail)
-        parts.append(chunk)
-    return b"".join(parts)
-
-
 def _check_status(endpoint: Endpoint, response: httpx.Response) -> None:
     """Raise httpx.RemoteProtocolError if the status of an answer is invalid."""
     if response.status_code not in FINAL_STATUSES:
@@ -185,6 +173,7 @@
         scheme = "https" if endpoint.tls else "http"
         return httpx.AsyncClient(
             base_url=f"{scheme}://{endpoint.address}",
+            headers=PLAIN_ANSWERS,
             transport=transport,
             timeout=httpx.Timeout(self.silence_s, connect=self.connect_s),
             trust_env=False,
--- a/burdockwall/connection/paged_list.py
+++ b/burdockwall/connection/paged_list.py
@@ -2,11 +2,11 @@
 
 from typing import Annotated
 
+import anyio
 import httpx
 import msgspec
 
-from burdockwall.connection.client import create_http_client
-from burdockwall.connection.endpoints import read_limited
+from burdockwall.connection.client import create_http_client, read_limited
 from burdockwall.connection.json_text import (
     JsonUnreadable,
     decode_json,
@@ -16,6 +16,8 @@
 from burdockwall.types import Address
 
 READ_TIMEOUT_S = 1.5
+# Of a whole page, whose bytes may come one by one.
+PAGE_TIMEOUT_S = 5.0
 MAX_PAGES = 100
 MAX_PAGE_BYTES = 4_194_304
 MAX_ITEMS = 50_000
@@ -64,11 +66,12 @@
         path = self.format.path
         query = {self.format.token: token} if token else {}
         try:
-            async with self._client.stream("GET", path, params=query) as response:
-                response.raise_for_status()
-                text = await read_limited(response, MAX_PAGE_BYTES)
+            with anyio.fail_after(PAGE_TIMEOUT_S):
+                async with self._client.stream("GET", path, params=query) as response:
+                    response.raise_for_status()
+                    text = await read_limited(response, MAX_PAGE_BYTES)
             return self._decode_page(text)
-        except (httpx.HTTPError, JsonUnreadable) as error:
+        except (httpx.HTTPError, JsonUnreadable, TimeoutError) as error:
             raise ListUnreadable(f"{type(error).__name__}: {error}") from error
 
     def _decode_page(self, text: bytes) -> tuple[list[bytes], str | None]:
--- a/burdockwall/connection/peer_bounds.py
+++ b/burdockwall/connection/peer_bounds.py
@@ -151,5 +151,18 @@
         share.close()
 
 
+def bound_answers(stream: Any) -> None:
+    """Let a stream of one's own read no answer that is longer than any batch."""
+    frames = stream._stream
+    receive = frames.recv_data
+
+    async def receive_bounded(size: int) -> bytes:
+        if size > MAX_BATCH_FRAME_BYTES:
+            raise BatchTooLong(f"an answer of {size} bytes")
+        return cast(bytes, await receive(size))
+
+    frames.recv_data = receive_bounded
+
+
 def _cancel(task: "asyncio.Task[Any]") -> None:
     task.cancel()
--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -28,6 +28,7 @@
 from burdockwall.connection.peer_bounds import (
     COPIES_OF_BATCH,
     UNCOUNTED_BYTES,
+    bound_answers,
     bound_messages,
     create_bounded_server,
     create_peer_connections,
@@ -224,6 +225,8 @@
             )
             await self._connect(channel)
             async with method.open() as stream:
+                await stream.send_request()
+                bound_answers(stream)
                 while True:
                     await self._send_batch(stream)
                     await self._wait_for_message()
--- a/burdockwall/process/membership/platform.py
+++ b/burdockwall/process/membership/platform.py
@@ -10,7 +10,7 @@
 import logbook
 import msgspec
 
-from burdockwall.connection.client import create_http_client
+from burdockwall.connection.client import create_http_client, read_limited
 from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.types import Address, EndpointId, EndpointState, InstanceId
 
@@ -25,6 +25,7 @@
 POLL_INTERVAL_S = 1.0
 POLL_TIMEOUT_S = 2.0
 LIST_PATH = "/instances"
+LIST_LIMIT_BYTES = 4_194_304
 _decoder = msgspec.json.Decoder(PlatformList)
 
 
@@ -52,10 +53,12 @@
 
     async def _read(self, client: httpx.AsyncClient) -> None:
         try:
-            response = await client.get(self.url)
-            response.raise_for_status()
-            published = decode_json(response.content, _decoder)
-        except (httpx.HTTPError, JsonUnreadable) as error:
+            with anyio.fail_after(POLL_TIMEOUT_S):
+                async with client.stream("GET", self.url) as response:
+                    response.raise_for_status()
+                    text = await read_limited(response, LIST_LIMIT_BYTES)
+            published = decode_json(text, _decoder)
+        except (httpx.HTTPError, JsonUnreadable, TimeoutError) as error:
             # The last list stays in use; heartbeats detect failures without it.
             self._logger.warning(
                 "cannot read the platform's instance list; keeping the previous one",
--- a/burdockwall/process/orders/shell.py
+++ b/burdockwall/process/orders/shell.py
@@ -6,7 +6,7 @@
 import httpx
 import msgspec
 
-from burdockwall.connection.client import create_http_client
+from burdockwall.connection.client import create_http_client, read_limited
 from burdockwall.process.host import Host, HostedMachine
 from burdockwall.process.jobs import Jobs
 from burdockwall.process.membership.timing import FIRST_TERM
@@ -23,6 +23,7 @@
 from burdockwall.types import Address, EndpointId, Term
 
 ORDER_PATH = "/orders"
+ANSWER_LIMIT_BYTES = 65_536
 
 
 class Orders:
@@ -91,11 +92,14 @@
         if address is None or self._client is None or not self._is_leading():
             return OrderResult.FAILED
         try:
-            response = await self._client.post(
+            async with self._client.stream(
+                "POST",
                 f"http://{address}{ORDER_PATH}",
                 content=msgspec.json.encode(numbered_order),
                 headers={"content-type": "application/json"},
-            )
+            ) as response:
+                # The connection is used again only if its answer was read.
+                await read_limited(response, ANSWER_LIMIT_BYTES)
         except (httpx.HTTPError, httpx.InvalidURL):
             return OrderResult.FAILED
         if response.status_code == httpx.codes.CONFLICT:
--- a/burdockwall/process/programs/reclaimer.py
+++ b/burdockwall/process/programs/reclaimer.py
@@ -7,7 +7,8 @@
 import logbook
 import msgspec
 
-from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.client import read_limited
+from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.connection.json_text import Count, JsonUnreadable, decode_json
 from burdockwall.process.jobs import Jobs
 from burdockwall.process.programs import calls
--- a/burdockwall/process/scheduling/poller.py
+++ b/burdockwall/process/scheduling/poller.py
@@ -6,7 +6,8 @@
 import httpx
 import msgspec
 
-from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.client import read_limited
+from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.connection.json_text import JsonUnreadable, decode_json
 from burdockwall.process.failures import Failures
 from burdockwall.process.jobs import contain
--- a/burdockwall/request/once.py
+++ b/burdockwall/request/once.py
@@ -8,7 +8,7 @@
 import anyio.abc
 import httpx
 
-from burdockwall.connection.endpoints import read_limited
+from burdockwall.connection.client import read_limited
 from burdockwall.connection.exchange import Exchange
 from burdockwall.errors import Code, RequestRefused
 from burdockwall.process.jobs import Jobs
--- a/features/subjects/extra_answers.py
+++ b/features/subjects/extra_answers.py
@@ -4,7 +4,8 @@
 import anyio.abc
 import httpx
 
-from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.client import read_limited
+from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.types import Address, EndpointId, PoolName
 from burdockwall.version.configuration import Endpoint
 from burdockwall.version.deployment import RequestKind
--- a/features/subjects/upstream.py
+++ b/features/subjects/upstream.py
@@ -8,7 +8,8 @@
 import anyio.abc
 import httpx
 
-from burdockwall.connection.endpoints import EndpointClients, read_limited
+from burdockwall.connection.client import read_limited
+from burdockwall.connection.endpoints import EndpointClients
 from burdockwall.connection.upstream import (
     AnswerOwner,
     ConnectionBroken,
