--- a/burdockwall/process/control/documents.py
+++ b/burdockwall/process/control/documents.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Callable
 
+import anyio
 import logbook
 
 from burdockwall.errors import Code, OperatorError, find_code
@@ -13,6 +14,7 @@
 from burdockwall.types import Address, DocumentName, KeyDigest, OperatorId, Version
 
 DIGEST_BYTES = 8
+MS_PER_S = 1000
 # Up to eight operators' orders come at once and each wins once; the leader's own
 # proposals take some numbers too.
 MAX_REVISIONS = 16
@@ -33,7 +35,9 @@
         Raise OperatorError if the command fails.
         """
         command = create_put(name, number, data, operator)
+        began_at = anyio.current_time()
         outcome = await self.control.run_command(command)
+        took_s = anyio.current_time() - began_at
         self._logger.notice(
             "document accepted",
             extra={
@@ -42,6 +46,7 @@
                 "digest": digest_data(data),
                 "version": outcome.version,
                 "in_force": self.control.state.documents[name].number,
+                "took_ms": round(took_s * MS_PER_S),
             },
         )
 
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -284,11 +284,16 @@
         self._update_limits_leader()
         # Last, since a version that is in force is not installed again.
         self.view = view
+        delivery = self.member.membership.agent.delivery
         self._logger.notice(
             "configuration in force",
             extra={
                 "number": deployment.number,
                 "version": replica.version,
+                "sender": delivery.sender,
+                "whole_state": delivery.whole,
+                "awaited_ms": round(delivery.awaited_s * MS_PER_S),
+                "installed_ms": round((self.clock() - delivery.at) * MS_PER_S),
                 "routes": len(deployment.routes),
                 "customers": len(deployment.customers),
             },
--- a/burdockwall/process/membership/agent.py
+++ b/burdockwall/process/membership/agent.py
@@ -107,6 +107,18 @@
     version: Version
 
 
+class Delivery(msgspec.Struct, frozen=True):
+    """How the installed version of the control state came here, and when.
+
+    `awaited_s` is how long this instance knew from grants that it lacked a version.
+    """
+
+    sender: InstanceId = InstanceId("")
+    at: float = 0.0
+    awaited_s: float = 0.0
+    whole: bool = False
+
+
 Event = Tick | Receive | Leave | Serve | CopyConfirmed
 Action = (
     Send
@@ -137,6 +149,7 @@
         # The latest version that a leader has named in a grant.
         self.required_version = Version(0)
         self.missed = MissedUpdates()
+        self.delivery = Delivery()
         self.replica = StateReplica()
         self.member_list = MemberList()
         self.lease = Lease()
@@ -187,7 +200,8 @@
             case StateChanges():
                 return self._install_changes(sender, message, now)
             case StateSnapshot():
-                return self._install_state(self.replica.install_snapshot(message), now)
+                installed = self.replica.install_snapshot(message)
+                return self._install_state(sender, installed, now, whole=True)
             case MemberChanges():
                 return self._install_member_changes(sender, message, now)
             case MemberSnapshot():
@@ -343,7 +357,7 @@
         if message.since > installed:
             missed = ChangesMissed(sender, installed, message.since, message.version)
             return [missed, *self._ask_changes(sender, now)]
-        return self._install_state(self.replica.install_changes(message), now)
+        return self._install_state(sender, self.replica.install_changes(message), now)
 
     def _record_lag(self, now: float) -> None:
         self.missed.record_grant(self.replica.version < self.required_version, now)
@@ -371,9 +385,13 @@
             return []
         return self._ask_changes(hop.instance, now)
 
-    def _install_state(self, installed: bool, now: float) -> list[Action]:
+    def _install_state(
+        self, sender: InstanceId, installed: bool, now: float, whole: bool = False
+    ) -> list[Action]:
         if not installed:
             return []
+        awaited_s = self.missed.measure_wait(now)
+        self.delivery = Delivery(sender, now, awaited_s, whole)
         self._record_lag(now)
         actions: list[Action] = [InstallState(self.replica)]
         actions += self._expire_mask()
--- a/burdockwall/process/membership/missed_updates.py
+++ b/burdockwall/process/membership/missed_updates.py
@@ -27,6 +27,10 @@
         elif self._behind_since is None:
             self._behind_since = now
 
+    def measure_wait(self, now: float) -> float:
+        """Return for how long a version that a grant named has been awaited."""
+        return now - self._behind_since if self._behind_since is not None else 0.0
+
     def is_overdue(self, now: float) -> bool:
         """Return whether an update that a grant named should have arrived."""
         since = self._behind_since
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -32,6 +32,12 @@
     When that leader names itself
     Then the instance reports to the leader immediately
 
+  # Guards against logs that can't say where a configuration's time went (CONFIG).
+  Scenario: An instance knows who delivered a version, and how long it was awaited
+    Given an instance that reports to a control instance
+    When a grant names a later version, which "control-1" delivers 0.7 s later
+    Then the instance has it from "control-1", awaited for 0.7 s
+
   Scenario Outline: A silent member is suspected quickly
     Given the records of a fleet of <members> members, of which one is silent
     Then that member is suspected after <early> to <late> s, and no other is suspected
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -2,6 +2,7 @@
 from behave import given, then, when
 
 from burdockwall.machine import Receive, Send, Tick
+from burdockwall.process.control.changes import Change
 from burdockwall.process.control.state import ControlState
 from burdockwall.process.membership.agent import Agent
 from burdockwall.process.membership.detection import Detector
@@ -14,6 +15,7 @@
     MemberSnapshot,
     NotLeader,
     Report,
+    StateChanges,
 )
 from burdockwall.process.membership.records import MemberRecord
 from burdockwall.process.membership.registrar import Registrar
@@ -276,3 +278,19 @@
             context.records[entry.number].entry = entry
             suspected_at = suspected_at or now
     assert early_s <= suspected_at <= late_s, suspected_at
+
+
+@when('a grant names a later version, which "{sender}" delivers {late_s:g} s later')
+def step_deliver_late(context, sender, late_s):
+    grant = Grant(Term(2), CONTROL, Incarnation(1), 1, Version(5))
+    context.agent.handle(Receive(CONTROL, grant), context.now)
+    context.now += late_s
+    changes = StateChanges(Version(0), Version(5), [Change(Version(5))])
+    context.agent.handle(Receive(InstanceId(sender), changes), context.now)
+
+
+@then('the instance has it from "{sender}", awaited for {late_s:g} s')
+def step_delivered(context, sender, late_s):
+    delivery = context.agent.delivery
+    assert (delivery.sender, delivery.at) == (sender, context.now), delivery
+    assert abs(delivery.awaited_s - late_s) < 0.001, delivery
