--- a/burdockwall/fakes/files.py
+++ b/burdockwall/fakes/files.py
@@ -115,6 +115,10 @@
         """Read a whole file."""
         return bytes(self._names[name].content)
 
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file."""
+        return bytes(self._names[name].content[offset : offset + size])
+
     def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; with too little space, write a part and raise OSError."""
         due = self._count_operation()
--- a/burdockwall/options/process.py
+++ b/burdockwall/options/process.py
@@ -37,7 +37,7 @@
         "store_limit_bytes",
         Kind.INTEGER,
         "bytes",
-        "Most bytes that a store holds; beyond that, new records are refused.",
+        "Most bytes of memory for a store's records; their texts are in its files.",
         1_048_576,
     ),
     Option(
@@ -67,6 +67,17 @@
         64,
         1_000_000,
     ),
+    Option(
+        "machine",
+        "disk",
+        "machine_disk_mb",
+        Kind.INTEGER,
+        "MB",
+        "What the data folder's disk has room for, of which a store uses 80%;"
+        " 0: no limit is known.",
+        0,
+        100_000_000,
+    ),
     Option(
         "machine",
         "descriptors",
--- a/burdockwall/process/control/files.py
+++ b/burdockwall/process/control/files.py
@@ -25,6 +25,10 @@
         """Read a whole file."""
         ...
 
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file; it may be asked for beside a write."""
+        ...
+
     def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; create the file if it is missing."""
         ...
@@ -88,6 +92,15 @@
         """Read a whole file."""
         return (self.folder / name).read_bytes()
 
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Read a part of a file; it may be asked for beside a write."""
+        # The open files belong to the thread that writes.
+        descriptor = os.open(self.folder / name, os.O_RDONLY)
+        try:
+            return os.pread(descriptor, size, offset)
+        finally:
+            os.close(descriptor)
+
     def write(self, name: str, offset: int, data: bytes | bytearray) -> None:
         """Write at an offset; create the file if it is missing."""
         descriptor = self._get_descriptor(name)
--- a/burdockwall/process/machine.py
+++ b/burdockwall/process/machine.py
@@ -28,8 +28,10 @@
 REQUESTS_PART = 0.2
 BODIES_PART = 0.35
 PEERS_PART = 0.3
-# A store has no callers; it keeps turns in memory.
+# A store has no callers; it keeps an index of turns in memory.
 STORED_PART = 0.45
+# Of the disk; the rest takes what comes between two looks at the files.
+FILED_PART = 0.8
 # What one of them takes, with what waits unread in its socket.
 CONNECTION_BYTES = 12_288
 TLS_CONNECTION_BYTES = 98_304
@@ -58,6 +60,8 @@
     caller_connections: int
     peer_connections: int
     stored_bytes: int
+    # Of a store's files; 0 is no limit.
+    filed_bytes: int = 0
 
 
 def plan_parts(settings: Settings) -> MachineParts:
@@ -90,6 +94,7 @@
         max(SMALL_PORT_CONNECTIONS, int(callers)),
         max(SMALL_PORT_CONNECTIONS, int(peers)),
         stored,
+        int(FILED_PART * settings.machine_disk_mb * BYTES_PER_MB),
     )
 
 
--- a/burdockwall/process/storage/journal.py
+++ b/burdockwall/process/storage/journal.py
@@ -3,15 +3,21 @@
 import contextlib
 import re
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from burdockwall.process.control.files import Files
 from burdockwall.process.storage.first_segment import FirstSegment
 from burdockwall.process.storage.records import (
+    LedgerRecord,
+    RecordPlace,
     StoredRecord,
+    drop_texts,
     encode_stored,
+    list_sizes,
+    measure_stored_texts,
+    parse_one,
     parse_stored,
 )
 
@@ -28,10 +34,14 @@
 
 
 class Recovery(msgspec.Struct, frozen=True):
-    """The records read, and whether every file was present and intact."""
+    """The records read, and whether every file was present and intact.
+
+    The records are without their texts, which stay at their `places`.
+    """
 
     records: list[StoredRecord]
     whole: bool
+    places: list[RecordPlace]
 
 
 def name_segment(number: int) -> str:
@@ -43,6 +53,24 @@
     return int(name.removeprefix(SEGMENT_PREFIX))
 
 
+def _drop_any_texts(record: StoredRecord) -> StoredRecord:
+    return drop_texts(record) if isinstance(record, LedgerRecord) else record
+
+
+def _list_places(
+    segment: int,
+    offset: int,
+    records: Iterable[StoredRecord],
+    sizes: Iterable[int],
+) -> list[RecordPlace]:
+    places: list[RecordPlace] = []
+    for record, size in zip(records, sizes, strict=True):
+        text_bytes = measure_stored_texts(record)
+        places.append(RecordPlace(segment, offset, size, text_bytes))
+        offset += size
+    return places
+
+
 class LedgerJournal:
     """Appends records to segments, and removes segments whose records are released."""
 
@@ -63,6 +91,7 @@
         self._first.recover()
         names = self._list_needed()
         records: list[StoredRecord] = []
+        places: list[RecordPlace] = []
         whole = self._starts_whole(names)
         for name in names:
             number = _parse_number(name)
@@ -76,7 +105,9 @@
             if length < len(data):
                 self.files.truncate(name, length)
                 self.files.sync(name)
-            records += parsed
+            sizes = list_sizes(data, length)
+            places += _list_places(number, 0, parsed, sizes)
+            records += map(_drop_any_texts, parsed)
             self._segments.append(_Segment(number, length, len(parsed)))
         if names:
             # A crash may have left the last file or its last write unsynced.
@@ -86,7 +117,7 @@
             # On a full disk the number is stored before the next removal.
             with contextlib.suppress(OSError):
                 self._first.store(self._segments[0].number)
-        return Recovery(records, whole)
+        return Recovery(records, whole, places)
 
     def _list_needed(self) -> list[str]:
         """List the segments that are needed; remove those that have come back."""
@@ -102,15 +133,29 @@
             return True
         return bool(names) and _parse_number(names[0]) == self._first.number
 
-    def write(self, records: Sequence[StoredRecord]) -> None:
-        """Write records and sync them."""
-        data = b"".join(encode_stored(record) for record in records)
+    def write(self, records: Sequence[StoredRecord]) -> list[RecordPlace]:
+        """Write records and sync them; return where they are."""
+        encoded = [encode_stored(record) for record in records]
+        data = b"".join(encoded)
         segment = self._open_segment()
         name = name_segment(segment.number)
         self.files.write(name, segment.bytes, data)
         self.files.sync(name)
+        sizes = map(len, encoded)
+        places = _list_places(segment.number, segment.bytes, records, sizes)
         segment.bytes += len(data)
         segment.records += len(records)
+        return places
+
+    @property
+    def size_bytes(self) -> int:
+        """Return what all files take."""
+        return sum(segment.bytes for segment in list(self._segments))
+
+    def read(self, place: RecordPlace) -> LedgerRecord:
+        """Read a record with its texts; raise StorageError if it is damaged."""
+        name = name_segment(place.segment)
+        return parse_one(self.files.read_at(name, place.offset, place.size), name)
 
     def _open_segment(self) -> _Segment:
         if self._segments and self._segments[-1].bytes < SEGMENT_BYTES:
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -6,13 +6,21 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import zip_longest
 from typing import NamedTuple
 
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.deferred import DeferredMessages
+from burdockwall.process.storage.kept_records import (
+    KeptRecord,
+    ReadRecord,
+    UnsyncedRecords,
+    keep_record,
+    keep_recovered,
+)
 from burdockwall.process.storage.messages import (
     AskIndex,
     AskRecords,
@@ -30,9 +38,11 @@
     TurnEnded,
 )
 from burdockwall.process.storage.records import (
+    RECORD_OVERHEAD_BYTES,
     LedgerRecord,
     RecordKey,
     RecordKind,
+    RecordPlace,
     StoredRecord,
     StoreState,
     TurnKey,
@@ -65,6 +75,8 @@
 # A longer conversation would not fit into the message that brings it to an entry.
 CHAIN_LIMIT_BYTES = 5_000_000
 EXPIRE_INTERVAL_S = 1.0
+# Of texts that are read and written again at a time.
+REWRITE_BYTES_LIMIT = 4_194_304
 STATE_REWRITE_S = 30.0
 
 
@@ -76,9 +88,14 @@
 
 
 class RecordsSynced(msgspec.Struct, frozen=True):
-    """An event: every record up to a ticket is synced to disk."""
+    """An event: every record up to a ticket is synced to disk, at `places`.
+
+    All files together have `filed_bytes`.
+    """
 
     ticket: int
+    places: Sequence[RecordPlace] = ()
+    filed_bytes: int = 0
 
 
 class ReleaseRecords(msgspec.Struct, frozen=True):
@@ -102,27 +119,38 @@
 
 
 class _StoredTurn(msgspec.Struct):
-    record: LedgerRecord
+    kept: KeptRecord
     expires_at: float
 
 
 class _LogEntry(msgspec.Struct, frozen=True):
-    record: StoredRecord
+    record: KeptRecord | StoreState
     logged_at: float
 
 
+def _refuse_read(place: RecordPlace) -> LedgerRecord:
+    raise LookupError(f"no files to read {place} from")
+
+
 class Ledger:
     """Applies, confirms and looks up the records of turns."""
 
     def __init__(
-        self, incarnation: Incarnation, complete: bool, limit_bytes: int
+        self,
+        incarnation: Incarnation,
+        complete: bool,
+        limit_bytes: int,
+        read_record: ReadRecord = _refuse_read,
+        disk_limit_bytes: int = 0,
     ) -> None:
         self.incarnation = incarnation
         self.state = StoreState(complete)
-        self.room = StoreRoom(limit_bytes)
+        self.room = StoreRoom(limit_bytes, disk_limit_bytes)
         self._accounts: dict[ProgramKey, _Account] = {}
         self._turns: dict[TurnKey, _StoredTurn] = {}
-        self._records: dict[RecordKey, LedgerRecord] = {}
+        self._records: dict[RecordKey, KeptRecord] = {}
+        self._read_record = read_record
+        self._unsynced = UnsyncedRecords()
         self._log: deque[_LogEntry] = deque()
         self._log_start = 0
         self._ticket = 0
@@ -137,19 +165,27 @@
         """Return the memory that the records take."""
         return self.room.stored_bytes
 
-    def recover(self, records: Iterable[StoredRecord], whole: bool, now: float) -> None:
+    def recover(
+        self,
+        records: Iterable[StoredRecord],
+        whole: bool,
+        now: float,
+        places: Iterable[RecordPlace] = (),
+    ) -> None:
         """Apply the records of the files; the retention of each starts again.
 
         The store becomes incomplete if the files are not whole. Without any record its
         state stays as it was created.
         """
         self.stream_places.since = now
-        for record in records:
-            self._log.append(_LogEntry(record, now))
+        for record, place in zip_longest(records, places):
             if isinstance(record, StoreState):
+                self._log.append(_LogEntry(record, now))
                 self.state = record
             else:
-                self._apply(record, now)
+                kept = keep_recovered(record, place)
+                self._log.append(_LogEntry(kept, now))
+                self._apply(kept, now)
         if not self._log:
             self.set_state(self.state, now)
         elif not whole:
@@ -161,8 +197,10 @@
         """Handle an event and return what to write and send."""
         actions: list[WriteRecords | ReleaseRecords | Send] = []
         match event:
-            case RecordsSynced(ticket=ticket):
+            case RecordsSynced(ticket=ticket, places=places):
                 self._synced = max(self._synced, ticket)
+                self.room.filed_bytes = event.filed_bytes
+                self._release_texts(self._unsynced.take(ticket), places)
             case Tick():
                 actions += self._expire(now)
             case Receive(sender=sender, message=message):
@@ -233,7 +271,7 @@
         now: float,
         answered: bool | None = None,
     ) -> None:
-        chain = self._collect_chain(message.customer, message.previous)
+        chain = self._find_chain(message.customer, message.previous)
         presence = self._get_presence(message, chain)
         sends_chain = message.sends_chain and presence is Presence.STORED
         self._reply(
@@ -244,7 +282,7 @@
                 self.state.complete,
                 charges,
                 presence,
-                chain if sends_chain else None,
+                self._load_chain(chain or []) if sends_chain else None,
                 self._find_place(message),
                 now - self.stream_places.since,
                 answered,
@@ -257,7 +295,7 @@
         return self.stream_places.find(TurnKey(message.customer, message.resumes))
 
     def _get_presence(
-        self, message: BeginTurn | FindTurn, chain: list[ChainLink] | None
+        self, message: BeginTurn | FindTurn, chain: list[KeptRecord] | None
     ) -> Presence:
         if message.previous is None:
             return Presence.NOT_ASKED
@@ -265,18 +303,20 @@
             return Presence.ABSENT
         return Presence.PARTIAL if chain is None else Presence.STORED
 
-    def _collect_chain(
+    def _find_chain(
         self, customer: CustomerId, latest: TurnId | None
-    ) -> list[ChainLink] | None:
+    ) -> list[KeptRecord] | None:
+        """Return a turn and all those before it, oldest first, or None if one lacks."""
         if latest is None:
             return []
-        chain = list(self._walk_chain(customer, latest))
+        chain = [stored.kept for stored in self._walk_chain(customer, latest)]
         if not chain or chain[-1].record.previous is not None:
             return None
-        return [
-            ChainLink(stored.record.prompt, stored.record.answer)
-            for stored in reversed(chain)
-        ]
+        return chain[::-1]
+
+    def _load_chain(self, chain: Iterable[KeptRecord]) -> list[ChainLink]:
+        records = [kept.load(self._read_record) for kept in chain]
+        return [ChainLink(record.prompt, record.answer) for record in records]
 
     def _walk_chain(
         self, customer: CustomerId, latest: TurnId | None
@@ -293,7 +333,7 @@
                 return
             yield stored
             walked.add(turn)
-            turn = stored.record.previous
+            turn = stored.kept.record.previous
 
     def _end(self, sender: InstanceId, message: EndTurn, now: float) -> None:
         record = LedgerRecord(
@@ -326,28 +366,46 @@
         if record.key in self._records:
             # The record may not be synced yet, but the latest ticket covers it.
             return
-        self._apply(record, now)
-        self._write(record, now)
+        kept = keep_record(record)
+        self._apply(kept, now)
+        self._write(kept, now)
 
     def set_state(self, state: StoreState, now: float) -> None:
         """Record whether the store has all records that were stored before."""
         self.state = state
         self._write(state, now)
 
-    def _write(self, record: StoredRecord, now: float) -> None:
+    def _write(self, record: KeptRecord | StoreState, now: float) -> None:
         if not self._batch:
             self._ticket += 1
-        self._batch.append(record)
+        if isinstance(record, KeptRecord):
+            self._batch.append(record.load(self._read_record))
+            self._unsynced.add(self._ticket, record)
+        else:
+            self._batch.append(record)
+            self._unsynced.add(self._ticket, None)
         self._log.append(_LogEntry(record, now))
 
+    def _release_texts(
+        self, synced: Sequence[KeptRecord | None], places: Sequence[RecordPlace]
+    ) -> None:
+        """Keep the texts of synced records in the files only."""
+        for kept, place in zip(synced, places, strict=False):
+            if kept is None:
+                continue
+            released = kept.release_texts(place)
+            if self._is_current(kept):
+                self.room.release_texts(released)
+
     def holds(self, key: RecordKey) -> bool:
         """Return whether the ledger has a record."""
         return key in self._records
 
-    def _apply(self, record: LedgerRecord, now: float) -> None:
+    def _apply(self, kept: KeptRecord, now: float) -> None:
+        record = kept.record
         if record.key not in self._records:
             self.room.add(record)
-        self._records[record.key] = record
+        self._records[record.key] = kept
         retention_s = record.retention_ms / MS_PER_S
         account = self._accounts.setdefault(
             ProgramKey(record.customer, record.program), _Account()
@@ -362,7 +420,7 @@
         if settled and record.whole:
             account.answered = True
             key = TurnKey(record.customer, record.turn)
-            self._turns[key] = _StoredTurn(record, now + retention_s)
+            self._turns[key] = _StoredTurn(kept, now + retention_s)
             self._extend_chain(record, now + retention_s)
 
     def _is_too_long(self, message: BeginTurn) -> bool:
@@ -370,8 +428,7 @@
         if message.previous is None:
             return False
         chain = self._walk_chain(message.customer, message.previous)
-        sizes = (len(item.record.prompt) + len(item.record.answer) for item in chain)
-        return sum(sizes) > CHAIN_LIMIT_BYTES
+        return sum(item.kept.text_bytes for item in chain) > CHAIN_LIMIT_BYTES
 
     def _extend_chain(self, record: LedgerRecord, expires_at: float) -> None:
         for stored in self._walk_chain(record.customer, record.previous):
@@ -393,9 +450,9 @@
             if len(keys) >= INDEX_KEYS_LIMIT:
                 ended = False
                 break
-            record = entry.record
-            if isinstance(record, LedgerRecord) and self._is_current(record):
-                keys.append(record.key)
+            kept = entry.record
+            if isinstance(kept, KeptRecord) and self._is_current(kept):
+                keys.append(kept.record.key)
             index += 1
         return RecordIndex(
             self.incarnation,
@@ -410,13 +467,13 @@
         records: list[LedgerRecord] = []
         size = 0
         for key in keys:
-            record = self._records.get(key)
-            if record is None:
+            kept = self._records.get(key)
+            if kept is None:
                 continue
-            size += record.measure_bytes()
+            size += kept.text_bytes + RECORD_OVERHEAD_BYTES
             if records and size > ANSWER_BYTES_LIMIT:
                 break
-            records.append(record)
+            records.append(kept.load(self._read_record))
         return records
 
     # Time.
@@ -426,6 +483,7 @@
             return []
         self._next_expiry_at = now + EXPIRE_INTERVAL_S
         released = 0
+        rewritten_bytes = 0
         for _ in range(len(self._log)):
             entry = self._log[0]
             if isinstance(entry.record, StoreState):
@@ -438,8 +496,11 @@
                 # A later entry has the record, or the record has expired.
                 self._log.popleft()
             elif not self._is_expired(entry.record, now):
-                if now < entry.logged_at + self._get_rewrite_s(entry.record):
+                if now < entry.logged_at + self._get_rewrite_s(entry.record.record):
+                    break
+                if rewritten_bytes > REWRITE_BYTES_LIMIT:
                     break
+                rewritten_bytes += entry.record.text_bytes
                 # Later turns still need the record, so it is written again at the end
                 # of the log, and the files at its start can be removed.
                 self._log.popleft()
@@ -454,29 +515,31 @@
         self.room.expire(now)
         return [ReleaseRecords(released)] if released else []
 
-    def _is_current(self, record: LedgerRecord) -> bool:
+    def _is_current(self, kept: KeptRecord) -> bool:
         """Return whether this copy of a record is the one that the ledger holds.
 
         A record that was written again is read twice from the files after a restart.
         """
-        return self._records.get(record.key) is record
+        return self._records.get(kept.record.key) is kept
 
     def _get_rewrite_s(self, record: LedgerRecord) -> float:
         return 2 * ACCOUNT_RETENTIONS * record.retention_ms / MS_PER_S
 
-    def _is_expired(self, record: LedgerRecord, now: float) -> bool:
+    def _is_expired(self, kept: KeptRecord, now: float) -> bool:
+        record = kept.record
         stored = self._turns.get(TurnKey(record.customer, record.turn))
         if stored is not None and stored.expires_at > now:
             return False
         account = self._accounts.get(ProgramKey(record.customer, record.program))
         return account is None or account.expires_at <= now
 
-    def _drop(self, record: LedgerRecord) -> None:
+    def _drop(self, kept: KeptRecord) -> None:
+        record = kept.record
         if self._records.pop(record.key, None) is not None:
             self.room.drop(record)
         turn = TurnKey(record.customer, record.turn)
         stored = self._turns.get(turn)
-        if stored is not None and stored.record.key == record.key:
+        if stored is not None and stored.kept.record.key == record.key:
             del self._turns[turn]
 
     def _expire_accounts(self, now: float) -> None:
--- a/burdockwall/process/storage/node.py
+++ b/burdockwall/process/storage/node.py
@@ -23,10 +23,12 @@
             files,
             settings.first_start,
             min(settings.store_limit_bytes, self.member.machine.parts.stored_bytes),
+            self.member.machine.parts.filed_bytes,
         )
 
         gauges, service = self.member.gauges, self.service
         gauges.add("store_bytes", lambda: float(service.ledger.room.stored_bytes))
+        gauges.add("store_file_bytes", lambda: float(service.journal.size_bytes))
         gauges.add("store_complete", lambda: float(service.ledger.state.complete))
         gauges.add("store_syncs", lambda: float(service.syncs))
 
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -62,6 +62,20 @@
         return RECORD_OVERHEAD_BYTES + len(self.prompt) + len(self.answer)
 
 
+class RecordPlace(msgspec.Struct, frozen=True):
+    """Where a record is in the files: its segment, offset and size, in bytes."""
+
+    segment: int
+    offset: int
+    size: int
+    text_bytes: int
+
+
+def drop_texts(record: LedgerRecord) -> LedgerRecord:
+    """Return a record without its prompt and answer."""
+    return msgspec.structs.replace(record, prompt=b"", answer=b"")
+
+
 class StoreState(msgspec.Struct, frozen=True, array_like=True):
     """Whether a store had all earlier records when this was written to its log.
 
@@ -87,6 +101,35 @@
     return FRAME.pack(len(body), zlib.crc32(body)) + body
 
 
+def measure_stored_texts(record: StoredRecord) -> int:
+    """Return the size of a record's prompt and answer, in bytes."""
+    if isinstance(record, StoreState):
+        return 0
+    return len(record.prompt) + len(record.answer)
+
+
+def list_sizes(data: bytes, length: int) -> list[int]:
+    """List the sizes of the records in a part of data that was parsed."""
+    sizes: list[int] = []
+    offset = 0
+    while offset < length:
+        body_size, _ = FRAME.unpack_from(data, offset)
+        sizes.append(FRAME.size + body_size)
+        offset += sizes[-1]
+    return sizes
+
+
+def parse_one(data: bytes, name: str) -> LedgerRecord:
+    """Parse the record that data consists of, or raise StorageError."""
+    records, length = parse_stored(data, name)
+    match records:
+        case [LedgerRecord() as record] if length == len(data):
+            return record
+        case _:
+            detail = f"{name}: a record that was read before is damaged"
+            raise StorageError(Code.JOURNAL_DAMAGED, detail)
+
+
 def parse_stored(data: bytes, name: str = "ledger") -> tuple[list[StoredRecord], int]:
     """Parse records up to the first damaged one; return them and their end offset.
 
--- a/burdockwall/process/storage/room.py
+++ b/burdockwall/process/storage/room.py
@@ -1,4 +1,7 @@
-"""The room of a store: what its records take, and what begun turns will take."""
+"""The room of a store: what its records take, and what begun turns will take.
+
+Records take memory, and their texts only until they are in the files.
+"""
 
 import msgspec
 
@@ -22,10 +25,15 @@
 
 
 class StoreRoom:
-    """Counts the bytes of records and of the prompts that begun turns will store."""
+    """Counts the bytes of records and of the prompts that begun turns will store.
+
+    `filed_bytes` is what the files take, of which 0 is no limit.
+    """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, disk_limit_bytes: int = 0) -> None:
         self.limit_bytes = limit_bytes
+        self.disk_limit_bytes = disk_limit_bytes
+        self.filed_bytes = 0
         self.stored_bytes = 0
         self.reserved_bytes = 0
         self._reserved: dict[TurnKey, _Reservation] = {}
@@ -33,7 +41,12 @@
     @property
     def is_full(self) -> bool:
         """Return whether no more records fit."""
-        return self.stored_bytes >= self.limit_bytes
+        return self.stored_bytes >= self.limit_bytes or not self._has_disk(0)
+
+    def _has_disk(self, size_bytes: int) -> bool:
+        """Return whether a size fits into the files beside what is reserved."""
+        taken = self.filed_bytes + self.reserved_bytes + size_bytes
+        return not self.disk_limit_bytes or taken < self.disk_limit_bytes
 
     def reserve(self, turn: TurnKey, prompt_bytes: int, now: float) -> bool:
         """Reserve room for a turn that begins; return whether there is any."""
@@ -45,6 +58,8 @@
             limit *= LARGE_SUM_PART
         if self.stored_bytes + self.reserved_bytes + size_bytes > limit:
             return False
+        if not self._has_disk(size_bytes):
+            return False
         self._reserved[turn] = _Reservation(size_bytes, now + RESERVATION_S)
         self.reserved_bytes += size_bytes
         return True
@@ -59,6 +74,10 @@
         if record.kind is RecordKind.SETTLED:
             self._release(TurnKey(record.customer, record.turn))
 
+    def release_texts(self, size_bytes: int) -> None:
+        """Count the texts of a record no more, since they are in the files."""
+        self.stored_bytes -= size_bytes
+
     def drop(self, record: LedgerRecord) -> None:
         """Count a record no more."""
         self.stored_bytes -= record.measure_bytes()
--- a/burdockwall/process/storage/service.py
+++ b/burdockwall/process/storage/service.py
@@ -24,7 +24,7 @@
     WriteRecords,
 )
 from burdockwall.process.storage.messages import BeginTurn, EndTurn
-from burdockwall.process.storage.records import StoredRecord
+from burdockwall.process.storage.records import RecordPlace, StoredRecord
 from burdockwall.process.storage.view import StoreView
 from burdockwall.types import Incarnation, InstanceId
 
@@ -43,10 +43,13 @@
         files: Files,
         first_start: bool,
         limit_bytes: int,
+        disk_limit_bytes: int = 0,
     ) -> None:
         self.host = host
         self.journal = LedgerJournal(files)
-        self.ledger = Ledger(incarnation, first_start, limit_bytes)
+        self.ledger = Ledger(
+            incarnation, first_start, limit_bytes, self.journal.read, disk_limit_bytes
+        )
         self.copier = Copier(instance, self.ledger)
         self.syncs = 0
         self._logger = logbook.Logger("store")
@@ -63,7 +66,9 @@
 
     def _recover(self) -> None:
         recovery = self.journal.recover()
-        self.ledger.recover(recovery.records, recovery.whole, self.host.clock())
+        self.ledger.recover(
+            recovery.records, recovery.whole, self.host.clock(), recovery.places
+        )
         self._logger.notice(
             "store opened",
             extra={
@@ -111,19 +116,27 @@
             released = sum(
                 action.records for action in queue if isinstance(action, ReleaseRecords)
             )
+            places: list[RecordPlace] = []
             if records:
-                await self._write_until_done(records)
+                places = await self._write_until_done(records)
             if tickets:
-                self.host.apply(self._hosted, RecordsSynced(tickets[-1]))
+                self._report_synced(tickets[-1], places)
             if released:
                 await self._remove_released(released)
+                self._report_synced(0, [])
+
+    def _report_synced(self, ticket: int, places: Sequence[RecordPlace]) -> None:
+        synced = RecordsSynced(ticket, places, self.journal.size_bytes)
+        self.host.apply(self._hosted, synced)
 
-    async def _write_until_done(self, records: Sequence[StoredRecord]) -> None:
+    async def _write_until_done(
+        self, records: Sequence[StoredRecord]
+    ) -> list[RecordPlace]:
         """Write and sync, and retry until it succeeds; nothing is confirmed before."""
         failed = False
         while True:
             try:
-                await anyio.to_thread.run_sync(self.journal.write, records)
+                places = await anyio.to_thread.run_sync(self.journal.write, records)
             except OSError as error:
                 if not failed:
                     self._logger.error("write failed", extra={"error": str(error)})
@@ -137,7 +150,7 @@
             self.syncs += 1
             if failed:
                 self._logger.notice("writes succeed again")
-            return
+            return places
 
     async def _remove_released(self, released: int) -> None:
         """Remove files that are not needed; what fails is tried with the next ones."""
--- a/burdockwall/settings.py
+++ b/burdockwall/settings.py
@@ -25,6 +25,7 @@
     store_limit_bytes: int = 134_217_728
     machine_memory_mb: int = 1024
     machine_descriptors: int = 0
+    machine_disk_mb: int = 0
     caller_address: Address = Address("127.0.0.1:8080")
     operator_address: Address = Address("127.0.0.1:8081")
     peer_address: Address = Address("127.0.0.1:8082")
--- a/features/steps/returning_stores_steps.py
+++ b/features/steps/returning_stores_steps.py
@@ -39,7 +39,7 @@
 def step_chain(context, after_s):
     with use_small_segments(GROUP_SEGMENT_BYTES):
         chain = context.stores.find_chain(after_s)
-    assert chain is not None and chain.split()[-1:] == context.stores.chain[-1:], chain
+    assert chain == " ".join(context.stores.chain), chain
 
 
 @given("a store that has read a record twice from its files")
--- a/features/subjects/storage.py
+++ b/features/subjects/storage.py
@@ -124,8 +124,9 @@
         journal = LedgerJournal(files)
         recovery = journal.recover()
         complete = first or not self.distrusts_new_disks
-        ledger = Ledger(self._create_incarnation(), complete, LIMIT_BYTES)
-        ledger.recover(recovery.records, recovery.whole, self.network.now)
+        ledger = Ledger(self._create_incarnation(), complete, LIMIT_BYTES, journal.read)
+        now = self.network.now
+        ledger.recover(recovery.records, recovery.whole, now, recovery.places)
         copier = self.copier_class(name, ledger)
         self.stores[name] = StoreParts(files, ledger, copier, journal)
         self.network.start(
@@ -196,8 +197,9 @@
 
         def write() -> None:
             if is_same():
-                parts.journal.write(action.records)
-                self.network.apply(instance, parts.ledger, RecordsSynced(action.ticket))
+                places = parts.journal.write(action.records)
+                synced = RecordsSynced(action.ticket, places)
+                self.network.apply(instance, parts.ledger, synced)
 
         if not self.syncs_first:
             self.network.schedule(
