--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -1,5 +1,7 @@
 """The copier of a store, which fetches the records that only other stores have."""
 
+from itertools import islice
+
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
@@ -55,6 +57,8 @@
     unanswered: bool = False
     caught_up_at: float = float("-inf")
     missing: list[RecordKey] = msgspec.field(default_factory=list)
+    # The keys of the last question for records, while it is unanswered.
+    asked: frozenset[RecordKey] = frozenset()
 
 
 class Copier:
@@ -145,14 +149,17 @@
         source.incarnation = index.incarnation
         source.position = index.position
         source.complete = index.complete
-        new = [key for key in index.keys if not self.ledger.holds(key)]
-        source.missing += new
+        new = list(filter(self._is_missing, index.keys))
+        source.missing = [*filter(self._is_missing, source.missing), *new]
         if index.ended and not source.missing:
             source.caught_up_at = now
         if not index.ended or new:
             return self._request(sender, source, now)
         return []
 
+    def _is_missing(self, key: RecordKey) -> bool:
+        return not self.ledger.holds(key)
+
     def _handle_records(
         self, sender: InstanceId, found: RecordsFound, now: float
     ) -> list[Send]:
@@ -160,6 +167,7 @@
         source = self._sources.get(sender)
         if source is None:
             return []
+        source.asked = frozenset()
         missing = len(source.missing)
         absent = set(found.absent)
         source.missing = [
@@ -190,16 +198,25 @@
     def _request(self, instance: InstanceId, source: _Source, now: float) -> list[Send]:
         source.requested_at = now
         source.unanswered = True
-        source.missing = [key for key in source.missing if not self.ledger.holds(key)]
-        sends = []
-        if source.missing:
-            sends.append(
-                Send(instance, AskRecords(source.missing[:REQUEST_KEYS_LIMIT]))
-            )
+        source.missing = list(filter(self._is_missing, source.missing))
+        sends: list[Send] = []
+        keys = self._choose_keys(source, now)
+        source.asked = frozenset(keys)
+        if keys:
+            sends.append(Send(instance, AskRecords(keys)))
         ask = AskIndex(source.incarnation, source.position, self.ledger.incarnation)
         sends.append(Send(instance, ask))
         return sends
 
+    def _choose_keys(self, source: _Source, now: float) -> list[RecordKey]:
+        """Choose missing keys that no other source has just been asked for."""
+        elsewhere: set[RecordKey] = set()
+        for other in self._sources.values():
+            if other is not source and now - other.requested_at < REQUEST_TIMEOUT_S:
+                elsewhere |= other.asked
+        keys = (key for key in source.missing if key not in elsewhere)
+        return list(islice(keys, REQUEST_KEYS_LIMIT))
+
     def _check_complete(self, now: float) -> list[CompletenessChanged]:
         state = self.ledger.state
         if state.complete or self.view.find(self.instance) is None:
