--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -8,12 +8,16 @@
 from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import zip_longest
-from typing import NamedTuple
 
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
 from burdockwall.process.deferred import DeferredMessages
+from burdockwall.process.storage.accounts import (
+    ACCOUNT_RETENTIONS,
+    Accounts,
+    ProgramKey,
+)
 from burdockwall.process.storage.kept_records import (
     KeptRecord,
     ReadRecord,
@@ -38,6 +42,7 @@
     TurnEnded,
 )
 from burdockwall.process.storage.records import (
+    MS_PER_S,
     RECORD_OVERHEAD_BYTES,
     LedgerRecord,
     RecordKey,
@@ -53,7 +58,6 @@
     CustomerId,
     Incarnation,
     InstanceId,
-    ProgramId,
     TurnId,
 )
 
@@ -64,10 +68,6 @@
     AskIndex,
     AskRecords,
 )
-MS_PER_S = 1000
-# Charges are retained twice as long as turns: a program can continue within the
-# retention of its last turn, and its budget must still count then.
-ACCOUNT_RETENTIONS = 2.0
 # Other stores receive younger records from the entry instances directly.
 INDEX_DELAY_S = 0.4
 INDEX_KEYS_LIMIT = 2000
@@ -104,20 +104,6 @@
     records: int
 
 
-class ProgramKey(NamedTuple):
-    """The key of a program among the programs of all customers."""
-
-    customer: CustomerId
-    program: ProgramId
-
-
-class _Account(msgspec.Struct):
-    charges: dict[TurnId, Charge] = msgspec.field(default_factory=dict)
-    expires_at: float = 0.0
-    # Whether a turn of the program was answered completely.
-    answered: bool = False
-
-
 class _StoredTurn(msgspec.Struct):
     kept: KeptRecord
     expires_at: float
@@ -146,7 +132,7 @@
         self.incarnation = incarnation
         self.state = StoreState(complete)
         self.room = StoreRoom(limit_bytes, disk_limit_bytes)
-        self._accounts: dict[ProgramKey, _Account] = {}
+        self._accounts = Accounts()
         self._turns: dict[TurnKey, _StoredTurn] = {}
         self._records: dict[RecordKey, KeptRecord] = {}
         self._read_record = read_record
@@ -257,11 +243,9 @@
             self.stream_places.record(key, message.place, now)
         # If a repeated turn names another program, it counts against the first one.
         program = ProgramKey(message.customer, message.program)
-        account = self._accounts.get(program, _Account())
-        others = [
-            charge for turn, charge in account.charges.items() if turn != message.turn
-        ]
-        self._answer_begin(sender, message, others, now, account.answered)
+        others = self._accounts.list_other_charges(program, message.turn)
+        answered = self._accounts.is_answered(program)
+        self._answer_begin(sender, message, others, now, answered)
 
     def _answer_begin(
         self,
@@ -407,18 +391,8 @@
             self.room.add(record)
         self._records[record.key] = kept
         retention_s = record.retention_ms / MS_PER_S
-        account = self._accounts.setdefault(
-            ProgramKey(record.customer, record.program), _Account()
-        )
-        account.expires_at = max(
-            account.expires_at, now + ACCOUNT_RETENTIONS * retention_s
-        )
-        settled = record.kind is RecordKind.SETTLED
-        charge = account.charges.get(record.turn)
-        if charge is None or not charge.settled:
-            account.charges[record.turn] = Charge(record.turn, record.tokens, settled)
-        if settled and record.whole:
-            account.answered = True
+        self._accounts.apply(record, now)
+        if record.kind is RecordKind.SETTLED and record.whole:
             key = TurnKey(record.customer, record.turn)
             self._turns[key] = _StoredTurn(kept, now + retention_s)
             self._extend_chain(record, now + retention_s)
@@ -510,7 +484,7 @@
                 self._drop(entry.record)
             released += 1
             self._log_start += 1
-        self._expire_accounts(now)
+        self._accounts.expire(now)
         self.stream_places.expire(now)
         self.room.expire(now)
         return [ReleaseRecords(released)] if released else []
@@ -530,8 +504,8 @@
         stored = self._turns.get(TurnKey(record.customer, record.turn))
         if stored is not None and stored.expires_at > now:
             return False
-        account = self._accounts.get(ProgramKey(record.customer, record.program))
-        return account is None or account.expires_at <= now
+        program = ProgramKey(record.customer, record.program)
+        return self._accounts.is_expired(program, now)
 
     def _drop(self, kept: KeptRecord) -> None:
         record = kept.record
@@ -541,10 +515,3 @@
         stored = self._turns.get(turn)
         if stored is not None and stored.kept.record.key == record.key:
             del self._turns[turn]
-
-    def _expire_accounts(self, now: float) -> None:
-        expired = [
-            key for key, account in self._accounts.items() if account.expires_at <= now
-        ]
-        for key in expired:
-            del self._accounts[key]
--- a/burdockwall/process/storage/records.py
+++ b/burdockwall/process/storage/records.py
@@ -12,6 +12,7 @@
 from burdockwall.types import CustomerId, ProgramId, TurnId
 
 FRAME = struct.Struct("<II")
+MS_PER_S = 1000
 # Memory of a record without its texts.
 RECORD_OVERHEAD_BYTES = 600
 
