--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -196,11 +196,13 @@
         return sends
 
     def _request(self, instance: InstanceId, source: _Source, now: float) -> list[Send]:
+        silent = source.unanswered and now - source.requested_at >= REQUEST_TIMEOUT_S
         source.requested_at = now
         source.unanswered = True
         source.missing = list(filter(self._is_missing, source.missing))
         sends: list[Send] = []
-        keys = self._choose_keys(source, now)
+        # What a silent store lists is asked of the others.
+        keys = [] if silent else self._choose_keys(source, now)
         source.asked = frozenset(keys)
         if keys:
             sends.append(Send(instance, AskRecords(keys)))
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -165,6 +165,7 @@
         """
         self.stream_places.since = now
         for record, place in zip_longest(records, places):
+            self.room.filed_bytes += place.size if place is not None else 0
             if isinstance(record, StoreState):
                 self._log.append(_LogEntry(record, now))
                 self.state = record
--- a/features/returning_stores.feature
+++ b/features/returning_stores.feature
@@ -41,3 +41,9 @@
     Given a store that lost its disk, and two that no longer have a record they list
     When they answer for 4 s without a word about it
     Then the store has asked at most 60 times
+
+  # Guards against records that are asked of a silent store again and again.
+  Scenario: A store that falls silent after it has listed a record holds up no copy
+    Given a store that lost its disk, and two that list a record, one of them silent
+    When they answer for 4 s without a word about it
+    Then the store has the record
--- a/features/steps/returning_stores_steps.py
+++ b/features/steps/returning_stores_steps.py
@@ -4,6 +4,7 @@
 from features.subjects.returning_stores import (
     GROUP_SEGMENT_BYTES,
     ReturningStores,
+    SilentSource,
     TwiceWrittenRecord,
     VanishedRecord,
 )
@@ -59,6 +60,16 @@
     context.store = VanishedRecord()
 
 
+@given("a store that lost its disk, and two that list a record, one of them silent")
+def step_silent(context):
+    context.store = SilentSource()
+
+
+@then("the store has the record")
+def step_has_record(context):
+    assert context.store.holds_record()
+
+
 @when("they answer for {seconds:d} s that they no longer have it")
 def step_answer_absent(context, seconds):
     context.store.run(seconds, names_absent=True)
--- a/features/subjects/returning_stores.py
+++ b/features/subjects/returning_stores.py
@@ -163,3 +163,20 @@
             return self._handle(Receive(source, index))
         absent = list(message.keys) if names_absent else []
         return self._handle(Receive(source, RecordsFound([], absent)))
+
+
+class SilentSource(VanishedRecord):
+    """A store that has lost its disk, and two that list a record; one falls silent."""
+
+    def _answer_one(self, source: InstanceId, message, names_absent) -> list[Send]:
+        if isinstance(message, AskIndex) and message.position == 0:
+            return super()._answer_one(source, message, names_absent)
+        if source == self.others[0]:
+            return []
+        if isinstance(message, AskIndex):
+            return super()._answer_one(source, message, names_absent)
+        found = RecordsFound([build_record("vanished")] if message.keys else [])
+        return self._handle(Receive(source, found))
+
+    def holds_record(self) -> bool:
+        return self.ledger.holds(build_record("vanished").key)
