--- a/burdockwall/process/storage/copier.py
+++ b/burdockwall/process/storage/copier.py
@@ -22,6 +22,8 @@
 REQUEST_INTERVAL_S = 0.3
 REQUEST_TIMEOUT_S = 1.0
 REQUEST_KEYS_LIMIT = 400
+# While more than this waits for the disk, no further records are asked for.
+UNSYNCED_LIMIT_BYTES = 4_194_304
 # An index received this long after a store became incomplete lists all records that
 # were stored before.
 SETTLE_S = 1.2
@@ -55,9 +57,13 @@
     complete: bool = False
     requested_at: float = float("-inf")
     unanswered: bool = False
+    asked_at: float = float("-inf")
+    # Whether records were not asked for since the disk is waited for.
+    paused: bool = False
     caught_up_at: float = float("-inf")
     missing: list[RecordKey] = msgspec.field(default_factory=list)
-    # The keys of the last question for records, while it is unanswered.
+    # The keys of the last question for records, while it is unanswered. There is one
+    # such question at a time.
     asked: frozenset[RecordKey] = frozenset()
 
 
@@ -153,9 +159,10 @@
         source.missing = [*filter(self._is_missing, source.missing), *new]
         if index.ended and not source.missing:
             source.caught_up_at = now
-        if not index.ended or new:
-            return self._request(sender, source, now)
-        return []
+        sends = self._ask_records(sender, source, now) if new else []
+        if not index.ended:
+            sends.append(self._ask_index(sender, source, now))
+        return sends
 
     def _is_missing(self, key: RecordKey) -> bool:
         return not self.ledger.holds(key)
@@ -175,8 +182,8 @@
             for key in source.missing
             if key not in absent and not self.ledger.holds(key)
         ]
-        if 0 < len(source.missing) < missing:
-            return self._request(sender, source, now)
+        if len(source.missing) < missing:
+            return self._ask_records(sender, source, now)
         return []
 
     def _is_own_index(self, index: RecordIndex) -> bool:
@@ -190,34 +197,50 @@
     def _request_due(self, now: float) -> list[Send]:
         sends: list[Send] = []
         for instance, source in self._sources.items():
-            interval_s = REQUEST_TIMEOUT_S if source.unanswered else REQUEST_INTERVAL_S
+            # What a silent store lists is asked of the others.
+            silent = source.unanswered
+            interval_s = REQUEST_TIMEOUT_S if silent else REQUEST_INTERVAL_S
             if now - source.requested_at >= interval_s:
-                sends += self._request(instance, source, now)
+                sends.append(self._ask_index(instance, source, now))
+                source.missing = list(filter(self._is_missing, source.missing))
+            due = source.paused or now - source.asked_at >= REQUEST_INTERVAL_S
+            if due and not silent:
+                sends += self._ask_records(instance, source, now)
         return sends
 
-    def _request(self, instance: InstanceId, source: _Source, now: float) -> list[Send]:
-        silent = source.unanswered and now - source.requested_at >= REQUEST_TIMEOUT_S
+    def _ask_index(self, instance: InstanceId, source: _Source, now: float) -> Send:
         source.requested_at = now
         source.unanswered = True
-        source.missing = list(filter(self._is_missing, source.missing))
-        sends: list[Send] = []
-        # What a silent store lists is asked of the others.
-        keys = [] if silent else self._choose_keys(source, now)
-        source.asked = frozenset(keys)
-        if keys:
-            sends.append(Send(instance, AskRecords(keys)))
         ask = AskIndex(source.incarnation, source.position, self.ledger.incarnation)
-        sends.append(Send(instance, ask))
-        return sends
+        return Send(instance, ask)
+
+    def _ask_records(
+        self, instance: InstanceId, source: _Source, now: float
+    ) -> list[Send]:
+        """Ask for missing records, unless a question or the disk is waited for."""
+        if self._awaits_records(source, now):
+            return []
+        source.paused = self.ledger.unsynced_bytes > UNSYNCED_LIMIT_BYTES
+        if source.paused:
+            return []
+        keys = self._choose_keys(source, now)
+        if not keys:
+            return []
+        source.asked = frozenset(keys)
+        source.asked_at = now
+        return [Send(instance, AskRecords(keys))]
+
+    def _awaits_records(self, source: _Source, now: float) -> bool:
+        return bool(source.asked) and now - source.asked_at < REQUEST_TIMEOUT_S
 
     def _choose_keys(self, source: _Source, now: float) -> list[RecordKey]:
         """Choose missing keys that no other source has just been asked for."""
         elsewhere: set[RecordKey] = set()
         for other in self._sources.values():
-            if other is not source and now - other.requested_at < REQUEST_TIMEOUT_S:
+            if other is not source and self._awaits_records(other, now):
                 elsewhere |= other.asked
         keys = (key for key in source.missing if key not in elsewhere)
-        return list(islice(keys, REQUEST_KEYS_LIMIT))
+        return list(islice(filter(self._is_missing, keys), REQUEST_KEYS_LIMIT))
 
     def _check_complete(self, now: float) -> list[CompletenessChanged]:
         state = self.ledger.state
--- a/burdockwall/process/storage/kept_records.py
+++ b/burdockwall/process/storage/kept_records.py
@@ -50,10 +50,12 @@
 
     def __init__(self) -> None:
         self._written: list[tuple[int, KeptRecord | None]] = []
+        self.text_bytes = 0
 
     def add(self, ticket: int, kept: KeptRecord | None) -> None:
         """Add a record, or None for a state of the store."""
         self._written.append((ticket, kept))
+        self.text_bytes += kept.text_bytes if kept is not None else 0
 
     def take(self, ticket: int) -> list[KeptRecord | None]:
         """Take what is synced with a ticket, in the order in which it was written."""
@@ -62,4 +64,5 @@
             count += 1
         synced = [kept for _, kept in self._written[:count]]
         del self._written[:count]
+        self.text_bytes -= sum(kept.text_bytes for kept in synced if kept is not None)
         return synced
--- a/burdockwall/process/storage/ledger.py
+++ b/burdockwall/process/storage/ledger.py
@@ -151,6 +151,11 @@
         """Return the memory that the records take."""
         return self.room.stored_bytes
 
+    @property
+    def unsynced_bytes(self) -> int:
+        """Return the size of the texts that are not in the files yet."""
+        return self._unsynced.text_bytes
+
     def recover(
         self,
         records: Iterable[StoredRecord],
--- a/features/returning_stores.feature
+++ b/features/returning_stores.feature
@@ -47,3 +47,15 @@
     Given a store that lost its disk, and two that list a record, one of them silent
     When they answer for 4 s without a word about it
     Then the store has the record
+
+  # Guards against questions that multiply, whose answers fill the memory (LOST).
+  Scenario: Each store is asked for records once at a time, whatever it lists meanwhile
+    Given a store that lost its disk, and two that list new records all the time
+    When they answer for 4 s without a word about it
+    Then at most 2 questions for records were open at a time
+
+  # Guards against copies that come faster than the disk takes them (LOST).
+  Scenario: A store asks for no further records while much waits for its disk
+    Given a store that lost its disk, and two that list new records all the time
+    When 5 MB of records wait for its disk, and they answer for 4 s
+    Then the store has asked for no record
--- a/features/steps/returning_stores_steps.py
+++ b/features/steps/returning_stores_steps.py
@@ -1,8 +1,10 @@
 from behave import given, then, when
+from msgspec.structs import replace
 
-from features.subjects.returned_files import use_small_segments
+from features.subjects.returned_files import build_record, use_small_segments
 from features.subjects.returning_stores import (
     GROUP_SEGMENT_BYTES,
+    BusySources,
     ReturningStores,
     SilentSource,
     TwiceWrittenRecord,
@@ -65,6 +67,28 @@
     context.store = SilentSource()
 
 
+@given("a store that lost its disk, and two that list new records all the time")
+def step_busy(context):
+    context.store = BusySources()
+
+
+@when("{count:d} MB of records wait for its disk, and they answer for {seconds:d} s")
+def step_backlog(context, count, seconds):
+    record = replace(build_record("large"), prompt=bytes(count * 1_000_000))
+    context.store.ledger.add(record, 0.0)
+    context.store.run(seconds, names_absent=False)
+
+
+@then("at most {count:d} questions for records were open at a time")
+def step_open_questions(context, count):
+    assert 0 < context.store.most_waiting <= count, context.store.most_waiting
+
+
+@then("the store has asked for no record")
+def step_no_question(context):
+    assert context.store.most_waiting == 0, context.store.most_waiting
+
+
 @then("the store has the record")
 def step_has_record(context):
     assert context.store.holds_record()
--- a/features/subjects/returning_stores.py
+++ b/features/subjects/returning_stores.py
@@ -6,7 +6,12 @@
 from burdockwall.process.storage.calls import TurnOutcome
 from burdockwall.process.storage.copier import Copier, ViewInstalled
 from burdockwall.process.storage.ledger import Ledger
-from burdockwall.process.storage.messages import AskIndex, RecordIndex, RecordsFound
+from burdockwall.process.storage.messages import (
+    AskIndex,
+    AskRecords,
+    RecordIndex,
+    RecordsFound,
+)
 from burdockwall.process.storage.records import StoreState
 from burdockwall.process.storage.view import StoreMember, StoreView
 from burdockwall.types import Incarnation, InstanceId, TurnId
@@ -180,3 +185,30 @@
 
     def holds_record(self) -> bool:
         return self.ledger.holds(build_record("vanished").key)
+
+
+class BusySources(VanishedRecord):
+    """A store without a disk, and two that list new records all the time."""
+
+    RECORDS = 4000
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting = 0
+        self.most_waiting = 0
+
+    def _answer(self, asked: list[Send], names_absent: bool) -> list[Send]:
+        asks = [send for send in asked if isinstance(send.message, AskRecords)]
+        self.most_waiting = max(self.most_waiting, len(asks))
+        return super()._answer(asked, names_absent)
+
+    def _answer_one(self, source: InstanceId, message, names_absent) -> list[Send]:
+        if isinstance(message, AskIndex):
+            last = min(message.position + 20, self.RECORDS)
+            keys = [build_record(str(at)).key for at in range(message.position, last)]
+            index = RecordIndex(
+                Incarnation(2), True, last, True, keys, self.ledger.incarnation
+            )
+            return self._handle(Receive(source, index))
+        records = [build_record(key.turn) for key in message.keys[:4]]
+        return self._handle(Receive(source, RecordsFound(records)))
