--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -54,6 +54,9 @@
 MAX_BATCH_BYTES = 1_048_576
 # A batch may take as long as a link of this rate needs, beside the silence bound.
 LEAST_BYTES_PER_S = 1_000_000
+# A larger batch is logged with the time that its acknowledgement took.
+LOGGED_BATCH_BYTES = 65_536
+MS_PER_S = 1000
 # The sender of a batch waits for its acknowledgement, whatever that carries.
 MAX_ANSWERS_BYTES = 16_384
 # How long an acknowledgement waits for answers that follow a write. Later messages of
@@ -130,6 +133,7 @@
         self._heard = False
         self._heard_incarnation: Incarnation | None = None
         self._batch: anyio.CancelScope | None = None
+        self._batch_bytes = 0
         self._unacknowledged = 0
         self._logger = logbook.Logger("peers")
 
@@ -261,6 +265,7 @@
         envelope = Envelope(
             self.sender, self.incarnation, self._sent, messages, PROTOCOL
         )
+        began_at = anyio.current_time()
         # The next batch waits for the acknowledgement. Messages queued meanwhile are
         # sent together, and a silent connection is noticed by its first batch.
         with anyio.fail_after(self.silence_s) as self._batch:
@@ -273,10 +278,25 @@
         self._protocol = reply.protocol
         self._protocol_until = anyio.current_time() + PROTOCOL_VALID_S
         self._record_success()
+        if self._batch_bytes >= LOGGED_BATCH_BYTES:
+            self._log_large_batch(messages, anyio.current_time() - began_at)
         self.receive(reply.messages)
 
+    def _log_large_batch(self, messages: list[AnyMessage], took_s: float) -> None:
+        kinds = sorted({type(message).__name__ for message in messages})
+        self._logger.info(
+            "large batch acknowledged",
+            extra={
+                "peer": self.address,
+                "kinds": " ".join(kinds),
+                "bytes": self._batch_bytes,
+                "took_ms": round(took_s * MS_PER_S),
+            },
+        )
+
     def _allow_time(self, size: int) -> None:
         """Allow a batch of a size the time that a slow link needs to carry it."""
+        self._batch_bytes = size
         if self._batch is not None:
             self._batch.deadline += size / LEAST_BYTES_PER_S
 
