Send the list of endpoints by its changes, and repeat an unchanged one without it

Change: an instance whose link is known to read them gets the difference from the list that it was sent before, or only the list's counter if nothing has changed; one that has another list asks for the whole. Earlier builds get whole lists as before. A leader that was deposed answers no such request, since a list vouches for sole software versions.

The networks of cold endpoints and of sole versions now have both kinds.

--- a/burdockwall/connection/peers.py
+++ b/burdockwall/connection/peers.py
@@ -411,6 +411,12 @@
         spoken = link.protocol if link is not None else None
         return spoken is None or spoken >= protocol
 
+    def knows(self, peer: InstanceId, protocol: int) -> bool:
+        """Return whether an instance is known to know messages of a version."""
+        link = self.links.get(peer)
+        spoken = link.protocol if link is not None else None
+        return spoken is not None and spoken >= protocol
+
     def add_peer(self, peer: InstanceId, address: Address) -> None:
         """Add an instance, or set its new address for the next connection to it."""
         if peer == self.instance:
--- a/burdockwall/connection/wire.py
+++ b/burdockwall/connection/wire.py
@@ -11,7 +11,11 @@
 from burdockwall.process.control import copier, messages as control
 from burdockwall.process.crashes.messages import AskSuspects, ShareSuspects
 from burdockwall.process.endpoint_limits import messages as endpoint_limits
-from burdockwall.process.endpoints import EndpointList
+from burdockwall.process.endpoints import (
+    AskEndpoints,
+    EndpointChanges,
+    EndpointList,
+)
 from burdockwall.process.limits import messages as limits
 from burdockwall.process.membership import messages as membership
 from burdockwall.process.programs.messages import AnyRecordMessage
@@ -64,6 +68,8 @@
     | AnyRecordMessage
     | AnyStorageMessage
     | EndpointList
+    | EndpointChanges
+    | AskEndpoints
     | AnyVersionMessage
     | endpoint_limits.AskPermits
     | endpoint_limits.GrantPermits
--- a/burdockwall/process/control_node.py
+++ b/burdockwall/process/control_node.py
@@ -20,6 +20,8 @@
 from burdockwall.process.endpoint_limits.messages import AskPermits
 from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.endpoints import (
+    AskEndpoints,
+    EndpointChanges,
     EndpointPublisher,
     ListedEndpoint,
     ListFollower,
@@ -122,7 +124,7 @@
         self.publisher = EndpointPublisher()
         self.store_planner = StorePlanner(settings.tolerated_losses)
         self.emptying_planner = EmptyingPlanner()
-        self._hosted_publisher = host.add(self.publisher)
+        self._hosted_publisher = host.add(self.publisher, (AskEndpoints,))
         self.cold = LeaderColdEndpoints(
             host.clock,
             membership.get_led_term,
@@ -382,6 +384,12 @@
             if entry.details.role.serves_callers
             and entry.state is not EndpointState.FAILED
         ]
+        bus = self.member.host.bus
+        read_changes = frozenset(
+            follower.instance
+            for follower in followers
+            if bus.knows(follower.instance, EndpointChanges.protocol)
+        )
         self.member.host.apply(
             self._hosted_publisher,
             PublishEndpoints(
@@ -390,6 +398,7 @@
                 followers,
                 self.cold.judge.ended,
                 self._led_versions.list_since(term),
+                read_changes,
             ),
         )
 
--- a/burdockwall/process/endpoints.py
+++ b/burdockwall/process/endpoints.py
@@ -1,5 +1,8 @@
 """Distribution of the list of all services' endpoints by the leader."""
 
+from operator import attrgetter
+from typing import ClassVar
+
 import msgspec
 
 from burdockwall.machine import Message, Receive, Send, Tick
@@ -58,6 +61,29 @@
     sole_s: dict[ServiceName, float] = {}
 
 
+class EndpointChanges(Message, frozen=True):
+    """What changed from the list with the counter `since` to the one with `counter`.
+
+    They are equal if the list is only repeated. Lists are sorted by name.
+    """
+
+    protocol: ClassVar[int] = 4
+
+    term: Term
+    since: int
+    counter: int
+    changed: list[ListedEndpoint] = []
+    removed: list[EndpointId] = []
+    ended: dict[FailureDomain, float] = {}
+    sole_s: dict[ServiceName, float] = {}
+
+
+class AskEndpoints(Message, frozen=True):
+    """Request for the whole list, since changes followed another one."""
+
+    protocol: ClassVar[int] = 4
+
+
 class ListFollower(msgspec.Struct, frozen=True):
     """An incarnation of an instance that is sent the list; a new one has none yet."""
 
@@ -68,7 +94,8 @@
 class PublishEndpoints(msgspec.Struct, frozen=True):
     """Gives the leader's publisher the list that was read and its followers.
 
-    `sole_since` is since when each service with a single version has had it.
+    `sole_since` is since when each service with a single version has had it. Followers
+    in `read_changes` need not be sent the whole list each time.
     """
 
     term: Term
@@ -76,6 +103,7 @@
     followers: list[ListFollower]
     ended: dict[FailureDomain, float] = {}
     sole_since: dict[ServiceName, float] = {}
+    read_changes: frozenset[InstanceId] = frozenset()
 
 
 def mark_limited(
@@ -90,40 +118,102 @@
     ]
 
 
+class _Sent(msgspec.Struct, frozen=True):
+    """When a follower was sent a list, and the counter of that; -1 if it never was."""
+
+    at: float = float("-inf")
+    counter: int = -1
+
+
 class EndpointPublisher:
-    """Sends the list to each follower when it changes, and again at intervals."""
+    """Sends the list to each follower when it changes, and again at intervals.
+
+    A follower that reads changes and was sent the list before is sent the difference.
+    """
 
     def __init__(self) -> None:
         self._latest: PublishEndpoints | None = None
         self._counter = 0
-        self._sent_at: dict[ListFollower, float] = {}
+        self._sent: dict[ListFollower, _Sent] = {}
+        # What changed from the list before the latest one.
+        self._changed: list[ListedEndpoint] = []
+        self._removed: list[EndpointId] = []
+        self._comparable = False
 
     def handle(
         self, event: PublishEndpoints | Tick | Receive, now: float
     ) -> list[Send]:
         """Handle an event and return the messages to send."""
-        if not isinstance(event, PublishEndpoints):
-            return []
+        match event:
+            case PublishEndpoints():
+                return self._publish(event, now)
+            case Receive(sender=sender, message=AskEndpoints()):
+                # The next list that is published answers, if this is still the leader.
+                self._forget_sent(sender)
+                return []
+            case _:
+                return []
+
+    def _publish(self, event: PublishEndpoints, now: float) -> list[Send]:
         latest = self._latest
-        changed = latest is None or (
+        self._latest = event
+        if latest is None or (
             (latest.term, latest.endpoints, latest.ended)
             != (event.term, event.endpoints, event.ended)
-        )
-        self._latest = event
-        if changed:
+        ):
             self._counter += 1
+            self._compare(latest.endpoints if latest else [], event.endpoints)
+        if latest is not None and latest.term != event.term:
+            self._sent = {}
+        followers = event.followers
+        self._sent = {item: self._sent.get(item, _Sent()) for item in followers}
+        return self._send(event, now)
+
+    def _compare(
+        self, earlier: list[ListedEndpoint], later: list[ListedEndpoint]
+    ) -> None:
+        by_name = {endpoint.name: endpoint for endpoint in earlier}
+        names = {endpoint.name for endpoint in later}
+        self._changed = [item for item in later if by_name.get(item.name) != item]
+        self._removed = list(by_name.keys() - names)
+        # Changes name endpoints, so they can't describe two of one name.
+        self._comparable = len(by_name) == len(earlier) and len(names) == len(later)
+
+    def _forget_sent(self, instance: InstanceId) -> None:
+        for follower in self._sent:
+            if follower.instance == instance:
+                self._sent[follower] = _Sent()
+
+    def _send(self, event: PublishEndpoints, now: float) -> list[Send]:
         sole_s = {name: now - since for name, since in event.sole_since.items()}
-        message = EndpointList(
+        whole = EndpointList(
             event.term, self._counter, event.endpoints, event.ended, sole_s
         )
+        repeat = EndpointChanges(
+            event.term,
+            self._counter,
+            self._counter,
+            ended=event.ended,
+            sole_s=sole_s,
+        )
+        changes = msgspec.structs.replace(
+            repeat,
+            since=self._counter - 1,
+            changed=self._changed,
+            removed=self._removed,
+        )
         sends = []
-        sent_at = {}
-        for follower in event.followers:
-            sent_at[follower] = self._sent_at.get(follower, float("-inf"))
-            if changed or now - sent_at[follower] >= RESEND_INTERVAL_S:
-                sent_at[follower] = now
-                sends.append(Send(follower.instance, message))
-        self._sent_at = sent_at
+        for follower, sent in self._sent.items():
+            if sent.counter == self._counter and now - sent.at < RESEND_INTERVAL_S:
+                continue
+            message: Message = whole
+            if follower.instance in event.read_changes:
+                if sent.counter == self._counter:
+                    message = repeat
+                elif sent.counter == self._counter - 1 and self._comparable:
+                    message = changes
+            self._sent[follower] = _Sent(now, self._counter)
+            sends.append(Send(follower.instance, message))
         return sends
 
 
@@ -189,10 +279,37 @@
         match event:
             case Receive(message=EndpointList() as message):
                 self._install(message, now)
+            case Receive(sender=sender, message=EndpointChanges() as message):
+                if not self._install_changes(message, now):
+                    return [Send(sender, AskEndpoints())]
             case _:
                 pass
         return []
 
+    def _install_changes(self, message: EndpointChanges, now: float) -> bool:
+        """Install changes, and return False if they follow a list that is not here."""
+        if (message.term, message.counter) < self._list_version:
+            return True
+        if (message.term, message.counter) == self._list_version:
+            self._sole_versions.extend(message.sole_s, now)
+            self.received_at = now
+            return True
+        if (message.term, message.since) != self._list_version:
+            return False
+        listed = {endpoint.name: endpoint for endpoint in self.listed}
+        for name in message.removed:
+            listed.pop(name, None)
+        listed.update((endpoint.name, endpoint) for endpoint in message.changed)
+        whole = EndpointList(
+            message.term,
+            message.counter,
+            sorted(listed.values(), key=attrgetter("name")),
+            message.ended,
+            message.sole_s,
+        )
+        self._install(whole, now)
+        return True
+
     def _install(self, message: EndpointList, now: float) -> None:
         version = (message.term, message.counter)
         if version < self._list_version:
--- a/burdockwall/process/forwarding_entry.py
+++ b/burdockwall/process/forwarding_entry.py
@@ -30,6 +30,7 @@
 from burdockwall.process.endpoint_limits.client import EndpointLimits
 from burdockwall.process.endpoint_reach import EndpointReach
 from burdockwall.process.endpoints import (
+    EndpointChanges,
     EndpointFollower,
     EndpointList,
     ListedEndpoint,
@@ -132,7 +133,7 @@
         self.member.membership.defer_serving()
         self._limits_leader: tuple[InstanceId, Term] | None = None
         self.endpoints = EndpointFollower()
-        host.add(self.endpoints, (EndpointList,))
+        host.add(self.endpoints, (EndpointList, EndpointChanges))
         self.versions = VersionClient(host, self.member.incarnation)
         self._hosted_drain = host.add(self.drain, (), self._perform_drain)
         self.turn_client = TurnClient(
--- a/features/subjects/cold_network.py
+++ b/features/subjects/cold_network.py
@@ -17,6 +17,8 @@
 from burdockwall.process.endpoint_limits.messages import AskPermits, GrantPermits
 from burdockwall.process.endpoint_limits.owner import PermitOwner
 from burdockwall.process.endpoints import (
+    AskEndpoints,
+    EndpointChanges,
     EndpointFollower,
     EndpointList,
     EndpointPublisher,
@@ -111,7 +113,10 @@
         self.leaders[instance] = cold
         self.publishers[instance] = EndpointPublisher()
         owner = PermitOwner(get_term, cold)
-        machines = [(owner, (AskPermits,)), (self.publishers[instance], ())]
+        machines = [
+            (owner, (AskPermits,)),
+            (self.publishers[instance], (AskEndpoints,)),
+        ]
         self.network.start(instance, machines, 0.05)
         self._work(instance)
 
@@ -120,7 +125,8 @@
         view = ColdView(follower, lambda domain: self.ended)
         view.install_rules(RULES)
         holder = self.holders[instance] = PermitHolder(Incarnation(number), view)
-        machines = [(follower, (EndpointList,)), (holder, (GrantPermits, AskPermits))]
+        lists = (EndpointList, EndpointChanges)
+        machines = [(follower, lists), (holder, (GrantPermits, AskPermits))]
         self.network.start(instance, machines, 0.05)
         self._install_owner(instance)
 
@@ -158,7 +164,14 @@
             return
         followers = [ListFollower(item, Incarnation(0)) for item in self.entries]
         marked = cold.mark(self._lists[instance])
-        event = PublishEndpoints(self.term, marked, followers, cold.judge.ended)
+        event = PublishEndpoints(
+            self.term,
+            marked,
+            followers,
+            cold.judge.ended,
+            # The others run an earlier build.
+            read_changes=frozenset(self.entries[::2]),
+        )
         self.network.apply(instance, self.publishers[instance], event)
         for endpoint in cold.judge.start_checks(now):
             self.checks += 1
--- a/features/subjects/stream_versions.py
+++ b/features/subjects/stream_versions.py
@@ -10,6 +10,7 @@
 from burdockwall.fakes.servers import UNLIMITED, FakeServer
 from burdockwall.machine import Message, Receive
 from burdockwall.process.endpoints import (
+    EndpointChanges,
     EndpointFollower,
     EndpointList,
     EndpointPublisher,
@@ -233,7 +234,7 @@
     lists_only = missed == "no list of endpoints"
 
     def deliver(sender: InstanceId, message: Message) -> None:
-        is_list = isinstance(message, EndpointList)
+        is_list = isinstance(message, EndpointList | EndpointChanges)
         if not (is_list if lists_only else sender in control):
             host.deliver(sender, message)
 
--- a/features/subjects/version_network.py
+++ b/features/subjects/version_network.py
@@ -5,6 +5,8 @@
 from burdockwall.fakes.network import FakeNetwork, NetworkConditions
 from burdockwall.machine import Receive, Send, Tick
 from burdockwall.process.endpoints import (
+    AskEndpoints,
+    EndpointChanges,
     EndpointFollower,
     EndpointList,
     EndpointPublisher,
@@ -173,7 +175,7 @@
         self.owners[instance] = VersionOwner(self.led[instance], get_led_term)
         machines = [
             (self.owners[instance], (AskSoleVersion,)),
-            (self.publishers[instance], ()),
+            (self.publishers[instance], (AskEndpoints,)),
         ]
         self.network.start(instance, machines, 0.05)
         self._publish(instance)
@@ -201,6 +203,8 @@
             self._lists[instance],
             followers,
             sole_since=self.led[instance].list_since(self.term),
+            # The others run an earlier build.
+            read_changes=frozenset(ENTRIES[::2]),
         )
         self.network.apply(instance, self.publishers[instance], event)
 
@@ -251,7 +255,7 @@
         self.followers[instance] = EndpointFollower()
         self.askers[instance] = VersionAsker(Incarnation(number))
         machines = [
-            (self.followers[instance], (EndpointList,)),
+            (self.followers[instance], (EndpointList, EndpointChanges)),
             (self.askers[instance], (AnswerSoleVersion,)),
         ]
         self.network.start(instance, machines, 0.05)
