Read only what is new in a configuration

Change: routes and customers are told apart by their texts; those of the last configuration are kept as they were read. What can't be read is named by its place in the whole text as before.

--- a/burdockwall/platform/start.py
+++ b/burdockwall/platform/start.py
@@ -57,22 +57,24 @@
     match settings.role:
         case Role.ENTRY:
             from burdockwall.platform.codec import PlatformCodec
-            from burdockwall.platform.configuration import decode_deployment
+            from burdockwall.platform.configuration import DeploymentDecoder
             from burdockwall.process.forwarding_entry import ForwardingEntry
 
-            return ForwardingEntry(settings, PlatformCodec(), decode_deployment)
+            return ForwardingEntry(
+                settings, PlatformCodec(), DeploymentDecoder().decode
+            )
         case Role.STORAGE:
             from burdockwall.process.storage.node import StoreNode
 
             return StoreNode(settings)
         case Role.CONTROL:
-            from burdockwall.platform.configuration import decode_deployment
+            from burdockwall.platform.configuration import DeploymentDecoder
             from burdockwall.platform.control import install_handlers
             from burdockwall.platform.server_list import ServerListReader
             from burdockwall.process.control_node import ControlNode
 
             reader = ServerListReader(settings.platform_address)
-            node = ControlNode(settings, reader, decode_deployment)
+            node = ControlNode(settings, reader, DeploymentDecoder().decode)
             install_handlers(node)
             return node
         case Role.BOTH:
--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -255,3 +255,9 @@
       | nested 100,000 deep |
       | no UTF-8            |
       | cut in the middle   |
+
+  Scenario: What a configuration has in common with the last one is not read again
+    Given a decoder that has read a configuration of 1300 routes and 78 customers
+    When one route and one customer are changed, one route is added and one removed
+    Then it reads what a new decoder reads, and has made only 2 routes and 1 customer anew
+    And a fault in a route is named by its place in the whole configuration
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -2,11 +2,15 @@
 from types import SimpleNamespace
 
 import httpx
-from behave import then, when
+from behave import given, then, when
 
 from burdockwall.connection.upstream import Probe
 from burdockwall.errors import Code, InvalidFile, RequestRefused
-from burdockwall.platform.configuration import decode_new
+from burdockwall.platform.configuration import (
+    DeploymentDecoder,
+    decode_deployment,
+    decode_new,
+)
 from burdockwall.process.orders.order import OrderResult
 from burdockwall.request.caller import read_number
 from burdockwall.request.completion import parse_completion
@@ -21,6 +25,7 @@
     AddressSubject,
     ListSubject,
     build_entry,
+    build_large_configuration,
     build_many,
     build_page,
     find_figure,
@@ -211,3 +216,50 @@
 @then("the operator's call is refused as a bad request")
 def step_call_refused(context):
     assert context.refused.code is Code.BAD_REQUEST, context.refused
+
+
+@given(
+    "a decoder that has read a configuration of {routes:d} routes and {count:d} "
+    "customers"
+)
+def step_decoder(context, routes, count):
+    context.configuration = build_large_configuration(routes, count)
+    context.decoder = DeploymentDecoder()
+    context.first = context.decoder.decode(json.dumps(context.configuration).encode())
+
+
+@when("one route and one customer are changed, one route is added and one removed")
+def step_change_configuration(context):
+    routes, tenants = (context.configuration[name] for name in ("routes", "tenants"))
+    routes[7]["timeout-ms"] += 1
+    routes.append(routes[8] | {"name": "added", "path-prefix": "/added/"})
+    del routes[9]
+    tenants[3]["priority"] = 5
+    context.configuration["version"] += 1
+
+
+@then(
+    "it reads what a new decoder reads, and has made only {routes:d} routes and "
+    "{count:d} customer anew"
+)
+def step_read_again(context, routes, count):
+    data = json.dumps(context.configuration).encode()
+    second = context.decoder.decode(data)
+    assert second == decode_deployment(data)
+    former = {id(item) for item in context.first.routes + context.first.customers}
+    made = [
+        len([item for item in items if id(item) not in former])
+        for items in (second.routes, second.customers)
+    ]
+    assert made == [routes, count], made
+
+
+@then("a fault in a route is named by its place in the whole configuration")
+def step_fault_place(context):
+    context.configuration["routes"][11]["timeout-ms"] = "soon"
+    try:
+        context.decoder.decode(json.dumps(context.configuration).encode())
+    except InvalidFile as error:
+        assert "$.routes[11].timeout-ms" in error.detail, error.detail
+    else:
+        raise AssertionError("a route without a readable time-out was taken")
--- a/features/subjects/decoders.py
+++ b/features/subjects/decoders.py
@@ -396,3 +396,19 @@
     except OperatorError as error:
         return error
     raise AssertionError("the call was not refused")
+
+
+def build_large_configuration(routes: int, customers: int) -> dict:
+    """Build a configuration with many routes and customers."""
+    route = {"host": "site.example", "route-kind": "safe", "timeout-ms": 1000}
+    return {
+        "version": 1,
+        "routes": [
+            route | {"name": f"r{n}", "path-prefix": f"/r{n}/", "service": "tools"}
+            for n in range(routes)
+        ],
+        "services": [{"name": "tools"}],
+        "tenants": [
+            {"name": f"t{n}", "api-keys": [f"key-{n}"]} for n in range(customers)
+        ],
+    }
