--- a/burdockwall/fakes/thin_fleet.py
+++ b/burdockwall/fakes/thin_fleet.py
@@ -91,8 +91,6 @@
 class ThinFleet:
     """Control and entry instances that follow a configuration over their links."""
 
-    agent_type: type[Agent] = Agent
-
     def __init__(self, seed: int, entries: int, routes: int = 40) -> None:
         conditions = NetworkConditions(*DELAY_S)
         self.network = ThinNetwork(seed, conditions, self.perform)
@@ -127,11 +125,11 @@
             Address(f"{address}:1"),
             Address(f"{address}:2"),
         )
-        agent = self.agent_type(details, self.control)
+        agent = self.create_agent(details)
         self.agents[instance] = agent
         self.in_force[instance] = 0
         machines: list[tuple[Machine, tuple[type[Message], ...]]] = [
-            (agent, AGENT_MESSAGES)
+            (agent, self.list_messages(instance))
         ]
         if is_control:
             publisher = self.publishers[instance] = EndpointPublisher()
@@ -143,6 +141,14 @@
         rate = CONTROL_MBIT_PER_S if is_control else ENTRY_MBIT_PER_S
         self.network.set_rate(instance, rate)
 
+    def create_agent(self, details: InstanceDetails) -> Agent:
+        """Create the agent of an instance."""
+        return Agent(details, self.control)
+
+    def list_messages(self, instance: InstanceId) -> tuple[type[Message], ...]:
+        """List the messages that an instance's agent reads."""
+        return AGENT_MESSAGES
+
     def create_registrar(self, instance: InstanceId) -> Registrar:
         """Create the registrar of a control instance."""
         source = FakeSource(instance, self.log)
--- a/features/large_configuration.feature
+++ b/features/large_configuration.feature
@@ -34,3 +34,15 @@
     Given 1 seeded fleets of 300 entry instances with 12560 routes more
     When all entry instances start again within 0.3 s
     Then every other instance has the change within 1 s
+
+  Scenario Outline: Instances of an earlier build follow and lead beside this one
+    Given a fleet of 58 entry instances in which <earlier> read no outlines
+    When 100 routes are added, and then one route is changed 10 times, each 1.0 s
+    Then every other instance has the change within 2 s
+
+    Examples:
+      | earlier                              |
+      | the leader                           |
+      | all control instances but the leader |
+      | every second entry instance          |
+      | all entry instances                  |
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from features.subjects.large_configuration import LargeConfiguration
+from features.subjects.large_configuration import Builds, LargeConfiguration, MixedFleet
 
 SEED = 1
 PHASE_S = 0.25
@@ -97,3 +97,9 @@
 def step_others(context, limit_s):
     late = {seed: fleet.list_late(limit_s) for seed, fleet in enumerate(context.fleets)}
     assert not any(late.values()), late
+
+
+@given("a fleet of {entries:d} entry instances in which {earlier} read no outlines")
+def step_mixed_fleet(context, entries, earlier):
+    context.fleet = MixedFleet(SEED, entries, Builds(earlier))
+    context.fleets = [context.fleet]
