--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -1,12 +1,11 @@
 """Measure how the delay and the bytes of a configuration grow with it and its changes.
 
-Time is virtual. Links carry 15 Mbit/s at entry and 1,000 at control instances. Processor
-time and the replication among control instances are not part of it.
+Time is virtual. Links carry 15 Mbit/s at entry and 1,000 at control instances.
+Processor time and the replication among control instances are not part of it.
 """
 
 from benchmarks.result import Result, create_result
 from burdockwall.fakes.thin_fleet import WARM_UP_S, ThinFleet
-from burdockwall.types import InstanceId
 
 SEED = 1
 FLEETS = (58, 300)
@@ -38,28 +37,18 @@
 
     def change_in_series(self) -> int:
         """Change one route some times, and return the most bytes a relay sent."""
-        relays = self.list_relays()
         before = dict(self.network.sent_bytes)
         for _ in range(CHANGES):
             self.table.change_route()
             self.put_configuration()
             self.run(CHANGE_INTERVAL_S)
-        return max(self._count_since(before, relay) for relay in relays)
-
-    def _count_since(self, before: dict[InstanceId, int], instance: InstanceId) -> int:
-        return self.network.sent_bytes.get(instance, 0) - before.get(instance, 0)
+        return self.count_relay_bytes(before)
 
     def start_again(self) -> float:
         """End all entry instances, start them, and return when all have the latest."""
-        number = self.table.number
-        began_at = self.network.now
-        self.delays_s.clear()
-        self.accepted_at = dict.fromkeys(self.accepted_at, began_at)
-        for place, instance in enumerate(self.entries, len(self.control)):
-            self.network.crash(instance)
-            self.start(instance, place)
+        self.restart_entries(0.0)
         self.run(SETTLE_S)
-        return self.find_slowest_s(number)
+        return self.find_slowest_s(self.table.number)
 
 
 def measure() -> list[Result]:
--- a/burdockwall/fakes/thin_fleet.py
+++ b/burdockwall/fakes/thin_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 import string
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -207,6 +208,19 @@
         )
         return number
 
+    def restart_entries(self, within_s: float) -> None:
+        """End all entry instances, and start each again within a time.
+
+        From the end of that time on, delays are counted anew.
+        """
+        restarted_at = self.network.now + within_s
+        self.delays_s.clear()
+        self.accepted_at = dict.fromkeys(self.accepted_at, restarted_at)
+        for place, instance in enumerate(self.entries, len(self.control)):
+            self.network.crash(instance)
+            delay_s = self.network.random.uniform(0.0, within_s)
+            self.network.schedule(delay_s, partial(self.start, instance, place))
+
     def run(self, seconds: float) -> None:
         """Run the fleet for a while."""
         self.network.run_until(self.network.now + seconds)
@@ -217,6 +231,13 @@
         groups = [group for group in group_members(entries) if len(group) > 1]
         return list_relays(groups)
 
+    def count_relay_bytes(self, before: dict[InstanceId, int]) -> int:
+        """Return the most bytes that a relay has sent since the given counts."""
+        sent = self.network.sent_bytes
+        return max(
+            sent.get(relay, 0) - before.get(relay, 0) for relay in self.list_relays()
+        )
+
     def find_slowest_s(self, number: int) -> float:
         """Return when the last entry instance had a configuration, or infinity."""
         delays_s = self.delays_s.get(number, {})
--- a/features/steps/large_configuration_steps.py
+++ b/features/steps/large_configuration_steps.py
@@ -89,7 +89,7 @@
 @when("all entry instances start again within {within_s:g} s")
 def step_start_again(context, within_s):
     for fleet in context.fleets:
-        fleet.restart_entries(within_s)
+        fleet.start_again(within_s)
         fleet.settle()
 
 
--- a/features/subjects/large_configuration.py
+++ b/features/subjects/large_configuration.py
@@ -1,7 +1,6 @@
 """Changes of a large configuration in a fleet whose entry instances have thin links."""
 
 from enum import Enum
-from functools import partial
 from typing import Any
 
 from burdockwall.fakes.control import FakeSource
@@ -70,17 +69,9 @@
             self.network.isolate(instance)
             self.cut.append(instance)
 
-    def restart_entries(self, within_s: float) -> None:
-        """Let all entry instances end, and start again with nothing."""
-        number = self.table.number
-        self.numbers = [number]
-        self.delays_s.clear()
-        for earlier in range(1, number + 1):
-            self.accepted_at[earlier] = self.network.now + within_s
-        for place, instance in enumerate(self.entries, len(self.control)):
-            self.network.crash(instance)
-            delay_s = self.network.random.uniform(0.0, within_s)
-            self.network.schedule(delay_s, partial(self.start, instance, place))
+    def start_again(self, within_s: float) -> None:
+        self.numbers = [self.table.number]
+        self.restart_entries(within_s)
 
     def list_late(self, limit_s: float) -> list[InstanceId]:
         """List the instances not cut off that had a configuration late."""
@@ -94,14 +85,10 @@
 
     def measure_relay(self, count: int, interval_s: float) -> int:
         """Return the bytes that the busiest relay sends during some changes."""
-        relays = self.list_relays()
         before = dict(self.network.sent_bytes)
         self.change_routes(count, interval_s)
         self.run(interval_s)
-        return max(self._count_since(before, relay) for relay in relays)
-
-    def _count_since(self, before: dict[InstanceId, int], instance: InstanceId) -> int:
-        return self.network.sent_bytes.get(instance, 0) - before.get(instance, 0)
+        return self.count_relay_bytes(before)
 
 
 class EarlierAgent(Agent):
