Keep made documents until their outline is whole, and give the smaller of two ways

Read once more as a newcomer: an outline with two documents of which one was missing made the other again each tick and asked for it too; a long chain of patches could be larger than the whole document; a document made for an earlier outline could outlive an import.

--- a/burdockwall/process/membership/document_requests.py
+++ b/burdockwall/process/membership/document_requests.py
@@ -12,6 +12,7 @@
     DocumentOutline,
     GiveDocument,
 )
+from burdockwall.process.membership.patches import Patch
 from burdockwall.process.membership.pending import PendingOutlines
 from burdockwall.types import DocumentName, InstanceId
 
@@ -112,11 +113,18 @@
             self._store(sender, asked)
             return []
         digest = self.patches.observe(asked.name, document)
-        patches = self.patches.find_chain(asked.held, digest)
-        if not patches or not asked.held:
-            patches = (self.patches.create_whole(digest, document),)
+        patches = self._choose_patches(asked, digest, document)
         return [Send(sender, GiveDocument(asked.name, document.number, patches))]
 
+    def _choose_patches(
+        self, asked: AskDocument, digest: bytes, document: Document
+    ) -> tuple[Patch, ...]:
+        whole = self.patches.create_whole(digest, document)
+        chain = self.patches.find_chain(asked.held, digest) if asked.held else None
+        if not chain or sum(len(patch.data) for patch in chain) > len(whole.data):
+            return (whole,)
+        return chain
+
     def answer_waiting(self) -> list[Send]:
         """Send the documents that have come since they were asked for."""
         waiting = self._unanswered
--- a/burdockwall/process/membership/patches.py
+++ b/burdockwall/process/membership/patches.py
@@ -7,7 +7,8 @@
 import zstandard
 
 DIGEST_BYTES = 16
-MAX_DOCUMENT_BYTES = 16_777_216
+# Larger than any batch that a peer reads.
+MAX_DOCUMENT_BYTES = 33_554_432
 # The encoder finds the place of a difference only if its table covers the base.
 MAX_TABLE_BITS = 20
 MIN_TABLE_BITS = 10
@@ -59,7 +60,7 @@
 def apply_patch(patch: Patch, base: bytes) -> bytes:
     """Return the document of a patch; raise PatchInvalid if it is another."""
     decompressor = zstandard.ZstdDecompressor(
-        dict_data=_wrap_base(base), max_window_size=4 * MAX_DOCUMENT_BYTES
+        dict_data=_wrap_base(base), max_window_size=2 * MAX_DOCUMENT_BYTES
     )
     try:
         frame = zlib.decompressobj().decompress(patch.data, 2 * MAX_DOCUMENT_BYTES)
--- a/burdockwall/process/membership/pending.py
+++ b/burdockwall/process/membership/pending.py
@@ -46,6 +46,7 @@
         self.patches = patches
         self.find_local: FindDocument = find_none
         self._outlines: deque[Outline] = deque()
+        # Documents that were given or made, until no outline waits.
         self._given: dict[DocumentName, Document] = {}
         # Names whose patches were invalid; their documents are asked for whole.
         self._distrusted: set[DocumentName] = set()
@@ -62,7 +63,9 @@
             return True
         match outline:
             case SnapshotOutline():
+                # After an import, a whole state may have earlier documents.
                 self._outlines.clear()
+                self._given.clear()
             case ChangesOutline(since=since, changes=changes):
                 if since > self.version or not changes:
                     return False
@@ -97,7 +100,7 @@
                 document = self._patch(name, outline)
             if document is None:
                 return None
-            documents[name] = document
+            self._given[name] = documents[name] = document
         self._outlines.popleft()
         return _complete(first, documents)
 
@@ -133,7 +136,6 @@
 
     @staticmethod
     def _accepts_later(outline: Outline) -> bool:
-        # After an import, a whole state may have earlier documents than the held ones.
         return isinstance(outline, ChangesOutline)
 
     def _find(
