--- a/features/subjects/cold_network.py
+++ b/features/subjects/cold_network.py
@@ -26,6 +26,7 @@
     ListFollower,
     PublishEndpoints,
 )
+from burdockwall.process.membership.missed_updates import VersionNamed
 from burdockwall.types import (
     Address,
     CallId,
@@ -242,7 +243,11 @@
         self._calls[call] = instance
         self.network.apply(instance, self.holders[instance], Ask(call, NAME))
 
-    def _perform(self, instance: InstanceId, action: Decided, now: float) -> None:
+    def _perform(
+        self, instance: InstanceId, action: Decided | VersionNamed, now: float
+    ) -> None:
+        if isinstance(action, VersionNamed):
+            return
         self._calls.pop(action.call)
         if not action.permitted:
             self.refused += 1
