Count an idle connection that a known restart ended as no sign of another

Cause: an instance that finds an idle connection closed suspects that its endpoint has just restarted, whenever it finds that. After a restart the connections that were idle then are found at the next request there, which for a cold endpoint may be seconds later; each made the endpoint suspect anew for two seconds and up to the next list.

Change: the pool says since when the connection was idle. The instance takes the closing for explained where it has suspected the endpoint since then and the endpoint still counts as cold there.

Measured: the new scenario on virtual time fails without the change (20 of 20 instances still ask for permits after 1.1 of the cold time) and passes with it; a connection opened since the restart still counts as a sign. Features cold_endpoints, endpoint_limits, cut_off and entry_failures pass.

--- a/burdockwall/connection/upstream_pools.py
+++ b/burdockwall/connection/upstream_pools.py
@@ -25,6 +25,7 @@
 
 class _Idle(msgspec.Struct):
     connection: UpstreamConnection
+    since: float
     expires_at: float
 
 
@@ -37,7 +38,8 @@
     """The connections to endpoints, by address.
 
     `report_connect` is told whether each new connection could be opened, and
-    `report_closed` which address closed an idle connection before it expired.
+    `report_closed` which address closed an idle connection before it expired, and since
+    when that was idle.
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         self.clock = clock
         self.open_connection = open_upstream
         self.report_connect = report_connect
-        self.report_closed: Callable[[Address], None] = lambda address: None
+        self.report_closed: Callable[[Address, float], None] = lambda address, since: (
+            None
+        )
         self.opened_count = 0
         self.round_trips = RoundTrips()
         self._pools: dict[Address, _Pool] = {}
@@ -65,7 +69,7 @@
             if idle.expires_at > self.clock():
                 if idle.connection.is_usable():
                     return idle.connection
-                self.report_closed(address)
+                self.report_closed(address, idle.since)
                 await self._close_unusable(pool)
             pool.open_count -= 1
             await idle.connection.close()
@@ -106,7 +110,8 @@
             connection = await self._open(address, pool)
         except ConnectFailed as error:
             return Probe.REFUSED if error.refused else Probe.UNKNOWN
-        pool.idle.append(_Idle(connection, self.clock() + IDLE_LIMIT_S))
+        now = self.clock()
+        pool.idle.append(_Idle(connection, now, now + IDLE_LIMIT_S))
         return Probe.OPENED
 
     async def probe(self, address: Address) -> Probe:
@@ -138,7 +143,8 @@
         pool = self._pools.setdefault(address, _Pool())
         retention_s = IDLE_LIMIT_S if idle_s is None else idle_s - IDLE_MARGIN_S
         if reusable and retention_s > 0 and connection.recycle():
-            pool.idle.append(_Idle(connection, self.clock() + retention_s))
+            now = self.clock()
+            pool.idle.append(_Idle(connection, now, now + retention_s))
             return
         pool.open_count -= 1
         await connection.close()
--- a/burdockwall/process/cold_endpoints/view.py
+++ b/burdockwall/process/cold_endpoints/view.py
@@ -124,6 +124,14 @@
         _logger.notice("endpoint may be cold", extra={"endpoint": name})
         return True
 
+    def explains_closing(self, name: EndpointId, idle_since: float, now: float) -> bool:
+        """Return whether the restart already suspected ended an idle connection.
+
+        What is no longer cold from that restart may have restarted again.
+        """
+        suspected_at = self._suspected_at.get(name, float("-inf"))
+        return suspected_at >= idle_since and self.find_rate(name, now) is not None
+
     def list_suspicions(self, now: float) -> dict[EndpointId, float]:
         """List the ages of the latest suspicions, in seconds."""
         return {
--- a/burdockwall/process/endpoint_limits/client.py
+++ b/burdockwall/process/endpoint_limits/client.py
@@ -111,16 +111,19 @@
             cold is not None and cold.find_rate(endpoint, self.host.clock()) is not None
         )
 
-    def suspect_address(self, address: Address) -> None:
+    def suspect_address(self, address: Address, idle_since: float) -> None:
         """Record that an endpoint closed an idle connection sooner than announced."""
         if self.cold is not None and self.cold.rules:
             for endpoint in self.cold.follower.listed:
                 if endpoint.address == address:
-                    self.suspect(endpoint.name)
+                    self.suspect(endpoint.name, idle_since)
 
-    def suspect(self, endpoint: EndpointId) -> None:
-        """Record that a connection of an endpoint was refused or reset."""
-        self.host.apply(self._hosted, Suspect(endpoint))
+    def suspect(self, endpoint: EndpointId, idle_since: float | None = None) -> None:
+        """Record that a connection of an endpoint was refused or reset.
+
+        `idle_since` is when it was last used, if it is found closed only now.
+        """
+        self.host.apply(self._hosted, Suspect(endpoint, idle_since))
 
     def needs_permit(self, endpoint: EndpointId) -> bool:
         """Return whether requests to an endpoint need permits."""
--- a/burdockwall/process/endpoint_limits/holder.py
+++ b/burdockwall/process/endpoint_limits/holder.py
@@ -53,9 +53,13 @@
 
 
 class Suspect(msgspec.Struct, frozen=True):
-    """An endpoint's connection was refused or reset, so that it may be cold."""
+    """An endpoint's connection was refused or reset, so that it may be cold.
+
+    `idle_since` is set if that was found on an idle connection, perhaps much later.
+    """
 
     endpoint: EndpointId
+    idle_since: float | None = None
 
 
 class OwnerInstalled(msgspec.Struct, frozen=True):
@@ -153,8 +157,8 @@
                 return self._ask(event, now)
             case ObserveAnswer(endpoint=endpoint, rate_per_s=rate_per_s):
                 return self._observe(RateObservation(endpoint, rate_per_s, 0.0), now)
-            case Suspect(endpoint=endpoint):
-                return self._suspect(endpoint, now)
+            case Suspect():
+                return self._suspect(event, now)
             case OwnerInstalled():
                 return self._install_owner(event, now)
             case LimitedListed(endpoints=endpoints):
@@ -182,8 +186,13 @@
         # A new owner does not know what its predecessor was told.
         return self._report_suspicions(now) if changed else []
 
-    def _suspect(self, endpoint: EndpointId, now: float) -> list[Action]:
-        if self.cold is None or not self.cold.record_suspicion(endpoint, now):
+    def _suspect(self, event: Suspect, now: float) -> list[Action]:
+        if self.cold is None:
+            return []
+        since = event.idle_since
+        if since is not None and self.cold.explains_closing(event.endpoint, since, now):
+            return []
+        if not self.cold.record_suspicion(event.endpoint, now):
             return []
         return self._report_suspicions(now)
 
--- a/features/cold_endpoints.feature
+++ b/features/cold_endpoints.feature
@@ -28,6 +28,16 @@
     Then no second had more requests than the cold endpoint bears
     And its usual load is back within 1.2 of its cold time
 
+  Scenario: Connections that ended with a restart don't make its cold time longer
+    Given 20 instances with requests and an idle connection at their endpoint
+    When the endpoint restarts and each instance finds its connection closed 5 s later
+    Then requests need permits before 1.1 of its cold time and not after it
+
+  Scenario: Connections that end after a restart are signs of another one
+    Given 20 instances with requests and an idle connection at their endpoint
+    When the endpoint restarts and connections opened since are found closed 5 s later
+    Then every instance counts the endpoint as cold then
+
   Scenario Outline: A cold time of <text> in the list counts as <reading>
     Then a list entry with the cold time <text> makes its endpoint <reading>
 
--- a/features/steps/cold_endpoints_steps.py
+++ b/features/steps/cold_endpoints_steps.py
@@ -123,3 +123,44 @@
 @then("a route for {route} and a customer for {customer} reach domains {reached}")
 def step_regions(context, route, customer, reached):
     assert list_reached(route, customer) == reached
+
+
+@given("{instances:d} instances with requests and an idle connection at their endpoint")
+def step_idle(context, instances):
+    context.network = ColdNetwork(1, instances)
+    context.idle_since = context.network.network.now
+    # Ten times as many requests under way as instances.
+    context.network.load(20 * instances, 1)
+
+
+@when("the endpoint restarts and each instance finds its connection closed 5 s later")
+def step_found_closed(context):
+    context.network.restart()
+    context.network.find_closed_after(5, context.idle_since)
+    context.network.load(40, 5)
+
+
+@when("the endpoint restarts and connections opened since are found closed 5 s later")
+def step_found_closed_since(context):
+    context.network.restart()
+    context.network.load(40, 4)
+    context.network.find_closed_after(1, context.network.network.now)
+    context.network.load(40, 1.5)
+
+
+@then("requests need permits before {factor:g} of its cold time and not after it")
+def step_needed(context, factor):
+    network = context.network
+    assert network.count_needing() == len(network.entries)
+    warm_at = network.endpoint.starts[-1] + factor * cold_network.RULE.start_s
+    network.load(40, warm_at - network.network.now)
+    assert network.count_needing() == 0, network.count_needing()
+
+
+@then("every instance counts the endpoint as cold then")
+def step_counts_cold(context):
+    network = context.network
+    assert network.count_needing() == len(network.entries)
+    warm_at = network.endpoint.starts[-1] + 1.05 * cold_network.RULE.start_s
+    network.load(40, warm_at - network.network.now)
+    assert network.count_needing() == len(network.entries)
--- a/features/subjects/cold_network.py
+++ b/features/subjects/cold_network.py
@@ -235,6 +235,21 @@
     def _suspect(self, instance: InstanceId) -> None:
         self.network.apply(instance, self.holders[instance], Suspect(NAME))
 
+    def find_closed_after(self, delay_s: float, idle_since: float) -> None:
+        """Let each instance find a connection closed that was idle since a time."""
+
+        def find() -> None:
+            for instance in self.entries:
+                event = Suspect(NAME, idle_since)
+                self.network.apply(instance, self.holders[instance], event)
+
+        self.network.schedule(delay_s, find)
+
+    def count_needing(self) -> int:
+        """Count the instances at which requests to the endpoint need permits."""
+        now = self.network.now
+        return sum(item.needs_permit(NAME, now) for item in self.holders.values())
+
     def _request(self, number: int) -> None:
         if self.evacuated:
             return
